--- /dev/null
+++ b/apps/coltsfoottrail/main.cpp
@@ -0,0 +1,1 @@
+int main() { return 0; }
--- /dev/null
+++ b/packages/core/src/coltsfoottrail/core/slotmap.hpp
@@ -0,0 +1,114 @@
+/// @file
+/// Dense storage addressed by index and generation.
+#ifndef COLTSFOOTTRAIL_CORE_SLOTMAP_HPP
+#define COLTSFOOTTRAIL_CORE_SLOTMAP_HPP
+
+#include "coltsfoottrail/core/fwd.hpp"
+
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <utility>
+#include <vector>
+
+namespace coltsfoottrail {
+
+/// @brief Identifier of an object in a SlotMap; one that outlived its object
+/// finds nothing.
+/// @tparam Tag What is identified; never defined.
+template <class Tag> struct Ident {
+  std::uint32_t Index = 0;
+  std::uint32_t Generation = 0;
+
+  [[nodiscard]] friend auto operator<=>(const Ident &, const Ident &) = default;
+};
+
+/// @brief Container whose objects are addressed by identifiers that are never
+/// valid twice.
+///
+/// Not thread-safe: it stands under the lock of the shard that owns it.
+/// @tparam Value What is stored; movable.
+/// @tparam Id An Ident.
+template <class Value, class Id> class SlotMap {
+public:
+  /// @brief Stores an object.
+  /// @param Object What to store.
+  /// @return Its identifier.
+  [[nodiscard]] Id insert(Value Object) {
+    ++Count;
+    if (Free.empty()) {
+      Slots.push_back(Slot{1, std::move(Object)});
+      return Id{static_cast<std::uint32_t>(Slots.size() - 1), 1};
+    }
+    const std::uint32_t Index = Free.back();
+    Free.pop_back();
+    Slots[Index].Object.emplace(std::move(Object));
+    return Id{Index, Slots[Index].Generation};
+  }
+
+  /// @brief Finds an object.
+  /// @param Which Its identifier.
+  /// @return The object, or null when it is gone. Valid until the next insert
+  /// or erase.
+  [[nodiscard]] Value *find(Id Which) noexcept {
+    return holds(Which) ? &*Slots[Which.Index].Object : nullptr;
+  }
+
+  /// @copydoc find
+  [[nodiscard]] const Value *find(Id Which) const noexcept {
+    return holds(Which) ? &*Slots[Which.Index].Object : nullptr;
+  }
+
+  /// @brief Removes an object.
+  /// @param Which Its identifier.
+  /// @return The object, or nothing when it was gone already.
+  std::optional<Value> erase(Id Which) {
+    if (!holds(Which))
+      return std::nullopt;
+    std::optional<Value> Object = std::move(Slots[Which.Index].Object);
+    Slots[Which.Index].Object.reset();
+    ++Slots[Which.Index].Generation;
+    Free.push_back(Which.Index);
+    --Count;
+    return Object;
+  }
+
+  /// @brief Counts the objects.
+  [[nodiscard]] std::size_t size() const noexcept { return Count; }
+
+  /// @brief Calls a function with each identifier and object.
+  /// @param Visit Takes (Id, Value &); must not insert or erase.
+  template <class Function> void each(Function Visit) {
+    for (std::uint32_t Index = 0; Index < Slots.size(); ++Index)
+      if (Slots[Index].Object)
+        Visit(Id{Index, Slots[Index].Generation}, *Slots[Index].Object);
+  }
+
+private:
+  struct Slot {
+    std::uint32_t Generation = 1;
+    std::optional<Value> Object;
+  };
+
+  [[nodiscard]] bool holds(Id Which) const noexcept {
+    return Which.Index < Slots.size() &&
+           Slots[Which.Index].Generation == Which.Generation &&
+           Slots[Which.Index].Object;
+  }
+
+  std::vector<Slot> Slots;
+  std::vector<std::uint32_t> Free;
+  std::size_t Count = 0;
+};
+
+} // namespace coltsfoottrail
+
+template <class Tag> struct std::hash<coltsfoottrail::Ident<Tag>> {
+  [[nodiscard]] std::size_t
+  operator()(const coltsfoottrail::Ident<Tag> &Which) const noexcept {
+    return (static_cast<std::size_t>(Which.Generation) << 32U) | Which.Index;
+  }
+};
+
+#endif
--- /dev/null
+++ b/packages/core/src/coltsfoottrail/json/reader.cpp
@@ -0,0 +1,251 @@
+#include "coltsfoottrail/json/reader.hpp"
+
+#include <utility>
+
+namespace coltsfoottrail {
+
+namespace {
+
+constexpr std::size_t MaxShownBytes = 80;
+
+std::string shown(const Json &Value) {
+  std::string Text = Value.dump(-1, ' ', false, Json::error_handler_t::replace);
+  if (Text.size() > MaxShownBytes)
+    Text = Text.substr(0, MaxShownBytes) + "...";
+  return Text;
+}
+
+std::string escaped(std::string_view Key) {
+  std::string Out;
+  for (const char Letter : Key) {
+    if (Letter == '~')
+      Out += "~0";
+    else if (Letter == '/')
+      Out += "~1";
+    else
+      Out.push_back(Letter);
+  }
+  return Out;
+}
+
+std::string joined(std::span<const std::string_view> Words) {
+  std::string Out = "one of";
+  for (const std::string_view Word : Words)
+    Out += " \"" + std::string(Word) + "\"";
+  return Out;
+}
+
+std::string describe(std::string_view Source, std::string_view Pointer,
+                     std::string_view Value, std::string_view Allowed) {
+  std::string Out(Source);
+  Out += ": at ";
+  Out += Pointer.empty() ? std::string_view("the root") : Pointer;
+  Out += ": found ";
+  Out += Value;
+  Out += "; allowed: ";
+  Out += Allowed;
+  return Out;
+}
+
+std::string textRule(std::size_t MaxBytes) {
+  return "text of 1 to " + std::to_string(MaxBytes) + " bytes";
+}
+
+std::string numberRule(std::uint64_t Min, std::uint64_t Max) {
+  return "a whole number from " + std::to_string(Min) + " to " +
+         std::to_string(Max);
+}
+
+} // namespace
+
+InputError::InputError(std::string_view Source, std::string_view Pointer,
+                       std::string_view Value, std::string_view Allowed)
+    : Error(describe(Source, Pointer, Value, Allowed)), Where(Pointer) {}
+
+Json parseJson(std::string_view Text, std::string_view Source) {
+  try {
+    return Json::parse(Text);
+  } catch (const Json::parse_error &Problem) {
+    throw InputError(Source, "",
+                     "text that is not JSON at byte " +
+                         std::to_string(Problem.byte),
+                     "JSON (RFC 8259)");
+  }
+}
+
+ObjectReader::ObjectReader(const Json &Value, std::string_view Source,
+                           std::string Pointer, UnknownKeys Policy)
+    : Object(&Value), From(Source), Place(std::move(Pointer)),
+      OnUnknown(Policy) {
+  if (!Value.is_object())
+    throw InputError(From, Place, shown(Value), "an object");
+}
+
+bool ObjectReader::has(std::string_view Key) const {
+  return Object->contains(Key);
+}
+
+std::string ObjectReader::pointerTo(std::string_view Key) const {
+  return Place + "/" + escaped(Key);
+}
+
+const Json *ObjectReader::find(std::string_view Key) {
+  Asked.emplace(Key);
+  const auto Found = Object->find(Key);
+  return Found == Object->end() ? nullptr : &*Found;
+}
+
+const Json &ObjectReader::require(std::string_view Key,
+                                  std::string_view Allowed) {
+  const Json *const Found = find(Key);
+  if (Found == nullptr)
+    throw InputError(From, pointerTo(Key), "(missing)", Allowed);
+  return *Found;
+}
+
+void ObjectReader::refuse(std::string_view Key,
+                          std::string_view Allowed) const {
+  const auto Found = Object->find(Key);
+  throw InputError(From, pointerTo(Key),
+                   Found == Object->end() ? "(missing)" : shown(*Found),
+                   Allowed);
+}
+
+std::string ObjectReader::text(std::string_view Key, std::size_t MaxBytes) {
+  const Json &Value = require(Key, textRule(MaxBytes));
+  if (!Value.is_string())
+    refuse(Key, textRule(MaxBytes));
+  const auto &Text = Value.get_ref<const std::string &>();
+  if (Text.empty() || Text.size() > MaxBytes)
+    refuse(Key, textRule(MaxBytes));
+  return Text;
+}
+
+std::string ObjectReader::textOr(std::string_view Key, std::string_view Default,
+                                 std::size_t MaxBytes) {
+  if (find(Key) == nullptr)
+    return std::string(Default);
+  return text(Key, MaxBytes);
+}
+
+std::uint64_t ObjectReader::number(std::string_view Key, std::uint64_t Min,
+                                   std::uint64_t Max) {
+  const Json &Value = require(Key, numberRule(Min, Max));
+  if (!Value.is_number_integer() ||
+      (!Value.is_number_unsigned() && Value.get<std::int64_t>() < 0))
+    refuse(Key, numberRule(Min, Max));
+  const auto Number = Value.get<std::uint64_t>();
+  if (Number < Min || Number > Max)
+    refuse(Key, numberRule(Min, Max));
+  return Number;
+}
+
+std::uint64_t ObjectReader::numberOr(std::string_view Key,
+                                     std::uint64_t Default, std::uint64_t Min,
+                                     std::uint64_t Max) {
+  if (find(Key) == nullptr)
+    return Default;
+  return number(Key, Min, Max);
+}
+
+double ObjectReader::realOr(std::string_view Key, double Default, double Min,
+                            double Max) {
+  const Json *const Value = find(Key);
+  if (Value == nullptr)
+    return Default;
+  const std::string Rule =
+      "a number from " + std::to_string(Min) + " to " + std::to_string(Max);
+  if (!Value->is_number())
+    refuse(Key, Rule);
+  const auto Number = Value->get<double>();
+  if (!(Number >= Min && Number <= Max))
+    refuse(Key, Rule);
+  return Number;
+}
+
+bool ObjectReader::flagOr(std::string_view Key, bool Default) {
+  const Json *const Value = find(Key);
+  if (Value == nullptr)
+    return Default;
+  if (!Value->is_boolean())
+    refuse(Key, "true or false");
+  return Value->get<bool>();
+}
+
+std::size_t ObjectReader::word(std::string_view Key,
+                               std::span<const std::string_view> Words) {
+  const Json &Value = require(Key, joined(Words));
+  if (Value.is_string())
+    for (std::size_t Index = 0; Index < Words.size(); ++Index)
+      if (Value.get_ref<const std::string &>() == Words[Index])
+        return Index;
+  refuse(Key, joined(Words));
+}
+
+std::size_t ObjectReader::wordOr(std::string_view Key,
+                                 std::span<const std::string_view> Words,
+                                 std::size_t Default) {
+  if (find(Key) == nullptr)
+    return Default;
+  return word(Key, Words);
+}
+
+ObjectReader ObjectReader::object(std::string_view Key) {
+  return ObjectReader(require(Key, "an object"), From, pointerTo(Key),
+                      OnUnknown);
+}
+
+void ObjectReader::eachObject(
+    std::string_view Key, const std::function<void(ObjectReader &)> &Visit) {
+  const Json *const List = find(Key);
+  if (List == nullptr)
+    return;
+  if (!List->is_array())
+    refuse(Key, "a list of objects");
+  for (std::size_t Index = 0; Index < List->size(); ++Index) {
+    ObjectReader Entry((*List)[Index], From,
+                       pointerTo(Key) + "/" + std::to_string(Index), OnUnknown);
+    Visit(Entry);
+    Entry.finish();
+  }
+}
+
+std::vector<std::string> ObjectReader::texts(std::string_view Key,
+                                             std::size_t MaxBytes) {
+  const Json *const List = find(Key);
+  std::vector<std::string> Out;
+  if (List == nullptr)
+    return Out;
+  if (!List->is_array())
+    refuse(Key, "a list of texts");
+  for (std::size_t Index = 0; Index < List->size(); ++Index) {
+    const Json &Entry = (*List)[Index];
+    if (!Entry.is_string() || Entry.get_ref<const std::string &>().empty() ||
+        Entry.get_ref<const std::string &>().size() > MaxBytes)
+      throw InputError(From, pointerTo(Key) + "/" + std::to_string(Index),
+                       shown(Entry), textRule(MaxBytes));
+    Out.push_back(Entry.get<std::string>());
+  }
+  return Out;
+}
+
+const Json &ObjectReader::raw(std::string_view Key) {
+  static const Json Missing;
+  const Json *const Found = find(Key);
+  return Found == nullptr ? Missing : *Found;
+}
+
+void ObjectReader::finish() const {
+  if (OnUnknown == UnknownKeys::Ignore)
+    return;
+  for (const auto &Member : Object->items()) {
+    if (Asked.contains(Member.key()))
+      continue;
+    std::string Known = "the keys";
+    for (const std::string &Key : Asked)
+      Known += " \"" + Key + "\"";
+    throw InputError(From, pointerTo(Member.key()), "an unknown key", Known);
+  }
+}
+
+} // namespace coltsfoottrail
--- /dev/null
+++ b/packages/core/test/coltsfoottrail/core/slotmap.cpp
@@ -0,0 +1,29 @@
+#include "coltsfoottrail/core/slotmap.hpp"
+
+#include <gtest/gtest.h>
+#include <string>
+
+namespace coltsfoottrail {
+namespace {
+
+struct ThingTag;
+using ThingId = Ident<ThingTag>;
+
+// A caller would get another caller's answer: the first request ends, its slot
+// is taken by a second one, and a late message that still names the first must
+// not find the second.
+TEST(SlotMap, StaleIdentifierFindsNothing) {
+  SlotMap<std::string, ThingId> Things;
+  const ThingId First = Things.insert("first");
+  ASSERT_TRUE(Things.erase(First));
+  const ThingId Second = Things.insert("second");
+  EXPECT_EQ(First.Index, Second.Index);
+  EXPECT_EQ(Things.find(First), nullptr);
+  ASSERT_NE(Things.find(Second), nullptr);
+  EXPECT_EQ(*Things.find(Second), "second");
+  EXPECT_FALSE(Things.erase(First));
+  EXPECT_EQ(Things.size(), 1U);
+}
+
+} // namespace
+} // namespace coltsfoottrail
--- /dev/null
+++ b/packages/request/src/coltsfoottrail/dispatch/fwd.hpp
@@ -0,0 +1,27 @@
+/// @file
+/// Forward declarations and aliases of the dispatch module.
+#ifndef COLTSFOOTTRAIL_DISPATCH_FWD_HPP
+#define COLTSFOOTTRAIL_DISPATCH_FWD_HPP
+
+#include "coltsfoottrail/core/fwd.hpp"
+
+#include <cstdint>
+
+namespace coltsfoottrail {
+
+struct TicketTag;
+/// Identifier of a request that a dispatcher has taken.
+using Ticket = Ident<TicketTag>;
+
+enum class Priority : std::uint8_t;
+struct WorkItem;
+struct AttemptResult;
+struct LoadReport;
+struct SendCommand;
+struct RefuseCommand;
+struct DispatcherOptions;
+class Dispatcher;
+
+} // namespace coltsfoottrail
+
+#endif
--- /dev/null
+++ b/packages/request/src/coltsfoottrail/dispatch/types.hpp
@@ -0,0 +1,86 @@
+/// @file
+/// What a dispatcher is told and what it commands.
+#ifndef COLTSFOOTTRAIL_DISPATCH_TYPES_HPP
+#define COLTSFOOTTRAIL_DISPATCH_TYPES_HPP
+
+#include "coltsfoottrail/core/name.hpp"
+#include "coltsfoottrail/core/slotmap.hpp"
+#include "coltsfoottrail/core/time.hpp"
+#include "coltsfoottrail/dispatch/fwd.hpp"
+#include "coltsfoottrail/verdict/verdict.hpp"
+
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace coltsfoottrail {
+
+/// Urgency among requests of one team; a higher one goes first without starving
+/// the lower ones.
+enum class Priority : std::uint8_t { Batch, Normal, Urgent };
+
+/// @brief A request as the dispatcher sees it.
+struct WorkItem {
+  TeamName Team;
+  Priority Urgency = Priority::Normal;
+  TimePoint Deadline;
+  /// Whether it may be sent again once a byte of it may have reached an
+  /// endpoint.
+  bool Repeatable = false;
+  /// Hash of the prompt's head, for prefix-cache affinity; zero for none.
+  std::uint64_t PrefixHash = 0;
+  /// Hash of team, target and body, the same for a resent request on every
+  /// host.
+  std::uint64_t Fingerprint = 0;
+  /// Memory that it holds while it waits.
+  std::size_t Bytes = 0;
+  /// Work that it is, in tokens or any unit that the pool uses throughout.
+  double Cost = 1.0;
+};
+
+/// @brief How one attempt at an endpoint ended.
+struct AttemptResult {
+  /// What is known of whether the endpoint ran it. Ran means answered whole.
+  RunState State = RunState::NotRun;
+  /// Why it was not answered; meaningless when Answered.
+  Reason Why = Reason::Internal;
+  /// A whole answer was passed on.
+  bool Answered = false;
+  /// Part of an answer has gone to the caller: nothing may be sent again.
+  bool CallerSawBytes = false;
+  /// The connection broke while the endpoint had the request, as it does when
+  /// the request crashes it.
+  bool ConnectionLost = false;
+  /// From send to the first byte of the answer; zero when there was none.
+  Duration FirstByte{};
+  /// From send to the end.
+  Duration Total{};
+};
+
+/// @brief What an endpoint said of its load; lags.
+struct LoadReport {
+  std::string EndpointKey;
+  /// Changes when the engine restarts: the endpoint is cold again.
+  Incarnation Run = 0;
+  std::uint32_t Running = 0;
+  std::uint32_t Queued = 0;
+};
+
+/// Send a request to an endpoint.
+struct SendCommand {
+  Ticket Which;
+  std::string EndpointKey;
+};
+/// Give a request its final refusal.
+struct RefuseCommand {
+  Ticket Which;
+  Verdict Final;
+};
+
+using Command = std::variant<SendCommand, RefuseCommand>;
+/// Commands in the order in which they are to be carried out.
+using Commands = std::vector<Command>;
+
+} // namespace coltsfoottrail
+
+#endif
--- /dev/null
+++ b/packages/version/src/coltsfoottrail/fold/fwd.hpp
@@ -0,0 +1,24 @@
+/// @file
+/// Forward declarations and aliases of the fold module.
+#ifndef COLTSFOOTTRAIL_FOLD_FWD_HPP
+#define COLTSFOOTTRAIL_FOLD_FWD_HPP
+
+#include <cstdint>
+#include <memory>
+
+namespace coltsfoottrail {
+
+struct EntryHost;
+struct Group;
+struct PlanProgress;
+struct State;
+struct FoldResult;
+enum class GroupPhase : std::uint8_t;
+enum class PlanPhase : std::uint8_t;
+
+/// A state that is shared between threads and never changes.
+using StatePtr = std::shared_ptr<const State>;
+
+} // namespace coltsfoottrail
+
+#endif
