Read and write declarations and records

Cause: the fold, the planner and the mesh need one form for what operators declare and for the records of the agreed stream.

--- a/packages/version/src/coltsfoottrail/declaration/declaration.hpp
+++ b/packages/version/src/coltsfoottrail/declaration/declaration.hpp
@@ -125,6 +125,20 @@
 /// @return An object.
 [[nodiscard]] Json writeDeclaration(const Declaration &Declared);
 
+/// @brief Finds a host by name in logarithmic time. Thread-safe.
+/// @param In A declaration whose hosts are in the order of names.
+/// @param Name The host.
+/// @return The host, or null; valid as long as the declaration is unchanged.
+[[nodiscard]] const HostSpec *findHost(const Declaration &In,
+                                       const HostName &Name);
+/// @brief Finds a model by name in logarithmic time. Thread-safe.
+/// @copydetails findHost
+[[nodiscard]] const ModelSpec *findModel(const Declaration &In,
+                                         const ModelName &Name);
+
+/// @brief Tells whether a text is an IP number of version 4 or 6. Thread-safe.
+[[nodiscard]] bool isIpNumber(const std::string &Text);
+
 } // namespace coltsfoottrail
 
 #endif
--- a/packages/version/src/coltsfoottrail/record/codec.hpp
+++ b/packages/version/src/coltsfoottrail/record/codec.hpp
@@ -6,6 +6,7 @@
 #include "coltsfoottrail/json/fwd.hpp"
 #include "coltsfoottrail/record/record.hpp"
 
+#include <string_view>
 #include <vector>
 
 namespace coltsfoottrail {
@@ -47,6 +48,19 @@
 [[nodiscard]] Plan readPlan(const Json &Value, std::string_view Source,
                             UnknownKeys Policy);
 
+/// @brief Writes a step as JSON. Thread-safe.
+[[nodiscard]] Json writeStep(const Step &Planned);
+/// @brief Reads a step.
+/// @throws InputError It is not a step. Thread-safe.
+[[nodiscard]] Step readStep(const Json &Value, std::string_view Source,
+                            UnknownKeys Policy);
+
+/// @brief Writes a record's body as JSON. Thread-safe.
+[[nodiscard]] Json writeRecord(const Record &Written);
+/// @brief Reads a record's body; unknown keys are ignored.
+/// @throws InputError It is not a record of a known kind. Thread-safe.
+[[nodiscard]] Record readRecord(const Json &Value, std::string_view Source);
+
 } // namespace coltsfoottrail
 
 #endif
