--- /dev/null
+++ b/packages/version/src/coltsfoottrail/fold/enforce.cpp
@@ -0,0 +1,91 @@
+#include "coltsfoottrail/fold/apply.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace coltsfoottrail::internal {
+
+namespace {
+
+ModelSpec &model(State &Into, const ModelName &Name) {
+  return *std::ranges::lower_bound(Into.Declared.Models, Name, {},
+                                   &ModelSpec::Name);
+}
+
+void touchDeclared(State &Into, Offset At, const ModelName &Model) {
+  Into.DeclaredChange = At + 1;
+  touchModel(Into, At, Model);
+}
+
+/// Forgets what is known of things that are declared no more. The drain of a
+/// data centre stays: one that is declared again must not come back undrained.
+void forgetUndeclared(State &Into) {
+  std::erase_if(Into.ModelChanges, [&](const auto &Entry) {
+    return findModel(Into.Declared, Entry.first) == nullptr;
+  });
+  std::erase_if(Into.HostChanges, [&](const auto &Entry) {
+    return findHost(Into.Declared, Entry.first) == nullptr;
+  });
+  std::erase_if(Into.DrainedHosts, [&](const HostName &Name) {
+    return findHost(Into.Declared, Name) == nullptr;
+  });
+}
+
+void touchChangedModels(State &Into, Offset At, const Declaration &Before) {
+  for (const ModelSpec &Now : Into.Declared.Models) {
+    const ModelSpec *const Then = findModel(Before, Now.Name);
+    if (Then == nullptr || !(*Then == Now))
+      touchModel(Into, At, Now.Name);
+  }
+}
+
+/// Puts each kind of intent in force.
+struct Enforcer {
+  State &Into;
+  Offset At;
+
+  void operator()(ApplyDeclaration &Asked) const {
+    const Declaration Before =
+        std::exchange(Into.Declared, std::exchange(Asked.Wanted, {}));
+    Into.DeclaredChange = At + 1;
+    forgetUndeclared(Into);
+    touchChangedModels(Into, At, Before);
+  }
+  void operator()(const SetCapacity &Asked) const {
+    model(Into, Asked.Model).Groups[Asked.DataCentre] = Asked.Groups;
+    touchDeclared(Into, At, Asked.Model);
+  }
+  void operator()(const SetVersion &Asked) const {
+    model(Into, Asked.Model).Version = Asked.Version;
+    touchDeclared(Into, At, Asked.Model);
+  }
+  void operator()(const SetAdapters &Asked) const {
+    model(Into, Asked.Model).Adapters = Asked.Adapters;
+    touchDeclared(Into, At, Asked.Model);
+  }
+  void operator()(const DrainDataCentre &Asked) const {
+    Into.DrainedDataCentres.insert(Asked.DataCentre);
+    Into.DataCentreChanges[Asked.DataCentre] = At + 1;
+  }
+  void operator()(const ReturnDataCentre &Asked) const {
+    Into.DrainedDataCentres.erase(Asked.DataCentre);
+    Into.DataCentreChanges[Asked.DataCentre] = At + 1;
+  }
+  void operator()(const DrainHost &Asked) const {
+    Into.DrainedHosts.insert(Asked.Host);
+    Into.HostChanges[Asked.Host] = At + 1;
+  }
+  void operator()(const ReturnHost &Asked) const {
+    Into.DrainedHosts.erase(Asked.Host);
+    Into.HostChanges[Asked.Host] = At + 1;
+  }
+};
+
+} // namespace
+
+void enforceIntent(State &Into, Offset At, Intent &Asked) {
+  Into.LastChange = At;
+  std::visit(Enforcer{Into, At}, Asked);
+}
+
+} // namespace coltsfoottrail::internal
--- /dev/null
+++ b/packages/version/src/coltsfoottrail/fold/fold.cpp
@@ -0,0 +1,121 @@
+#include "coltsfoottrail/fold/fold.hpp"
+
+#include "coltsfoottrail/core/error.hpp"
+#include "coltsfoottrail/fold/apply.hpp"
+#include "coltsfoottrail/record/codec.hpp"
+
+#include <utility>
+
+namespace coltsfoottrail {
+
+namespace internal {
+
+FoldResult applied() { return FoldResult{}; }
+
+FoldResult voided(std::string Why, std::optional<Offset> BeatenBy) {
+  return FoldResult{FoldEffect::Void, std::move(Why), BeatenBy};
+}
+
+void touchModel(State &Into, Offset At, const ModelName &Model) {
+  Into.LastChange = At;
+  if (findModel(Into.Declared, Model) != nullptr)
+    Into.ModelChanges[Model] = At + 1;
+}
+
+FoldResult applyRecord(State &Into, Offset At, const EntryHostJoined &Said) {
+  Into.EntryHosts[Said.Host] = EntryHost{Said, At};
+  return applied();
+}
+
+FoldResult applyRecord(State &Into, Offset /*At*/, const EntryHostLeft &Said) {
+  const auto Found = Into.EntryHosts.find(Said.Host);
+  if (Found == Into.EntryHosts.end())
+    return voided("entry host " + Said.Host.Text + " has not joined");
+  if (Found->second.Joined.Run != Said.Run)
+    return voided("another run of entry host " + Said.Host.Text +
+                      " has joined since",
+                  Found->second.Since);
+  Into.EntryHosts.erase(Found);
+  return applied();
+}
+
+FoldResult applyRecord(State & /*Into*/, Offset /*At*/,
+                       const CheckpointPart & /*Said*/) {
+  return applied();
+}
+
+} // namespace internal
+
+namespace {
+
+bool isTwin(const State &In, const WriterId &Writer) {
+  const auto Known = In.Writers.find(Writer.Run);
+  return Known != In.Writers.end() && Writer.Sequence <= Known->second.Sequence;
+}
+
+bool isForgotten(Offset LastAt, Offset Memory, Offset Next) {
+  return LastAt + Memory <= Next;
+}
+
+void forgetPlans(State &Into) {
+  std::erase_if(Into.Plans, [&](const auto &Entry) {
+    const PlanProgress &Progress = Entry.second;
+    if (Progress.Phase == PlanPhase::Running)
+      return false;
+    const Offset Since =
+        Progress.Phase == PlanPhase::Proposed ? Entry.first : Progress.EndedAt;
+    return isForgotten(Since, PlanMemory, Into.Next);
+  });
+}
+
+void forgetWriters(State &Into) {
+  std::set<Incarnation> Joined;
+  for (const auto &[Name, Host] : Into.EntryHosts)
+    Joined.insert(Host.Joined.Run);
+  std::erase_if(Into.Writers, [&](const auto &Entry) {
+    return !Joined.contains(Entry.first) &&
+           isForgotten(Entry.second.LastAt, WriterMemory, Into.Next);
+  });
+}
+
+/// Moves Next past a record and forgets what has become old. Depends on nothing
+/// but offsets and the state, so all readers forget alike.
+void moveNext(State &Into, Offset At) {
+  const bool Sweep = Into.Next / SweepInterval != (At + 1) / SweepInterval;
+  Into.Next = At + 1;
+  if (!Sweep)
+    return;
+  forgetPlans(Into);
+  forgetWriters(Into);
+}
+
+FoldResult foldEnvelope(State &Into, Offset At, Envelope &Read) {
+  if (isTwin(Into, Read.Writer))
+    return FoldResult{FoldEffect::Twin, "a retry of a record folded before",
+                      std::nullopt};
+  Into.Writers[Read.Writer.Run] = WriterMark{Read.Writer.Sequence, At};
+  return std::visit(
+      [&](auto &Said) { return internal::applyRecord(Into, At, Said); },
+      Read.Body);
+}
+
+FoldResult foldBytes(State &Into, Offset At, ByteView Bytes) {
+  try {
+    Envelope Read = decodeRecord(Bytes);
+    return foldEnvelope(Into, At, Read);
+  } catch (const Error &Problem) {
+    return FoldResult{FoldEffect::Unreadable, Problem.what(), std::nullopt};
+  }
+}
+
+} // namespace
+
+FoldResult foldRecord(State &Into, Offset At, ByteView Bytes) {
+  if (At < Into.Next)
+    return FoldResult{FoldEffect::Twin, "folded before", std::nullopt};
+  FoldResult Result = foldBytes(Into, At, Bytes);
+  moveNext(Into, At);
+  return Result;
+}
+
+} // namespace coltsfoottrail
--- a/packages/version/src/coltsfoottrail/fold/fold.hpp
+++ b/packages/version/src/coltsfoottrail/fold/fold.hpp
@@ -10,6 +10,19 @@
 
 namespace coltsfoottrail {
 
+/// Ended plans, and proposals that nobody confirmed, stay in the state for this
+/// many records.
+inline constexpr Offset PlanMemory = 4096;
+/// A run that is no joined entry host stays known as a writer for this many
+/// records after its last one; a retry that comes later still is not recognised
+/// as a twin.
+inline constexpr Offset WriterMemory = 65536;
+/// What is to be forgotten is dropped whenever Next passes a multiple of this.
+inline constexpr Offset SweepInterval = 1024;
+/// Most proposals of whole declarations that wait for confirmation at once; the
+/// oldest gives way.
+inline constexpr std::size_t MaxDeclarationProposals = 8;
+
 /// What became of a record at its offset.
 enum class FoldEffect : std::uint8_t { Applied, Void, Twin, Unreadable };
 
@@ -24,7 +37,17 @@
 
 /// @brief Folds one record into a state. Pure: reads no clock, draws nothing,
 /// the same on every host.
-/// @param Into The state; its Next must not be above At.
+///
+/// A record is void when what it rests on does not hold at its own offset. A
+/// confirmed plan's intent is in force from the offset of the confirmation on,
+/// whatever its steps. Groups occupy their hosts from the confirmation on where
+/// these are free then, else from the offset at which their step begins; hosts
+/// that a running plan has still to occupy are refused to other plans.
+/// Consecutive StopGroup steps begin together, with the first of them. Appends
+/// of one run must reach the log in the order of their sequences: a writer
+/// waits for an append's outcome, retrying it, before it makes the next one.
+/// @param Into The state. A record below its Next changes nothing and counts as
+/// a twin.
 /// @param At The record's offset.
 /// @param Bytes The record as it stands on the log; anything may stand there.
 /// @return What became of it. Never throws for what stands on the log:
--- a/packages/version/src/coltsfoottrail/fold/fwd.hpp
+++ b/packages/version/src/coltsfoottrail/fold/fwd.hpp
@@ -11,10 +11,12 @@
 struct EntryHost;
 struct Group;
 struct PlanProgress;
+struct WriterMark;
 struct State;
 struct FoldResult;
 enum class GroupPhase : std::uint8_t;
 enum class PlanPhase : std::uint8_t;
+enum class FoldEffect : std::uint8_t;
 
 /// A state that is shared between threads and never changes.
 using StatePtr = std::shared_ptr<const State>;
--- a/packages/version/src/coltsfoottrail/fold/state.hpp
+++ b/packages/version/src/coltsfoottrail/fold/state.hpp
@@ -49,10 +49,27 @@
   Incarnation ExecutorRun = 0;
   std::uint32_t StepsDone = 0;
   std::string Why;
+  /// Offset of the confirmation; zero before.
+  Offset ConfirmedAt = 0;
+  /// Offset of the record that ended it; zero while it is Proposed or Running.
+  Offset EndedAt = 0;
+  /// Numbers of the groups that its steps have formed so far; a number is never
+  /// formed twice, so a late record for a gone group finds nothing.
+  std::set<std::uint32_t> Formed;
   [[nodiscard]] friend bool operator==(const PlanProgress &,
                                        const PlanProgress &) = default;
 };
 
+/// @brief What is known of the appends of one run.
+struct WriterMark {
+  /// Highest sequence folded.
+  std::uint64_t Sequence = 0;
+  /// Offset of its last record.
+  Offset LastAt = 0;
+  [[nodiscard]] friend bool operator==(const WriterMark &,
+                                       const WriterMark &) = default;
+};
+
 /// @brief The agreed state after all records up to At.
 struct State {
   /// Offset of the next record to fold: all below it are in.
@@ -67,9 +84,16 @@
   std::map<HostName, GroupId> Occupied;
   std::map<Offset, PlanProgress> Plans;
   /// Highest sequence folded of each writer, to drop twins.
-  std::map<Incarnation, std::uint64_t> Writers;
+  std::map<Incarnation, WriterMark> Writers;
   /// Offset of the last record that changed what plans rest on.
   Offset LastChange = 0;
+  /// What a plan rests on, and the Next of the state that its last change made:
+  /// a plan has not seen the change when its PlannedAt is below. Zero or absent
+  /// when it never changed.
+  Offset DeclaredChange = 0;
+  std::map<ModelName, Offset> ModelChanges;
+  std::map<DataCentreName, Offset> DataCentreChanges;
+  std::map<HostName, Offset> HostChanges;
 
   [[nodiscard]] friend bool operator==(const State &, const State &) = default;
 };
