Add the HTTP server and client, the platform adapters and the stand-ins

Cause: the path from a caller to an endpoint needs connections, and tests need a platform. Change: Beast server and client whose failures carry a run state, adapters for log, engines and host list, and stand-ins for log, engine, plain service and host list with faults. Brace initialisers inside coroutines are kept out: g++ 12 rejects them there.

--- /dev/null
+++ b/packages/connection/src/coltsfoottrail/adapter/engines.cpp
@@ -0,0 +1,252 @@
+#include "coltsfoottrail/adapter/engines.hpp"
+
+#include "coltsfoottrail/json/reader.hpp"
+
+#include <array>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <utility>
+
+namespace coltsfoottrail {
+
+namespace {
+
+constexpr std::array<std::string_view, 3> RoleWords{"mixed", "prefill",
+                                                    "decode"};
+constexpr std::array<std::string_view, 4> PhaseWords{"idle", "loading", "ready",
+                                                     "leaving"};
+constexpr std::array<std::string_view, 3> OrderWords{
+    "join-group", "leave-group", "load-adapters"};
+constexpr unsigned StatusOk = 200;
+constexpr unsigned StatusConflict = 409;
+constexpr unsigned StatusPreconditionFailed = 412;
+constexpr std::uint64_t MaxPort = 65535;
+
+template <class... Cases> struct Overloaded : Cases... {
+  using Cases::operator()...;
+};
+
+Json writeGroup(const GroupId &Group) {
+  return {{"plan", Group.Plan}, {"number", Group.Number}};
+}
+
+GroupId readGroup(ObjectReader Reader) {
+  GroupId Group;
+  Group.Plan = Reader.number("plan");
+  Group.Number = static_cast<std::uint32_t>(Reader.number("number"));
+  return Group;
+}
+
+Json writeAdapters(const std::vector<AdapterName> &Adapters) {
+  Json List = Json::array();
+  for (const AdapterName &Adapter : Adapters)
+    List.push_back(Adapter.Text);
+  return List;
+}
+
+std::vector<AdapterName> readAdapters(ObjectReader &Reader) {
+  std::vector<AdapterName> Adapters;
+  for (std::string &Text : Reader.texts("adapters"))
+    Adapters.emplace_back(std::move(Text));
+  return Adapters;
+}
+
+Json writeMembers(const std::vector<EngineAddress> &Members) {
+  Json List = Json::array();
+  for (const EngineAddress &Member : Members)
+    List.push_back({{"address", Member.Address}, {"port", Member.Port}});
+  return List;
+}
+
+JoinGroup readJoin(ObjectReader &Reader) {
+  JoinGroup Join;
+  Join.Group = readGroup(Reader.object("group"));
+  Join.Model = ModelName(Reader.text("model"));
+  Join.Version = VersionName(Reader.text("version"));
+  Join.Adapters = readAdapters(Reader);
+  Join.Role = static_cast<EngineRole>(Reader.word("role", RoleWords));
+  Join.Rank = static_cast<std::uint32_t>(Reader.number("rank"));
+  Reader.eachObject("members", [&](ObjectReader &Member) {
+    Join.Members.push_back(
+        {Member.text("address"),
+         static_cast<std::uint16_t>(Member.number("port", 1, MaxPort))});
+  });
+  return Join;
+}
+
+OrderResult
+orderResultOf(const std::variant<HttpResponse, CallFailure> &Outcome) {
+  if (const auto *const Failed = std::get_if<CallFailure>(&Outcome))
+    return Failed->State == RunState::NotRun ? OrderResult::NotDone
+                                             : OrderResult::Unknown;
+  switch (std::get<HttpResponse>(Outcome).Status) {
+  case StatusOk:
+    return OrderResult::Accepted;
+  case StatusPreconditionFailed:
+    return OrderResult::RefusedOldFence;
+  case StatusConflict:
+    return OrderResult::RefusedOther;
+  default:
+    return OrderResult::Unknown;
+  }
+}
+
+std::optional<EngineReport>
+reportOf(const std::variant<HttpResponse, CallFailure> &Outcome) {
+  const auto *const Response = std::get_if<HttpResponse>(&Outcome);
+  if (Response == nullptr || Response->Status != StatusOk)
+    return std::nullopt;
+  try {
+    return readReport(parseJson(Response->Body, "engine report"));
+  } catch (const InputError &) {
+    return std::nullopt;
+  }
+}
+
+std::optional<std::vector<ListedHost>>
+hostsOf(const std::variant<HttpResponse, CallFailure> &Outcome) {
+  const auto *const Response = std::get_if<HttpResponse>(&Outcome);
+  if (Response == nullptr || Response->Status != StatusOk)
+    return std::nullopt;
+  try {
+    const Json Body = parseJson(Response->Body, "host list");
+    ObjectReader Reader(Body, "host list", "", UnknownKeys::Ignore);
+    std::vector<ListedHost> Hosts;
+    Reader.eachObject("hosts", [&](ObjectReader &Host) {
+      Hosts.push_back(
+          {HostName(Host.text("name")), Host.flagOr("leaving", false)});
+    });
+    return Hosts;
+  } catch (const InputError &) {
+    return std::nullopt;
+  }
+}
+
+} // namespace
+
+Json writeOrder(const EngineOrder &Order) {
+  Json Out{{"fence", Order.Fence},
+           {"order", OrderWords.at(Order.What.index())}};
+  std::visit(Overloaded{
+                 [&](const JoinGroup &Join) {
+                   Out["group"] = writeGroup(Join.Group);
+                   Out["model"] = Join.Model.Text;
+                   Out["version"] = Join.Version.Text;
+                   Out["adapters"] = writeAdapters(Join.Adapters);
+                   Out["role"] =
+                       RoleWords.at(static_cast<std::size_t>(Join.Role));
+                   Out["rank"] = Join.Rank;
+                   Out["members"] = writeMembers(Join.Members);
+                 },
+                 [&](const LeaveGroup &Leave) {
+                   Out["group"] = writeGroup(Leave.Group);
+                 },
+                 [&](const LoadAdapters &Load) {
+                   Out["group"] = writeGroup(Load.Group);
+                   Out["adapters"] = writeAdapters(Load.Adapters);
+                 },
+             },
+             Order.What);
+  return Out;
+}
+
+EngineOrder readOrder(const Json &Value) {
+  ObjectReader Reader(Value, "order", "", UnknownKeys::Ignore);
+  EngineOrder Order;
+  Order.Fence = Reader.number("fence");
+  switch (Reader.word("order", OrderWords)) {
+  case 0:
+    Order.What = readJoin(Reader);
+    break;
+  case 1:
+    Order.What = LeaveGroup{readGroup(Reader.object("group"))};
+    break;
+  default:
+    Order.What =
+        LoadAdapters{readGroup(Reader.object("group")), readAdapters(Reader)};
+    break;
+  }
+  return Order;
+}
+
+Json writeReport(const EngineReport &Report) {
+  Json Out{{"run", Report.Run},
+           {"fence", Report.Fence},
+           {"phase", PhaseWords.at(static_cast<std::size_t>(Report.Phase))},
+           {"adapters", writeAdapters(Report.Adapters)},
+           {"running", Report.Running},
+           {"queued", Report.Queued}};
+  if (!Report.Version.empty())
+    Out["version"] = Report.Version.Text;
+  if (Report.Group)
+    Out["group"] = writeGroup(*Report.Group);
+  return Out;
+}
+
+EngineReport readReport(const Json &Value) {
+  ObjectReader Reader(Value, "engine report", "", UnknownKeys::Ignore);
+  EngineReport Report;
+  Report.Run = Reader.number("run");
+  Report.Fence = Reader.numberOr("fence", 0);
+  Report.Phase = static_cast<EnginePhase>(Reader.word("phase", PhaseWords));
+  if (Reader.has("group"))
+    Report.Group = readGroup(Reader.object("group"));
+  Report.Version = VersionName(Reader.textOr("version", ""));
+  Report.Adapters = readAdapters(Reader);
+  Report.Running = static_cast<std::uint32_t>(Reader.numberOr("running", 0));
+  Report.Queued = static_cast<std::uint32_t>(Reader.numberOr("queued", 0));
+  return Report;
+}
+
+HttpEngines::HttpEngines(boost::asio::io_context &Where)
+    : Context(Where), Client(Where, ClientOptions{}) {}
+
+void HttpEngines::order(const EngineAddress &To, const EngineOrder &Order,
+                        milliseconds Timeout, OrderHandler Done) {
+  HttpRequest Request;
+  Request.Method = "POST";
+  Request.Target = "/orders";
+  Request.Fields = {{"Content-Type", "application/json"}};
+  Request.Body = writeOrder(Order).dump();
+  boost::asio::co_spawn(
+      Context,
+      [this, To, Sent = std::move(Request),
+       Deadline = BootClock::now() + Timeout,
+       Then = std::move(Done)]() mutable -> Awaitable<void> {
+        Then(orderResultOf(co_await Client.fetch(To, std::move(Sent), Deadline,
+                                                 Reuse::Allowed)));
+      },
+      boost::asio::detached);
+}
+
+void HttpEngines::ask(const EngineAddress &Whom, milliseconds Timeout,
+                      ReportHandler Done) {
+  boost::asio::co_spawn(
+      Context,
+      [this, Whom, Deadline = BootClock::now() + Timeout,
+       Then = std::move(Done)]() mutable -> Awaitable<void> {
+        HttpRequest Request;
+        Request.Target = "/report";
+        Then(reportOf(co_await Client.fetch(Whom, std::move(Request), Deadline,
+                                            Reuse::Allowed)));
+      },
+      boost::asio::detached);
+}
+
+HttpHostList::HttpHostList(boost::asio::io_context &Where, EngineAddress To)
+    : Context(Where), Client(Where, ClientOptions{}), Service(std::move(To)) {}
+
+void HttpHostList::list(milliseconds Timeout, HostListHandler Done) {
+  boost::asio::co_spawn(
+      Context,
+      [this, Deadline = BootClock::now() + Timeout,
+       Then = std::move(Done)]() mutable -> Awaitable<void> {
+        HttpRequest Request;
+        Request.Target = "/v1/hosts";
+        Then(hostsOf(co_await Client.fetch(Service, std::move(Request),
+                                           Deadline, Reuse::Allowed)));
+      },
+      boost::asio::detached);
+}
+
+} // namespace coltsfoottrail
--- /dev/null
+++ b/packages/standin/src/coltsfoottrail/standin/log.cpp
@@ -0,0 +1,198 @@
+#include "coltsfoottrail/standin/log.hpp"
+
+#include "coltsfoottrail/json/reader.hpp"
+#include "coltsfoottrail/standin/query.hpp"
+
+#include <algorithm>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <cstring>
+
+namespace coltsfoottrail {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::string_view StreamsPrefix = "/v1/streams/";
+constexpr std::string_view RecordsSuffix = "/records";
+constexpr milliseconds PollEvery{5};
+constexpr std::uint64_t MaxWaitMs = 30'000;
+
+Awaitable<void> pause(Duration Time) {
+  asio::steady_timer Timer(co_await asio::this_coro::executor, Time);
+  co_await Timer.async_wait(asio::use_awaitable);
+}
+
+HttpResponse downAnswer() {
+  return HttpResponse{503, {{"Coltsfoottrail-Verdict", "not-run"}}, ""};
+}
+
+HttpResponse offsetAnswer(Offset At) {
+  return jsonResponse(200, Json{{"offset", At}}.dump());
+}
+
+std::optional<std::string> streamOf(std::string_view Path) {
+  if (!Path.starts_with(StreamsPrefix) || !Path.ends_with(RecordsSuffix))
+    return std::nullopt;
+  Path.remove_prefix(StreamsPrefix.size());
+  Path.remove_suffix(RecordsSuffix.size());
+  return Path.empty() ? std::nullopt : std::optional(std::string(Path));
+}
+
+} // namespace
+
+LogStandin::LogStandin(IoPool &Threads, const std::string &Address,
+                       std::uint16_t Port, std::size_t KeepEntries)
+    : Keep(KeepEntries),
+      Server(Threads, Address, Port,
+             ServerLimits{.MaxBodyBytes = std::uint64_t{8} << 20U},
+             ServerHooks{
+                 [this](Exchange &Call) { return handle(Call); }, {}, {}}) {}
+
+std::uint16_t LogStandin::port() const noexcept { return Server.port(); }
+
+void LogStandin::setFaults(LogFaults Wanted) {
+  const std::lock_guard Hold(Lock);
+  Faults = Wanted;
+}
+
+std::uint64_t LogStandin::appends() const {
+  const std::lock_guard Hold(Lock);
+  return AppendCount;
+}
+
+std::uint64_t LogStandin::reads() const {
+  const std::lock_guard Hold(Lock);
+  return ReadCount;
+}
+
+void LogStandin::trim(const StreamName &Name, Offset Horizon) {
+  const std::lock_guard Hold(Lock);
+  Stream &Kept = Streams[Name.Text];
+  while (Kept.Horizon < Horizon && !Kept.Entries.empty()) {
+    Kept.Entries.pop_front();
+    ++Kept.Horizon;
+  }
+}
+
+Awaitable<void> LogStandin::handle(Exchange &Call) {
+  const std::string_view Path = pathOf(Call.request().Target);
+  if (Path == "/v1/faults" && Call.request().Method == "POST") {
+    co_await Call.respond(setFaultsFrom(Call.request().Body));
+    co_return;
+  }
+  const std::optional<std::string> Name = streamOf(Path);
+  LogFaults Now;
+  {
+    const std::lock_guard Hold(Lock);
+    Now = Faults;
+  }
+  if (Now.Delay.count() > 0)
+    co_await pause(Now.Delay);
+  if (Now.Down)
+    co_await Call.respond(downAnswer());
+  else if (!Name)
+    co_await Call.respond(jsonResponse(404, R"({"error":"unknown path"})"));
+  else if (Call.request().Method == "POST")
+    co_await handleAppend(Call, *Name);
+  else
+    co_await handleRead(Call, *Name);
+}
+
+HttpResponse LogStandin::setFaultsFrom(const std::string &Body) {
+  try {
+    const Json Value = parseJson(Body, "faults");
+    ObjectReader Reader(Value, "faults");
+    LogFaults Wanted;
+    Wanted.Down = Reader.flagOr("down", false);
+    Wanted.Delay = milliseconds(Reader.numberOr("delay_ms", 0, 0, 60'000));
+    Wanted.LoseAnswers = static_cast<std::uint32_t>(
+        Reader.numberOr("lose_answers", 0, 0, 1'000'000));
+    Reader.finish();
+    setFaults(Wanted);
+    return jsonResponse(200, "{}");
+  } catch (const InputError &Problem) {
+    return jsonResponse(400, Json{{"error", Problem.what()}}.dump());
+  }
+}
+
+Awaitable<void> LogStandin::handleAppend(Exchange &Call,
+                                         const std::string &Name) {
+  const std::string &Body = Call.request().Body;
+  std::vector<std::byte> Payload(Body.size());
+  std::memcpy(Payload.data(), Body.data(), Body.size());
+  Offset At = 0;
+  bool Lose = false;
+  {
+    const std::lock_guard Hold(Lock);
+    Stream &Kept = Streams[Name];
+    At = Kept.Horizon + Kept.Entries.size();
+    Kept.Entries.push_back(std::move(Payload));
+    if (Kept.Entries.size() > Keep) {
+      Kept.Entries.pop_front();
+      ++Kept.Horizon;
+    }
+    ++AppendCount;
+    Lose = Faults.LoseAnswers > 0;
+    if (Lose)
+      --Faults.LoseAnswers;
+  }
+  if (Lose)
+    Call.cut();
+  else
+    co_await Call.respond(offsetAnswer(At));
+}
+
+Awaitable<void> LogStandin::handleRead(Exchange &Call,
+                                       const std::string &Name) {
+  const std::string &Target = Call.request().Target;
+  const Offset From = numberOf(Target, "from", 0);
+  const auto Max = static_cast<std::size_t>(numberOf(Target, "max", 1024));
+  const milliseconds Wait(std::min(numberOf(Target, "wait_ms", 0), MaxWaitMs));
+  const TimePoint Until = BootClock::now() + Wait;
+  while (true) {
+    const bool Last = BootClock::now() >= Until;
+    std::optional<HttpResponse> Answer = readNow(Name, From, Max, Last);
+    if (Answer) {
+      co_await Call.respond(std::move(*Answer));
+      co_return;
+    }
+    co_await pause(PollEvery);
+  }
+}
+
+std::optional<HttpResponse> LogStandin::readNow(const std::string &Name,
+                                                Offset From, std::size_t Max,
+                                                bool Last) {
+  const std::lock_guard Hold(Lock);
+  if (Faults.Down)
+    return HttpResponse{503, {}, ""};
+  const Stream &Kept = Streams[Name];
+  const Offset End = Kept.Horizon + Kept.Entries.size();
+  if (From < Kept.Horizon) {
+    ++ReadCount;
+    return jsonResponse(410, Json{{"horizon", Kept.Horizon}}.dump());
+  }
+  if (From >= End && !Last)
+    return std::nullopt;
+  Json Entries = Json::array();
+  for (Offset At = From; At < End && Entries.size() < Max; ++At) {
+    const auto &Bytes = Kept.Entries[At - Kept.Horizon];
+    const auto *const First =
+        reinterpret_cast<const std::uint8_t *>(Bytes.data());
+    Entries.push_back({{"at", At},
+                       {"payload", Json::binary(std::vector<std::uint8_t>(
+                                       First, First + Bytes.size()))}});
+  }
+  ++ReadCount;
+  HttpResponse Answer{200, {{"Content-Type", "application/cbor"}}, ""};
+  Json::to_cbor(Json{{"entries", std::move(Entries)},
+                     {"end", End},
+                     {"horizon", Kept.Horizon}},
+                Answer.Body);
+  return Answer;
+}
+
+} // namespace coltsfoottrail
