--- a/packages/version/src/coltsfoottrail/declaration/declaration.cpp
+++ b/packages/version/src/coltsfoottrail/declaration/declaration.cpp
@@ -192,10 +192,6 @@
     HostNames.add(From, "name", Host.Name.Text);
     Host.DataCentre = readDataCentre(From);
     Host.FabricDomain = readName<FabricDomainName>(From, "fabric_domain");
-    const auto [Known, First] =
-        FabricDomains.emplace(Host.FabricDomain, Host.DataCentre);
-    if (!First && Known->second != Host.DataCentre)
-      From.refuse("fabric_domain", "a fabric domain within one data centre");
     Host.Address = readAddress(From);
     Host.Port = readPort(From);
     takeAddress(From, Host.Address, Host.Port);
@@ -274,7 +270,6 @@
   ObjectReader Root;
   Declaration Out;
   std::set<DataCentreName> KnownDataCentres;
-  std::map<FabricDomainName, DataCentreName> FabricDomains;
   std::set<std::pair<std::string, std::uint16_t>> Addresses;
   UniqueNames TeamNames;
   UniqueNames Credentials;
@@ -371,6 +366,16 @@
   return Found != In.Hosts.end() && Found->Name == Name ? &*Found : nullptr;
 }
 
+bool isKnownHost(const Declaration &In, const HostName &Name) {
+  if (findHost(In, Name) != nullptr)
+    return true;
+  return std::ranges::any_of(In.Services, [&](const ServiceSpec &Service) {
+    return std::ranges::any_of(
+        Service.Instances,
+        [&](const ServiceInstance &Each) { return Each.Host == Name; });
+  });
+}
+
 const ModelSpec *findModel(const Declaration &In, const ModelName &Name) {
   const auto Found =
       std::ranges::lower_bound(In.Models, Name, {}, &ModelSpec::Name);
--- a/packages/version/src/coltsfoottrail/declaration/declaration.hpp
+++ b/packages/version/src/coltsfoottrail/declaration/declaration.hpp
@@ -38,6 +38,8 @@
 struct HostSpec {
   HostName Name;
   DataCentreName DataCentre;
+  /// Fabric domain within the data centre; the same name in another data centre
+  /// is another domain.
   FabricDomainName FabricDomain;
   /// IP number of the engine.
   std::string Address;
@@ -131,6 +133,9 @@
 /// @return The host, or null; valid as long as the declaration is unchanged.
 [[nodiscard]] const HostSpec *findHost(const Declaration &In,
                                        const HostName &Name);
+/// @brief Tells whether a name is that of a host or of a service instance's
+/// host. Thread-safe.
+[[nodiscard]] bool isKnownHost(const Declaration &In, const HostName &Name);
 /// @brief Finds a model by name in logarithmic time. Thread-safe.
 /// @copydetails findHost
 [[nodiscard]] const ModelSpec *findModel(const Declaration &In,
--- a/packages/version/src/coltsfoottrail/fold/digest.cpp
+++ b/packages/version/src/coltsfoottrail/fold/digest.cpp
@@ -239,8 +239,12 @@
   feedList(Into, Of.DrainedHosts);
   feedMap(Into, Of.Groups);
   feedMap(Into, Of.Occupied);
+  feedMap(Into, Of.Departed);
   feedMap(Into, Of.Plans);
   feedMap(Into, Of.Writers);
+  feed(Into, Of.Checkpoint.At);
+  feed(Into, Of.Checkpoint.Digest);
+  feed(Into, Of.Checkpoint.AnnouncedAt);
   feed(Into, Of.LastChange);
   feed(Into, Of.DeclaredChange);
   feedMap(Into, Of.ModelChanges);
--- a/packages/version/src/coltsfoottrail/fold/enforce.cpp
+++ b/packages/version/src/coltsfoottrail/fold/enforce.cpp
@@ -12,9 +12,14 @@
                                    &ModelSpec::Name);
 }
 
-void touchDeclared(State &Into, Offset At, const ModelName &Model) {
+/// Sets a member of what is declared. A repair asks for what stands there
+/// already and must not beat the plans of operators.
+template <class Value>
+void change(State &Into, Offset At, Value &Member, const Value &Wanted) {
+  if (Member == Wanted)
+    return;
+  Member = Wanted;
   Into.DeclaredChange = At + 1;
-  touchModel(Into, At, Model);
 }
 
 /// Forgets what is known of things that are declared no more. The drain of a
@@ -24,13 +29,21 @@
     return findModel(Into.Declared, Entry.first) == nullptr;
   });
   std::erase_if(Into.HostChanges, [&](const auto &Entry) {
-    return findHost(Into.Declared, Entry.first) == nullptr;
+    return !isKnownHost(Into.Declared, Entry.first);
   });
   std::erase_if(Into.DrainedHosts, [&](const HostName &Name) {
-    return findHost(Into.Declared, Name) == nullptr;
+    return !isKnownHost(Into.Declared, Name);
   });
 }
 
+void keepDeparted(State &Into, const Declaration &Before) {
+  for (const auto &[Name, Which] : Into.Occupied) {
+    const HostSpec *const Then = findHost(Before, Name);
+    if (Then != nullptr && findHost(Into.Declared, Name) == nullptr)
+      Into.Departed.emplace(Name, *Then);
+  }
+}
+
 void touchChangedModels(State &Into, Offset At, const Declaration &Before) {
   for (const ModelSpec &Now : Into.Declared.Models) {
     const ModelSpec *const Then = findModel(Before, Now.Name);
@@ -49,19 +62,21 @@
         std::exchange(Into.Declared, std::exchange(Asked.Wanted, {}));
     Into.DeclaredChange = At + 1;
     forgetUndeclared(Into);
+    keepDeparted(Into, Before);
     touchChangedModels(Into, At, Before);
   }
   void operator()(const SetCapacity &Asked) const {
-    model(Into, Asked.Model).Groups[Asked.DataCentre] = Asked.Groups;
-    touchDeclared(Into, At, Asked.Model);
+    ModelSpec &Model = model(Into, Asked.Model);
+    change(Into, At, Model.Groups[Asked.DataCentre], Asked.Groups);
+    touchModel(Into, At, Asked.Model);
   }
   void operator()(const SetVersion &Asked) const {
-    model(Into, Asked.Model).Version = Asked.Version;
-    touchDeclared(Into, At, Asked.Model);
+    change(Into, At, model(Into, Asked.Model).Version, Asked.Version);
+    touchModel(Into, At, Asked.Model);
   }
   void operator()(const SetAdapters &Asked) const {
-    model(Into, Asked.Model).Adapters = Asked.Adapters;
-    touchDeclared(Into, At, Asked.Model);
+    change(Into, At, model(Into, Asked.Model).Adapters, Asked.Adapters);
+    touchModel(Into, At, Asked.Model);
   }
   void operator()(const DrainDataCentre &Asked) const {
     Into.DrainedDataCentres.insert(Asked.DataCentre);
--- a/packages/version/src/coltsfoottrail/fold/fold.cpp
+++ b/packages/version/src/coltsfoottrail/fold/fold.cpp
@@ -39,8 +39,15 @@
   return applied();
 }
 
-FoldResult applyRecord(State & /*Into*/, Offset /*At*/,
-                       const CheckpointPart & /*Said*/) {
+FoldResult applyRecord(State &Into, Offset At, const CheckpointPart &Said) {
+  if (Said.Parts != 0)
+    return voided("parts of checkpoints belong on their own stream");
+  if (Said.At > At)
+    return voided("a checkpoint of a state that is yet to come");
+  if (Said.At <= Into.Checkpoint.At)
+    return voided("a newer checkpoint was announced before",
+                  Into.Checkpoint.AnnouncedAt);
+  Into.Checkpoint = AnnouncedCheckpoint{Said.At, Said.Digest, At};
   return applied();
 }
 
--- a/packages/version/src/coltsfoottrail/fold/fwd.hpp
+++ b/packages/version/src/coltsfoottrail/fold/fwd.hpp
@@ -12,6 +12,7 @@
 struct Group;
 struct PlanProgress;
 struct WriterMark;
+struct AnnouncedCheckpoint;
 struct State;
 struct FoldResult;
 enum class GroupPhase : std::uint8_t;
--- a/packages/version/src/coltsfoottrail/fold/groups.cpp
+++ b/packages/version/src/coltsfoottrail/fold/groups.cpp
@@ -87,6 +87,7 @@
     return voided(describe(Said.Group) + " is neither stopping nor broken");
   Found->second.Held.erase(Said.Host);
   Into.Occupied.erase(Said.Host);
+  Into.Departed.erase(Said.Host);
   Into.LastChange = At;
   dropIfReleased(Into, Found);
   return applied();
--- a/packages/version/src/coltsfoottrail/fold/objection.cpp
+++ b/packages/version/src/coltsfoottrail/fold/objection.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <set>
+#include <string_view>
+#include <utility>
 
 namespace coltsfoottrail::internal {
 
@@ -73,7 +75,7 @@
   }
 
   [[nodiscard]] Objection checkHost(const HostName &Name) const {
-    if (findHost(In.Declared, Name) == nullptr)
+    if (!isKnownHost(In.Declared, Name))
       return undeclared("host " + Name.Text);
     return unseenOf(In.HostChanges, Name, "host ");
   }
@@ -112,23 +114,55 @@
   }
 
   /// Failure guarded against: a declaration drops or moves a host whose engine
-  /// still serves a group; nobody knows its address any more, so it can neither
-  /// be reached for its requests in progress nor be stopped, and a host of the
-  /// same name elsewhere could enter a second group.
+  /// still serves a group. Nobody would know its address any more, so it could
+  /// neither be reached for its requests in progress nor be stopped. Only a
+  /// host of a broken group, which answers nothing, may be dropped; it is kept
+  /// under Departed until it is released.
   [[nodiscard]] Objection checkOccupied(const Declaration &Later) const {
     for (const auto &[Name, Which] : In.Occupied) {
       const HostSpec *const Now = findHost(In.Declared, Name);
       const HostSpec *const Then = findHost(Later, Name);
-      if (Now == nullptr || (Then != nullptr && *Now == *Then))
+      if (Now == nullptr || (Then != nullptr && samePlace(*Now, *Then)) ||
+          (Then == nullptr && isBroken(Which)))
         continue;
       return voided("host " + Name.Text +
                         " is still in a group: drain it before its "
                         "declaration changes",
                     generationOf(Which));
     }
+    return checkDeparted(Later);
+  }
+
+  /// Failure guarded against: a machine that an engine of a broken group may
+  /// still run on is declared again, perhaps under another name, and gets a
+  /// second group.
+  [[nodiscard]] Objection checkDeparted(const Declaration &Later) const {
+    std::set<std::pair<std::string_view, std::uint16_t>> Held;
+    for (const auto &[Name, Host] : In.Departed)
+      Held.emplace(Host.Address, Host.Port);
+    for (const auto &[Name, Which] : In.Occupied)
+      if (const HostSpec *const Now = findHost(In.Declared, Name))
+        if (findHost(Later, Name) == nullptr)
+          Held.emplace(Now->Address, Now->Port);
+    for (const HostSpec &Host : Later.Hosts)
+      if (In.Departed.contains(Host.Name) ||
+          Held.contains({Host.Address, Host.Port}))
+        return voided("host " + Host.Name.Text +
+                      " was dropped and is not released by its group yet");
     return std::nullopt;
   }
 
+  [[nodiscard]] static bool samePlace(const HostSpec &Left,
+                                      const HostSpec &Right) {
+    return Left.DataCentre == Right.DataCentre &&
+           Left.FabricDomain == Right.FabricDomain &&
+           Left.Address == Right.Address && Left.Port == Right.Port;
+  }
+
+  [[nodiscard]] bool isBroken(const GroupId &Which) const {
+    return In.Groups.at(Which).Phase == GroupPhase::Broken;
+  }
+
   [[nodiscard]] Offset generationOf(const GroupId &Which) const {
     return In.Groups.at(Which).Generation;
   }
--- a/packages/version/src/coltsfoottrail/fold/state.hpp
+++ b/packages/version/src/coltsfoottrail/fold/state.hpp
@@ -70,6 +70,17 @@
                                        const WriterMark &) = default;
 };
 
+/// @brief The newest checkpoint that was announced on the agreed stream.
+struct AnnouncedCheckpoint {
+  /// Next of the state that it holds; zero before the first.
+  Offset At = 0;
+  std::uint64_t Digest = 0;
+  /// Offset of the announcement.
+  Offset AnnouncedAt = 0;
+  [[nodiscard]] friend bool operator==(const AnnouncedCheckpoint &,
+                                       const AnnouncedCheckpoint &) = default;
+};
+
 /// @brief The agreed state after all records up to At.
 struct State {
   /// Offset of the next record to fold: all below it are in.
@@ -82,9 +93,13 @@
   /// The group that each occupied host belongs to; a host stands here once at
   /// the most.
   std::map<HostName, GroupId> Occupied;
+  /// Hosts that were dropped from the declaration while a broken group still
+  /// held them, with the address at which their stop can be proved.
+  std::map<HostName, HostSpec> Departed;
   std::map<Offset, PlanProgress> Plans;
   /// Highest sequence folded of each writer, to drop twins.
   std::map<Incarnation, WriterMark> Writers;
+  AnnouncedCheckpoint Checkpoint;
   /// Offset of the last record that changed what plans rest on.
   Offset LastChange = 0;
   /// What a plan rests on, and the Next of the state that its last change made:
--- a/packages/version/src/coltsfoottrail/record/record.hpp
+++ b/packages/version/src/coltsfoottrail/record/record.hpp
@@ -99,7 +99,9 @@
   [[nodiscard]] friend bool operator==(const HostReleased &,
                                        const HostReleased &) = default;
 };
-/// A part of a checkpoint of the state at an offset; does not change the state.
+/// A part of a checkpoint of the state at an offset. Parts stand on a stream of
+/// their own; on the agreed stream a record of this kind without parts and
+/// bytes announces that all parts are written.
 struct CheckpointPart {
   Offset At = 0;
   std::uint32_t Part = 0;
