--- a/packages/version/test/coltsfoottrail/config/follower.cpp
+++ b/packages/version/test/coltsfoottrail/config/follower.cpp
@@ -178,32 +178,71 @@
   EXPECT_EQ(Paused.freshness(Nine.Now + seconds(60)), Freshness::LeftBehind);
 }
 
-// A peer's answer lay in a buffer for a minute. Counted from its arrival it
-// would prove a state fresh that is a minute old.
-TEST(Follower, DelayedAnswerProvesNoMoreThanItsQuery) {
-  FollowerOptions Options;
-  Options.Self = Member{HostName("a"), DataCentreName("dc0")};
+/// One follower whose events the test gives by hand.
+class OneFollower : public testing::Test {
+protected:
+  void SetUp() override {
+    One.setMembers(std::vector<Member>{Self,
+                                       {HostName("b"), DataCentreName("dc0")},
+                                       {HostName("c"), DataCentreName("dc0")},
+                                       {HostName("d"), DataCentreName("dc1")}});
+    One.advance(Start, Out);
+  }
+
+  template <class Command> [[nodiscard]] Command last() const {
+    for (auto Each = Out.rbegin(); Each != Out.rend(); ++Each)
+      if (const auto *const Found = std::get_if<Command>(&*Each))
+        return *Found;
+    ADD_FAILURE() << "no such command";
+    return Command{};
+  }
+
+  static FollowerOptions optionsOf(const Member &Who) {
+    FollowerOptions Options;
+    Options.Self = Who;
+    return Options;
+  }
+
+  const Member Self{HostName("a"), DataCentreName("dc0")};
   const TimePoint Start{seconds(1000)};
-  Follower Alone(Options, 5, Start);
-  const std::vector<Member> Members{Options.Self,
-                                    {HostName("b"), DataCentreName("dc0")},
-                                    {HostName("c"), DataCentreName("dc0")},
-                                    {HostName("d"), DataCentreName("dc1")}};
-  Alone.setMembers(Members);
+  Follower One{optionsOf(Self), 5, Start};
   FollowCommands Out;
-  Alone.advance(Start, Out);
-  const SendQuery *Sent = nullptr;
-  for (const FollowCommand &Each : Out)
-    if (const auto *const Query = std::get_if<SendQuery>(&Each))
-      Sent = Query;
-  ASSERT_NE(Sent, nullptr);
-  const FollowAnswer Answer{Sent->Query.Stamp, 5, Duration{}};
-  const HostName Peer = Sent->Peer;
+};
+
+// A peer's answer lay in a buffer for a minute. Counted from its arrival it
+// would prove a state fresh that is a minute old.
+TEST_F(OneFollower, DelayedAnswerProvesNoMoreThanItsQuery) {
+  const auto Sent = last<SendQuery>();
   const TimePoint Late = Start + seconds(60);
-  FollowCommands Ignored;
-  Alone.onAnswer(Peer, Answer, Late, Ignored);
-  EXPECT_EQ(Alone.proofAge(Late), Duration(seconds(60)));
-  EXPECT_NE(Alone.freshness(Late), Freshness::Fresh);
+  One.onAnswer(Sent.Peer, FollowAnswer{Sent.Query.Stamp, 5, Duration{}}, Late,
+               Out);
+  EXPECT_EQ(One.proofAge(Late), Duration(seconds(60)));
+  EXPECT_NE(One.freshness(Late), Freshness::Fresh);
+}
+
+// A host and a peer read a copy of the log that lags and find nothing new
+// there, again and again. Another peer has shown a newer state; were its word
+// not to count, the host would serve on in a data centre that is drained.
+TEST_F(OneFollower, LaggingCopyOfTheLogProvesNothingAgainstAPeer) {
+  const auto Sent = last<SendQuery>();
+  One.onAnswer(Sent.Peer, FollowAnswer{Sent.Query.Stamp, 5, Duration{}}, Start,
+               Out);
+  ASSERT_EQ(One.freshness(Start), Freshness::Fresh);
+  const auto Second = Start + seconds(1);
+  One.advance(Second, Out);
+  const auto Newer = last<SendQuery>();
+  One.onAnswer(Newer.Peer, FollowAnswer{Newer.Query.Stamp, 9, Duration{}},
+               Second, Out);
+  TimePoint Now = Second;
+  for (int Round = 0; Round < 60; ++Round) {
+    Now += milliseconds(100);
+    One.onRead(last<ReadAgreed>().Number, LogBatch{{}, 5, 0}, Now, Out);
+    One.advance(Now, Out);
+    const auto Query = last<SendQuery>();
+    One.onAnswer(Query.Peer, FollowAnswer{Query.Query.Stamp, 5, Duration{}},
+                 Now, Out);
+  }
+  EXPECT_NE(One.freshness(Now), Freshness::Fresh);
 }
 
 void report(const char *What, const World &Of, Duration InForce,
