Add the router that carries dispatchers to coroutines, and the reading of callers' requests

Cause: dispatchers are pure; requests wait in coroutines on several threads. Change: a shard a pool under its own lock, tickets bound to waiters, decisions handed to the waiter's own thread; credential, deadline, priority and key read and checked with the verdict not-run.

--- /dev/null
+++ b/packages/process/src/coltsfoottrail/server/callerrequest.cpp
@@ -0,0 +1,203 @@
+#include "coltsfoottrail/server/callerrequest.hpp"
+
+#include "coltsfoottrail/core/hash.hpp"
+#include "coltsfoottrail/json/reader.hpp"
+
+#include <algorithm>
+#include <array>
+#include <boost/beast/core/string.hpp>
+#include <charconv>
+#include <utility>
+
+namespace coltsfoottrail {
+
+namespace {
+
+constexpr std::string_view BearerPrefix = "Bearer ";
+constexpr std::string_view ServicesPrefix = "/services/";
+constexpr std::size_t MaxKeyBytes = 255;
+constexpr std::size_t PrefixBytes = 256;
+constexpr double BytesPerToken = 4.0;
+constexpr std::array<std::string_view, 3> PriorityWords{"batch", "normal",
+                                                        "urgent"};
+
+/// Fields that belong to one connection or to us and are not passed on.
+constexpr std::array<std::string_view, 11> OwnFields{
+    "Authorization",     "Connection", "Content-Length",
+    "Host",              "Keep-Alive", "Proxy-Authorization",
+    "Transfer-Encoding", "TE",         "Trailer",
+    "Upgrade",           "Expect"};
+
+[[noreturn]] void refuse(Reason Why, const std::string &Detail) {
+  throw RequestRefused(Verdict{RunState::NotRun, Why, std::nullopt}, Detail);
+}
+
+bool isOwn(std::string_view Name) {
+  return std::any_of(
+      OwnFields.begin(), OwnFields.end(),
+      [Name](std::string_view Own) { return boost::beast::iequals(Own, Name); });
+}
+
+std::vector<HttpField> passedOn(const std::vector<HttpField> &Fields) {
+  std::vector<HttpField> Out;
+  for (const HttpField &Field : Fields)
+    if (!isOwn(Field.Name))
+      Out.push_back(Field);
+  return Out;
+}
+
+TimePoint deadlineOf(const HttpRequest &Asked, const CallerLimits &Limits,
+                     TimePoint Now) {
+  const std::string_view Text =
+      fieldOf(Asked.Fields, "Coltsfoottrail-Deadline-Ms");
+  if (Text.empty())
+    return Now + Limits.DefaultDeadline;
+  std::int64_t Given = 0;
+  const auto Parsed =
+      std::from_chars(Text.data(), Text.data() + Text.size(), Given);
+  if (Parsed.ec != std::errc{} || Parsed.ptr != Text.data() + Text.size() ||
+      Given < 1 || Given > Limits.MaxDeadline.count())
+    refuse(Reason::BadRequest,
+           "Coltsfoottrail-Deadline-Ms: found \"" + std::string(Text) +
+               "\"; allowed: a whole number from 1 to " +
+               std::to_string(Limits.MaxDeadline.count()));
+  return Now + milliseconds(Given);
+}
+
+Priority priorityOf(const HttpRequest &Asked) {
+  const std::string_view Text =
+      fieldOf(Asked.Fields, "Coltsfoottrail-Priority");
+  if (Text.empty())
+    return Priority::Normal;
+  const auto *const Found =
+      std::find(PriorityWords.begin(), PriorityWords.end(), Text);
+  if (Found == PriorityWords.end())
+    refuse(Reason::BadRequest, "Coltsfoottrail-Priority: found \"" +
+                                   std::string(Text) +
+                                   "\"; allowed: batch, normal, urgent");
+  return static_cast<Priority>(Found - PriorityWords.begin());
+}
+
+std::string keyOf(const HttpRequest &Asked) {
+  const std::string_view Key = fieldOf(Asked.Fields, "Idempotency-Key");
+  const bool Printable = std::all_of(Key.begin(), Key.end(), [](char Letter) {
+    return Letter >= ' ' && Letter <= '~';
+  });
+  if (Key.size() > MaxKeyBytes || !Printable)
+    refuse(Reason::BadRequest,
+           "Idempotency-Key: allowed: 1 to 255 printable ASCII characters");
+  return std::string(Key);
+}
+
+std::string headOfPrompt(const Json &Body) {
+  if (const auto Prompt = Body.find("prompt");
+      Prompt != Body.end() && Prompt->is_string())
+    return Prompt->get_ref<const std::string &>().substr(0, PrefixBytes);
+  if (const auto Messages = Body.find("messages");
+      Messages != Body.end() && Messages->is_array() && !Messages->empty())
+    return Messages->front()
+        .dump(-1, ' ', false, Json::error_handler_t::replace)
+        .substr(0, PrefixBytes);
+  return {};
+}
+
+void readModelCall(const HttpRequest &Asked, bool Chat, CallerRequest &Out) {
+  try {
+    const Json Body = parseJson(Asked.Body, "request body");
+    ObjectReader Reader(Body, "request body", "", UnknownKeys::Ignore);
+    Out.PoolName = poolOfModel(Reader.text("model", 256));
+    Out.Streams = Reader.flagOr("stream", false);
+    if (Chat && (!Reader.has("messages") ||
+                 !Reader.raw("messages").is_array() ||
+                 Reader.raw("messages").empty()))
+      Reader.refuse("messages", "a list of at least one message");
+    if (!Chat)
+      (void)Reader.text("prompt", Asked.Body.size());
+    const std::uint64_t Tokens =
+        Reader.numberOr("max_tokens", 256, 1, 1'000'000);
+    const std::string Head = headOfPrompt(Body);
+    Out.Item.PrefixHash = Head.empty() ? 0 : hashText(Head);
+    Out.Item.Cost = static_cast<double>(Tokens) +
+                    static_cast<double>(Asked.Body.size()) / BytesPerToken;
+  } catch (const InputError &Problem) {
+    refuse(Reason::BadRequest, Problem.what());
+  }
+  Out.ToModel = true;
+  Out.Item.Repeatable = true;
+}
+
+bool isRepeatablePath(const Pool &Target, std::string_view Path) {
+  return std::find(Target.RepeatablePaths.begin(),
+                   Target.RepeatablePaths.end(),
+                   Path) != Target.RepeatablePaths.end();
+}
+
+void readServiceCall(const HttpRequest &Asked, const RouteTable &Routes,
+                     CallerRequest &Out) {
+  std::string_view Rest = Asked.Target;
+  Rest.remove_prefix(ServicesPrefix.size());
+  const std::string_view Name = Rest.substr(0, Rest.find_first_of("/?"));
+  Rest.remove_prefix(Name.size());
+  Out.PoolName = poolOfService(Name);
+  Out.Forwarded.Target = Rest.starts_with("/") ? std::string(Rest)
+                                               : "/" + std::string(Rest);
+  const std::string_view Path =
+      std::string_view(Out.Forwarded.Target)
+          .substr(0, Out.Forwarded.Target.find('?'));
+  const auto Found = Routes.Pools.find(Out.PoolName);
+  Out.Item.Repeatable =
+      Asked.Method == "GET" || Asked.Method == "HEAD" ||
+      (Found != Routes.Pools.end() && isRepeatablePath(Found->second, Path));
+}
+
+} // namespace
+
+const TeamSpec &authenticate(const HttpRequest &Asked,
+                             const RouteTable &Routes) {
+  const std::string_view Given = fieldOf(Asked.Fields, "Authorization");
+  if (!Given.starts_with(BearerPrefix))
+    refuse(Reason::Unauthenticated,
+           "Authorization: allowed: \"Bearer\" and the team's credential");
+  const auto Found = Routes.TeamsByCredential.find(
+      sha256Hex(Given.substr(BearerPrefix.size())));
+  if (Found == Routes.TeamsByCredential.end())
+    refuse(Reason::Unauthenticated, "no team has this credential");
+  return Found->second;
+}
+
+CallerRequest readCallerRequest(const HttpRequest &Asked,
+                                const RouteTable &Routes,
+                                const CallerLimits &Limits, TimePoint Now) {
+  CallerRequest Out;
+  Out.Team = authenticate(Asked, Routes);
+  Out.Forwarded.Method = Asked.Method;
+  Out.Forwarded.Target = Asked.Target;
+  const std::string_view Path =
+      std::string_view(Asked.Target).substr(0, Asked.Target.find('?'));
+  const bool Chat = Path == "/v1/chat/completions";
+  if (Path.starts_with(ServicesPrefix))
+    readServiceCall(Asked, Routes, Out);
+  else if (!Chat && Path != "/v1/completions")
+    refuse(Reason::UnknownTarget,
+           "allowed: /v1/completions, /v1/chat/completions, /services/NAME/");
+  else if (Asked.Method != "POST")
+    refuse(Reason::BadRequest, "allowed: POST");
+  else
+    readModelCall(Asked, Chat, Out);
+  if (!Routes.Pools.contains(Out.PoolName))
+    refuse(Reason::UnknownTarget, "there is no " + Out.PoolName);
+
+  Out.IdempotencyKey = keyOf(Asked);
+  Out.Item.Team = Out.Team.Name;
+  Out.Item.Urgency = priorityOf(Asked);
+  Out.Item.Deadline = deadlineOf(Asked, Limits, Now);
+  Out.Item.Bytes = Asked.Body.size() + Asked.Target.size();
+  Out.Item.Fingerprint =
+      hashText(Asked.Body, hashText(Out.PoolName + Out.Forwarded.Target,
+                                    hashText(Out.Team.Name.Text)));
+  Out.Forwarded.Fields = passedOn(Asked.Fields);
+  Out.Forwarded.Body = Asked.Body;
+  return Out;
+}
+
+} // namespace coltsfoottrail
--- /dev/null
+++ b/packages/process/src/coltsfoottrail/server/fwd.hpp
@@ -0,0 +1,20 @@
+/// @file
+/// Forward declarations of the server module.
+#ifndef COLTSFOOTTRAIL_SERVER_FWD_HPP
+#define COLTSFOOTTRAIL_SERVER_FWD_HPP
+
+namespace coltsfoottrail {
+
+struct CallerRequest;
+struct Assignment;
+struct RouterOptions;
+class Router;
+class Place;
+class Relay;
+class AgreedStream;
+class Operators;
+class EntryHostProcess;
+
+} // namespace coltsfoottrail
+
+#endif
--- /dev/null
+++ b/packages/process/src/coltsfoottrail/server/router.cpp
@@ -0,0 +1,296 @@
+#include "coltsfoottrail/server/router.hpp"
+
+#include "coltsfoottrail/core/hash.hpp"
+
+#include <algorithm>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/error.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/system/system_error.hpp>
+#include <utility>
+
+namespace coltsfoottrail {
+
+namespace asio = boost::asio;
+
+/// The coroutine's side of a ticket. Touched on the coroutine's thread only, but
+/// for its creation.
+struct Place::Waiter {
+  explicit Waiter(const asio::any_io_executor &Executor)
+      : Wake(Executor, asio::steady_timer::time_point::max()) {}
+
+  asio::steady_timer Wake;
+  std::optional<Decision> Ready;
+  Ticket Which;
+  bool Ended = false;
+};
+
+/// One pool: its dispatcher and who waits for its commands.
+struct Place::Shard {
+  explicit Shard(DispatcherOptions Limits) : Decides(std::move(Limits)) {}
+
+  struct Delivery {
+    std::shared_ptr<Waiter> To;
+    Decision What;
+  };
+  using Deliveries = std::vector<Delivery>;
+
+  /// Translates commands while the lock is held.
+  [[nodiscard]] Deliveries translate(const Commands &Given);
+  [[nodiscard]] Decision decisionOf(const SendCommand &Send) const;
+  /// Hands decisions over after the lock is released.
+  static void deliver(Deliveries Due, const Waiter *OnOwnThread);
+
+  std::mutex Lock;
+  Dispatcher Decides;
+  std::map<std::string, std::shared_ptr<const EndpointSpec>, std::less<>>
+      Endpoints;
+  std::map<Ticket, std::shared_ptr<Waiter>> Waiters;
+};
+
+Decision Place::Shard::decisionOf(const SendCommand &Send) const {
+  const auto Found = Endpoints.find(Send.EndpointKey);
+  if (Found == Endpoints.end())
+    return Verdict{RunState::NotRun, Reason::Internal, std::nullopt};
+  return Assignment{Found->second};
+}
+
+Place::Shard::Deliveries Place::Shard::translate(const Commands &Given) {
+  Deliveries Out;
+  for (const Command &One : Given) {
+    const bool Sends = std::holds_alternative<SendCommand>(One);
+    const Ticket Which = Sends ? std::get<SendCommand>(One).Which
+                               : std::get<RefuseCommand>(One).Which;
+    const auto Found = Waiters.find(Which);
+    if (Found == Waiters.end())
+      continue;
+    if (Sends) {
+      Out.push_back({Found->second, decisionOf(std::get<SendCommand>(One))});
+    } else {
+      Out.push_back({Found->second, std::get<RefuseCommand>(One).Final});
+      Waiters.erase(Found);
+    }
+  }
+  return Out;
+}
+
+void Place::Shard::deliver(Deliveries Due, const Waiter *OnOwnThread) {
+  for (Delivery &One : Due) {
+    if (One.To.get() == OnOwnThread) {
+      One.To->Ready = std::move(One.What);
+      continue;
+    }
+    asio::post(One.To->Wake.get_executor(),
+               [To = One.To, What = std::move(One.What)]() mutable {
+                 To->Ready = std::move(What);
+                 To->Wake.cancel();
+               });
+  }
+}
+
+Place::Place(std::shared_ptr<Shard> Where, std::shared_ptr<Waiter> Who)
+    : Home(std::move(Where)), Own(std::move(Who)) {}
+
+Place::Place(Place &&) noexcept = default;
+
+Place::~Place() {
+  if (!Own || Own->Ended)
+    return;
+  Shard::Deliveries Due;
+  {
+    const std::lock_guard Hold(Home->Lock);
+    Commands Given;
+    Home->Waiters.erase(Own->Which);
+    Home->Decides.cancel(Own->Which, BootClock::now(), Given);
+    Due = Home->translate(Given);
+  }
+  Shard::deliver(std::move(Due), nullptr);
+}
+
+Awaitable<Decision> Place::next() {
+  while (!Own->Ready) {
+    boost::system::error_code Woken;
+    co_await Own->Wake.async_wait(
+        asio::redirect_error(asio::use_awaitable, Woken));
+    const asio::cancellation_state Cancelled =
+        co_await asio::this_coro::cancellation_state;
+    if (Cancelled.cancelled() != asio::cancellation_type::none)
+      throw boost::system::system_error(asio::error::operation_aborted);
+  }
+  Decision Given = std::move(*Own->Ready);
+  Own->Ready.reset();
+  if (std::holds_alternative<Verdict>(Given))
+    Own->Ended = true;
+  co_return Given;
+}
+
+void Place::report(const AttemptResult &Result) {
+  Shard::Deliveries Due;
+  {
+    const std::lock_guard Hold(Home->Lock);
+    Commands Given;
+    if (Result.Answered) {
+      Home->Waiters.erase(Own->Which);
+      Own->Ended = true;
+    }
+    Home->Decides.finished(Own->Which, Result, BootClock::now(), Given);
+    Due = Home->translate(Given);
+  }
+  Shard::deliver(std::move(Due), Own.get());
+}
+
+Router::Router(RouterOptions Limits) : Options(std::move(Limits)) {}
+
+Router::~Router() = default;
+
+std::shared_ptr<Place::Shard> Router::find(std::string_view Name) const {
+  const std::lock_guard Hold(Lock);
+  const auto Found = Shards.find(Name);
+  return Found == Shards.end() ? nullptr : Found->second;
+}
+
+std::vector<std::shared_ptr<Place::Shard>> Router::all() const {
+  const std::lock_guard Hold(Lock);
+  std::vector<std::shared_ptr<Place::Shard>> Out;
+  for (const auto &[Name, Home] : Shards)
+    Out.push_back(Home);
+  return Out;
+}
+
+void Router::setRoutes(const RouteTable &Routes,
+                       const std::map<std::string, std::uint32_t> &Shares) {
+  {
+    const std::lock_guard Hold(Lock);
+    for (const auto &[Name, Wanted] : Routes.Pools) {
+      std::shared_ptr<Place::Shard> &Home = Shards[Name];
+      if (Home)
+        continue;
+      DispatcherOptions Limits = Options.Dispatch;
+      Limits.Seed = hashText(Name, hashText(Options.Self.Text));
+      Home = std::make_shared<Place::Shard>(std::move(Limits));
+    }
+  }
+  for (const auto &[Name, Home] : [&] {
+         const std::lock_guard Hold(Lock);
+         return Shards;
+       }()) {
+    const auto Found = Routes.Pools.find(Name);
+    static const Pool Nothing;
+    const Pool &Wanted = Found == Routes.Pools.end() ? Nothing : Found->second;
+    Place::Shard::Deliveries Due;
+    {
+      const std::lock_guard Hold(Home->Lock);
+      Home->Endpoints.clear();
+      for (const EndpointSpec &Spec : Wanted.Endpoints)
+        Home->Endpoints[Spec.Key] = std::make_shared<const EndpointSpec>(Spec);
+      Commands Given;
+      const TimePoint Now = BootClock::now();
+      Home->Decides.configure(Wanted, Now, Given);
+      for (const EndpointSpec &Spec : Wanted.Endpoints)
+        if (const auto Share = Shares.find(Spec.Key); Share != Shares.end())
+          Home->Decides.setShare(Spec.Key, Share->second, Now, Given);
+      Due = Home->translate(Given);
+    }
+    Place::Shard::deliver(std::move(Due), nullptr);
+  }
+}
+
+void Router::setShares(const std::map<std::string, std::uint32_t> &Shares) {
+  for (const auto &Home : all()) {
+    Place::Shard::Deliveries Due;
+    {
+      const std::lock_guard Hold(Home->Lock);
+      Commands Given;
+      for (const auto &[Key, Spec] : Home->Endpoints)
+        if (const auto Share = Shares.find(Key); Share != Shares.end())
+          Home->Decides.setShare(Key, Share->second, BootClock::now(), Given);
+      Due = Home->translate(Given);
+    }
+    Place::Shard::deliver(std::move(Due), nullptr);
+  }
+}
+
+void Router::observe(const LoadReport &Report) {
+  for (const auto &Home : all()) {
+    Place::Shard::Deliveries Due;
+    {
+      const std::lock_guard Hold(Home->Lock);
+      if (!Home->Endpoints.contains(Report.EndpointKey))
+        continue;
+      Commands Given;
+      Home->Decides.observe(Report, BootClock::now(), Given);
+      Due = Home->translate(Given);
+    }
+    Place::Shard::deliver(std::move(Due), nullptr);
+  }
+}
+
+std::optional<Place>
+Router::submit(std::string_view PoolName, WorkItem Item,
+               const asio::any_io_executor &Executor) {
+  std::shared_ptr<Place::Shard> Home = find(PoolName);
+  if (!Home)
+    return std::nullopt;
+  auto Own = std::make_shared<Place::Waiter>(Executor);
+  Place::Shard::Deliveries Due;
+  {
+    const std::lock_guard Hold(Home->Lock);
+    Commands Given;
+    Own->Which =
+        Home->Decides.submit(std::move(Item), BootClock::now(), Given);
+    Home->Waiters[Own->Which] = Own;
+    Due = Home->translate(Given);
+  }
+  Place::Shard::deliver(std::move(Due), Own.get());
+  return Place(std::move(Home), std::move(Own));
+}
+
+void Router::advance() {
+  for (const auto &Home : all()) {
+    Place::Shard::Deliveries Due;
+    {
+      const std::lock_guard Hold(Home->Lock);
+      const TimePoint Now = BootClock::now();
+      const std::optional<TimePoint> Wake = Home->Decides.nextWake();
+      if (!Wake || *Wake > Now)
+        continue;
+      Commands Given;
+      Home->Decides.advance(Now, Given);
+      Due = Home->translate(Given);
+    }
+    Place::Shard::deliver(std::move(Due), nullptr);
+  }
+}
+
+std::size_t Router::waiting() const {
+  std::size_t All = 0;
+  for (const auto &Home : all()) {
+    const std::lock_guard Hold(Home->Lock);
+    All += Home->Decides.waiting();
+  }
+  return All;
+}
+
+std::map<std::string, std::uint32_t>
+evenShares(const RouteTable &Routes, const std::vector<HostName> &Hosts,
+           const HostName &Self) {
+  std::map<std::string, std::uint32_t> Out;
+  for (const auto &[Name, Wanted] : Routes.Pools)
+    for (const EndpointSpec &Spec : Wanted.Endpoints) {
+      const std::uint64_t Own = rendezvousWeight(Spec.Key, Self.Text);
+      std::uint32_t Rank = 0;
+      for (const HostName &Other : Hosts)
+        if (Other != Self && rendezvousWeight(Spec.Key, Other.Text) > Own)
+          ++Rank;
+      const auto Count =
+          static_cast<std::uint32_t>(std::max<std::size_t>(Hosts.size(), 1));
+      Out[Spec.Key] = Spec.WarmBound / Count +
+                      (Rank < Spec.WarmBound % Count ? 1U : 0U);
+    }
+  return Out;
+}
+
+} // namespace coltsfoottrail
--- /dev/null
+++ b/packages/process/src/coltsfoottrail/server/router.hpp
@@ -0,0 +1,128 @@
+/// @file
+/// The dispatchers of all pools, each under its own lock, for coroutines.
+#ifndef COLTSFOOTTRAIL_SERVER_ROUTER_HPP
+#define COLTSFOOTTRAIL_SERVER_ROUTER_HPP
+
+#include "coltsfoottrail/dispatch/dispatcher.hpp"
+#include "coltsfoottrail/http/fwd.hpp"
+#include "coltsfoottrail/route/table.hpp"
+#include "coltsfoottrail/server/fwd.hpp"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace coltsfoottrail {
+
+/// @brief An endpoint that a request is to be sent to.
+struct Assignment {
+  std::shared_ptr<const EndpointSpec> Endpoint;
+};
+
+/// What is decided for a request: where to send it, or its final refusal.
+using Decision = std::variant<Assignment, Verdict>;
+
+/// @brief A request's place in a dispatcher, from its taking to its end.
+///
+/// Belongs to one coroutine. Destroying it before an answer was reported gives
+/// the place up, as when the caller goes away.
+class Place {
+public:
+  Place(Place &&) noexcept;
+  Place &operator=(Place &&) = delete;
+  Place(const Place &) = delete;
+  Place &operator=(const Place &) = delete;
+  ~Place();
+
+  /// @brief Waits for the next decision.
+  /// @return Where to send the request, or its final refusal.
+  /// @throws boost::system::system_error The coroutine was cancelled.
+  [[nodiscard]] Awaitable<Decision> next();
+
+  /// @brief Tells how an attempt ended; next() tells what follows unless it was
+  /// answered.
+  /// @param Result How it ended.
+  void report(const AttemptResult &Result);
+
+private:
+  friend class Router;
+  struct Waiter;
+  struct Shard;
+
+  Place(std::shared_ptr<Shard> Where, std::shared_ptr<Waiter> Who);
+
+  std::shared_ptr<Shard> Home;
+  std::shared_ptr<Waiter> Own;
+};
+
+/// @brief Options of a router.
+struct RouterOptions {
+  HostName Self;
+  DispatcherOptions Dispatch;
+};
+
+/// @brief Routes requests by the dispatcher of their pool. Thread-safe.
+class Router {
+public:
+  /// @brief Makes a router without routes.
+  /// @param Limits Its options.
+  explicit Router(RouterOptions Limits);
+  Router(const Router &) = delete;
+  Router &operator=(const Router &) = delete;
+  ~Router();
+
+  /// @brief Puts routes in force.
+  /// @param Routes The routes.
+  /// @param Shares For each endpoint key, how many requests this entry host may
+  /// have there at once.
+  void setRoutes(const RouteTable &Routes,
+                 const std::map<std::string, std::uint32_t> &Shares);
+
+  /// @brief Sets this host's share of endpoints' bounds.
+  void setShares(const std::map<std::string, std::uint32_t> &Shares);
+
+  /// @brief Takes a load report of an endpoint.
+  void observe(const LoadReport &Report);
+
+  /// @brief Puts a request to the dispatcher of its pool.
+  /// @param PoolName The pool.
+  /// @param Item The request.
+  /// @param Executor Where the coroutine that waits runs.
+  /// @return Its place, or nothing when there is no such pool.
+  [[nodiscard]] std::optional<Place>
+  submit(std::string_view PoolName, WorkItem Item,
+         const boost::asio::any_io_executor &Executor);
+
+  /// @brief Lets time pass in all dispatchers; called every few milliseconds.
+  void advance();
+
+  /// @brief Requests that wait in all pools.
+  [[nodiscard]] std::size_t waiting() const;
+
+private:
+  [[nodiscard]] std::shared_ptr<Place::Shard> find(std::string_view Name) const;
+  [[nodiscard]] std::vector<std::shared_ptr<Place::Shard>> all() const;
+
+  RouterOptions Options;
+  mutable std::mutex Lock;
+  std::map<std::string, std::shared_ptr<Place::Shard>, std::less<>> Shards;
+};
+
+/// @brief Splits endpoints' bounds evenly over entry hosts: the sum over all
+/// hosts is the bound. Pure; thread-safe.
+/// @param Routes The routes.
+/// @param Hosts Names of the entry hosts that have joined.
+/// @param Self This host.
+/// @return This host's share of each endpoint.
+[[nodiscard]] std::map<std::string, std::uint32_t>
+evenShares(const RouteTable &Routes, const std::vector<HostName> &Hosts,
+           const HostName &Self);
+
+} // namespace coltsfoottrail
+
+#endif
