Add the fair queue of waiting requests

Cause: a first-in first-out queue lets one team's burst delay or refuse all others, and holds requests back that cannot make their deadline. Change: start-time fair queueing over teams with weights and in-flight limits, priorities with a pass-over limit, bounds on count and bytes with a part kept for other teams, an estimated wait, and expiry by latest start.

--- /dev/null
+++ b/packages/request/src/coltsfoottrail/queues/fairqueue.hpp
@@ -0,0 +1,192 @@
+/// @file
+/// Requests that wait for an endpoint, in the order of weighted fair shares.
+#ifndef COLTSFOOTTRAIL_QUEUES_FAIRQUEUE_HPP
+#define COLTSFOOTTRAIL_QUEUES_FAIRQUEUE_HPP
+
+#include "coltsfoottrail/dispatch/types.hpp"
+#include "coltsfoottrail/queues/fwd.hpp"
+
+#include <array>
+#include <map>
+#include <optional>
+#include <set>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace coltsfoottrail {
+
+/// @brief What a team is entitled to at one entry host.
+struct TeamShare {
+  /// Share of a contended pool, relative to the other teams; above zero.
+  double Weight = 1.0;
+  /// Most requests of the team in progress at once; above zero.
+  std::uint32_t MaxInFlight = 1024;
+};
+
+/// @brief Bounds of a queue.
+struct QueueLimits {
+  std::size_t MaxWaiting = 4096;
+  std::size_t MaxBytes = std::size_t{16} << 20U;
+  /// How often a request of a lower priority is passed over by higher ones of
+  /// its team before it goes first.
+  std::uint32_t PassOverLimit = 8;
+};
+
+/// @brief A request that waits.
+struct QueueItem {
+  Ticket Which;
+  Priority Urgency = Priority::Normal;
+  /// Started later than this, it cannot make its deadline.
+  TimePoint LatestStart;
+  std::size_t Bytes = 0;
+  double Cost = 1.0;
+};
+
+/// @brief How fast the endpoints take work off the queue.
+struct Throughput {
+  /// Requests that the endpoints bear at once.
+  double Slots = 0.0;
+  /// Mean time of service for one unit of cost; zero when not known.
+  double SecondsPerCost = 0.0;
+
+  /// @brief Tells whether a wait can be estimated from it.
+  [[nodiscard]] bool known() const noexcept {
+    return Slots > 0.0 && SecondsPerCost > 0.0;
+  }
+};
+
+/// @brief Queue with weighted fair shares over teams (start-time fair
+/// queueing), priorities inside a team, and bounds on count and bytes.
+///
+/// An operation costs O(log teams + log waiting). Teams are never forgotten;
+/// there are as many as the operators declared. Not thread-safe: stands under
+/// the lock of its shard.
+class FairQueue {
+public:
+  /// @brief Makes an empty queue.
+  explicit FairQueue(QueueLimits Bounds);
+
+  /// @brief Finds or makes a team.
+  [[nodiscard]] TeamId team(const TeamName &Name);
+
+  /// @brief Sets what a team is entitled to.
+  /// @param Which From team() of this queue.
+  /// @param Wanted Weight and limit, both above zero.
+  void setTeam(TeamId Which, TeamShare Wanted);
+
+  /// @brief Tells whether a request would be refused for want of room.
+  /// @param Which Its team.
+  /// @param Bytes Its size.
+  /// @return Overloaded when the queue is full, TeamOverLimit when the team
+  /// fills the part of it that it may, nothing when there is room.
+  [[nodiscard]] std::optional<Reason> refusal(TeamId Which,
+                                              std::size_t Bytes) const;
+
+  /// @brief Estimates when a request that joins now would start.
+  /// @param Which Its team.
+  /// @param Urgency Its priority.
+  /// @param Cost Its work.
+  /// @param Speed A known() throughput.
+  [[nodiscard]] Duration estimatedWait(TeamId Which, Priority Urgency,
+                                       double Cost, Throughput Speed) const;
+
+  /// @brief Adds a request. Precondition: refusal() gave nothing.
+  void push(TeamId Which, const QueueItem &Item);
+
+  /// @brief Takes the next request of the teams that are below their limit;
+  /// counts it as in progress until ended().
+  [[nodiscard]] std::optional<Ticket> pop();
+
+  /// @brief Tells whether a request of the team may start without waiting:
+  /// nothing that could start waits, and the team is below its limit.
+  [[nodiscard]] bool mayPass(TeamId Which) const;
+
+  /// @brief Charges a request that starts without waiting and counts it as in
+  /// progress until ended().
+  void pass(TeamId Which, double Cost);
+
+  /// @brief Ends a request that pop() or pass() counted.
+  void ended(TeamId Which);
+
+  /// @brief Takes out a request that waits.
+  /// @return Whether it waited.
+  bool remove(Ticket Which);
+
+  /// @brief Takes out one request whose latest start has passed.
+  [[nodiscard]] std::optional<Ticket> popExpired(TimePoint Now);
+
+  /// @brief Finds the requests that by the estimated wait cannot start in time,
+  /// after the endpoints have become slower or fewer. O(waiting).
+  /// @param Speed A known() throughput.
+  [[nodiscard]] std::vector<Ticket> hopeless(Throughput Speed,
+                                             TimePoint Now) const;
+
+  /// @brief When popExpired() has something next.
+  [[nodiscard]] std::optional<TimePoint> earliestExpiry() const;
+
+  /// @brief Tells whether pop() would give something.
+  [[nodiscard]] bool ready() const noexcept { return !Ready.empty(); }
+
+  [[nodiscard]] std::size_t size() const noexcept { return Items.size(); }
+  [[nodiscard]] std::size_t bytes() const noexcept { return Bytes; }
+  /// @brief Requests of a team in progress.
+  [[nodiscard]] std::uint32_t inFlight(TeamId Which) const;
+
+private:
+  static constexpr std::size_t Classes = 3;
+
+  struct Line {
+    /// By order of arrival.
+    std::map<std::uint64_t, Ticket> Order;
+    double Cost = 0.0;
+    std::uint32_t PassedOver = 0;
+  };
+  struct Team {
+    TeamShare Share;
+    /// Virtual time at which its next request starts.
+    double Start = 0.0;
+    /// Virtual time at which its last request ends.
+    double Finish = 0.0;
+    std::array<Line, Classes> Lines;
+    std::size_t Waiting = 0;
+    std::size_t Bytes = 0;
+    std::uint32_t InFlight = 0;
+    bool InReady = false;
+  };
+  struct Waiting {
+    TeamId Owner;
+    QueueItem Item;
+    std::uint64_t Sequence = 0;
+  };
+
+  [[nodiscard]] Team &at(TeamId Which);
+  [[nodiscard]] const Team &at(TeamId Which) const;
+  [[nodiscard]] static Line &lineOf(Team &Owner, Priority Urgency);
+  [[nodiscard]] Line &nextLine(Team &Owner) const;
+  [[nodiscard]] double weightWaiting(const Team &Joining) const;
+  [[nodiscard]] bool fits(std::size_t Held, std::size_t Total, std::size_t More,
+                          std::size_t Max, double Part) const;
+  void charge(Team &Owner, double Cost);
+  void takeOut(std::unordered_map<Ticket, Waiting>::iterator Entry);
+  void place(TeamId Which);
+  void unplace(TeamId Which);
+
+  QueueLimits Limits;
+  std::vector<Team> Teams;
+  std::unordered_map<TeamName, TeamId> ByName;
+  std::unordered_map<Ticket, Waiting> Items;
+  std::set<std::pair<TimePoint, Ticket>> ByLatestStart;
+  /// Teams that wait and are below their limit, by virtual start.
+  std::set<std::pair<double, TeamId>> Ready;
+  double VirtualTime = 0.0;
+  /// Weights of the teams that wait.
+  double WaitingWeight = 0.0;
+  double WaitingCost = 0.0;
+  std::size_t Bytes = 0;
+  std::uint64_t NextSequence = 0;
+};
+
+} // namespace coltsfoottrail
+
+#endif
