Order expiry in the fair queue by arrival

Cause: the linter rejects ordering by the defaulted comparison of Ident. Change: expiry is ordered by latest start and order of arrival. Result: request_queues_test, 10 tests pass; linter clean.

--- a/packages/request/src/coltsfoottrail/queues/fairqueue.cpp
+++ b/packages/request/src/coltsfoottrail/queues/fairqueue.cpp
@@ -101,7 +101,7 @@
   Team &Owner = at(Which);
   const std::uint64_t Sequence = NextSequence++;
   Items.emplace(Item.Which, Waiting{Which, Item, Sequence});
-  ByLatestStart.emplace(Item.LatestStart, Item.Which);
+  ByLatestStart.emplace(std::pair(Item.LatestStart, Sequence), Item.Which);
   Line &Joined = lineOf(Owner, Item.Urgency);
   Joined.Order.emplace(Sequence, Item.Which);
   Joined.Cost += Item.Cost;
@@ -163,7 +163,7 @@
   Left.Cost = Left.Order.empty() ? 0.0 : Left.Cost - Gone.Item.Cost;
   Bytes -= Gone.Item.Bytes;
   Owner.Bytes -= Gone.Item.Bytes;
-  ByLatestStart.erase({Gone.Item.LatestStart, Gone.Item.Which});
+  ByLatestStart.erase({Gone.Item.LatestStart, Gone.Sequence});
   WaitingCost -= Gone.Item.Cost;
   Items.erase(Entry);
   if (--Owner.Waiting == 0) {
@@ -197,7 +197,7 @@
 }
 
 std::optional<Ticket> FairQueue::popExpired(TimePoint Now) {
-  if (ByLatestStart.empty() || ByLatestStart.begin()->first > Now)
+  if (ByLatestStart.empty() || ByLatestStart.begin()->first.first > Now)
     return std::nullopt;
   const Ticket Which = ByLatestStart.begin()->second;
   remove(Which);
@@ -227,7 +227,7 @@
 std::optional<TimePoint> FairQueue::earliestExpiry() const {
   if (ByLatestStart.empty())
     return std::nullopt;
-  return ByLatestStart.begin()->first;
+  return ByLatestStart.begin()->first.first;
 }
 
 std::uint32_t FairQueue::inFlight(TeamId Which) const {
--- a/packages/request/src/coltsfoottrail/queues/fairqueue.hpp
+++ b/packages/request/src/coltsfoottrail/queues/fairqueue.hpp
@@ -176,7 +176,8 @@
   std::vector<Team> Teams;
   std::unordered_map<TeamName, TeamId> ByName;
   std::unordered_map<Ticket, Waiting> Items;
-  std::set<std::pair<TimePoint, Ticket>> ByLatestStart;
+  /// By latest start, then by order of arrival.
+  std::map<std::pair<TimePoint, std::uint64_t>, Ticket> ByLatestStart;
   /// Teams that wait and are below their limit, by virtual start.
   std::set<std::pair<double, TeamId>> Ready;
   double VirtualTime = 0.0;
--- a/packages/request/test/coltsfoottrail/queues/fairqueue.cpp
+++ b/packages/request/test/coltsfoottrail/queues/fairqueue.cpp
@@ -3,6 +3,7 @@
 
 #include <gtest/gtest.h>
 #include <map>
+#include <unordered_map>
 #include <vector>
 
 namespace coltsfoottrail {
@@ -22,7 +23,7 @@
 
   FairQueue Queue{QueueLimits{64, 100000, 8}};
   std::uint32_t NextIndex = 0;
-  std::map<Ticket, TeamId> Owners;
+  std::unordered_map<Ticket, TeamId> Owners;
 };
 
 // Gate staff of a small team see minutes of waiting: a large team has put its
@@ -161,7 +162,7 @@
       Teams.push_back(Queue.team(TeamName(Name)));
     for (const TeamId Team : Teams)
       Queue.setTeam(Team, TeamShare{1.0 + Draw.fraction(), 2});
-    std::map<Ticket, std::pair<TeamId, std::size_t>> Inside;
+    std::unordered_map<Ticket, std::pair<TeamId, std::size_t>> Inside;
     std::vector<TeamId> Running;
     for (std::uint32_t Step = 0; Step < 200; ++Step) {
       const TeamId Team = Teams[Draw.below(3)];
