--- /dev/null
+++ b/packages/process/src/coltsfoottrail/logging/event.cpp
@@ -0,0 +1,104 @@
+#include "coltsfoottrail/logging/event.hpp"
+
+#include <algorithm>
+#include <array>
+
+namespace coltsfoottrail {
+
+namespace {
+
+constexpr auto Catalogue = std::to_array<EventInfo>({
+    {Event::Started, LogLevel::Info, "started",
+     "The entry host listens on all its ports."},
+    {Event::SettingsRefused, LogLevel::Error, "settings-refused",
+     "The settings cannot be used and nothing was started."},
+    {Event::PortTaken, LogLevel::Error, "port-taken",
+     "A listening address cannot be bound."},
+    {Event::Unready, LogLevel::Warn, "unready",
+     "The balancer is told to send nothing here."},
+    {Event::Ready, LogLevel::Info, "ready",
+     "The balancer is told that this host takes requests."},
+    {Event::Stopping, LogLevel::Info, "stopping",
+     "A planned stop began; requests in progress go on."},
+    {Event::Stopped, LogLevel::Info, "stopped",
+     "The planned stop is over and the process ends."},
+    {Event::StreamCut, LogLevel::Warn, "stream-cut",
+     "A request was still in progress at the limit of the stop and its caller "
+     "was told."},
+    {Event::SecondStopSignal, LogLevel::Info, "second-stop-signal",
+     "Another stop signal came during a stop and changes nothing."},
+    {Event::LogUnreachable, LogLevel::Error, "log-unreachable",
+     "The platform's log does not answer."},
+    {Event::LogBack, LogLevel::Info, "log-back",
+     "The platform's log answers again."},
+    {Event::Joined, LogLevel::Info, "joined",
+     "The record of this run is in the agreed state."},
+    {Event::StateInForce, LogLevel::Info, "state-in-force",
+     "A change of the agreed state is in force on this host."},
+    {Event::RecordVoid, LogLevel::Warn, "record-void",
+     "A record of this host was void when it reached the log."},
+    {Event::CheckpointWritten, LogLevel::Info, "checkpoint-written",
+     "A checkpoint of the agreed state is on the log."},
+    {Event::CheckpointRefused, LogLevel::Error, "checkpoint-refused",
+     "A checkpoint differs from this host's own fold and was not used."},
+    {Event::Trimmed, LogLevel::Error, "trimmed",
+     "Records that this host still needed are below the log's horizon."},
+    {Event::Stale, LogLevel::Warn, "stale",
+     "This host cannot prove that its state is fresh and starts no work."},
+    {Event::FreshAgain, LogLevel::Info, "fresh-again",
+     "This host's state is proved fresh again."},
+    {Event::PeerConnected, LogLevel::Info, "peer-connected",
+     "Another entry host is connected."},
+    {Event::PeerLost, LogLevel::Warn, "peer-lost",
+     "The connection to another entry host ended."},
+    {Event::PeerRefused, LogLevel::Warn, "peer-refused",
+     "A connection between entry hosts was refused."},
+    {Event::RequestRefused, LogLevel::Info, "request-refused",
+     "A request was refused (sampled; the metrics count all)."},
+    {Event::RequestQuarantined, LogLevel::Warn, "request-quarantined",
+     "A request that was in progress at crashes of endpoints is held back on "
+     "all hosts."},
+    {Event::ClaimUnavailable, LogLevel::Warn, "claim-unavailable",
+     "An idempotency key could not be claimed in time; the request was not "
+     "run."},
+    {Event::CredentialRefused, LogLevel::Warn, "credential-refused",
+     "A credential was wrong (sampled)."},
+    {Event::EndpointLost, LogLevel::Warn, "endpoint-lost",
+     "An endpoint takes no more work from this host."},
+    {Event::EndpointBack, LogLevel::Info, "endpoint-back",
+     "An endpoint takes work again."},
+    {Event::EndpointCold, LogLevel::Info, "endpoint-cold",
+     "An endpoint has just started and gets little work at first."},
+    {Event::GroupBroken, LogLevel::Error, "group-broken",
+     "A group lost a member and answers nothing."},
+    {Event::GroupConfirmed, LogLevel::Info, "group-confirmed",
+     "All members of a group are there and it may answer."},
+    {Event::PlanTaken, LogLevel::Info, "plan-taken",
+     "This host carries out a confirmed plan."},
+    {Event::PlanFinished, LogLevel::Info, "plan-finished",
+     "All steps of a plan are done."},
+    {Event::PlanAbandoned, LogLevel::Warn, "plan-abandoned",
+     "A plan was given up; steps not yet begun are not begun."},
+    {Event::PlanStep, LogLevel::Info, "plan-step", "A step of a plan is done."},
+    {Event::OrderRefused, LogLevel::Warn, "order-refused",
+     "An engine refused an order."},
+    {Event::SpansDropped, LogLevel::Warn, "spans-dropped",
+     "Spans were dropped because the trace file is slow."},
+    {Event::InternalError, LogLevel::Error, "internal-error",
+     "Something failed that should not; please report it."},
+});
+
+} // namespace
+
+std::span<const EventInfo> allEvents() noexcept { return Catalogue; }
+
+const EventInfo &eventInfo(Event Which) noexcept {
+  const auto *const Found =
+      std::lower_bound(Catalogue.begin(), Catalogue.end(), Which,
+                       [](const EventInfo &Entry, Event Sought) {
+                         return Entry.Number < Sought;
+                       });
+  return Found == Catalogue.end() ? Catalogue.back() : *Found;
+}
+
+} // namespace coltsfoottrail
--- /dev/null
+++ b/packages/process/src/coltsfoottrail/logging/event.hpp
@@ -0,0 +1,77 @@
+/// @file
+/// The numbered events that reach the log. docs/EVENTS.md is their catalogue.
+#ifndef COLTSFOOTTRAIL_LOGGING_EVENT_HPP
+#define COLTSFOOTTRAIL_LOGGING_EVENT_HPP
+
+#include "coltsfoottrail/logging/fwd.hpp"
+#include "coltsfoottrail/settings/settings.hpp"
+
+#include <span>
+#include <string_view>
+
+namespace coltsfoottrail {
+
+/// A numbered event. A number is never used again for something else. To add
+/// one: an enumerator here, a row in event.cpp and a row in docs/EVENTS.md.
+enum class Event : std::uint16_t {
+  Started = 1001,
+  SettingsRefused = 1002,
+  PortTaken = 1003,
+  Unready = 1010,
+  Ready = 1011,
+  Stopping = 1020,
+  Stopped = 1021,
+  StreamCut = 1022,
+  SecondStopSignal = 1023,
+  LogUnreachable = 1101,
+  LogBack = 1102,
+  Joined = 1110,
+  StateInForce = 1111,
+  RecordVoid = 1112,
+  CheckpointWritten = 1113,
+  CheckpointRefused = 1114,
+  Trimmed = 1115,
+  Stale = 1120,
+  FreshAgain = 1121,
+  PeerConnected = 1201,
+  PeerLost = 1202,
+  PeerRefused = 1203,
+  RequestRefused = 1301,
+  RequestQuarantined = 1302,
+  ClaimUnavailable = 1303,
+  CredentialRefused = 1304,
+  EndpointLost = 1401,
+  EndpointBack = 1402,
+  EndpointCold = 1403,
+  GroupBroken = 1410,
+  GroupConfirmed = 1411,
+  PlanTaken = 1501,
+  PlanFinished = 1502,
+  PlanAbandoned = 1503,
+  PlanStep = 1504,
+  OrderRefused = 1510,
+  SpansDropped = 1601,
+  InternalError = 1901,
+};
+
+/// @brief What the catalogue says of an event.
+struct EventInfo {
+  Event Number;
+  LogLevel Level;
+  /// Name in the log: words in lower case, joined by hyphens.
+  std::string_view Name;
+  /// One sentence for operators.
+  std::string_view Text;
+};
+
+/// @brief All events in the order of their numbers. Thread-safe.
+[[nodiscard]] std::span<const EventInfo> allEvents() noexcept;
+
+/// @brief Finds an event in the catalogue. Thread-safe.
+/// @param Which An enumerator.
+/// @return Its entry.
+[[nodiscard]] const EventInfo &eventInfo(Event Which) noexcept;
+
+} // namespace coltsfoottrail
+
+#endif
