--- a/cmake/coltsfoottrail.cmake
+++ b/cmake/coltsfoottrail.cmake
@@ -1,6 +1,8 @@
 # coltsfoottrail_options(TARGET): the warnings and sanitizers that every target is built with.
 function(coltsfoottrail_options TARGET)
-  target_compile_options(${TARGET} PRIVATE -Wall -Wextra -Wpedantic -Wshadow=local -Werror)
+  target_compile_options(${TARGET} PRIVATE -Wall -Wextra -Wpedantic -Wshadow=local -Werror
+                         # g++ 12 takes the frames of Asio's coroutines for mismatched allocations.
+                         $<$<CXX_COMPILER_ID:GNU>:-Wno-mismatched-new-delete>)
   target_compile_definitions(${TARGET} PRIVATE BOOST_ASIO_NO_DEPRECATED)
   if(COLTSFOOTTRAIL_SANITIZE)
     target_compile_options(${TARGET} PRIVATE -fsanitize=${COLTSFOOTTRAIL_SANITIZE} -fno-omit-frame-pointer)
--- a/packages/process/src/coltsfoottrail/server/callerrequest.hpp
+++ b/packages/process/src/coltsfoottrail/server/callerrequest.hpp
@@ -40,7 +40,10 @@
   TeamSpec Team;
   /// Name of the pool that can answer.
   std::string PoolName;
+  /// Its deadline is when the request must have been sent.
   WorkItem Item;
+  /// When the answer must be there.
+  TimePoint AnswerBy;
   /// Empty when none was given.
   std::string IdempotencyKey;
   /// Whether the answer comes as server-sent events.
@@ -55,7 +58,8 @@
 /// @param Asked Head of the request.
 /// @param Routes The routes in force.
 /// @return The team.
-/// @throws RequestRefused There is no credential, or nobody has it. Thread-safe.
+/// @throws RequestRefused There is no credential, or nobody has it.
+/// Thread-safe.
 [[nodiscard]] const TeamSpec &authenticate(const HttpRequest &Asked,
                                            const RouteTable &Routes);
 
--- /dev/null
+++ b/packages/process/src/coltsfoottrail/server/claimdesk.hpp
@@ -0,0 +1,108 @@
+/// @file
+/// Carries the claims of this host between coroutines, log and peers.
+#ifndef COLTSFOOTTRAIL_SERVER_CLAIMDESK_HPP
+#define COLTSFOOTTRAIL_SERVER_CLAIMDESK_HPP
+
+#include "coltsfoottrail/claims/service.hpp"
+#include "coltsfoottrail/http/fwd.hpp"
+#include "coltsfoottrail/json/fwd.hpp"
+#include "coltsfoottrail/server/fwd.hpp"
+#include "coltsfoottrail/server/reply.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+
+namespace coltsfoottrail {
+
+/// @brief The asio side of ClaimService, which stands on the control thread.
+class ClaimDesk {
+public:
+  using Sender = std::function<void(const HostName &, const ClaimMessage &)>;
+
+  /// @brief Makes a desk.
+  /// @param Control Context of the control thread; must outlive the desk.
+  /// @param Service The log; must outlive the desk.
+  /// @param Limits Limits of the claims.
+  /// @param ToPeer Sends a message to a peer; called on the control thread.
+  ClaimDesk(boost::asio::io_context &Control, Log &Service, ClaimOptions Limits,
+            Sender ToPeer);
+  ClaimDesk(const ClaimDesk &) = delete;
+  ClaimDesk &operator=(const ClaimDesk &) = delete;
+
+  /// @brief Claims a key. Called from any thread's coroutine.
+  /// @param Request What is claimed.
+  /// @param Deadline The decision comes by then.
+  /// @return The decision, and until when a granted request must have left.
+  [[nodiscard]] Awaitable<ClaimDecide> claim(ClaimRequest Request,
+                                             TimePoint Deadline);
+  /// @brief Asks for a key's outcome. Called from any thread's coroutine.
+  [[nodiscard]] Awaitable<ClaimDecide> query(ClaimKey What, TimePoint Deadline);
+  /// @brief Tells how a granted claim ended. Thread-safe.
+  void settle(ClaimId Id, Settlement How);
+
+  /// @brief Takes a message from a peer. On the control thread.
+  void received(const HostName &From, const ClaimMessage &Message);
+  /// @brief Takes the entry hosts of the agreed state. On the control thread.
+  void members(const std::vector<ClaimMember> &Joined);
+  /// @brief Stops. On the control thread.
+  void stop();
+
+private:
+  /// One coroutine's claim or query; touched on the control thread, but for its
+  /// Answer.
+  struct Asked;
+  using AskedPtr = std::shared_ptr<Asked>;
+  using Starter = std::function<ClaimId(ClaimCommands &)>;
+
+  [[nodiscard]] Awaitable<ClaimDecide> ask(Starter Start);
+  void abandon(const AskedPtr &Gone);
+
+  void perform(ClaimCommands Due);
+  void perform(ClaimAppend Command);
+  void perform(ClaimRead Command);
+  void perform(ClaimSend Command);
+  void perform(ClaimDecide Command);
+  void arm();
+  [[nodiscard]] static ClaimTime now();
+
+  boost::asio::io_context &Control;
+  Log &Service;
+  ClaimService Decides;
+  Sender ToPeer;
+  std::map<ClaimId, AskedPtr> Open;
+  boost::asio::steady_timer Wake;
+  bool Stopped = false;
+};
+
+/// @brief Settles a granted claim when it goes out of scope unsettled: as "may
+/// have run" once the request may have left, as released before.
+class ClaimGuard {
+public:
+  /// @brief Watches a granted claim.
+  /// @param Desk The desk; must outlive the guard.
+  /// @param Granted The claim.
+  ClaimGuard(ClaimDesk &Desk, ClaimId Granted) : Home(&Desk), Id(Granted) {}
+  ClaimGuard(const ClaimGuard &) = delete;
+  ClaimGuard &operator=(const ClaimGuard &) = delete;
+  ~ClaimGuard();
+
+  /// @brief From now on the request may have run.
+  void mayHaveLeft() noexcept { Left = true; }
+  /// @brief Takes back mayHaveLeft(): it is proved that nothing ran.
+  void provedNotRun() noexcept { Left = false; }
+  /// @brief Settles with the outcome.
+  void settle(StoredOutcome Outcome);
+
+private:
+  ClaimDesk *Home;
+  ClaimId Id;
+  bool Left = false;
+  bool Done = false;
+};
+
+} // namespace coltsfoottrail
+
+#endif
--- /dev/null
+++ b/packages/process/src/coltsfoottrail/server/relay.cpp
@@ -0,0 +1,417 @@
+#include "coltsfoottrail/server/relay.hpp"
+
+#include "coltsfoottrail/core/hash.hpp"
+#include "coltsfoottrail/json/reader.hpp"
+#include "coltsfoottrail/server/events.hpp"
+#include "coltsfoottrail/server/refusal.hpp"
+
+#include <boost/asio/this_coro.hpp>
+#include <utility>
+
+namespace coltsfoottrail {
+
+namespace {
+
+constexpr std::size_t MaxResumeBytes = std::size_t{256} << 10U;
+constexpr milliseconds StoppingRetryAfter{200};
+constexpr milliseconds InProgressRetryAfter{500};
+constexpr std::string_view OutcomesPrefix = "/outcomes/";
+constexpr std::string_view VerdictField = "Coltsfoottrail-Verdict";
+constexpr unsigned StatusOk = 200;
+constexpr unsigned FirstErrorStatus = 500;
+constexpr unsigned StatusTooMany = 429;
+constexpr unsigned StatusConflict = 409;
+
+template <class... Cases> struct Overloaded : Cases... {
+  using Cases::operator()...;
+};
+
+Verdict notRun(Reason Why, std::optional<milliseconds> RetryAfter = {}) {
+  return {RunState::NotRun, Why, RetryAfter};
+}
+
+AttemptResult failed(RunState State, Reason Why, TimePoint Start) {
+  AttemptResult Out;
+  Out.State = State;
+  Out.Why = Why;
+  Out.Total = BootClock::now() - Start;
+  return Out;
+}
+
+AttemptResult failed(const CallFailure &Failure, TimePoint Start) {
+  AttemptResult Out = failed(Failure.State, Failure.Why, Start);
+  Out.ConnectionLost = Failure.ConnectionLost;
+  return Out;
+}
+
+AttemptResult answered(TimePoint Start, TimePoint FirstByte) {
+  AttemptResult Out;
+  Out.State = RunState::Ran;
+  Out.Answered = true;
+  Out.FirstByte = FirstByte - Start;
+  Out.Total = BootClock::now() - Start;
+  return Out;
+}
+
+/// The key of a group's endpoint names its generation; the engine wants the
+/// group alone and refuses when it serves another one.
+std::string groupOf(const EndpointSpec &To) {
+  return To.Key.substr(0, To.Key.find('@'));
+}
+
+std::string resumedBody(const std::string &Body, const std::string &Text,
+                        std::uint64_t Tokens) {
+  Json Resumed = Json::parse(Body);
+  Resumed["coltsfoottrail_resume"] = {{"tokens", Tokens}, {"text", Text}};
+  return Resumed.dump();
+}
+
+std::vector<HttpField> answerFields(const HttpResponse &Head) {
+  std::vector<HttpField> Out;
+  for (const HttpField &Field : Head.Fields)
+    if (Field.Name == "Content-Type" || Field.Name == "Content-Encoding" ||
+        Field.Name == "Cache-Control" || Field.Name == "ETag" ||
+        Field.Name == "Location" || Field.Name.starts_with("X-"))
+      Out.push_back(Field);
+  return Out;
+}
+
+HttpResponse replayedAnswer(const StoredOutcome &Outcome) {
+  HttpResponse Out;
+  Out.Status = Outcome.Status;
+  Out.Fields = {{"Content-Type", Outcome.ContentType},
+                {"Coltsfoottrail-Replayed", "true"},
+                {std::string(VerdictField), "ran"}};
+  Out.Body = Outcome.Body;
+  return Out;
+}
+
+/// Answer for a request that ran while its answer is not kept.
+HttpResponse ranWithoutBody(const StoredOutcome &Outcome) {
+  const Json Body{{"verdict", "ran"},
+                  {"status", Outcome.Status},
+                  {"detail", "the request ran; its answer was not kept"}};
+  HttpResponse Out = jsonResponse(StatusOk, Body.dump());
+  Out.Fields.push_back({"Coltsfoottrail-Replayed", "true"});
+  Out.Fields.push_back({std::string(VerdictField), "ran"});
+  return Out;
+}
+
+/// What a query for an outcome is told.
+HttpResponse outcomeAnswer(const ClaimDecision &Decision) {
+  Json Body;
+  unsigned Status = StatusOk;
+  std::visit(
+      Overloaded{
+          [&](const ClaimReplay &Replay) {
+            Body = {{"verdict", "ran"}, {"status", Replay.Outcome.Status}};
+            if (Replay.Outcome.BodyKept)
+              Body["body"] = Replay.Outcome.Body;
+          },
+          [&](const ClaimInProgress &) {
+            Body = {{"verdict", "in-progress"}};
+          },
+          [&](const ClaimNotRun &) {
+            Body = {{"verdict", "not-run"}};
+          },
+          [&](const ClaimNotKnown &) {
+            Body = {{"verdict", "not-known"}};
+          },
+          [&](const ClaimUnavailable &) {
+            Status = 503;
+            Body = {{"verdict", "not-known"}, {"reason", "claim-unavailable"}};
+          },
+          [&](const auto &) {
+            Body = {{"verdict", "may-have-run"}};
+          },
+      },
+      Decision);
+  return jsonResponse(
+      Status, Body.dump(-1, ' ', false, Json::error_handler_t::replace));
+}
+
+ClaimRequest claimOf(const CallerRequest &Asked) {
+  ClaimRequest Out;
+  Out.What = ClaimKey{Asked.Team.Name, Asked.IdempotencyKey};
+  Out.BodyDigest =
+      sha256Hex(Asked.PoolName + "\n" + Asked.Forwarded.Method + "\n" +
+                Asked.Forwarded.Target + "\n" + Asked.Forwarded.Body);
+  Out.Birth = birthOfKey(Asked.IdempotencyKey);
+  return Out;
+}
+
+} // namespace
+
+/// What of a streamed answer the caller has.
+struct Relay::StreamProgress {
+  EventSplitter Events{MaxResumeBytes};
+};
+
+Relay::Relay(IoPool &Threads, Router &Where, ClaimDesk &Desk,
+             CallerLimits Bounds)
+    : Routing(Where), Claims(Desk), Limits(Bounds),
+      Routes(std::make_shared<const RouteTable>()) {
+  for (std::size_t Index = 0; Index < Threads.size(); ++Index)
+    Clients.push_back(
+        std::make_unique<HttpClient>(Threads.context(Index), ClientOptions{}));
+}
+
+void Relay::setRoutes(RouteTablePtr Wanted) {
+  const std::lock_guard Hold(Lock);
+  Routes = std::move(Wanted);
+}
+
+RouteTablePtr Relay::routes() const {
+  const std::lock_guard Hold(Lock);
+  return Routes;
+}
+
+HttpClient &Relay::client(std::size_t Thread) { return *Clients.at(Thread); }
+
+std::optional<HttpResponse> Relay::check(const HttpRequest &Head) const {
+  if (Stopping)
+    return refusalOf(notRun(Reason::Stopping, StoppingRetryAfter));
+  if (Stale)
+    return refusalOf(notRun(Reason::Stale, StoppingRetryAfter));
+  try {
+    (void)authenticate(Head, *routes());
+    return std::nullopt;
+  } catch (const RequestRefused &Problem) {
+    return refusalOf(Problem.verdict(), Problem.what());
+  }
+}
+
+Awaitable<void> Relay::refuse(Exchange &Call, Verdict Final,
+                              std::string Detail) {
+  if (Final.State == RunState::NotRun)
+    ++Counts.RefusedNotRun;
+  else
+    ++Counts.RefusedMayHaveRun;
+  co_await Call.respond(refusalOf(Final, Detail));
+}
+
+Awaitable<void> Relay::serve(Exchange &Call) {
+  if (std::string_view(Call.request().Target).starts_with(OutcomesPrefix)) {
+    co_await answerQuery(Call);
+    co_return;
+  }
+  std::optional<CallerRequest> Asked;
+  Verdict Refused;
+  std::string Detail;
+  try {
+    Asked =
+        readCallerRequest(Call.request(), *routes(), Limits, BootClock::now());
+  } catch (const RequestRefused &Problem) {
+    Refused = Problem.verdict();
+    Detail = Problem.what();
+  }
+  if (!Asked) {
+    co_await refuse(Call, Refused, std::move(Detail));
+    co_return;
+  }
+  if (!Asked->Item.Repeatable && !Asked->IdempotencyKey.empty())
+    co_await serveClaimed(Call, std::move(*Asked));
+  else
+    co_await serveRouted(Call, std::move(*Asked), nullptr);
+}
+
+Awaitable<void> Relay::answerQuery(Exchange &Call) {
+  const auto Now = routes();
+  std::optional<TeamName> Team;
+  try {
+    Team = authenticate(Call.request(), *Now).Name;
+  } catch (const RequestRefused &) {
+  }
+  if (!Team) {
+    co_await refuse(Call, notRun(Reason::Unauthenticated));
+    co_return;
+  }
+  const std::string Key = Call.request().Target.substr(OutcomesPrefix.size());
+  if (Key.empty() || Key.size() > MaxClaimKeyBytes) {
+    co_await refuse(Call, notRun(Reason::BadRequest));
+    co_return;
+  }
+  const ClaimDecide Told = co_await Claims.query(
+      ClaimKey{*Team, Key}, BootClock::now() + Limits.DefaultDeadline);
+  co_await Call.respond(outcomeAnswer(Told.Decision));
+}
+
+Awaitable<void> Relay::serveClaimed(Exchange &Call, CallerRequest Asked) {
+  ClaimRequest Wanted = claimOf(Asked);
+  const ClaimDecide Told =
+      co_await Claims.claim(std::move(Wanted), Asked.Item.Deadline);
+  if (const auto *const Replay = std::get_if<ClaimReplay>(&Told.Decision)) {
+    ++Counts.Answered;
+    co_await Call.respond(Replay->Outcome.BodyKept
+                              ? replayedAnswer(Replay->Outcome)
+                              : ranWithoutBody(Replay->Outcome));
+    co_return;
+  }
+  if (std::optional<Verdict> Refused = verdictOf(Told.Decision)) {
+    if (std::holds_alternative<ClaimInProgress>(Told.Decision))
+      Refused->RetryAfter = InProgressRetryAfter;
+    co_await refuse(Call, *Refused);
+    co_return;
+  }
+  ClaimGuard Guard(Claims, Told.Id);
+  Asked.Item.Deadline = std::min(Asked.Item.Deadline, Told.DispatchBefore);
+  co_await serveRouted(Call, std::move(Asked), &Guard);
+}
+
+Awaitable<void> Relay::serveRouted(Exchange &Call, CallerRequest Asked,
+                                   ClaimGuard *Guard) {
+  std::optional<Place> Mine = Routing.submit(
+      Asked.PoolName, Asked.Item, co_await boost::asio::this_coro::executor);
+  if (!Mine) {
+    co_await refuse(Call, notRun(Reason::UnknownTarget));
+    co_return;
+  }
+  StreamProgress Progress;
+  while (true) {
+    const Decision Next = co_await Mine->next();
+    if (const auto *const Final = std::get_if<Verdict>(&Next)) {
+      if (!Call.begun()) {
+        co_await refuse(Call, *Final);
+      } else {
+        ++Counts.Cut;
+        Call.cut();
+      }
+      co_return;
+    }
+    ++Counts.Attempts;
+    const auto To = std::get<Assignment>(Next).Endpoint;
+    const AttemptResult Result =
+        co_await attempt(Call, Asked, *To, Progress, Guard);
+    Mine->report(Result);
+    if (Result.Answered) {
+      ++Counts.Answered;
+      co_return;
+    }
+  }
+}
+
+// Failure guarded against: a request that must not run twice is written to a
+// connection that the endpoint is just closing, and nobody can tell whether it
+// ran. Such requests get a connection of their own, so that "not run" and "may
+// have run" stay apart.
+Awaitable<AttemptResult> Relay::attempt(Exchange &Call,
+                                        const CallerRequest &Asked,
+                                        const EndpointSpec &To,
+                                        StreamProgress &Progress,
+                                        ClaimGuard *Guard) {
+  const TimePoint Start = BootClock::now();
+  HttpRequest Sent = Asked.Forwarded;
+  if (Asked.ToModel)
+    Sent.Fields.push_back({"Coltsfoottrail-Group", groupOf(To)});
+  if (Call.begun()) {
+    const std::optional<std::string> Text = Progress.Events.text();
+    Progress.Events.dropPartial();
+    if (!Text) {
+      AttemptResult Lost =
+          failed(RunState::MayHaveRun, Reason::EndpointCut, Start);
+      Lost.CallerSawBytes = true;
+      co_return Lost;
+    }
+    ++Counts.Resumed;
+    Sent.Body = resumedBody(Sent.Body, *Text, Progress.Events.tokens());
+  }
+  if (Guard != nullptr) {
+    if (BootClock::now() >= Asked.Item.Deadline)
+      co_return failed(RunState::NotRun, Reason::DeadlinePassed, Start);
+    Guard->mayHaveLeft();
+  }
+  auto Started =
+      co_await client(Call.thread())
+          .start(To.Address, std::move(Sent), Asked.AnswerBy,
+                 Asked.Item.Repeatable ? Reuse::Allowed : Reuse::Never);
+  if (const auto *const Failure = std::get_if<CallFailure>(&Started)) {
+    if (Guard != nullptr && Failure->State == RunState::NotRun)
+      Guard->provedNotRun();
+    co_return failed(*Failure, Start);
+  }
+  HttpCall Answer = std::move(std::get<HttpCall>(Started));
+  const unsigned Status = Answer.head().Status;
+  if (fieldOf(Answer.head().Fields, VerdictField) == "not-run" &&
+      (Status == StatusConflict || Status == StatusTooMany ||
+       Status >= FirstErrorStatus)) {
+    if (Guard != nullptr)
+      Guard->provedNotRun();
+    co_return failed(RunState::NotRun, Reason::EndpointRefused, Start);
+  }
+  if (Asked.ToModel && Status >= FirstErrorStatus)
+    co_return failed(RunState::MayHaveRun, Reason::EndpointFailed, Start);
+  if (Asked.Streams && Status == StatusOk)
+    co_return co_await relayStream(Call, Asked, std::move(Answer), Start,
+                                   Progress);
+  co_return co_await relayWhole(Call, Asked, std::move(Answer), Start, Guard);
+}
+
+Awaitable<AttemptResult> Relay::relayWhole(Exchange &Call,
+                                           const CallerRequest &Asked,
+                                           HttpCall Answer, TimePoint Start,
+                                           ClaimGuard *Guard) {
+  const TimePoint FirstByte = BootClock::now();
+  HttpResponse Whole;
+  Whole.Status = Answer.head().Status;
+  Whole.Fields = answerFields(Answer.head());
+  while (true) {
+    auto Next = co_await Answer.next(Asked.AnswerBy);
+    if (const auto *const Failure = std::get_if<CallFailure>(&Next))
+      co_return failed(*Failure, Start);
+    auto &Part = std::get<std::optional<std::string>>(Next);
+    if (!Part)
+      break;
+    Whole.Body += *Part;
+  }
+  if (Guard != nullptr) {
+    StoredOutcome Kept;
+    Kept.Status = Whole.Status;
+    Kept.ContentType = std::string(fieldOf(Whole.Fields, "Content-Type"));
+    Kept.BodyKept = Whole.Body.size() <= MaxOutcomeBytes;
+    if (Kept.BodyKept)
+      Kept.Body = Whole.Body;
+    Guard->settle(std::move(Kept));
+  }
+  Whole.Fields.push_back({std::string(VerdictField), "ran"});
+  co_await Call.respond(std::move(Whole));
+  co_return answered(Start, FirstByte);
+}
+
+// Failure guarded against: an endpoint dies in the middle of a stream and the
+// caller takes the part for the whole. Only whole events are passed on, the
+// answer ends only behind the event that ends a stream, and otherwise it goes
+// on at the next token from another endpoint or is visibly cut.
+Awaitable<AttemptResult> Relay::relayStream(Exchange &Call,
+                                            const CallerRequest &Asked,
+                                            HttpCall Answer, TimePoint Start,
+                                            StreamProgress &Progress) {
+  const TimePoint FirstByte = BootClock::now();
+  if (!Call.begun()) {
+    HttpResponse Head;
+    Head.Fields = answerFields(Answer.head());
+    co_await Call.begin(std::move(Head));
+  }
+  while (true) {
+    auto Next = co_await Answer.next(Asked.AnswerBy);
+    if (const auto *const Failure = std::get_if<CallFailure>(&Next)) {
+      AttemptResult Result = failed(*Failure, Start);
+      Result.CallerSawBytes = !Progress.Events.resumable();
+      Result.FirstByte = FirstByte - Start;
+      co_return Result;
+    }
+    auto &Part = std::get<std::optional<std::string>>(Next);
+    if (!Part)
+      break;
+    co_await Call.write(Progress.Events.take(*Part));
+  }
+  if (!Progress.Events.sawEnd()) {
+    AttemptResult Result =
+        failed(RunState::MayHaveRun, Reason::EndpointCut, Start);
+    Result.CallerSawBytes = !Progress.Events.resumable();
+    co_return Result;
+  }
+  co_await Call.end();
+  co_return answered(Start, FirstByte);
+}
+
+} // namespace coltsfoottrail
--- /dev/null
+++ b/packages/process/src/coltsfoottrail/server/relay.hpp
@@ -0,0 +1,98 @@
+/// @file
+/// Serves callers: from the request's head to the last byte of its answer.
+#ifndef COLTSFOOTTRAIL_SERVER_RELAY_HPP
+#define COLTSFOOTTRAIL_SERVER_RELAY_HPP
+
+#include "coltsfoottrail/http/client.hpp"
+#include "coltsfoottrail/http/server.hpp"
+#include "coltsfoottrail/server/callerrequest.hpp"
+#include "coltsfoottrail/server/claimdesk.hpp"
+#include "coltsfoottrail/server/router.hpp"
+
+#include <atomic>
+#include <memory>
+#include <mutex>
+#include <vector>
+
+namespace coltsfoottrail {
+
+/// Counts of what callers got.
+struct RelayCounters {
+  std::atomic<std::uint64_t> Answered{0};
+  std::atomic<std::uint64_t> RefusedNotRun{0};
+  std::atomic<std::uint64_t> RefusedMayHaveRun{0};
+  std::atomic<std::uint64_t> Cut{0};
+  std::atomic<std::uint64_t> CallerGone{0};
+  std::atomic<std::uint64_t> Attempts{0};
+  std::atomic<std::uint64_t> Resumed{0};
+};
+
+/// @brief Relays callers' requests to endpoints. Thread-safe.
+class Relay {
+public:
+  /// @brief Makes a relay without routes. All arguments must outlive it.
+  /// @param Threads The threads that carry callers' connections.
+  /// @param Routing Where endpoints are chosen.
+  /// @param Claims Where keys are claimed.
+  /// @param Limits Limits of callers.
+  Relay(IoPool &Threads, Router &Routing, ClaimDesk &Claims,
+        CallerLimits Limits);
+
+  /// @brief Puts routes in force for reading requests.
+  void setRoutes(RouteTablePtr Wanted);
+  /// @brief From now on new requests are refused as "stopping".
+  void stopTaking() noexcept { Stopping = true; }
+  /// @brief Refuses new work as "stale" while set.
+  void setStale(bool Wanted) noexcept { Stale = Wanted; }
+
+  /// @brief Looks at a request's head before its body is read.
+  /// @param Head The head.
+  /// @return A refusal, or nothing.
+  [[nodiscard]] std::optional<HttpResponse>
+  check(const HttpRequest &Head) const;
+
+  /// @brief Serves a request.
+  /// @param Call The exchange with the caller.
+  [[nodiscard]] Awaitable<void> serve(Exchange &Call);
+
+  /// @brief What callers got.
+  [[nodiscard]] const RelayCounters &counters() const noexcept {
+    return Counts;
+  }
+
+private:
+  struct StreamProgress;
+
+  [[nodiscard]] RouteTablePtr routes() const;
+  [[nodiscard]] Awaitable<void> refuse(Exchange &Call, Verdict Final,
+                                       std::string Detail = {});
+  [[nodiscard]] Awaitable<void> serveClaimed(Exchange &Call,
+                                             CallerRequest Asked);
+  [[nodiscard]] Awaitable<void> serveRouted(Exchange &Call, CallerRequest Asked,
+                                            ClaimGuard *Guard);
+  [[nodiscard]] Awaitable<AttemptResult>
+  attempt(Exchange &Call, const CallerRequest &Asked, const EndpointSpec &To,
+          StreamProgress &Progress, ClaimGuard *Guard);
+  [[nodiscard]] Awaitable<AttemptResult>
+  relayWhole(Exchange &Call, const CallerRequest &Asked, HttpCall Answer,
+             TimePoint Start, ClaimGuard *Guard);
+  [[nodiscard]] Awaitable<AttemptResult>
+  relayStream(Exchange &Call, const CallerRequest &Asked, HttpCall Answer,
+              TimePoint Start, StreamProgress &Progress);
+  [[nodiscard]] Awaitable<void> answerQuery(Exchange &Call);
+  [[nodiscard]] HttpClient &client(std::size_t Thread);
+
+  Router &Routing;
+  ClaimDesk &Claims;
+  CallerLimits Limits;
+  std::vector<std::unique_ptr<HttpClient>> Clients;
+  mutable std::mutex Lock;
+  RouteTablePtr Routes;
+  std::atomic<bool> Stopping{false};
+  std::atomic<bool> Stale{false};
+  RelayCounters Counts;
+};
+
+} // namespace coltsfoottrail
+
+#endif
