--- a/packages/version/src/coltsfoottrail/intents/placement.cpp
+++ b/packages/version/src/coltsfoottrail/intents/placement.cpp
@@ -1,33 +1,7 @@
 #include "coltsfoottrail/intents/placement.hpp"
 
-#include <algorithm>
-
 namespace coltsfoottrail {
 
-namespace {
-
-template <class Spec, class Key>
-const Spec *findByName(const std::vector<Spec> &Ordered, const Key &Called) {
-  const auto Found =
-      std::lower_bound(Ordered.begin(), Ordered.end(), Called,
-                       [](const Spec &Candidate, const Key &Wanted) {
-                         return Wanted > Candidate.Name;
-                       });
-  if (Found == Ordered.end() || Found->Name != Called)
-    return nullptr;
-  return &*Found;
-}
-
-} // namespace
-
-const HostSpec *findHost(const Declaration &In, const HostName &Name) {
-  return findByName(In.Hosts, Name);
-}
-
-const ModelSpec *findModel(const Declaration &In, const ModelName &Name) {
-  return findByName(In.Models, Name);
-}
-
 void FreeHosts::add(const HostSpec &Host) {
   Centre &In = Centres[Host.DataCentre];
   std::set<HostName> &Free = In.Domains[Host.FabricDomain];
--- a/packages/version/src/coltsfoottrail/intents/placement.hpp
+++ b/packages/version/src/coltsfoottrail/intents/placement.hpp
@@ -16,19 +16,6 @@
 
 namespace coltsfoottrail {
 
-/// @brief Finds a declared host.
-/// @param In Its hosts are ordered by name.
-/// @param Name Whom to find.
-/// @return The host, or null. Valid as long as the declaration. Thread-safe.
-[[nodiscard]] const HostSpec *findHost(const Declaration &In,
-                                       const HostName &Name);
-/// @brief Finds a declared model.
-/// @param In Its models are ordered by name.
-/// @param Name What to find.
-/// @return The model, or null. Valid as long as the declaration. Thread-safe.
-[[nodiscard]] const ModelSpec *findModel(const Declaration &In,
-                                         const ModelName &Name);
-
 /// @brief The hosts that no group occupies, by fabric domain.
 ///
 /// Best fit: a group gets the fullest domain that still holds it, so that wide
--- a/packages/version/src/coltsfoottrail/intents/planner.cpp
+++ b/packages/version/src/coltsfoottrail/intents/planner.cpp
@@ -51,20 +51,10 @@
                     "\"; declared are: " + firstNames(Known, NameItself));
 }
 
-bool runsService(const Declaration &Declared, const HostName &Name) {
-  for (const ServiceSpec &Service : Declared.Services)
-    for (const ServiceInstance &Instance : Service.Instances)
-      if (Instance.Host == Name)
-        return true;
-  return false;
-}
-
 void requireHost(const Declaration &Declared, const HostName &Name) {
-  if (findHost(Declared, Name) != nullptr || runsService(Declared, Name))
-    return;
-  throw PlanError(
-      "unknown host \"" + Name.Text +
-      "\"; it must be declared as a host or as a service's instance");
+  if (findHost(Declared, Name) == nullptr)
+    throw PlanError("unknown host \"" + Name.Text +
+                    "\"; it is not declared as a host of an engine");
 }
 
 Plan planFor(const Aim &To, Intent Asked) {
@@ -195,12 +185,9 @@
                       "but serves group " +
                       textOf(Group) +
                       "; drain it first and apply the declaration then");
-    if (After->DataCentre != Before->DataCentre ||
-        After->FabricDomain != Before->FabricDomain ||
-        After->Address != Before->Address || After->Port != Before->Port)
+    if (!(*After == *Before))
       throw PlanError("host \"" + Name.Text +
-                      "\" changes its place or address "
-                      "while it serves group " +
+                      "\" changes its declaration while it serves group " +
                       textOf(Group) +
                       "; drain it first and apply the declaration then");
   }
