Add the choice of an endpoint by estimated wait

Cause: the baseline looks at every endpoint for each request and knows only its own requests in progress. LoadReport gains Age.

--- /dev/null
+++ b/packages/request/src/coltsfoottrail/choice/load.cpp
@@ -0,0 +1,61 @@
+#include "coltsfoottrail/choice/load.hpp"
+
+#include <algorithm>
+#include <limits>
+
+namespace coltsfoottrail {
+
+namespace {
+
+constexpr Duration StepLength = milliseconds(125);
+/// A report that is older says nothing any more.
+constexpr Duration ReportLife = seconds(10);
+
+std::int64_t stepOf(TimePoint When) {
+  return When.time_since_epoch() / StepLength;
+}
+
+std::uint16_t narrowed(std::uint32_t Count) {
+  constexpr std::uint32_t Most = std::numeric_limits<std::uint16_t>::max();
+  return static_cast<std::uint16_t>(std::min(Count, Most));
+}
+
+} // namespace
+
+void LoadModel::roll(TimePoint Now) noexcept {
+  const std::int64_t Step = stepOf(Now);
+  const std::int64_t First = std::max(LastStep, Step - Steps);
+  for (std::int64_t Passed = First; Passed < Step; ++Passed)
+    AtEnd[static_cast<std::size_t>(Passed % Steps)] = narrowed(Own);
+  LastStep = Step;
+}
+
+void LoadModel::sent(TimePoint Now) noexcept {
+  roll(Now);
+  ++Own;
+}
+
+void LoadModel::ended(TimePoint Now) noexcept {
+  roll(Now);
+  --Own;
+}
+
+void LoadModel::report(std::uint32_t Total, Duration Age,
+                       TimePoint Now) noexcept {
+  const std::uint32_t Contained = ownAt(Now - Age);
+  Others = Total - std::min(Total, Contained);
+  ReportedAt = Now - Age;
+}
+
+std::uint32_t LoadModel::load(TimePoint Now) const noexcept {
+  return Now - ReportedAt < ReportLife ? Own + Others : Own;
+}
+
+std::uint32_t LoadModel::ownAt(TimePoint Then) const noexcept {
+  const std::int64_t Step = std::max(stepOf(Then), LastStep - Steps);
+  if (Step >= LastStep)
+    return Own;
+  return AtEnd[static_cast<std::size_t>(Step % Steps)];
+}
+
+} // namespace coltsfoottrail
--- /dev/null
+++ b/packages/request/src/coltsfoottrail/choice/load.hpp
@@ -0,0 +1,58 @@
+/// @file
+/// Estimated load of an endpoint between its lagging reports.
+#ifndef COLTSFOOTTRAIL_CHOICE_LOAD_HPP
+#define COLTSFOOTTRAIL_CHOICE_LOAD_HPP
+
+#include "coltsfoottrail/choice/fwd.hpp"
+#include "coltsfoottrail/core/time.hpp"
+
+#include <array>
+
+namespace coltsfoottrail {
+
+/// @brief Requests at an endpoint: this entry host's own, which it knows, and
+/// those of others, as last reported.
+///
+/// Failure guarded against: an endpoint that reported no load a second ago gets
+/// every request until its next report. Own requests since the report are added
+/// to it, and own ones that it already contains are not counted twice.
+/// Not thread-safe.
+class LoadModel {
+public:
+  /// @brief Notes that a request was sent.
+  void sent(TimePoint Now) noexcept;
+  /// @brief Notes that a request ended.
+  void ended(TimePoint Now) noexcept;
+
+  /// @brief Takes a report.
+  /// @param Total Requests running and queued there.
+  /// @param Age How long ago it was true.
+  void report(std::uint32_t Total, Duration Age, TimePoint Now) noexcept;
+
+  /// @brief Forgets the report, as after a restart.
+  void forgetReport() noexcept { Others = 0; }
+
+  /// @brief Estimated requests at the endpoint.
+  [[nodiscard]] std::uint32_t load(TimePoint Now) const noexcept;
+  /// @brief Own requests in progress.
+  [[nodiscard]] std::uint32_t own() const noexcept { return Own; }
+  /// @brief Own requests in progress at a past time, to the nearest step of the
+  /// record.
+  [[nodiscard]] std::uint32_t ownAt(TimePoint Then) const noexcept;
+
+private:
+  static constexpr std::int64_t Steps = 16;
+
+  void roll(TimePoint Now) noexcept;
+
+  std::uint32_t Own = 0;
+  std::uint32_t Others = 0;
+  TimePoint ReportedAt;
+  std::int64_t LastStep = 0;
+  /// Own requests at the end of each of the last steps.
+  std::array<std::uint16_t, Steps> AtEnd{};
+};
+
+} // namespace coltsfoottrail
+
+#endif
--- a/packages/request/src/coltsfoottrail/dispatch/types.hpp
+++ b/packages/request/src/coltsfoottrail/dispatch/types.hpp
@@ -64,6 +64,8 @@
   Incarnation Run = 0;
   std::uint32_t Running = 0;
   std::uint32_t Queued = 0;
+  /// How long ago this was true, as far as is known.
+  Duration Age{};
 };
 
 /// Send a request to an endpoint.
--- /dev/null
+++ b/packages/request/test/coltsfoottrail/choice/chooser.cpp
@@ -0,0 +1,295 @@
+#include "coltsfoottrail/choice/chooser.hpp"
+
+#include <gtest/gtest.h>
+#include <map>
+#include <string>
+
+namespace coltsfoottrail {
+namespace {
+
+constexpr TimePoint Start{seconds(100)};
+
+Pool poolOf(std::size_t Count, std::size_t DataCentres = 1) {
+  Pool Wanted;
+  for (std::size_t Index = 0; Index < Count; ++Index) {
+    EndpointSpec Spec;
+    Spec.Key = "endpoint-" + std::to_string(1000 + Index);
+    Spec.DataCentre =
+        DataCentreName("dc-" + std::to_string(Index % DataCentres));
+    Spec.WarmBound = 8;
+    Wanted.Endpoints.push_back(Spec);
+  }
+  return Wanted;
+}
+
+class ChooserTest : public testing::Test {
+protected:
+  void prepare(std::size_t Count, std::uint32_t Share,
+               std::size_t DataCentres = 1) {
+    Choice.configure(poolOf(Count, DataCentres));
+    for (std::size_t Index = 0; Index < Count; ++Index)
+      Choice.setShare(id(Index), Share);
+  }
+  [[nodiscard]] CandidateId id(std::size_t Index) const {
+    return *Choice.find("endpoint-" + std::to_string(1000 + Index));
+  }
+  CandidateId send(const ChoiceQuery &Query = {}) {
+    const std::optional<CandidateId> Which = Choice.choose(Query, Now);
+    EXPECT_TRUE(Which);
+    Choice.sent(*Which, Query.Suspect, Now);
+    return *Which;
+  }
+  void answer(CandidateId Which, Duration Total, std::uint64_t Prefix = 0) {
+    Choice.ended(
+        Which,
+        EndedAttempt{AttemptOutcome::Answered, Prefix, 1.0, false, Total}, Now);
+  }
+  void fail(CandidateId Which) {
+    Choice.ended(
+        Which, EndedAttempt{AttemptOutcome::Failed, 0, 1.0, false, Duration{}},
+        Now);
+  }
+
+  Chooser Choice{DataCentreName("dc-0"), EstimatedWaitPolicy{}, 1};
+  TimePoint Now = Start;
+};
+
+// The bound of a cold endpoint is broken and it falls over: a hint, a probe or
+// a policy chose it although this entry host's share of it was used up.
+TEST(ChooserProperty, ShareIsNeverPassedUnderAnyPolicy) {
+  const std::vector<ChoicePolicy> Policies{EstimatedWaitPolicy{},
+                                           RandomPolicy{}, RoundRobinPolicy{},
+                                           LeastInFlightPolicy{}};
+  for (std::uint64_t Seed = 0; Seed < 40; ++Seed) {
+    Random Draw(Seed);
+    Chooser Choice(DataCentreName("dc-0"), Policies[Seed % 4], Seed);
+    TimePoint Now = Start;
+    std::vector<CandidateId> Running;
+    std::map<std::string, std::uint32_t> Shares;
+    std::map<std::string, std::uint32_t> Own;
+    std::size_t Count = 6;
+    Choice.configure(poolOf(Count, 2));
+    for (int Step = 0; Step < 1500; ++Step) {
+      Now += milliseconds(Draw.below(200));
+      const std::string Key =
+          "endpoint-" + std::to_string(1000 + Draw.below(Count));
+      const std::optional<CandidateId> Named = Choice.find(Key);
+      const std::uint64_t Kind = Draw.below(10);
+      if (Kind < 5) {
+        const ChoiceQuery Query{Draw.below(5), 1.0, std::nullopt,
+                                Draw.below(4) == 0};
+        if (const auto Which = Choice.choose(Query, Now)) {
+          const std::string Chosen = Choice.candidate(*Which)->Spec.Key;
+          ASSERT_LT(Own[Chosen], Shares[Chosen]) << "seed " << Seed;
+          if (Query.Suspect)
+            continue;
+          Choice.sent(*Which, false, Now);
+          ++Own[Chosen];
+          Running.push_back(*Which);
+        }
+      } else if (Kind < 8 && !Running.empty()) {
+        const std::size_t Index = Draw.below(Running.size());
+        std::swap(Running[Index], Running.back());
+        const CandidateId Which = Running.back();
+        Running.pop_back();
+        --Own[Choice.candidate(Which)->Spec.Key];
+        Choice.ended(Which,
+                     EndedAttempt{static_cast<AttemptOutcome>(Draw.below(4)),
+                                  Draw.below(5), 1.0, false,
+                                  milliseconds(Draw.below(3000))},
+                     Now);
+      } else if (Kind == 8 && Named) {
+        Shares[Key] = static_cast<std::uint32_t>(Draw.below(4));
+        if (!Choice.candidate(*Named)->Current)
+          Shares[Key] = 0;
+        Choice.setShare(*Named, Shares[Key]);
+      } else if (Draw.below(10) == 0) {
+        const std::size_t Before = Count;
+        Count = 1 + Draw.below(8);
+        Choice.configure(poolOf(Count, 2));
+        for (std::size_t Gone = Count; Gone < Before; ++Gone)
+          Shares["endpoint-" + std::to_string(1000 + Gone)] = 0;
+      }
+    }
+  }
+}
+
+// Gate staff see one draft in ten take five times as long, all morning: three
+// machines of fifty throttle, and a policy that counts requests only cannot
+// tell them from the others.
+TEST_F(ChooserTest, StragglersAreLeftOutAndTriedAgain) {
+  prepare(50, 4);
+  const CandidateId Slow = id(7);
+  int ToSlow = 0;
+  for (int Round = 0; Round < 3000; ++Round) {
+    Now += milliseconds(10);
+    const CandidateId Which = send();
+    ToSlow += Which == Slow ? 1 : 0;
+    answer(Which, Which == Slow ? seconds(5) : seconds(1));
+  }
+  EXPECT_LT(ToSlow, 30) << "an even share is 60";
+  EXPECT_GT(ToSlow, 0);
+  for (int Round = 0; Round < 20000; ++Round) {
+    Now += milliseconds(10);
+    answer(send(), seconds(1));
+  }
+  EXPECT_EQ(Choice.ejected(), 0U) << "it is fast again and was taken back";
+}
+
+// The last endpoints break down under the whole load: every endpoint turned
+// slow, and one after the other was ejected.
+TEST_F(ChooserTest, EjectionStopsAtItsCap) {
+  prepare(50, 4);
+  for (int Round = 0; Round < 2000; ++Round) {
+    Now += milliseconds(1);
+    const CandidateId Which = send();
+    answer(Which, Which.Index < 25 ? seconds(9) : seconds(1));
+  }
+  EXPECT_LE(Choice.ejected(), 10U);
+  for (int Round = 0; Round < 2000; ++Round) {
+    Now += milliseconds(1);
+    fail(send());
+  }
+  EXPECT_LE(Choice.ejected(), 35U);
+  EXPECT_TRUE(Choice.hasRoom());
+}
+
+// Most requests of a minute fail: one endpoint refuses connections at once, is
+// never busy, and so looks like the best choice each time.
+TEST_F(ChooserTest, EndpointThatFailsAtOnceDoesNotDrawRequests) {
+  prepare(10, 4);
+  const CandidateId Broken = id(3);
+  int Failed = 0;
+  for (int Round = 0; Round < 1000; ++Round) {
+    Now += milliseconds(5);
+    const CandidateId Which = send();
+    if (Which == Broken) {
+      fail(Which);
+      ++Failed;
+    } else {
+      answer(Which, milliseconds(500));
+    }
+  }
+  EXPECT_GE(Failed, 2);
+  EXPECT_LE(Failed, 5);
+}
+
+// A service's only instance fails two calls and then nothing is sent to it for
+// seconds, though it would answer.
+TEST_F(ChooserTest, OnlyEndpointIsNeverLeftOut) {
+  prepare(1, 4);
+  for (int Round = 0; Round < 10; ++Round)
+    fail(send());
+  EXPECT_TRUE(Choice.choose({}, Now));
+}
+
+// All work stops although an endpoint is there: the two healthy ones of three
+// are drained while the third is still ejected.
+TEST_F(ChooserTest, EjectedEndpointIsUsedWhenAllOthersLeave) {
+  prepare(3, 4);
+  const CandidateId First = id(0);
+  Choice.sent(First, false, Now);
+  Choice.sent(First, false, Now);
+  fail(First);
+  fail(First);
+  ASSERT_EQ(Choice.candidate(First)->Condition.state(), Health::State::Ejected);
+  Choice.configure(poolOf(1));
+  EXPECT_EQ(Choice.choose({}, Now), First);
+}
+
+TEST_F(ChooserTest, CachedPrefixIsFoundButLoadIsBounded) {
+  prepare(20, 8);
+  Choice.observeCache(id(5), CacheChange{42, true, 1}, Now);
+  EXPECT_EQ(send(ChoiceQuery{42}), id(5));
+  std::map<std::uint32_t, int> Sent;
+  for (int Count = 0; Count < 40; ++Count)
+    ++Sent[send(ChoiceQuery{42}).Index];
+  EXPECT_GT(Sent.size(), 10U);
+  EXPECT_LE(Sent[id(5).Index], 4);
+}
+
+// Requests of a team go on to an endpoint that dropped their prefix minutes
+// ago: the event that said so was lost.
+TEST_F(ChooserTest, GapInCacheEventsVoidsTheHints) {
+  EstimatedWaitPolicy Chosen;
+  Chosen.UseRing = false;
+  Choice = Chooser(DataCentreName("dc-0"), Chosen, 1);
+  prepare(200, 8);
+  const auto Hits = [this] {
+    int Found = 0;
+    for (int Count = 0; Count < 20; ++Count)
+      Found += Choice.choose(ChoiceQuery{42}, Now) == id(5) ? 1 : 0;
+    return Found;
+  };
+  Choice.observeCache(id(5), CacheChange{42, true, 1}, Now);
+  Choice.observeCache(id(5), CacheChange{43, true, 2}, Now);
+  EXPECT_EQ(Hits(), 20);
+  Choice.observeCache(id(5), CacheChange{42, false, 1}, Now);
+  EXPECT_EQ(Hits(), 20) << "an event that came late says nothing new";
+  Choice.observeCache(id(5), CacheChange{44, true, 4}, Now);
+  EXPECT_LT(Hits(), 5);
+}
+
+TEST_F(ChooserTest, EntryHostsPlaceAPrefixAlikeWithoutTalking) {
+  prepare(50, 8);
+  Chooser Other(DataCentreName("dc-0"), EstimatedWaitPolicy{}, 99);
+  Other.configure(poolOf(50));
+  for (std::size_t Index = 0; Index < 50; ++Index)
+    Other.setShare(*Other.find("endpoint-" + std::to_string(1000 + Index)), 8);
+  for (std::uint64_t Prefix = 1; Prefix < 30; ++Prefix) {
+    const std::uint64_t Hash = Prefix * 0x9E3779B97F4A7C15ULL;
+    EXPECT_EQ(Choice.choose(ChoiceQuery{Hash}, Now),
+              Other.choose(ChoiceQuery{Hash}, Now));
+  }
+}
+
+// An endpoint turned cold unannounced; what was learned of the warm one makes
+// it look fast, and its cache look filled.
+TEST_F(ChooserTest, NewRunForgetsWhatWasLearned) {
+  prepare(10, 8);
+  EXPECT_FALSE(Choice.observe(id(2), LoadReport{"", 7, 1, 0}, Now));
+  answer(send(), seconds(1));
+  Choice.sent(id(2), false, Now);
+  answer(id(2), seconds(1), 42);
+  EXPECT_GT(Choice.candidate(id(2))->Service.weight(Now), 0.0);
+  EXPECT_TRUE(Choice.observe(id(2), LoadReport{"", 8, 0, 0}, Now));
+  EXPECT_EQ(Choice.candidate(id(2))->Service.weight(Now), 0.0);
+  EXPECT_EQ(Choice.candidate(id(2))->HintEpoch, 2U);
+}
+
+TEST_F(ChooserTest, EndpointThatFailedItIsAvoidedIfThereIsAnother) {
+  prepare(2, 1);
+  const ChoiceQuery Retried{0, 1.0, id(0)};
+  EXPECT_EQ(send(Retried), id(1));
+  EXPECT_EQ(Choice.choose(Retried, Now), std::nullopt) << "waits for the other";
+  Choice.setShare(id(1), 0);
+  EXPECT_EQ(Choice.choose(Retried, Now), id(0));
+}
+
+TEST_F(ChooserTest, SuspectsAreKeptApart) {
+  prepare(3, 8);
+  const ChoiceQuery Suspect{0, 1.0, std::nullopt, true};
+  std::map<std::uint32_t, int> Sent;
+  for (int Count = 0; Count < 3; ++Count)
+    ++Sent[send(Suspect).Index];
+  EXPECT_EQ(Sent.size(), 3U);
+  EXPECT_EQ(Choice.choose(Suspect, Now), std::nullopt);
+  EXPECT_TRUE(Choice.choose({}, Now));
+}
+
+TEST_F(ChooserTest, NearOnesArePreferredUntilTheyAreBusy) {
+  prepare(30, 8, 3);
+  for (int Count = 0; Count < 60; ++Count) {
+    const CandidateId Which = send();
+    EXPECT_TRUE(Choice.candidate(Which)->IsNear);
+    answer(Which, seconds(1));
+  }
+  int Near = 0;
+  for (int Count = 0; Count < 120; ++Count)
+    Near += Choice.candidate(send())->IsNear ? 1 : 0;
+  EXPECT_GE(Near, 40);
+  EXPECT_LT(Near, 60);
+}
+
+} // namespace
+} // namespace coltsfoottrail
