--- /dev/null
+++ b/packages/request/src/coltsfoottrail/retries/budget.hpp
@@ -0,0 +1,75 @@
+/// @file
+/// How many retries the first sends pay for.
+#ifndef COLTSFOOTTRAIL_RETRIES_BUDGET_HPP
+#define COLTSFOOTTRAIL_RETRIES_BUDGET_HPP
+
+#include "coltsfoottrail/retries/fwd.hpp"
+
+#include <cstddef>
+#include <vector>
+
+namespace coltsfoottrail {
+
+/// @brief Ratios of retries to first sends.
+struct BudgetLimits {
+  /// Retries for each first send, over all data centres.
+  double Ratio = 0.1;
+  /// Retries into a data centre for each first send into it.
+  double DataCentreRatio = 0.15;
+  /// Most retries that are saved up, and what there is at the start.
+  double Burst = 10.0;
+};
+
+/// @brief Tokens that events earn and others spend. Not thread-safe.
+class TokenBucket {
+public:
+  /// @brief Makes a full bucket.
+  explicit TokenBucket(double Most) noexcept : Limit(Most), Held(Most) {}
+
+  /// @brief Adds tokens up to the limit.
+  void earn(double Tokens) noexcept;
+  /// @brief Tells whether there is a token.
+  [[nodiscard]] bool any() const noexcept { return Held >= 1.0; }
+  /// @brief Takes a token. Precondition: any().
+  void spend() noexcept { Held -= 1.0; }
+
+private:
+  double Limit;
+  double Held;
+};
+
+/// @brief Budget of retries in all and for each data centre that they go to.
+///
+/// Failure guarded against: a data centre is lost, every request to it is sent
+/// again to the others, they slow down, time-outs there are sent again, and the
+/// load multiplies. Retries are paid for by first sends: N requests cause at
+/// most (1 + Ratio) N + Burst sends, whatever fails.
+/// Not thread-safe.
+class RetryBudget {
+public:
+  /// @brief Makes a budget.
+  explicit RetryBudget(BudgetLimits Wanted);
+
+  /// @brief Notes the first send of a request.
+  /// @param DataCentre Number of the data centre that it goes to.
+  void firstSend(std::size_t DataCentre);
+
+  /// @brief Tells whether a retry may go anywhere at all.
+  [[nodiscard]] bool any() const noexcept { return All.any(); }
+
+  /// @brief Takes a retry out of the budget.
+  /// @param DataCentre Number of the data centre that it goes to.
+  /// @return Whether the budget allows it.
+  [[nodiscard]] bool take(std::size_t DataCentre);
+
+private:
+  [[nodiscard]] TokenBucket &of(std::size_t DataCentre);
+
+  BudgetLimits Limits;
+  TokenBucket All;
+  std::vector<TokenBucket> DataCentres;
+};
+
+} // namespace coltsfoottrail
+
+#endif
--- /dev/null
+++ b/packages/request/src/coltsfoottrail/retries/fwd.hpp
@@ -0,0 +1,15 @@
+/// @file
+/// Forward declarations of the retries module.
+#ifndef COLTSFOOTTRAIL_RETRIES_FWD_HPP
+#define COLTSFOOTTRAIL_RETRIES_FWD_HPP
+
+namespace coltsfoottrail {
+
+struct RetryLimits;
+struct BudgetLimits;
+class RetryBudget;
+class TokenBucket;
+
+} // namespace coltsfoottrail
+
+#endif
--- /dev/null
+++ b/packages/request/src/coltsfoottrail/retries/retry.cpp
@@ -0,0 +1,54 @@
+#include "coltsfoottrail/retries/retry.hpp"
+
+#include <algorithm>
+
+namespace coltsfoottrail {
+
+namespace {
+
+/// Whether another endpoint would say the same.
+bool isFinal(Reason Why) {
+  switch (Why) {
+  case Reason::BadRequest:
+  case Reason::Unauthenticated:
+  case Reason::UnknownTarget:
+  case Reason::BodyTooLarge:
+  case Reason::Cancelled:
+  case Reason::Quarantined:
+  case Reason::DeadlinePassed:
+  case Reason::Stopping:
+    return true;
+  default:
+    return false;
+  }
+}
+
+} // namespace
+
+bool mayRetry(const WorkItem &Item, const AttemptResult &Result) noexcept {
+  if (Result.Answered || Result.CallerSawBytes || isFinal(Result.Why))
+    return false;
+  switch (Result.State) {
+  case RunState::NotRun:
+    return true;
+  case RunState::MayHaveRun:
+    return Item.Repeatable;
+  case RunState::Ran:
+    return false;
+  }
+  return false;
+}
+
+std::optional<Duration> retryDelay(const RetryLimits &Limits,
+                                   std::uint32_t Tries, Duration Left,
+                                   Random &Draw) {
+  constexpr std::uint32_t MostDoublings = 16;
+  if (Left <= Duration::zero())
+    return std::nullopt;
+  const std::uint32_t Doublings = std::min(Tries, MostDoublings);
+  const Duration Ceiling = std::min(
+      {Limits.FirstDelay * (1U << Doublings), Limits.LongestDelay, Left});
+  return std::chrono::duration_cast<Duration>(Ceiling * Draw.fraction());
+}
+
+} // namespace coltsfoottrail
--- /dev/null
+++ b/packages/request/test/coltsfoottrail/retries/retry.cpp
@@ -0,0 +1,51 @@
+#include "coltsfoottrail/retries/retry.hpp"
+
+#include <gtest/gtest.h>
+
+namespace coltsfoottrail {
+namespace {
+
+AttemptResult failure(RunState State, bool CallerSawBytes = false) {
+  AttemptResult Result;
+  Result.State = State;
+  Result.Why = Reason::EndpointFailed;
+  Result.CallerSawBytes = CallerSawBytes;
+  return Result;
+}
+
+// Twice the barriers stand on the road: a sign order whose connection broke
+// after it was written was sent to a second endpoint.
+TEST(MayRetry, OnlyWhatCannotRunTwiceOrDoesNoHarm) {
+  WorkItem Order;
+  WorkItem Lookup;
+  Lookup.Repeatable = true;
+  EXPECT_TRUE(mayRetry(Order, failure(RunState::NotRun)));
+  EXPECT_FALSE(mayRetry(Order, failure(RunState::MayHaveRun)));
+  EXPECT_TRUE(mayRetry(Lookup, failure(RunState::MayHaveRun)));
+  EXPECT_FALSE(mayRetry(Lookup, failure(RunState::Ran)));
+  EXPECT_FALSE(mayRetry(Lookup, failure(RunState::MayHaveRun, true)));
+  AttemptResult Bad = failure(RunState::NotRun);
+  Bad.Why = Reason::BadRequest;
+  EXPECT_FALSE(mayRetry(Lookup, Bad));
+}
+
+TEST(RetryDelay, JitterIsFullAndStaysInsideTheDeadline) {
+  const RetryLimits Limits;
+  Random Draw(3);
+  Duration Shortest = Duration::max();
+  Duration Longest{};
+  for (int Count = 0; Count < 1000; ++Count) {
+    const Duration Delay = *retryDelay(Limits, 2, seconds(10), Draw);
+    Shortest = std::min(Shortest, Delay);
+    Longest = std::max(Longest, Delay);
+    ASSERT_LT(*retryDelay(Limits, 30, seconds(10), Draw), milliseconds(500));
+    ASSERT_LT(*retryDelay(Limits, 30, milliseconds(7), Draw), milliseconds(7));
+  }
+  EXPECT_LT(Shortest, milliseconds(4));
+  EXPECT_GT(Longest, milliseconds(76));
+  EXPECT_LT(Longest, milliseconds(80));
+  EXPECT_EQ(retryDelay(Limits, 0, Duration{}, Draw), std::nullopt);
+}
+
+} // namespace
+} // namespace coltsfoottrail
