--- a/packages/request/src/coltsfoottrail/claims/owner.cpp
+++ b/packages/request/src/coltsfoottrail/claims/owner.cpp
@@ -265,9 +265,12 @@
     std::optional<ClaimDecision> Decision = decide(Waiting.Message, Time.Now);
     if (!Decision && Waiting.Appends >= MaxAppends)
       Decision = ClaimUnavailable{};
-    if (Decision)
+    if (Decision) {
       answer(Waiting.From, Item.Id, *std::move(Decision), Out);
-    if (Decision || Waiting.Until < Time.Now) {
+      Asks.erase(Found);
+      continue;
+    }
+    if (Waiting.Until < Time.Now) {
       Asks.erase(Found);
       continue;
     }
