--- a/packages/version/src/coltsfoottrail/intents/placement.cpp
+++ b/packages/version/src/coltsfoottrail/intents/placement.cpp
@@ -1,7 +1,5 @@
 #include "coltsfoottrail/intents/placement.hpp"
 
-#include <algorithm>
-
 namespace coltsfoottrail {
 
 void FreeHosts::add(const HostSpec &Host) {
