--- a/packages/core/src/coltsfoottrail/core/name.hpp
+++ b/packages/core/src/coltsfoottrail/core/name.hpp
@@ -32,7 +32,10 @@
   /// @brief Tells whether there is no name.
   [[nodiscard]] bool empty() const noexcept { return Text.empty(); }
 
+  // The linter reports on the body that the compiler makes.
+  // NOLINTBEGIN(readability-identifier-naming,modernize-use-nullptr)
   [[nodiscard]] friend auto operator<=>(const Name &, const Name &) = default;
+  // NOLINTEND(readability-identifier-naming,modernize-use-nullptr)
 
   std::string Text;
 };
--- a/packages/version/src/coltsfoottrail/record/intent.hpp
+++ b/packages/version/src/coltsfoottrail/record/intent.hpp
@@ -20,8 +20,11 @@
   Offset Plan = 0;
   std::uint32_t Number = 0;
 
+  // The linter reports on the body that the compiler makes.
+  // NOLINTBEGIN(readability-identifier-naming,modernize-use-nullptr)
   [[nodiscard]] friend auto operator<=>(const GroupId &,
                                         const GroupId &) = default;
+  // NOLINTEND(readability-identifier-naming,modernize-use-nullptr)
 };
 
 /// Replace what is declared.
