Carry plans of the planner through the fold in a test

Cause: planner and fold each know what a plan may do; a difference would leave operators with plans that are void or stop half way.

--- /dev/null
+++ b/packages/version/test/coltsfoottrail/fold/planned.cpp
@@ -0,0 +1,163 @@
+#include "coltsfoottrail/core/random.hpp"
+#include "coltsfoottrail/intents/planner.hpp"
+#include "coltsfoottrail/route/table.hpp"
+#include "coltsfoottrail/support.hpp"
+
+#include <gtest/gtest.h>
+
+namespace coltsfoottrail {
+namespace {
+
+using test::dataCentre;
+using test::host;
+using test::model;
+using test::Story;
+
+/// Operators, an executor and engines that do as they are told.
+class Operation {
+public:
+  Operation() {
+    Told.join(Executor, 11);
+    Told.carry(ApplyDeclaration{test::makeDeclaration({3, 2, 4, 2, 2, 0})});
+  }
+
+  /// Plans an intent and carries it out; groups may break on the way.
+  void ask(const Intent &Asked) {
+    Plan Made;
+    try {
+      Made = planIntent(Told.Now, Asked);
+    } catch (const PlanError &) {
+      ++Refused;
+      return;
+    }
+    carryOut(Made);
+  }
+
+  void repair() {
+    if (const std::optional<Plan> Made = planRepair(Told.Now))
+      carryOut(*Made);
+  }
+
+  /// Breaks a group and frees its hosts.
+  void breakGroup(std::uint64_t Number) {
+    if (Told.Now.Groups.empty())
+      return;
+    auto Which = Told.Now.Groups.begin();
+    std::advance(Which,
+                 static_cast<std::ptrdiff_t>(Number % Told.Now.Groups.size()));
+    const GroupId Group = Which->first;
+    Told.say(GroupBroken{Group, Which->second.Formed.Members.front(), "lost"});
+    release(Group);
+  }
+
+  Story Told;
+  std::size_t Done = 0;
+  std::size_t Refused = 0;
+
+private:
+  void carryOut(const Plan &Made) {
+    const Offset Id = Told.Now.Next;
+    const FoldResult Proposed = Told.say(PlanProposed{Made, "operator"});
+    ASSERT_EQ(Proposed.Effect, FoldEffect::Applied) << Proposed.Why;
+    const FoldResult Confirmed = Told.say(PlanConfirmed{Id, "operator"});
+    ASSERT_EQ(Confirmed.Effect, FoldEffect::Applied) << Confirmed.Why;
+    checkCapacity(Made);
+    if (Told.Now.Plans.at(Id).Phase == PlanPhase::Running)
+      execute(Id, Made);
+    EXPECT_EQ(Told.Now.Plans.at(Id).Phase, PlanPhase::Done)
+        << Told.Now.Plans.at(Id).Why;
+    ++Done;
+  }
+
+  void execute(Offset Id, const Plan &Made) {
+    const Offset Lease = Told.lead(Id, Executor);
+    for (std::uint32_t Index = 0; Index < Made.Steps.size(); ++Index) {
+      const Step &Each = Made.Steps[Index];
+      if (const auto *const Form = std::get_if<FormGroup>(&Each))
+        Told.confirmGroup(GroupId{Id, Form->Number}, Lease);
+      if (const auto *const Stop = std::get_if<StopGroup>(&Each))
+        release(Stop->Group);
+      const FoldResult Finished = Told.say(StepFinished{Id, Lease, Index});
+      ASSERT_EQ(Finished.Effect, FoldEffect::Applied) << Finished.Why;
+      checkCapacity(Made);
+    }
+  }
+
+  void release(const GroupId &Which) {
+    const auto Found = Told.Now.Groups.find(Which);
+    if (Found == Told.Now.Groups.end())
+      return;
+    const std::set<HostName> Held = Found->second.Held;
+    for (const HostName &Host : Held)
+      Told.say(HostReleased{Host, Which});
+  }
+
+  /// Capacity is never below what the plan told the operator.
+  void checkCapacity(const Plan &Made) const {
+    const RouteTable Routes = buildRoutes(Told.Now);
+    for (const CapacityForecast &Each : Made.Forecast) {
+      const auto Pool = Routes.Pools.find(poolOfModel(Each.Model.Text));
+      const std::size_t Now =
+          Pool == Routes.Pools.end() ? 0 : Pool->second.Endpoints.size();
+      EXPECT_GE(Now, Each.GroupsAtWorst) << Each.Model.Text;
+    }
+  }
+
+  const HostName Executor{"entry-a"};
+};
+
+Intent drawIntent(Random &Draw, const State &Now) {
+  const auto Where = dataCentre(static_cast<std::uint32_t>(Draw.below(3)));
+  const auto Which = model(static_cast<std::uint32_t>(Draw.below(2)));
+  const auto Host = host(static_cast<std::uint32_t>(Draw.below(3)),
+                         static_cast<std::uint32_t>(Draw.below(2)),
+                         static_cast<std::uint32_t>(Draw.below(4)));
+  switch (Draw.below(9)) {
+  case 0:
+    return DrainDataCentre{Where};
+  case 1:
+    return ReturnDataCentre{Where};
+  case 2:
+    return DrainHost{Host};
+  case 3:
+    return ReturnHost{Host};
+  case 4:
+    return SetVersion{Which, VersionName("v" + std::to_string(Draw.below(3)))};
+  case 5:
+    return SetAdapters{Which,
+                       {AdapterName("a" + std::to_string(Draw.below(2)))}};
+  case 6: {
+    Declaration Wanted = Now.Declared;
+    Wanted.Models.front().Groups[Where] =
+        static_cast<std::uint32_t>(Draw.below(3));
+    return ApplyDeclaration{std::move(Wanted)};
+  }
+  default:
+    return SetCapacity{Which, Where, static_cast<std::uint32_t>(Draw.below(3))};
+  }
+}
+
+// The planner and the fold each know the rules of what may be done. If they
+// differed, an operator's plan would be void for no reason that he can mend, or
+// stop half way with hosts held in a group that is never formed.
+TEST(PlannedOperation, PlansAreTakenAndRunToTheirEnd) {
+  std::size_t Done = 0;
+  for (std::uint64_t Seed = 1; Seed <= 60; ++Seed) {
+    Operation All;
+    Random Draw(Seed);
+    for (int Round = 0; Round < 25; ++Round) {
+      if (Draw.below(6) == 0)
+        All.breakGroup(Draw());
+      else if (Draw.below(6) == 0)
+        All.repair();
+      else
+        All.ask(drawIntent(Draw, All.Told.Now));
+      ASSERT_FALSE(HasFailure()) << "seed " << Seed << " round " << Round;
+    }
+    Done += All.Done;
+  }
+  EXPECT_GT(Done, 500U);
+}
+
+} // namespace
+} // namespace coltsfoottrail
