Tell a majority from a sample with a margin; measure the follower

Cause: a sample of 24 of which more than half must answer takes a cut-off two fifths of the hosts for the majority in one case of five (binomial tail).

--- a/packages/version/src/coltsfoottrail/config/follower.cpp
+++ b/packages/version/src/coltsfoottrail/config/follower.cpp
@@ -276,7 +276,9 @@
   // records through them, so it asks more often; not so when the log is down
   // for all, which may last for hours.
   const bool Cut = logFails() && !ageExceeds(Options.StaleAfter, Now);
-  const Duration Every = Cut ? Options.QueryEveryWhenCut : Options.QueryEvery;
+  Duration Every = Cut ? Options.QueryEveryWhenCut : Options.QueryEvery;
+  if (Verdict == Freshness::LogDownForAll)
+    Every = Options.QueryEveryWhenDown;
   NextQuery = Now + jittered(Every * 2 / 3);
   drawSurvey(Now);
   for (const HostName &Peer : Tree.parents())
@@ -316,7 +318,13 @@
         return Found != Seen.end() && Found->second.Answered &&
                Now - *Found->second.Answered <= Options.StaleAfter / 2;
       }));
-  return !Survey.empty() && (Heard + 1) * 2 > Survey.size() + 1;
+  if (Survey.empty())
+    return false;
+  // Half of a sample may be heard by chance where less than half of the members
+  // is; two thirds hardly ever are.
+  if (Survey.size() < Others.size())
+    return (Heard + 1) * 3 >= (Survey.size() + 1) * 2;
+  return (Heard + 1) * 2 > Survey.size() + 1;
 }
 
 Freshness Follower::freshness(TimePoint Now) const {
--- a/packages/version/src/coltsfoottrail/config/follower.hpp
+++ b/packages/version/src/coltsfoottrail/config/follower.hpp
@@ -119,8 +119,10 @@
   Duration RetryLongest = seconds(1);
   /// The same for a host that is no relay.
   Duration FallbackRetryLongest = seconds(8);
-  /// Peers that a survey asks.
-  std::size_t SurveySize = 24;
+  /// Between two queries while the log is down for all, which may last.
+  Duration QueryEveryWhenDown = seconds(1);
+  /// Peers that a survey asks: all of them, or a sample drawn by chance.
+  std::size_t SurveySize = 48;
   std::uint64_t Seed = 1;
 };
 
--- a/packages/version/test/coltsfoottrail/config/follower.cpp
+++ b/packages/version/test/coltsfoottrail/config/follower.cpp
@@ -316,14 +316,31 @@
 
   Thousand.clearVerdicts();
   Thousand.LogDown = true;
-  Thousand.run(seconds(10));
+  Thousand.run(seconds(6));
   Thousand.clearTraffic();
-  Thousand.run(seconds(10));
-  report("1,000 hosts, log down for all", Thousand, Duration{}, seconds(10));
+  Thousand.run(seconds(4));
+  report("1,000 hosts, log down for all", Thousand, Duration{}, seconds(4));
   EXPECT_EQ(Thousand.count(Freshness::LogDownForAll), 1000U);
   for (const World::Host &Each : Thousand.All)
     EXPECT_FALSE(Each.Verdicts.contains(Freshness::LeftBehind));
 }
 
+// Three of ten regions lose the log and the others for a while. Their hosts ask
+// a sample of all members; by chance a third of it answers, none with a proof.
+TEST(FollowerOfThousand, CutOffRegionsDoNotTakeThemselvesForTheMajority) {
+  World Many(300, 10, Seed);
+  const auto IsCut = [](std::size_t Index) { return Index % 10 < 3; };
+  Many.append();
+  Many.run(seconds(5));
+  Many.Linked = [IsCut](std::size_t From, std::size_t To) {
+    return IsCut(From) == IsCut(To);
+  };
+  for (std::size_t Index = 0; Index < Many.All.size(); ++Index)
+    Many.All[Index].CutFromLog = IsCut(Index);
+  Many.run(seconds(10));
+  EXPECT_EQ(Many.count(Freshness::LeftBehind), 90U);
+  EXPECT_EQ(Many.count(Freshness::Fresh), 210U);
+}
+
 } // namespace
 } // namespace coltsfoottrail
