Write a change of the declaration in place of the whole

Change: shortenPlan, diffDeclarations and applyChange; a change is a kind of intent of its own on the wire; conflicts with held hosts are looked for among the hosts that change only.

--- a/bench/fold.cpp
+++ b/bench/fold.cpp
@@ -186,6 +186,37 @@
   setHosts(Run);
 }
 
+/// Changes one host of the declaration, written whole or as a change.
+void foldDeclaration(benchmark::State &Run, bool Shortened) {
+  State Now = stateOf(Run);
+  Now.Declared.Hosts.push_back(
+      makeHost(999'999, 0, Now.Declared.DataCentres.front()));
+  std::uint64_t Sequence = 1000;
+  std::size_t Bytes = 0;
+  for (auto _ : Run) {
+    Run.PauseTiming();
+    Declaration Wanted = Now.Declared;
+    Wanted.Hosts.back().Accelerators = Sequence % 8 + 1;
+    Plan Proposal;
+    Proposal.Asked = ApplyDeclaration{std::move(Wanted)};
+    Proposal.PlannedAt = Now.Next;
+    if (Shortened)
+      shortenPlan(Proposal, Now);
+    const Offset At = Now.Next;
+    const std::vector<std::byte> Proposed = encodeRecord(Envelope{
+        WriterId{1, ++Sequence}, PlanProposed{std::move(Proposal), "a"}});
+    const std::vector<std::byte> Confirmed =
+        encodeRecord(Envelope{WriterId{1, ++Sequence}, PlanConfirmed{At, "a"}});
+    Bytes = Proposed.size() + Confirmed.size();
+    Run.ResumeTiming();
+    foldRecord(Now, At, Proposed);
+    if (foldRecord(Now, At + 1, Confirmed).Effect != FoldEffect::Applied)
+      Run.SkipWithError("the change was not applied");
+  }
+  Run.counters["record_bytes"] = static_cast<double>(Bytes);
+  setHosts(Run);
+}
+
 void copyState(benchmark::State &Run) {
   const State &Now = stateOf(Run);
   for (auto _ : Run) {
@@ -241,6 +272,14 @@
 
 BENCHMARK(foldJoins)->Apply(sizes);
 BENCHMARK(foldRepairs)->Apply(sizes);
+BENCHMARK_CAPTURE(foldDeclaration, whole, false)
+    ->ArgNames({"groups", "mixed"})
+    ->Args({50, 1})
+    ->Args({625, 0})
+    ->Unit(benchmark::kMicrosecond);
+BENCHMARK_CAPTURE(foldDeclaration, change, true)
+    ->Apply(sizes)
+    ->Unit(benchmark::kMicrosecond);
 BENCHMARK(copyState)->Apply(sizes)->Unit(benchmark::kMicrosecond);
 BENCHMARK(digestState)->Apply(sizes)->Unit(benchmark::kMicrosecond);
 BENCHMARK(buildTable)->Apply(sizes)->Unit(benchmark::kMicrosecond);
--- a/packages/version/src/coltsfoottrail/declaration/fwd.hpp
+++ b/packages/version/src/coltsfoottrail/declaration/fwd.hpp
@@ -14,6 +14,8 @@
 struct ServiceInstance;
 struct ServiceSpec;
 struct Declaration;
+struct DroppedNames;
+struct DeclarationChange;
 
 } // namespace coltsfoottrail
 
--- a/packages/version/src/coltsfoottrail/fold/digest.cpp
+++ b/packages/version/src/coltsfoottrail/fold/digest.cpp
@@ -156,6 +156,12 @@
 
 void feed(Feed &Into, const ApplyDeclaration &Value) {
   feed(Into, Value.Wanted);
+  feed(Into, std::uint64_t{Value.Dropped.has_value()});
+  const DroppedNames Dropped = Value.Dropped.value_or(DroppedNames{});
+  feedList(Into, Dropped.Teams);
+  feedList(Into, Dropped.Hosts);
+  feedList(Into, Dropped.Models);
+  feedList(Into, Dropped.Services);
 }
 void feed(Feed &Into, const SetCapacity &Value) {
   feed(Into, Value.Model);
--- a/packages/version/src/coltsfoottrail/fold/enforce.cpp
+++ b/packages/version/src/coltsfoottrail/fold/enforce.cpp
@@ -36,20 +36,11 @@
   });
 }
 
-void keepDeparted(State &Into, const Declaration &Before) {
-  for (const auto &[Name, Which] : Into.Occupied) {
-    const HostSpec *const Then = findHost(Before, Name);
-    if (Then != nullptr && findHost(Into.Declared, Name) == nullptr)
-      Into.Departed.emplace(Name, *Then);
-  }
-}
-
-void touchChangedModels(State &Into, Offset At, const Declaration &Before) {
-  for (const ModelSpec &Now : Into.Declared.Models) {
-    const ModelSpec *const Then = findModel(Before, Now.Name);
-    if (Then == nullptr || !(*Then == Now))
-      touchModel(Into, At, Now.Name);
-  }
+void keepDeparted(State &Into, const Declaration &Before,
+                  const std::vector<HostName> &Dropped) {
+  for (const HostName &Name : Dropped)
+    if (Into.Occupied.contains(Name))
+      Into.Departed.emplace(Name, *findHost(Before, Name));
 }
 
 /// Puts each kind of intent in force.
@@ -58,12 +49,17 @@
   Offset At;
 
   void operator()(ApplyDeclaration &Asked) const {
+    if (Asked.Dropped)
+      Asked.Wanted = applyChange(Into.Declared, Asked.Wanted, *Asked.Dropped);
+    Asked.Dropped.reset();
     const Declaration Before =
         std::exchange(Into.Declared, std::exchange(Asked.Wanted, {}));
     Into.DeclaredChange = At + 1;
     forgetUndeclared(Into);
-    keepDeparted(Into, Before);
-    touchChangedModels(Into, At, Before);
+    const DeclarationChange Change = diffDeclarations(Before, Into.Declared);
+    keepDeparted(Into, Before, Change.Dropped.Hosts);
+    for (const ModelSpec &Model : Change.Put.Models)
+      touchModel(Into, At, Model.Name);
   }
   void operator()(const SetCapacity &Asked) const {
     ModelSpec &Model = model(Into, Asked.Model);
@@ -104,3 +100,20 @@
 }
 
 } // namespace coltsfoottrail::internal
+
+namespace coltsfoottrail {
+
+void shortenPlan(Plan &Proposal, const State &Now) {
+  auto *const Apply = std::get_if<ApplyDeclaration>(&Proposal.Asked);
+  if (Apply == nullptr || Apply->Dropped || Proposal.PlannedAt != Now.Next)
+    return;
+  DeclarationChange Change = diffDeclarations(Now.Declared, Apply->Wanted);
+  // Where nearly all hosts change, the names of those dropped come on top.
+  if (Change.Put.Hosts.size() + Change.Dropped.Hosts.size() >
+      Apply->Wanted.Hosts.size())
+    return;
+  Apply->Wanted = std::move(Change.Put);
+  Apply->Dropped = std::move(Change.Dropped);
+}
+
+} // namespace coltsfoottrail
--- a/packages/version/src/coltsfoottrail/fold/fold.hpp
+++ b/packages/version/src/coltsfoottrail/fold/fold.hpp
@@ -54,6 +54,13 @@
 /// unreadable records change nothing.
 FoldResult foldRecord(State &Into, Offset At, ByteView Bytes);
 
+/// @brief Replaces a whole declaration in a plan by its difference to what is
+/// declared, where that is shorter. Call it before a plan is written: at 10,000
+/// hosts a whole declaration is more than a megabyte. Thread-safe.
+/// @param Proposal A plan.
+/// @param Now The state that it was planned on.
+void shortenPlan(Plan &Proposal, const State &Now);
+
 /// @brief Digest of a state; equal states have equal digests on all hosts.
 /// Thread-safe.
 /// @param Of The state.
--- a/packages/version/src/coltsfoottrail/fold/objection.cpp
+++ b/packages/version/src/coltsfoottrail/fold/objection.cpp
@@ -16,9 +16,17 @@
 public:
   PlanCheck(const State &Met, const Plan &Proposal)
       : In(Met), Wanted(Proposal) {
-    if (const auto *const Apply = std::get_if<ApplyDeclaration>(&Wanted.Asked))
-      After = &Apply->Wanted;
-  }
+    const auto *const Apply = std::get_if<ApplyDeclaration>(&Wanted.Asked);
+    if (Apply == nullptr)
+      return;
+    After = &Apply->Wanted;
+    if (!Apply->Dropped)
+      return;
+    Changed = applyChange(In.Declared, Apply->Wanted, *Apply->Dropped);
+    After = &Changed;
+  }
+  PlanCheck(const PlanCheck &) = delete;
+  PlanCheck &operator=(const PlanCheck &) = delete;
 
   Objection run() {
     if (Wanted.PlannedAt > In.Next)
@@ -86,7 +94,10 @@
     for (const auto &[Model, Change] : In.ModelChanges)
       if (Objection Found = unseen(Change, "model " + Model.Text))
         return Found;
-    return checkOccupied(Asked.Wanted);
+    if (Asked.Dropped)
+      if (const auto Problem = declarationProblem(*After))
+        return voided("with the change, " + *Problem);
+    return checkOccupied();
   }
 
   [[nodiscard]] Objection checkIntent(const SetCapacity &Asked) const {
@@ -118,33 +129,47 @@
   /// neither be reached for its requests in progress nor be stopped. Only a
   /// host of a broken group, which answers nothing, may be dropped; it is kept
   /// under Departed until it is released.
-  [[nodiscard]] Objection checkOccupied(const Declaration &Later) const {
-    for (const auto &[Name, Which] : In.Occupied) {
-      const HostSpec *const Now = findHost(In.Declared, Name);
-      const HostSpec *const Then = findHost(Later, Name);
-      if (Now == nullptr || (Then != nullptr && samePlace(*Now, *Then)) ||
-          (Then == nullptr && isBroken(Which)))
-        continue;
-      return voided("host " + Name.Text +
-                        " is still in a group: drain it before its "
-                        "declaration changes",
-                    generationOf(Which));
+  [[nodiscard]] Objection checkOccupied() const {
+    const DeclarationChange Change = diffDeclarations(In.Declared, *After);
+    for (const HostSpec &Then : Change.Put.Hosts) {
+      const HostSpec *const Now = findHost(In.Declared, Then.Name);
+      const auto Holder = In.Occupied.find(Then.Name);
+      if (Now != nullptr && Holder != In.Occupied.end() &&
+          !samePlace(*Now, Then))
+        return stillHeld(Holder->first, Holder->second);
     }
-    return checkDeparted(Later);
+    for (const HostName &Name : Change.Dropped.Hosts) {
+      const auto Holder = In.Occupied.find(Name);
+      if (Holder != In.Occupied.end() && !isBroken(Holder->second))
+        return stillHeld(Holder->first, Holder->second);
+    }
+    return checkDeparted(Change.Dropped.Hosts);
+  }
+
+  [[nodiscard]] Objection stillHeld(const HostName &Name,
+                                    const GroupId &Which) const {
+    return voided("host " + Name.Text +
+                      " is still in a group: drain it before its "
+                      "declaration changes",
+                  generationOf(Which));
   }
 
   /// Failure guarded against: a machine that an engine of a broken group may
   /// still run on is declared again, perhaps under another name, and gets a
   /// second group.
-  [[nodiscard]] Objection checkDeparted(const Declaration &Later) const {
+  [[nodiscard]] Objection
+  checkDeparted(const std::vector<HostName> &Dropped) const {
     std::set<std::pair<std::string_view, std::uint16_t>> Held;
     for (const auto &[Name, Host] : In.Departed)
       Held.emplace(Host.Address, Host.Port);
-    for (const auto &[Name, Which] : In.Occupied)
-      if (const HostSpec *const Now = findHost(In.Declared, Name))
-        if (findHost(Later, Name) == nullptr)
-          Held.emplace(Now->Address, Now->Port);
-    for (const HostSpec &Host : Later.Hosts)
+    for (const HostName &Name : Dropped)
+      if (In.Occupied.contains(Name)) {
+        const HostSpec &Host = *findHost(In.Declared, Name);
+        Held.emplace(Host.Address, Host.Port);
+      }
+    if (Held.empty())
+      return std::nullopt;
+    for (const HostSpec &Host : After->Hosts)
       if (In.Departed.contains(Host.Name) ||
           Held.contains({Host.Address, Host.Port}))
         return voided("host " + Host.Name.Text +
@@ -291,6 +316,7 @@
   const State &In;
   const Plan &Wanted;
   const Declaration *After = nullptr;
+  Declaration Changed;
   std::map<HostName, Offset> Promised;
   std::set<GroupId> Stops;
   std::set<std::uint32_t> Numbers;
--- a/packages/version/src/coltsfoottrail/fold/plans.cpp
+++ b/packages/version/src/coltsfoottrail/fold/plans.cpp
@@ -37,7 +37,7 @@
 void dropDeclaration(PlanProgress &Progress) {
   Intent &Asked = Progress.Proposed.Proposal.Asked;
   if (auto *const Apply = std::get_if<ApplyDeclaration>(&Asked))
-    Apply->Wanted = Declaration{};
+    *Apply = ApplyDeclaration{};
 }
 
 void endPlan(PlanProgress &Progress, Offset At, PlanPhase Phase,
--- a/packages/version/src/coltsfoottrail/intents/describe.cpp
+++ b/packages/version/src/coltsfoottrail/intents/describe.cpp
@@ -46,43 +46,43 @@
 }
 
 std::string describeIntent(const Intent &Asked) {
-  return std::visit(Overloaded{
-                        [](const ApplyDeclaration &Apply) {
-                          return "apply a declaration with " +
-                                 std::to_string(Apply.Wanted.Models.size()) +
-                                 " models, " +
-                                 std::to_string(Apply.Wanted.Services.size()) +
-                                 " services and " +
-                                 std::to_string(Apply.Wanted.Hosts.size()) +
-                                 " hosts";
-                        },
-                        [](const SetCapacity &Set) {
-                          return "set the capacity of " + Set.Model.Text +
-                                 " in " + Set.DataCentre.Text + " to " +
-                                 std::to_string(Set.Groups) + " groups";
-                        },
-                        [](const SetVersion &Set) {
-                          return "put version " + Set.Version.Text + " of " +
-                                 Set.Model.Text + " in place";
-                        },
-                        [](const SetAdapters &Set) {
-                          return "put " + adapterList(Set.Adapters) + " of " +
-                                 Set.Model.Text + " in place";
-                        },
-                        [](const DrainDataCentre &Drain) {
-                          return "drain data centre " + Drain.DataCentre.Text;
-                        },
-                        [](const ReturnDataCentre &Return) {
-                          return "return data centre " + Return.DataCentre.Text;
-                        },
-                        [](const DrainHost &Drain) {
-                          return "drain host " + Drain.Host.Text;
-                        },
-                        [](const ReturnHost &Return) {
-                          return "return host " + Return.Host.Text;
-                        },
-                    },
-                    Asked);
+  return std::visit(
+      Overloaded{
+          [](const ApplyDeclaration &Apply) {
+            return std::string(Apply.Dropped ? "change the declaration of "
+                                             : "apply a declaration with ") +
+                   std::to_string(Apply.Wanted.Models.size()) + " models, " +
+                   std::to_string(Apply.Wanted.Services.size()) +
+                   " services and " +
+                   std::to_string(Apply.Wanted.Hosts.size()) + " hosts";
+          },
+          [](const SetCapacity &Set) {
+            return "set the capacity of " + Set.Model.Text + " in " +
+                   Set.DataCentre.Text + " to " + std::to_string(Set.Groups) +
+                   " groups";
+          },
+          [](const SetVersion &Set) {
+            return "put version " + Set.Version.Text + " of " + Set.Model.Text +
+                   " in place";
+          },
+          [](const SetAdapters &Set) {
+            return "put " + adapterList(Set.Adapters) + " of " +
+                   Set.Model.Text + " in place";
+          },
+          [](const DrainDataCentre &Drain) {
+            return "drain data centre " + Drain.DataCentre.Text;
+          },
+          [](const ReturnDataCentre &Return) {
+            return "return data centre " + Return.DataCentre.Text;
+          },
+          [](const DrainHost &Drain) {
+            return "drain host " + Drain.Host.Text;
+          },
+          [](const ReturnHost &Return) {
+            return "return host " + Return.Host.Text;
+          },
+      },
+      Asked);
 }
 
 std::string describeStep(const Step &What) {
--- a/packages/version/src/coltsfoottrail/record/codec.cpp
+++ b/packages/version/src/coltsfoottrail/record/codec.cpp
@@ -21,9 +21,13 @@
 constexpr std::array<std::string_view, 3> RoleWords{"mixed", "prefill",
                                                     "decode"};
 /// In the order of the alternatives of Intent.
-constexpr std::array<std::string_view, std::variant_size_v<Intent>> IntentWords{
-    "apply_declaration", "set_capacity",       "set_version", "set_adapters",
-    "drain_data_centre", "return_data_centre", "drain_host",  "return_host"};
+constexpr std::array<std::string_view, std::variant_size_v<Intent> + 1>
+    IntentWords{"apply_declaration", "set_capacity",      "set_version",
+                "set_adapters",      "drain_data_centre", "return_data_centre",
+                "drain_host",        "return_host",       "change_declaration"};
+/// A change of the declaration has a word of its own, so that a reader that
+/// does not know it refuses it and does not take the change for the whole.
+constexpr std::size_t ChangeWord = IntentWords.size() - 1;
 /// In the order of the alternatives of Step.
 constexpr std::array<std::string_view, std::variant_size_v<Step>> StepWords{
     "form_group", "stop_group", "swap_adapters"};
@@ -109,12 +113,31 @@
   return Json{{"host", Each.Host.Text}};
 }
 
+Json writeApply(const ApplyDeclaration &Each) {
+  Json Out{{"declaration", writeDeclaration(Each.Wanted)}};
+  if (Each.Dropped)
+    Out["dropped"] = Json{{"teams", writeNames(Each.Dropped->Teams)},
+                          {"hosts", writeNames(Each.Dropped->Hosts)},
+                          {"models", writeNames(Each.Dropped->Models)},
+                          {"services", writeNames(Each.Dropped->Services)}};
+  return Out;
+}
+
+DroppedNames readDropped(ObjectReader &Parent) {
+  ObjectReader From = Parent.object("dropped");
+  DroppedNames Out;
+  Out.Teams = readNames<TeamName>(From, "teams");
+  Out.Hosts = readNames<HostName>(From, "hosts");
+  Out.Models = readNames<ModelName>(From, "models");
+  Out.Services = readNames<ServiceName>(From, "services");
+  From.finish();
+  return Out;
+}
+
 Json writeIntentBody(const Intent &Asked) {
   return std::visit(
       Overloaded{
-          [](const ApplyDeclaration &Each) {
-            return Json{{"declaration", writeDeclaration(Each.Wanted)}};
-          },
+          [](const ApplyDeclaration &Each) { return writeApply(Each); },
           [](const SetCapacity &Each) {
             return Json{{"model", Each.Model.Text},
                         {"data_centre", Each.DataCentre.Text},
@@ -176,6 +199,10 @@
     return ReturnDataCentre{readName<DataCentreName>(From, "data_centre")};
   case 6:
     return DrainHost{readName<HostName>(From, "host")};
+  case ChangeWord:
+    return ApplyDeclaration{
+        readDeclaration(From.raw("declaration"), Source, Policy),
+        readDropped(From)};
   default:
     return ReturnHost{readName<HostName>(From, "host")};
   }
@@ -429,7 +456,9 @@
 
 Json writeIntent(const Intent &Asked) {
   Json Out = writeIntentBody(Asked);
-  Out["kind"] = IntentWords.at(Asked.index());
+  const auto *const Apply = std::get_if<ApplyDeclaration>(&Asked);
+  const bool IsChange = Apply != nullptr && Apply->Dropped;
+  Out["kind"] = IntentWords.at(IsChange ? ChangeWord : Asked.index());
   return Out;
 }
 
--- a/packages/version/src/coltsfoottrail/record/intent.hpp
+++ b/packages/version/src/coltsfoottrail/record/intent.hpp
@@ -3,6 +3,7 @@
 #ifndef COLTSFOOTTRAIL_RECORD_INTENT_HPP
 #define COLTSFOOTTRAIL_RECORD_INTENT_HPP
 
+#include "coltsfoottrail/declaration/change.hpp"
 #include "coltsfoottrail/declaration/declaration.hpp"
 #include "coltsfoottrail/record/fwd.hpp"
 
@@ -29,7 +30,10 @@
 
 /// Replace what is declared.
 struct ApplyDeclaration {
+  /// All that is wanted; when Dropped is there, only what changes.
   Declaration Wanted;
+  /// Makes it a change of what is declared at the plan's PlannedAt.
+  std::optional<DroppedNames> Dropped = std::nullopt;
   [[nodiscard]] friend bool operator==(const ApplyDeclaration &,
                                        const ApplyDeclaration &) = default;
 };
--- a/packages/version/test/coltsfoottrail/declaration/declaration.cpp
+++ b/packages/version/test/coltsfoottrail/declaration/declaration.cpp
@@ -1,5 +1,7 @@
 #include "coltsfoottrail/declaration/declaration.hpp"
 
+#include "coltsfoottrail/core/random.hpp"
+#include "coltsfoottrail/declaration/change.hpp"
 #include "coltsfoottrail/json/reader.hpp"
 #include "coltsfoottrail/support.hpp"
 
@@ -28,6 +30,38 @@
   EXPECT_EQ(Read.Models.back().ColdBound, 1U);
 }
 
+TEST(DeclarationChange, TurnsOneDeclarationIntoTheOther) {
+  Random Draw(11);
+  for (int Round = 0; Round < 200; ++Round) {
+    const auto UpTo = [&](std::uint32_t Most) {
+      return static_cast<std::uint32_t>(Draw.below(Most + 1));
+    };
+    const Declaration Before =
+        test::makeDeclaration({1 + UpTo(3), UpTo(2), UpTo(5), UpTo(3), 2, 1});
+    Declaration After =
+        test::makeDeclaration({1 + UpTo(3), UpTo(2), UpTo(5), UpTo(3), 2, 1});
+    if (!After.Hosts.empty())
+      After.Hosts[Draw.below(After.Hosts.size())].Accelerators = 4;
+    const DeclarationChange Change = diffDeclarations(Before, After);
+    ASSERT_EQ(applyChange(Before, Change.Put, Change.Dropped), After);
+    EXPECT_EQ(declarationProblem(After), std::nullopt);
+  }
+}
+
+// A change takes a data centre out whose hosts it leaves, or gives a new host
+// the address of one that stays. Each entry of the change is right by itself.
+TEST(DeclarationChange, ProblemsAcrossEntriesAreFound) {
+  Declaration Wrong = test::makeDeclaration();
+  Wrong.DataCentres.pop_back();
+  EXPECT_TRUE(declarationProblem(Wrong));
+  Wrong = test::makeDeclaration();
+  Wrong.Hosts[0].Address = Wrong.Hosts[1].Address;
+  EXPECT_TRUE(declarationProblem(Wrong));
+  Wrong = test::makeDeclaration();
+  Wrong.Teams.push_back(Wrong.Teams.front());
+  EXPECT_TRUE(declarationProblem(Wrong));
+}
+
 struct WrongInput {
   const char *Pointer;
   Json Value;
--- a/packages/version/test/coltsfoottrail/fold/fold.cpp
+++ b/packages/version/test/coltsfoottrail/fold/fold.cpp
@@ -174,6 +174,36 @@
   EXPECT_EQ(Told.Now.Declared.Hosts.size(), Declared.Hosts.size());
 }
 
+// At 10,000 hosts a declaration is a megabyte and more, and every entry host
+// gets it. Only what changes is written, and it must come to the same.
+TEST_F(Fold, DeclarationIsWrittenAsItsDifference) {
+  Declaration Larger = test::makeDeclaration({3, 2, 200, 1, 2, 1});
+  Told.carry(ApplyDeclaration{Larger});
+  Larger.Hosts.front().Accelerators = 4;
+  Larger.Hosts.erase(Larger.Hosts.begin() + 7);
+  Plan Proposal;
+  Proposal.Asked = ApplyDeclaration{Larger};
+  Proposal.PlannedAt = Told.Now.Next;
+  shortenPlan(Proposal, Told.Now);
+  const Offset At = Told.Now.Next;
+  Told.say(PlanProposed{Proposal, "operator"});
+  EXPECT_LT(Told.Bytes.back().size(), 2000U);
+  Told.say(PlanConfirmed{At, "operator"});
+  EXPECT_EQ(Told.Now.Declared, Larger);
+}
+
+// The same, but the change leaves hosts in a data centre that it takes out.
+TEST_F(Fold, ChangeThatDoesNotFitWhatIsDeclaredIsVoid) {
+  Declaration Wrong = Declared;
+  Wrong.DataCentres.pop_back();
+  Plan Proposal;
+  Proposal.Asked = ApplyDeclaration{Wrong};
+  Proposal.PlannedAt = Told.Now.Next;
+  shortenPlan(Proposal, Told.Now);
+  EXPECT_EQ(Told.say(PlanProposed{Proposal, "operator"}).Effect,
+            FoldEffect::Void);
+}
+
 // A broken group's plan is abandoned while another of its groups is still
 // loading. Its hosts must come free again and it must never serve.
 TEST_F(Fold, AbandonedPlanStopsWhatIsForming) {
--- a/packages/version/test/coltsfoottrail/fold/planned.cpp
+++ b/packages/version/test/coltsfoottrail/fold/planned.cpp
@@ -57,11 +57,15 @@
 private:
   void carryOut(const Plan &Made) {
     const Offset Id = Told.Now.Next;
-    const FoldResult Proposed = Told.say(PlanProposed{Made, "operator"});
+    Plan Written = Made;
+    shortenPlan(Written, Told.Now);
+    const FoldResult Proposed = Told.say(PlanProposed{Written, "operator"});
     ASSERT_EQ(Proposed.Effect, FoldEffect::Applied) << Proposed.Why;
     const FoldResult Confirmed = Told.say(PlanConfirmed{Id, "operator"});
     ASSERT_EQ(Confirmed.Effect, FoldEffect::Applied) << Confirmed.Why;
     checkCapacity(Made);
+    const auto *const Apply = std::get_if<ApplyDeclaration>(&Made.Asked);
+    EXPECT_TRUE(Apply == nullptr || Told.Now.Declared == Apply->Wanted);
     if (Told.Now.Plans.at(Id).Phase == PlanPhase::Running)
       execute(Id, Made);
     EXPECT_EQ(Told.Now.Plans.at(Id).Phase, PlanPhase::Done)
@@ -130,6 +134,15 @@
     Declaration Wanted = Now.Declared;
     Wanted.Models.front().Groups[Where] =
         static_cast<std::uint32_t>(Draw.below(3));
+    Wanted.Hosts.erase(
+        Wanted.Hosts.begin() +
+        static_cast<std::ptrdiff_t>(Draw.below(Wanted.Hosts.size())));
+    HostSpec Added = Now.Declared.Hosts.front();
+    Added.Name = HostName("added-" + std::to_string(Now.Next));
+    Added.Address = "10.9.9.9";
+    Added.Port = static_cast<std::uint16_t>(1 + Now.Next);
+    Wanted.Hosts.push_back(std::move(Added));
+    std::ranges::sort(Wanted.Hosts, {}, &HostSpec::Name);
     return ApplyDeclaration{std::move(Wanted)};
   }
   default:
--- a/packages/version/test/coltsfoottrail/fold/stream.hpp
+++ b/packages/version/test/coltsfoottrail/fold/stream.hpp
@@ -136,6 +136,8 @@
     const std::uint64_t Steps = Draw.below(4);
     for (std::uint32_t Index = 0; Index < Steps; ++Index)
       Out.Steps.push_back(nextStep(Index));
+    if (Draw.below(2) == 0)
+      shortenPlan(Out, Told.Now);
     return Out;
   }
 
--- a/packages/version/test/coltsfoottrail/record/codec.cpp
+++ b/packages/version/test/coltsfoottrail/record/codec.cpp
@@ -38,13 +38,16 @@
       GroupBroken{Group, host(0, 0, 0), ""},
       HostReleased{host(0, 0, 0), Group},
       CheckpointPart{9, 1, 2, ~std::uint64_t{0}, {0, 255, 7}}};
-  const std::vector<Intent> Intents{SetCapacity{model(0), dataCentre(1), 0},
-                                    SetVersion{model(0), VersionName("v2")},
-                                    SetAdapters{model(0), {}},
-                                    DrainDataCentre{dataCentre(1)},
-                                    ReturnDataCentre{dataCentre(1)},
-                                    DrainHost{host(0, 0, 0)},
-                                    ReturnHost{host(0, 0, 0)}};
+  const std::vector<Intent> Intents{
+      SetCapacity{model(0), dataCentre(1), 0},
+      SetVersion{model(0), VersionName("v2")},
+      SetAdapters{model(0), {}},
+      DrainDataCentre{dataCentre(1)},
+      ReturnDataCentre{dataCentre(1)},
+      DrainHost{host(0, 0, 0)},
+      ReturnHost{host(0, 0, 0)},
+      ApplyDeclaration{Declared,
+                       DroppedNames{{TeamName("t")}, {host(9, 9, 9)}, {}, {}}}};
   for (const Intent &Asked : Intents)
     Out.emplace_back(PlanProposed{Plan{Asked, 0, {}, {}, {}}, "o"});
   return Out;
