--- a/cmake/coltsfoottrail.cmake
+++ b/cmake/coltsfoottrail.cmake
@@ -3,9 +3,10 @@
   target_compile_options(${TARGET} PRIVATE -Wall -Wextra -Wpedantic -Wshadow=local -Werror
                          # g++ 12 takes the frames of Asio's coroutines for mismatched allocations.
                          $<$<CXX_COMPILER_ID:GNU>:-Wno-mismatched-new-delete>)
-  target_compile_definitions(${TARGET} PRIVATE BOOST_ASIO_NO_DEPRECATED)
+  target_compile_definitions(${TARGET} PRIVATE BOOST_ASIO_NO_DEPRECATED COLTSFOOTTRAIL_VERSION="${PROJECT_VERSION}")
   if(COLTSFOOTTRAIL_SANITIZE)
-    target_compile_options(${TARGET} PRIVATE -fsanitize=${COLTSFOOTTRAIL_SANITIZE} -fno-omit-frame-pointer)
+    target_compile_options(${TARGET} PRIVATE -fsanitize=${COLTSFOOTTRAIL_SANITIZE} -fno-omit-frame-pointer
+                           -Wno-maybe-uninitialized)
     target_link_options(${TARGET} PUBLIC -fsanitize=${COLTSFOOTTRAIL_SANITIZE})
   endif()
 endfunction()
--- a/packages/connection/src/coltsfoottrail/http/iopool.cpp
+++ b/packages/connection/src/coltsfoottrail/http/iopool.cpp
@@ -25,6 +25,8 @@
       Thread.join();
 }
 
+void IoPool::clear() { Contexts.clear(); }
+
 std::size_t IoPool::size() const noexcept { return Contexts.size(); }
 
 boost::asio::io_context &IoPool::context(std::size_t Index) {
--- a/packages/connection/src/coltsfoottrail/http/iopool.hpp
+++ b/packages/connection/src/coltsfoottrail/http/iopool.hpp
@@ -30,6 +30,11 @@
   /// call twice, not from one of the threads.
   void stop();
 
+  /// @brief Destroys the contexts with all that still waits in them: suspended
+  /// coroutines end here, while what they refer to is still alive.
+  /// Precondition: stop(), and no socket or timer outside of them uses them.
+  void clear();
+
   /// @brief How many threads there are. Thread-safe.
   [[nodiscard]] std::size_t size() const noexcept;
 
--- a/packages/connection/src/coltsfoottrail/http/server.cpp
+++ b/packages/connection/src/coltsfoottrail/http/server.cpp
@@ -62,16 +62,18 @@
 struct HttpServer::Core : std::enable_shared_from_this<HttpServer::Core> {
   Core(IoPool &Pool, const Tcp::endpoint &Where, ServerLimits Bounds,
        ServerHooks What)
-      : Threads(Pool), Limits(Bounds), Hooks(std::move(What)),
-        Acceptor(Pool.context(0)) {
-    Acceptor.open(Where.protocol());
-    Acceptor.set_option(asio::socket_base::reuse_address(true));
-    Acceptor.bind(Where);
-    Acceptor.listen(asio::socket_base::max_listen_connections);
-    Port = Acceptor.local_endpoint().port();
+      : Threads(Pool), Limits(Bounds), Hooks(std::move(What)), Port(0) {
+    auto Listening = std::make_shared<Tcp::acceptor>(Pool.context(0));
+    Listening->open(Where.protocol());
+    Listening->set_option(asio::socket_base::reuse_address(true));
+    Listening->bind(Where);
+    Listening->listen(asio::socket_base::max_listen_connections);
+    Port = Listening->local_endpoint().port();
+    Acceptor = Listening;
+    FirstHold = std::move(Listening);
   }
 
-  Awaitable<void> acceptLoop();
+  Awaitable<void> acceptLoop(std::shared_ptr<Tcp::acceptor> Listening);
   void add(Session &Opened);
   void remove(Session &Closed);
   HttpResponse refusal(unsigned Status, std::string_view Why) const {
@@ -81,8 +83,11 @@
   IoPool &Threads;
   ServerLimits Limits;
   ServerHooks Hooks;
-  Tcp::acceptor Acceptor;
-  std::uint16_t Port = 0;
+  std::uint16_t Port;
+  /// The accepting coroutine owns it: it must end with its thread's context,
+  /// while sessions of other threads may outlive that.
+  std::weak_ptr<Tcp::acceptor> Acceptor;
+  std::shared_ptr<Tcp::acceptor> FirstHold;
   std::atomic<bool> Stopping{false};
   std::atomic<std::size_t> Open{0};
   std::atomic<std::size_t> Busy{0};
@@ -383,15 +388,16 @@
   Sessions.erase(&Closed);
 }
 
-Awaitable<void> HttpServer::Core::acceptLoop() {
+Awaitable<void>
+HttpServer::Core::acceptLoop(std::shared_ptr<Tcp::acceptor> Listening) {
   std::size_t Next = 0;
   while (!Stopping) {
     ErrorCode Problem;
     const std::size_t Thread = Next++ % Threads.size();
-    Tcp::socket Socket = co_await Acceptor.async_accept(
+    Tcp::socket Socket = co_await Listening->async_accept(
         Threads.context(Thread),
         asio::redirect_error(asio::use_awaitable, Problem));
-    if (Problem == asio::error::operation_aborted || !Acceptor.is_open())
+    if (Problem == asio::error::operation_aborted || !Listening->is_open())
       co_return;
     if (Problem) {
       // Out of descriptors: accepting again at once would spin.
@@ -416,7 +422,10 @@
           Threads, Tcp::endpoint(asio::ip::make_address(Address), Port), Limits,
           std::move(Hooks))) {
   asio::co_spawn(
-      Threads.context(0), [Self = Shared] { return Self->acceptLoop(); },
+      Threads.context(0),
+      [Self = Shared, Listening = std::move(Shared->FirstHold)] {
+        return Self->acceptLoop(Listening);
+      },
       asio::detached);
 }
 
@@ -431,7 +440,8 @@
   Shared->Stopping = true;
   asio::post(Shared->Threads.context(0), [Self = Shared] {
     ErrorCode Ignored;
-    Self->Acceptor.close(Ignored);
+    if (const auto Listening = Self->Acceptor.lock())
+      Listening->close(Ignored);
   });
   const std::lock_guard Hold(Shared->Lock);
   for (Session *const Open : Shared->Sessions)
--- a/packages/process/src/coltsfoottrail/server/claimdesk.cpp
+++ b/packages/process/src/coltsfoottrail/server/claimdesk.cpp
@@ -79,15 +79,16 @@
   perform(std::move(Due));
 }
 
-Awaitable<ClaimDecide> ClaimDesk::claim(ClaimRequest Request,
+Awaitable<ClaimDecide> ClaimDesk::claim(const ClaimRequest &Request,
                                         TimePoint Deadline) {
-  return ask([this, Deadline, What = std::move(Request)](ClaimCommands &Due) {
+  return ask([this, Deadline, What = Request](ClaimCommands &Due) {
     return Decides.claim(What, Deadline, now(), Due);
   });
 }
 
-Awaitable<ClaimDecide> ClaimDesk::query(ClaimKey What, TimePoint Deadline) {
-  return ask([this, Deadline, Key = std::move(What)](ClaimCommands &Due) {
+Awaitable<ClaimDecide> ClaimDesk::query(const ClaimKey &What,
+                                        TimePoint Deadline) {
+  return ask([this, Deadline, Key = What](ClaimCommands &Due) {
     return Decides.query(Key, Deadline, now(), Due);
   });
 }
--- a/packages/process/src/coltsfoottrail/server/claimdesk.hpp
+++ b/packages/process/src/coltsfoottrail/server/claimdesk.hpp
@@ -36,10 +36,11 @@
   /// @param Request What is claimed.
   /// @param Deadline The decision comes by then.
   /// @return The decision, and until when a granted request must have left.
-  [[nodiscard]] Awaitable<ClaimDecide> claim(ClaimRequest Request,
+  [[nodiscard]] Awaitable<ClaimDecide> claim(const ClaimRequest &Request,
                                              TimePoint Deadline);
   /// @brief Asks for a key's outcome. Called from any thread's coroutine.
-  [[nodiscard]] Awaitable<ClaimDecide> query(ClaimKey What, TimePoint Deadline);
+  [[nodiscard]] Awaitable<ClaimDecide> query(const ClaimKey &What,
+                                             TimePoint Deadline);
   /// @brief Tells how a granted claim ended. Thread-safe.
   void settle(ClaimId Id, Settlement How);
 
--- a/packages/process/src/coltsfoottrail/server/relay.cpp
+++ b/packages/process/src/coltsfoottrail/server/relay.cpp
@@ -5,7 +5,10 @@
 #include "coltsfoottrail/server/events.hpp"
 #include "coltsfoottrail/server/refusal.hpp"
 
+#include <algorithm>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <utility>
 
 namespace coltsfoottrail {
@@ -15,6 +18,8 @@
 constexpr std::size_t MaxResumeBytes = std::size_t{256} << 10U;
 constexpr milliseconds StoppingRetryAfter{200};
 constexpr milliseconds InProgressRetryAfter{500};
+constexpr milliseconds FirstJoinPause{25};
+constexpr milliseconds LongestJoinPause{400};
 constexpr std::string_view OutcomesPrefix = "/outcomes/";
 constexpr std::string_view VerdictField = "Coltsfoottrail-Verdict";
 constexpr unsigned StatusOk = 200;
@@ -97,6 +102,10 @@
   return Out;
 }
 
+HttpResponse replayOf(const StoredOutcome &Outcome) {
+  return Outcome.BodyKept ? replayedAnswer(Outcome) : ranWithoutBody(Outcome);
+}
+
 /// What a query for an outcome is told.
 HttpResponse outcomeAnswer(const ClaimDecision &Decision) {
   Json Body;
@@ -130,6 +139,15 @@
       Status, Body.dump(-1, ' ', false, Json::error_handler_t::replace));
 }
 
+ClaimKey keyOf(const TeamName &Team, const std::string &Key) {
+  return ClaimKey{Team, Key};
+}
+
+void addField(std::vector<HttpField> &Fields, std::string_view Name,
+              std::string_view Value) {
+  Fields.push_back({std::string(Name), std::string(Value)});
+}
+
 ClaimRequest claimOf(const CallerRequest &Asked) {
   ClaimRequest Out;
   Out.What = ClaimKey{Asked.Team.Name, Asked.IdempotencyKey};
@@ -181,8 +199,12 @@
   }
 }
 
-Awaitable<void> Relay::refuse(Exchange &Call, Verdict Final,
-                              std::string Detail) {
+Awaitable<void> Relay::refuse(Exchange &Call, Verdict Final) {
+  return refuseWith(Call, Final, std::string());
+}
+
+Awaitable<void> Relay::refuseWith(Exchange &Call, Verdict Final,
+                                  std::string Detail) {
   if (Final.State == RunState::NotRun)
     ++Counts.RefusedNotRun;
   else
@@ -206,7 +228,7 @@
     Detail = Problem.what();
   }
   if (!Asked) {
-    co_await refuse(Call, Refused, std::move(Detail));
+    co_await refuseWith(Call, Refused, std::move(Detail));
     co_return;
   }
   if (!Asked->Item.Repeatable && !Asked->IdempotencyKey.empty())
@@ -231,20 +253,35 @@
     co_await refuse(Call, notRun(Reason::BadRequest));
     co_return;
   }
-  const ClaimDecide Told = co_await Claims.query(
-      ClaimKey{*Team, Key}, BootClock::now() + Limits.DefaultDeadline);
+  const ClaimKey Wanted = keyOf(*Team, Key);
+  const ClaimDecide Told =
+      co_await Claims.query(Wanted, BootClock::now() + Limits.DefaultDeadline);
   co_await Call.respond(outcomeAnswer(Told.Decision));
 }
 
+// A repeated request often comes while the first one is still under way. It
+// waits for the first one's outcome rather than be refused: only while that
+// stays open up to the deadline it hears "key-in-use".
+Awaitable<ClaimDecide> Relay::claimOrJoin(const CallerRequest &Asked) {
+  boost::asio::steady_timer Pause(co_await boost::asio::this_coro::executor);
+  milliseconds Wait = FirstJoinPause;
+  while (true) {
+    const ClaimRequest Wanted = claimOf(Asked);
+    ClaimDecide Told = co_await Claims.claim(Wanted, Asked.Item.Deadline);
+    const bool Open = std::holds_alternative<ClaimInProgress>(Told.Decision);
+    if (!Open || BootClock::now() + Wait >= Asked.AnswerBy)
+      co_return Told;
+    Pause.expires_after(Wait);
+    co_await Pause.async_wait(boost::asio::use_awaitable);
+    Wait = std::min(Wait * 2, LongestJoinPause);
+  }
+}
+
 Awaitable<void> Relay::serveClaimed(Exchange &Call, CallerRequest Asked) {
-  ClaimRequest Wanted = claimOf(Asked);
-  const ClaimDecide Told =
-      co_await Claims.claim(std::move(Wanted), Asked.Item.Deadline);
+  const ClaimDecide Told = co_await claimOrJoin(Asked);
   if (const auto *const Replay = std::get_if<ClaimReplay>(&Told.Decision)) {
     ++Counts.Answered;
-    co_await Call.respond(Replay->Outcome.BodyKept
-                              ? replayedAnswer(Replay->Outcome)
-                              : ranWithoutBody(Replay->Outcome));
+    co_await Call.respond(replayOf(Replay->Outcome));
     co_return;
   }
   if (std::optional<Verdict> Refused = verdictOf(Told.Decision)) {
@@ -302,7 +339,7 @@
   const TimePoint Start = BootClock::now();
   HttpRequest Sent = Asked.Forwarded;
   if (Asked.ToModel)
-    Sent.Fields.push_back({"Coltsfoottrail-Group", groupOf(To)});
+    addField(Sent.Fields, "Coltsfoottrail-Group", groupOf(To));
   if (Call.begun()) {
     const std::optional<std::string> Text = Progress.Events.text();
     Progress.Events.dropPartial();
@@ -372,7 +409,7 @@
       Kept.Body = Whole.Body;
     Guard->settle(std::move(Kept));
   }
-  Whole.Fields.push_back({std::string(VerdictField), "ran"});
+  addField(Whole.Fields, VerdictField, "ran");
   co_await Call.respond(std::move(Whole));
   co_return answered(Start, FirstByte);
 }
--- a/packages/process/src/coltsfoottrail/server/relay.hpp
+++ b/packages/process/src/coltsfoottrail/server/relay.hpp
@@ -45,6 +45,10 @@
   /// @brief Refuses new work as "stale" while set.
   void setStale(bool Wanted) noexcept { Stale = Wanted; }
 
+  /// @brief Closes the connections to endpoints. Precondition: the threads have
+  /// stopped.
+  void closeClients() { Clients.clear(); }
+
   /// @brief Looks at a request's head before its body is read.
   /// @param Head The head.
   /// @return A refusal, or nothing.
@@ -64,8 +68,10 @@
   struct StreamProgress;
 
   [[nodiscard]] RouteTablePtr routes() const;
-  [[nodiscard]] Awaitable<void> refuse(Exchange &Call, Verdict Final,
-                                       std::string Detail = {});
+  [[nodiscard]] Awaitable<void> refuse(Exchange &Call, Verdict Final);
+  [[nodiscard]] Awaitable<void> refuseWith(Exchange &Call, Verdict Final,
+                                           std::string Detail);
+  [[nodiscard]] Awaitable<ClaimDecide> claimOrJoin(const CallerRequest &Asked);
   [[nodiscard]] Awaitable<void> serveClaimed(Exchange &Call,
                                              CallerRequest Asked);
   [[nodiscard]] Awaitable<void> serveRouted(Exchange &Call, CallerRequest Asked,
