--- /dev/null
+++ b/packages/version/src/coltsfoottrail/groups/fwd.hpp
@@ -0,0 +1,34 @@
+/// @file
+/// Forward declarations and aliases of the groups module.
+#ifndef COLTSFOOTTRAIL_GROUPS_FWD_HPP
+#define COLTSFOOTTRAIL_GROUPS_FWD_HPP
+
+#include <cstdint>
+
+namespace coltsfoottrail {
+
+struct GroupTimes;
+struct AppendRecord;
+struct OrderEngine;
+struct AskEngine;
+struct EngineView;
+struct PlanLease;
+struct LivenessBeat;
+class AppendPacer;
+class EngineBook;
+class Former;
+class GroupExecutor;
+class GroupLiveness;
+class GroupWatch;
+class LeaseKeeper;
+class Releaser;
+class Repairer;
+class StepRunner;
+class WatchPlan;
+
+/// Tells answers to commands apart; never the same twice in one run.
+using Ticket = std::uint64_t;
+
+} // namespace coltsfoottrail
+
+#endif
--- a/packages/version/src/coltsfoottrail/intents/planner.cpp
+++ b/packages/version/src/coltsfoottrail/intents/planner.cpp
@@ -68,6 +68,15 @@
   return Made;
 }
 
+Aim aimAtDeclared(const State &Now) {
+  Aim To;
+  To.Now = &Now;
+  To.Declared = &Now.Declared;
+  To.DrainedDataCentres = Now.DrainedDataCentres;
+  To.DrainedHosts = Now.DrainedHosts;
+  return To;
+}
+
 /// The intent of a repair: what is declared stays as it is.
 SetCapacity keepCapacity(const State &Now, const ModelName &Model,
                          const DataCentreName &Where) {
@@ -207,22 +216,30 @@
   return Target.plan(Asked, Avoided);
 }
 
-std::optional<Plan> planRepair(const State &Now,
-                               const std::set<HostName> &Avoided) {
-  Aim To;
-  To.Now = &Now;
-  To.Declared = &Now.Declared;
-  To.DrainedDataCentres = Now.DrainedDataCentres;
-  To.DrainedHosts = Now.DrainedHosts;
-  To.Avoided = Avoided;
+std::vector<MissingGroups> findMissing(const State &Now) {
+  Aim To = aimAtDeclared(Now);
   To.May = Extent::ForecastOnly;
-  const std::vector<internal::SiteKey> Missing = internal::converge(To).Missing;
+  std::vector<MissingGroups> Missing;
+  for (const auto &[Model, Where] : internal::converge(To).Missing)
+    Missing.push_back({Model, Where});
+  return Missing;
+}
+
+Plan planRepairOf(const State &Now, const MissingGroups &Where,
+                  const std::set<HostName> &Avoided) {
+  Aim To = aimAtDeclared(Now);
+  To.Avoided = Avoided;
   To.May = Extent::MissingOnly;
+  To.OnlyModel = Where.Model;
+  To.OnlyDataCentre = Where.DataCentre;
+  return planFor(To, keepCapacity(Now, Where.Model, Where.DataCentre));
+}
+
+std::optional<Plan> planRepair(const State &Now,
+                               const std::set<HostName> &Avoided) {
   std::optional<Plan> Made;
-  for (const auto &[Model, Where] : Missing) {
-    To.OnlyModel = Model;
-    To.OnlyDataCentre = Where;
-    Plan Candidate = planFor(To, keepCapacity(Now, Model, Where));
+  for (const MissingGroups &Where : findMissing(Now)) {
+    Plan Candidate = planRepairOf(Now, Where, Avoided);
     const bool Helps = !Candidate.Steps.empty();
     if (Helps || !Made)
       Made = std::move(Candidate);
--- a/packages/version/src/coltsfoottrail/intents/planner.hpp
+++ b/packages/version/src/coltsfoottrail/intents/planner.hpp
@@ -8,6 +8,8 @@
 #include "coltsfoottrail/intents/fwd.hpp"
 
 #include <optional>
+#include <set>
+#include <vector>
 
 namespace coltsfoottrail {
 
@@ -36,18 +38,41 @@
 [[nodiscard]] Plan planIntent(const State &Now, const Intent &Asked,
                               const std::set<HostName> &Avoided = {});
 
-/// @brief Plans the replacement of groups that broke, so that a model has the
-/// groups that are declared in a data centre. Pure; thread-safe.
+/// @brief A model that lacks groups in a data centre.
+struct MissingGroups {
+  ModelName Model;
+  DataCentreName DataCentre;
+  [[nodiscard]] friend auto operator<=>(const MissingGroups &,
+                                        const MissingGroups &) = default;
+};
+
+/// @brief Finds where fewer groups are there, or about to be formed by a
+/// running plan, than are declared; drained data centres are left out. Pure;
+/// thread-safe.
+/// @param Now The agreed state.
+[[nodiscard]] std::vector<MissingGroups> findMissing(const State &Now);
+
+/// @brief Plans the replacement of the groups that a model lacks in a data
+/// centre. Pure; thread-safe.
 ///
-/// One plan for one model in one data centre; ask again once it is confirmed.
 /// Free survivors of a broken group are used again, with as many spares of
 /// their fabric domain as members were lost; where their domain has too few,
 /// the group moves to another one.
 /// @param Now The agreed state.
+/// @param Where One of findMissing().
 /// @param Avoided Free hosts that get no group, because they are known not to
 /// answer.
-/// @return Nothing when no group is missing. A plan without steps, whose
-/// WillNotDo tells why, when hosts are short.
+/// @return A plan without steps, whose WillNotDo tells why, when hosts are
+/// short.
+[[nodiscard]] Plan planRepairOf(const State &Now, const MissingGroups &Where,
+                                const std::set<HostName> &Avoided = {});
+
+/// @brief Plans the first repair that hosts allow, in the order of models and
+/// data centres. Pure; thread-safe.
+/// @param Now The agreed state.
+/// @param Avoided As in planRepairOf().
+/// @return Nothing when no group is missing; a plan without steps when hosts
+/// are short everywhere.
 [[nodiscard]] std::optional<Plan>
 planRepair(const State &Now, const std::set<HostName> &Avoided = {});
 
--- a/packages/version/test/coltsfoottrail/intents/placement.cpp
+++ b/packages/version/test/coltsfoottrail/intents/placement.cpp
@@ -20,7 +20,7 @@
     const auto Hosts = Free.take(East, 2);
     ASSERT_TRUE(Hosts);
     EXPECT_EQ(findHost(Declared, Hosts->front())->FabricDomain,
-              FabricDomainName("domain-0"));
+              domainIn(East, 0));
   }
   EXPECT_TRUE(Free.take(East, 8));
   EXPECT_FALSE(Free.take(East, 2));
@@ -33,8 +33,7 @@
   for (const HostSpec &Host : Declared.Hosts)
     Free.add(Host);
   const std::vector<HostName> Survivors = {hostIn(East, 0, 3)};
-  const auto Hosts =
-      Free.takeFrom(East, FabricDomainName("domain-0"), 2, Survivors);
+  const auto Hosts = Free.takeFrom(East, domainIn(East, 0), 2, Survivors);
   ASSERT_TRUE(Hosts);
   EXPECT_EQ(*Hosts,
             (std::vector<HostName>{hostIn(East, 0, 3), hostIn(East, 0, 0)}));
--- a/packages/version/test/coltsfoottrail/intents/states.hpp
+++ b/packages/version/test/coltsfoottrail/intents/states.hpp
@@ -13,6 +13,11 @@
 inline const DataCentreName East("east");
 inline const DataCentreName West("west");
 
+/// @brief A fabric domain of a data centre.
+inline FabricDomainName domainIn(const DataCentreName &Where, int Domain) {
+  return FabricDomainName(Where.Text + "-" + std::to_string(Domain));
+}
+
 /// @brief One host of a fabric domain, "DC-DOMAIN-NUMBER" with two digits.
 inline HostName hostIn(const DataCentreName &Where, int Domain, int Number) {
   const std::string Digits = (Number < 10 ? "0" : "") + std::to_string(Number);
@@ -27,10 +32,9 @@
     Declared.DataCentres.push_back(Where);
     for (int Domain = 0; Domain < Domains; ++Domain)
       for (int Number = 0; Number < HostsEach; ++Number)
-        Declared.Hosts.push_back(
-            HostSpec{hostIn(Where, Domain, Number), Where,
-                     FabricDomainName("domain-" + std::to_string(Domain)),
-                     "127.0.0.1", Port++, 8, true});
+        Declared.Hosts.push_back(HostSpec{hostIn(Where, Domain, Number), Where,
+                                          domainIn(Where, Domain), "127.0.0.1",
+                                          Port++, 8, true});
   }
   return Declared;
 }
