--- a/packages/version/test/coltsfoottrail/groups/executor.cpp
+++ b/packages/version/test/coltsfoottrail/groups/executor.cpp
@@ -231,8 +231,10 @@
   Fleet World(declare(1, 2, signageModel(2, 1)), 2, 2);
   ASSERT_TRUE(World.runUntil([&] { return !World.plansRun(); }, Long));
   FakeEngine &Leader = World.Engines.at(hostIn(East, 0, 0));
-  Leader.Now.Running = 3;
   const Offset Plan = World.ask(SetCapacity{Signage, East, 0});
+  World.run(World.Times.StopSettle);
+  EXPECT_EQ(Leader.Now.Phase, EnginePhase::Ready);
+  Leader.Now.Running = 3;
   World.run(std::chrono::minutes(5));
   EXPECT_EQ(Leader.Now.Phase, EnginePhase::Ready);
   EXPECT_EQ(World.Agreed.Plans.at(Plan).Phase, PlanPhase::Running);
@@ -301,7 +303,8 @@
     AnyNode().PausedUntil = World.Clock + seconds(Draw.below(60));
     break;
   case 1:
-    AnyNode().OrderDelay = seconds(Draw.below(4));
+    AnyNode().OrderDelay = seconds(Draw.below(25));
+    AnyNode().SlowOrders = Draw.below(2) == 0;
     break;
   case 2:
     World.Engines.at(AnyHost()).restart();
@@ -341,6 +344,7 @@
   for (const auto &Node : World.Nodes) {
     Node->PausedUntil = World.Clock;
     Node->OrderDelay = Duration::zero();
+    Node->SlowOrders = false;
   }
 }
 
@@ -355,6 +359,8 @@
       Declared.Hosts[Index].RefusesOldFences = false;
     Fleet World(Declared, 4, Seed);
     Random Draw(Seed);
+    for (auto &[Host, Engine] : World.Engines)
+      Engine.LoadTime = seconds(1 + Draw.below(10));
     for (int Times = 0; Times < 25; ++Times) {
       World.run(milliseconds(Draw.below(15000)));
       disturb(World, Draw);
--- a/packages/version/test/coltsfoottrail/groups/fleet.hpp
+++ b/packages/version/test/coltsfoottrail/groups/fleet.hpp
@@ -92,6 +92,8 @@
     TimePoint PausedUntil;
     /// Orders that it decides on leave so much later.
     Duration OrderDelay = Duration::zero();
+    /// Its orders take long on their way.
+    bool SlowOrders = false;
     std::vector<std::function<void()>> Waiting;
     std::uint64_t Sequence = 0;
     std::set<HostName> CutFrom;
@@ -271,23 +273,35 @@
   }
 
   void carry(Node &From, OrderEngine &What) {
+    later(From.OrderDelay, [this, &From, What] { send(From, What); });
+  }
+
+  /// As the process does it: the clock is read last of all.
+  void send(Node &From, const OrderEngine &What) {
+    if (Clock > What.NotAfter) {
+      answer(From, Duration::zero(), [this, &From, Which = What.Which] {
+        From.Executor->ordered(Which, OrderResult::NotDone, Clock);
+      });
+      return;
+    }
     ++Orders;
-    const bool Lost = loses();
-    later(From.OrderDelay + milliseconds(5), [this, &From, What, Lost] {
-      // A late order is one that was under way when its sender stopped.
-      FakeEngine &Engine = Engines.at(What.Host);
-      const bool Reached = !Engine.Dark && !From.CutFrom.contains(What.Host);
-      OrderResult Result = OrderResult::Unknown;
-      if (Reached)
-        Result = Engine.obey(What.Order, Clock);
-      if (Lost)
-        Result = OrderResult::Unknown;
-      const bool Known = Reached && !Lost;
-      answer(From, Known ? Duration(milliseconds(5)) : Duration(What.Timeout),
-             [this, &From, Which = What.Which, Result] {
-               From.Executor->ordered(Which, Result, Clock);
-             });
-    });
+    const Duration Transit = milliseconds(From.SlowOrders ? 2500 : 5);
+    later(Transit, [this, &From, What] { arrive(From, What); });
+  }
+
+  void arrive(Node &From, const OrderEngine &What) {
+    FakeEngine &Engine = Engines.at(What.Host);
+    const bool Reached = !Engine.Dark && !From.CutFrom.contains(What.Host);
+    const bool Known = Reached && !loses();
+    OrderResult Result = OrderResult::Unknown;
+    if (Reached)
+      Result = Engine.obey(What.Order, Clock);
+    if (!Known)
+      Result = OrderResult::Unknown;
+    answer(From, Known ? Duration(milliseconds(5)) : Duration(What.Timeout),
+           [this, &From, Which = What.Which, Result] {
+             From.Executor->ordered(Which, Result, Clock);
+           });
   }
 
   void carry(Node &From, AskEngine &What) {
