--- a/packages/version/src/coltsfoottrail/intents/convergence.cpp
+++ b/packages/version/src/coltsfoottrail/intents/convergence.cpp
@@ -75,7 +75,7 @@
          ++Index) {
       const Step &What = Steps[Index];
       if (const auto *Form = std::get_if<FormGroup>(&What))
-        readPendingForm(GroupId{At, Form->Number}, *Form);
+        readPendingForm(At, Progress, *Form);
       else if (const auto *Stop = std::get_if<StopGroup>(&What))
         AboutToStop.insert(Stop->Group);
       else if (const auto *Swap = std::get_if<SwapAdapters>(&What))
@@ -83,8 +83,11 @@
     }
   }
 
-  void readPendingForm(const GroupId &Id, const FormGroup &Form) {
-    if (To.Now->Groups.contains(Id))
+  void readPendingForm(Offset At, const PlanProgress &Progress,
+                       const FormGroup &Form) {
+    // A group that was formed and is there no more broke; it is missing.
+    const GroupId Id{At, Form.Number};
+    if (Progress.Formed.contains(Form.Number) || To.Now->Groups.contains(Id))
       return;
     Reserved.insert(Form.Members.begin(), Form.Members.end());
     Pending.push_back(Known{Id, &Form, Form.Adapters});
