--- /dev/null
+++ b/packages/version/src/coltsfoottrail/groups/beat.cpp
@@ -0,0 +1,66 @@
+#include "coltsfoottrail/groups/beat.hpp"
+
+#include <limits>
+#include <nlohmann/json.hpp>
+
+namespace coltsfoottrail {
+
+namespace {
+
+constexpr std::string_view BeatSource = "beat";
+
+Json writeGroups(const std::vector<GroupId> &Groups) {
+  Json Out = Json::array();
+  for (const GroupId &Id : Groups)
+    Out.push_back(Json{{"p", Id.Plan}, {"n", Id.Number}});
+  return Out;
+}
+
+std::vector<GroupId> readGroups(ObjectReader &From, std::string_view Key) {
+  std::vector<GroupId> Groups;
+  From.eachObject(Key, [&](ObjectReader &Each) {
+    GroupId Id;
+    Id.Plan = Each.number("p");
+    Id.Number = static_cast<std::uint32_t>(
+        Each.number("n", 0, std::numeric_limits<std::uint32_t>::max()));
+    Groups.push_back(Id);
+  });
+  if (Groups.size() > MaxListedGroups)
+    From.refuse(Key, "a list of groups within the limit");
+  return Groups;
+}
+
+} // namespace
+
+Json writeBeat(const LivenessBeat &Beat) {
+  Json Out{{"from", Beat.From.Text},         {"run", Beat.Own.Run},
+           {"seq", Beat.Own.Sequence},       {"echo_run", Beat.Echo.Run},
+           {"echo_seq", Beat.Echo.Sequence}, {"plan", Beat.PlanDigest},
+           {"through", Beat.Through}};
+  if (!Beat.Doubted.empty())
+    Out["doubted"] = writeGroups(Beat.Doubted);
+  if (!Beat.Silent.empty())
+    Out["silent"] = writeGroups(Beat.Silent);
+  if (!Beat.Broken.empty())
+    Out["broken"] = writeGroups(Beat.Broken);
+  return Out;
+}
+
+LivenessBeat readBeat(const Json &Value) {
+  ObjectReader Reader(Value, BeatSource, {}, UnknownKeys::Ignore);
+  LivenessBeat Beat;
+  Beat.From = HostName(Reader.text("from"));
+  Beat.Own.Run = Reader.number("run");
+  Beat.Own.Sequence = Reader.number("seq");
+  Beat.Echo.Run = Reader.number("echo_run");
+  Beat.Echo.Sequence = Reader.number("echo_seq");
+  Beat.PlanDigest = Reader.number("plan");
+  Beat.Through = Reader.number("through");
+  Beat.Doubted = readGroups(Reader, "doubted");
+  Beat.Silent = readGroups(Reader, "silent");
+  Beat.Broken = readGroups(Reader, "broken");
+  Reader.finish();
+  return Beat;
+}
+
+} // namespace coltsfoottrail
--- a/packages/version/src/coltsfoottrail/groups/fwd.hpp
+++ b/packages/version/src/coltsfoottrail/groups/fwd.hpp
@@ -14,6 +14,7 @@
 struct EngineView;
 struct PlanLease;
 struct LivenessBeat;
+struct WatchTimes;
 class AppendPacer;
 class EngineBook;
 class Former;
