--- a/packages/version/test/coltsfoottrail/groups/liveness.cpp
+++ b/packages/version/test/coltsfoottrail/groups/liveness.cpp
@@ -119,6 +119,25 @@
   }
 }
 
+// A member goes dark, and a moment later, before its watchers have missed it,
+// all entry hosts are cut off from each other. The last beats that came through
+// vouch for the group; they must not stretch its use past the bound.
+TEST(GroupLiveness, LastBeatsBeforeACutDoNotStretchTheBound) {
+  for (milliseconds Between{0}; Between <= milliseconds(3000);
+       Between += milliseconds(100)) {
+    Watchers World(nineHosts(), 8);
+    World.run(seconds(5));
+    World.Dark.insert(hostIn(East, 0, 2));
+    const TimePoint Lost = World.Clock;
+    World.run(Between);
+    for (const auto &Left : World.Nodes)
+      for (const auto &Right : World.Nodes)
+        World.cut(Left->Name, Right->Name);
+    World.run(Lost + World.Times.stopBound() + milliseconds(50) - World.Clock);
+    EXPECT_EQ(World.routers(First), 0U) << Between.count();
+  }
+}
+
 // A group is stopped. Its watchers have seen that and say no more of it; one
 // entry host has not seen it yet and still takes it for serving. The silence of
 // the watchers must not read as "well".
