Run the watch over members in the fleet tests

Cause: breaks were injected; the way from a member's death to the group's return was not run as a whole. Change: the fakes' entry hosts watch members and send beats; the interleaving test runs with them.

--- a/packages/version/test/coltsfoottrail/groups/executor.cpp
+++ b/packages/version/test/coltsfoottrail/groups/executor.cpp
@@ -218,6 +218,29 @@
   expectSound(World);
 }
 
+// The same seen from the member's death: its watchers miss it, no entry host
+// sends to the group any more, it is declared broken and comes back.
+TEST(GroupExecutor, DeadMemberIsSeenAndItsGroupComesBack) {
+  Fleet World(declare(2, 4, signageModel(3, 1)), 4, 2, {}, true);
+  ASSERT_TRUE(World.runUntil([&] { return World.allServe(1); }, Long));
+  World.run(seconds(5));
+  const GroupId Id = World.Agreed.Groups.begin()->first;
+  for (const auto &Node : World.Nodes)
+    EXPECT_TRUE(Node->Live->mayRoute(Id, World.Clock));
+  World.Engines.at(hostIn(East, 0, 2)).Dark = true;
+  World.run(World.WatchBy.stopBound());
+  for (const auto &Node : World.Nodes)
+    EXPECT_FALSE(Node->Live->mayRoute(Id, World.Clock));
+  ASSERT_TRUE(
+      World.runUntil([&] { return World.serving() == 1; }, seconds(60)));
+  const GroupId Next = World.Agreed.Occupied.at(hostIn(East, 0, 0));
+  EXPECT_NE(Next, Id);
+  World.run(seconds(4));
+  for (const auto &Node : World.Nodes)
+    EXPECT_TRUE(Node->Live->mayRoute(Next, World.Clock));
+  expectSound(World);
+}
+
 // The spare that a repair would use is dead too. It is asked before, so the
 // repair doesn't wait for it.
 TEST(GroupExecutor, RepairAsksTheSpareFirst) {
@@ -365,7 +388,7 @@
     Declaration Declared = declare(3, 5, signageModel(2, 3));
     for (std::size_t Index = 0; Index < Declared.Hosts.size(); Index += 2)
       Declared.Hosts[Index].RefusesOldFences = false;
-    Fleet World(Declared, 4, Seed);
+    Fleet World(Declared, 4, Seed, {}, true);
     Random Draw(Seed);
     for (auto &[Host, Engine] : World.Engines)
       Engine.LoadTime = seconds(1 + Draw.below(10));
--- a/packages/version/test/coltsfoottrail/groups/fleet.hpp
+++ b/packages/version/test/coltsfoottrail/groups/fleet.hpp
@@ -7,6 +7,7 @@
 #include "coltsfoottrail/core/random.hpp"
 #include "coltsfoottrail/fold/fold.hpp"
 #include "coltsfoottrail/groups/executor.hpp"
+#include "coltsfoottrail/groups/liveness.hpp"
 #include "coltsfoottrail/intents/planner.hpp"
 #include "coltsfoottrail/record/codec.hpp"
 
@@ -87,6 +88,9 @@
     HostName Name;
     Incarnation Run = 0;
     std::unique_ptr<GroupExecutor> Executor;
+    std::unique_ptr<GroupWatch> Watch;
+    std::unique_ptr<GroupLiveness> Live;
+    TimePoint NextBeat;
     State Seen;
     bool Alive = true;
     TimePoint PausedUntil;
@@ -100,8 +104,9 @@
   };
 
   Fleet(Declaration Declared, int Nodes, std::uint64_t Seed,
-        const GroupTimes &Given = {})
-      : Times(Given), Draw(Seed), Hosts(std::move(Declared)) {
+        const GroupTimes &Given = {}, bool Watches = false)
+      : Times(Given), WithWatch(Watches), Draw(Seed),
+        Hosts(std::move(Declared)) {
     for (const HostSpec &Host : Hosts.Hosts) {
       Engines[Host.Name].Now.Run = 1;
       Engines[Host.Name].RefusesOldFences = Host.RefusesOldFences;
@@ -116,8 +121,10 @@
     Fresh->Name = Name;
     Fresh->Run = ++LastRun;
     Fresh->Executor = std::make_unique<GroupExecutor>(Times, Name, Fresh->Run);
-    append(*Fresh, EntryHostJoined{Name, Fresh->Run, DataCentreName("east"),
-                                   "127.0.0.1", 1, 2});
+    Fresh->Watch = std::make_unique<GroupWatch>(WatchBy, Times, Name);
+    Fresh->Live = std::make_unique<GroupLiveness>(WatchBy, Name, Fresh->Run);
+    const DataCentreName Where(Nodes.size() % 2 == 0 ? "east" : "west");
+    append(*Fresh, EntryHostJoined{Name, Fresh->Run, Where, "127.0.0.1", 1, 2});
     Nodes.push_back(std::move(Fresh));
     return *Nodes.back();
   }
@@ -210,6 +217,9 @@
   }
 
   GroupTimes Times;
+  WatchTimes WatchBy;
+  /// Whether the entry hosts watch over members themselves.
+  bool WithWatch = false;
   TimePoint Clock{seconds(1000)};
   std::vector<std::vector<std::byte>> Log;
   /// The fold of all of the log.
@@ -239,7 +249,34 @@
     for (const auto &Answer : std::exchange(Of.Waiting, {}))
       Answer();
     for (GroupCommand &What : Of.Executor->poll(Of.Seen, Clock))
-      std::visit([&](auto &Each) { carry(Of, Each); }, What);
+      std::visit([&](auto &Each) { carry(Of, *Of.Executor, Each); }, What);
+    if (WithWatch)
+      stepWatch(Of);
+  }
+
+  void stepWatch(Node &Of) {
+    Of.Live->follow(Of.Seen, *Of.Watch, Clock);
+    const auto Others = [&](const GroupId &Group) {
+      return Of.Live->othersSilent(Group, Clock);
+    };
+    for (GroupCommand &What :
+         Of.Watch->poll(Of.Seen, Of.Live->plan(), Others, Clock)) {
+      if (auto *Ask = std::get_if<AskEngine>(&What))
+        carry(Of, *Of.Watch, *Ask);
+      else
+        carry(Of, *Of.Watch, std::get<AppendRecord>(What));
+    }
+    Of.Live->follow(Of.Seen, *Of.Watch, Clock);
+    if (Clock < Of.NextBeat && !Of.Live->urgent())
+      return;
+    Of.NextBeat = Clock + WatchBy.BeatEvery;
+    for (const auto &Peer : Nodes) {
+      if (Peer.get() == &Of)
+        continue;
+      const LivenessBeat Beat = Of.Live->beatFor(Peer->Name, Clock);
+      answer(*Peer, milliseconds(5),
+             [this, &To = *Peer, Beat] { To.Live->heard(Beat, Clock); });
+    }
   }
 
   void later(Duration After, std::function<void()> What) {
@@ -253,10 +290,11 @@
     });
   }
 
-  void carry(Node &From, AppendRecord &What) {
+  template <class Decider>
+  void carry(Node &From, Decider &To, AppendRecord &What) {
     if (LogDown) {
-      answer(From, seconds(1), [this, &From, Which = What.Which] {
-        From.Executor->appended(Which, LogFailure::NotDone, Clock);
+      answer(From, seconds(1), [this, &To, Which = What.Which] {
+        To.appended(Which, LogFailure::NotDone, Clock);
       });
       return;
     }
@@ -264,15 +302,15 @@
     const Offset At = Log.size();
     append(From, std::move(What.Body));
     answer(From, milliseconds(Lost ? 2000 : 20),
-           [this, &From, Which = What.Which, Lost, At] {
+           [this, &To, Which = What.Which, Lost, At] {
              AppendResult Outcome = At;
              if (Lost)
                Outcome = LogFailure::Unknown;
-             From.Executor->appended(Which, Outcome, Clock);
+             To.appended(Which, Outcome, Clock);
            });
   }
 
-  void carry(Node &From, OrderEngine &What) {
+  void carry(Node &From, GroupExecutor & /*To*/, OrderEngine &What) {
     later(From.OrderDelay, [this, &From, What] { send(From, What); });
   }
 
@@ -304,7 +342,8 @@
            });
   }
 
-  void carry(Node &From, AskEngine &What) {
+  template <class Decider>
+  void carry(Node &From, Decider &To, AskEngine &What) {
     ++Asks;
     FakeEngine &Engine = Engines.at(What.Host);
     const bool Reached =
@@ -313,8 +352,10 @@
     if (Reached)
       Report = Engine.report(Clock);
     answer(From, Reached ? Duration(milliseconds(5)) : Duration(What.Timeout),
-           [this, &From, Which = What.Which, Report] {
-             From.Executor->reported(Which, Report, Clock);
+           [this, &From, &To, Which = What.Which, Report] {
+             To.reported(Which, Report, Clock);
+             if (Report)
+               From.Executor->heardAnyone(Clock);
            });
   }
 
