--- a/packages/version/src/coltsfoottrail/groups/repairer.cpp
+++ b/packages/version/src/coltsfoottrail/groups/repairer.cpp
@@ -2,7 +2,6 @@
 
 #include "coltsfoottrail/groups/spread.hpp"
 
-#include <algorithm>
 #include <utility>
 
 namespace coltsfoottrail {
@@ -45,6 +44,9 @@
 
 void Repairer::look(const State &Now, TimePoint At) {
   NextLook = At + Times.RepairEvery;
+  if (Repairs.empty() && LookedAt == Now.LastChange)
+    return;
+  LookedAt = Now.LastChange;
   std::erase_if(Avoided,
                 [At](const auto &Entry) { return Entry.second <= At; });
   std::erase_if(ConfirmedAt, [&Now](const auto &Entry) {
@@ -85,13 +87,27 @@
                                const Repair &How) const {
   if (In.At - How.Since >= Times.SurvivorPatience)
     return false;
-  return std::any_of(In.Now.Groups.begin(), In.Now.Groups.end(),
-                     [&Where](const auto &Entry) {
-                       const Group &Known = Entry.second;
-                       return Known.Phase == GroupPhase::Broken &&
-                              Known.Formed.Model == Where.Model &&
-                              Known.Formed.DataCentre == Where.DataCentre;
-                     });
+  bool Awaits = false;
+  for (const auto &[Id, Known] : In.Now.Groups)
+    if (Known.Phase == GroupPhase::Broken &&
+        Known.Formed.Model == Where.Model &&
+        Known.Formed.DataCentre == Where.DataCentre)
+      Awaits = hasSurvivors(In, Known) || Awaits;
+  return Awaits;
+}
+
+/// Tells whether a broken group holds a host that may soon be free: one that
+/// answers, or has not been asked long enough to tell.
+bool Repairer::hasSurvivors(const Pass &In, const Group &Broken) {
+  bool Any = false;
+  for (const HostName &Member : Broken.Held) {
+    const HostSpec *Host = findHost(In.Now.Declared, Member);
+    if (Host == nullptr)
+      continue;
+    In.Book.ask(*Host, In.At, In.Out);
+    Any = Any || In.Book.silentFor(Member, In.At) == Duration::zero();
+  }
+  return Any;
 }
 
 std::optional<Offset> Repairer::findProposed(const Pass &In,
--- a/packages/version/src/coltsfoottrail/groups/repairer.hpp
+++ b/packages/version/src/coltsfoottrail/groups/repairer.hpp
@@ -64,6 +64,7 @@
   void repair(const Pass &In, const MissingGroups &Where, Repair &How);
   [[nodiscard]] bool awaitsSurvivors(const Pass &In, const MissingGroups &Where,
                                      const Repair &How) const;
+  [[nodiscard]] static bool hasSurvivors(const Pass &In, const Group &Broken);
   [[nodiscard]] std::optional<Offset>
   findProposed(const Pass &In, const MissingGroups &Where) const;
   void plan(const Pass &In, const MissingGroups &Where, Repair &How) const;
@@ -77,6 +78,8 @@
   /// while later was beaten by a change, and a new one takes its place.
   std::map<Offset, TimePoint> ConfirmedAt;
   TimePoint NextLook;
+  /// LastChange of the state that was looked at last.
+  std::optional<Offset> LookedAt;
 };
 
 } // namespace coltsfoottrail
--- a/packages/version/src/coltsfoottrail/intents/convergence.cpp
+++ b/packages/version/src/coltsfoottrail/intents/convergence.cpp
@@ -273,21 +273,35 @@
     const std::size_t There =
         At.Good.size() + (To.May == Extent::Whole ? 0 : At.Old.size());
     std::size_t Need = At.Wanted > There ? At.Wanted - There : 0;
-    while (Need > 0 && formOne(At)) {
-      --Need;
-      if (To.May == Extent::Whole)
-        stopReplaced(At);
-    }
+    Need -= formUpTo(At, Need);
     if (Need > 0)
       tellShortage(At, Need);
     if (To.May == Extent::Whole)
       stopRest(At, Need);
   }
 
+  /// Forms as many groups as the weight store loads at once, then stops those
+  /// that they replace, and so on.
+  /// @return How many it forms.
+  std::size_t formUpTo(Site &At, std::size_t Need) {
+    const std::size_t Batch =
+        std::max<std::size_t>(1, To.Declared->WeightLoadsAtOnce);
+    std::size_t Formed = 0;
+    while (Formed < Need && formOne(At)) {
+      ++Formed;
+      if (Formed % Batch == 0)
+        stopReplaced(At);
+    }
+    stopReplaced(At);
+    return Formed;
+  }
+
   bool formOne(Site &At) {
     std::optional<std::vector<HostName>> Members = takeBesideSurvivors(At);
     if (!Members)
       Members = Free.take(At.Where, At.Spec->MembersPerGroup);
+    if (!Members && stopReplaced(At))
+      Members = Free.take(At.Where, At.Spec->MembersPerGroup);
     if (!Members && To.May == Extent::Whole)
       Members = takeByStopping(At);
     if (!Members)
@@ -356,7 +370,12 @@
     return Usable;
   }
 
-  void stopReplaced(Site &At) {
+  /// Stops old groups that are not needed any more.
+  /// @return Whether there were any.
+  bool stopReplaced(Site &At) {
+    if (To.May != Extent::Whole)
+      return false;
+    const std::size_t Before = Out.Steps.size();
     for (auto There = At.Old.begin(); There != At.Old.end();) {
       const std::size_t Left = At.Routed - (There->Routed ? 1 : 0);
       const bool Affordable = !There->Routed || Left >= At.Wanted;
@@ -366,6 +385,7 @@
       else
         ++There;
     }
+    return Out.Steps.size() > Before;
   }
 
   /// Old groups stay where nothing replaces them; but one with a drained host
--- a/packages/version/test/coltsfoottrail/intents/planner.cpp
+++ b/packages/version/test/coltsfoottrail/intents/planner.cpp
@@ -75,6 +75,20 @@
   EXPECT_TRUE(Made.WillNotDo.empty());
 }
 
+TEST(Planner, LargeRollGoesInBatchesOfWhatTheWeightStoreLoads) {
+  State Now = stateWith(1, 14, signageModel(2, 5));
+  Now.Declared.WeightLoadsAtOnce = 2;
+  for (std::uint32_t Number = 0; Number < 5; ++Number) {
+    const int From = static_cast<int>(2 * Number);
+    addGroup(Now, 10, Number, East, hostsOf(East, 0, From, From + 2));
+  }
+  std::string Order;
+  for (const Step &What :
+       planIntent(Now, SetVersion{Signage, NextVersion}).Steps)
+    Order += std::holds_alternative<FormGroup>(What) ? 'f' : 's';
+  EXPECT_EQ(Order, "ffssffssfs");
+}
+
 TEST(Planner, VersionWithoutSparesStopsOneAtATimeAndSaysSo) {
   State Now = stateWith(1, 4, signageModel(2, 2));
   addGroup(Now, 10, 0, East, hostsOf(East, 0, 0, 2));
