Take groups in only when one has changed

Cause: each record folded made every entry host go through all groups for the watch. Change: GroupLiveness goes by the state's LastChange; GroupWatch passes over groups that its state doesn't hold.

--- a/bench/groups.cpp
+++ b/bench/groups.cpp
@@ -85,7 +85,9 @@
 void measurePlanner(Figures &Out) {
   const std::pair<std::uint32_t, std::uint32_t> Sizes[] = {
       {50, 4}, {1000, 16}, {10000, 16}};
-  for (const auto &[Groups, Members] : Sizes) {
+  for (const auto &Size : Sizes) {
+    const std::uint32_t Groups = Size.first;
+    const std::uint32_t Members = Size.second;
     State Now = fleetState(Groups, Members);
     const std::string At = " at " + std::to_string(Groups) + " groups of " +
                            std::to_string(Members);
@@ -225,8 +227,10 @@
 
 /// What the beats of a whole fleet cost one entry host.
 void measureBeats(Figures &Out) {
-  for (const auto &[Nodes, Groups] :
+  for (const auto &Size :
        {std::pair(9, 50U), std::pair(1000, 624U), std::pair(1000, 10000U)}) {
+    const int Nodes = Size.first;
+    const std::uint32_t Groups = Size.second;
     State Now = fleetState(Groups, 4);
     Now.EntryHosts = entryHosts(Nodes, 28);
     const HostName Self("entry-0");
@@ -241,7 +245,7 @@
                            std::to_string(Groups) + " groups";
     Live.follow(Now, Watch, Clock);
     const auto Follow = [&] {
-      ++Now.Next;
+      Now.LastChange = Now.Next++;
       Clock += milliseconds(10);
       Live.follow(Now, Watch, Clock);
     };
@@ -303,7 +307,8 @@
   World.runUntil([&] { return World.allServe(1) && !World.plansRun(); },
                  std::chrono::minutes(5));
   World.run(seconds(10));
-  const auto [Id, Before] = *World.Agreed.Groups.begin();
+  const GroupId Id = World.Agreed.Groups.begin()->first;
+  const Group Before = World.Agreed.Groups.begin()->second;
   const std::size_t Appends = World.Log.size();
   const TimePoint Lost = World.Clock;
   for (int Number = 0; Number < Of.Lost; ++Number) {
--- a/packages/version/src/coltsfoottrail/groups/liveness.cpp
+++ b/packages/version/src/coltsfoottrail/groups/liveness.cpp
@@ -16,7 +16,9 @@
                            TimePoint At) {
   if (Through != Now.Next || Plans.empty()) {
     followPlan(Now);
-    followGroups(Now);
+    if (GroupsAt != Now.LastChange)
+      followGroups(Now);
+    GroupsAt = Now.LastChange;
     Through = Now.Next;
     applyReached(At);
   }
@@ -57,12 +59,15 @@
 
 void GroupLiveness::followPlan(const State &Now) {
   const std::uint64_t Digest = WatchPlan::digestOf(Now.EntryHosts);
-  if (Plans.empty() || Plans.back().digest() != Digest)
+  if (Plans.empty() || Plans.back().digest() != Digest) {
     Plans.emplace_back(Now.EntryHosts);
+    Plans.back().follow(Now);
+  }
   if (Plans.size() > KeptPlans)
     Plans.pop_front();
-  for (WatchPlan &Each : Plans)
-    Each.follow(Now);
+  if (GroupsAt != Now.LastChange)
+    for (WatchPlan &Each : Plans)
+      Each.follow(Now);
   std::erase_if(Peers, [&Now](const auto &Entry) {
     return !Now.EntryHosts.contains(Entry.first);
   });
--- a/packages/version/src/coltsfoottrail/groups/liveness.hpp
+++ b/packages/version/src/coltsfoottrail/groups/liveness.hpp
@@ -105,6 +105,9 @@
   /// Oldest of the own sightings that are well.
   TimePoint OldestWell;
   Offset Through = 0;
+  /// LastChange of the state whose groups were taken in: no group changes
+  /// without it.
+  std::optional<Offset> GroupsAt;
   bool Urgent = false;
 };
 
--- a/packages/version/src/coltsfoottrail/groups/watch.cpp
+++ b/packages/version/src/coltsfoottrail/groups/watch.cpp
@@ -26,9 +26,11 @@
   std::erase_if(Groups, [&Mine](const auto &Entry) {
     return !Mine.contains(Entry.first);
   });
-  for (const GroupId &Id : Mine)
-    if (!Groups.contains(Id))
-      Groups.emplace(Id, start(Now, Now.Groups.at(Id), At));
+  for (const GroupId &Id : Mine) {
+    const auto Known = Now.Groups.find(Id);
+    if (Known != Now.Groups.end() && !Groups.contains(Id))
+      Groups.emplace(Id, start(Now, Known->second, At));
+  }
 }
 
 GroupWatch::Watched GroupWatch::start(const State &Now, const Group &Known,
--- a/packages/version/test/coltsfoottrail/groups/liveness.cpp
+++ b/packages/version/test/coltsfoottrail/groups/liveness.cpp
@@ -147,7 +147,7 @@
   Watchers::Node &Behind = *World.Nodes.back();
   Behind.Older = std::make_unique<State>(World.Agreed);
   World.Agreed.Groups[First].Phase = GroupPhase::Stopping;
-  World.Agreed.Next += 1;
+  World.Agreed.LastChange = World.Agreed.Next++;
   World.Engines.at(hostIn(East, 0, 1)).Group.reset();
   World.run(World.Times.stopBound() + milliseconds(50));
   EXPECT_FALSE(World.mayRoute(World.Nodes.size() - 1, First));
