Put one entry host's decisions on groups behind one object

Cause: a process would have had to call executor, watch and liveness in the right order and tell their tickets apart. Change: GroupAgent does; the fleet tests and bench_groups run through it.

--- a/bench/groups.cpp
+++ b/bench/groups.cpp
@@ -294,7 +294,7 @@
 bool usedBy(const Fleet &World, const GroupId &Id, std::size_t AtLeast) {
   std::size_t Count = 0;
   for (const auto &Node : World.Nodes)
-    Count += Node->Live->mayRoute(Id, World.Clock) ? 1 : 0;
+    Count += Node->Agent->mayRoute(Id, World.Clock) ? 1 : 0;
   return Count >= AtLeast;
 }
 
@@ -303,7 +303,7 @@
   Declaration Declared = declare(2, Of.HostsOfDomain, signageModel(4, 1));
   for (HostSpec &Host : Declared.Hosts)
     Host.RefusesOldFences = Of.Fences;
-  Fleet World(Declared, 9, 1, {}, true);
+  Fleet World(Declared, 9, 1);
   World.runUntil([&] { return World.allServe(1) && !World.plansRun(); },
                  std::chrono::minutes(5));
   World.run(seconds(10));
--- a/packages/version/test/coltsfoottrail/groups/executor.cpp
+++ b/packages/version/test/coltsfoottrail/groups/executor.cpp
@@ -92,8 +92,8 @@
   World.run(seconds(59));
   const Offset Lease = World.Agreed.Plans.at(Plan).Lease;
   EXPECT_NE(World.Agreed.Plans.at(Plan).ExecutorRun, First->Run);
-  for (const GroupCommand &What :
-       First->Executor->poll(First->Seen, World.Clock))
+  const GroupDecisions Woken = First->Agent->poll(First->Seen, World.Clock);
+  for (const GroupCommand &What : Woken.Commands)
     EXPECT_FALSE(std::holds_alternative<OrderEngine>(What)) << Lease;
   EXPECT_TRUE(World.runUntil([&] { return !World.plansRun(); }, Long));
   expectSound(World);
@@ -221,23 +221,23 @@
 // The same seen from the member's death: its watchers miss it, no entry host
 // sends to the group any more, it is declared broken and comes back.
 TEST(GroupExecutor, DeadMemberIsSeenAndItsGroupComesBack) {
-  Fleet World(declare(2, 4, signageModel(3, 1)), 4, 2, {}, true);
+  Fleet World(declare(2, 4, signageModel(3, 1)), 4, 2);
   ASSERT_TRUE(World.runUntil([&] { return World.allServe(1); }, Long));
   World.run(seconds(5));
   const GroupId Id = World.Agreed.Groups.begin()->first;
   for (const auto &Node : World.Nodes)
-    EXPECT_TRUE(Node->Live->mayRoute(Id, World.Clock));
+    EXPECT_TRUE(Node->Agent->mayRoute(Id, World.Clock));
   World.Engines.at(hostIn(East, 0, 2)).Dark = true;
   World.run(World.WatchBy.stopBound());
   for (const auto &Node : World.Nodes)
-    EXPECT_FALSE(Node->Live->mayRoute(Id, World.Clock));
+    EXPECT_FALSE(Node->Agent->mayRoute(Id, World.Clock));
   ASSERT_TRUE(
       World.runUntil([&] { return World.serving() == 1; }, seconds(60)));
   const GroupId Next = World.Agreed.Occupied.at(hostIn(East, 0, 0));
   EXPECT_NE(Next, Id);
   World.run(seconds(4));
   for (const auto &Node : World.Nodes)
-    EXPECT_TRUE(Node->Live->mayRoute(Next, World.Clock));
+    EXPECT_TRUE(Node->Agent->mayRoute(Next, World.Clock));
   expectSound(World);
 }
 
@@ -417,7 +417,7 @@
     Declaration Declared = declare(3, 5, signageModel(2, 3));
     for (std::size_t Index = 0; Index < Declared.Hosts.size(); Index += 2)
       Declared.Hosts[Index].RefusesOldFences = false;
-    Fleet World(Declared, 4, Seed, {}, true);
+    Fleet World(Declared, 4, Seed);
     Random Draw(Seed);
     for (auto &[Host, Engine] : World.Engines)
       Engine.LoadTime = seconds(1 + Draw.below(10));
--- a/packages/version/test/coltsfoottrail/groups/fleet.hpp
+++ b/packages/version/test/coltsfoottrail/groups/fleet.hpp
@@ -6,8 +6,7 @@
 
 #include "coltsfoottrail/core/random.hpp"
 #include "coltsfoottrail/fold/fold.hpp"
-#include "coltsfoottrail/groups/executor.hpp"
-#include "coltsfoottrail/groups/liveness.hpp"
+#include "coltsfoottrail/groups/agent.hpp"
 #include "coltsfoottrail/intents/planner.hpp"
 #include "coltsfoottrail/record/codec.hpp"
 
@@ -87,10 +86,7 @@
   struct Node {
     HostName Name;
     Incarnation Run = 0;
-    std::unique_ptr<GroupExecutor> Executor;
-    std::unique_ptr<GroupWatch> Watch;
-    std::unique_ptr<GroupLiveness> Live;
-    TimePoint NextBeat;
+    std::unique_ptr<GroupAgent> Agent;
     State Seen;
     bool Alive = true;
     TimePoint PausedUntil;
@@ -104,9 +100,8 @@
   };
 
   Fleet(Declaration Declared, int Nodes, std::uint64_t Seed,
-        const GroupTimes &Given = {}, bool Watches = false)
-      : Times(Given), WithWatch(Watches), Draw(Seed),
-        Hosts(std::move(Declared)) {
+        const GroupTimes &Given = {})
+      : Times(Given), Draw(Seed), Hosts(std::move(Declared)) {
     for (const HostSpec &Host : Hosts.Hosts) {
       Engines[Host.Name].Now.Run = 1;
       Engines[Host.Name].RefusesOldFences = Host.RefusesOldFences;
@@ -120,9 +115,8 @@
     auto Fresh = std::make_unique<Node>();
     Fresh->Name = Name;
     Fresh->Run = ++LastRun;
-    Fresh->Executor = std::make_unique<GroupExecutor>(Times, Name, Fresh->Run);
-    Fresh->Watch = std::make_unique<GroupWatch>(WatchBy, Times, Name);
-    Fresh->Live = std::make_unique<GroupLiveness>(WatchBy, Name, Fresh->Run);
+    Fresh->Agent =
+        std::make_unique<GroupAgent>(Times, WatchBy, Name, Fresh->Run);
     const DataCentreName Where(Nodes.size() % 2 == 0 ? "east" : "west");
     append(*Fresh, EntryHostJoined{Name, Fresh->Run, Where, "127.0.0.1", 1, 2});
     Nodes.push_back(std::move(Fresh));
@@ -218,8 +212,6 @@
 
   GroupTimes Times;
   WatchTimes WatchBy;
-  /// Whether the entry hosts watch over members themselves.
-  bool WithWatch = false;
   TimePoint Clock{seconds(1000)};
   std::vector<std::vector<std::byte>> Log;
   /// The fold of all of the log.
@@ -248,35 +240,19 @@
       foldRecord(Of.Seen, Of.Seen.Next, Log[Of.Seen.Next]);
     for (const auto &Answer : std::exchange(Of.Waiting, {}))
       Answer();
-    for (GroupCommand &What : Of.Executor->poll(Of.Seen, Clock))
-      std::visit([&](auto &Each) { carry(Of, *Of.Executor, Each); }, What);
-    if (WithWatch)
-      stepWatch(Of);
+    GroupDecisions Decided = Of.Agent->poll(Of.Seen, Clock);
+    for (GroupCommand &What : Decided.Commands)
+      std::visit([&](auto &Each) { carry(Of, Each); }, What);
+    for (BeatToSend &Beat : Decided.Beats)
+      sendBeat(std::move(Beat));
   }
 
-  void stepWatch(Node &Of) {
-    Of.Live->follow(Of.Seen, *Of.Watch, Clock);
-    const auto Others = [&](const GroupId &Group) {
-      return Of.Live->othersSilent(Group, Clock);
-    };
-    for (GroupCommand &What :
-         Of.Watch->poll(Of.Seen, Of.Live->plan(), Others, Clock)) {
-      if (auto *Ask = std::get_if<AskEngine>(&What))
-        carry(Of, *Of.Watch, *Ask);
-      else
-        carry(Of, *Of.Watch, std::get<AppendRecord>(What));
-    }
-    Of.Live->follow(Of.Seen, *Of.Watch, Clock);
-    if (Clock < Of.NextBeat && !Of.Live->urgent())
-      return;
-    Of.NextBeat = Clock + WatchBy.BeatEvery;
-    for (const auto &Peer : Nodes) {
-      if (Peer.get() == &Of)
-        continue;
-      const LivenessBeat Beat = Of.Live->beatFor(Peer->Name, Clock);
-      answer(*Peer, milliseconds(5),
-             [this, &To = *Peer, Beat] { To.Live->heard(Beat, Clock); });
-    }
+  void sendBeat(BeatToSend What) {
+    for (const auto &Peer : Nodes)
+      if (Peer->Name == What.To)
+        answer(*Peer, milliseconds(5), [this, &To = *Peer, Beat = What.Beat] {
+          To.Agent->heard(Beat, Clock);
+        });
   }
 
   void later(Duration After, std::function<void()> What) {
@@ -290,11 +266,10 @@
     });
   }
 
-  template <class Decider>
-  void carry(Node &From, Decider &To, AppendRecord &What) {
+  void carry(Node &From, AppendRecord &What) {
     if (LogDown) {
-      answer(From, seconds(1), [this, &To, Which = What.Which] {
-        To.appended(Which, LogFailure::NotDone, Clock);
+      answer(From, seconds(1), [this, &From, Which = What.Which] {
+        From.Agent->appended(Which, LogFailure::NotDone, Clock);
       });
       return;
     }
@@ -302,15 +277,15 @@
     const Offset At = Log.size();
     append(From, std::move(What.Body));
     answer(From, milliseconds(Lost ? 2000 : 20),
-           [this, &To, Which = What.Which, Lost, At] {
+           [this, &From, Which = What.Which, Lost, At] {
              AppendResult Outcome = At;
              if (Lost)
                Outcome = LogFailure::Unknown;
-             To.appended(Which, Outcome, Clock);
+             From.Agent->appended(Which, Outcome, Clock);
            });
   }
 
-  void carry(Node &From, GroupExecutor & /*To*/, OrderEngine &What) {
+  void carry(Node &From, OrderEngine &What) {
     later(From.OrderDelay, [this, &From, What] { send(From, What); });
   }
 
@@ -318,7 +293,7 @@
   void send(Node &From, const OrderEngine &What) {
     if (Clock > What.NotAfter) {
       answer(From, Duration::zero(), [this, &From, Which = What.Which] {
-        From.Executor->ordered(Which, OrderResult::NotDone, Clock);
+        From.Agent->ordered(Which, OrderResult::NotDone, Clock);
       });
       return;
     }
@@ -338,12 +313,11 @@
       Result = OrderResult::Unknown;
     answer(From, Known ? Duration(milliseconds(5)) : Duration(What.Timeout),
            [this, &From, Which = What.Which, Result] {
-             From.Executor->ordered(Which, Result, Clock);
+             From.Agent->ordered(Which, Result, Clock);
            });
   }
 
-  template <class Decider>
-  void carry(Node &From, Decider &To, AskEngine &What) {
+  void carry(Node &From, AskEngine &What) {
     ++Asks;
     FakeEngine &Engine = Engines.at(What.Host);
     const bool Reached =
@@ -352,10 +326,8 @@
     if (Reached)
       Report = Engine.report(Clock);
     answer(From, Reached ? Duration(milliseconds(5)) : Duration(What.Timeout),
-           [this, &From, &To, Which = What.Which, Report] {
-             To.reported(Which, Report, Clock);
-             if (Report)
-               From.Executor->heardAnyone(Clock);
+           [this, &From, Which = What.Which, Report] {
+             From.Agent->reported(Which, Report, Clock);
            });
   }
 
