Compose queue, choice, retries and quarantine in the dispatcher

Cause: the dispatcher sent in order of arrival to the endpoint with the fewest requests of its own, and gave each failed request up. Change: it holds a fair queue, a chooser, a retry budget and a quarantine; requests that cannot make their deadline are refused at once, failed ones wait out a delay and go elsewhere, suspects step aside for others, the final refusal tells the latest run state of all attempts.

--- a/packages/request/src/coltsfoottrail/choice/chooser.cpp
+++ b/packages/request/src/coltsfoottrail/choice/chooser.cpp
@@ -357,8 +357,10 @@
   Candidate *const Endpoint = Table.find(Which);
   if (Endpoint == nullptr)
     return false;
-  const bool Restarted = Endpoint->Run != 0 && Endpoint->Run != Report.Run;
-  Endpoint->Run = Report.Run;
+  const bool Restarted =
+      Endpoint->Run != 0 && Report.Run != 0 && Endpoint->Run != Report.Run;
+  if (Report.Run != 0)
+    Endpoint->Run = Report.Run;
   if (Restarted) {
     Outliers.release(Table, Which);
     Endpoint->Condition.reset();
--- a/packages/request/src/coltsfoottrail/choice/chooser.hpp
+++ b/packages/request/src/coltsfoottrail/choice/chooser.hpp
@@ -109,6 +109,11 @@
 
   /// @brief Whether some endpoint has room.
   [[nodiscard]] bool hasRoom() const noexcept;
+  /// @brief Whether some endpoint gives this entry host a share, those left out
+  /// at present included.
+  [[nodiscard]] bool usable() const noexcept {
+    return Table.usable() > 0 || Outliers.ejected() > 0;
+  }
   /// @brief Endpoints in the pool.
   [[nodiscard]] std::size_t size() const noexcept { return Table.all().size(); }
   /// @brief Endpoints left out at present.
--- a/packages/request/src/coltsfoottrail/dispatch/dispatcher.cpp
+++ b/packages/request/src/coltsfoottrail/dispatch/dispatcher.cpp
@@ -6,142 +6,533 @@
 namespace coltsfoottrail {
 
 namespace {
-constexpr milliseconds OverloadRetryAfter{500};
+
+constexpr milliseconds ShortestRetryAfter{100};
+constexpr milliseconds LongestRetryAfter{30000};
+constexpr milliseconds UnknownRetryAfter{500};
+/// Part of the mean time of service that must be left at the start; half of the
+/// requests take less than the median, so the whole mean would refuse too many.
+constexpr double ServiceMargin = 0.5;
+/// Requests tried in a row that no endpoint with room fits.
+constexpr std::size_t MostMisses = 8;
+/// Capacity that has fallen below this part makes the queue be looked through.
+constexpr double CapacityDrop = 0.9;
+/// Shares are set one by one; a fall must last this long to count.
+constexpr Duration ShedDelay = milliseconds(100);
+
+milliseconds retryAfter(Duration Wait) {
+  return std::clamp(std::chrono::ceil<milliseconds>(Wait), ShortestRetryAfter,
+                    LongestRetryAfter);
+}
+
+Verdict notRun(Reason Why, std::optional<milliseconds> After = std::nullopt) {
+  return Verdict{RunState::NotRun, Why, After};
+}
+
+// Failure guarded against: callers with short deadlines make sound endpoints
+// look broken. A time-out is no failure of the endpoint; its length counts as
+// time of service.
+AttemptOutcome outcomeOf(const AttemptResult &Result) {
+  if (Result.Answered)
+    return AttemptOutcome::Answered;
+  if (Result.ConnectionLost)
+    return AttemptOutcome::Failed;
+  switch (Result.Why) {
+  case Reason::EndpointFailed:
+  case Reason::EndpointCut:
+    return AttemptOutcome::Failed;
+  case Reason::EndpointRefused:
+  case Reason::Overloaded:
+    return AttemptOutcome::Refused;
+  default:
+    return AttemptOutcome::GivenUp;
+  }
+}
+
+QueueLimits queueLimits(const DispatcherOptions &Limits) {
+  QueueLimits Out;
+  Out.MaxWaiting = Limits.MaxWaiting;
+  Out.MaxBytes = Limits.MaxWaitingBytes;
+  return Out;
+}
+
 } // namespace
 
 Dispatcher::Dispatcher(DispatcherOptions Limits)
-    : Options(std::move(Limits)), Draw(Options.Seed) {}
+    : Options(std::move(Limits)), Draw(Options.Seed),
+      Choice(Options.Self, Options.Policy, Draw()), Queue(queueLimits(Options)),
+      Budget(Options.Retries.Budget), Crashes(Options.Crashes) {}
 
 void Dispatcher::configure(const Pool &Wanted, TimePoint Now, Commands &Out) {
-  for (auto &[Key, Known] : Endpoints)
-    Known.Current = false;
-  for (const EndpointSpec &Spec : Wanted.Endpoints) {
-    Endpoint &Known = Endpoints[Spec.Key];
-    Known.Spec = Spec;
-    Known.Current = true;
-  }
-  std::erase_if(Endpoints, [](const auto &Entry) {
-    return !Entry.second.Current && Entry.second.InFlight == 0;
-  });
+  Choice.configure(Wanted);
   pump(Now, Out);
 }
 
 void Dispatcher::setShare(std::string_view EndpointKey, std::uint32_t Share,
                           TimePoint Now, Commands &Out) {
-  const auto Found = Endpoints.find(EndpointKey);
-  if (Found == Endpoints.end())
+  const std::optional<CandidateId> Which = Choice.find(EndpointKey);
+  if (!Which)
     return;
-  Found->second.Share = Share;
+  Choice.setShare(*Which, Share);
+  pump(Now, Out);
+}
+
+void Dispatcher::setTeam(const TeamName &Team, TeamShare Wanted, TimePoint Now,
+                         Commands &Out) {
+  Queue.setTeam(Queue.team(Team), Wanted);
   pump(Now, Out);
 }
 
 Ticket Dispatcher::submit(WorkItem Item, TimePoint Now, Commands &Out) {
-  const std::size_t Bytes = Item.Bytes;
-  const Ticket Which = Requests.insert(Request{std::move(Item), {}});
-  if (Waiting.size() >= Options.MaxWaiting ||
-      WaitingBytes + Bytes > Options.MaxWaitingBytes) {
-    refuse(Which,
-           Verdict{RunState::NotRun, Reason::Overloaded, OverloadRetryAfter},
-           Out);
+  ++Counts.Submitted;
+  const TeamId Team = Queue.team(Item.Team);
+  Request Asked;
+  Asked.Item = std::move(Item);
+  Asked.Team = Team;
+  const Ticket Which = Requests.insert(std::move(Asked));
+  watchCapacity(Now);
+  if (const auto Final = refusalAtOnce(*Requests.find(Which), Now)) {
+    refuse(Which, *Final, Out);
     return Which;
   }
-  WaitingBytes += Bytes;
-  Waiting.push_back(Which);
-  pump(Now, Out);
+  if (startNow(Which, Now, Out))
+    return Which;
+  if (const auto Final = refusalToWait(*Requests.find(Which), Now)) {
+    refuse(Which, *Final, Out);
+    return Which;
+  }
+  enqueue(Which);
   return Which;
 }
 
+std::optional<Verdict> Dispatcher::refusalAtOnce(const Request &Asked,
+                                                 TimePoint Now) const {
+  if (Asked.Item.Deadline <= Now)
+    return notRun(Reason::DeadlinePassed);
+  if (Crashes.standing(Asked.Item.Fingerprint, Now) == Standing::Quarantined)
+    return notRun(Reason::Quarantined);
+  if (emptyTooLong(Now))
+    return emptyVerdict();
+  return std::nullopt;
+}
+
+// Failure guarded against: the estimate is wrong, every request is refused by
+// it, and so it is never corrected. Only a request that has to wait is refused;
+// while an endpoint has room, requests go there and their answers correct it.
+std::optional<Verdict> Dispatcher::refusalToWait(const Request &Asked,
+                                                 TimePoint Now) const {
+  const WorkItem &Item = Asked.Item;
+  const Throughput Speed = Choice.throughput();
+  const Duration Wait =
+      Speed.known()
+          ? Queue.estimatedWait(Asked.Team, Item.Urgency, Item.Cost, Speed)
+          : Duration::zero();
+  if (const std::optional<Reason> Full = Queue.refusal(Asked.Team, Item.Bytes))
+    return notRun(*Full, Speed.known() ? retryAfter(Wait) : UnknownRetryAfter);
+  if (Speed.known() && Now + Wait > latestStart(Item))
+    return notRun(Reason::DeadlineTooShort, retryAfter(Wait));
+  return std::nullopt;
+}
+
+Duration Dispatcher::expectedService(const WorkItem &Item) const {
+  const double Seconds = Choice.throughput().SecondsPerCost * Item.Cost;
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(Seconds));
+}
+
+TimePoint Dispatcher::latestStart(const WorkItem &Item) const {
+  return Item.Deadline - std::chrono::duration_cast<Duration>(
+                             expectedService(Item) * ServiceMargin);
+}
+
+bool Dispatcher::emptyTooLong(TimePoint Now) const {
+  return EmptySince && *EmptySince + Options.NoEndpointHold <= Now;
+}
+
+Verdict Dispatcher::emptyVerdict() const {
+  const Reason Why =
+      Choice.size() == 0 ? Reason::NoEndpoint : Reason::Overloaded;
+  return notRun(Why, std::chrono::ceil<milliseconds>(Options.NoEndpointHold));
+}
+
+bool Dispatcher::startNow(Ticket Which, TimePoint Now, Commands &Out) {
+  Request &Asked = *Requests.find(Which);
+  if (!Queue.mayPass(Asked.Team) || !Choice.hasRoom())
+    return false;
+  const std::optional<CandidateId> To = chooseFor(Asked, Now);
+  if (!To)
+    return false;
+  Queue.pass(Asked.Team, Asked.Item.Cost);
+  Asked.InProgress = true;
+  send(Which, *To, Now, Out);
+  return true;
+}
+
+void Dispatcher::enqueue(Ticket Which) {
+  const Request &Asked = *Requests.find(Which);
+  const WorkItem &Item = Asked.Item;
+  Queue.push(Asked.Team, QueueItem{Which, Item.Urgency, latestStart(Item),
+                                   Item.Bytes, Item.Cost});
+}
+
+std::optional<CandidateId> Dispatcher::chooseFor(Request &Asked,
+                                                 TimePoint Now) {
+  const WorkItem &Item = Asked.Item;
+  Asked.Suspect = Crashes.standing(Item.Fingerprint, Now) == Standing::Suspect;
+  ChoiceQuery Query;
+  Query.PrefixHash = Item.PrefixHash;
+  Query.Cost = Item.Cost;
+  Query.Avoid = Asked.FailedAt;
+  Query.Suspect = Asked.Suspect;
+  Query.Repeatable = Item.Repeatable;
+  Query.Patience = Item.Deadline - Now;
+  return Choice.choose(Query, Now);
+}
+
+void Dispatcher::send(Ticket Which, CandidateId To, TimePoint Now,
+                      Commands &Out) {
+  Request &Asked = *Requests.find(Which);
+  const Candidate &Chosen = *Choice.candidate(To);
+  Asked.SentTo = To;
+  Asked.SentAt = Now;
+  Asked.SentRun = Chosen.Run;
+  if (Asked.Attempts++ == 0) {
+    Budget.firstSend(Chosen.DataCentre);
+    ++Counts.FirstSends;
+  } else {
+    ++Counts.Resends;
+  }
+  Out.emplace_back(SendCommand{Which, Chosen.Spec.Key});
+  Choice.sent(To, Asked.Suspect, Now);
+}
+
 void Dispatcher::finished(Ticket Which, const AttemptResult &Result,
                           TimePoint Now, Commands &Out) {
-  Request *const Known = Requests.find(Which);
-  if (Known == nullptr)
+  Request *const Asked = Requests.find(Which);
+  if (Asked == nullptr || !Asked->SentTo)
     return;
-  leave(Known->SentTo);
-  Known->SentTo.clear();
-  if (Result.Answered)
-    Requests.erase(Which);
-  else
-    refuse(Which, Verdict{Result.State, Result.Why, std::nullopt}, Out);
+  noteEvidence(*Asked, Result, Now);
+  endAttempt(*Asked, Result, Now);
+  if (Result.Answered) {
+    ++Counts.Answered;
+    forget(Which);
+  } else {
+    failed(Which, Result, Now, Out);
+  }
   pump(Now, Out);
 }
 
+void Dispatcher::endAttempt(Request &Asked, const AttemptResult &Result,
+                            TimePoint Now) {
+  EndedAttempt Ended;
+  Ended.Outcome = outcomeOf(Result);
+  Ended.PrefixHash = Asked.Item.PrefixHash;
+  Ended.Cost = Asked.Item.Cost;
+  Ended.Suspect = Asked.Suspect;
+  Ended.Total =
+      Result.Total > Duration::zero() ? Result.Total : Now - Asked.SentAt;
+  Asked.FailedAt = std::exchange(Asked.SentTo, std::nullopt);
+  Choice.ended(*Asked.FailedAt, Ended, Now);
+}
+
+void Dispatcher::noteEvidence(const Request &Asked, const AttemptResult &Result,
+                              TimePoint Now) {
+  const EndpointSpec &Spec = Choice.candidate(*Asked.SentTo)->Spec;
+  const std::uint64_t Fingerprint = Asked.Item.Fingerprint;
+  if (Result.Answered)
+    Crashes.answered(Spec.Key, Fingerprint, Asked.SentAt, Now);
+  else if (Result.ConnectionLost)
+    Crashes.lost(Spec.Key, Spec.DataCentre, Asked.SentRun,
+                 std::span(&Fingerprint, 1), Now);
+}
+
+void Dispatcher::failed(Ticket Which, const AttemptResult &Result,
+                        TimePoint Now, Commands &Out) {
+  Request &Asked = *Requests.find(Which);
+  Asked.State = laterOf(Asked.State, Result.State);
+  Asked.LastWhy = Result.Why;
+  if (Crashes.standing(Asked.Item.Fingerprint, Now) == Standing::Quarantined) {
+    refuse(Which, notRun(Reason::Quarantined), Out);
+    return;
+  }
+  const bool Again = mayRetry(Asked.Item, Result) &&
+                     Asked.Attempts < Options.Retries.MaxAttempts;
+  if (!Again || !holdForRetry(Which, Now))
+    refuse(Which, notRun(Result.Why), Out);
+}
+
+// Failure guarded against: thousands of requests fail at once and are held back
+// with their bodies, beside a queue that is full already.
+bool Dispatcher::mayHold(const Request &Asked) const {
+  return Held.size() < Options.MaxWaiting &&
+         Held.bytes() + Asked.Item.Bytes <= Options.MaxWaitingBytes;
+}
+
+bool Dispatcher::holdForRetry(Ticket Which, TimePoint Now) {
+  Request &Asked = *Requests.find(Which);
+  const Duration Left = latestStart(Asked.Item) - Now;
+  const std::optional<Duration> Delay =
+      retryDelay(Options.Retries, Asked.Delays, Left, Draw);
+  if (!Delay || !mayHold(Asked))
+    return false;
+  ++Asked.Delays;
+  Held.holdUntil(Which, Asked.Item.Bytes, Now + *Delay);
+  return true;
+}
+
+void Dispatcher::waitForBudget(Ticket Which, TimePoint Now, Commands &Out) {
+  Request &Asked = *Requests.find(Which);
+  Held.remove(Which);
+  if (Asked.BudgetWaits++ < Options.Retries.MaxBudgetWaits &&
+      holdForRetry(Which, Now))
+    return;
+  ++Counts.BudgetExhausted;
+  refuse(Which, notRun(Asked.LastWhy, UnknownRetryAfter), Out);
+}
+
 void Dispatcher::cancel(Ticket Which, TimePoint Now, Commands &Out) {
-  const std::optional<Request> Gone = Requests.erase(Which);
-  if (!Gone)
+  Request *const Gone = Requests.find(Which);
+  if (Gone == nullptr)
     return;
-  if (!Gone->SentTo.empty())
-    leave(Gone->SentTo);
-  if (std::erase(Waiting, Which) > 0)
-    WaitingBytes -= Gone->Item.Bytes;
+  if (Gone->SentTo) {
+    AttemptResult Result;
+    Result.Why = Reason::Cancelled;
+    endAttempt(*Gone, Result, Now);
+  }
+  Queue.remove(Which);
+  Held.remove(Which);
+  forget(Which);
   pump(Now, Out);
 }
 
-void Dispatcher::observe(const LoadReport & /*Report*/, TimePoint /*Now*/,
-                         Commands & /*Out*/) {}
+void Dispatcher::observe(const LoadReport &Report, TimePoint Now,
+                         Commands &Out) {
+  const std::optional<CandidateId> Which = Choice.find(Report.EndpointKey);
+  if (!Which)
+    return;
+  const Incarnation OldRun = Choice.candidate(*Which)->Run;
+  if (Choice.observe(*Which, Report, Now))
+    noteRestart(*Which, OldRun, Now);
+  pump(Now, Out);
+}
 
-void Dispatcher::advance(TimePoint Now, Commands &Out) {
-  std::erase_if(Waiting, [&](Ticket Which) {
-    const Request *const Known = Requests.find(Which);
-    if (Known->Item.Deadline > Now)
-      return false;
-    WaitingBytes -= Known->Item.Bytes;
-    refuse(Which,
-           Verdict{RunState::NotRun, Reason::DeadlinePassed, std::nullopt},
-           Out);
-    return true;
+void Dispatcher::noteRestart(CandidateId Which, Incarnation OldRun,
+                             TimePoint Now) {
+  std::vector<std::uint64_t> InFlight;
+  Requests.each([&](Ticket /*Each*/, const Request &Asked) {
+    if (Asked.SentTo == Which && Asked.SentRun == OldRun)
+      InFlight.push_back(Asked.Item.Fingerprint);
   });
+  if (InFlight.empty())
+    return;
+  const EndpointSpec &Spec = Choice.candidate(Which)->Spec;
+  Crashes.restarted(Spec.Key, Spec.DataCentre, OldRun, InFlight, Now);
+}
+
+void Dispatcher::observeCache(std::string_view EndpointKey,
+                              const CacheChange &Change, TimePoint Now) {
+  if (const std::optional<CandidateId> Which = Choice.find(EndpointKey))
+    Choice.observeCache(*Which, Change, Now);
+}
+
+std::vector<QuarantineNotice> Dispatcher::noticesOut(TimePoint Now) {
+  return Crashes.noticesOut(Now);
+}
+
+void Dispatcher::observeNotice(const QuarantineNotice &Told, TimePoint Now) {
+  Crashes.observe(Told, Now);
+}
+
+void Dispatcher::advance(TimePoint Now, Commands &Out) {
+  Choice.advance(Now);
+  pump(Now, Out);
+  refuseHopeless(Now, Out);
+  if (emptyTooLong(Now))
+    refuseAllWaiting(emptyVerdict(), Out);
 }
 
 std::optional<TimePoint> Dispatcher::nextWake() const {
   std::optional<TimePoint> Earliest;
-  for (const Ticket Which : Waiting) {
-    const TimePoint Deadline = Requests.find(Which)->Item.Deadline;
-    Earliest = Earliest ? std::min(*Earliest, Deadline) : Deadline;
-  }
+  const auto Consider = [&](std::optional<TimePoint> When) {
+    if (When && (!Earliest || *When < *Earliest))
+      Earliest = When;
+  };
+  if (waiting() == 0)
+    return Earliest;
+  Consider(Queue.earliestExpiry());
+  Consider(Held.earliest());
+  Consider(Choice.nextChange());
+  Consider(ShedAt);
+  if (EmptySince)
+    Consider(*EmptySince + Options.NoEndpointHold);
   return Earliest;
 }
 
-std::size_t Dispatcher::waiting() const noexcept { return Waiting.size(); }
+std::size_t Dispatcher::waiting() const noexcept {
+  return Queue.size() + Held.size();
+}
+
+void Dispatcher::pump(TimePoint Now, Commands &Out) {
+  watchCapacity(Now);
+  expire(Now, Out);
+  sendHeld(Now, Out);
+  sendWaiting(Now, Out);
+}
+
+void Dispatcher::expire(TimePoint Now, Commands &Out) {
+  while (const std::optional<Ticket> Which = Queue.popExpired(Now)) {
+    const bool Passed = Requests.find(*Which)->Item.Deadline <= Now;
+    refuse(*Which,
+           notRun(Passed ? Reason::DeadlinePassed : Reason::DeadlineTooShort),
+           Out);
+  }
+  while (const std::optional<Ticket> Which = Held.popDue(Now))
+    expireHeld(*Which, Now, Out);
+}
+
+void Dispatcher::expireHeld(Ticket Which, TimePoint Now, Commands &Out) {
+  const Request &Asked = *Requests.find(Which);
+  const TimePoint Latest = latestStart(Asked.Item);
+  if (Now < Latest) {
+    Held.holdReady(Which, Asked.Item.Bytes, Latest);
+    return;
+  }
+  const bool Passed = Asked.Item.Deadline <= Now;
+  const Reason Untried =
+      Passed ? Reason::DeadlinePassed : Reason::DeadlineTooShort;
+  refuse(Which, notRun(Asked.Attempts > 0 ? Asked.LastWhy : Untried), Out);
+}
 
-Dispatcher::Endpoint *Dispatcher::choose() {
-  Endpoint *Best = nullptr;
-  for (auto &[Key, Known] : Endpoints)
-    if (Known.Current && Known.InFlight < Known.Share &&
-        (Best == nullptr || Known.InFlight < Best->InFlight))
-      Best = &Known;
-  return Best;
+void Dispatcher::sendHeld(TimePoint Now, Commands &Out) {
+  std::size_t Misses = 0;
+  for (const Ticket Which : Held.ready(Held.readyCount())) {
+    if (Misses == MostMisses || !Choice.hasRoom())
+      return;
+    if (placeHeld(Which, Now, Out) == Placing::NoRoom)
+      ++Misses;
+  }
+}
+
+Dispatcher::Placing Dispatcher::placeHeld(Ticket Which, TimePoint Now,
+                                          Commands &Out) {
+  Request &Asked = *Requests.find(Which);
+  if (Crashes.standing(Asked.Item.Fingerprint, Now) == Standing::Quarantined) {
+    Held.remove(Which);
+    refuse(Which, notRun(Reason::Quarantined), Out);
+    return Placing::Done;
+  }
+  if (Asked.Attempts > 0 && !Budget.any()) {
+    waitForBudget(Which, Now, Out);
+    return Placing::Done;
+  }
+  const std::optional<CandidateId> To = chooseFor(Asked, Now);
+  if (!To)
+    return Placing::NoRoom;
+  if (Asked.Attempts > 0 && !Budget.take(Choice.candidate(*To)->DataCentre)) {
+    waitForBudget(Which, Now, Out);
+    return Placing::Done;
+  }
+  Held.remove(Which);
+  send(Which, *To, Now, Out);
+  return Placing::Done;
 }
 
-void Dispatcher::pump(TimePoint /*Now*/, Commands &Out) {
-  while (!Waiting.empty()) {
-    Endpoint *const To = choose();
-    if (To == nullptr)
+// Failure guarded against: a suspect that no endpoint fits at present keeps all
+// requests behind it waiting. It steps aside and the next one is tried.
+void Dispatcher::sendWaiting(TimePoint Now, Commands &Out) {
+  std::size_t Misses = 0;
+  while (Misses < MostMisses && Choice.hasRoom()) {
+    const std::optional<Ticket> Which = Queue.peek();
+    if (!Which)
       return;
-    const Ticket Which = Waiting.front();
-    Waiting.pop_front();
-    WaitingBytes -= Requests.find(Which)->Item.Bytes;
-    send(Which, *To, Out);
+    Request &Asked = *Requests.find(*Which);
+    const bool Barred =
+        Crashes.standing(Asked.Item.Fingerprint, Now) == Standing::Quarantined;
+    const std::optional<CandidateId> To =
+        Barred ? std::nullopt : chooseFor(Asked, Now);
+    if (!Barred && !To && !Asked.Suspect)
+      return;
+    Asked.InProgress = Queue.pop().has_value();
+    if (Barred) {
+      refuse(*Which, notRun(Reason::Quarantined), Out);
+    } else if (To) {
+      send(*Which, *To, Now, Out);
+    } else {
+      stepAside(*Which, Out);
+      ++Misses;
+    }
+  }
+}
+
+void Dispatcher::stepAside(Ticket Which, Commands &Out) {
+  const Request &Asked = *Requests.find(Which);
+  if (mayHold(Asked))
+    Held.holdReady(Which, Asked.Item.Bytes, latestStart(Asked.Item));
+  else
+    refuse(Which, notRun(Reason::Overloaded, UnknownRetryAfter), Out);
+}
+
+void Dispatcher::watchCapacity(TimePoint Now) {
+  if (Choice.usable())
+    EmptySince.reset();
+  else if (!EmptySince)
+    EmptySince = Now;
+  const double Slots = Choice.throughput().Slots;
+  if (Slots > ShedSlots)
+    ShedSlots = Slots;
+  if (Slots >= CapacityDrop * ShedSlots)
+    ShedAt.reset();
+  else if (!ShedAt)
+    ShedAt = Now + ShedDelay;
+}
+
+// Failure guarded against: half of the endpoints go, and callers whose requests
+// can no longer be served in time learn so at their deadline only.
+void Dispatcher::refuseHopeless(TimePoint Now, Commands &Out) {
+  if (!ShedAt || Now < *ShedAt)
+    return;
+  ShedAt.reset();
+  const Throughput Speed = Choice.throughput();
+  ShedSlots = Speed.Slots;
+  if (!Speed.known())
+    return;
+  for (const Ticket Which : Queue.hopeless(Speed, Now)) {
+    const Request &Asked = *Requests.find(Which);
+    const Duration Wait = Queue.estimatedWait(Asked.Team, Asked.Item.Urgency,
+                                              Asked.Item.Cost, Speed);
+    Queue.remove(Which);
+    refuse(Which, notRun(Reason::DeadlineTooShort, retryAfter(Wait)), Out);
   }
 }
 
-void Dispatcher::send(Ticket Which, Endpoint &To, Commands &Out) {
-  ++To.InFlight;
-  Requests.find(Which)->SentTo = To.Spec.Key;
-  Out.emplace_back(SendCommand{Which, To.Spec.Key});
+void Dispatcher::refuseAllWaiting(const Verdict &Final, Commands &Out) {
+  std::vector<Ticket> Gone = Held.all();
+  for (const Ticket Which : Gone)
+    Held.remove(Which);
+  for (const Ticket Which : Queue.all()) {
+    Queue.remove(Which);
+    Gone.push_back(Which);
+  }
+  for (const Ticket Which : Gone)
+    refuse(Which, Final, Out);
 }
 
+/// Ends a request that was not answered; its run state is the latest of all of
+/// its attempts.
 void Dispatcher::refuse(Ticket Which, Verdict Final, Commands &Out) {
-  Requests.erase(Which);
+  Final.State = laterOf(Final.State, Requests.find(Which)->State);
+  ++Counts.Refused;
+  Counts.RefusedTooShort += Final.Why == Reason::DeadlineTooShort ? 1U : 0U;
+  Counts.RefusedOverloaded += Final.Why == Reason::Overloaded ? 1U : 0U;
+  Counts.RefusedQuarantined += Final.Why == Reason::Quarantined ? 1U : 0U;
+  forget(Which);
   Out.emplace_back(RefuseCommand{Which, Final});
 }
 
-void Dispatcher::leave(const std::string &EndpointKey) {
-  const auto Found = Endpoints.find(EndpointKey);
-  if (Found == Endpoints.end())
-    return;
-  --Found->second.InFlight;
-  if (!Found->second.Current && Found->second.InFlight == 0)
-    Endpoints.erase(Found);
+void Dispatcher::forget(Ticket Which) {
+  const std::optional<Request> Gone = Requests.erase(Which);
+  if (Gone->InProgress)
+    Queue.ended(Gone->Team);
 }
 
 } // namespace coltsfoottrail
--- a/packages/request/src/coltsfoottrail/dispatch/dispatcher.hpp
+++ b/packages/request/src/coltsfoottrail/dispatch/dispatcher.hpp
@@ -4,14 +4,18 @@
 #ifndef COLTSFOOTTRAIL_DISPATCH_DISPATCHER_HPP
 #define COLTSFOOTTRAIL_DISPATCH_DISPATCHER_HPP
 
+#include "coltsfoottrail/choice/chooser.hpp"
 #include "coltsfoottrail/core/random.hpp"
+#include "coltsfoottrail/dispatch/held.hpp"
 #include "coltsfoottrail/dispatch/types.hpp"
+#include "coltsfoottrail/quarantine/quarantine.hpp"
+#include "coltsfoottrail/queues/fairqueue.hpp"
+#include "coltsfoottrail/retries/retry.hpp"
 #include "coltsfoottrail/route/table.hpp"
 
-#include <deque>
-#include <map>
 #include <optional>
 #include <string_view>
+#include <vector>
 
 namespace coltsfoottrail {
 
@@ -21,6 +25,26 @@
   std::size_t MaxWaiting = 4096;
   std::size_t MaxWaitingBytes = std::size_t{16} << 20U;
   std::uint64_t Seed = 1;
+  /// How endpoints are chosen; the estimated wait unless for comparisons.
+  ChoicePolicy Policy;
+  RetryLimits Retries;
+  QuarantineLimits Crashes;
+  /// How long requests are taken and held while no endpoint may be used.
+  Duration NoEndpointHold = seconds(2);
+};
+
+/// @brief What a dispatcher has done since its start.
+struct DispatchCounts {
+  std::uint64_t Submitted = 0;
+  std::uint64_t FirstSends = 0;
+  std::uint64_t Resends = 0;
+  std::uint64_t Answered = 0;
+  std::uint64_t Refused = 0;
+  std::uint64_t RefusedTooShort = 0;
+  std::uint64_t RefusedOverloaded = 0;
+  std::uint64_t RefusedQuarantined = 0;
+  /// Retries that were given up because the budget was used up.
+  std::uint64_t BudgetExhausted = 0;
 };
 
 /// @brief The decisions of one pool. Pure: takes events and times, answers
@@ -50,17 +74,26 @@
   void setShare(std::string_view EndpointKey, std::uint32_t Share,
                 TimePoint Now, Commands &Out);
 
+  /// @brief Sets what a team is entitled to; without it a team has weight 1.
+  /// @param Team The team.
+  /// @param Wanted Its weight and limit, both above zero.
+  /// @param Now The time.
+  /// @param Out Commands are added here.
+  void setTeam(const TeamName &Team, TeamShare Wanted, TimePoint Now,
+               Commands &Out);
+
   /// @brief Takes a request. Out gets at most one command for it now; the rest
-  /// comes later.
+  /// comes later. A request that by the estimated wait cannot make its deadline
+  /// is refused at once.
   /// @param Item The request.
   /// @param Now The time.
   /// @param Out Commands are added here.
   /// @return Names the request until its last command or release().
   [[nodiscard]] Ticket submit(WorkItem Item, TimePoint Now, Commands &Out);
 
-  /// @brief Tells how an attempt ended. Out gets another SendCommand or a
-  /// RefuseCommand for the ticket unless it was answered, and SendCommands for
-  /// those that waited.
+  /// @brief Tells how an attempt ended. Unless it was answered, a SendCommand
+  /// or a RefuseCommand for the ticket follows, now or from a later advance();
+  /// Out also gets SendCommands for those that waited.
   /// @param Which The request.
   /// @param Result How it ended.
   /// @param Now The time.
@@ -74,11 +107,27 @@
   /// @param Out Commands for others are added here.
   void cancel(Ticket Which, TimePoint Now, Commands &Out);
 
-  /// @brief Takes a load report.
+  /// @brief Takes a load report. A new run of the endpoint makes its learned
+  /// speed and cache void, and counts as a crash for what is in flight there.
   void observe(const LoadReport &Report, TimePoint Now, Commands &Out);
 
+  /// @brief Takes an event of an endpoint's prefix cache.
+  /// @param EndpointKey The endpoint; an unknown one is ignored.
+  /// @param Change What changed.
+  /// @param Now The time.
+  void observeCache(std::string_view EndpointKey, const CacheChange &Change,
+                    TimePoint Now);
+
+  /// @brief Hands out what the dispatchers of this pool on the other entry
+  /// hosts should be told by observeNotice(). Call it after finished() and
+  /// observe().
+  [[nodiscard]] std::vector<QuarantineNotice> noticesOut(TimePoint Now);
+
+  /// @brief Takes what a dispatcher of this pool on another entry host told.
+  void observeNotice(const QuarantineNotice &Told, TimePoint Now);
+
   /// @brief Does what time alone brings: refuses what can no longer make its
-  /// deadline.
+  /// deadline, sends again what was held back, tries ejected endpoints.
   /// @param Now The time.
   /// @param Out Commands are added here.
   void advance(TimePoint Now, Commands &Out);
@@ -86,33 +135,92 @@
   /// @brief When advance() should be called next, if no event comes before.
   [[nodiscard]] std::optional<TimePoint> nextWake() const;
 
-  /// @brief Requests that wait for an endpoint.
+  /// @brief Requests that wait for an endpoint or for their next attempt.
   [[nodiscard]] std::size_t waiting() const noexcept;
 
+  /// @brief What it has done since its start.
+  [[nodiscard]] const DispatchCounts &counts() const noexcept { return Counts; }
+  /// @brief Endpoints left out at present as slow or failing.
+  [[nodiscard]] std::size_t ejected() const noexcept {
+    return Choice.ejected();
+  }
+  /// @brief Requests suspected or refused for crashing endpoints.
+  [[nodiscard]] std::size_t suspects() const noexcept { return Crashes.size(); }
+
 private:
-  struct Endpoint {
-    EndpointSpec Spec;
-    std::uint32_t Share = 0;
-    std::uint32_t InFlight = 0;
-    bool Current = true;
-  };
   struct Request {
     WorkItem Item;
-    std::string SentTo;
+    TeamId Team;
+    /// Latest of all attempts so far.
+    RunState State = RunState::NotRun;
+    /// Why the last attempt failed.
+    Reason LastWhy = Reason::Internal;
+    std::uint32_t Attempts = 0;
+    std::uint32_t Delays = 0;
+    std::uint32_t BudgetWaits = 0;
+    /// Counted by the queue as in progress.
+    bool InProgress = false;
+    bool Suspect = false;
+    /// Where it is, while an attempt runs.
+    std::optional<CandidateId> SentTo;
+    /// Where the last attempt failed.
+    std::optional<CandidateId> FailedAt;
+    TimePoint SentAt;
+    Incarnation SentRun = 0;
   };
-
-  [[nodiscard]] Endpoint *choose();
+  enum class Placing : std::uint8_t { Done, NoRoom };
+
+  [[nodiscard]] std::optional<Verdict> refusalAtOnce(const Request &Asked,
+                                                     TimePoint Now) const;
+  [[nodiscard]] std::optional<Verdict> refusalToWait(const Request &Asked,
+                                                     TimePoint Now) const;
+  [[nodiscard]] Duration expectedService(const WorkItem &Item) const;
+  [[nodiscard]] TimePoint latestStart(const WorkItem &Item) const;
+  [[nodiscard]] bool emptyTooLong(TimePoint Now) const;
+  [[nodiscard]] Verdict emptyVerdict() const;
+
+  [[nodiscard]] bool startNow(Ticket Which, TimePoint Now, Commands &Out);
+  void enqueue(Ticket Which);
+  [[nodiscard]] std::optional<CandidateId> chooseFor(Request &Asked,
+                                                     TimePoint Now);
   void pump(TimePoint Now, Commands &Out);
-  void send(Ticket Which, Endpoint &To, Commands &Out);
+  void expire(TimePoint Now, Commands &Out);
+  void stepAside(Ticket Which, Commands &Out);
+  void expireHeld(Ticket Which, TimePoint Now, Commands &Out);
+  void sendHeld(TimePoint Now, Commands &Out);
+  void sendWaiting(TimePoint Now, Commands &Out);
+  [[nodiscard]] Placing placeHeld(Ticket Which, TimePoint Now, Commands &Out);
+  void send(Ticket Which, CandidateId To, TimePoint Now, Commands &Out);
+  [[nodiscard]] bool mayHold(const Request &Asked) const;
+  [[nodiscard]] bool holdForRetry(Ticket Which, TimePoint Now);
+  void waitForBudget(Ticket Which, TimePoint Now, Commands &Out);
+  void failed(Ticket Which, const AttemptResult &Result, TimePoint Now,
+              Commands &Out);
+  void endAttempt(Request &Asked, const AttemptResult &Result, TimePoint Now);
+  void noteEvidence(const Request &Asked, const AttemptResult &Result,
+                    TimePoint Now);
+  void noteRestart(CandidateId Which, Incarnation OldRun, TimePoint Now);
+
+  void watchCapacity(TimePoint Now);
+  void refuseHopeless(TimePoint Now, Commands &Out);
+  void refuseAllWaiting(const Verdict &Final, Commands &Out);
   void refuse(Ticket Which, Verdict Final, Commands &Out);
-  void leave(const std::string &EndpointKey);
+  void forget(Ticket Which);
 
   DispatcherOptions Options;
   Random Draw;
-  std::map<std::string, Endpoint, std::less<>> Endpoints;
+  Chooser Choice;
+  FairQueue Queue;
+  HeldRequests Held;
+  RetryBudget Budget;
+  Quarantine Crashes;
   SlotMap<Request, Ticket> Requests;
-  std::deque<Ticket> Waiting;
-  std::size_t WaitingBytes = 0;
+  DispatchCounts Counts;
+  /// Since when no endpoint may be used.
+  std::optional<TimePoint> EmptySince;
+  /// When the queue is looked through after endpoints went.
+  std::optional<TimePoint> ShedAt;
+  double ShedSlots = 0.0;
 };
 
 } // namespace coltsfoottrail
--- a/packages/request/src/coltsfoottrail/dispatch/fwd.hpp
+++ b/packages/request/src/coltsfoottrail/dispatch/fwd.hpp
@@ -19,7 +19,9 @@
 struct LoadReport;
 struct SendCommand;
 struct RefuseCommand;
+struct DispatchCounts;
 struct DispatcherOptions;
+class HeldRequests;
 class Dispatcher;
 
 } // namespace coltsfoottrail
--- a/packages/request/src/coltsfoottrail/quarantine/quarantine.cpp
+++ b/packages/request/src/coltsfoottrail/quarantine/quarantine.cpp
@@ -63,6 +63,7 @@
     Seen.Untold.push_back(Fingerprint);
     add(Which, Fingerprint);
   }
+  judgeMass(Which);
 }
 
 // Failure guarded against: requests that were sent to the new run just before
@@ -101,27 +102,44 @@
       Crash{std::string(EndpointKey), DataCentre, Run, At, {}, {}, false});
   Entry->second = Which;
   Order.push_back(Which);
-  dismissMass(DataCentre, At);
   return Which;
 }
 
 // Failure guarded against: a data centre goes dark, everything in flight there
 // is suspected, and after a second outage innocent requests are refused. Losses
-// of several endpoints of a data centre at once are no request's doing.
-void Quarantine::dismissMass(const DataCentreName &DataCentre, TimePoint At) {
+// of several endpoints of a data centre at once are no request's doing, unless
+// one request was present at most of them.
+void Quarantine::judgeMass(CrashId Which) {
+  Crash &Newest = *Crashes.find(Which);
+  if (Newest.Dismissed)
+    return;
   std::vector<Crash *> Together;
-  for (const CrashId Which : Order) {
-    Crash *const Each = Crashes.find(Which);
-    const Duration Apart = std::chrono::abs(At - Each->At);
-    if (Each->DataCentre == DataCentre && Apart <= Limits.MassWindow)
-      Together.push_back(Each);
+  for (const CrashId Each : Order) {
+    Crash *const Other = Crashes.find(Each);
+    if (Other->DataCentre == Newest.DataCentre &&
+        std::chrono::abs(Newest.At - Other->At) <= Limits.MassWindow)
+      Together.push_back(Other);
   }
   if (Together.size() < Limits.MassLosses)
     return;
+  const auto Before = static_cast<std::size_t>(
+      std::ranges::count(Together, true, &Crash::Dismissed));
+  if (Before < Limits.MassLosses && anyAtMost(Together))
+    return;
   for (Crash *const Each : Together)
     Each->Dismissed = true;
 }
 
+/// Whether some request was present at more than half of the crashes.
+bool Quarantine::anyAtMost(std::span<Crash *const> All) {
+  std::unordered_map<std::uint64_t, std::size_t> Times;
+  for (const Crash *const Each : All)
+    for (const std::uint64_t Fingerprint : Each->Present)
+      if (++Times[Fingerprint] * 2 > All.size())
+        return true;
+  return false;
+}
+
 void Quarantine::add(CrashId Which, std::uint64_t Fingerprint) {
   Suspect &Known = Suspects[Fingerprint];
   if (!Known.Crashes.empty())
@@ -201,6 +219,7 @@
     for (const std::uint64_t Fingerprint : Crashed->Fingerprints)
       if (Crashes.find(Which)->Present.insert(Fingerprint).second)
         add(Which, Fingerprint);
+    judgeMass(Which);
   } else if (const auto *const None = std::get_if<DismissNotice>(&Told)) {
     dismiss(None->EndpointKey);
   } else {
--- a/packages/request/src/coltsfoottrail/quarantine/quarantine.hpp
+++ b/packages/request/src/coltsfoottrail/quarantine/quarantine.hpp
@@ -37,7 +37,7 @@
   /// How long requests are refused that were at the same two crashes together.
   Duration UnsureLife = seconds(30);
   /// Endpoints of one data centre lost within MassWindow that make it an outage
-  /// of the data centre.
+  /// of the data centre, unless one request was at most of them.
   std::size_t MassLosses = 3;
   Duration MassWindow = seconds(2);
   std::size_t MaxFingerprints = 4096;
@@ -118,7 +118,8 @@
   [[nodiscard]] std::vector<const Crash *>
   liveCrashes(const Suspect &Known) const;
   [[nodiscard]] static bool aloneAt(std::span<const Crash *const> All);
-  void dismissMass(const DataCentreName &DataCentre, TimePoint At);
+  [[nodiscard]] static bool anyAtMost(std::span<Crash *const> All);
+  void judgeMass(CrashId Which);
   bool dismiss(std::string_view EndpointKey);
   void add(CrashId Which, std::uint64_t Fingerprint);
   void forget(std::uint64_t Fingerprint);
--- a/packages/request/src/coltsfoottrail/queues/fairqueue.cpp
+++ b/packages/request/src/coltsfoottrail/queues/fairqueue.cpp
@@ -113,17 +113,25 @@
   place(Which);
 }
 
-std::optional<Ticket> FairQueue::pop() {
+std::optional<Ticket> FairQueue::peek() const {
   if (Ready.empty())
     return std::nullopt;
+  const Team &Owner = at(Ready.begin()->second);
+  return Owner.Lines[nextClass(Owner)].Order.begin()->second;
+}
+
+std::optional<Ticket> FairQueue::pop() {
+  const std::optional<Ticket> Next = peek();
+  if (!Next)
+    return std::nullopt;
   const TeamId Which = Ready.begin()->second;
   Team &Owner = at(Which);
-  const Ticket Next = nextLine(Owner).Order.begin()->second;
-  const auto Entry = Items.find(Next);
-  const double Cost = Entry->second.Item.Cost;
+  const auto Entry = Items.find(*Next);
+  const QueueItem Item = Entry->second.Item;
+  passOver(Owner, static_cast<std::size_t>(Item.Urgency));
   unplace(Which);
   takeOut(Entry);
-  charge(Owner, Cost);
+  charge(Owner, Item.Cost);
   place(Which);
   return Next;
 }
@@ -131,7 +139,7 @@
 // Failure guarded against: a steady stream of urgent requests keeps a batch
 // request of the same team waiting until its deadline. After PassOverLimit
 // requests of higher priority the lower one goes first.
-FairQueue::Line &FairQueue::nextLine(Team &Owner) const {
+std::size_t FairQueue::nextClass(const Team &Owner) const {
   std::size_t Chosen = Classes;
   for (std::size_t Class = Classes; Class-- > 0;) {
     const Line &Candidate = Owner.Lines[Class];
@@ -140,11 +148,14 @@
     if (Chosen == Classes || Candidate.PassedOver >= Limits.PassOverLimit)
       Chosen = Class;
   }
+  return Chosen;
+}
+
+void FairQueue::passOver(Team &Owner, std::size_t Chosen) {
   for (std::size_t Class = 0; Class < Chosen; ++Class)
     if (!Owner.Lines[Class].Order.empty())
       ++Owner.Lines[Class].PassedOver;
   Owner.Lines[Chosen].PassedOver = 0;
-  return Owner.Lines[Chosen];
 }
 
 void FairQueue::charge(Team &Owner, double Cost) {
@@ -224,6 +235,14 @@
   return Found;
 }
 
+std::vector<Ticket> FairQueue::all() const {
+  std::vector<Ticket> Out;
+  Out.reserve(ByLatestStart.size());
+  for (const auto &[Key, Which] : ByLatestStart)
+    Out.push_back(Which);
+  return Out;
+}
+
 std::optional<TimePoint> FairQueue::earliestExpiry() const {
   if (ByLatestStart.empty())
     return std::nullopt;
--- a/packages/request/src/coltsfoottrail/queues/fairqueue.hpp
+++ b/packages/request/src/coltsfoottrail/queues/fairqueue.hpp
@@ -94,6 +94,9 @@
   /// @brief Adds a request. Precondition: refusal() gave nothing.
   void push(TeamId Which, const QueueItem &Item);
 
+  /// @brief Tells which request pop() would give.
+  [[nodiscard]] std::optional<Ticket> peek() const;
+
   /// @brief Takes the next request of the teams that are below their limit;
   /// counts it as in progress until ended().
   [[nodiscard]] std::optional<Ticket> pop();
@@ -122,6 +125,9 @@
   [[nodiscard]] std::vector<Ticket> hopeless(Throughput Speed,
                                              TimePoint Now) const;
 
+  /// @brief All that wait, by latest start.
+  [[nodiscard]] std::vector<Ticket> all() const;
+
   /// @brief When popExpired() has something next.
   [[nodiscard]] std::optional<TimePoint> earliestExpiry() const;
 
@@ -163,7 +169,8 @@
   [[nodiscard]] Team &at(TeamId Which);
   [[nodiscard]] const Team &at(TeamId Which) const;
   [[nodiscard]] static Line &lineOf(Team &Owner, Priority Urgency);
-  [[nodiscard]] Line &nextLine(Team &Owner) const;
+  [[nodiscard]] std::size_t nextClass(const Team &Owner) const;
+  static void passOver(Team &Owner, std::size_t Chosen);
   [[nodiscard]] double weightWaiting(const Team &Joining) const;
   [[nodiscard]] bool fits(std::size_t Held, std::size_t Total, std::size_t More,
                           std::size_t Max, double Part) const;
