--- a/packages/process/src/coltsfoottrail/server/callerrequest.cpp
+++ b/packages/process/src/coltsfoottrail/server/callerrequest.cpp
@@ -196,6 +196,7 @@
   Out.Item.Team = Out.Team.Name;
   Out.Item.Urgency = priorityOf(Asked);
   Out.Item.Deadline = deadlineOf(Asked, Limits, Now);
+  Out.AnswerBy = Out.Item.Deadline;
   Out.Item.Bytes = Asked.Body.size() + Asked.Target.size();
   Out.Item.Fingerprint =
       hashText(Asked.Body, hashText(Out.PoolName + Out.Forwarded.Target,
