--- a/packages/request/src/coltsfoottrail/choice/candidate.hpp
+++ b/packages/request/src/coltsfoottrail/choice/candidate.hpp
@@ -42,6 +42,7 @@
   std::uint64_t CacheSequence = 0;
   /// Kept by the table.
   std::uint32_t CountedSlots = 0;
+  std::uint32_t CountedFree = 0;
   std::uint32_t Position = 0;
   Listing Listed = Listing::None;
   bool IsNear = false;
--- a/packages/request/src/coltsfoottrail/choice/candidates.cpp
+++ b/packages/request/src/coltsfoottrail/choice/candidates.cpp
@@ -91,16 +91,25 @@
   return Endpoint.IsNear ? Listing::Near : Listing::Far;
 }
 
-void CandidateTable::relist(CandidateId Which) {
-  Candidate &Endpoint = *Known.find(Which);
+/// Brings the sums up to date.
+void CandidateTable::count(Candidate &Endpoint) {
   const bool Serving = Endpoint.Condition.state() == Health::State::Serving;
   const std::uint32_t Counted =
       Serving && Endpoint.Current ? Endpoint.Share : 0;
+  const std::uint32_t Room = Counted - std::min(Counted, Endpoint.Load.own());
   Slots += Counted;
   Slots -= Endpoint.CountedSlots;
+  Free += Room;
+  Free -= Endpoint.CountedFree;
   Usable += Counted > 0 ? 1U : 0U;
   Usable -= Endpoint.CountedSlots > 0 ? 1U : 0U;
   Endpoint.CountedSlots = Counted;
+  Endpoint.CountedFree = Room;
+}
+
+void CandidateTable::relist(CandidateId Which) {
+  Candidate &Endpoint = *Known.find(Which);
+  count(Endpoint);
   const Listing Wanted = listingOf(Endpoint);
   if (Wanted == Endpoint.Listed)
     return;
--- a/packages/request/src/coltsfoottrail/choice/candidates.hpp
+++ b/packages/request/src/coltsfoottrail/choice/candidates.hpp
@@ -53,6 +53,8 @@
   [[nodiscard]] std::span<const CandidateId> listed(Listing Where) const;
   /// @brief Shares of the endpoints that are not ejected, summed up.
   [[nodiscard]] std::uint64_t slots() const noexcept { return Slots; }
+  /// @brief Those of slots() that no own request takes.
+  [[nodiscard]] std::uint64_t freeSlots() const noexcept { return Free; }
   /// @brief Endpoints with a share that are not ejected.
   [[nodiscard]] std::uint64_t usable() const noexcept { return Usable; }
   /// @brief Data centres seen so far; they are numbered from zero.
@@ -67,6 +69,7 @@
   [[nodiscard]] std::uint32_t dataCentre(const DataCentreName &Name);
   [[nodiscard]] Ids &list(Listing Where);
   void add(const EndpointSpec &Spec);
+  void count(Candidate &Endpoint);
   void unlist(Candidate &Endpoint);
 
   DataCentreName Self;
@@ -78,6 +81,7 @@
   Ids Far;
   Ids Probes;
   std::uint64_t Slots = 0;
+  std::uint64_t Free = 0;
   std::uint64_t Usable = 0;
 };
 
--- a/packages/request/src/coltsfoottrail/choice/chooser.cpp
+++ b/packages/request/src/coltsfoottrail/choice/chooser.cpp
@@ -26,6 +26,11 @@
 /// How long a failing endpoint's probe waits for a repeatable request.
 constexpr Duration ProbeGrace = seconds(10);
 constexpr double LeastCost = 1e-9;
+/// Samples on both sides before the saving of a cached prefix is believed.
+constexpr double SavingEvidence = 20.0;
+/// A prefix is thought to save at least and at most this part.
+constexpr double LeastSaving = 0.1;
+constexpr double MostSaving = 0.7;
 
 double toSeconds(Duration Span) {
   return std::chrono::duration<double>(Span).count();
@@ -40,8 +45,8 @@
 
 Chooser::Chooser(DataCentreName Own, ChoicePolicy Wanted, std::uint64_t Seed)
     : Policy(Wanted), Draw(Seed), Table(std::move(Own)),
-      Outliers(settingsOf(Wanted).Ejection),
-      Hints(settingsOf(Wanted).HintSets) {}
+      Outliers(settingsOf(Wanted).Ejection), Hints(settingsOf(Wanted).HintSets),
+      Saving(settingsOf(Wanted).CacheSaving) {}
 
 void Chooser::configure(const Pool &Wanted) {
   for (const CandidateId Which : Table.configure(Wanted)) {
@@ -131,14 +136,18 @@
 void Chooser::considerHinted(const EstimatedWaitPolicy &Chosen,
                              const ChoiceQuery &Query, TimePoint Now,
                              Best &Found) const {
-  for (const PrefixHints::Hint &Hint : Hints.setOf(Query.PrefixHash)) {
-    if (Hint.PrefixHash != Query.PrefixHash || Hint.Expires <= Now)
-      continue;
-    const Candidate *const Endpoint = Table.find(Hint.Where);
-    if (Endpoint != nullptr && Endpoint->HintEpoch == Hint.Epoch &&
-        mayCache(*Endpoint, Chosen))
-      consider(Hint.Where, Chosen.CacheSaving, Chosen, Query, Now, Found);
-  }
+  for (const PrefixHints::Hint &Hint : Hints.setOf(Query.PrefixHash))
+    if (hintHolds(Hint, Query.PrefixHash, Now) &&
+        mayCache(*Table.find(Hint.Where), Chosen))
+      consider(Hint.Where, Saving, Chosen, Query, Now, Found);
+}
+
+bool Chooser::hintHolds(const PrefixHints::Hint &Hint, std::uint64_t PrefixHash,
+                        TimePoint Now) const {
+  if (Hint.PrefixHash != PrefixHash || Hint.Expires <= Now)
+    return false;
+  const Candidate *const Endpoint = Table.find(Hint.Where);
+  return Endpoint != nullptr && Endpoint->HintEpoch == Hint.Epoch;
 }
 
 void Chooser::considerRing(const EstimatedWaitPolicy &Chosen,
@@ -146,11 +155,11 @@
                            Best &Found) const {
   if (!Chosen.UseRing)
     return;
-  const double Saving = Chosen.CacheSaving * RingCertainty;
+  const double Expected = Saving * RingCertainty;
   Ring.at(Query.PrefixHash, RingSteps, [&](CandidateId Which) {
     if (!eligible(Which, Query) || !mayCache(*Table.find(Which), Chosen))
       return false;
-    consider(Which, Saving, Chosen, Query, Now, Found);
+    consider(Which, Expected, Chosen, Query, Now, Found);
     return true;
   });
 }
@@ -270,12 +279,18 @@
   return Least ? Least : anyEligible(Query);
 }
 
-void Chooser::sent(CandidateId Which, bool Suspect, TimePoint Now) {
+bool Chooser::sent(CandidateId Which, const ChoiceQuery &Query, TimePoint Now) {
   Candidate &Endpoint = *Table.find(Which);
   Endpoint.Load.sent(Now);
-  Endpoint.Suspects += Suspect ? 1U : 0U;
+  Endpoint.Suspects += Query.Suspect ? 1U : 0U;
   ++OwnTotal;
   Table.relist(Which);
+  if (Query.PrefixHash == 0)
+    return false;
+  return std::ranges::any_of(
+      Hints.setOf(Query.PrefixHash), [&](const PrefixHints::Hint &Hint) {
+        return Hint.Where == Which && hintHolds(Hint, Query.PrefixHash, Now);
+      });
 }
 
 void Chooser::ended(CandidateId Which, const EndedAttempt &Attempt,
@@ -307,6 +322,8 @@
   switch (Attempt.Outcome) {
   case AttemptOutcome::Answered:
     learnAnswer(Endpoint, Seconds, Now);
+    if (Attempt.PrefixHash != 0)
+      learnSaving(Seconds, Attempt.Hinted, Now);
     break;
   case AttemptOutcome::Failed:
     Endpoint.Failures.record(1.0, Now);
@@ -338,6 +355,18 @@
   Endpoint.Condition.answered();
 }
 
+void Chooser::learnSaving(double Seconds, bool Hinted, TimePoint Now) {
+  const auto *const Chosen = std::get_if<EstimatedWaitPolicy>(&Policy);
+  if (Chosen == nullptr || !Chosen->LearnSaving)
+    return;
+  (Hinted ? HintedService : OtherService).record(Seconds, Now);
+  if (HintedService.weight(Now) < SavingEvidence ||
+      OtherService.weight(Now) < SavingEvidence)
+    return;
+  const double Saved = 1.0 - HintedService.mean() / OtherService.mean();
+  Saving = std::clamp(Saved, LeastSaving, MostSaving);
+}
+
 void Chooser::hint(CandidateId Which, std::uint64_t PrefixHash, Duration Life,
                    TimePoint Now) {
   if (PrefixHash == 0)
@@ -374,9 +403,10 @@
   return Restarted;
 }
 
-// Failure guarded against: events of a prefix that went out of an endpoint's
-// cache are lost, and its requests keep going there for nothing. A gap in the
-// sequence voids all of the endpoint's hints.
+// Failure guarded against: the feed of an endpoint's cache events was cut, its
+// cache has turned over meanwhile, and requests go on to where their prefix
+// was. A long gap in the sequence voids all of its hints. After a short gap
+// most are still right, and a wrong one costs a cache miss at most.
 void Chooser::observeCache(CandidateId Which, const CacheChange &Change,
                            TimePoint Now) {
   Candidate *const Endpoint = Table.find(Which);
@@ -384,10 +414,11 @@
   if (Endpoint == nullptr || Chosen == nullptr ||
       Change.Sequence <= Endpoint->CacheSequence)
     return;
-  const bool Gap = Endpoint->CacheSequence != 0 &&
-                   Change.Sequence != Endpoint->CacheSequence + 1;
+  const std::uint64_t Lost = Endpoint->CacheSequence != 0
+                                 ? Change.Sequence - Endpoint->CacheSequence - 1
+                                 : 0;
   Endpoint->CacheSequence = Change.Sequence;
-  if (Gap && Chosen->ForgetOnGap)
+  if (Lost >= Chosen->ForgetGap)
     ++Endpoint->HintEpoch;
   if (Change.Added)
     hint(Which, Change.PrefixHash, Chosen->EventHintLife, Now);
--- a/packages/request/src/coltsfoottrail/choice/chooser.hpp
+++ b/packages/request/src/coltsfoottrail/choice/chooser.hpp
@@ -48,6 +48,8 @@
   std::uint64_t PrefixHash = 0;
   double Cost = 1.0;
   bool Suspect = false;
+  /// What sent() told.
+  bool Hinted = false;
   /// From send to end.
   Duration Total{};
 };
@@ -83,7 +85,8 @@
                                                   TimePoint Now);
 
   /// @brief Notes that a request goes to an endpoint.
-  void sent(CandidateId Which, bool Suspect, TimePoint Now);
+  /// @return Whether the endpoint was thought to have its prefix cached.
+  bool sent(CandidateId Which, const ChoiceQuery &Query, TimePoint Now);
 
   /// @brief Notes that a request ended there.
   void ended(CandidateId Which, const EndedAttempt &Attempt, TimePoint Now);
@@ -120,6 +123,12 @@
   [[nodiscard]] std::size_t ejected() const noexcept {
     return Outliers.ejected();
   }
+  /// @brief Part of the service that a cached prefix saves, as learned.
+  [[nodiscard]] double cacheSaving() const noexcept { return Saving; }
+  /// @brief Own requests that could be sent at once.
+  [[nodiscard]] std::uint64_t freeSlots() const noexcept {
+    return Table.freeSlots();
+  }
   /// @brief How fast the pool serves this entry host.
   [[nodiscard]] Throughput throughput() const noexcept;
 
@@ -167,6 +176,9 @@
 
   void learn(Candidate &Endpoint, const EndedAttempt &Attempt, TimePoint Now);
   void learnAnswer(Candidate &Endpoint, double Seconds, TimePoint Now);
+  void learnSaving(double Seconds, bool Hinted, TimePoint Now);
+  [[nodiscard]] bool hintHolds(const PrefixHints::Hint &Hint,
+                               std::uint64_t PrefixHash, TimePoint Now) const;
   void hint(CandidateId Which, std::uint64_t PrefixHash, Duration Life,
             TimePoint Now);
 
@@ -179,6 +191,11 @@
   /// Recent failures of each data centre.
   std::vector<LatencyModel> Failures;
   LatencyModel Service = poolService();
+  /// The same for requests whose prefix was thought cached, and for others.
+  LatencyModel HintedService = poolService();
+  LatencyModel OtherService = poolService();
+  /// Part of the service that a cached prefix saves, as learned.
+  double Saving;
   /// Own requests in progress.
   std::uint64_t OwnTotal = 0;
   std::size_t Cursor = 0;
--- a/packages/request/src/coltsfoottrail/choice/policy.hpp
+++ b/packages/request/src/coltsfoottrail/choice/policy.hpp
@@ -43,8 +43,10 @@
   std::uint32_t FarProbes = 2;
   /// Added for an endpoint in another data centre.
   Duration FarPenalty = milliseconds(2);
-  /// Part of the service that a cached prefix saves.
+  /// Part of the service that a cached prefix saves, until it is learned.
   double CacheSaving = 0.3;
+  /// Whether the saving is learned from the answers.
+  bool LearnSaving = true;
   /// Cached candidates are passed over above this factor of the mean load.
   double LoadFactor = 1.25;
   /// Life of a hint from a cache event.
@@ -53,8 +55,8 @@
   Duration OwnHintLife = seconds(30);
   /// Sets of four hints each; a power of two.
   std::uint32_t HintSets = 4096;
-  /// Whether a gap in an endpoint's cache events drops its hints.
-  bool ForgetOnGap = true;
+  /// Cache events lost at a time from which an endpoint's hints are dropped.
+  std::uint64_t ForgetGap = 16;
   /// Whether a prefix without a hint goes to its place on the hash ring.
   bool UseRing = true;
   EjectionLimits Ejection;
--- a/packages/request/src/coltsfoottrail/dispatch/dispatcher.cpp
+++ b/packages/request/src/coltsfoottrail/dispatch/dispatcher.cpp
@@ -10,9 +10,6 @@
 constexpr milliseconds ShortestRetryAfter{100};
 constexpr milliseconds LongestRetryAfter{30000};
 constexpr milliseconds UnknownRetryAfter{500};
-/// Part of the mean time of service that must be left at the start; half of the
-/// requests take less than the median, so the whole mean would refuse too many.
-constexpr double ServiceMargin = 0.5;
 /// Requests tried in a row that no endpoint with room fits.
 constexpr std::size_t MostMisses = 8;
 /// Capacity that has fallen below this part makes the queue be looked through.
@@ -53,6 +50,7 @@
   QueueLimits Out;
   Out.MaxWaiting = Limits.MaxWaiting;
   Out.MaxBytes = Limits.MaxWaitingBytes;
+  Out.KeptPlaces = Limits.KeptPlaces;
   return Out;
 }
 
@@ -129,7 +127,7 @@
           : Duration::zero();
   if (const std::optional<Reason> Full = Queue.refusal(Asked.Team, Item.Bytes))
     return notRun(*Full, Speed.known() ? retryAfter(Wait) : UnknownRetryAfter);
-  if (Speed.known() && Now + Wait > latestStart(Item))
+  if (Speed.known() && Now + Wait > latestStart(Asked))
     return notRun(Reason::DeadlineTooShort, retryAfter(Wait));
   return std::nullopt;
 }
@@ -140,9 +138,14 @@
       std::chrono::duration<double>(Seconds));
 }
 
-TimePoint Dispatcher::latestStart(const WorkItem &Item) const {
-  return Item.Deadline - std::chrono::duration_cast<Duration>(
-                             expectedService(Item) * ServiceMargin);
+TimePoint Dispatcher::latestStart(const WorkItem &Item, double Margin) const {
+  return Item.Deadline -
+         std::chrono::duration_cast<Duration>(expectedService(Item) * Margin);
+}
+
+TimePoint Dispatcher::latestStart(const Request &Asked) const {
+  return latestStart(Asked.Item, Asked.Attempts > 0 ? Options.RetryMargin
+                                                    : Options.ServiceMargin);
 }
 
 bool Dispatcher::emptyTooLong(TimePoint Now) const {
@@ -171,14 +174,12 @@
 void Dispatcher::enqueue(Ticket Which) {
   const Request &Asked = *Requests.find(Which);
   const WorkItem &Item = Asked.Item;
-  Queue.push(Asked.Team, QueueItem{Which, Item.Urgency, latestStart(Item),
+  Queue.push(Asked.Team, QueueItem{Which, Item.Urgency, latestStart(Asked),
                                    Item.Bytes, Item.Cost});
 }
 
-std::optional<CandidateId> Dispatcher::chooseFor(Request &Asked,
-                                                 TimePoint Now) {
+ChoiceQuery Dispatcher::queryOf(const Request &Asked, TimePoint Now) const {
   const WorkItem &Item = Asked.Item;
-  Asked.Suspect = Crashes.standing(Item.Fingerprint, Now) == Standing::Suspect;
   ChoiceQuery Query;
   Query.PrefixHash = Item.PrefixHash;
   Query.Cost = Item.Cost;
@@ -186,7 +187,14 @@
   Query.Suspect = Asked.Suspect;
   Query.Repeatable = Item.Repeatable;
   Query.Patience = Item.Deadline - Now;
-  return Choice.choose(Query, Now);
+  return Query;
+}
+
+std::optional<CandidateId> Dispatcher::chooseFor(Request &Asked,
+                                                 TimePoint Now) {
+  Asked.Suspect =
+      Crashes.standing(Asked.Item.Fingerprint, Now) == Standing::Suspect;
+  return Choice.choose(queryOf(Asked, Now), Now);
 }
 
 void Dispatcher::send(Ticket Which, CandidateId To, TimePoint Now,
@@ -203,7 +211,8 @@
     ++Counts.Resends;
   }
   Out.emplace_back(SendCommand{Which, Chosen.Spec.Key});
-  Choice.sent(To, Asked.Suspect, Now);
+  Asked.Hinted = Choice.sent(To, queryOf(Asked, Now), Now);
+  countPlaces();
 }
 
 void Dispatcher::finished(Ticket Which, const AttemptResult &Result,
@@ -229,6 +238,7 @@
   Ended.PrefixHash = Asked.Item.PrefixHash;
   Ended.Cost = Asked.Item.Cost;
   Ended.Suspect = Asked.Suspect;
+  Ended.Hinted = Asked.Hinted;
   Ended.Total =
       Result.Total > Duration::zero() ? Result.Total : Now - Asked.SentAt;
   Asked.FailedAt = std::exchange(Asked.SentTo, std::nullopt);
@@ -270,7 +280,7 @@
 
 bool Dispatcher::holdForRetry(Ticket Which, TimePoint Now) {
   Request &Asked = *Requests.find(Which);
-  const Duration Left = latestStart(Asked.Item) - Now;
+  const Duration Left = latestStart(Asked) - Now;
   const std::optional<Duration> Delay =
       retryDelay(Options.Retries, Asked.Delays, Left, Draw);
   if (!Delay || !mayHold(Asked))
@@ -392,7 +402,7 @@
 
 void Dispatcher::expireHeld(Ticket Which, TimePoint Now, Commands &Out) {
   const Request &Asked = *Requests.find(Which);
-  const TimePoint Latest = latestStart(Asked.Item);
+  const TimePoint Latest = latestStart(Asked);
   if (Now < Latest) {
     Held.holdReady(Which, Asked.Item.Bytes, Latest);
     return;
@@ -464,10 +474,15 @@
   }
 }
 
+void Dispatcher::countPlaces() {
+  Queue.setPlaces(Choice.throughput().Slots,
+                  static_cast<double>(Choice.freeSlots()));
+}
+
 void Dispatcher::stepAside(Ticket Which, Commands &Out) {
   const Request &Asked = *Requests.find(Which);
   if (mayHold(Asked))
-    Held.holdReady(Which, Asked.Item.Bytes, latestStart(Asked.Item));
+    Held.holdReady(Which, Asked.Item.Bytes, latestStart(Asked));
   else
     refuse(Which, notRun(Reason::Overloaded, UnknownRetryAfter), Out);
 }
@@ -478,6 +493,7 @@
   else if (!EmptySince)
     EmptySince = Now;
   const double Slots = Choice.throughput().Slots;
+  countPlaces();
   if (Slots > ShedSlots)
     ShedSlots = Slots;
   if (Slots >= CapacityDrop * ShedSlots)
--- a/packages/request/src/coltsfoottrail/dispatch/dispatcher.hpp
+++ b/packages/request/src/coltsfoottrail/dispatch/dispatcher.hpp
@@ -25,10 +25,18 @@
   std::size_t MaxWaiting = 4096;
   std::size_t MaxWaitingBytes = std::size_t{16} << 20U;
   std::uint64_t Seed = 1;
+  /// Places that teams above their share leave free, for each place that the
+  /// others take within theirs.
+  double KeptPlaces = 2.0;
   /// How endpoints are chosen; the estimated wait unless for comparisons.
   ChoicePolicy Policy;
   RetryLimits Retries;
   QuarantineLimits Crashes;
+  /// Times the mean time of service that must be left when a request starts
+  /// after a wait; less, and many run to their deadline for nothing.
+  double ServiceMargin = 2.0;
+  /// The same for the start of a retry, which stands before an idle endpoint.
+  double RetryMargin = 0.5;
   /// How long requests are taken and held while no endpoint may be used.
   Duration NoEndpointHold = seconds(2);
 };
@@ -161,6 +169,8 @@
     /// Counted by the queue as in progress.
     bool InProgress = false;
     bool Suspect = false;
+    /// Sent to an endpoint that was thought to have its prefix.
+    bool Hinted = false;
     /// Where it is, while an attempt runs.
     std::optional<CandidateId> SentTo;
     /// Where the last attempt failed.
@@ -175,12 +185,15 @@
   [[nodiscard]] std::optional<Verdict> refusalToWait(const Request &Asked,
                                                      TimePoint Now) const;
   [[nodiscard]] Duration expectedService(const WorkItem &Item) const;
-  [[nodiscard]] TimePoint latestStart(const WorkItem &Item) const;
+  [[nodiscard]] TimePoint latestStart(const WorkItem &Item,
+                                      double Margin) const;
+  [[nodiscard]] TimePoint latestStart(const Request &Asked) const;
   [[nodiscard]] bool emptyTooLong(TimePoint Now) const;
   [[nodiscard]] Verdict emptyVerdict() const;
 
   [[nodiscard]] bool startNow(Ticket Which, TimePoint Now, Commands &Out);
   void enqueue(Ticket Which);
+  [[nodiscard]] ChoiceQuery queryOf(const Request &Asked, TimePoint Now) const;
   [[nodiscard]] std::optional<CandidateId> chooseFor(Request &Asked,
                                                      TimePoint Now);
   void pump(TimePoint Now, Commands &Out);
@@ -201,6 +214,7 @@
                     TimePoint Now);
   void noteRestart(CandidateId Which, Incarnation OldRun, TimePoint Now);
 
+  void countPlaces();
   void watchCapacity(TimePoint Now);
   void refuseHopeless(TimePoint Now, Commands &Out);
   void refuseAllWaiting(const Verdict &Final, Commands &Out);
--- a/packages/request/src/coltsfoottrail/queues/fairqueue.cpp
+++ b/packages/request/src/coltsfoottrail/queues/fairqueue.cpp
@@ -43,6 +43,8 @@
   Team &Owner = at(Which);
   if (Owner.Waiting > 0)
     WaitingWeight += Wanted.Weight - Owner.Share.Weight;
+  if (Owner.Active)
+    ActiveWeight += Wanted.Weight - Owner.Share.Weight;
   Owner.Share = Wanted;
   if (Owner.InFlight >= Wanted.MaxInFlight)
     unplace(Which);
@@ -110,13 +112,64 @@
   Owner.Bytes += Item.Bytes;
   if (Owner.Waiting++ == 0)
     WaitingWeight += Owner.Share.Weight;
+  setActive(Owner);
   place(Which);
 }
 
-std::optional<Ticket> FairQueue::peek() const {
-  if (Ready.empty())
+/// Places that a team may take without regard to others: some more than its
+/// share, since all teams' requests come unevenly.
+double FairQueue::fairPlaces(const Team &Owner) const {
+  const double Share = Places * Owner.Share.Weight / ActiveWeight;
+  return std::max(1.0, Limits.ShareSlack * Share);
+}
+
+bool FairQueue::isAbove(const Team &Owner) const {
+  return Places > 0.0 && ActiveCount > 1 && Owner.InFlight >= fairPlaces(Owner);
+}
+
+/// Whether a team above its share has to leave the free places to the others.
+bool FairQueue::mustLeave(const Team &Owner) const {
+  const double Kept = std::min(Limits.KeptPlaces * (InShare - Owner.InShare),
+                               Limits.MostKept * Places);
+  return FreePlaces <= Kept;
+}
+
+/// Brings the requests in progress within their team's share up to date.
+void FairQueue::countInShare(Team &Owner) {
+  InShare -= Owner.InShare;
+  Owner.InShare = Owner.InFlight;
+  if (isAbove(Owner))
+    Owner.InShare = fairPlaces(Owner);
+  InShare += Owner.InShare;
+}
+
+// Failure guarded against: a team at ten times its share takes every place the
+// moment it is free. The others' requests start soon, but only where a place
+// happens to be, on endpoints that are full and do not have their prefix, and
+// their times double. A team above its share leaves as many places free as the
+// others take.
+std::optional<TeamId> FairQueue::nextTeam() {
+  while (!Within.empty()) {
+    const TeamId Which = Within.begin()->second;
+    if (!isAbove(at(Which)))
+      break;
+    const auto Moved = Within.extract(Within.begin());
+    Above.insert(Moved.value());
+    at(Which).Stands = Standing::Above;
+  }
+  const bool MayAbove = !Above.empty() && !mustLeave(at(Above.begin()->second));
+  if (MayAbove && (Within.empty() || *Above.begin() < *Within.begin()))
+    return Above.begin()->second;
+  if (Within.empty())
     return std::nullopt;
-  const Team &Owner = at(Ready.begin()->second);
+  return Within.begin()->second;
+}
+
+std::optional<Ticket> FairQueue::peek() {
+  const std::optional<TeamId> Which = nextTeam();
+  if (!Which)
+    return std::nullopt;
+  const Team &Owner = at(*Which);
   return Owner.Lines[nextClass(Owner)].Order.begin()->second;
 }
 
@@ -124,7 +177,7 @@
   const std::optional<Ticket> Next = peek();
   if (!Next)
     return std::nullopt;
-  const TeamId Which = Ready.begin()->second;
+  const TeamId Which = Items.at(*Next).Owner;
   Team &Owner = at(Which);
   const auto Entry = Items.find(*Next);
   const QueueItem Item = Entry->second.Item;
@@ -163,6 +216,23 @@
   VirtualTime = std::max(VirtualTime, Start);
   Owner.Finish = Start + Cost / Owner.Share.Weight;
   ++Owner.InFlight;
+  setActive(Owner);
+  countInShare(Owner);
+}
+
+/// Brings the weight of the active teams up to date.
+void FairQueue::setActive(Team &Owner) {
+  const bool Active = Owner.Waiting > 0 || Owner.InFlight > 0;
+  if (Active == Owner.Active)
+    return;
+  Owner.Active = Active;
+  if (Active) {
+    ActiveWeight += Owner.Share.Weight;
+    ++ActiveCount;
+    return;
+  }
+  --ActiveCount;
+  ActiveWeight = ActiveCount == 0 ? 0.0 : ActiveWeight - Owner.Share.Weight;
 }
 
 void FairQueue::takeOut(std::unordered_map<Ticket, Waiting>::iterator Entry) {
@@ -180,6 +250,7 @@
   if (--Owner.Waiting == 0) {
     WaitingWeight -= Owner.Share.Weight;
     unplace(Which);
+    setActive(Owner);
   }
   if (Items.empty()) {
     WaitingWeight = 0.0;
@@ -187,15 +258,21 @@
   }
 }
 
-bool FairQueue::mayPass(TeamId Which) const {
+bool FairQueue::mayPass(TeamId Which) {
   const Team &Owner = at(Which);
-  return Ready.empty() && Owner.InFlight < Owner.Share.MaxInFlight;
+  const bool Kept = Owner.Active && isAbove(Owner) && mustLeave(Owner);
+  return !Kept && !nextTeam() && Owner.InFlight < Owner.Share.MaxInFlight;
 }
 
 void FairQueue::pass(TeamId Which, double Cost) { charge(at(Which), Cost); }
 
 void FairQueue::ended(TeamId Which) {
-  --at(Which).InFlight;
+  Team &Owner = at(Which);
+  --Owner.InFlight;
+  setActive(Owner);
+  countInShare(Owner);
+  if (Owner.Stands == Standing::Above)
+    unplace(Which);
   place(Which);
 }
 
@@ -255,20 +332,22 @@
 
 void FairQueue::place(TeamId Which) {
   Team &Owner = at(Which);
-  if (Owner.InReady || Owner.Waiting == 0 ||
+  if (Owner.Stands != Standing::Out || Owner.Waiting == 0 ||
       Owner.InFlight >= Owner.Share.MaxInFlight)
     return;
+  const bool IsAbove = isAbove(Owner);
   Owner.Start = std::max(VirtualTime, Owner.Finish);
-  Owner.InReady = true;
-  Ready.emplace(Owner.Start, Which);
+  Owner.Stands = IsAbove ? Standing::Above : Standing::Within;
+  (IsAbove ? Above : Within).emplace(Owner.Start, Which);
 }
 
 void FairQueue::unplace(TeamId Which) {
   Team &Owner = at(Which);
-  if (!Owner.InReady)
+  if (Owner.Stands == Standing::Out)
     return;
-  Ready.erase({Owner.Start, Which});
-  Owner.InReady = false;
+  (Owner.Stands == Standing::Above ? Above : Within)
+      .erase({Owner.Start, Which});
+  Owner.Stands = Standing::Out;
 }
 
 } // namespace coltsfoottrail
--- a/packages/request/src/coltsfoottrail/queues/fairqueue.hpp
+++ b/packages/request/src/coltsfoottrail/queues/fairqueue.hpp
@@ -31,6 +31,13 @@
   /// How often a request of a lower priority is passed over by higher ones of
   /// its team before it goes first.
   std::uint32_t PassOverLimit = 8;
+  /// Places that teams above their share leave free, for each place that the
+  /// others take within theirs.
+  double KeptPlaces = 2.0;
+  /// Times its share of the places from which a team counts as above it.
+  double ShareSlack = 1.5;
+  /// Most places that are left free so, as a part of all.
+  double MostKept = 0.5;
 };
 
 /// @brief A request that waits.
@@ -75,6 +82,13 @@
   /// @param Wanted Weight and limit, both above zero.
   void setTeam(TeamId Which, TeamShare Wanted);
 
+  /// @brief Tells how many requests the endpoints bear at once, and how many of
+  /// these places are free. Until it is told, no place is kept.
+  void setPlaces(double Count, double Free) noexcept {
+    Places = Count;
+    FreePlaces = Free;
+  }
+
   /// @brief Tells whether a request would be refused for want of room.
   /// @param Which Its team.
   /// @param Bytes Its size.
@@ -95,7 +109,7 @@
   void push(TeamId Which, const QueueItem &Item);
 
   /// @brief Tells which request pop() would give.
-  [[nodiscard]] std::optional<Ticket> peek() const;
+  [[nodiscard]] std::optional<Ticket> peek();
 
   /// @brief Takes the next request of the teams that are below their limit;
   /// counts it as in progress until ended().
@@ -103,7 +117,7 @@
 
   /// @brief Tells whether a request of the team may start without waiting:
   /// nothing that could start waits, and the team is below its limit.
-  [[nodiscard]] bool mayPass(TeamId Which) const;
+  [[nodiscard]] bool mayPass(TeamId Which);
 
   /// @brief Charges a request that starts without waiting and counts it as in
   /// progress until ended().
@@ -131,9 +145,6 @@
   /// @brief When popExpired() has something next.
   [[nodiscard]] std::optional<TimePoint> earliestExpiry() const;
 
-  /// @brief Tells whether pop() would give something.
-  [[nodiscard]] bool ready() const noexcept { return !Ready.empty(); }
-
   [[nodiscard]] std::size_t size() const noexcept { return Items.size(); }
   [[nodiscard]] std::size_t bytes() const noexcept { return Bytes; }
   /// @brief Requests of a team in progress.
@@ -142,6 +153,10 @@
 private:
   static constexpr std::size_t Classes = 3;
 
+  /// Which list of teams that could start a request one stands in.
+  enum class Standing : std::uint8_t { Out, Within, Above };
+  using ReadyTeams = std::set<std::pair<double, TeamId>>;
+
   struct Line {
     /// By order of arrival.
     std::map<std::uint64_t, Ticket> Order;
@@ -158,7 +173,10 @@
     std::size_t Waiting = 0;
     std::size_t Bytes = 0;
     std::uint32_t InFlight = 0;
-    bool InReady = false;
+    /// Those of them within its share.
+    double InShare = 0.0;
+    bool Active = false;
+    Standing Stands = Standing::Out;
   };
   struct Waiting {
     TeamId Owner;
@@ -176,6 +194,12 @@
                           std::size_t Max, double Part) const;
   void charge(Team &Owner, double Cost);
   void takeOut(std::unordered_map<Ticket, Waiting>::iterator Entry);
+  [[nodiscard]] bool isAbove(const Team &Owner) const;
+  [[nodiscard]] bool mustLeave(const Team &Owner) const;
+  [[nodiscard]] double fairPlaces(const Team &Owner) const;
+  [[nodiscard]] std::optional<TeamId> nextTeam();
+  void setActive(Team &Owner);
+  void countInShare(Team &Owner);
   void place(TeamId Which);
   void unplace(TeamId Which);
 
@@ -185,12 +209,21 @@
   std::unordered_map<Ticket, Waiting> Items;
   /// By latest start, then by order of arrival.
   std::map<std::pair<TimePoint, std::uint64_t>, Ticket> ByLatestStart;
-  /// Teams that wait and are below their limit, by virtual start.
-  std::set<std::pair<double, TeamId>> Ready;
+  /// Teams that wait and are below their limit, by virtual start: those within
+  /// their share of the places, and those above it.
+  ReadyTeams Within;
+  ReadyTeams Above;
   double VirtualTime = 0.0;
   /// Weights of the teams that wait.
   double WaitingWeight = 0.0;
   double WaitingCost = 0.0;
+  /// Weights of the teams that wait or have requests in progress.
+  double ActiveWeight = 0.0;
+  std::size_t ActiveCount = 0;
+  double Places = 0.0;
+  double FreePlaces = 0.0;
+  /// Requests in progress within their team's share.
+  double InShare = 0.0;
   std::size_t Bytes = 0;
   std::uint64_t NextSequence = 0;
 };
--- a/packages/request/src/coltsfoottrail/retries/budget.hpp
+++ b/packages/request/src/coltsfoottrail/retries/budget.hpp
@@ -13,9 +13,9 @@
 /// @brief Ratios of retries to first sends.
 struct BudgetLimits {
   /// Retries for each first send, over all data centres.
-  double Ratio = 0.1;
+  double Ratio = 0.15;
   /// Retries into a data centre for each first send into it.
-  double DataCentreRatio = 0.15;
+  double DataCentreRatio = 0.2;
   /// Most retries that are saved up, and what there is at the start.
   double Burst = 10.0;
 };
--- a/packages/request/src/coltsfoottrail/retries/retry.hpp
+++ b/packages/request/src/coltsfoottrail/retries/retry.hpp
@@ -16,7 +16,7 @@
   /// Attempts at most, the first one included.
   std::uint32_t MaxAttempts = 4;
   /// How often a retry waits for the budget before it is given up.
-  std::uint32_t MaxBudgetWaits = 3;
+  std::uint32_t MaxBudgetWaits = 6;
   /// Longest delay before the first retry; doubles with each.
   Duration FirstDelay = milliseconds(20);
   Duration LongestDelay = milliseconds(500);
--- a/packages/request/test/coltsfoottrail/queues/fairqueue.cpp
+++ b/packages/request/test/coltsfoottrail/queues/fairqueue.cpp
@@ -113,6 +113,39 @@
   EXPECT_EQ(Queue.pop(), Second);
 }
 
+// The small team's requests find a place only where one happens to be: the
+// large team takes each the moment it is free.
+TEST_F(FairQueueTest, TeamAboveItsShareLeavesPlacesToTheOthers) {
+  const TeamId Large = Queue.team(TeamName("large"));
+  const TeamId Small = Queue.team(TeamName("small"));
+  for (int Count = 0; Count < 40; ++Count)
+    add(Large);
+  double Free = 20.0;
+  const auto Start = [&] {
+    Queue.setPlaces(20.0, Free);
+    const std::optional<Ticket> Next = Queue.pop();
+    Free -= Next ? 1.0 : 0.0;
+    return Next;
+  };
+  for (int Count = 0; Count < 4; ++Count) {
+    Queue.pass(Small, 1.0);
+    Free -= 1.0;
+  }
+  int Taken = 0;
+  while (Start())
+    ++Taken;
+  EXPECT_EQ(Taken, 15) << "one and a half times its half";
+  EXPECT_FALSE(Queue.mayPass(Large));
+  EXPECT_TRUE(Queue.mayPass(Small));
+  for (int Count = 0; Count < 4; ++Count) {
+    Queue.ended(Small);
+    Free += 1.0;
+  }
+  while (Free > 0.0 && Start())
+    ++Taken;
+  EXPECT_EQ(Taken, 20) << "alone it may take all";
+}
+
 TEST_F(FairQueueTest, WaitIsEstimatedFromTheTeamsOwnBacklog) {
   const TeamId Large = Queue.team(TeamName("large"));
   const TeamId Small = Queue.team(TeamName("small"));
