Read claims through the checked CBOR reader; bodies as bytes

Cause: an outcome's body may hold any bytes, which the checked reader refuses as text, so the batch that carries it would be lost to every ledger. Change: bodies are CBOR byte strings; keys are printable ASCII.

--- a/packages/process/src/coltsfoottrail/server/callerrequest.cpp
+++ b/packages/process/src/coltsfoottrail/server/callerrequest.cpp
@@ -22,20 +22,27 @@
                                                         "urgent"};
 
 /// Fields that belong to one connection or to us and are not passed on.
-constexpr std::array<std::string_view, 11> OwnFields{
-    "Authorization",     "Connection", "Content-Length",
-    "Host",              "Keep-Alive", "Proxy-Authorization",
-    "Transfer-Encoding", "TE",         "Trailer",
-    "Upgrade",           "Expect"};
+constexpr std::array<std::string_view, 11> OwnFields{"Authorization",
+                                                     "Connection",
+                                                     "Content-Length",
+                                                     "Host",
+                                                     "Keep-Alive",
+                                                     "Proxy-Authorization",
+                                                     "Transfer-Encoding",
+                                                     "TE",
+                                                     "Trailer",
+                                                     "Upgrade",
+                                                     "Expect"};
 
 [[noreturn]] void refuse(Reason Why, const std::string &Detail) {
   throw RequestRefused(Verdict{RunState::NotRun, Why, std::nullopt}, Detail);
 }
 
 bool isOwn(std::string_view Name) {
-  return std::any_of(
-      OwnFields.begin(), OwnFields.end(),
-      [Name](std::string_view Own) { return boost::beast::iequals(Own, Name); });
+  return std::any_of(OwnFields.begin(), OwnFields.end(),
+                     [Name](std::string_view Own) {
+                       return boost::beast::iequals(Own, Name);
+                     });
 }
 
 std::vector<HttpField> passedOn(const std::vector<HttpField> &Fields) {
@@ -57,10 +64,10 @@
       std::from_chars(Text.data(), Text.data() + Text.size(), Given);
   if (Parsed.ec != std::errc{} || Parsed.ptr != Text.data() + Text.size() ||
       Given < 1 || Given > Limits.MaxDeadline.count())
-    refuse(Reason::BadRequest,
-           "Coltsfoottrail-Deadline-Ms: found \"" + std::string(Text) +
-               "\"; allowed: a whole number from 1 to " +
-               std::to_string(Limits.MaxDeadline.count()));
+    refuse(Reason::BadRequest, "Coltsfoottrail-Deadline-Ms: found \"" +
+                                   std::string(Text) +
+                                   "\"; allowed: a whole number from 1 to " +
+                                   std::to_string(Limits.MaxDeadline.count()));
   return Now + milliseconds(Given);
 }
 
@@ -107,9 +114,9 @@
     ObjectReader Reader(Body, "request body", "", UnknownKeys::Ignore);
     Out.PoolName = poolOfModel(Reader.text("model", 256));
     Out.Streams = Reader.flagOr("stream", false);
-    if (Chat && (!Reader.has("messages") ||
-                 !Reader.raw("messages").is_array() ||
-                 Reader.raw("messages").empty()))
+    if (Chat &&
+        (!Reader.has("messages") || !Reader.raw("messages").is_array() ||
+         Reader.raw("messages").empty()))
       Reader.refuse("messages", "a list of at least one message");
     if (!Chat)
       (void)Reader.text("prompt", Asked.Body.size());
@@ -127,8 +134,7 @@
 }
 
 bool isRepeatablePath(const Pool &Target, std::string_view Path) {
-  return std::find(Target.RepeatablePaths.begin(),
-                   Target.RepeatablePaths.end(),
+  return std::find(Target.RepeatablePaths.begin(), Target.RepeatablePaths.end(),
                    Path) != Target.RepeatablePaths.end();
 }
 
@@ -139,11 +145,10 @@
   const std::string_view Name = Rest.substr(0, Rest.find_first_of("/?"));
   Rest.remove_prefix(Name.size());
   Out.PoolName = poolOfService(Name);
-  Out.Forwarded.Target = Rest.starts_with("/") ? std::string(Rest)
-                                               : "/" + std::string(Rest);
-  const std::string_view Path =
-      std::string_view(Out.Forwarded.Target)
-          .substr(0, Out.Forwarded.Target.find('?'));
+  Out.Forwarded.Target =
+      Rest.starts_with("/") ? std::string(Rest) : "/" + std::string(Rest);
+  const std::string_view Path = std::string_view(Out.Forwarded.Target)
+                                    .substr(0, Out.Forwarded.Target.find('?'));
   const auto Found = Routes.Pools.find(Out.PoolName);
   Out.Item.Repeatable =
       Asked.Method == "GET" || Asked.Method == "HEAD" ||
--- a/packages/process/src/coltsfoottrail/server/callerrequest.hpp
+++ b/packages/process/src/coltsfoottrail/server/callerrequest.hpp
@@ -55,7 +55,8 @@
 /// @param Asked Head of the request.
 /// @param Routes The routes in force.
 /// @return The team.
-/// @throws RequestRefused There is no credential, or nobody has it. Thread-safe.
+/// @throws RequestRefused There is no credential, or nobody has it.
+/// Thread-safe.
 [[nodiscard]] const TeamSpec &authenticate(const HttpRequest &Asked,
                                            const RouteTable &Routes);
 
--- a/packages/process/src/coltsfoottrail/server/router.cpp
+++ b/packages/process/src/coltsfoottrail/server/router.cpp
@@ -16,8 +16,8 @@
 
 namespace asio = boost::asio;
 
-/// The coroutine's side of a ticket. Touched on the coroutine's thread only, but
-/// for its creation.
+/// The coroutine's side of a ticket. Touched on the coroutine's thread only,
+/// but for its creation.
 struct Place::Waiter {
   explicit Waiter(const asio::any_io_executor &Executor)
       : Wake(Executor, asio::steady_timer::time_point::max()) {}
@@ -228,9 +228,8 @@
   }
 }
 
-std::optional<Place>
-Router::submit(std::string_view PoolName, WorkItem Item,
-               const asio::any_io_executor &Executor) {
+std::optional<Place> Router::submit(std::string_view PoolName, WorkItem Item,
+                                    const asio::any_io_executor &Executor) {
   std::shared_ptr<Place::Shard> Home = find(PoolName);
   if (!Home)
     return std::nullopt;
@@ -239,8 +238,7 @@
   {
     const std::lock_guard Hold(Home->Lock);
     Commands Given;
-    Own->Which =
-        Home->Decides.submit(std::move(Item), BootClock::now(), Given);
+    Own->Which = Home->Decides.submit(std::move(Item), BootClock::now(), Given);
     Home->Waiters[Own->Which] = Own;
     Due = Home->translate(Given);
   }
@@ -287,8 +285,8 @@
           ++Rank;
       const auto Count =
           static_cast<std::uint32_t>(std::max<std::size_t>(Hosts.size(), 1));
-      Out[Spec.Key] = Spec.WarmBound / Count +
-                      (Rank < Spec.WarmBound % Count ? 1U : 0U);
+      Out[Spec.Key] =
+          Spec.WarmBound / Count + (Rank < Spec.WarmBound % Count ? 1U : 0U);
     }
   return Out;
 }
--- a/packages/request/src/coltsfoottrail/claims/codec.cpp
+++ b/packages/request/src/coltsfoottrail/claims/codec.cpp
@@ -1,11 +1,11 @@
 #include "coltsfoottrail/claims/codec.hpp"
 
+#include "coltsfoottrail/json/cbor.hpp"
 #include "coltsfoottrail/json/reader.hpp"
 #include "coltsfoottrail/record/codec.hpp"
 
 #include <algorithm>
 #include <array>
-#include <limits>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -68,18 +68,30 @@
   Into["status"] = Outcome.Status;
   if (!Outcome.ContentType.empty())
     Into["type"] = Outcome.ContentType;
+  // Bytes and not text: an endpoint's answer may hold anything.
   if (!Outcome.Body.empty())
-    Into["body"] = Outcome.Body;
+    Into["body"] = Json::binary({Outcome.Body.begin(), Outcome.Body.end()});
   Into["kept"] = Outcome.BodyKept;
 }
 
+std::string readBody(ObjectReader &From) {
+  const Json &Value = From.raw("body");
+  if (Value.is_null())
+    return {};
+  if (!Value.is_binary() || Value.get_binary().size() > MaxOutcomeBytes)
+    From.refuse("body",
+                "at most " + std::to_string(MaxOutcomeBytes) + " bytes");
+  const auto &Bytes = Value.get_binary();
+  return {Bytes.begin(), Bytes.end()};
+}
+
 StoredOutcome readOutcome(ObjectReader &From) {
   StoredOutcome Outcome;
   constexpr std::uint64_t MaxStatus = 999;
   Outcome.Status =
       static_cast<std::uint32_t>(From.number("status", 0, MaxStatus));
   Outcome.ContentType = From.textOr("type", "", MaxContentTypeBytes);
-  Outcome.Body = From.textOr("body", "", MaxOutcomeBytes);
+  Outcome.Body = readBody(From);
   Outcome.BodyKept = From.flagOr("kept", true);
   return Outcome;
 }
@@ -238,20 +250,13 @@
   for (const ClaimItem &Item : Batch.Items)
     Items.push_back(writeItem(Item));
   Out["items"] = std::move(Items);
-  const std::vector<std::uint8_t> Bytes = Json::to_cbor(Out);
-  const auto View = std::as_bytes(std::span(Bytes));
-  return {View.begin(), View.end()};
+  return writeCbor(Out);
 }
 
 ClaimBatch decodeBatch(ByteView Bytes) {
   if (Bytes.size() > MaxRecordBytes)
     throw InputError(BatchSource, "", "too many bytes", "a smaller record");
-  const std::span<const std::uint8_t> View(
-      reinterpret_cast<const std::uint8_t *>(Bytes.data()), Bytes.size());
-  constexpr bool Strict = true;
-  constexpr bool Throwing = false;
-  const Json Value =
-      Json::from_cbor(View.begin(), View.end(), Strict, Throwing);
+  const Json Value = parseCbor(Bytes, BatchSource);
   ObjectReader From(Value, BatchSource, "", UnknownKeys::Ignore);
   (void)From.number("v", 1, BatchFormVersion);
   ClaimBatch Batch;
--- a/packages/request/src/coltsfoottrail/claims/codec.hpp
+++ b/packages/request/src/coltsfoottrail/claims/codec.hpp
@@ -47,7 +47,7 @@
 [[nodiscard]] ClaimBatch decodeBatch(ByteView Bytes);
 
 /// @brief Writes a message between entry hosts. Thread-safe.
-/// @return An object whose texts may hold any bytes: for CBOR only.
+/// @return An object with members that JSON text cannot hold: for CBOR only.
 [[nodiscard]] Json writeClaimMessage(const ClaimMessage &Message);
 /// @brief Reads a message between entry hosts. Thread-safe.
 /// @param Value An object.
--- a/packages/request/src/coltsfoottrail/claims/service.cpp
+++ b/packages/request/src/coltsfoottrail/claims/service.cpp
@@ -41,10 +41,20 @@
   return std::chrono::duration_cast<milliseconds>(Left);
 }
 
+bool isPrintable(std::string_view Text) {
+  constexpr char First = ' ';
+  constexpr char Last = '~';
+  return std::all_of(Text.begin(), Text.end(), [](char Letter) {
+    return Letter >= First && Letter <= Last;
+  });
+}
+
 Settlement trimmed(Settlement How, bool KeepBody) {
   auto *const Outcome = std::get_if<StoredOutcome>(&How);
   if (Outcome == nullptr)
     return How;
+  if (!isPrintable(Outcome->ContentType))
+    Outcome->ContentType.clear();
   if (KeepBody && Outcome->Body.size() <= MaxOutcomeBytes)
     return How;
   Outcome->Body.clear();
@@ -75,6 +85,8 @@
   if (What.Key.empty() || What.Key.size() > MaxClaimKeyBytes)
     throw Error("claims: a key has 1 to " + std::to_string(MaxClaimKeyBytes) +
                 " bytes, not " + std::to_string(What.Key.size()));
+  if (!isPrintable(What.Key))
+    throw Error("claims: a key holds printable ASCII characters only");
 }
 
 ClaimId ClaimService::claim(ClaimRequest Request, TimePoint Deadline,
--- a/packages/request/src/coltsfoottrail/claims/service.hpp
+++ b/packages/request/src/coltsfoottrail/claims/service.hpp
@@ -29,7 +29,7 @@
 
   /// @brief Claims a key for a request of this host.
   /// @param Request Key and digest, neither empty, the key of at most
-  /// MaxClaimKeyBytes.
+  /// MaxClaimKeyBytes printable ASCII characters.
   /// @param Deadline The decision comes by then; a granted request must leave
   /// before. At most half of the life of a key away, else it is shortened.
   /// @param Time The time.
--- a/packages/request/test/coltsfoottrail/claims/hosts.hpp
+++ b/packages/request/test/coltsfoottrail/claims/hosts.hpp
@@ -6,6 +6,7 @@
 #include "coltsfoottrail/claims/service.hpp"
 #include "coltsfoottrail/core/hash.hpp"
 #include "coltsfoottrail/core/random.hpp"
+#include "coltsfoottrail/json/cbor.hpp"
 
 #include <algorithm>
 #include <array>
@@ -229,8 +230,8 @@
   void carryOut(std::size_t Index, const ClaimSend &Command) {
     const HostName From = All[Index].Name;
     // Through the codec, as on the mesh.
-    const std::vector<std::uint8_t> Bytes =
-        Json::to_cbor(writeClaimMessage(Command.What));
+    const std::vector<std::byte> Bytes =
+        writeCbor(writeClaimMessage(Command.What));
     const int Copies = chance(Wrong.MessageLost)    ? 0
                        : chance(Wrong.MessageTwice) ? 2
                                                     : 1;
@@ -238,12 +239,12 @@
       if (All[To].Name != Command.To)
         continue;
       for (int Copy = 0; Copy < Copies; ++Copy)
-        later(
-            To, [=](ClaimService &Service, ClaimTime Time, ClaimCommands &Out) {
-              Service.received(From,
-                               readClaimMessage(Json::from_cbor(Bytes), "mesh"),
-                               Time, Out);
-            });
+        later(To, [=](ClaimService &Service, ClaimTime Time,
+                      ClaimCommands &Out) {
+          Service.received(From,
+                           readClaimMessage(parseCbor(Bytes, "mesh"), "mesh"),
+                           Time, Out);
+        });
     }
   }
   void carryOut(std::size_t Index, const ClaimDecide &Command) {
--- a/packages/request/test/coltsfoottrail/claims/service.cpp
+++ b/packages/request/test/coltsfoottrail/claims/service.cpp
@@ -18,7 +18,8 @@
   }
 }
 
-const StoredOutcome Answered{201, "application/json", R"({"order":7})", true};
+const StoredOutcome Answered{201, "application/json", "{\"order\":7}\xff\xfe",
+                             true};
 
 // A foreman's phone sends a sign order twice at once; the balancer gives the
 // copies to two entry hosts. Were both sent on, twice the barriers would stand
