--- a/packages/request/src/coltsfoottrail/admission/keeper.cpp
+++ b/packages/request/src/coltsfoottrail/admission/keeper.cpp
@@ -97,6 +97,8 @@
     Placed.Steward = Place->second;
     assign(Placed, WasFresh, Now);
   }
+  for (auto &[Name, Use] : Pools)
+    chooseUsed(Use);
   sendHandovers(Now, Out);
   deliverLocal(Now, Out);
 }
@@ -161,27 +163,30 @@
   }
   HasTable = true;
   TableVersion = Table.Version;
-  chooseUsed(Table);
+  takePools(Table);
   advance(Now, Out);
 }
 
-void ShareKeeper::chooseUsed(const RouteTable &Table) {
+void ShareKeeper::takePools(const RouteTable &Table) {
   std::erase_if(Pools, [&](const auto &Entry) {
     return !Table.Pools.contains(Entry.first);
   });
-  for (const auto &[Name, Of] : Table.Pools)
-    chooseUsed(Of);
+  for (const auto &[Name, Of] : Table.Pools) {
+    PoolUse &Use = Pools[Name];
+    Use.All.clear();
+    for (const EndpointSpec &Spec : Of.Endpoints)
+      Use.All.push_back(endpointHash(Spec.Key));
+    chooseUsed(Use);
+  }
 }
 
-void ShareKeeper::chooseUsed(const Pool &Of) {
-  std::map<std::string, std::vector<Endpoint *>> Slices;
-  PoolUse &Use = Pools[Of.Name];
-  Use.Used.clear();
-  for (const EndpointSpec &Spec : Of.Endpoints) {
-    Endpoint &Placed = Endpoints.at(endpointHash(Spec.Key));
+void ShareKeeper::chooseUsed(PoolUse &Use) {
+  std::map<std::string, std::vector<EndpointHash>> Slices;
+  for (const EndpointHash Hash : Use.All) {
+    Endpoint &Placed = Endpoints.at(Hash);
     Placed.Used = Members.size() <= Options.WholePoolHosts ||
                   Placed.Steward == Options.Self;
-    Slices[Placed.Slice].push_back(&Placed);
+    Slices[Placed.Slice].push_back(Hash);
   }
   std::vector<std::pair<std::uint64_t, std::string>> Ranked;
   for (const auto &[Slice, Held] : Slices)
@@ -191,14 +196,14 @@
   for (const auto &[Weight, Slice] : Ranked) {
     if (Taken >= Options.PartEndpoints)
       break;
-    for (Endpoint *const Held : Slices.at(Slice))
-      Held->Used = true;
+    for (const EndpointHash Hash : Slices.at(Slice))
+      Endpoints.at(Hash).Used = true;
     Taken += Slices.at(Slice).size();
   }
-  for (const auto &[Slice, Held] : Slices)
-    for (const Endpoint *const Each : Held)
-      if (Each->Used)
-        Use.Used.push_back(endpointHash(Each->Key));
+  Use.Used.clear();
+  for (const EndpointHash Hash : Use.All)
+    if (Endpoints.at(Hash).Used)
+      Use.Used.push_back(Hash);
 }
 
 void ShareKeeper::want(std::string_view EndpointKey, std::uint32_t Requests,
--- a/packages/request/src/coltsfoottrail/admission/keeper.hpp
+++ b/packages/request/src/coltsfoottrail/admission/keeper.hpp
@@ -137,6 +137,7 @@
     std::optional<TimePoint> Scheduled;
   };
   struct PoolUse {
+    std::vector<EndpointHash> All;
     std::vector<EndpointHash> Used;
     std::uint32_t Waiting = 0;
     TimePoint Refreshed;
@@ -176,8 +177,8 @@
   [[nodiscard]] HostName rank(const std::string &Slice) const;
   void assign(Endpoint &Placed, bool WasFresh, TimePoint Now);
   void relinquish(Endpoint &Placed);
-  void chooseUsed(const RouteTable &Table);
-  void chooseUsed(const Pool &Of);
+  void takePools(const RouteTable &Table);
+  void chooseUsed(PoolUse &Use);
   void activate(Endpoint &Placed, TimePoint Now);
   void grant(const HostName &From, const CreditAsk &Message,
              const CreditWant &Want, TimePoint Now,
