--- a/packages/process/src/coltsfoottrail/server/callerrequest.hpp
+++ b/packages/process/src/coltsfoottrail/server/callerrequest.hpp
@@ -40,7 +40,10 @@
   TeamSpec Team;
   /// Name of the pool that can answer.
   std::string PoolName;
+  /// Its deadline is when the request must have been sent.
   WorkItem Item;
+  /// When the answer must be there.
+  TimePoint AnswerBy;
   /// Empty when none was given.
   std::string IdempotencyKey;
   /// Whether the answer comes as server-sent events.
