Find out which entry hosts are there, and how fresh their state is

Cause: leases, stewards and claims rest on who is a member; a paused host must find its part over before it acts, and an outage of the log must be told from being cut off.

--- /dev/null
+++ b/packages/version/src/coltsfoottrail/membership/fwd.hpp
@@ -0,0 +1,20 @@
+/// @file
+/// Forward declarations of the membership module.
+#ifndef COLTSFOOTTRAIL_MEMBERSHIP_FWD_HPP
+#define COLTSFOOTTRAIL_MEMBERSHIP_FWD_HPP
+
+namespace coltsfoottrail {
+
+class LeaseGuard;
+class Freshness;
+class Membership;
+struct MembershipOptions;
+struct Heartbeat;
+struct SuspectAsk;
+struct SuspectAnswer;
+struct FreshAsk;
+struct FreshAnswer;
+
+} // namespace coltsfoottrail
+
+#endif
