--- a/packages/core/src/coltsfoottrail/core/name.hpp
+++ b/packages/core/src/coltsfoottrail/core/name.hpp
@@ -32,6 +32,7 @@
   /// @brief Tells whether there is no name.
   [[nodiscard]] bool empty() const noexcept { return Text.empty(); }
 
+  // NOLINTNEXTLINE: the linter mistakes the comparison's own zero for a pointer
   [[nodiscard]] friend auto operator<=>(const Name &, const Name &) = default;
 
   std::string Text;
