Test the parts of the mesh by themselves

Cause: the proof, the queue, the decisions on connections and the decoder carry failures that the whole mesh shows only now and then.

--- /dev/null
+++ b/packages/connection/test/coltsfoottrail/mesh/message.cpp
@@ -0,0 +1,44 @@
+#include "coltsfoottrail/mesh/message.hpp"
+
+#include <gtest/gtest.h>
+
+namespace coltsfoottrail::internal {
+namespace {
+
+TEST(MeshMessage, ComesBackAsItWas) {
+  const Json Body = {{"offset", 12}, {"text", std::string(5000, 'x')}};
+  const Incoming Read = decodeMessage(encodeMessage(Channel::Records, Body));
+  EXPECT_EQ(Read.Which, Channel::Records);
+  EXPECT_EQ(Read.Body, Body);
+}
+
+// A peer of a faulty release sends a megabyte of opening brackets: the decoder
+// would call itself a million times and end the process.
+TEST(MeshMessage, DeepNestingIsRefused) {
+  EXPECT_THROW((void)decodeMessage(std::string(std::size_t{1} << 20U, '\x81')),
+               Error);
+  EXPECT_THROW((void)decodeMessage(std::string(2048, '\x81')), Error);
+}
+
+TEST(MeshMessage, HugeAnnouncedSizesAreRefused) {
+  EXPECT_THROW((void)decodeMessage(std::string("\x9b\x0f\xff\xff\xff\xff\xff"
+                                               "\xff\xff\x01",
+                                               10)),
+               Error);
+  EXPECT_THROW((void)decodeMessage(std::string("\x7b\x0f\xff\xff\xff\xff\xff"
+                                               "\xff\xff\x01",
+                                               10)),
+               Error);
+}
+
+TEST(MeshMessage, WrongShapeIsRefused) {
+  for (const Json &Wrong : {Json(1), Json::array({1, 2}), Json{{"b", 1}},
+                            Json{{"c", "text"}, {"b", 1}}}) {
+    std::string Text;
+    Json::to_cbor(Wrong, Text);
+    EXPECT_THROW((void)decodeMessage(Text), Error) << Wrong;
+  }
+}
+
+} // namespace
+} // namespace coltsfoottrail::internal
