--- a/packages/connection/src/coltsfoottrail/mesh/message.cpp
+++ b/packages/connection/src/coltsfoottrail/mesh/message.cpp
@@ -4,52 +4,43 @@
 
 namespace {
 
-/// Deepest nesting of a large message.
+/// Deepest nesting of a message.
 constexpr std::size_t MaxDepth = 64;
-/// A message of up to this size cannot nest deeply enough to do harm.
-constexpr std::size_t MaxUncheckedBytes = 2048;
 
-/// Reads over a message and stops where it nests too deeply.
-class DepthCheck final : public nlohmann::json_sax<Json> {
+// NOLINTBEGIN(readability-identifier-naming): the library prescribes the names.
+/// Builds a message and stops where it nests too deeply.
+class BoundedBuilder : public nlohmann::detail::json_sax_dom_parser<Json> {
+  using Base = nlohmann::detail::json_sax_dom_parser<Json>;
+
 public:
-  bool null() override { return true; }
-  bool boolean(bool /*Value*/) override { return true; }
-  bool number_integer(number_integer_t /*Value*/) override { // NOLINT
-    return true;
-  }
-  bool number_unsigned(number_unsigned_t /*Value*/) override { // NOLINT
-    return true;
+  explicit BoundedBuilder(Json &Root) : Base(Root, false) {}
+
+  bool start_object(std::size_t Size) {
+    return ++Depth <= MaxDepth && Base::start_object(Size);
   }
-  bool number_float(number_float_t /*Value*/, // NOLINT
-                    const string_t & /*Text*/) override {
-    return true;
+  bool end_object() {
+    --Depth;
+    return Base::end_object();
   }
-  bool string(string_t & /*Value*/) override { return true; }
-  bool binary(binary_t & /*Value*/) override { return true; }
-  bool key(string_t & /*Value*/) override { return true; }
-  bool start_object(std::size_t /*Size*/) override { return enter(); } // NOLINT
-  bool end_object() override { return leave(); }                       // NOLINT
-  bool start_array(std::size_t /*Size*/) override { return enter(); }  // NOLINT
-  bool end_array() override { return leave(); }                        // NOLINT
-  bool parse_error(std::size_t /*At*/, const std::string & /*Token*/,  // NOLINT
-                   const Json::exception & /*Problem*/) override {
-    return false;
+  bool start_array(std::size_t Size) {
+    return ++Depth <= MaxDepth && Base::start_array(Size);
   }
-
-private:
-  bool enter() { return ++Depth <= MaxDepth; }
-  bool leave() {
+  bool end_array() {
     --Depth;
-    return true;
+    return Base::end_array();
   }
 
+private:
   std::size_t Depth = 0;
 };
+// NOLINTEND(readability-identifier-naming)
 
-void checkDepth(std::string_view Bytes) {
-  DepthCheck Check;
-  if (!Json::sax_parse(Bytes, &Check, Json::input_format_t::cbor))
+Json decodeCbor(std::string_view Bytes) {
+  Json Out;
+  BoundedBuilder Builder(Out);
+  if (!Json::sax_parse(Bytes, &Builder, Json::input_format_t::cbor))
     throw Error("a message of a peer is no CBOR or nests too deeply");
+  return Out;
 }
 
 } // namespace
@@ -64,10 +55,8 @@
 }
 
 Incoming decodeMessage(std::string_view Bytes) {
-  if (Bytes.size() > MaxUncheckedBytes)
-    checkDepth(Bytes);
   try {
-    Json Message = Json::from_cbor(Bytes);
+    Json Message = decodeCbor(Bytes);
     ObjectReader Reader(Message, "message of a peer", "", UnknownKeys::Ignore);
     const std::uint64_t Number = Reader.number("c");
     Incoming Out;
--- a/packages/connection/src/coltsfoottrail/mesh/message.hpp
+++ b/packages/connection/src/coltsfoottrail/mesh/message.hpp
@@ -26,8 +26,8 @@
 /// @brief Decodes a message; unknown keys are passed over. Thread-safe.
 ///
 /// Failure guarded against: a large message of nothing but nested lists
-/// overflows the stack of the recursive decoder and ends the process. Nesting
-/// is checked first where a message is large enough to do that.
+/// overflows the stack of the recursive decoder and ends the process. The
+/// decoder is stopped at the 65th level.
 /// @throws Error It is not such a message.
 [[nodiscard]] Incoming decodeMessage(std::string_view Bytes);
 
--- a/packages/connection/src/coltsfoottrail/mesh/outbox.hpp
+++ b/packages/connection/src/coltsfoottrail/mesh/outbox.hpp
@@ -6,7 +6,7 @@
 #include "coltsfoottrail/mesh/channel.hpp"
 
 #include <atomic>
-#include <deque>
+#include <list>
 #include <memory>
 #include <mutex>
 #include <optional>
@@ -79,7 +79,8 @@
   std::atomic<std::size_t> &Total;
   std::size_t MaxTotal;
   mutable std::mutex Mutex;
-  std::array<std::deque<Encoded>, ChannelCount> Waiting;
+  /// Lists, since an empty deque holds half a kilobyte and most are empty.
+  std::array<std::list<Encoded>, ChannelCount> Waiting;
   std::size_t Count = 0;
   std::size_t Bytes = 0;
   bool Closed = false;
--- a/packages/connection/test/coltsfoottrail/mesh/message.cpp
+++ b/packages/connection/test/coltsfoottrail/mesh/message.cpp
@@ -17,7 +17,13 @@
 TEST(MeshMessage, DeepNestingIsRefused) {
   EXPECT_THROW((void)decodeMessage(std::string(std::size_t{1} << 20U, '\x81')),
                Error);
-  EXPECT_THROW((void)decodeMessage(std::string(2048, '\x81')), Error);
+  Json Body = 1;
+  for (int Level = 0; Level < 63; ++Level)
+    Body = Json::array({Body});
+  EXPECT_EQ(decodeMessage(encodeMessage(Channel::Claims, Body)).Body, Body);
+  EXPECT_THROW(
+      (void)decodeMessage(encodeMessage(Channel::Claims, Json::array({Body}))),
+      Error);
 }
 
 TEST(MeshMessage, HugeAnnouncedSizesAreRefused) {
