--- a/packages/request/src/coltsfoottrail/claims/codec.cpp
+++ b/packages/request/src/coltsfoottrail/claims/codec.cpp
@@ -221,6 +221,7 @@
   }
   void operator()(const ClaimAnswer &Message) {
     writeId(Out, Message.Id);
+    writeKey(Out, Message.What);
     Out["decision"] = DecisionWords[Message.Decision.index()];
     std::visit(DecisionWriter{Out}, Message.Decision);
   }
@@ -292,8 +293,10 @@
   }
   case Query:
     return ClaimQuery{Id, readKey(From)};
-  case Answer:
-    return ClaimAnswer{Id, readDecision(From)};
+  case Answer: {
+    ClaimKey What = readKey(From);
+    return ClaimAnswer{Id, std::move(What), readDecision(From)};
+  }
   default:
     return ClaimSettled{Id};
   }
--- a/packages/request/src/coltsfoottrail/claims/owner.cpp
+++ b/packages/request/src/coltsfoottrail/claims/owner.cpp
@@ -32,9 +32,16 @@
   return std::min(MaxRetryDelay, std::max(First, Last * 2));
 }
 
-void answer(const HostName &To, ClaimId Id, ClaimDecision Decision,
+void answer(const HostName &To, const ClaimAsk &Asked, ClaimDecision Decision,
             ClaimCommands &Out) {
-  Out.emplace_back(ClaimSend{To, ClaimAnswer{Id, std::move(Decision)}});
+  Out.emplace_back(ClaimSend{
+      To, ClaimAnswer{Asked.Id, Asked.Request.What, std::move(Decision)}});
+}
+
+void answer(const HostName &To, const ClaimQuery &Asked, ClaimDecision Decision,
+            ClaimCommands &Out) {
+  Out.emplace_back(
+      ClaimSend{To, ClaimAnswer{Asked.Id, Asked.What, std::move(Decision)}});
 }
 
 struct StandingVisitor {
@@ -173,13 +180,13 @@
   }
   if (CaughtUp) {
     if (std::optional<ClaimDecision> Decision = decide(Message, Time.Now)) {
-      answer(From, Message.Id, *std::move(Decision), Out);
+      answer(From, Message, *std::move(Decision), Out);
       return;
     }
   }
   if (Asks.size() >= Options.MaxWaiting ||
       Ledger.bytes() >= Options.MaxLedgerBytes) {
-    answer(From, Message.Id, ClaimUnavailable{}, Out);
+    answer(From, Message, ClaimUnavailable{}, Out);
     return;
   }
   Asks.emplace(Message.Id, WaitingAsk{From, Message, Until});
@@ -215,7 +222,7 @@
     if (Waiting.Message.Id == Message.Id)
       return;
   if (Queries.size() >= Options.MaxWaiting) {
-    answer(From, Message.Id, ClaimUnavailable{}, Out);
+    answer(From, Message, ClaimUnavailable{}, Out);
     return;
   }
   // Failure guarded against: a query answered from an old reading says "not
@@ -266,7 +273,7 @@
     if (!Decision && Waiting.Appends >= MaxAppends)
       Decision = ClaimUnavailable{};
     if (Decision) {
-      answer(Waiting.From, Item.Id, *std::move(Decision), Out);
+      answer(Waiting.From, Waiting.Message, *std::move(Decision), Out);
       Asks.erase(Found);
       continue;
     }
@@ -334,7 +341,8 @@
   for (const Queued &Item : UnderWay->Items) {
     const auto Found = Asks.find(Item.Id);
     if (!Item.Settles && Found != Asks.end())
-      answer(Found->second.From, Item.Id, ClaimUnavailable{}, Out);
+      answer(Found->second.From, Found->second.Message, ClaimUnavailable{},
+             Out);
   }
 }
 
@@ -354,7 +362,7 @@
     WaitingAsk &Waiting = Found->second;
     if (std::optional<ClaimDecision> Decision =
             decide(Waiting.Message, Time.Now)) {
-      answer(Waiting.From, Item.Id, *std::move(Decision), Out);
+      answer(Waiting.From, Waiting.Message, *std::move(Decision), Out);
       Asks.erase(Found);
     } else {
       enqueue(Item, Time);
@@ -420,7 +428,7 @@
       Later.push_back(std::move(Waiting));
       continue;
     }
-    answer(Waiting.From, Waiting.Message.Id,
+    answer(Waiting.From, Waiting.Message,
            decideQuery(Waiting.Message, Time.Now), Out);
   }
   Queries = std::move(Later);
@@ -443,12 +451,12 @@
   ReadDelay = nextDelay(ReadDelay, Options.RetryDelay);
   ReadRetryAt = Time.Now + ReadDelay;
   for (const WaitingQuery &Waiting : Queries)
-    answer(Waiting.From, Waiting.Message.Id, ClaimUnavailable{}, Out);
+    answer(Waiting.From, Waiting.Message, ClaimUnavailable{}, Out);
   Queries.clear();
   if (CaughtUp)
     return;
   for (const auto &[Id, Waiting] : Asks)
-    answer(Waiting.From, Id, ClaimUnavailable{}, Out);
+    answer(Waiting.From, Waiting.Message, ClaimUnavailable{}, Out);
 }
 
 void ClaimOwner::advance(ClaimTime Time, ClaimCommands &Out) {
--- a/packages/request/src/coltsfoottrail/claims/service.cpp
+++ b/packages/request/src/coltsfoottrail/claims/service.cpp
@@ -151,8 +151,10 @@
   // Bounded memory while the log is down: first bodies go, then settlements;
   // a key whose settlement was dropped reads as in progress until this run
   // ends, and as "may have run" from then on.
-  if (SettlingBytes >= 2 * Options.MaxSettlingBytes)
+  if (SettlingBytes >= 2 * Options.MaxSettlingBytes) {
+    Forgot = true;
     return;
+  }
   const bool KeepBody =
       SettlingBytes + bodyBytes(Message.How) <= Options.MaxSettlingBytes;
   Message.How = trimmed(std::move(Message.How), KeepBody);
@@ -245,8 +247,10 @@
   if (Message.Id.Run != Options.Run)
     return;
   const auto Found = Open.find(Message.Id);
-  if (Found == Open.end())
+  if (Found == Open.end()) {
+    releaseOrphan(Message, Time, Out);
     return;
+  }
   OpenAsk &Asked = Found->second;
   if (!std::holds_alternative<ClaimUnavailable>(Message.Decision)) {
     decide(Message.Id, Message.Decision, Time, Out);
@@ -260,6 +264,21 @@
     send(Asked, Time, Out);
 }
 
+void ClaimService::releaseOrphan(const ClaimAnswer &Message, ClaimTime Time,
+                                 ClaimCommands &Out) {
+  // Failure guarded against: an ask that was refused comes to an owner once
+  // more when the key has become free. Its claim then holds the key and nobody
+  // waits for it. It was not sent, as it is not among the granted, so it is
+  // given up; a claim that has ended keeps its end, whatever is released. Once
+  // a settlement has been dropped, that is no longer sure.
+  const bool Orphan = std::holds_alternative<ClaimGranted>(Message.Decision) &&
+                      !Forgot && !Granted.contains(Message.Id) &&
+                      !Settlings.contains(Message.Id);
+  if (Orphan)
+    startSettling(ClaimSettle{Message.Id, Message.What, ReleaseClaim{}}, Time,
+                  Out);
+}
+
 void ClaimService::handle(const HostName & /*From*/,
                           const ClaimSettled &Message, ClaimTime /*Time*/,
                           ClaimCommands & /*Out*/) {
@@ -388,6 +407,7 @@
     if (Entry.second.ForgetAt > Time.Now)
       return false;
     SettlingBytes -= Entry.second.Bytes;
+    Forgot = true;
     return true;
   });
   for (ClaimPartition Which = 0; Which < ClaimPartitions; ++Which) {
--- a/packages/request/src/coltsfoottrail/claims/service.hpp
+++ b/packages/request/src/coltsfoottrail/claims/service.hpp
@@ -127,6 +127,8 @@
   void send(Settling &Ended, ClaimTime Time, ClaimCommands &Out);
   void decide(ClaimId Id, ClaimDecision Decision, ClaimTime Time,
               ClaimCommands &Out);
+  void releaseOrphan(const ClaimAnswer &Message, ClaimTime Time,
+                     ClaimCommands &Out);
   void refuseLate(ClaimId Id, ClaimTime Time, ClaimCommands &Out);
   void startSettling(ClaimSettle Message, ClaimTime Time, ClaimCommands &Out);
   [[nodiscard]] const HostName &candidate(ClaimPartition Partition,
@@ -145,6 +147,8 @@
   std::map<ClaimId, ClaimKey> Granted;
   std::map<ClaimId, Settling> Settlings;
   std::size_t SettlingBytes = 0;
+  /// A settlement was dropped: what this host does not know of may have run.
+  bool Forgot = false;
   /// Highest wall clock among the peers, and when it was heard.
   std::uint64_t PeerWall = 0;
   TimePoint PeerWallAt;
--- a/packages/request/src/coltsfoottrail/claims/types.hpp
+++ b/packages/request/src/coltsfoottrail/claims/types.hpp
@@ -168,6 +168,7 @@
 /// Answer to a ClaimAsk or a ClaimQuery.
 struct ClaimAnswer {
   ClaimId Id;
+  ClaimKey What;
   ClaimDecision Decision;
 };
 /// The settlement is on the log.
--- a/packages/request/test/coltsfoottrail/claims/property.cpp
+++ b/packages/request/test/coltsfoottrail/claims/property.cpp
@@ -91,12 +91,26 @@
     }
     for (const Hosts::Host &Each : World.All)
       EXPECT_EQ(Each.Service->settling(), 0U);
+    expectNoOrphans();
   }
 
   [[nodiscard]] std::size_t granted() const { return Fences.size(); }
   [[nodiscard]] std::size_t decidedTwice() const { return World.DecidedTwice; }
 
 private:
+  /// No key is held by a claim that a running host does not know of.
+  void expectNoOrphans() const {
+    for (std::size_t Index = 0; Index < KeyCount; ++Index) {
+      const ClaimKey Name{TeamName("team"), "key-" + std::to_string(Index)};
+      ClaimLedger Reader;
+      for (const LogEntry &Entry : World.Streams[partitionOf(Name)])
+        Reader.fold(Entry.At, Entry.Payload);
+      const LedgerEntry *const Entry = Reader.find(Name);
+      if (Entry == nullptr || !isLive(Entry->Holder))
+        continue;
+      EXPECT_FALSE(std::holds_alternative<ClaimHeld>(Entry->Standing)) << Index;
+    }
+  }
   [[nodiscard]] bool isLive(ClaimId Id) const {
     return std::any_of(
         World.All.begin(), World.All.end(),
--- a/packages/request/test/coltsfoottrail/claims/service.cpp
+++ b/packages/request/test/coltsfoottrail/claims/service.cpp
@@ -137,6 +137,36 @@
   }
 }
 
+// The log is down for so long that settlements no longer fit in memory. Orders
+// that ran are forgotten here; a late copy of their grant must not be taken for
+// a claim that was never sent, or the release would let them run again.
+TEST(Claims, ForgottenSettlementIsNeverReleased) {
+  Hosts One(1);
+  One.Defaults.MaxSettlingBytes = 100;
+  One.start(0);
+  One.tellMembers();
+  const ClaimId Id = One.claim(0, "order-8");
+  One.run(milliseconds(200));
+  ASSERT_TRUE(One.is<ClaimGranted>(Id));
+  const ClaimId Filler = One.claim(0, "order-9");
+  One.run(milliseconds(200));
+  One.Wrong.LogDown = true;
+  One.settle(0, Filler, Answered);
+  One.settle(0, Id, Answered);
+  EXPECT_EQ(One.All[0].Service->settling(), 1U);
+  One.Wrong.LogDown = false;
+  One.act(0, [&](auto &Service, ClaimTime Time, auto &Out) {
+    Service.received(
+        HostName("host-9"),
+        ClaimAnswer{Id, {TeamName("team"), "order-8"}, ClaimGranted{0}}, Time,
+        Out);
+  });
+  One.run(milliseconds(3000));
+  const ClaimId Retry = One.claim(0, "order-8");
+  One.run(milliseconds(500));
+  EXPECT_TRUE(One.is<ClaimInProgress>(Retry));
+}
+
 // The log is down. Nothing can be proved, so the order is held up to its
 // deadline and then refused; the claim that is appended after the log's return
 // has nobody waiting and must not keep the key from the caller's retry.
