--- a/packages/request/test/coltsfoottrail/claims/service.cpp
+++ b/packages/request/test/coltsfoottrail/claims/service.cpp
@@ -137,6 +137,36 @@
   }
 }
 
+// An ask was refused as the key was in use, and a copy of it comes to the owner
+// when the key is free. The claim that it makes has nobody waiting; the
+// caller's retry must not find the key in use for hours.
+TEST(Claims, CopyOfARefusedAskDoesNotKeepTheKey) {
+  Hosts Three(3);
+  Three.run(milliseconds(50));
+  const std::size_t Owner = Three.ownerOf("order-7");
+  const std::size_t Refused = (Owner + 1) % 3;
+  const ClaimId Holder = Three.claim(Owner, "order-7");
+  Three.run(milliseconds(100));
+  const ClaimId Second = Three.claim(Refused, "order-7");
+  Three.run(milliseconds(100));
+  ASSERT_TRUE(Three.is<ClaimInProgress>(Second));
+  Three.settle(Owner, Holder, ReleaseClaim{});
+  Three.run(milliseconds(200));
+  Three.act(Owner, [&](auto &Service, ClaimTime Time, auto &Out) {
+    ClaimAsk Copy;
+    Copy.Id = Second;
+    Copy.Claimant = Three.All[Refused].Name;
+    Copy.Request = {{TeamName("team"), "order-7"}, "digest", {}};
+    Copy.Wall = Time.Wall;
+    Copy.Budget = milliseconds(1000);
+    Service.received(Three.All[Refused].Name, Copy, Time, Out);
+  });
+  Three.run(milliseconds(1000));
+  const ClaimId Retry = Three.claim(Owner, "order-7");
+  Three.run(milliseconds(200));
+  EXPECT_TRUE(Three.is<ClaimGranted>(Retry));
+}
+
 // The log is down for so long that settlements no longer fit in memory. Orders
 // that ran are forgotten here; a late copy of their grant must not be taken for
 // a claim that was never sent, or the release would let them run again.
@@ -155,6 +185,8 @@
   One.settle(0, Id, Answered);
   EXPECT_EQ(One.All[0].Service->settling(), 1U);
   One.Wrong.LogDown = false;
+  One.run(milliseconds(20'000));
+  ASSERT_EQ(One.All[0].Service->settling(), 0U);
   One.act(0, [&](auto &Service, ClaimTime Time, auto &Out) {
     Service.received(
         HostName("host-9"),
