Test the mesh with two threads, other protocols and many former hosts

Cause: ThreadSanitizer found that a test's handler could outlive what it changes; other protocols at the port were not tested. Change: that test's order of objects; two threads in the mesh's tests; tests of other protocols at the port and of the bound on what is remembered.

--- a/packages/connection/src/coltsfoottrail/mesh/table.hpp
+++ b/packages/connection/src/coltsfoottrail/mesh/table.hpp
@@ -114,6 +114,9 @@
   [[nodiscard]] std::optional<HostName>
   expectedAt(const DialTarget &Target) const;
 
+  /// @brief Counts the hosts of which something is remembered.
+  [[nodiscard]] std::size_t knownHosts() const noexcept { return Hosts.size(); }
+
 private:
   struct Current {
     LinkId Link;
--- a/packages/connection/test/coltsfoottrail/mesh/mesh.cpp
+++ b/packages/connection/test/coltsfoottrail/mesh/mesh.cpp
@@ -56,6 +56,7 @@
   Config.Address = "127.0.0.1";
   Config.Key = Key;
   Config.Seed = Run;
+  Config.Threads = 2;
   Config.Limits.FirstRedial = milliseconds(5);
   Config.Limits.MaxRedial = milliseconds(50);
   Config.Limits.DialInterval = milliseconds(5);
@@ -327,6 +328,27 @@
   EXPECT_TRUE(One.Told.Messages.empty());
 }
 
+// A port scanner, or a client of another protocol, comes to the mesh's port.
+TEST(Mesh, OtherProtocolsAreCutOff) {
+  Node One(configOf("one", 1));
+  boost::asio::io_context Io;
+  for (const std::string &Bytes :
+       {std::string("\x16\x03\x01\x02\0\x01\0 no HTTP\r\n\r\n", 18),
+        std::string("GET / HTTP/1.1\r\nHost: mesh\r\n\r\n"),
+        "GET /mesh HTTP/1.1\r\nX: " + std::string(100000, 'x')}) {
+    boost::asio::ip::tcp::socket Socket(Io);
+    Socket.connect({boost::asio::ip::make_address("127.0.0.1"), One.Own.Port});
+    boost::system::error_code Problem;
+    boost::asio::write(Socket, boost::asio::buffer(Bytes), Problem);
+    std::array<char, 4096> Buffer{};
+    while (!Problem)
+      (void)Socket.read_some(boost::asio::buffer(Buffer), Problem);
+  }
+  RawPeer Two(One.Own.Port, introduction("two", 2), Key);
+  EXPECT_TRUE(Two.prove());
+  EXPECT_TRUE(One.Told.Messages.empty());
+}
+
 TEST(Mesh, UnprovedConnectionsAreBoundedAndTimeOut) {
   MeshConfig Config = configOf("one", 1);
   Config.Limits.MaxUnproved = 1;
@@ -401,11 +423,11 @@
 
 TEST(Mesh, HandlerThatThrowsEndsNothing) {
   MeshConfig Config = configOf("one", 1);
+  Seen Told;
+  int Count = 0;
   Mesh Links(Config);
   Links.onMessage(Channel::Credits, [](const HostName &, Incarnation,
                                        const Json &) { throw Error("no"); });
-  Seen Told;
-  int Count = 0;
   Links.onMessage(Channel::Claims,
                   [&](const HostName &, Incarnation, const Json &) {
                     Told.add([&] { ++Count; });
--- a/packages/connection/test/coltsfoottrail/mesh/table.cpp
+++ b/packages/connection/test/coltsfoottrail/mesh/table.cpp
@@ -124,6 +124,18 @@
   EXPECT_TRUE(Table.lost(link(2), Now));
 }
 
+// Hosts are replaced by hundreds a day under new names: what is remembered of
+// those that are gone must not grow for ever.
+TEST_F(PeerTableTest, FormerHostsAreForgotten) {
+  const std::size_t Many = 3 * PeerTable::MaxFormerHosts;
+  for (std::size_t Number = 0; Number < Many; ++Number) {
+    const std::string Host = "z" + std::to_string(Number);
+    list(Host.c_str(), 1);
+    list(Host.c_str(), 2);
+  }
+  EXPECT_LE(Table.knownHosts(), PeerTable::MaxFormerHosts + 1);
+}
+
 TEST_F(PeerTableTest, RestartedPeerIsDialledWithoutTheOldWaits) {
   list("z", 1);
   for (int Round = 0; Round < 10; ++Round)
