--- a/packages/connection/src/coltsfoottrail/mesh/fwd.hpp
+++ b/packages/connection/src/coltsfoottrail/mesh/fwd.hpp
@@ -20,6 +20,9 @@
 struct PeerRefused;
 struct ChannelCounters;
 struct MeshCounters;
+struct MeshMember;
+struct NeighbourPolicy;
+class ListenError;
 class Mesh;
 class WebSocket;
 
--- a/packages/connection/src/coltsfoottrail/mesh/mesh.cpp
+++ b/packages/connection/src/coltsfoottrail/mesh/mesh.cpp
@@ -144,8 +144,9 @@
     Acceptor.bind(Where);
     Acceptor.listen();
   } catch (const boost::system::system_error &Problem) {
-    throw Error("cannot listen for entry hosts on " + Config.Address + ":" +
-                std::to_string(Config.Port) + ": " + Problem.code().message());
+    throw ListenError("cannot listen for entry hosts on " + Config.Address +
+                      ":" + std::to_string(Config.Port) + ": " +
+                      Problem.code().message());
   }
 }
 
--- a/packages/connection/src/coltsfoottrail/mesh/mesh.hpp
+++ b/packages/connection/src/coltsfoottrail/mesh/mesh.hpp
@@ -94,6 +94,12 @@
   std::size_t QueuedBytes = 0;
 };
 
+/// @brief The mesh's address cannot be listened on.
+class ListenError : public Error {
+public:
+  using Error::Error;
+};
+
 /// Takes a message of a proved peer and the run that sent it.
 using MessageHandler =
     std::function<void(const HostName &, Incarnation, const Json &)>;
@@ -127,7 +133,7 @@
 
   /// @brief Listens and begins to dial. Once only.
   /// @return The port listened on.
-  /// @throws Error The address cannot be listened on; says which and why.
+  /// @throws ListenError The address cannot be listened on; says which and why.
   [[nodiscard]] std::uint16_t start();
   /// @brief Closes all connections and ends the threads; no handler runs
   /// afterwards. Not from a handler.
--- a/packages/connection/test/coltsfoottrail/mesh/mesh.cpp
+++ b/packages/connection/test/coltsfoottrail/mesh/mesh.cpp
@@ -448,7 +448,7 @@
   try {
     (void)Two.start();
     FAIL();
-  } catch (const Error &Problem) {
+  } catch (const ListenError &Problem) {
     EXPECT_THAT(Problem.what(),
                 HasSubstr("127.0.0.1:" + std::to_string(One.Own.Port) +
                           ": Address already in use"));
