Tie mesh, follower, checkpoints, membership, groups, shares and quarantine into the entry host

Cause: the decisions stood by themselves; a claim whose owner was another host waited out its 250 ms time limit. Change: messages of each channel are carried to one control thread; each send is gated at the act by freshness, usable routes and credit; load is polled from used endpoints; crash notices go to peers. The agreed state now names its last change of entry hosts, which stewardship of shares rests on.

--- a/packages/connection/src/coltsfoottrail/adapter/engines.cpp
+++ b/packages/connection/src/coltsfoottrail/adapter/engines.cpp
@@ -188,7 +188,8 @@
   EngineReport Report;
   Report.Run = Reader.number("run");
   Report.Fence = Reader.numberOr("fence", 0);
-  Report.Phase = static_cast<EnginePhase>(Reader.word("phase", PhaseWords));
+  Report.Phase = static_cast<EnginePhase>(Reader.wordOr(
+      "phase", PhaseWords, static_cast<std::size_t>(EnginePhase::Ready)));
   if (Reader.has("group"))
     Report.Group = readGroup(Reader.object("group"));
   Report.Version = VersionName(Reader.textOr("version", ""));
--- a/packages/process/src/coltsfoottrail/server/agreedstream.hpp
+++ b/packages/process/src/coltsfoottrail/server/agreedstream.hpp
@@ -3,11 +3,14 @@
 #ifndef COLTSFOOTTRAIL_SERVER_AGREEDSTREAM_HPP
 #define COLTSFOOTTRAIL_SERVER_AGREEDSTREAM_HPP
 
+#include "coltsfoottrail/checkpoint/schedule.hpp"
+#include "coltsfoottrail/checkpoint/starter.hpp"
+#include "coltsfoottrail/config/follower.hpp"
 #include "coltsfoottrail/fold/fold.hpp"
+#include "coltsfoottrail/json/fwd.hpp"
 #include "coltsfoottrail/platform/log.hpp"
 #include "coltsfoottrail/server/fwd.hpp"
 
-#include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <deque>
@@ -26,29 +29,51 @@
   FoldResult Effect;
 };
 
-/// @brief Reads, folds and appends. Its calls run on the control thread unless
-/// they say otherwise.
+/// @brief What an agreed stream is made with.
+struct AgreedOptions {
+  StreamName Stream;
+  HostName Host;
+  DataCentreName DataCentre;
+  /// This process's run.
+  Incarnation Run = 0;
+  CheckpointPolicy Checkpoints;
+};
+
+/// @brief What an agreed stream tells the process; called on the control
+/// thread.
+struct AgreedListener {
+  /// A new state is in force.
+  std::function<void(const StatePtr &)> OnState;
+  /// A read of the log was answered; it left then and all it showed is folded.
+  std::function<void(TimePoint Left)> OnProof;
+  /// A read of the log failed.
+  std::function<void()> OnLogFailure;
+  /// Sends a message to a peer, which gives it to received().
+  std::function<void(const HostName &, Json)> ToPeer;
+};
+
+/// @brief Follows, folds, appends and writes checkpoints. Its calls run on the
+/// control thread unless they say otherwise.
 class AgreedStream {
 public:
-  using Listener = std::function<void(const StatePtr &)>;
   using Outcome = std::function<void(const AppendOutcome &)>;
 
   /// @brief Makes a stream that does nothing until start().
   /// @param Control Context of the control thread; must outlive the stream.
   /// @param Service The log; must outlive the stream.
-  /// @param Name The stream.
-  /// @param Run This process's run.
-  AgreedStream(boost::asio::io_context &Control, Log &Service, StreamName Name,
-               Incarnation Run);
+  /// @param Wanted Its options.
+  AgreedStream(boost::asio::io_context &Control, Log &Service,
+               AgreedOptions Wanted);
   AgreedStream(const AgreedStream &) = delete;
   AgreedStream &operator=(const AgreedStream &) = delete;
 
-  /// @brief Starts to follow.
-  /// @param OnState Called on the control thread with each new state.
-  void start(Listener OnState);
-
+  /// @brief Starts from the newest checkpoint and follows.
+  /// @param Told Who hears of it.
+  void start(AgreedListener Told);
   /// @brief Stops to follow; open appends are not answered.
   void stop();
+  /// @brief Takes a message from a peer; anything may stand there.
+  void received(const HostName &From, const Json &Message);
 
   /// @brief Appends a record and waits until it is folded. Thread-safe.
   ///
@@ -62,10 +87,9 @@
   /// @brief The newest state. Thread-safe; never null.
   [[nodiscard]] StatePtr state() const;
 
-  /// @brief Age of the newest proof of the log's end: from when the read left.
+  /// @brief Whether this host may start work on its state, at this moment.
   /// Thread-safe.
-  /// @param Now The time.
-  [[nodiscard]] Duration proofAge(TimePoint Now) const;
+  [[nodiscard]] Freshness freshness(TimePoint Now) const;
 
 private:
   struct Pending {
@@ -73,35 +97,69 @@
     std::vector<std::byte> Bytes;
     TimePoint Deadline;
     Outcome Done;
-    std::optional<Offset> At;
   };
 
-  void readOn();
-  void taken(const ReadResult &Result, TimePoint Left);
+  void findStart();
+  void perform(StartCommand Next);
+  void begin(State Found);
+  void retryStart();
+
+  void perform(FollowCommands Due);
+  void perform(const ReadAgreed &Command);
+  void perform(const FoldNow &Command);
+  void perform(const RelayRecords &Command);
+  void perform(const AskRecords &Command);
+  void perform(const TellGone &Command);
+  void perform(const SendQuery &Command);
+  void perform(const SendAnswer &Command);
+  void perform(const FreshnessChanged &Command);
+  void perform(const StartOver &Command);
+  void taken(std::uint64_t Number, const ReadResult &Result, TimePoint Left);
+  void dispatch(const HostName &From, const Json &Message);
+  void tick();
+
   void fold(const LogEntry &Entry);
   void answerFolded(const LogEntry &Entry, const FoldResult &Effect);
+  void publish();
+  void noteDigest();
+  void compareCheckpoint();
+
   void appendFirst();
   void appended(const WriterId &Writer, const AppendResult &Result);
   void expire(TimePoint Now);
-  void publish();
-  void retryRead();
+  [[nodiscard]] std::vector<std::byte> encode(Record Body, WriterId Writer);
+
+  void checkpointIfDue(TimePoint Now);
+  void writePart(std::shared_ptr<std::vector<CheckpointPart>> Parts,
+                 std::size_t Index);
 
   boost::asio::io_context &Control;
   Log &Service;
-  StreamName Stream;
-  Incarnation Run;
-  std::uint64_t NextSequence = 1;
-  Listener OnState;
+  AgreedOptions Options;
+  StreamName CheckpointStream;
+  AgreedListener Listener;
+  Starter Start;
+  bool Started = false;
+  bool Stopped = false;
+  bool Unreachable = false;
   State Folded;
+  Offset Horizon = 0;
+  CheckpointSchedule Schedule;
+  DigestHistory Digests;
+  Offset ComparedAt = 0;
+  bool Writing = false;
+  std::uint64_t NextSequence = 1;
+  std::uint64_t NextPartSequence = 1;
   std::deque<Pending> Waiting;
   bool Appending = false;
-  bool Stopped = false;
-  bool Unreachable = false;
-  boost::asio::steady_timer ReadRetry;
+  boost::asio::steady_timer StartRetryTimer;
   boost::asio::steady_timer AppendRetry;
+  boost::asio::steady_timer Tick;
   mutable std::mutex Lock;
   StatePtr Published;
-  std::atomic<TimePoint::rep> ProvedAt;
+  /// Under the lock: callers' threads ask it for the freshness.
+  std::optional<Follower> Follows;
+  bool Differs = false;
 };
 
 } // namespace coltsfoottrail
--- /dev/null
+++ b/packages/process/src/coltsfoottrail/server/followwire.cpp
@@ -0,0 +1,105 @@
+#include "coltsfoottrail/server/followwire.hpp"
+
+#include "coltsfoottrail/json/reader.hpp"
+
+#include <array>
+#include <span>
+
+namespace coltsfoottrail {
+
+namespace {
+
+constexpr std::string_view Source = "message on the agreed stream";
+constexpr std::array<std::string_view, 5> Kinds{"records", "ask", "gone",
+                                                "query", "answer"};
+
+template <class... Cases> struct Overloaded : Cases... {
+  using Cases::operator()...;
+};
+
+Json writeRecords(const FollowRecords &Message) {
+  Json List = Json::array();
+  for (const RecordPtr &Record : Message.Records) {
+    const auto *const First =
+        reinterpret_cast<const std::uint8_t *>(Record->Payload.data());
+    List.push_back({{"at", Record->At},
+                    {"payload", Json::binary(std::vector<std::uint8_t>(
+                                    First, First + Record->Payload.size()))}});
+  }
+  return {{"records", std::move(List)}};
+}
+
+FollowRecords readRecords(ObjectReader &Reader) {
+  FollowRecords Out;
+  Reader.eachObject("records", [&](ObjectReader &Entry) {
+    const Json &Payload = Entry.raw("payload");
+    if (!Payload.is_binary())
+      Entry.refuse("payload", "bytes");
+    const auto Bytes = std::as_bytes(std::span(Payload.get_binary()));
+    Out.Records.push_back(std::make_shared<const LogEntry>(
+        LogEntry{Entry.number("at"), std::vector(Bytes.begin(), Bytes.end())}));
+  });
+  return Out;
+}
+
+Json writeAnswer(const FollowAnswer &Answer) {
+  Json Out{{"stamp", Answer.Stamp}, {"next", Answer.Next}};
+  if (Answer.ProofAge)
+    Out["proof_age_ns"] = Answer.ProofAge->count();
+  return Out;
+}
+
+FollowAnswer readAnswer(ObjectReader &Reader) {
+  constexpr std::uint64_t LongestAge = std::uint64_t{1} << 62U;
+  FollowAnswer Out;
+  Out.Stamp = Reader.number("stamp");
+  Out.Next = Reader.number("next");
+  if (Reader.has("proof_age_ns"))
+    Out.ProofAge = Duration(static_cast<Duration::rep>(
+        Reader.number("proof_age_ns", 0, LongestAge)));
+  return Out;
+}
+
+} // namespace
+
+Json writeFollowMessage(const FollowMessage &Message) {
+  Json Out = std::visit(
+      Overloaded{
+          [](const FollowRecords &Records) { return writeRecords(Records); },
+          [](const FollowAsk &Ask) {
+            return Json{{"from", Ask.From}};
+          },
+          [](const FollowGone &Gone) {
+            return Json{{"from", Gone.From}};
+          },
+          [](const FollowQuery &Query) {
+            return Json{{"stamp", Query.Stamp}, {"next", Query.Next}};
+          },
+          [](const FollowAnswer &Answer) { return writeAnswer(Answer); },
+      },
+      Message);
+  Out["kind"] = Kinds.at(Message.index());
+  return Out;
+}
+
+FollowMessage readFollowMessage(const Json &Value) {
+  ObjectReader Reader(Value, Source, "", UnknownKeys::Ignore);
+  switch (Reader.word("kind", Kinds)) {
+  case 0:
+    return readRecords(Reader);
+  case 1:
+    return FollowAsk{Reader.number("from")};
+  case 2:
+    return FollowGone{Reader.number("from")};
+  case 3: {
+    FollowQuery Query;
+    Query.Stamp = Reader.number("stamp");
+    Query.Next = Reader.number("next");
+    return Query;
+  }
+  default:
+    return readAnswer(Reader);
+  }
+}
+
+} // namespace coltsfoottrail
--- /dev/null
+++ b/packages/process/src/coltsfoottrail/server/groupdesk.cpp
@@ -0,0 +1,131 @@
+#include "coltsfoottrail/server/groupdesk.hpp"
+
+#include "coltsfoottrail/groups/agent.hpp"
+#include "coltsfoottrail/json/reader.hpp"
+#include "coltsfoottrail/logging/log.hpp"
+
+#include <boost/asio/post.hpp>
+#include <utility>
+
+namespace coltsfoottrail {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr milliseconds AppendWait{3'000};
+
+} // namespace
+
+struct GroupDesk::Inner {
+  Inner(asio::io_context &Where, AgreedStream &Stream, Engines &Ordered,
+        const HostName &Self, Incarnation Run, Sender Send, ReportListener Told)
+      : Control(Where), Agreed(Stream), Orders(Ordered),
+        Agent(GroupTimes{}, WatchTimes{}, Self, Run), ToPeer(std::move(Send)),
+        OnReport(std::move(Told)) {}
+
+  void perform(AppendRecord Command);
+  void perform(OrderEngine Command);
+  void perform(AskEngine Command);
+
+  asio::io_context &Control;
+  AgreedStream &Agreed;
+  Engines &Orders;
+  GroupAgent Agent;
+  Sender ToPeer;
+  ReportListener OnReport;
+  bool Stopped = false;
+};
+
+GroupDesk::GroupDesk(asio::io_context &Where, AgreedStream &Stream,
+                     Engines &Ordered, const HostName &Self, Incarnation Run,
+                     Sender Send, ReportListener Told)
+    : Own(std::make_unique<Inner>(Where, Stream, Ordered, Self, Run,
+                                  std::move(Send), std::move(Told))) {}
+
+GroupDesk::~GroupDesk() = default;
+
+void GroupDesk::stop() { Own->Stopped = true; }
+
+void GroupDesk::poll() {
+  if (Own->Stopped)
+    return;
+  GroupDecisions Due = Own->Agent.poll(*Own->Agreed.state(), BootClock::now());
+  for (GroupCommand &One : Due.Commands)
+    std::visit([this](auto &Command) { Own->perform(std::move(Command)); },
+               One);
+  for (const BeatToSend &Beat : Due.Beats)
+    Own->ToPeer(Beat.To, writeBeat(Beat.Beat));
+}
+
+void GroupDesk::received(const HostName &From, const Json &Message) {
+  if (Own->Stopped)
+    return;
+  try {
+    const LivenessBeat Beat = readBeat(Message);
+    if (Beat.From == From)
+      Own->Agent.heard(Beat, BootClock::now());
+  } catch (const InputError &Problem) {
+    logEvent(Event::InternalError, {{"peer", From}, {"why", Problem.what()}});
+  }
+}
+
+void GroupDesk::suspect(const GroupId &Group) {
+  Own->Agent.suspect(Group, BootClock::now());
+}
+
+std::map<GroupId, TimePoint> GroupDesk::usableUntil() const {
+  return Own->Agent.usableUntil();
+}
+
+void GroupDesk::Inner::perform(AppendRecord Command) {
+  Agreed.append(std::move(Command.Body), AppendWait,
+                [this, Which = Command.Which](const AppendOutcome &Got) {
+                  if (Stopped)
+                    return;
+                  const AppendResult Result =
+                      Got.OnLog ? AppendResult(Got.At)
+                                : AppendResult(LogFailure::Unknown);
+                  Agent.appended(Which, Result, BootClock::now());
+                });
+}
+
+// Failure guarded against: this host was paused between the decision and the
+// order, and its lease has lapsed. The clock, which counts the pause, is read
+// last of all.
+void GroupDesk::Inner::perform(OrderEngine Command) {
+  const TimePoint Now = BootClock::now();
+  if (Now > Command.NotAfter) {
+    Agent.ordered(Command.Which, OrderResult::NotDone, Now);
+    return;
+  }
+  Orders.order(
+      Command.To, Command.Order, Command.Timeout,
+      [this, Which = Command.Which, Host = Command.Host](OrderResult Result) {
+        asio::post(Control, [this, Which, Host, Result] {
+          if (Stopped)
+            return;
+          if (Result == OrderResult::RefusedOldFence ||
+              Result == OrderResult::RefusedOther)
+            logEvent(Event::OrderRefused, {{"host", Host}});
+          Agent.ordered(Which, Result, BootClock::now());
+        });
+      });
+}
+
+void GroupDesk::Inner::perform(AskEngine Command) {
+  Orders.ask(Command.Whom, Command.Timeout,
+             [this, Which = Command.Which,
+              Host = Command.Host](std::optional<EngineReport> Report) {
+               asio::post(Control,
+                          [this, Which, Host, Got = std::move(Report)] {
+                            if (Stopped)
+                              return;
+                            if (Got)
+                              OnReport(Host, *Got);
+                            Agent.reported(Which, Got, BootClock::now());
+                          });
+             });
+}
+
+} // namespace coltsfoottrail
--- a/packages/process/src/coltsfoottrail/server/process.hpp
+++ b/packages/process/src/coltsfoottrail/server/process.hpp
@@ -5,8 +5,11 @@
 
 #include "coltsfoottrail/adapter/engines.hpp"
 #include "coltsfoottrail/adapter/log.hpp"
+#include "coltsfoottrail/mesh/mesh.hpp"
 #include "coltsfoottrail/server/agreedstream.hpp"
 #include "coltsfoottrail/server/claimdesk.hpp"
+#include "coltsfoottrail/server/groupdesk.hpp"
+#include "coltsfoottrail/server/memberdesk.hpp"
 #include "coltsfoottrail/server/operators.hpp"
 #include "coltsfoottrail/server/relay.hpp"
 #include "coltsfoottrail/settings/settings.hpp"
@@ -22,7 +25,9 @@
 public:
   /// @brief Listens and starts to follow the log.
   /// @param Wanted Checked settings.
-  /// @throws boost::system::system_error A port is taken.
+  /// @throws boost::system::system_error A port for callers or operators is
+  /// taken.
+  /// @throws Error The port for peers is taken.
   explicit EntryHostProcess(Settings Wanted);
   EntryHostProcess(const EntryHostProcess &) = delete;
   EntryHostProcess &operator=(const EntryHostProcess &) = delete;
@@ -37,10 +42,19 @@
   [[nodiscard]] bool ready() const;
   /// @brief The newest agreed state. Thread-safe.
   [[nodiscard]] StatePtr state() const { return Agreed.state(); }
+  /// @brief Whether this host may start work on its state. Thread-safe.
+  [[nodiscard]] Freshness freshness() const {
+    return Agreed.freshness(BootClock::now());
+  }
   /// @brief What callers got. Thread-safe.
   [[nodiscard]] const RelayCounters &counters() const noexcept {
     return Callers.counters();
   }
+  /// @brief Peers that are connected now. Thread-safe.
+  [[nodiscard]] std::size_t peers() const { return Peers.connected().size(); }
+  /// @brief Sets who hears that this run has been found gone by its peers: it
+  /// has to be stopped and started again. Called once, on the control thread.
+  void onEnded(std::function<void()> Told) { Ended = std::move(Told); }
 
   /// @brief Stops as planned: unready at once, no new requests after the grace,
   /// requests in progress run out up to the limit. Blocks until all has ended.
@@ -49,14 +63,43 @@
   std::size_t stop();
 
 private:
+  /// Until when each endpoint may be sent requests.
+  using UsableEndpoints = std::map<std::string, TimePoint, std::less<>>;
+
   [[nodiscard]] Awaitable<void> serveCaller(Exchange &Call);
   [[nodiscard]] std::optional<HttpResponse>
   checkCaller(const HttpRequest &Head);
-  [[nodiscard]] std::string metricsText();
-  void join();
-  void dropControlWork();
+  [[nodiscard]] bool mayStartWork() const;
+  [[nodiscard]] bool admit(const EndpointSpec &To);
+  void ended(const EndpointSpec &To, const AttemptResult &Result);
+
+  [[nodiscard]] MeshConfig meshConfig() const;
+  [[nodiscard]] AgreedOptions agreedOptions() const;
+  [[nodiscard]] EntryHostJoined joinRecord(std::uint16_t MeshPort) const;
+  [[nodiscard]] MemberHooks memberHooks();
+  [[nodiscard]] AgreedListener agreedListener();
+  void listenToPeers();
+  void take(Channel Which,
+            void (EntryHostProcess::*Take)(const HostName &, const Json &));
+  void takeMembership(const HostName &From, const Json &Message);
+  void takeShares(const HostName &From, const Json &Message);
+  void takeClaims(const HostName &From, const Json &Message);
+  void takeBeat(const HostName &From, const Json &Message);
+  void takeRecords(const HostName &From, const Json &Message);
+  void takeNotice(const HostName &From, const Json &Message);
+  void send(const HostName &To, Channel Which, Json Body);
+
   void onState(const StatePtr &Now);
+  void connectPeers(const State &Now);
+  void refreshUsable();
+  void applyRoutes();
+  void pollLoad();
+  void loadReported(const std::string &Key, const EngineReport &Report);
+  void sendNotices();
   void tick();
+  void tickSlow();
+  void setUpMetrics();
+  void dropControlWork();
 
   Settings Options;
   Incarnation Run;
@@ -65,13 +108,26 @@
       ControlGuard;
   IoPool Threads;
   HttpLog Platform;
+  HttpEngines Orders;
+  Mesh Peers;
   AgreedStream Agreed;
   ClaimDesk Claims;
+  GroupDesk Groups;
   Router Routing;
   Relay Callers;
-  Operators ForOperators;
   Metrics Registry;
+  Operators ForOperators;
   boost::asio::steady_timer Tick;
+  boost::asio::steady_timer SlowTick;
+  std::unique_ptr<MemberDesk> Members;
+  std::unique_ptr<HttpHostList> HostListing;
+  RouteTablePtr Routes;
+  std::set<std::string> Applied;
+  Offset AppliedVersion = 0;
+  std::uint64_t SlowTicks = 0;
+  mutable std::mutex UsableLock;
+  std::shared_ptr<const UsableEndpoints> Usable;
+  std::function<void()> Ended;
   std::atomic<bool> Joined{false};
   std::atomic<bool> Unready{false};
   std::atomic<bool> StoppedAlready{false};
--- a/packages/process/src/coltsfoottrail/server/relay.cpp
+++ b/packages/process/src/coltsfoottrail/server/relay.cpp
@@ -166,8 +166,8 @@
 };
 
 Relay::Relay(IoPool &Threads, Router &Where, ClaimDesk &Desk,
-             CallerLimits Bounds)
-    : Routing(Where), Claims(Desk), Limits(Bounds),
+             CallerLimits Bounds, SendGate Asked)
+    : Routing(Where), Claims(Desk), Limits(Bounds), Gate(std::move(Asked)),
       Routes(std::make_shared<const RouteTable>()) {
   for (std::size_t Index = 0; Index < Threads.size(); ++Index)
     Clients.push_back(
@@ -318,7 +318,7 @@
     ++Counts.Attempts;
     const auto To = std::get<Assignment>(Next).Endpoint;
     const AttemptResult Result =
-        co_await attempt(Call, Asked, *To, Progress, Guard);
+        co_await gatedAttempt(Call, Asked, *To, Progress, Guard);
     Mine->report(Result);
     if (Result.Answered) {
       ++Counts.Answered;
@@ -327,6 +327,39 @@
   }
 }
 
+namespace {
+
+/// Gives a leave back however the attempt ends, also when its caller goes away.
+class Leave {
+public:
+  Leave(const SendGate &Gate, const EndpointSpec &To) : Home(Gate), Where(To) {
+    Result.Why = Reason::Cancelled;
+  }
+  Leave(const Leave &) = delete;
+  Leave &operator=(const Leave &) = delete;
+  ~Leave() { Home.Ended(Where, Result); }
+
+  AttemptResult Result;
+
+private:
+  const SendGate &Home;
+  const EndpointSpec &Where;
+};
+
+} // namespace
+
+Awaitable<AttemptResult> Relay::gatedAttempt(Exchange &Call,
+                                             const CallerRequest &Asked,
+                                             const EndpointSpec &To,
+                                             StreamProgress &Progress,
+                                             ClaimGuard *Guard) {
+  if (!Gate.Admit(To))
+    co_return failed(RunState::NotRun, Reason::NoEndpoint, BootClock::now());
+  Leave Given(Gate, To);
+  Given.Result = co_await attempt(Call, Asked, To, Progress, Guard);
+  co_return Given.Result;
+}
+
 // Failure guarded against: a request that must not run twice is written to a
 // connection that the endpoint is just closing, and nobody can tell whether it
 // ran. Such requests get a connection of their own, so that "not run" and "may
--- a/packages/process/src/coltsfoottrail/server/relay.hpp
+++ b/packages/process/src/coltsfoottrail/server/relay.hpp
@@ -27,6 +27,14 @@
   std::atomic<std::uint64_t> Resumed{0};
 };
 
+/// @brief What is asked at the act of sending, after the decision: a host that
+/// was paused in between must find out. Called on callers' threads.
+struct SendGate {
+  /// Leave to send one request; Ended follows each leave that was given.
+  std::function<bool(const EndpointSpec &)> Admit;
+  std::function<void(const EndpointSpec &, const AttemptResult &)> Ended;
+};
+
 /// @brief Relays callers' requests to endpoints. Thread-safe.
 class Relay {
 public:
@@ -35,8 +43,9 @@
   /// @param Routing Where endpoints are chosen.
   /// @param Claims Where keys are claimed.
   /// @param Limits Limits of callers.
+  /// @param Gate What is asked at the act of sending.
   Relay(IoPool &Threads, Router &Routing, ClaimDesk &Claims,
-        CallerLimits Limits);
+        CallerLimits Limits, SendGate Gate);
 
   /// @brief Puts routes in force for reading requests.
   void setRoutes(RouteTablePtr Wanted);
@@ -77,6 +86,10 @@
   [[nodiscard]] Awaitable<void> serveRouted(Exchange &Call, CallerRequest Asked,
                                             ClaimGuard *Guard);
   [[nodiscard]] Awaitable<AttemptResult>
+  gatedAttempt(Exchange &Call, const CallerRequest &Asked,
+               const EndpointSpec &To, StreamProgress &Progress,
+               ClaimGuard *Guard);
+  [[nodiscard]] Awaitable<AttemptResult>
   attempt(Exchange &Call, const CallerRequest &Asked, const EndpointSpec &To,
           StreamProgress &Progress, ClaimGuard *Guard);
   [[nodiscard]] Awaitable<AttemptResult>
@@ -91,6 +104,7 @@
   Router &Routing;
   ClaimDesk &Claims;
   CallerLimits Limits;
+  SendGate Gate;
   std::vector<std::unique_ptr<HttpClient>> Clients;
   mutable std::mutex Lock;
   RouteTablePtr Routes;
--- a/packages/process/src/coltsfoottrail/server/router.cpp
+++ b/packages/process/src/coltsfoottrail/server/router.cpp
@@ -30,7 +30,8 @@
 
 /// One pool: its dispatcher and who waits for its commands.
 struct Place::Shard {
-  explicit Shard(DispatcherOptions Limits) : Decides(std::move(Limits)) {}
+  Shard(std::string Pool, DispatcherOptions Limits)
+      : Name(std::move(Pool)), Decides(std::move(Limits)) {}
 
   struct Delivery {
     std::shared_ptr<Waiter> To;
@@ -44,8 +45,11 @@
   /// Hands decisions over after the lock is released.
   static void deliver(Deliveries Due, const Waiter *OnOwnThread);
 
+  std::string Name;
   std::mutex Lock;
   Dispatcher Decides;
+  /// What OnWaiting was told last.
+  std::size_t ToldWaiting = 0;
   std::map<std::string, std::shared_ptr<const EndpointSpec>, std::less<>>
       Endpoints;
   std::map<Ticket, std::shared_ptr<Waiter>> Waiters;
@@ -170,7 +174,7 @@
         continue;
       DispatcherOptions Limits = Options.Dispatch;
       Limits.Seed = hashText(Name, hashText(Options.Self.Text));
-      Home = std::make_shared<Place::Shard>(std::move(Limits));
+      Home = std::make_shared<Place::Shard>(Name, std::move(Limits));
     }
   }
   for (const auto &[Name, Home] : [&] {
@@ -243,11 +247,48 @@
     Due = Home->translate(Given);
   }
   Place::Shard::deliver(std::move(Due), Own.get());
+  tellWaiting(*Home);
   return Place(std::move(Home), std::move(Own));
 }
 
+// Shares are given to hosts that have work: whoever gives them hears at once
+// when requests begin to wait, and on the next tick when they no longer do.
+void Router::tellWaiting(Place::Shard &Home) {
+  if (!Options.OnWaiting)
+    return;
+  std::size_t Now = 0;
+  {
+    const std::lock_guard Hold(Home.Lock);
+    Now = Home.Decides.waiting();
+    if (Now == Home.ToldWaiting)
+      return;
+    Home.ToldWaiting = Now;
+  }
+  Options.OnWaiting(Home.Name, Now);
+}
+
+void Router::observeNotice(std::string_view PoolName,
+                           const QuarantineNotice &Told) {
+  const std::shared_ptr<Place::Shard> Home = find(PoolName);
+  if (!Home)
+    return;
+  const std::lock_guard Hold(Home->Lock);
+  Home->Decides.observeNotice(Told, BootClock::now());
+}
+
+std::vector<std::pair<std::string, QuarantineNotice>> Router::noticesOut() {
+  std::vector<std::pair<std::string, QuarantineNotice>> Out;
+  for (const auto &Home : all()) {
+    const std::lock_guard Hold(Home->Lock);
+    for (QuarantineNotice &Told : Home->Decides.noticesOut(BootClock::now()))
+      Out.emplace_back(Home->Name, std::move(Told));
+  }
+  return Out;
+}
+
 void Router::advance() {
   for (const auto &Home : all()) {
+    tellWaiting(*Home);
     Place::Shard::Deliveries Due;
     {
       const std::lock_guard Hold(Home->Lock);
--- a/packages/process/src/coltsfoottrail/server/router.hpp
+++ b/packages/process/src/coltsfoottrail/server/router.hpp
@@ -64,6 +64,9 @@
 struct RouterOptions {
   HostName Self;
   DispatcherOptions Dispatch;
+  /// Hears how many requests wait in a pool when that changes; called on any
+  /// thread, without a lock held. May be empty.
+  std::function<void(std::string_view Pool, std::size_t Waiting)> OnWaiting;
 };
 
 /// @brief Routes requests by the dispatcher of their pool. Thread-safe.
@@ -83,6 +86,14 @@
   void setRoutes(const RouteTable &Routes,
                  const std::map<std::string, std::uint32_t> &Shares);
 
+  /// @brief Takes notices from peers about requests that crash endpoints.
+  /// @param PoolName The pool that they are about.
+  void observeNotice(std::string_view PoolName, const QuarantineNotice &Told);
+
+  /// @brief Notices for peers that have come up since the last call.
+  [[nodiscard]] std::vector<std::pair<std::string, QuarantineNotice>>
+  noticesOut();
+
   /// @brief Sets this host's share of endpoints' bounds.
   void setShares(const std::map<std::string, std::uint32_t> &Shares);
 
@@ -105,6 +116,7 @@
   [[nodiscard]] std::size_t waiting() const;
 
 private:
+  void tellWaiting(Place::Shard &Home);
   [[nodiscard]] std::shared_ptr<Place::Shard> find(std::string_view Name) const;
   [[nodiscard]] std::vector<std::shared_ptr<Place::Shard>> all() const;
 
--- a/packages/standin/src/coltsfoottrail/standin/service.cpp
+++ b/packages/standin/src/coltsfoottrail/standin/service.cpp
@@ -13,6 +13,22 @@
 
 namespace {
 
+/// Counts a call while it runs.
+struct CountUp {
+  explicit CountUp(std::atomic<std::uint32_t> &Counter) : Count(Counter) {
+    ++Count;
+  }
+  CountUp(const CountUp &) = delete;
+  CountUp &operator=(const CountUp &) = delete;
+  ~CountUp() { --Count; }
+  std::atomic<std::uint32_t> &Count;
+};
+
+HttpResponse reportAnswer(std::uint32_t InProgress) {
+  return jsonResponse(
+      200, Json{{"run", 1}, {"running", InProgress}, {"queued", 0}}.dump());
+}
+
 HttpResponse countAnswer(std::uint64_t Runs) {
   return jsonResponse(200, Json{{"runs", Runs}}.dump());
 }
@@ -72,6 +88,11 @@
     co_await Call.respond(countAnswer(runs()));
     co_return;
   }
+  if (pathOf(Asked.Target) == "/report") {
+    co_await Call.respond(reportAnswer(InProgress));
+    co_return;
+  }
+  const CountUp Mark(InProgress);
   std::uint64_t Number = 0;
   milliseconds Wait{0};
   bool Lose = false;
--- a/packages/standin/src/coltsfoottrail/standin/service.hpp
+++ b/packages/standin/src/coltsfoottrail/standin/service.hpp
@@ -7,6 +7,7 @@
 #include "coltsfoottrail/platform/engine.hpp"
 #include "coltsfoottrail/standin/fwd.hpp"
 
+#include <atomic>
 #include <map>
 #include <mutex>
 #include <string>
@@ -42,6 +43,7 @@
   std::map<std::string, std::uint64_t> Runs;
   milliseconds Delay{0};
   bool LoseAnswers = false;
+  std::atomic<std::uint32_t> InProgress{0};
   HttpServer Server;
 };
 
--- a/packages/version/src/coltsfoottrail/checkpoint/statecodec.cpp
+++ b/packages/version/src/coltsfoottrail/checkpoint/statecodec.cpp
@@ -108,6 +108,7 @@
 Json writeHead(const State &Of) {
   return Json{{"form", StateFormVersion},
               {"next", Of.Next},
+              {"entry_hosts_change", Of.EntryHostsChange},
               {"last_change", Of.LastChange},
               {"declared_change", Of.DeclaredChange},
               {"model_changes", writeChanges(Of.ModelChanges)},
@@ -124,6 +125,7 @@
   ObjectReader From(Item, Source);
   static_cast<void>(From.number("form", StateFormVersion, StateFormVersion));
   Into.Next = From.number("next");
+  Into.EntryHostsChange = From.number("entry_hosts_change");
   Into.LastChange = From.number("last_change");
   Into.DeclaredChange = From.number("declared_change");
   Into.ModelChanges = readChanges<ModelName>(From, "model_changes");
--- a/packages/version/src/coltsfoottrail/fold/digest.cpp
+++ b/packages/version/src/coltsfoottrail/fold/digest.cpp
@@ -251,6 +251,7 @@
   feed(Into, Of.Checkpoint.At);
   feed(Into, Of.Checkpoint.Digest);
   feed(Into, Of.Checkpoint.AnnouncedAt);
+  feed(Into, Of.EntryHostsChange);
   feed(Into, Of.LastChange);
   feed(Into, Of.DeclaredChange);
   feedMap(Into, Of.ModelChanges);
--- a/packages/version/src/coltsfoottrail/fold/fold.cpp
+++ b/packages/version/src/coltsfoottrail/fold/fold.cpp
@@ -24,10 +24,11 @@
 
 FoldResult applyRecord(State &Into, Offset At, const EntryHostJoined &Said) {
   Into.EntryHosts[Said.Host] = EntryHost{Said, At};
+  Into.EntryHostsChange = At + 1;
   return applied();
 }
 
-FoldResult applyRecord(State &Into, Offset /*At*/, const EntryHostLeft &Said) {
+FoldResult applyRecord(State &Into, Offset At, const EntryHostLeft &Said) {
   const auto Found = Into.EntryHosts.find(Said.Host);
   if (Found == Into.EntryHosts.end())
     return voided("entry host " + Said.Host.Text + " has not joined");
@@ -36,6 +37,7 @@
                       " has joined since",
                   Found->second.Since);
   Into.EntryHosts.erase(Found);
+  Into.EntryHostsChange = At + 1;
   return applied();
 }
 
--- a/packages/version/src/coltsfoottrail/fold/state.hpp
+++ b/packages/version/src/coltsfoottrail/fold/state.hpp
@@ -100,6 +100,8 @@
   /// Highest sequence folded of each writer, to drop twins.
   std::map<Incarnation, WriterMark> Writers;
   AnnouncedCheckpoint Checkpoint;
+  /// Next of the state that the last change of the entry hosts made.
+  Offset EntryHostsChange = 0;
   /// Offset of the last record that changed what plans rest on.
   Offset LastChange = 0;
   /// What a plan rests on, and the Next of the state that its last change made:
