Hold requests for shares that are given on demand

Cause: shares are credits that lapse when unused. After a quiet time an entry host has none, so the first request was refused at once as if the pool were gone, and a burst was refused by an estimate for the few places of the last one. Change: without a share requests are held for 8 s from when they began to wait; expectPlaces() tells how many places may be had for asking, and the wait is estimated by them for the first second. The queue is looked through after a fall of capacity whether or not it has recovered meanwhile: then nothing is refused.

--- a/bench/choice.cpp
+++ b/bench/choice.cpp
@@ -189,13 +189,15 @@
     const char *Name;
     SimulationOptions Options;
   };
-  std::vector<Variant> Variants(4, Variant{"all", Common});
+  std::vector<Variant> Variants(5, Variant{"all", Common});
   Variants[1].Name = "no budget";
   Variants[1].Options.Dispatch.Retries = unlimitedRetries();
   Variants[2].Name = "least in flight";
   Variants[2].Options.Dispatch.Policy = LeastInFlightPolicy{};
   Variants[3].Name = "no ramp";
   Variants[3].Options.Outage->Ramp = false;
+  Variants[4].Name = "no ejection";
+  Variants[4].Options.Dispatch.Policy = withoutEjection();
   std::printf("\na data centre of three is lost at 20 s and returns cold at "
               "40 s; in time by second of asking\n%-6s",
               "second");
--- a/packages/request/src/coltsfoottrail/dispatch/dispatcher.cpp
+++ b/packages/request/src/coltsfoottrail/dispatch/dispatcher.cpp
@@ -99,7 +99,7 @@
     refuse(Which, *Final, Out);
     return Which;
   }
-  enqueue(Which);
+  enqueue(Which, Now);
   return Which;
 }
 
@@ -109,7 +109,7 @@
     return notRun(Reason::DeadlinePassed);
   if (Crashes.standing(Asked.Item.Fingerprint, Now) == Standing::Quarantined)
     return notRun(Reason::Quarantined);
-  if (emptyTooLong(Now))
+  if (heldTooLong(Now))
     return emptyVerdict();
   return std::nullopt;
 }
@@ -120,7 +120,7 @@
 std::optional<Verdict> Dispatcher::refusalToWait(const Request &Asked,
                                                  TimePoint Now) const {
   const WorkItem &Item = Asked.Item;
-  const Throughput Speed = Choice.throughput();
+  const Throughput Speed = speed(Now);
   const Duration Wait =
       Speed.known()
           ? Queue.estimatedWait(Asked.Team, Item.Urgency, Item.Cost, Speed)
@@ -148,8 +148,30 @@
                                                     : Options.ServiceMargin);
 }
 
-bool Dispatcher::emptyTooLong(TimePoint Now) const {
-  return EmptySince && *EmptySince + Options.NoEndpointHold <= Now;
+// Failure guarded against: shares are given on demand and lapse when they are
+// not used. After a quiet time this host has none, and the first requests would
+// be refused by an estimate for no places at all.
+Throughput Dispatcher::speed(TimePoint Now) const {
+  Throughput Out = Choice.throughput();
+  if (!WaitingSince || Now < *WaitingSince + Options.ShareGrace)
+    Out.Slots = std::max(Out.Slots, ExpectedPlaces);
+  return Out;
+}
+
+/// When requests that wait for the first endpoint or share are given up.
+std::optional<TimePoint> Dispatcher::holdEnd() const {
+  if (!EmptySince)
+    return std::nullopt;
+  if (Choice.size() == 0)
+    return *EmptySince + Options.NoEndpointHold;
+  if (!WaitingSince)
+    return std::nullopt;
+  return std::max(*EmptySince, *WaitingSince) + Options.NoShareHold;
+}
+
+bool Dispatcher::heldTooLong(TimePoint Now) const {
+  const std::optional<TimePoint> End = holdEnd();
+  return End && *End <= Now;
 }
 
 Verdict Dispatcher::emptyVerdict() const {
@@ -171,11 +193,15 @@
   return true;
 }
 
-void Dispatcher::enqueue(Ticket Which) {
+void Dispatcher::enqueue(Ticket Which, TimePoint Now) {
   const Request &Asked = *Requests.find(Which);
   const WorkItem &Item = Asked.Item;
   Queue.push(Asked.Team, QueueItem{Which, Item.Urgency, latestStart(Asked),
                                    Item.Bytes, Item.Cost});
+  if (!WaitingSince)
+    WaitingSince = Now;
+  if (ExpectedPlaces > Choice.throughput().Slots && !ShedAt)
+    ShedAt = *WaitingSince + Options.ShareGrace;
 }
 
 ChoiceQuery Dispatcher::queryOf(const Request &Asked, TimePoint Now) const {
@@ -357,7 +383,7 @@
   Choice.advance(Now);
   pump(Now, Out);
   refuseHopeless(Now, Out);
-  if (emptyTooLong(Now))
+  if (heldTooLong(Now))
     refuseAllWaiting(emptyVerdict(), Out);
 }
 
@@ -373,8 +399,7 @@
   Consider(Held.earliest());
   Consider(Choice.nextChange());
   Consider(ShedAt);
-  if (EmptySince)
-    Consider(*EmptySince + Options.NoEndpointHold);
+  Consider(holdEnd());
   return Earliest;
 }
 
@@ -492,13 +517,13 @@
     EmptySince.reset();
   else if (!EmptySince)
     EmptySince = Now;
+  if (waiting() == 0)
+    WaitingSince.reset();
   const double Slots = Choice.throughput().Slots;
   countPlaces();
   if (Slots > ShedSlots)
     ShedSlots = Slots;
-  if (Slots >= CapacityDrop * ShedSlots)
-    ShedAt.reset();
-  else if (!ShedAt)
+  if (Slots < CapacityDrop * ShedSlots && !ShedAt)
     ShedAt = Now + ShedDelay;
 }
 
@@ -508,8 +533,8 @@
   if (!ShedAt || Now < *ShedAt)
     return;
   ShedAt.reset();
-  const Throughput Speed = Choice.throughput();
-  ShedSlots = Speed.Slots;
+  const Throughput Speed = speed(Now);
+  ShedSlots = Choice.throughput().Slots;
   if (!Speed.known())
     return;
   for (const Ticket Which : Queue.hopeless(Speed, Now)) {
--- a/packages/request/src/coltsfoottrail/dispatch/dispatcher.hpp
+++ b/packages/request/src/coltsfoottrail/dispatch/dispatcher.hpp
@@ -37,8 +37,13 @@
   double ServiceMargin = 2.0;
   /// The same for the start of a retry, which stands before an idle endpoint.
   double RetryMargin = 0.5;
-  /// How long requests are taken and held while no endpoint may be used.
+  /// How long requests are taken and held while the pool has no endpoint.
   Duration NoEndpointHold = seconds(2);
+  /// How long requests are held while the pool has endpoints, but this entry
+  /// host no share of any.
+  Duration NoShareHold = seconds(8);
+  /// How long expectPlaces() counts after requests have begun to wait.
+  Duration ShareGrace = seconds(1);
 };
 
 /// @brief What a dispatcher has done since its start.
@@ -82,6 +87,12 @@
   void setShare(std::string_view EndpointKey, std::uint32_t Share,
                 TimePoint Now, Commands &Out);
 
+  /// @brief Tells how many requests at once this entry host can expect shares
+  /// for when it needs them. Where shares are given on demand, the wait is
+  /// estimated by them until they have had time to come.
+  /// @param Count Zero, as at the start, when shares do not follow the demand.
+  void expectPlaces(double Count) noexcept { ExpectedPlaces = Count; }
+
   /// @brief Sets what a team is entitled to; without it a team has weight 1.
   /// @param Team The team.
   /// @param Wanted Its weight and limit, both above zero.
@@ -188,11 +199,13 @@
   [[nodiscard]] TimePoint latestStart(const WorkItem &Item,
                                       double Margin) const;
   [[nodiscard]] TimePoint latestStart(const Request &Asked) const;
-  [[nodiscard]] bool emptyTooLong(TimePoint Now) const;
+  [[nodiscard]] Throughput speed(TimePoint Now) const;
+  [[nodiscard]] std::optional<TimePoint> holdEnd() const;
+  [[nodiscard]] bool heldTooLong(TimePoint Now) const;
   [[nodiscard]] Verdict emptyVerdict() const;
 
   [[nodiscard]] bool startNow(Ticket Which, TimePoint Now, Commands &Out);
-  void enqueue(Ticket Which);
+  void enqueue(Ticket Which, TimePoint Now);
   [[nodiscard]] ChoiceQuery queryOf(const Request &Asked, TimePoint Now) const;
   [[nodiscard]] std::optional<CandidateId> chooseFor(Request &Asked,
                                                      TimePoint Now);
@@ -230,8 +243,11 @@
   Quarantine Crashes;
   SlotMap<Request, Ticket> Requests;
   DispatchCounts Counts;
+  double ExpectedPlaces = 0.0;
   /// Since when no endpoint may be used.
   std::optional<TimePoint> EmptySince;
+  /// Since when there is always a request that waits.
+  std::optional<TimePoint> WaitingSince;
   /// When the queue is looked through after endpoints went.
   std::optional<TimePoint> ShedAt;
   double ShedSlots = 0.0;
--- a/packages/request/test/coltsfoottrail/dispatch/dispatcher.cpp
+++ b/packages/request/test/coltsfoottrail/dispatch/dispatcher.cpp
@@ -87,6 +87,49 @@
   EXPECT_EQ(Test.at(Test.submit(Test.item())), "e0");
 }
 
+// The first gate of the morning is refused as overloaded although every
+// endpoint idles: shares are given on demand, and in the quiet night all have
+// lapsed.
+TEST(Dispatcher, FirstRequestAfterAQuietTimeWaitsForItsShare) {
+  DispatchHarness Test;
+  Test.configure(testPool(2), 4);
+  Test.answer(Test.submit(Test.item()), seconds(1));
+  Test.configure(testPool(2), 0);
+  Test.pass(seconds(3600));
+  const Ticket First = Test.submit(Test.item());
+  EXPECT_EQ(Test.refusal(First), std::nullopt);
+  Test.pass(seconds(7));
+  Test.Decides.setShare("e0", 1, Test.Now, Test.Out);
+  Test.take();
+  EXPECT_EQ(Test.at(First), "e0");
+  Test.answer(First);
+  Test.configure(testPool(2), 0);
+  const Ticket Unlucky = Test.submit(Test.item());
+  Test.pass(milliseconds(8100));
+  EXPECT_EQ(Test.refusal(Unlucky)->Why, Reason::Overloaded);
+  EXPECT_EQ(Test.refusal(Test.submit(Test.item())), std::nullopt);
+}
+
+// A school group arrives: the share that served one request an hour says that
+// the tenth will wait too long, though a larger one was to be had for asking.
+TEST(Dispatcher, BurstIsNotRefusedBeforeSharesHadTimeToCome) {
+  DispatchHarness Test;
+  Test.configure(testPool(2), 1);
+  Test.Decides.expectPlaces(16.0);
+  Test.answer(Test.submit(Test.item()), seconds(1));
+  for (int Count = 0; Count < 16; ++Count)
+    static_cast<void>(Test.submit(Test.item(), seconds(5)));
+  EXPECT_TRUE(Test.Refused.empty());
+  Test.configure(testPool(2), 4);
+  EXPECT_EQ(Test.At.size(), 8U);
+  for (int Count = 0; Count < 16; ++Count)
+    static_cast<void>(Test.submit(Test.item(), seconds(4)));
+  Test.pass(milliseconds(1100));
+  EXPECT_EQ(Test.Refused.size(), 15U)
+      << "more shares did not come: eight a second start, and those of the "
+         "second burst may wait one second more";
+}
+
 TEST(Dispatcher, FailedRequestGoesToAnotherEndpointAfterADelay) {
   DispatchHarness Test;
   Test.configure(testPool(3), 4);
