Tell operators what became of a request whose answer was lost

Cause: a lost answer of an abandonment was looked up once only and a plan that was done read as still on its way; the list of waiting plans was read from a temporary, so it came out empty.

--- a/packages/process/src/coltsfoottrail/cli/client.hpp
+++ b/packages/process/src/coltsfoottrail/cli/client.hpp
@@ -24,7 +24,8 @@
       : CommandError(ExitCode::NoAnswer,
                      "the answer of " + Host +
                          " was lost; the request may have been taken and is "
-                         "not sent again") {}
+                         "not sent again: look at the status before you ask "
+                         "again") {}
 };
 
 /// @brief Calls entry hosts in order. Belongs to one thread.
--- a/packages/process/src/coltsfoottrail/cli/exitcode.cpp
+++ b/packages/process/src/coltsfoottrail/cli/exitcode.cpp
@@ -67,8 +67,7 @@
     return {Code, Status == StatusNotFound ? Detail : "cannot plan: " + Detail};
   case ExitCode::Conflict:
     return {Code, "conflict: " + beatenBy(Read) + Detail +
-                      "; nothing was changed by this; ask for a new plan with "
-                      "\"coltsfoottrail plan ...\" and confirm that one"};
+                      "; nothing was changed by this"};
   case ExitCode::LogUnavailable:
     return {Code, "log unavailable: " + Detail};
   case ExitCode::WrongFile:
--- a/packages/process/src/coltsfoottrail/cli/run.cpp
+++ b/packages/process/src/coltsfoottrail/cli/run.cpp
@@ -83,10 +83,17 @@
     try {
       Seen = changePlan(Asked.Plan, "/confirm");
     } catch (const AnswerLost &Lost) {
-      Seen = lookAfterLoss(Asked.Plan, Lost);
+      Seen = lookAfterLoss(Asked.Plan, Lost, [](const PlanView &Plan) {
+        return Plan.Stage != PlanStage::Proposed;
+      });
       if (Seen.Stage == PlanStage::Proposed)
         throw CommandError(ExitCode::NoAnswer,
                            notInForce("confirmed", Asked.Plan));
+    } catch (const CommandError &Problem) {
+      if (Problem.code() != ExitCode::Conflict)
+        throw;
+      throw CommandError(ExitCode::Conflict,
+                         Problem.what() + planAnew(Asked.Plan));
     }
     if (!Asked.Wait)
       return Seen.Stage == PlanStage::Abandoned ? ExitCode::Abandoned
@@ -98,7 +105,11 @@
     try {
       (void)changePlan(Asked.Plan, "/abandon");
     } catch (const AnswerLost &Lost) {
-      if (lookAfterLoss(Asked.Plan, Lost).Stage != PlanStage::Abandoned)
+      const PlanView Seen = lookAfterLoss(
+          Asked.Plan, Lost, [](const PlanView &Plan) { return Plan.ended(); });
+      if (Seen.Stage == PlanStage::Done)
+        throw CommandError(ExitCode::Conflict, "conflict: the plan is done");
+      if (!Seen.ended())
         throw CommandError(ExitCode::NoAnswer,
                            notInForce("abandoned", Asked.Plan));
     }
@@ -160,6 +171,12 @@
     print((Options.AsJson ? dumped(Answer) : progressLine(Plan)) + "\n");
   }
 
+  static std::string planAnew(Offset Plan) {
+    return "; look at \"coltsfoottrail status " + std::to_string(Plan) +
+           "\", or ask for a new plan with \"coltsfoottrail plan ...\" and "
+           "confirm that one";
+  }
+
   static std::string notInForce(const std::string &Wanted, Offset Plan) {
     return "plan " + std::to_string(Plan) + " is not " + Wanted +
            " as far as its entry host knows, but may still be; look at "
@@ -187,7 +204,8 @@
   std::string proposedAlike(const Intent &Asked) {
     const std::string Wanted = describeIntent(Asked);
     std::string Ids;
-    for (const Json &Each : Client.look(StatePath).at("plans"))
+    const Json State = Client.look(StatePath);
+    for (const Json &Each : State.at("plans"))
       if (Each.value("phase", "") == "proposed" &&
           Each.value("asked", "") == Wanted)
         Ids += " " + dumped(Each.at("id"));
@@ -207,14 +225,16 @@
 
   /// The record of a request whose answer was lost may still be on its way,
   /// so a plan that stands unchanged is looked at again a few times.
-  PlanView lookAfterLoss(Offset Plan, const AnswerLost &Lost) {
-    warn(std::string(Lost.what()) + "; looking at the plan's status");
+  template <class Condition>
+  PlanView lookAfterLoss(Offset Plan, const AnswerLost &Lost,
+                         const Condition &TookEffect) {
+    warn(Lost.what());
     Json Answer;
     PlanView Seen;
     for (unsigned Looks = 0; Looks < MaxFailedLooks; ++Looks) {
       Answer = lookPatiently(planPath(Plan));
       Seen = planOf(Answer);
-      if (Seen.Stage != PlanStage::Proposed)
+      if (TookEffect(Seen))
         break;
     }
     printProgress(Seen, Answer);
--- a/packages/process/test/coltsfoottrail/cli/run.cpp
+++ b/packages/process/test/coltsfoottrail/cli/run.cpp
@@ -183,9 +183,58 @@
   EXPECT_EQ(Asked.Code, ExitCode::Ok) << Asked.Problems;
   EXPECT_EQ(Confirmations, 1U);
   EXPECT_NE(Asked.Problems.find("was lost"), std::string::npos);
-  EXPECT_EQ(run({"plan", "drain-data-centre", "north"}).Code,
-            ExitCode::NoAnswer);
-  EXPECT_EQ(Confirmations, 2U);
+  const Ending Planned = run({"plan", "drain-data-centre", "north"});
+  EXPECT_EQ(Planned.Code, ExitCode::NoAnswer);
+  EXPECT_NE(Planned.Problems.find("ask for the same and wait"),
+            std::string::npos)
+      << Planned.Problems;
+  EXPECT_EQ(run({"abandon", Id}).Code, ExitCode::Conflict);
+  EXPECT_EQ(Confirmations, 3U);
+}
+
+// While an operator follows a plan, its entry host stops for a moment and the
+// next one still shows the plan as it was earlier. Neither may end the watch or
+// print the plan going backwards.
+TEST_F(Cli, WatchRidesOutAFailureAndAHostThatLags) {
+  std::vector<std::variant<HttpResponse, CallFailure>> Answers;
+  const auto Show = [&](const char *Phase, unsigned Done) {
+    const Json Plan{
+        {"id", 7}, {"phase", Phase}, {"steps", 2}, {"steps_done", Done}};
+    Answers.emplace_back(jsonResponse(200, Plan.dump()));
+  };
+  Show("running", 1);
+  Answers.emplace_back(CallFailure{});
+  Show("running", 0);
+  Answers.emplace_back(
+      jsonResponse(404, R"({"error":"unknown-plan","detail":"none"})"));
+  Show("running", 1);
+  Show("abandoned", 1);
+  std::size_t Next = 0;
+  Sender = [&](const EngineAddress &, const HttpRequest &, milliseconds) {
+    return Answers.at(Next++);
+  };
+  const Ending Watched = run({"watch", "7"});
+  EXPECT_EQ(Watched.Code, ExitCode::Abandoned) << Watched.Problems;
+  EXPECT_EQ(Watched.Out, "plan 7: running, 1 of 2 steps done\n"
+                         "plan 7: abandoned, 1 of 2 steps done\n");
+}
+
+TEST_F(Cli, WatchOfAllPrintsChangesAndEndsWhenNobodyAnswers) {
+  Json State = Json::parse(run({"status", "--json"}).Out);
+  const Ending Before = run({"status"});
+  unsigned Looks = 0;
+  Sender = [&](const EngineAddress &, const HttpRequest &,
+               milliseconds) -> std::variant<HttpResponse, CallFailure> {
+    if (++Looks == 3)
+      State["drained_hosts"] = {"h-1"};
+    if (Looks > 4)
+      return CallFailure{};
+    return jsonResponse(200, State.dump());
+  };
+  const Ending Watched = run({"watch"});
+  EXPECT_EQ(Watched.Code, ExitCode::NoAnswer);
+  EXPECT_EQ(Watched.Out, Before.Out + "+ drained host h-1: drained\n");
+  EXPECT_EQ(Looks, 9U);
 }
 
 TEST_F(Cli, LogThatIsDownHasItsOwnCode) {
