Spread the membership's records, and back off where two sides do not hear each other

Change: a random part before an append; patience doubles with each run of a host that was never heard.

--- a/packages/version/src/coltsfoottrail/membership/membership.cpp
+++ b/packages/version/src/coltsfoottrail/membership/membership.cpp
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr milliseconds CheckEvery{100};
+constexpr std::uint32_t MaxDoublings = 5;
 
 std::vector<HostName> watchersOf(const HostName &Host,
                                  const std::vector<HostName> &All,
@@ -79,6 +80,13 @@
     Kept.Watchers = std::move(Ranked);
     Next.emplace(Name, std::move(Kept));
   }
+  for (const auto &[Name, Kept] : Watched) {
+    const auto Still = Next.find(Name);
+    const bool Over = !Members.contains(Name) ||
+                      (Still != Next.end() && Still->second.Run != Kept.Run);
+    if (Over && !Kept.Heard)
+      ++UnheardRuns[Name];
+  }
   Watched = std::move(Next);
 }
 
@@ -94,8 +102,13 @@
   // Failure guarded against: two regions lose each other while both reach the
   // log. Each finds the other's hosts gone, they join again under new runs, and
   // would be found gone anew every few seconds.
-  if (!Kept.Heard)
-    return Options.SuspectUnheardAfter;
+  if (!Kept.Heard) {
+    const auto Before = UnheardRuns.find(Host);
+    const std::uint32_t Count = Before == UnheardRuns.end()
+                                    ? 0
+                                    : std::min(Before->second, MaxDoublings);
+    return Options.SuspectUnheardAfter * (1U << Count);
+  }
   const bool HasList = !ListedLive.empty();
   const bool Gone =
       ListedLeaving.contains(Host) || (HasList && !ListedLive.contains(Host));
@@ -116,6 +129,7 @@
     return;
   Found->second.LastHeard = std::max(Found->second.LastHeard, Now);
   Found->second.Heard = true;
+  UnheardRuns.erase(From);
   clear(Found->second);
 }
 
@@ -130,7 +144,7 @@
   const Duration Silence = Now - Kept.LastHeard;
   const bool Heard = Kept.Heard && Silence < Options.SuspectListedAfter;
   const bool Silent =
-      Kept.Heard ? !Heard : Silence >= Options.SuspectUnheardAfter;
+      Kept.Heard ? !Heard : Silence >= patience(Message.Host, Kept);
   if (!Heard && !Silent)
     return;
   Out.emplace_back(
@@ -270,8 +284,8 @@
   if (!mayAppend(Kept, Now))
     return;
   if (!Kept.AppendAt)
-    Kept.AppendAt =
-        Now + Options.AppendStagger * static_cast<int>(rankAmong(Kept));
+    Kept.AppendAt = Now + withRandom(Options.AppendSpread) +
+                    Options.AppendStagger * static_cast<int>(rankAmong(Kept));
   if (*Kept.AppendAt > Now)
     return;
   Out.emplace_back(MembershipAppend{EntryHostLeft{Host, Kept.Run}});
--- a/packages/version/src/coltsfoottrail/membership/membership.hpp
+++ b/packages/version/src/coltsfoottrail/membership/membership.hpp
@@ -103,6 +103,8 @@
   milliseconds OwnDelay{0};
   std::map<HostName, Incarnation> Members;
   std::map<HostName, Watch> Watched;
+  /// Runs in a row, by host, that ended without a heartbeat having come here.
+  std::map<HostName, std::uint32_t> UnheardRuns;
   /// Hosts that watch this one.
   std::vector<HostName> Watchers;
   /// Whom the platform's list shows as leaving, and all that it shows.
--- a/packages/version/src/coltsfoottrail/membership/types.hpp
+++ b/packages/version/src/coltsfoottrail/membership/types.hpp
@@ -27,12 +27,16 @@
   milliseconds SuspectAfter{3000};
   /// The same for a host that the platform's list shows as gone or leaving.
   milliseconds SuspectListedAfter{1500};
-  /// The same for a run of which no heartbeat has come yet.
+  /// The same for a run of which no heartbeat has come yet; doubled for each
+  /// run of the host before it that was not heard either, up to 32 times.
   milliseconds SuspectUnheardAfter{30'000};
   /// How long the other watchers have to object.
   milliseconds ObjectWithin{1000};
   /// The next watcher in rank appends after this, if the one before did not.
   milliseconds AppendStagger{1500};
+  /// Random part of the time until a watcher appends, so that the loss of many
+  /// hosts at once does not come to the log in one moment.
+  milliseconds AppendSpread{1000};
   /// An append that did not take effect is tried again after this, with a
   /// random part, doubled up to MaxRetry.
   milliseconds RetryAfter{500};
--- a/packages/version/test/coltsfoottrail/membership/membership.cpp
+++ b/packages/version/test/coltsfoottrail/membership/membership.cpp
@@ -229,8 +229,8 @@
       if (Nine.All[Index].Part->ended())
         Nine.start(Index);
   }
-  // Two records for each host and half a minute at the most.
-  EXPECT_LE(Nine.Appends, 9U * 2U * 10U);
+  // Two records for each host at 3, 30, 60 and 120 seconds, and one more.
+  EXPECT_LE(Nine.Appends, 9U * 2U * 5U);
   Nine.Open = [](std::size_t, std::size_t) { return true; };
   Nine.Appends = 0;
   Nine.run(milliseconds(60'000));
