--- a/packages/connection/src/coltsfoottrail/http/blocking.cpp
+++ b/packages/connection/src/coltsfoottrail/http/blocking.cpp
@@ -1,7 +1,7 @@
 #include "coltsfoottrail/http/blocking.hpp"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
+#include <exception>
 #include <utility>
 
 namespace coltsfoottrail {
@@ -38,6 +38,7 @@
   boost::asio::io_context Context(1);
   HttpClient Client(Context, ClientOptions{});
   Answer Out = CallFailure{};
+  std::exception_ptr Problem;
   const TimePoint Deadline = BootClock::now() + Timeout;
   boost::asio::co_spawn(
       Context,
@@ -45,8 +46,10 @@
         Out = co_await streamOne(Client, To, std::move(Request), Deadline,
                                  OnPart);
       },
-      boost::asio::detached);
+      [&Problem](const std::exception_ptr &Thrown) { Problem = Thrown; });
   Context.run();
+  if (Problem)
+    std::rethrow_exception(Problem);
   return Out;
 }
 
--- a/packages/connection/src/coltsfoottrail/http/blocking.hpp
+++ b/packages/connection/src/coltsfoottrail/http/blocking.hpp
@@ -26,7 +26,8 @@
 /// @param To Where to.
 /// @param Request What to send.
 /// @param Timeout When to give up.
-/// @param OnPart Called with each part of the body.
+/// @param OnPart Called with each part of the body; what it throws ends the
+/// call and is passed on.
 /// @return The answer without its body, or why it is not whole.
 [[nodiscard]] std::variant<HttpResponse, CallFailure>
 streamBlocking(const EngineAddress &To, HttpRequest Request,
--- a/packages/process/src/coltsfoottrail/server/operators.cpp
+++ b/packages/process/src/coltsfoottrail/server/operators.cpp
@@ -238,7 +238,9 @@
   try {
     const Json Body = parseJson(Call.request().Body, "intent");
     const Intent Asked = readIntent(Body, "intent", UnknownKeys::Refuse);
-    Proposed.Proposal = planIntent(*Agreed.state(), Asked);
+    const StatePtr Now = Agreed.state();
+    Proposed.Proposal = planIntent(*Now, Asked);
+    shortenPlan(Proposed.Proposal, *Now);
     Proposed.Operator = operatorOf(Call.request());
   } catch (const Error &Wrong) {
     Problem = Wrong.what();
--- a/packages/process/src/coltsfoottrail/server/process.cpp
+++ b/packages/process/src/coltsfoottrail/server/process.cpp
@@ -476,6 +476,7 @@
 
 void EntryHostProcess::tickSlow() {
   ++SlowTicks;
+  Routing.repeatDemand();
   Groups.poll();
   refreshUsable();
   applyRoutes();
--- a/packages/process/src/coltsfoottrail/server/router.cpp
+++ b/packages/process/src/coltsfoottrail/server/router.cpp
@@ -10,12 +10,21 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/system/system_error.hpp>
+#include <limits>
 #include <utility>
 
 namespace coltsfoottrail {
 
 namespace asio = boost::asio;
 
+namespace {
+
+/// A pool counts as in use for so long after a request to it.
+constexpr seconds InUseFor{5};
+constexpr std::size_t NeverTold = std::numeric_limits<std::size_t>::max();
+
+} // namespace
+
 /// The coroutine's side of a ticket. Touched on the coroutine's thread only,
 /// but for its creation.
 struct Place::Waiter {
@@ -50,6 +59,7 @@
   Dispatcher Decides;
   /// What OnWaiting was told last.
   std::size_t ToldWaiting = 0;
+  TimePoint LastSubmit{};
   std::map<std::string, std::shared_ptr<const EndpointSpec>, std::less<>>
       Endpoints;
   std::map<Ticket, std::shared_ptr<Waiter>> Waiters;
@@ -252,19 +262,33 @@
 }
 
 // Shares are given to hosts that have work: whoever gives them hears at once
-// when requests begin to wait, and on the next tick when they no longer do.
+// when requests begin to wait. While a pool is in use, room for one request
+// more is wanted at each endpoint, so that the choice has something to choose
+// from and endpoints that come back get work again.
 void Router::tellWaiting(Place::Shard &Home) {
   if (!Options.OnWaiting)
     return;
-  std::size_t Now = 0;
+  std::size_t Wanted = 0;
   {
     const std::lock_guard Hold(Home.Lock);
-    Now = Home.Decides.waiting();
-    if (Now == Home.ToldWaiting)
+    const bool InUse = BootClock::now() - Home.LastSubmit < InUseFor;
+    Wanted = std::max(Home.Decides.waiting(),
+                      InUse ? Home.Endpoints.size() : std::size_t{0});
+    if (Wanted == Home.ToldWaiting)
       return;
-    Home.ToldWaiting = Now;
+    Home.ToldWaiting = Wanted;
+  }
+  Options.OnWaiting(Home.Name, Wanted);
+}
+
+void Router::repeatDemand() {
+  for (const auto &Home : all()) {
+    {
+      const std::lock_guard Hold(Home->Lock);
+      Home->ToldWaiting = NeverTold;
+    }
+    tellWaiting(*Home);
   }
-  Options.OnWaiting(Home.Name, Now);
 }
 
 void Router::observeNotice(std::string_view PoolName,
--- a/packages/process/src/coltsfoottrail/server/router.hpp
+++ b/packages/process/src/coltsfoottrail/server/router.hpp
@@ -64,9 +64,9 @@
 struct RouterOptions {
   HostName Self;
   DispatcherOptions Dispatch;
-  /// Hears how many requests wait in a pool when that changes; called on any
-  /// thread, without a lock held. May be empty.
-  std::function<void(std::string_view Pool, std::size_t Waiting)> OnWaiting;
+  /// Hears for how many more requests a pool wants room, when that changes;
+  /// called on any thread, without a lock held. May be empty.
+  std::function<void(std::string_view Pool, std::size_t Wanted)> OnWaiting;
 };
 
 /// @brief Routes requests by the dispatcher of their pool. Thread-safe.
@@ -109,6 +109,9 @@
   submit(std::string_view PoolName, WorkItem Item,
          const boost::asio::any_io_executor &Executor);
 
+  /// @brief Says again what all pools want; called some times a second.
+  void repeatDemand();
+
   /// @brief Lets time pass in all dispatchers; called every few milliseconds.
   void advance();
 
