Work single changes of the members into the ranks

Change: watchers and stewards keep their ranks and take changes in. A watcher that hears less than half of its hosts declares nobody gone for 30 s, and a run that was never heard gets two minutes.

--- a/packages/request/src/coltsfoottrail/admission/keeper.cpp
+++ b/packages/request/src/coltsfoottrail/admission/keeper.cpp
@@ -3,6 +3,7 @@
 #include "coltsfoottrail/core/hash.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <unordered_set>
 #include <utility>
 
@@ -58,22 +59,48 @@
     ProvenAt = Proven;
 }
 
-HostName ShareKeeper::rank(const std::string &Slice) const {
-  const ShareMember *Best = nullptr;
-  std::uint64_t BestWeight = 0;
+ShareKeeper::Weighed ShareKeeper::weigh(const std::string &Slice) const {
+  Weighed Best;
   for (const ShareMember &Member : Members) {
     const std::uint64_t Weight = rendezvousWeight(Slice, Member.Host.Text);
-    if (Best != nullptr && Weight <= BestWeight)
-      continue;
-    Best = &Member;
-    BestWeight = Weight;
+    if (Best.Host.empty() || Weight > Best.Weight)
+      Best = Weighed{Member.Host, Weight};
   }
-  if (Best == nullptr)
-    return HostName();
+  return Best;
+}
+
+const HostName &ShareKeeper::stewardOfSlice(const std::string &Slice) {
+  static const HostName Nobody;
+  const auto Known = Ranks.find(Slice);
+  const Weighed &Best = Known != Ranks.end()
+                            ? Known->second
+                            : Ranks.emplace(Slice, weigh(Slice)).first->second;
   // Failure guarded against: this run has been found gone and another run of
   // the same host has joined. The part is the other run's.
-  const bool OtherRun = Best->Host == Options.Self && Best->Run != Options.Run;
-  return OtherRun ? HostName() : Best->Host;
+  return Replaced && Best.Host == Options.Self ? Nobody : Best.Host;
+}
+
+void ShareKeeper::rankAnew(std::span<const ShareMember> Before) {
+  std::set<std::string> Old;
+  std::set<std::string> New;
+  for (const ShareMember &Member : Before)
+    Old.insert(Member.Host.Text);
+  for (const ShareMember &Member : Members)
+    New.insert(Member.Host.Text);
+  std::vector<std::string> Come;
+  std::set_difference(New.begin(), New.end(), Old.begin(), Old.end(),
+                      std::back_inserter(Come));
+  for (auto &[Slice, Best] : Ranks) {
+    if (!New.contains(Best.Host.Text)) {
+      Best = weigh(Slice);
+      continue;
+    }
+    for (const std::string &Host : Come) {
+      const std::uint64_t Weight = rendezvousWeight(Slice, Host);
+      if (Weight > Best.Weight)
+        Best = Weighed{HostName(Host), Weight};
+    }
+  }
 }
 
 void ShareKeeper::members(Offset Changed, std::span<const ShareMember> Joined,
@@ -82,19 +109,21 @@
     return;
   const bool WasFresh = isFresh(Now);
   Epoch = Changed;
+  const std::vector<ShareMember> Before = std::move(Members);
   Members.assign(Joined.begin(), Joined.end());
+  Replaced = std::any_of(
+      Members.begin(), Members.end(), [&](const ShareMember &Member) {
+        return Member.Host == Options.Self && Member.Run != Options.Run;
+      });
+  rankAnew(Before);
   Handovers.clear();
   std::erase_if(Peers, [&](const auto &Entry) {
     return std::none_of(
         Members.begin(), Members.end(),
         [&](const ShareMember &Each) { return Each.Host == Entry.first; });
   });
-  std::map<std::string, HostName> Stewards;
   for (auto &[Hash, Placed] : Endpoints) {
-    const auto [Place, Added] = Stewards.try_emplace(Placed.Slice);
-    if (Added)
-      Place->second = rank(Placed.Slice);
-    Placed.Steward = Place->second;
+    Placed.Steward = stewardOfSlice(Placed.Slice);
     assign(Placed, WasFresh, Now);
   }
   for (auto &[Name, Use] : Pools)
@@ -136,7 +165,6 @@
   // host sees first tells nothing of when its endpoints came.
   const bool AllKnown = HasTable && TableVersion >= Epoch;
   std::unordered_set<EndpointHash> Present;
-  std::map<std::string, HostName> Stewards;
   for (const auto &[Name, Of] : Table.Pools) {
     for (const EndpointSpec &Spec : Of.Endpoints) {
       const EndpointHash Hash = endpointHash(Spec.Key);
@@ -149,10 +177,7 @@
       if (!Added)
         continue;
       Placed.Slice = sliceOf(Of.Name, Hash);
-      const auto [Known, First] = Stewards.try_emplace(Placed.Slice);
-      if (First)
-        Known->second = rank(Placed.Slice);
-      Placed.Steward = Known->second;
+      Placed.Steward = stewardOfSlice(Placed.Slice);
       assign(Placed, false, Now);
       const bool New = Seen.size() < MaxSeen && Seen.insert(Hash).second;
       if (Placed.As == Role::Waiting && AllKnown && New)
--- a/packages/request/src/coltsfoottrail/admission/keeper.hpp
+++ b/packages/request/src/coltsfoottrail/admission/keeper.hpp
@@ -153,6 +153,11 @@
     std::uint64_t TakenNumber = 0;
     Incarnation TakenRun = 0;
   };
+  /// The host with the highest rendezvous weight for a slice.
+  struct Weighed {
+    HostName Host;
+    std::uint64_t Weight = 0;
+  };
   struct Handover {
     StewardHandover Message;
     TimePoint RetryAt;
@@ -174,7 +179,9 @@
   [[nodiscard]] const Endpoint *find(std::string_view EndpointKey) const;
   [[nodiscard]] bool isFresh(TimePoint Now) const;
   [[nodiscard]] Duration takeoverWait() const;
-  [[nodiscard]] HostName rank(const std::string &Slice) const;
+  [[nodiscard]] const HostName &stewardOfSlice(const std::string &Slice);
+  void rankAnew(std::span<const ShareMember> Before);
+  [[nodiscard]] Weighed weigh(const std::string &Slice) const;
   void assign(Endpoint &Placed, bool WasFresh, TimePoint Now);
   void relinquish(Endpoint &Placed);
   void takePools(const RouteTable &Table);
@@ -201,12 +208,18 @@
   ShareOptions Options;
   Offset Epoch = 0;
   std::vector<ShareMember> Members;
+  /// This run is not a member, but another run of this host is.
+  bool Replaced = false;
   Offset TableVersion = 0;
   bool HasTable = false;
   std::optional<TimePoint> ProvenAt;
   std::unordered_map<EndpointHash, Endpoint> Endpoints;
   /// Endpoints that have ever been in a table.
   std::set<EndpointHash> Seen;
+  /// The best member for each slice in use. A change of one member among a
+  /// thousand is worked in here, as ranking all anew takes tens of
+  /// milliseconds.
+  std::map<std::string, Weighed> Ranks;
   std::map<std::string, PoolUse, std::less<>> Pools;
   std::map<HostName, Peer> Peers;
   std::map<HostName, Handover> Handovers;
--- a/packages/version/src/coltsfoottrail/membership/membership.cpp
+++ b/packages/version/src/coltsfoottrail/membership/membership.cpp
@@ -10,21 +10,10 @@
 constexpr milliseconds CheckEvery{100};
 constexpr std::uint32_t MaxDoublings = 5;
 
-std::vector<HostName> watchersOf(const HostName &Host,
-                                 const std::vector<HostName> &All,
-                                 std::size_t Count) {
-  std::vector<HostName> Ranked =
-      rankedHosts("watch/" + Host.Text, All, Count + 1);
-  std::erase(Ranked, Host);
-  if (Ranked.size() > Count)
-    Ranked.pop_back();
-  return Ranked;
-}
-
 } // namespace
 
 Membership::Membership(const MembershipOptions &Limits)
-    : Options(Limits), Draw(Limits.Seed) {}
+    : Options(Limits), Draw(Limits.Seed), Ranks(Limits.Watchers) {}
 
 milliseconds Membership::withRandom(milliseconds Span) {
   const auto Part = static_cast<double>(Span.count()) * Draw.fraction();
@@ -51,24 +40,22 @@
   if (Next == Members)
     return;
   Members = std::move(Next);
-  choose(Agreed, Now);
+  choose(Now);
   advance(Now, Out);
 }
 
-void Membership::choose(const State &Agreed, TimePoint Now) {
+void Membership::choose(TimePoint Now) {
   std::vector<HostName> All;
-  for (const auto &[Name, Known] : Agreed.EntryHosts)
+  for (const auto &[Name, Run] : Members)
     All.push_back(Name);
+  Ranks.members(All);
   std::map<HostName, Watch> Next;
   for (const auto &[Name, Run] : Members) {
-    std::vector<HostName> Ranked = watchersOf(Name, All, Options.Watchers);
     if (Name == Options.Self.Host) {
-      Watchers = std::move(Ranked);
+      Watchers = Ranks.of(Name);
       continue;
     }
-    const bool Mine = std::find(Ranked.begin(), Ranked.end(),
-                                Options.Self.Host) != Ranked.end();
-    if (!Mine)
+    if (!Ranks.watches(Options.Self.Host, Name))
       continue;
     const auto Known = Watched.find(Name);
     Watch Kept;
@@ -77,7 +64,7 @@
     else
       Kept.LastHeard = Now;
     Kept.Run = Run;
-    Kept.Watchers = std::move(Ranked);
+    Kept.Watchers = Ranks.of(Name);
     Next.emplace(Name, std::move(Kept));
   }
   for (const auto &[Name, Kept] : Watched) {
@@ -250,14 +237,18 @@
 bool Membership::mayAppend(const Watch &Kept, TimePoint Now) const {
   if (Now - Kept.AskedAt < Options.ObjectWithin)
     return false;
-  // Failure guarded against: this host's own network is cut while it reaches
-  // the log, and it would declare all others gone. It needs another watcher's
-  // word. Where all of them are gone too, as with a data centre, it waits much
-  // longer and must hear most of the hosts that it watches; with two hosts in
-  // all there is nobody to ask.
-  if (!Kept.Agreeing.empty() || Kept.Watchers.size() == 1)
+  if (Kept.Watchers.size() == 1)
+    return true;
+  // Failure guarded against: this host's own network, or that of its region, is
+  // cut while it reaches the log, and it would declare all others gone. It
+  // needs another watcher's word, and to hear most of the hosts that it
+  // watches. Where those are gone too, as with a data centre, one of the two is
+  // enough, much later.
+  const bool Agreed = !Kept.Agreeing.empty();
+  if (Agreed && hearsMost(Now))
     return true;
-  return Now - Kept.LastHeard >= Options.AloneAfter && hearsMost(Now);
+  return Now - Kept.LastHeard >= Options.AloneAfter &&
+         (Agreed || hearsMost(Now));
 }
 
 void Membership::suspect(const HostName &Host, Watch &Kept, TimePoint Now,
--- a/packages/version/src/coltsfoottrail/membership/membership.hpp
+++ b/packages/version/src/coltsfoottrail/membership/membership.hpp
@@ -7,6 +7,7 @@
 #include "coltsfoottrail/core/random.hpp"
 #include "coltsfoottrail/fold/state.hpp"
 #include "coltsfoottrail/membership/types.hpp"
+#include "coltsfoottrail/membership/watchers.hpp"
 #include "coltsfoottrail/platform/engine.hpp"
 
 #include <map>
@@ -68,7 +69,7 @@
     milliseconds Delay{0};
   };
 
-  void choose(const State &Agreed, TimePoint Now);
+  void choose(TimePoint Now);
   void handle(const HostName &From, const Heartbeat &Message, TimePoint Now,
               MembershipCommands &Out);
   void handle(const HostName &From, const SuspectAsk &Message, TimePoint Now,
@@ -102,6 +103,7 @@
   std::optional<TimePoint> OwnAppendAt;
   milliseconds OwnDelay{0};
   std::map<HostName, Incarnation> Members;
+  WatcherRanks Ranks;
   std::map<HostName, Watch> Watched;
   /// Runs in a row, by host, that ended without a heartbeat having come here.
   std::map<HostName, std::uint32_t> UnheardRuns;
--- a/packages/version/src/coltsfoottrail/membership/types.hpp
+++ b/packages/version/src/coltsfoottrail/membership/types.hpp
@@ -29,7 +29,7 @@
   milliseconds SuspectListedAfter{1500};
   /// The same for a run of which no heartbeat has come yet; doubled for each
   /// run of the host before it that was not heard either, up to 32 times.
-  milliseconds SuspectUnheardAfter{30'000};
+  milliseconds SuspectUnheardAfter{120'000};
   /// How long the other watchers have to object.
   milliseconds ObjectWithin{1000};
   /// The next watcher in rank appends after this, if the one before did not.
@@ -41,7 +41,8 @@
   /// random part, doubled up to MaxRetry.
   milliseconds RetryAfter{500};
   milliseconds MaxRetry{30'000};
-  /// Without any other watcher's word, a host counts as gone after this.
+  /// Without any other watcher's word, or while this host hears less than half
+  /// of those that it watches, a host counts as gone after this.
   milliseconds AloneAfter{30'000};
   /// A proof of freshness is good for this long.
   milliseconds FreshFor{2000};
--- /dev/null
+++ b/packages/version/test/coltsfoottrail/membership/watchers.cpp
@@ -0,0 +1,38 @@
+#include "coltsfoottrail/membership/watchers.hpp"
+
+#include "coltsfoottrail/core/random.hpp"
+
+#include <gtest/gtest.h>
+#include <set>
+
+namespace coltsfoottrail {
+namespace {
+
+// Two hosts came to the same members by other ways, one change at a time or all
+// at once. Did they differ on who watches whom, a dead host could be left with
+// watchers of which each believes that another is first in rank.
+TEST(WatcherRanks, SameMembersGiveSameWatchersWhateverCameBefore) {
+  Random Draw(11);
+  WatcherRanks Stepwise(5);
+  std::set<std::string> Names;
+  for (int Step = 0; Step < 300; ++Step) {
+    for (std::uint64_t Change = Draw.below(4); Change > 0; --Change) {
+      const std::string Name = "host-" + std::to_string(Draw.below(40));
+      if (!Names.erase(Name))
+        Names.insert(Name);
+    }
+    const std::vector<HostName> Members(Names.begin(), Names.end());
+    Stepwise.members(Members);
+    WatcherRanks AtOnce(5);
+    AtOnce.members(Members);
+    for (const HostName &Host : Members) {
+      const std::vector<HostName> Watchers = Stepwise.of(Host);
+      EXPECT_EQ(Watchers, AtOnce.of(Host));
+      EXPECT_EQ(Watchers.size(), std::min<std::size_t>(5, Members.size() - 1));
+      EXPECT_FALSE(Stepwise.watches(Host, Host));
+    }
+  }
+}
+
+} // namespace
+} // namespace coltsfoottrail
