Find waiting plans of a declaration whose answer was lost

Cause: an entry host may shorten a declaration to a change, whose line in the state reads otherwise than the intent sent. Change: both readings count as alike; errors about the credential file name it once.

--- a/packages/process/src/coltsfoottrail/cli/run.cpp
+++ b/packages/process/src/coltsfoottrail/cli/run.cpp
@@ -62,6 +62,15 @@
   return Value.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
+/// Tells whether a plan's line in the state may be about an intent. An entry
+/// host may shorten a declaration to a change, which reads otherwise.
+bool asksAlike(const Intent &Wanted, std::string_view Asked) {
+  if (std::holds_alternative<ApplyDeclaration>(Wanted))
+    return Asked.starts_with("apply a declaration") ||
+           Asked.starts_with("change the declaration");
+  return Asked == describeIntent(Wanted);
+}
+
 /// Runs one command against the entry hosts.
 class Session {
 public:
@@ -202,12 +211,11 @@
 
   /// Says which plans that wait for a confirmation ask for the same.
   std::string proposedAlike(const Intent &Asked) {
-    const std::string Wanted = describeIntent(Asked);
     std::string Ids;
     const Json State = Client.look(StatePath);
     for (const Json &Each : State.at("plans"))
       if (Each.value("phase", "") == "proposed" &&
-          Each.value("asked", "") == Wanted)
+          asksAlike(Asked, Each.value("asked", "")))
         Ids += " " + dumped(Each.at("id"));
     if (Ids.empty())
       return "no plan that asks for this is known yet; nothing was confirmed; "
@@ -315,8 +323,8 @@
 ExitCode execute(const CommandLine &Given, const CommandContext &With) {
   Secret Credential;
   if (!std::holds_alternative<TextCommand>(Given.What))
-    Credential =
-        readSecret(Given.Options.CredentialFile, "--credential-file", "", 1);
+    Credential = readSecret(Given.Options.CredentialFile, "credential file",
+                            Given.Options.CredentialFile, 1);
   Session Running(Given.Options, std::move(Credential), With);
   return std::visit(Running, Given.What);
 }
