Mend what the read-through of the request path found; write spans

Cause, each seen in trial or read in the code: a resumed stream whose next endpoint answered neither 200 nor not-run got a second response head written into its body; 'not-run' under another status was stored as an outcome; an unexpected exception was answered as not-run; fields in lower case were dropped; the demand for room never counted a pool as in use; a host found gone stayed unready for good; a taken mesh port exited with 1; two settings had no effect.

--- a/apps/coltsfoottraild/main.cpp
+++ b/apps/coltsfoottraild/main.cpp
@@ -3,6 +3,7 @@
 #include "coltsfoottrail/settings/settings.hpp"
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/system/system_error.hpp>
 #include <csignal>
@@ -22,6 +23,7 @@
 constexpr int ExitSettings = 3;
 constexpr int ExitPort = 4;
 constexpr int ExitCut = 5;
+constexpr int ExitEnded = 6;
 
 constexpr const char *Usage =
     "usage: coltsfoottraild --config FILE [--check] [--show]\n"
@@ -41,7 +43,9 @@
     "\n"
     "Exit codes: 0 stopped with nothing cut, 1 failed, 2 wrong usage, 3 wrong\n"
     "settings, 4 a port cannot be had, 5 stopped and requests were cut at\n"
-    "stop.stream_limit_ms.\n";
+    "stop.stream_limit_ms, 6 its peers had found this run gone (a long "
+    "pause):\n"
+    "it stopped as planned and is to be started again.\n";
 
 struct Options {
   std::string File;
@@ -60,24 +64,36 @@
   boost::asio::signal_set Signals(Waiting, SIGINT, SIGTERM);
   std::thread Stopper;
   std::size_t Cut = 0;
+  bool Ended = false;
+  const auto BeginStop = [&] {
+    if (Stopper.joinable())
+      return false;
+    Stopper = std::thread([&] {
+      Cut = Process.stop();
+      Waiting.stop();
+    });
+    return true;
+  };
   std::function<void(const boost::system::error_code &, int)> OnSignal =
       [&](const boost::system::error_code &Problem, int) {
         if (Problem)
           return;
-        if (Stopper.joinable()) {
+        if (!BeginStop())
           logEvent(Event::SecondStopSignal);
-        } else {
-          Stopper = std::thread([&] {
-            Cut = Process.stop();
-            Waiting.stop();
-          });
-        }
         Signals.async_wait(OnSignal);
       };
   Signals.async_wait(OnSignal);
+  // Failure guarded against: the host slept, its peers have dropped this run,
+  // and it would stay unready for good. It stops as planned, and whoever keeps
+  // it running starts it again under a new run.
+  Process.onEnded([&] {
+    boost::asio::post(Waiting, [&] { Ended = BeginStop() || Ended; });
+  });
   Waiting.run();
   Stopper.join();
-  return Cut == 0 ? ExitOk : ExitCut;
+  if (Cut > 0)
+    return ExitCut;
+  return Ended ? ExitEnded : ExitOk;
 }
 
 int start(const Options &Given) {
@@ -103,6 +119,10 @@
     logEvent(Event::PortTaken, {{"problem", Problem.what()}});
     std::cerr << "coltsfoottraild: cannot listen: " << Problem.what() << '\n';
     return ExitPort;
+  } catch (const PortError &Problem) {
+    logEvent(Event::PortTaken, {{"problem", Problem.what()}});
+    std::cerr << "coltsfoottraild: cannot listen: " << Problem.what() << '\n';
+    return ExitPort;
   } catch (const std::exception &Problem) {
     std::cerr << "coltsfoottraild: " << Problem.what() << '\n';
     return ExitFailed;
--- a/packages/process/src/coltsfoottrail/server/agreedstream.cpp
+++ b/packages/process/src/coltsfoottrail/server/agreedstream.cpp
@@ -18,7 +18,6 @@
 
 constexpr milliseconds RetryDelay{100};
 constexpr milliseconds StartRetryDelay{500};
-constexpr milliseconds AppendTimeout{2'000};
 constexpr milliseconds TickEvery{20};
 
 } // namespace
@@ -203,6 +202,8 @@
 
 void AgreedStream::perform(const FreshnessChanged &Command) {
   const bool Stale = Command.Now == Freshness::LeftBehind;
+  if (Stale == std::exchange(WasStale, Stale))
+    return;
   logEvent(Stale ? Event::Stale : Event::FreshAgain,
            {{"now", freshnessText(Command.Now)}, {"next", Folded.Next}});
 }
@@ -246,8 +247,6 @@
   if (Entry.At < Folded.Next)
     return;
   const FoldResult Effect = foldRecord(Folded, Entry.At, Entry.Payload);
-  if (Effect.Effect == FoldEffect::Void)
-    logEvent(Event::RecordVoid, {{"offset", Entry.At}, {"why", Effect.Why}});
   if (Folded.Next % SweepInterval == 0)
     noteDigest();
   compareCheckpoint();
@@ -284,6 +283,8 @@
   }
   if (Waiting.front().Writer != Writer)
     return;
+  if (Effect.Effect == FoldEffect::Void)
+    logEvent(Event::RecordVoid, {{"offset", Entry.At}, {"why", Effect.Why}});
   const Outcome Done = std::move(Waiting.front().Done);
   Waiting.pop_front();
   Appending = false;
@@ -337,7 +338,7 @@
     return;
   Appending = true;
   const Pending &First = Waiting.front();
-  Service.append(Options.Stream, First.Bytes, AppendTimeout,
+  Service.append(Options.Stream, First.Bytes, Options.AppendTimeout,
                  [this, Writer = First.Writer](AppendResult Result) {
                    asio::post(Control, [this, Writer, Result] {
                      appended(Writer, Result);
@@ -386,7 +387,7 @@
 void AgreedStream::writePart(std::shared_ptr<std::vector<CheckpointPart>> Parts,
                              std::size_t Index) {
   if (Index == Parts->size()) {
-    append(announcementOf(Parts->front()), AppendTimeout,
+    append(announcementOf(Parts->front()), Options.AppendTimeout,
            [this, At = Parts->front().At](const AppendOutcome &Got) {
              Writing = false;
              if (Got.OnLog)
@@ -396,7 +397,8 @@
   }
   const WriterId Writer{Options.Run, NextPartSequence++};
   Service.append(CheckpointStream, encode((*Parts)[Index], Writer),
-                 AppendTimeout, [this, Parts, Index](AppendResult Result) {
+                 Options.AppendTimeout,
+                 [this, Parts, Index](AppendResult Result) {
                    asio::post(Control, [this, Parts, Index, Result] {
                      if (std::holds_alternative<Offset>(Result))
                        writePart(Parts, Index + 1);
--- a/packages/process/src/coltsfoottrail/server/agreedstream.hpp
+++ b/packages/process/src/coltsfoottrail/server/agreedstream.hpp
@@ -37,6 +37,8 @@
   /// This process's run.
   Incarnation Run = 0;
   CheckpointPolicy Checkpoints;
+  /// Longest that one append may take.
+  milliseconds AppendTimeout{2'000};
 };
 
 /// @brief What an agreed stream tells the process; called on the control
@@ -160,6 +162,7 @@
   /// Under the lock: callers' threads ask it for the freshness.
   std::optional<Follower> Follows;
   bool Differs = false;
+  bool WasStale = false;
 };
 
 } // namespace coltsfoottrail
--- a/packages/process/src/coltsfoottrail/server/callerrequest.cpp
+++ b/packages/process/src/coltsfoottrail/server/callerrequest.cpp
@@ -1,5 +1,6 @@
 #include "coltsfoottrail/server/callerrequest.hpp"
 
+#include "coltsfoottrail/claims/types.hpp"
 #include "coltsfoottrail/core/hash.hpp"
 #include "coltsfoottrail/json/reader.hpp"
 
@@ -15,7 +16,6 @@
 
 constexpr std::string_view BearerPrefix = "Bearer ";
 constexpr std::string_view ServicesPrefix = "/services/";
-constexpr std::size_t MaxKeyBytes = 255;
 constexpr std::size_t PrefixBytes = 256;
 constexpr double BytesPerToken = 4.0;
 constexpr std::array<std::string_view, 3> PriorityWords{"batch", "normal",
@@ -90,9 +90,9 @@
   const bool Printable = std::all_of(Key.begin(), Key.end(), [](char Letter) {
     return Letter >= ' ' && Letter <= '~';
   });
-  if (Key.size() > MaxKeyBytes || !Printable)
+  if (Key.size() > MaxClaimKeyBytes || !Printable)
     refuse(Reason::BadRequest,
-           "Idempotency-Key: allowed: 1 to 255 printable ASCII characters");
+           "Idempotency-Key: allowed: 1 to 256 printable ASCII characters");
   return std::string(Key);
 }
 
--- a/packages/process/src/coltsfoottrail/server/callerrequest.hpp
+++ b/packages/process/src/coltsfoottrail/server/callerrequest.hpp
@@ -8,6 +8,7 @@
 #include "coltsfoottrail/http/message.hpp"
 #include "coltsfoottrail/route/table.hpp"
 #include "coltsfoottrail/server/fwd.hpp"
+#include "coltsfoottrail/telemetry/trace.hpp"
 
 #include <string>
 
@@ -50,6 +51,8 @@
   bool Streams = false;
   /// Whether it goes to a model, whose work may be repeated and resumed.
   bool ToModel = false;
+  /// The span that this host serves it under.
+  TraceContext Trace;
   /// What the endpoint is sent.
   HttpRequest Forwarded;
 };
--- a/packages/process/src/coltsfoottrail/server/memberdesk.cpp
+++ b/packages/process/src/coltsfoottrail/server/memberdesk.cpp
@@ -23,8 +23,9 @@
   return Out;
 }
 
-ShareOptions shareOptions(const EntryHostJoined &Self) {
+ShareOptions shareOptions(const EntryHostJoined &Self, milliseconds MaxWork) {
   ShareOptions Out;
+  Out.MaxWork = MaxWork;
   Out.Self = Self.Host;
   Out.Run = Self.Run;
   return Out;
@@ -37,9 +38,9 @@
 } // namespace
 
 struct MemberDesk::Inner {
-  Inner(const EntryHostJoined &Name, MemberHooks Wanted)
+  Inner(const EntryHostJoined &Name, milliseconds MaxWork, MemberHooks Wanted)
       : Self(Name), Hooks(std::move(Wanted)), Members(memberOptions(Name)),
-        Proof(memberOptions(Name)), Shares(shareOptions(Name)) {}
+        Proof(memberOptions(Name)), Shares(shareOptions(Name, MaxWork)) {}
 
   void perform(const MembershipCommands &Due);
   void perform(const ShareCommands &Due);
@@ -65,8 +66,9 @@
   mutable std::mutex Lock;
 };
 
-MemberDesk::MemberDesk(const EntryHostJoined &Self, MemberHooks Hooks)
-    : Own(std::make_unique<Inner>(Self, std::move(Hooks))) {}
+MemberDesk::MemberDesk(const EntryHostJoined &Self, milliseconds MaxWork,
+                       MemberHooks Hooks)
+    : Own(std::make_unique<Inner>(Self, MaxWork, std::move(Hooks))) {}
 
 MemberDesk::~MemberDesk() = default;
 
--- a/packages/process/src/coltsfoottrail/server/memberdesk.hpp
+++ b/packages/process/src/coltsfoottrail/server/memberdesk.hpp
@@ -39,8 +39,11 @@
 public:
   /// @brief Makes a desk.
   /// @param Self What this run says of itself when it joins.
+  /// @param MaxWork Longest that any request is in progress; equal on all
+  /// hosts.
   /// @param Hooks What it wants of the process.
-  MemberDesk(const EntryHostJoined &Self, MemberHooks Hooks);
+  MemberDesk(const EntryHostJoined &Self, milliseconds MaxWork,
+             MemberHooks Hooks);
   MemberDesk(const MemberDesk &) = delete;
   MemberDesk &operator=(const MemberDesk &) = delete;
   ~MemberDesk();
--- a/packages/process/src/coltsfoottrail/server/operators.cpp
+++ b/packages/process/src/coltsfoottrail/server/operators.cpp
@@ -114,7 +114,7 @@
   Json Members = Json::array();
   for (const HostName &Member : Shown.Formed.Members)
     Members.push_back(Member.Text);
-  return {{"id", std::to_string(Id.Plan) + "." + std::to_string(Id.Number)},
+  return {{"id", textOf(Id)},
           {"model", Shown.Formed.Model.Text},
           {"version", Shown.Formed.Version.Text},
           {"data_centre", Shown.Formed.DataCentre.Text},
--- a/packages/process/src/coltsfoottrail/server/process.cpp
+++ b/packages/process/src/coltsfoottrail/server/process.cpp
@@ -2,6 +2,7 @@
 
 #include "coltsfoottrail/claims/codec.hpp"
 #include "coltsfoottrail/core/hash.hpp"
+#include "coltsfoottrail/intents/describe.hpp"
 #include "coltsfoottrail/json/reader.hpp"
 #include "coltsfoottrail/logging/log.hpp"
 #include "coltsfoottrail/mesh/neighbours.hpp"
@@ -119,6 +120,7 @@
         };
         return Limits;
       }()),
+      Spans(Options.Telemetry.TraceFile, Options.Host, Run),
       Callers(
           Threads, Routing, Claims,
           CallerLimits{Options.Callers.DefaultDeadline,
@@ -126,7 +128,8 @@
           SendGate{[this](const EndpointSpec &To) { return admit(To); },
                    [this](const EndpointSpec &To, const AttemptResult &Result) {
                      ended(To, Result);
-                   }}),
+                   }},
+          Spans),
       ForOperators(
           Agreed, sha256Hex(std::string(Options.Operators.Credential.reveal())),
           [this] { return Registry.prometheusText(BootClock::now()); }),
@@ -152,8 +155,8 @@
     HostListing = std::make_unique<HttpHostList>(
         Control, EngineAddress{Options.Platform.HostList->Address,
                                Options.Platform.HostList->Port});
-  const std::uint16_t MeshPort = Peers.start();
-  Members = std::make_unique<MemberDesk>(joinRecord(MeshPort), memberHooks());
+  Members = std::make_unique<MemberDesk>(
+      joinRecord(startPeers()), Options.Callers.MaxDeadline, memberHooks());
   asio::post(Control, [this] {
     Agreed.start(agreedListener());
     tick();
@@ -200,6 +203,20 @@
   return OperatorServer->port();
 }
 
+void EntryHostProcess::onEnded(std::function<void()> Told) {
+  asio::post(Control, [this, Then = std::move(Told)]() mutable {
+    Ended = std::move(Then);
+  });
+}
+
+std::uint16_t EntryHostProcess::startPeers() {
+  try {
+    return Peers.start();
+  } catch (const Error &Problem) {
+    throw PortError(Problem.what());
+  }
+}
+
 bool EntryHostProcess::mayStartWork() const {
   const Freshness Now = Agreed.freshness(BootClock::now());
   return Now == Freshness::Fresh || Now == Freshness::LogDownForAll;
@@ -226,6 +243,7 @@
   Out.Host = Options.Host;
   Out.DataCentre = Options.DataCentre;
   Out.Run = Run;
+  Out.AppendTimeout = Options.Platform.Log.Timeout;
   return Out;
 }
 
@@ -351,6 +369,7 @@
   std::vector<ClaimMember> Claimants;
   for (const auto &[Name, Host] : Now->EntryHosts)
     Claimants.push_back({Name, Host.Joined.Run});
+  logChanges(*Now);
   Routes = Built;
   Members->onState(*Now, *Built);
   Claims.members(Claimants);
@@ -363,6 +382,37 @@
     logEvent(Event::Joined, {{"host", Options.Host}, {"next", Now->Next}});
 }
 
+void EntryHostProcess::logChanges(const State &Now) {
+  for (const auto &[Id, Grouped] : Now.Groups) {
+    const auto [Known, New] = SeenGroups.try_emplace(Id, GroupPhase::Forming);
+    if (Known->second == Grouped.Phase)
+      continue;
+    Known->second = Grouped.Phase;
+    if (Grouped.Phase == GroupPhase::Broken)
+      logEvent(Event::GroupBroken, {{"group", textOf(Id)}});
+    if (Grouped.Phase == GroupPhase::Serving)
+      logEvent(Event::GroupConfirmed, {{"group", textOf(Id)}});
+  }
+  std::erase_if(SeenGroups, [&](const auto &Entry) {
+    return !Now.Groups.contains(Entry.first);
+  });
+  for (const auto &[Id, Progress] : Now.Plans) {
+    const auto [Known, New] = SeenPlans.try_emplace(Id, PlanPhase::Proposed);
+    if (Known->second == Progress.Phase)
+      continue;
+    Known->second = Progress.Phase;
+    if (Progress.Phase == PlanPhase::Done)
+      logEvent(Event::PlanFinished, {{"plan", Id}});
+    if (Progress.Phase == PlanPhase::Abandoned)
+      logEvent(Event::PlanAbandoned, {{"plan", Id}, {"why", Progress.Why}});
+    if (Progress.Phase == PlanPhase::Running)
+      logEvent(Event::PlanTaken, {{"plan", Id}});
+  }
+  std::erase_if(SeenPlans, [&](const auto &Entry) {
+    return !Now.Plans.contains(Entry.first);
+  });
+}
+
 void EntryHostProcess::connectPeers(const State &Now) {
   std::vector<MeshMember> All;
   for (const auto &[Name, Host] : Now.EntryHosts)
--- a/packages/process/src/coltsfoottrail/server/process.hpp
+++ b/packages/process/src/coltsfoottrail/server/process.hpp
@@ -20,6 +20,12 @@
 
 namespace coltsfoottrail {
 
+/// @brief A port cannot be listened on.
+class PortError : public Error {
+public:
+  using Error::Error;
+};
+
 /// @brief An entry host.
 class EntryHostProcess {
 public:
@@ -27,7 +33,7 @@
   /// @param Wanted Checked settings.
   /// @throws boost::system::system_error A port for callers or operators is
   /// taken.
-  /// @throws Error The port for peers is taken.
+  /// @throws PortError The port for peers is taken.
   explicit EntryHostProcess(Settings Wanted);
   EntryHostProcess(const EntryHostProcess &) = delete;
   EntryHostProcess &operator=(const EntryHostProcess &) = delete;
@@ -53,8 +59,9 @@
   /// @brief Peers that are connected now. Thread-safe.
   [[nodiscard]] std::size_t peers() const { return Peers.connected().size(); }
   /// @brief Sets who hears that this run has been found gone by its peers: it
-  /// has to be stopped and started again. Called once, on the control thread.
-  void onEnded(std::function<void()> Told) { Ended = std::move(Told); }
+  /// has to be stopped and started again. Thread-safe.
+  /// @param Told Called once, on the control thread.
+  void onEnded(std::function<void()> Told);
 
   /// @brief Stops as planned: unready at once, no new requests after the grace,
   /// requests in progress run out up to the limit. Blocks until all has ended.
@@ -78,7 +85,9 @@
   [[nodiscard]] EntryHostJoined joinRecord(std::uint16_t MeshPort) const;
   [[nodiscard]] MemberHooks memberHooks();
   [[nodiscard]] AgreedListener agreedListener();
+  [[nodiscard]] std::uint16_t startPeers();
   void listenToPeers();
+  void logChanges(const State &Now);
   void take(Channel Which,
             void (EntryHostProcess::*Take)(const HostName &, const Json &));
   void takeMembership(const HostName &From, const Json &Message);
@@ -114,6 +123,7 @@
   ClaimDesk Claims;
   GroupDesk Groups;
   Router Routing;
+  SpanMaker Spans;
   Relay Callers;
   Metrics Registry;
   Operators ForOperators;
@@ -124,6 +134,9 @@
   RouteTablePtr Routes;
   std::set<std::string> Applied;
   Offset AppliedVersion = 0;
+  /// Phases that have been logged.
+  std::map<GroupId, GroupPhase> SeenGroups;
+  std::map<Offset, PlanPhase> SeenPlans;
   std::uint64_t SlowTicks = 0;
   mutable std::mutex UsableLock;
   std::shared_ptr<const UsableEndpoints> Usable;
--- a/packages/process/src/coltsfoottrail/server/refusal.cpp
+++ b/packages/process/src/coltsfoottrail/server/refusal.cpp
@@ -40,7 +40,10 @@
 }
 
 HttpResponse serverRefusal(unsigned Status, std::string_view Why) {
-  return problem(Status, runStateCode(RunState::NotRun), Why, {}, std::nullopt);
+  constexpr unsigned Unexpected = 500;
+  const RunState State =
+      Status == Unexpected ? RunState::MayHaveRun : RunState::NotRun;
+  return problem(Status, runStateCode(State), Why, {}, std::nullopt);
 }
 
 } // namespace coltsfoottrail
--- a/packages/process/src/coltsfoottrail/server/refusal.hpp
+++ b/packages/process/src/coltsfoottrail/server/refusal.hpp
@@ -16,8 +16,9 @@
 [[nodiscard]] HttpResponse refusalOf(const Verdict &Final,
                                      std::string_view Detail = {});
 
-/// @brief Makes the answer for what the HTTP server itself refuses before a
-/// request is read whole: it has not run. Thread-safe.
+/// @brief Makes the answer for what the HTTP server itself refuses: before a
+/// request is read whole it has not run; after an unexpected exception, status
+/// 500, it may have. Thread-safe.
 /// @param Status HTTP status.
 /// @param Why Stable code.
 [[nodiscard]] HttpResponse serverRefusal(unsigned Status, std::string_view Why);
--- a/packages/process/src/coltsfoottrail/server/relay.cpp
+++ b/packages/process/src/coltsfoottrail/server/relay.cpp
@@ -6,9 +6,11 @@
 #include "coltsfoottrail/server/refusal.hpp"
 
 #include <algorithm>
+#include <array>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/string.hpp>
 #include <utility>
 
 namespace coltsfoottrail {
@@ -64,6 +66,12 @@
   return To.Key.substr(0, To.Key.find('@'));
 }
 
+/// Whether another endpoint may answer where this one refused.
+bool isWorthAnother(unsigned Status) {
+  return Status == StatusConflict || Status == StatusTooMany ||
+         Status >= FirstErrorStatus;
+}
+
 std::string resumedBody(const std::string &Body, const std::string &Text,
                         std::uint64_t Tokens) {
   Json Resumed = Json::parse(Body);
@@ -71,12 +79,21 @@
   return Resumed.dump();
 }
 
+bool isPassedBack(std::string_view Name) {
+  constexpr std::array<std::string_view, 5> Known{
+      "Content-Type", "Content-Encoding", "Cache-Control", "ETag", "Location"};
+  constexpr std::string_view OwnPrefix = "X-";
+  const auto Same = [Name](std::string_view Other) {
+    return boost::beast::iequals(Name, Other);
+  };
+  return std::any_of(Known.begin(), Known.end(), Same) ||
+         boost::beast::iequals(Name.substr(0, OwnPrefix.size()), OwnPrefix);
+}
+
 std::vector<HttpField> answerFields(const HttpResponse &Head) {
   std::vector<HttpField> Out;
   for (const HttpField &Field : Head.Fields)
-    if (Field.Name == "Content-Type" || Field.Name == "Content-Encoding" ||
-        Field.Name == "Cache-Control" || Field.Name == "ETag" ||
-        Field.Name == "Location" || Field.Name.starts_with("X-"))
+    if (isPassedBack(Field.Name))
       Out.push_back(Field);
   return Out;
 }
@@ -148,6 +165,14 @@
   Fields.push_back({std::string(Name), std::string(Value)});
 }
 
+void setField(std::vector<HttpField> &Fields, std::string_view Name,
+              std::string_view Value) {
+  std::erase_if(Fields, [Name](const HttpField &Field) {
+    return boost::beast::iequals(Field.Name, Name);
+  });
+  addField(Fields, Name, Value);
+}
+
 ClaimRequest claimOf(const CallerRequest &Asked) {
   ClaimRequest Out;
   Out.What = ClaimKey{Asked.Team.Name, Asked.IdempotencyKey};
@@ -163,12 +188,14 @@
 /// What of a streamed answer the caller has.
 struct Relay::StreamProgress {
   EventSplitter Events{MaxResumeBytes};
+  /// Context of the attempt under way.
+  TraceContext Trace;
 };
 
 Relay::Relay(IoPool &Threads, Router &Where, ClaimDesk &Desk,
-             CallerLimits Bounds, SendGate Asked)
+             CallerLimits Bounds, SendGate Asked, SpanMaker &Traces)
     : Routing(Where), Claims(Desk), Limits(Bounds), Gate(std::move(Asked)),
-      Routes(std::make_shared<const RouteTable>()) {
+      Spans(Traces), Routes(std::make_shared<const RouteTable>()) {
   for (std::size_t Index = 0; Index < Threads.size(); ++Index)
     Clients.push_back(
         std::make_unique<HttpClient>(Threads.context(Index), ClientOptions{}));
@@ -186,15 +213,16 @@
 
 HttpClient &Relay::client(std::size_t Thread) { return *Clients.at(Thread); }
 
-std::optional<HttpResponse> Relay::check(const HttpRequest &Head) const {
-  if (Stopping)
+std::optional<HttpResponse> Relay::check(const HttpRequest &Head) {
+  if (Stopping) {
+    ++Counts.RefusedNotRun;
     return refusalOf(notRun(Reason::Stopping, StoppingRetryAfter));
-  if (Stale)
-    return refusalOf(notRun(Reason::Stale, StoppingRetryAfter));
+  }
   try {
     (void)authenticate(Head, *routes());
     return std::nullopt;
   } catch (const RequestRefused &Problem) {
+    ++Counts.RefusedNotRun;
     return refusalOf(Problem.verdict(), Problem.what());
   }
 }
@@ -231,6 +259,11 @@
     co_await refuseWith(Call, Refused, std::move(Detail));
     co_return;
   }
+  const TraceContext From =
+      Spans.accept(fieldOf(Call.request().Fields, "traceparent"));
+  Hop Server = Spans.begin("request", SpanKind::Server, From);
+  Server.note(SpanKey::Target, Asked->PoolName);
+  Asked->Trace = Server.context();
   if (!Asked->Item.Repeatable && !Asked->IdempotencyKey.empty())
     co_await serveClaimed(Call, std::move(*Asked));
   else
@@ -248,7 +281,8 @@
     co_await refuse(Call, notRun(Reason::Unauthenticated));
     co_return;
   }
-  const std::string Key = Call.request().Target.substr(OutcomesPrefix.size());
+  std::string Key = Call.request().Target.substr(OutcomesPrefix.size());
+  Key.resize(std::min(Key.size(), Key.find('?')));
   if (Key.empty() || Key.size() > MaxClaimKeyBytes) {
     co_await refuse(Call, notRun(Reason::BadRequest));
     co_return;
@@ -356,7 +390,11 @@
   if (!Gate.Admit(To))
     co_return failed(RunState::NotRun, Reason::NoEndpoint, BootClock::now());
   Leave Given(Gate, To);
+  Hop Client = Spans.begin("attempt", SpanKind::Client, Asked.Trace);
+  Client.note(SpanKey::Endpoint, To.Key);
+  Progress.Trace = Client.context();
   Given.Result = co_await attempt(Call, Asked, To, Progress, Guard);
+  Client.end(Given.Result);
   co_return Given.Result;
 }
 
@@ -371,6 +409,7 @@
                                         ClaimGuard *Guard) {
   const TimePoint Start = BootClock::now();
   HttpRequest Sent = Asked.Forwarded;
+  setField(Sent.Fields, "traceparent", formatTraceparent(Progress.Trace));
   if (Asked.ToModel)
     addField(Sent.Fields, "Coltsfoottrail-Group", groupOf(To));
   if (Call.begun()) {
@@ -401,14 +440,13 @@
   }
   HttpCall Answer = std::move(std::get<HttpCall>(Started));
   const unsigned Status = Answer.head().Status;
-  if (fieldOf(Answer.head().Fields, VerdictField) == "not-run" &&
-      (Status == StatusConflict || Status == StatusTooMany ||
-       Status >= FirstErrorStatus)) {
-    if (Guard != nullptr)
-      Guard->provedNotRun();
+  const bool NotRun = fieldOf(Answer.head().Fields, VerdictField) == "not-run";
+  if (NotRun && Guard != nullptr)
+    Guard->provedNotRun();
+  if (NotRun && (isWorthAnother(Status) || Call.begun()))
     co_return failed(RunState::NotRun, Reason::EndpointRefused, Start);
-  }
-  if (Asked.ToModel && Status >= FirstErrorStatus)
+  const bool Broken = Call.begun() && Status != StatusOk;
+  if (Broken || (Asked.ToModel && Status >= FirstErrorStatus))
     co_return failed(RunState::MayHaveRun, Reason::EndpointFailed, Start);
   if (Asked.Streams && Status == StatusOk)
     co_return co_await relayStream(Call, Asked, std::move(Answer), Start,
@@ -433,7 +471,8 @@
       break;
     Whole.Body += *Part;
   }
-  if (Guard != nullptr) {
+  const bool NotRun = fieldOf(Answer.head().Fields, VerdictField) == "not-run";
+  if (Guard != nullptr && !NotRun) {
     StoredOutcome Kept;
     Kept.Status = Whole.Status;
     Kept.ContentType = std::string(fieldOf(Whole.Fields, "Content-Type"));
@@ -442,7 +481,7 @@
       Kept.Body = Whole.Body;
     Guard->settle(std::move(Kept));
   }
-  addField(Whole.Fields, VerdictField, "ran");
+  addField(Whole.Fields, VerdictField, NotRun ? "not-run" : "ran");
   co_await Call.respond(std::move(Whole));
   co_return answered(Start, FirstByte);
 }
--- a/packages/process/src/coltsfoottrail/server/relay.hpp
+++ b/packages/process/src/coltsfoottrail/server/relay.hpp
@@ -8,6 +8,7 @@
 #include "coltsfoottrail/server/callerrequest.hpp"
 #include "coltsfoottrail/server/claimdesk.hpp"
 #include "coltsfoottrail/server/router.hpp"
+#include "coltsfoottrail/server/spans.hpp"
 
 #include <atomic>
 #include <memory>
@@ -44,16 +45,14 @@
   /// @param Claims Where keys are claimed.
   /// @param Limits Limits of callers.
   /// @param Gate What is asked at the act of sending.
+  /// @param Traces Where spans are made.
   Relay(IoPool &Threads, Router &Routing, ClaimDesk &Claims,
-        CallerLimits Limits, SendGate Gate);
+        CallerLimits Limits, SendGate Gate, SpanMaker &Traces);
 
   /// @brief Puts routes in force for reading requests.
   void setRoutes(RouteTablePtr Wanted);
   /// @brief From now on new requests are refused as "stopping".
   void stopTaking() noexcept { Stopping = true; }
-  /// @brief Refuses new work as "stale" while set.
-  void setStale(bool Wanted) noexcept { Stale = Wanted; }
-
   /// @brief Closes the connections to endpoints. Precondition: the threads have
   /// stopped.
   void closeClients() { Clients.clear(); }
@@ -61,8 +60,7 @@
   /// @brief Looks at a request's head before its body is read.
   /// @param Head The head.
   /// @return A refusal, or nothing.
-  [[nodiscard]] std::optional<HttpResponse>
-  check(const HttpRequest &Head) const;
+  [[nodiscard]] std::optional<HttpResponse> check(const HttpRequest &Head);
 
   /// @brief Serves a request.
   /// @param Call The exchange with the caller.
@@ -105,11 +103,11 @@
   ClaimDesk &Claims;
   CallerLimits Limits;
   SendGate Gate;
+  SpanMaker &Spans;
   std::vector<std::unique_ptr<HttpClient>> Clients;
   mutable std::mutex Lock;
   RouteTablePtr Routes;
   std::atomic<bool> Stopping{false};
-  std::atomic<bool> Stale{false};
   RelayCounters Counts;
 };
 
--- a/packages/process/src/coltsfoottrail/server/router.cpp
+++ b/packages/process/src/coltsfoottrail/server/router.cpp
@@ -252,6 +252,7 @@
   {
     const std::lock_guard Hold(Home->Lock);
     Commands Given;
+    Home->LastSubmit = BootClock::now();
     Own->Which = Home->Decides.submit(std::move(Item), BootClock::now(), Given);
     Home->Waiters[Own->Which] = Own;
     Due = Home->translate(Given);
--- a/packages/process/src/coltsfoottrail/settings/settings.cpp
+++ b/packages/process/src/coltsfoottrail/settings/settings.cpp
@@ -161,11 +161,7 @@
 
 ClaimSettings readClaims(ObjectReader From) {
   ClaimSettings Out;
-  Out.Partitions = static_cast<std::uint32_t>(
-      From.numberOr("partitions", Out.Partitions, 1, 1024));
   Out.BatchTime = readTime(From, "batch_ms", Out.BatchTime, 1, SecondMs);
-  Out.MaxBatch = static_cast<std::uint32_t>(
-      From.numberOr("max_batch", Out.MaxBatch, 1, 100000));
   Out.KeyLife =
       readTime(From, "key_life_ms", Out.KeyLife, SecondMs, 30 * DayMs);
   From.finish();
@@ -363,9 +359,8 @@
   Out["mesh"] = meshJson(Shown.Mesh);
   Out["platform"] = platformJson(Shown.Platform);
   Out["agreed_stream"] = Shown.AgreedStream.Text;
-  Out["claims"] = Json{{"partitions", Shown.Claims.Partitions},
-                       {"batch_ms", Shown.Claims.BatchTime.count()},
-                       {"max_batch", Shown.Claims.MaxBatch},
+  Out["claims"] = Json{{"batch_ms", Shown.Claims.BatchTime.count()},
+
                        {"key_life_ms", Shown.Claims.KeyLife.count()}};
   Out["stop"] = Json{{"grace_ms", Shown.Stop.Grace.count()},
                      {"stream_limit_ms", Shown.Stop.StreamLimit.count()}};
--- a/packages/process/src/coltsfoottrail/settings/settings.hpp
+++ b/packages/process/src/coltsfoottrail/settings/settings.hpp
@@ -71,12 +71,8 @@
 
 /// Claims of idempotency keys on the log.
 struct ClaimSettings {
-  /// Streams that the keys are spread over; equal on all entry hosts.
-  std::uint32_t Partitions = 4;
   /// How long claims are collected for one append.
   milliseconds BatchTime{10};
-  /// Most claims in one append.
-  std::uint32_t MaxBatch = 1000;
   /// How long a key is known; below the retention of the log.
   milliseconds KeyLife{3600000};
 };
--- a/packages/version/src/coltsfoottrail/intents/describe.cpp
+++ b/packages/version/src/coltsfoottrail/intents/describe.cpp
@@ -49,6 +49,9 @@
   return std::visit(
       Overloaded{
           [](const ApplyDeclaration &Apply) {
+            // A plan that has ended no longer keeps its declaration.
+            if (Apply.Wanted == Declaration{} && !Apply.Dropped)
+              return std::string("apply a declaration");
             return std::string(Apply.Dropped ? "change the declaration of "
                                              : "apply a declaration with ") +
                    std::to_string(Apply.Wanted.Models.size()) + " models, " +
