--- a/packages/connection/src/coltsfoottrail/mesh/mesh.cpp
+++ b/packages/connection/src/coltsfoottrail/mesh/mesh.cpp
@@ -87,6 +87,7 @@
   void cutLink(LinkId Which, const std::string &Why,
                std::vector<PeerEvent> &Out);
   void tell(std::vector<PeerEvent> What);
+  [[nodiscard]] bool isActive(const HostName &Host) const;
   [[nodiscard]] bool push(Link &To, Channel Which,
                           const internal::Encoded &Bytes);
   [[nodiscard]] internal::Encoded encode(Channel Which, Json Body);
@@ -298,15 +299,18 @@
     Which.closeLater();
     return std::nullopt;
   }
-  if (Admitted.Replaces) {
-    if (const auto *const Old = Links.find(*Admitted.Replaces)) {
-      (*Old)->waiting().drainInto(Which.waiting());
-      (*Old)->closeLater();
-    }
-  } else {
+  if (!Admitted.Replaces)
     Out.emplace_back(PeerUp{Host, Run});
-  }
+  // A sender that found the old queue would be told that its message is not
+  // sent although the host is connected; so queues change places under the lock
+  // that senders hold.
   const std::unique_lock Lock(ActiveMutex);
+  const auto *const Old =
+      Admitted.Replaces ? Links.find(*Admitted.Replaces) : nullptr;
+  if (Old != nullptr) {
+    (*Old)->waiting().drainInto(Which.waiting());
+    (*Old)->closeLater();
+  }
   Active[Host] = Which.shared_from_this();
   return std::nullopt;
 }
@@ -439,31 +443,25 @@
   return true;
 }
 
+bool Mesh::State::isActive(const HostName &Host) const {
+  const std::shared_lock Lock(ActiveMutex);
+  return Active.contains(Host);
+}
+
 bool Mesh::State::send(const HostName &To, Channel Which, Json Body) {
-  std::shared_ptr<Link> Over;
-  {
-    const std::shared_lock Lock(ActiveMutex);
-    const auto Found = Active.find(To);
-    if (Found == Active.end())
-      return false;
-    Over = Found->second;
-  }
-  return push(*Over, Which, encode(Which, std::move(Body)));
+  if (!isActive(To))
+    return false;
+  const internal::Encoded Bytes = encode(Which, std::move(Body));
+  const std::shared_lock Lock(ActiveMutex);
+  const auto Found = Active.find(To);
+  return Found != Active.end() && push(*Found->second, Which, Bytes);
 }
 
 std::size_t Mesh::State::broadcast(Channel Which, Json Body) {
-  std::vector<std::shared_ptr<Link>> All;
-  {
-    const std::shared_lock Lock(ActiveMutex);
-    All.reserve(Active.size());
-    for (const auto &[Host, Each] : Active)
-      All.push_back(Each);
-  }
-  if (All.empty())
-    return 0;
   const internal::Encoded Bytes = encode(Which, std::move(Body));
+  const std::shared_lock Lock(ActiveMutex);
   std::size_t Taken = 0;
-  for (const std::shared_ptr<Link> &Each : All)
+  for (const auto &[Host, Each] : Active)
     Taken += push(*Each, Which, Bytes) ? 1 : 0;
   return Taken;
 }
--- a/packages/connection/test/coltsfoottrail/mesh/mesh.cpp
+++ b/packages/connection/test/coltsfoottrail/mesh/mesh.cpp
@@ -456,7 +456,9 @@
 }
 
 // Many hosts start at once and all dial each other: each pair must end up with
-// one connection, and no message sent after that may be lost.
+// one connection, and no message sent meanwhile may be refused or lost. Cause
+// of a failure once seen: a sender still held the queue of the connection that
+// was just replaced.
 TEST(Mesh, HostsThatDialEachOtherAtOnceKeepOneConnection) {
   constexpr std::size_t Count = 6;
   const std::array<const char *, Count> Names = {"a", "b", "c", "d", "e", "f"};
@@ -484,7 +486,9 @@
   for (const auto &Each : Nodes)
     EXPECT_TRUE(Each->got(Count - 1));
   for (const auto &Each : Nodes)
-    EXPECT_EQ(Each->Told.Downs.size(), 0U);
+    for (const PeerDown &Down : Each->Told.Downs)
+      ADD_FAILURE() << Each->name().Text << " lost " << Down.Host.Text << ": "
+                    << Down.Why;
 }
 
 } // namespace
