--- a/packages/process/src/coltsfoottrail/server/router.cpp
+++ b/packages/process/src/coltsfoottrail/server/router.cpp
@@ -10,12 +10,21 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/system/system_error.hpp>
+#include <limits>
 #include <utility>
 
 namespace coltsfoottrail {
 
 namespace asio = boost::asio;
 
+namespace {
+
+/// A pool counts as in use for so long after a request to it.
+constexpr seconds InUseFor{5};
+constexpr std::size_t NeverTold = std::numeric_limits<std::size_t>::max();
+
+} // namespace
+
 /// The coroutine's side of a ticket. Touched on the coroutine's thread only,
 /// but for its creation.
 struct Place::Waiter {
@@ -30,7 +39,8 @@
 
 /// One pool: its dispatcher and who waits for its commands.
 struct Place::Shard {
-  explicit Shard(DispatcherOptions Limits) : Decides(std::move(Limits)) {}
+  Shard(std::string Pool, DispatcherOptions Limits)
+      : Name(std::move(Pool)), Decides(std::move(Limits)) {}
 
   struct Delivery {
     std::shared_ptr<Waiter> To;
@@ -44,8 +54,12 @@
   /// Hands decisions over after the lock is released.
   static void deliver(Deliveries Due, const Waiter *OnOwnThread);
 
+  std::string Name;
   std::mutex Lock;
   Dispatcher Decides;
+  /// What OnWaiting was told last.
+  std::size_t ToldWaiting = 0;
+  TimePoint LastSubmit{};
   std::map<std::string, std::shared_ptr<const EndpointSpec>, std::less<>>
       Endpoints;
   std::map<Ticket, std::shared_ptr<Waiter>> Waiters;
@@ -170,7 +184,7 @@
         continue;
       DispatcherOptions Limits = Options.Dispatch;
       Limits.Seed = hashText(Name, hashText(Options.Self.Text));
-      Home = std::make_shared<Place::Shard>(std::move(Limits));
+      Home = std::make_shared<Place::Shard>(Name, std::move(Limits));
     }
   }
   for (const auto &[Name, Home] : [&] {
@@ -243,11 +257,62 @@
     Due = Home->translate(Given);
   }
   Place::Shard::deliver(std::move(Due), Own.get());
+  tellWaiting(*Home);
   return Place(std::move(Home), std::move(Own));
 }
 
+// Shares are given to hosts that have work: whoever gives them hears at once
+// when requests begin to wait. While a pool is in use, room for one request
+// more is wanted at each endpoint, so that the choice has something to choose
+// from and endpoints that come back get work again.
+void Router::tellWaiting(Place::Shard &Home) {
+  if (!Options.OnWaiting)
+    return;
+  std::size_t Wanted = 0;
+  {
+    const std::lock_guard Hold(Home.Lock);
+    const bool InUse = BootClock::now() - Home.LastSubmit < InUseFor;
+    Wanted = std::max(Home.Decides.waiting(),
+                      InUse ? Home.Endpoints.size() : std::size_t{0});
+    if (Wanted == Home.ToldWaiting)
+      return;
+    Home.ToldWaiting = Wanted;
+  }
+  Options.OnWaiting(Home.Name, Wanted);
+}
+
+void Router::repeatDemand() {
+  for (const auto &Home : all()) {
+    {
+      const std::lock_guard Hold(Home->Lock);
+      Home->ToldWaiting = NeverTold;
+    }
+    tellWaiting(*Home);
+  }
+}
+
+void Router::observeNotice(std::string_view PoolName,
+                           const QuarantineNotice &Told) {
+  const std::shared_ptr<Place::Shard> Home = find(PoolName);
+  if (!Home)
+    return;
+  const std::lock_guard Hold(Home->Lock);
+  Home->Decides.observeNotice(Told, BootClock::now());
+}
+
+std::vector<std::pair<std::string, QuarantineNotice>> Router::noticesOut() {
+  std::vector<std::pair<std::string, QuarantineNotice>> Out;
+  for (const auto &Home : all()) {
+    const std::lock_guard Hold(Home->Lock);
+    for (QuarantineNotice &Told : Home->Decides.noticesOut(BootClock::now()))
+      Out.emplace_back(Home->Name, std::move(Told));
+  }
+  return Out;
+}
+
 void Router::advance() {
   for (const auto &Home : all()) {
+    tellWaiting(*Home);
     Place::Shard::Deliveries Due;
     {
       const std::lock_guard Hold(Home->Lock);
--- a/packages/version/src/coltsfoottrail/membership/membership.cpp
+++ b/packages/version/src/coltsfoottrail/membership/membership.cpp
@@ -8,22 +8,12 @@
 namespace {
 
 constexpr milliseconds CheckEvery{100};
-
-std::vector<HostName> watchersOf(const HostName &Host,
-                                 const std::vector<HostName> &All,
-                                 std::size_t Count) {
-  std::vector<HostName> Ranked =
-      rankedHosts("watch/" + Host.Text, All, Count + 1);
-  std::erase(Ranked, Host);
-  if (Ranked.size() > Count)
-    Ranked.pop_back();
-  return Ranked;
-}
+constexpr std::uint32_t MaxDoublings = 5;
 
 } // namespace
 
 Membership::Membership(const MembershipOptions &Limits)
-    : Options(Limits), Draw(Limits.Seed) {}
+    : Options(Limits), Draw(Limits.Seed), Ranks(Limits.Watchers) {}
 
 milliseconds Membership::withRandom(milliseconds Span) {
   const auto Part = static_cast<double>(Span.count()) * Draw.fraction();
@@ -50,24 +40,22 @@
   if (Next == Members)
     return;
   Members = std::move(Next);
-  choose(Agreed, Now);
+  choose(Now);
   advance(Now, Out);
 }
 
-void Membership::choose(const State &Agreed, TimePoint Now) {
+void Membership::choose(TimePoint Now) {
   std::vector<HostName> All;
-  for (const auto &[Name, Known] : Agreed.EntryHosts)
+  for (const auto &[Name, Run] : Members)
     All.push_back(Name);
+  Ranks.members(All);
   std::map<HostName, Watch> Next;
   for (const auto &[Name, Run] : Members) {
-    std::vector<HostName> Ranked = watchersOf(Name, All, Options.Watchers);
     if (Name == Options.Self.Host) {
-      Watchers = std::move(Ranked);
+      Watchers = Ranks.of(Name);
       continue;
     }
-    const bool Mine = std::find(Ranked.begin(), Ranked.end(),
-                                Options.Self.Host) != Ranked.end();
-    if (!Mine)
+    if (!Ranks.watches(Options.Self.Host, Name))
       continue;
     const auto Known = Watched.find(Name);
     Watch Kept;
@@ -76,9 +64,16 @@
     else
       Kept.LastHeard = Now;
     Kept.Run = Run;
-    Kept.Watchers = std::move(Ranked);
+    Kept.Watchers = Ranks.of(Name);
     Next.emplace(Name, std::move(Kept));
   }
+  for (const auto &[Name, Kept] : Watched) {
+    const auto Still = Next.find(Name);
+    const bool Over = !Members.contains(Name) ||
+                      (Still != Next.end() && Still->second.Run != Kept.Run);
+    if (Over && !Kept.Heard)
+      ++UnheardRuns[Name];
+  }
   Watched = std::move(Next);
 }
 
@@ -94,8 +89,13 @@
   // Failure guarded against: two regions lose each other while both reach the
   // log. Each finds the other's hosts gone, they join again under new runs, and
   // would be found gone anew every few seconds.
-  if (!Kept.Heard)
-    return Options.SuspectUnheardAfter;
+  if (!Kept.Heard) {
+    const auto Before = UnheardRuns.find(Host);
+    const std::uint32_t Count = Before == UnheardRuns.end()
+                                    ? 0
+                                    : std::min(Before->second, MaxDoublings);
+    return Options.SuspectUnheardAfter * (1U << Count);
+  }
   const bool HasList = !ListedLive.empty();
   const bool Gone =
       ListedLeaving.contains(Host) || (HasList && !ListedLive.contains(Host));
@@ -116,6 +116,7 @@
     return;
   Found->second.LastHeard = std::max(Found->second.LastHeard, Now);
   Found->second.Heard = true;
+  UnheardRuns.erase(From);
   clear(Found->second);
 }
 
@@ -130,7 +131,7 @@
   const Duration Silence = Now - Kept.LastHeard;
   const bool Heard = Kept.Heard && Silence < Options.SuspectListedAfter;
   const bool Silent =
-      Kept.Heard ? !Heard : Silence >= Options.SuspectUnheardAfter;
+      Kept.Heard ? !Heard : Silence >= patience(Message.Host, Kept);
   if (!Heard && !Silent)
     return;
   Out.emplace_back(
@@ -236,14 +237,18 @@
 bool Membership::mayAppend(const Watch &Kept, TimePoint Now) const {
   if (Now - Kept.AskedAt < Options.ObjectWithin)
     return false;
-  // Failure guarded against: this host's own network is cut while it reaches
-  // the log, and it would declare all others gone. It needs another watcher's
-  // word. Where all of them are gone too, as with a data centre, it waits much
-  // longer and must hear most of the hosts that it watches; with two hosts in
-  // all there is nobody to ask.
-  if (!Kept.Agreeing.empty() || Kept.Watchers.size() == 1)
+  if (Kept.Watchers.size() == 1)
+    return true;
+  // Failure guarded against: this host's own network, or that of its region, is
+  // cut while it reaches the log, and it would declare all others gone. It
+  // needs another watcher's word, and to hear most of the hosts that it
+  // watches. Where those are gone too, as with a data centre, one of the two is
+  // enough, much later.
+  const bool Agreed = !Kept.Agreeing.empty();
+  if (Agreed && hearsMost(Now))
     return true;
-  return Now - Kept.LastHeard >= Options.AloneAfter && hearsMost(Now);
+  return Now - Kept.LastHeard >= Options.AloneAfter &&
+         (Agreed || hearsMost(Now));
 }
 
 void Membership::suspect(const HostName &Host, Watch &Kept, TimePoint Now,
@@ -270,8 +275,8 @@
   if (!mayAppend(Kept, Now))
     return;
   if (!Kept.AppendAt)
-    Kept.AppendAt =
-        Now + Options.AppendStagger * static_cast<int>(rankAmong(Kept));
+    Kept.AppendAt = Now + withRandom(Options.AppendSpread) +
+                    Options.AppendStagger * static_cast<int>(rankAmong(Kept));
   if (*Kept.AppendAt > Now)
     return;
   Out.emplace_back(MembershipAppend{EntryHostLeft{Host, Kept.Run}});
--- a/packages/version/src/coltsfoottrail/membership/types.hpp
+++ b/packages/version/src/coltsfoottrail/membership/types.hpp
@@ -27,17 +27,22 @@
   milliseconds SuspectAfter{3000};
   /// The same for a host that the platform's list shows as gone or leaving.
   milliseconds SuspectListedAfter{1500};
-  /// The same for a run of which no heartbeat has come yet.
-  milliseconds SuspectUnheardAfter{30'000};
+  /// The same for a run of which no heartbeat has come yet; doubled for each
+  /// run of the host before it that was not heard either, up to 32 times.
+  milliseconds SuspectUnheardAfter{120'000};
   /// How long the other watchers have to object.
   milliseconds ObjectWithin{1000};
   /// The next watcher in rank appends after this, if the one before did not.
   milliseconds AppendStagger{1500};
+  /// Random part of the time until a watcher appends, so that the loss of many
+  /// hosts at once does not come to the log in one moment.
+  milliseconds AppendSpread{1000};
   /// An append that did not take effect is tried again after this, with a
   /// random part, doubled up to MaxRetry.
   milliseconds RetryAfter{500};
   milliseconds MaxRetry{30'000};
-  /// Without any other watcher's word, a host counts as gone after this.
+  /// Without any other watcher's word, or while this host hears less than half
+  /// of those that it watches, a host counts as gone after this.
   milliseconds AloneAfter{30'000};
   /// A proof of freshness is good for this long.
   milliseconds FreshFor{2000};
