Run a first fault matrix over real entry hosts on loopback

Cause: nothing showed what callers see when a fault meets a step of the system. Change: typed history, nine pure checkers each shown to fail on a broken history, one test per (fault, step), scripts/faults.

--- /dev/null
+++ b/packages/process/test/coltsfoottrail/faults/history.cpp
@@ -0,0 +1,17 @@
+#include "history.hpp"
+
+#include <utility>
+
+namespace coltsfoottrail::testing {
+
+void History::record(HistoryEvent What) {
+  const std::lock_guard Hold(Lock);
+  Recorded.push_back(std::move(What));
+}
+
+Events History::events() const {
+  const std::lock_guard Hold(Lock);
+  return Recorded;
+}
+
+} // namespace coltsfoottrail::testing
--- a/packages/standin/src/coltsfoottrail/standin/engine.cpp
+++ b/packages/standin/src/coltsfoottrail/standin/engine.cpp
@@ -77,8 +77,19 @@
   return Out;
 }
 
+std::string draftFor(std::uint64_t PromptHash, std::uint64_t Tokens) {
+  std::string Out;
+  for (std::uint64_t Index = 0; Index < Tokens; ++Index)
+    Out += wordAt(PromptHash, Index);
+  return Out;
+}
+
 } // namespace
 
+std::string draftedText(std::string_view Prompt, std::uint64_t Tokens) {
+  return draftFor(hashText(Prompt), Tokens);
+}
+
 struct EngineStandin::Work {
   std::string Prompt;
   std::uint64_t Hash = 0;
@@ -315,9 +326,7 @@
 }
 
 Awaitable<void> EngineStandin::answerWhole(Exchange &Call, const Work &Asked) {
-  std::string Text;
-  for (std::uint64_t Index = 0; Index < Asked.Tokens; ++Index)
-    Text += wordAt(Asked.Hash, Index);
+  const std::string Text = draftFor(Asked.Hash, Asked.Tokens);
   co_await pause(Can.TimePerToken * static_cast<int>(Asked.Tokens));
   co_await Call.respond(wholeAnswer(Asked.Chat, Text, Asked.Tokens));
 }
--- a/packages/standin/src/coltsfoottrail/standin/engine.hpp
+++ b/packages/standin/src/coltsfoottrail/standin/engine.hpp
@@ -12,6 +12,7 @@
 #include <mutex>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace coltsfoottrail {
 
@@ -34,6 +35,12 @@
   milliseconds Delay{0};
 };
 
+/// @brief The text that every engine drafts for a prompt. Thread-safe.
+/// @param Prompt Text of a completion's prompt.
+/// @param Tokens Its max_tokens.
+[[nodiscard]] std::string draftedText(std::string_view Prompt,
+                                      std::uint64_t Tokens);
+
 /// @brief A model engine: takes orders, drafts deterministic text, counts.
 class EngineStandin {
 public:
