Keep a wake in the past from spinning the claim desk

Cause: a wake that already lies in the past was armed with a negative time and ran at once, again and again if it stays. Change: at least 1 ms to the next wake.

--- a/packages/process/src/coltsfoottrail/server/claimdesk.cpp
+++ b/packages/process/src/coltsfoottrail/server/claimdesk.cpp
@@ -1,5 +1,6 @@
 #include "coltsfoottrail/server/claimdesk.hpp"
 
+#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <chrono>
 #include <utility>
@@ -12,6 +13,8 @@
 
 constexpr milliseconds LogTimeout{2'000};
 constexpr std::size_t MaxEntriesPerRead = 1024;
+/// A wake that lies in the past must not turn into a busy loop.
+constexpr milliseconds LeastWake{1};
 
 /// A decision that nobody waits for any more.
 ClaimDecide unavailable() { return {{}, ClaimUnavailable{}, {}}; }
@@ -176,7 +179,7 @@
   const std::optional<TimePoint> At = Decides.nextWake();
   if (!At || Stopped)
     return;
-  Wake.expires_after(*At - BootClock::now());
+  Wake.expires_after(std::max<Duration>(*At - BootClock::now(), LeastWake));
   Wake.async_wait([this](const boost::system::error_code &Problem) {
     if (Problem)
       return;
