--- a/packages/version/src/coltsfoottrail/membership/watchers.cpp
+++ b/packages/version/src/coltsfoottrail/membership/watchers.cpp
@@ -46,16 +46,24 @@
 }
 
 WatcherRanks::Ranked WatcherRanks::rankAll(const HostName &Host) const {
-  Ranked Weights;
+  const std::string Key = "watch/" + Host.Text;
+  std::vector<std::pair<std::uint64_t, const HostName *>> Weights;
   Weights.reserve(All.size());
   for (const HostName &Watcher : All)
     if (Watcher != Host)
-      Weights.emplace_back(weightOf(Host, Watcher), Watcher);
+      Weights.emplace_back(rendezvousWeight(Key, Watcher.Text), &Watcher);
   const std::size_t Kept = std::min(Count, Weights.size());
   const auto Middle = Weights.begin() + static_cast<std::ptrdiff_t>(Kept);
-  std::partial_sort(Weights.begin(), Middle, Weights.end(), isHigher);
-  Weights.resize(Kept);
-  return Weights;
+  std::partial_sort(Weights.begin(), Middle, Weights.end(),
+                    [](const auto &Left, const auto &Right) {
+                      return Left.first != Right.first
+                                 ? Left.first > Right.first
+                                 : Left.second->Text < Right.second->Text;
+                    });
+  Ranked Best;
+  for (std::size_t Index = 0; Index < Kept; ++Index)
+    Best.emplace_back(Weights[Index].first, *Weights[Index].second);
+  return Best;
 }
 
 void WatcherRanks::members(const std::vector<HostName> &Members) {
