--- a/packages/version/src/coltsfoottrail/config/follower.cpp
+++ b/packages/version/src/coltsfoottrail/config/follower.cpp
@@ -318,6 +318,9 @@
         return Found != Seen.end() && Found->second.Answered &&
                Now - *Found->second.Answered <= Options.StaleAfter / 2;
       }));
+  // The only member is the majority, but not before it has once known the end.
+  if (Others.empty())
+    return Proof.asOf().has_value();
   if (Survey.empty())
     return false;
   // Half of a sample may be heard by chance where less than half of the members
--- a/packages/version/test/coltsfoottrail/config/follower.cpp
+++ b/packages/version/test/coltsfoottrail/config/follower.cpp
@@ -245,6 +245,22 @@
   EXPECT_NE(One.freshness(Now), Freshness::Fresh);
 }
 
+// A deployment of one host on trial: its log goes down. There is nobody else
+// who could have agreed on anything. But a host that has just started may have
+// an old checkpoint, and others may have been there before.
+TEST(Follower, OnlyMemberServesOnOnceItHasKnownTheEnd) {
+  World One(1, 1, Seed);
+  One.append();
+  One.run(seconds(3));
+  EXPECT_EQ(One.count(Freshness::Fresh), 1U);
+  One.LogDown = true;
+  One.run(seconds(30));
+  EXPECT_EQ(One.count(Freshness::LogDownForAll), 1U);
+  One.begin(0, 1);
+  One.run(seconds(30));
+  EXPECT_EQ(One.count(Freshness::Starting), 1U);
+}
+
 void report(const char *What, const World &Of, Duration InForce,
             Duration Span) {
   const double Seconds = std::chrono::duration<double>(Span).count();
