Give visitors one Overloaded, and make the linter clean

Cause: seven files had their own Overloaded, and clang 14 deduces its arguments only with a guide; the linter blames defaulted comparisons for code that the compiler makes. Change: core/overloaded.hpp in place of the seven; the false alarms are switched off where they come up.

--- a/packages/connection/src/coltsfoottrail/adapter/engines.cpp
+++ b/packages/connection/src/coltsfoottrail/adapter/engines.cpp
@@ -1,5 +1,6 @@
 #include "coltsfoottrail/adapter/engines.hpp"
 
+#include "coltsfoottrail/core/overloaded.hpp"
 #include "coltsfoottrail/json/reader.hpp"
 
 #include <array>
@@ -22,10 +23,6 @@
 constexpr unsigned StatusPreconditionFailed = 412;
 constexpr std::uint64_t MaxPort = 65535;
 
-template <class... Cases> struct Overloaded : Cases... {
-  using Cases::operator()...;
-};
-
 Json writeGroup(const GroupId &Group) {
   return {{"plan", Group.Plan}, {"number", Group.Number}};
 }
--- a/packages/core/src/coltsfoottrail/core/slotmap.hpp
+++ b/packages/core/src/coltsfoottrail/core/slotmap.hpp
@@ -21,7 +21,10 @@
   std::uint32_t Index = 0;
   std::uint32_t Generation = 0;
 
+  // The linter reports on the body that the compiler makes.
+  // NOLINTBEGIN(readability-identifier-naming,modernize-use-nullptr)
   [[nodiscard]] friend auto operator<=>(const Ident &, const Ident &) = default;
+  // NOLINTEND(readability-identifier-naming,modernize-use-nullptr)
 };
 
 /// @brief Container whose objects are addressed by identifiers that are never
--- a/packages/process/src/coltsfoottrail/cli/run.cpp
+++ b/packages/process/src/coltsfoottrail/cli/run.cpp
@@ -2,6 +2,7 @@
 
 #include "coltsfoottrail/cli/diff.hpp"
 #include "coltsfoottrail/cli/view.hpp"
+#include "coltsfoottrail/core/overloaded.hpp"
 #include "coltsfoottrail/intents/describe.hpp"
 #include "coltsfoottrail/json/reader.hpp"
 #include "coltsfoottrail/record/codec.hpp"
@@ -23,11 +24,6 @@
 /// A plan or the state is followed until so many looks in a row fail.
 constexpr unsigned MaxFailedLooks = 5;
 
-template <class... Visitors> struct Overloaded : Visitors... {
-  using Visitors::operator()...;
-};
-template <class... Visitors> Overloaded(Visitors...) -> Overloaded<Visitors...>;
-
 std::string planPath(Offset Plan) {
   return std::string(PlansPath) + "/" + std::to_string(Plan);
 }
--- a/packages/process/src/coltsfoottrail/server/followwire.cpp
+++ b/packages/process/src/coltsfoottrail/server/followwire.cpp
@@ -1,5 +1,6 @@
 #include "coltsfoottrail/server/followwire.hpp"
 
+#include "coltsfoottrail/core/overloaded.hpp"
 #include "coltsfoottrail/json/reader.hpp"
 
 #include <array>
@@ -13,10 +14,6 @@
 constexpr std::array<std::string_view, 5> Kinds{"records", "ask", "gone",
                                                 "query", "answer"};
 
-template <class... Cases> struct Overloaded : Cases... {
-  using Cases::operator()...;
-};
-
 Json writeRecords(const FollowRecords &Message) {
   Json List = Json::array();
   for (const RecordPtr &Record : Message.Records) {
--- a/packages/process/src/coltsfoottrail/server/noticewire.cpp
+++ b/packages/process/src/coltsfoottrail/server/noticewire.cpp
@@ -1,5 +1,6 @@
 #include "coltsfoottrail/server/noticewire.hpp"
 
+#include "coltsfoottrail/core/overloaded.hpp"
 #include "coltsfoottrail/json/reader.hpp"
 
 #include <array>
@@ -11,10 +12,6 @@
 constexpr std::array<std::string_view, 3> Kinds{"crash", "dismiss", "clear"};
 constexpr std::uint64_t LongestAge = std::uint64_t{1} << 62U;
 
-template <class... Cases> struct Overloaded : Cases... {
-  using Cases::operator()...;
-};
-
 CrashNotice readCrash(ObjectReader &Reader) {
   CrashNotice Out;
   Out.EndpointKey = Reader.text("endpoint");
--- a/packages/process/src/coltsfoottrail/server/relay.cpp
+++ b/packages/process/src/coltsfoottrail/server/relay.cpp
@@ -1,6 +1,7 @@
 #include "coltsfoottrail/server/relay.hpp"
 
 #include "coltsfoottrail/core/hash.hpp"
+#include "coltsfoottrail/core/overloaded.hpp"
 #include "coltsfoottrail/json/reader.hpp"
 #include "coltsfoottrail/server/events.hpp"
 #include "coltsfoottrail/server/refusal.hpp"
@@ -29,10 +30,6 @@
 constexpr unsigned StatusTooMany = 429;
 constexpr unsigned StatusConflict = 409;
 
-template <class... Cases> struct Overloaded : Cases... {
-  using Cases::operator()...;
-};
-
 Verdict notRun(Reason Why, std::optional<milliseconds> RetryAfter = {}) {
   return {RunState::NotRun, Why, RetryAfter};
 }
--- a/packages/request/src/coltsfoottrail/claims/types.hpp
+++ b/packages/request/src/coltsfoottrail/claims/types.hpp
@@ -32,8 +32,11 @@
   /// The claimant's run.
   Incarnation Run = 0;
   std::uint64_t Sequence = 0;
+  // The linter reports on the body that the compiler makes.
+  // NOLINTBEGIN(readability-identifier-naming,modernize-use-nullptr)
   [[nodiscard]] friend auto operator<=>(const ClaimId &,
                                         const ClaimId &) = default;
+  // NOLINTEND(readability-identifier-naming,modernize-use-nullptr)
 };
 
 /// @brief An idempotency key in its team's scope.
--- a/packages/version/src/coltsfoottrail/intents/describe.cpp
+++ b/packages/version/src/coltsfoottrail/intents/describe.cpp
@@ -1,16 +1,13 @@
 #include "coltsfoottrail/intents/describe.hpp"
 
+#include "coltsfoottrail/core/overloaded.hpp"
+
 #include <algorithm>
 
 namespace coltsfoottrail {
 
 namespace {
 
-template <class... Visitors> struct Overloaded : Visitors... {
-  using Visitors::operator()...;
-};
-template <class... Visitors> Overloaded(Visitors...) -> Overloaded<Visitors...>;
-
 template <class Names> std::string joined(const Names &Listed) {
   std::string Text;
   for (const auto &Entry : Listed) {
--- a/packages/version/src/coltsfoottrail/platform/engine.hpp
+++ b/packages/version/src/coltsfoottrail/platform/engine.hpp
@@ -18,8 +18,11 @@
   /// IP number.
   std::string Address;
   std::uint16_t Port = 0;
+  // The linter reports on the body that the compiler makes.
+  // NOLINTBEGIN(readability-identifier-naming,modernize-use-nullptr)
   [[nodiscard]] friend auto operator<=>(const EngineAddress &,
                                         const EngineAddress &) = default;
+  // NOLINTEND(readability-identifier-naming,modernize-use-nullptr)
 };
 
 /// Load the weights and serve as a member of a group.
--- a/packages/version/src/coltsfoottrail/record/codec.cpp
+++ b/packages/version/src/coltsfoottrail/record/codec.cpp
@@ -1,5 +1,6 @@
 #include "coltsfoottrail/record/codec.hpp"
 
+#include "coltsfoottrail/core/overloaded.hpp"
 #include "coltsfoottrail/json/cbor.hpp"
 #include "coltsfoottrail/json/reader.hpp"
 
@@ -37,11 +38,6 @@
     "plan_abandoned",    "executor_taken",  "step_finished",  "group_confirmed",
     "group_broken",      "host_released",   "checkpoint_part"};
 
-template <class... Visitors> struct Overloaded : Visitors... {
-  using Visitors::operator()...;
-};
-template <class... Visitors> Overloaded(Visitors...) -> Overloaded<Visitors...>;
-
 template <class NameType>
 NameType readName(ObjectReader &From, std::string_view Key) {
   return NameType(From.text(Key, MaxNameBytes));
