--- a/packages/process/src/coltsfoottrail/server/claimdesk.cpp
+++ b/packages/process/src/coltsfoottrail/server/claimdesk.cpp
@@ -97,6 +97,7 @@
 }
 
 void ClaimDesk::settle(ClaimId Id, Settlement How) {
+  ++Unsettled;
   asio::post(Control, [this, Id, Ended = std::move(How)] {
     if (Stopped)
       return;
@@ -176,6 +177,7 @@
 }
 
 void ClaimDesk::arm() {
+  Unsettled = Decides.settling();
   const std::optional<TimePoint> At = Decides.nextWake();
   if (!At || Stopped)
     return;
--- a/packages/process/src/coltsfoottrail/server/claimdesk.hpp
+++ b/packages/process/src/coltsfoottrail/server/claimdesk.hpp
@@ -9,6 +9,7 @@
 #include "coltsfoottrail/server/fwd.hpp"
 #include "coltsfoottrail/server/reply.hpp"
 
+#include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
@@ -48,6 +49,9 @@
   void received(const HostName &From, const ClaimMessage &Message);
   /// @brief Takes the entry hosts of the agreed state. On the control thread.
   void members(const std::vector<ClaimMember> &Joined);
+  /// @brief Settlements that are not on the log yet. Thread-safe.
+  [[nodiscard]] std::size_t unsettled() const noexcept { return Unsettled; }
+
   /// @brief Stops. On the control thread.
   void stop();
 
@@ -76,6 +80,9 @@
   std::map<ClaimId, AskedPtr> Open;
   boost::asio::steady_timer Wake;
   bool Stopped = false;
+  /// Granted claims that were told how they ended, and those not yet on the
+  /// log.
+  std::atomic<std::size_t> Unsettled{0};
 };
 
 /// @brief Settles a granted claim when it goes out of scope unsettled: as "may
--- a/packages/process/src/coltsfoottrail/server/process.cpp
+++ b/packages/process/src/coltsfoottrail/server/process.cpp
@@ -581,6 +581,12 @@
   if (Left > 0)
     logEvent(Event::StreamCut, {{"requests", Left}});
   CallerServer->cutAll();
+  // Failure guarded against: an order was answered here, its settlement is not
+  // on the log yet, and this host is gone: its repeat at another host would be
+  // told that it may have run, in place of the answer.
+  const TimePoint SettleLimit = BootClock::now() + LeavePatience;
+  while (Claims.unsettled() > 0 && BootClock::now() < SettleLimit)
+    std::this_thread::sleep_for(PollWhileStopping);
   asio::post(Control, [this] { Members->leave(); });
   const TimePoint GiveUp = BootClock::now() + LeavePatience;
   const auto IsMember = [this] {
--- a/packages/process/test/coltsfoottrail/server/orders.cpp
+++ b/packages/process/test/coltsfoottrail/server/orders.cpp
@@ -96,6 +96,23 @@
   EXPECT_EQ(Json::parse(Unknown.Body).at("verdict"), "not-known");
 }
 
+// A host stops as planned right after it has answered an order. The order's
+// repeat at another host must get the answer, not "may have run": the stop
+// waits until the outcome is on the log.
+TEST_F(Orders3, PlannedStopLeavesTheOutcomeBehind) {
+  const HttpResponse First =
+      call(Hosts[0]->callerPort(), order("stop-1", "sign"));
+  ASSERT_EQ(First.Status, 200U) << First.Body;
+  LogService.setFaults({.Delay = milliseconds(60)});
+  EXPECT_EQ(Hosts[0]->stop(), 0U);
+  LogService.setFaults({});
+  const HttpResponse Again =
+      call(Hosts[1]->callerPort(), order("stop-1", "sign"));
+  EXPECT_EQ(Again.Status, 200U) << Again.Body;
+  EXPECT_EQ(Again.Body, First.Body);
+  EXPECT_EQ(Orders.runsOf("sign"), 1U);
+}
+
 TEST_F(Orders3, WrongInputIsRefusedAsNotRun) {
   HttpRequest NoCredential = order("k", "x");
   NoCredential.Fields.clear();
