Name what two modules both called Freshness and Ticket apart

Cause: the enum of the follower and the class of the membership had one name in one namespace, as had the tickets of the dispatcher and the numbers of the groups' commands; no file included both, but one program holds both. Change: StateProof and CommandId.

--- a/packages/process/src/coltsfoottrail/server/memberdesk.cpp
+++ b/packages/process/src/coltsfoottrail/server/memberdesk.cpp
@@ -3,8 +3,8 @@
 #include "coltsfoottrail/admission/keeper.hpp"
 #include "coltsfoottrail/json/reader.hpp"
 #include "coltsfoottrail/logging/log.hpp"
-#include "coltsfoottrail/membership/freshness.hpp"
 #include "coltsfoottrail/membership/membership.hpp"
+#include "coltsfoottrail/membership/stateproof.hpp"
 
 #include <mutex>
 #include <utility>
@@ -59,7 +59,7 @@
   EntryHostJoined Self;
   MemberHooks Hooks;
   Membership Members;
-  coltsfoottrail::Freshness Proof;
+  StateProof Proof;
   ShareKeeper Shares;
   Offset MembersChange = 0;
   /// Guards the shares, which callers' threads ask at the act of sending.
--- a/packages/version/src/coltsfoottrail/groups/agent.cpp
+++ b/packages/version/src/coltsfoottrail/groups/agent.cpp
@@ -7,9 +7,9 @@
 namespace {
 
 /// Set in the tickets of the watch, so that they differ from the executor's.
-constexpr Ticket WatchMark = Ticket{1} << 63U;
+constexpr CommandId WatchMark = CommandId{1} << 63U;
 
-bool isOfWatch(Ticket Which) { return (Which & WatchMark) != 0; }
+bool isOfWatch(CommandId Which) { return (Which & WatchMark) != 0; }
 
 } // namespace
 
@@ -44,7 +44,7 @@
       Out.Beats.push_back({Name, Live.beatFor(Name, At)});
 }
 
-void GroupAgent::appended(Ticket Which, const AppendResult &Outcome,
+void GroupAgent::appended(CommandId Which, const AppendResult &Outcome,
                           TimePoint At) {
   if (isOfWatch(Which))
     Watch.appended(Which & ~WatchMark, Outcome, At);
@@ -52,11 +52,11 @@
     Executor.appended(Which, Outcome, At);
 }
 
-void GroupAgent::ordered(Ticket Which, OrderResult Result, TimePoint At) {
+void GroupAgent::ordered(CommandId Which, OrderResult Result, TimePoint At) {
   Executor.ordered(Which, Result, At);
 }
 
-void GroupAgent::reported(Ticket Which, std::optional<EngineReport> Report,
+void GroupAgent::reported(CommandId Which, std::optional<EngineReport> Report,
                           TimePoint At) {
   if (Report)
     Executor.heardAnyone(At);
--- a/packages/version/src/coltsfoottrail/groups/agent.hpp
+++ b/packages/version/src/coltsfoottrail/groups/agent.hpp
@@ -47,11 +47,12 @@
   [[nodiscard]] GroupDecisions poll(const State &Now, TimePoint At);
 
   /// @brief Takes an append's outcome.
-  void appended(Ticket Which, const AppendResult &Outcome, TimePoint At);
+  void appended(CommandId Which, const AppendResult &Outcome, TimePoint At);
   /// @brief Takes an order's outcome.
-  void ordered(Ticket Which, OrderResult Result, TimePoint At);
+  void ordered(CommandId Which, OrderResult Result, TimePoint At);
   /// @brief Takes a report, or nothing when none came.
-  void reported(Ticket Which, std::optional<EngineReport> Report, TimePoint At);
+  void reported(CommandId Which, std::optional<EngineReport> Report,
+                TimePoint At);
   /// @brief Takes a peer's beat.
   void heard(const LivenessBeat &Beat, TimePoint At) { Live.heard(Beat, At); }
   /// @brief Has a group's members asked at once, because a request to it
--- a/packages/version/src/coltsfoottrail/groups/command.hpp
+++ b/packages/version/src/coltsfoottrail/groups/command.hpp
@@ -14,7 +14,7 @@
 
 /// Append a record and tell the outcome by appended().
 struct AppendRecord {
-  Ticket Which = 0;
+  CommandId Which = 0;
   Record Body;
 };
 
@@ -23,7 +23,7 @@
 /// lapsed meanwhile. Whoever sends it reads the BootClock last of all and tells
 /// OrderResult::NotDone instead when NotAfter has passed.
 struct OrderEngine {
-  Ticket Which = 0;
+  CommandId Which = 0;
   HostName Host;
   EngineAddress To;
   EngineOrder Order;
@@ -33,7 +33,7 @@
 
 /// Ask for a report and tell it by reported().
 struct AskEngine {
-  Ticket Which = 0;
+  CommandId Which = 0;
   HostName Host;
   EngineAddress Whom;
   milliseconds Timeout{0};
--- a/packages/version/src/coltsfoottrail/groups/enginebook.cpp
+++ b/packages/version/src/coltsfoottrail/groups/enginebook.cpp
@@ -42,7 +42,7 @@
                                std::move(Order), Times.OrderTimeout, NotAfter});
 }
 
-void EngineBook::reported(Ticket Which, std::optional<EngineReport> Report,
+void EngineBook::reported(CommandId Which, std::optional<EngineReport> Report,
                           TimePoint Now) {
   const auto Found = Asked.find(Which);
   if (Found == Asked.end())
@@ -72,7 +72,7 @@
   View.AskedAt = View.AskingSince;
 }
 
-void EngineBook::ordered(Ticket Which, OrderResult Result, TimePoint Now) {
+void EngineBook::ordered(CommandId Which, OrderResult Result, TimePoint Now) {
   const auto Found = Ordered.find(Which);
   if (Found == Ordered.end())
     return;
--- a/packages/version/src/coltsfoottrail/groups/enginebook.hpp
+++ b/packages/version/src/coltsfoottrail/groups/enginebook.hpp
@@ -23,8 +23,8 @@
   TimePoint NextOrder;
   /// Since when it has not answered.
   std::optional<TimePoint> SilentSince;
-  std::optional<Ticket> Asking;
-  std::optional<Ticket> Ordering;
+  std::optional<CommandId> Asking;
+  std::optional<CommandId> Ordering;
   TimePoint AskingSince;
   std::optional<OrderResult> LastResult;
   TimePoint LastUse;
@@ -57,10 +57,10 @@
              TimePoint Now, GroupCommands &Out);
 
   /// @brief Takes a report, or its absence.
-  void reported(Ticket Which, std::optional<EngineReport> Report,
+  void reported(CommandId Which, std::optional<EngineReport> Report,
                 TimePoint Now);
   /// @brief Takes an order's outcome.
-  void ordered(Ticket Which, OrderResult Result, TimePoint Now);
+  void ordered(CommandId Which, OrderResult Result, TimePoint Now);
 
   /// @brief Finds a report that was asked for at or after a time.
   /// @return Null when there is none; valid until the next call.
@@ -92,8 +92,8 @@
   AppendPacer &Draw;
   std::optional<TimePoint> LastAnswer;
   std::map<HostName, EngineView> Known;
-  std::map<Ticket, HostName> Asked;
-  std::map<Ticket, HostName> Ordered;
+  std::map<CommandId, HostName> Asked;
+  std::map<CommandId, HostName> Ordered;
 };
 
 } // namespace coltsfoottrail
--- a/packages/version/src/coltsfoottrail/groups/executor.hpp
+++ b/packages/version/src/coltsfoottrail/groups/executor.hpp
@@ -39,15 +39,15 @@
   [[nodiscard]] GroupCommands poll(const State &Now, TimePoint At);
 
   /// @brief Takes an append's outcome.
-  void appended(Ticket Which, const AppendResult &Outcome, TimePoint At) {
+  void appended(CommandId Which, const AppendResult &Outcome, TimePoint At) {
     Pace.appended(Which, Outcome, At);
   }
   /// @brief Takes an order's outcome.
-  void ordered(Ticket Which, OrderResult Result, TimePoint At) {
+  void ordered(CommandId Which, OrderResult Result, TimePoint At) {
     Book.ordered(Which, Result, At);
   }
   /// @brief Takes a report, or nothing when none came.
-  void reported(Ticket Which, std::optional<EngineReport> Report,
+  void reported(CommandId Which, std::optional<EngineReport> Report,
                 TimePoint At) {
     Book.reported(Which, std::move(Report), At);
   }
--- a/packages/version/src/coltsfoottrail/groups/fwd.hpp
+++ b/packages/version/src/coltsfoottrail/groups/fwd.hpp
@@ -31,7 +31,7 @@
 class WatchPlan;
 
 /// Tells answers to commands apart; never the same twice in one run.
-using Ticket = std::uint64_t;
+using CommandId = std::uint64_t;
 
 } // namespace coltsfoottrail
 
--- a/packages/version/src/coltsfoottrail/groups/pacer.cpp
+++ b/packages/version/src/coltsfoottrail/groups/pacer.cpp
@@ -18,14 +18,14 @@
   if (!Fresh && Now < Entry->second)
     return false;
   Entry->second = Now + Times.AppendRetry;
-  const Ticket Which = drawTicket();
+  const CommandId Which = drawTicket();
   UnderWay[Which] = Key;
   Out.emplace_back(AppendRecord{Which, std::move(Body)});
   forgetOld(Now);
   return true;
 }
 
-bool AppendPacer::appended(Ticket Which, const AppendResult &Outcome,
+bool AppendPacer::appended(CommandId Which, const AppendResult &Outcome,
                            TimePoint Now) {
   const auto Found = UnderWay.find(Which);
   if (Found == UnderWay.end())
--- a/packages/version/src/coltsfoottrail/groups/pacer.hpp
+++ b/packages/version/src/coltsfoottrail/groups/pacer.hpp
@@ -31,18 +31,18 @@
 
   /// @brief Takes an append's outcome.
   /// @return Whether the ticket was one of this object's.
-  bool appended(Ticket Which, const AppendResult &Outcome, TimePoint Now);
+  bool appended(CommandId Which, const AppendResult &Outcome, TimePoint Now);
 
   /// @brief Draws a ticket for another kind of command.
-  [[nodiscard]] Ticket drawTicket() { return ++LastTicket; }
+  [[nodiscard]] CommandId drawTicket() { return ++LastTicket; }
 
 private:
   void forgetOld(TimePoint Now);
 
   GroupTimes Times;
-  Ticket LastTicket = 0;
+  CommandId LastTicket = 0;
   std::map<std::string, TimePoint> NotBefore;
-  std::map<Ticket, std::string> UnderWay;
+  std::map<CommandId, std::string> UnderWay;
 };
 
 } // namespace coltsfoottrail
--- a/packages/version/src/coltsfoottrail/groups/watch.cpp
+++ b/packages/version/src/coltsfoottrail/groups/watch.cpp
@@ -58,7 +58,7 @@
     Member &Of = Over.Members[Rank];
     if (Of.Asking || At < Of.NextAsk)
       continue;
-    const Ticket Which = Pace.drawTicket();
+    const CommandId Which = Pace.drawTicket();
     Of.Asking = Which;
     Of.AskedAt = At;
     Of.NextAsk = std::max(Of.NextAsk + Times.AskEvery, At + Times.AskEvery / 2);
@@ -80,7 +80,7 @@
                 At, Out);
 }
 
-void GroupWatch::reported(Ticket Which,
+void GroupWatch::reported(CommandId Which,
                           const std::optional<EngineReport> &Report,
                           TimePoint At) {
   const auto Found = Asked.find(Which);
--- a/packages/version/src/coltsfoottrail/groups/watch.hpp
+++ b/packages/version/src/coltsfoottrail/groups/watch.hpp
@@ -60,10 +60,10 @@
                                    TimePoint At);
 
   /// @brief Takes a report, or nothing when none came.
-  void reported(Ticket Which, const std::optional<EngineReport> &Report,
+  void reported(CommandId Which, const std::optional<EngineReport> &Report,
                 TimePoint At);
   /// @brief Takes an append's outcome.
-  void appended(Ticket Which, const AppendResult &Outcome, TimePoint At) {
+  void appended(CommandId Which, const AppendResult &Outcome, TimePoint At) {
     Pace.appended(Which, Outcome, At);
   }
   /// @brief Asks all members of a group at once, because a request to it
@@ -82,7 +82,7 @@
     EngineAddress Address;
     Incarnation Run = 0;
     TimePoint NextAsk;
-    std::optional<Ticket> Asking;
+    std::optional<CommandId> Asking;
     TimePoint AskedAt;
     /// When the last question left that was answered well.
     std::optional<TimePoint> WellAt;
@@ -108,7 +108,7 @@
   HostName Self;
   AppendPacer Pace;
   std::map<GroupId, Watched> Groups;
-  std::map<Ticket, std::pair<GroupId, std::size_t>> Asked;
+  std::map<CommandId, std::pair<GroupId, std::size_t>> Asked;
   Offset FollowedNext = 0;
   std::uint64_t FollowedDigest = 0;
 };
--- a/packages/version/src/coltsfoottrail/membership/fwd.hpp
+++ b/packages/version/src/coltsfoottrail/membership/fwd.hpp
@@ -6,7 +6,7 @@
 namespace coltsfoottrail {
 
 class LeaseGuard;
-class Freshness;
+class StateProof;
 class Membership;
 struct MembershipOptions;
 struct Heartbeat;
--- a/packages/version/src/coltsfoottrail/membership/freshness.cpp
+++ b/packages/version/src/coltsfoottrail/membership/stateproof.cpp
@@ -1,4 +1,4 @@
-#include "coltsfoottrail/membership/freshness.hpp"
+#include "coltsfoottrail/membership/stateproof.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -18,18 +18,18 @@
 
 } // namespace
 
-Freshness::Freshness(const MembershipOptions &Limits) : Options(Limits) {}
+StateProof::StateProof(const MembershipOptions &Limits) : Options(Limits) {}
 
-void Freshness::members(const std::vector<HostName> &Others) {
+void StateProof::members(const std::vector<HostName> &Others) {
   Jury = rankedHosts(Options.Self.Host.Text, Others, Options.Jury);
   std::erase_if(Words, [&](const auto &Entry) {
     return std::find(Jury.begin(), Jury.end(), Entry.first) == Jury.end();
   });
 }
 
-void Freshness::version(Offset Next) { Version = std::max(Version, Next); }
+void StateProof::version(Offset Next) { Version = std::max(Version, Next); }
 
-void Freshness::prove(TimePoint At, FreshSource Source) {
+void StateProof::prove(TimePoint At, FreshSource Source) {
   if (Source != FreshSource::LogDownForAll &&
       (!ProvenByLog || *ProvenByLog < At))
     ProvenByLog = At;
@@ -39,14 +39,14 @@
   By = Source;
 }
 
-void Freshness::logAnswered(TimePoint Left) {
+void StateProof::logAnswered(TimePoint Left) {
   LogFails = false;
   prove(Left, FreshSource::Log);
 }
 
-void Freshness::logFailed() { LogFails = true; }
+void StateProof::logFailed() { LogFails = true; }
 
-FreshAnswer Freshness::answer(const FreshAsk &Asked, TimePoint Now) const {
+FreshAnswer StateProof::answer(const FreshAsk &Asked, TimePoint Now) const {
   FreshAnswer Answer;
   Answer.Number = Asked.Number;
   Answer.Version = Version;
@@ -58,8 +58,8 @@
   return Answer;
 }
 
-void Freshness::answered(const HostName &From, const FreshAnswer &Message,
-                         TimePoint Now) {
+void StateProof::answered(const HostName &From, const FreshAnswer &Message,
+                          TimePoint Now) {
   const auto Asked = Asks.find(Message.Number);
   if (Asked == Asks.end())
     return;
@@ -85,7 +85,7 @@
   weigh(Now);
 }
 
-void Freshness::weigh(TimePoint Now) {
+void StateProof::weigh(TimePoint Now) {
   // Failure guarded against: this host alone is cut off from the log, takes it
   // for an outage and serves on, while a drain stands on the log. Only when
   // most of those asked say that the log fails them too is it down for all.
@@ -102,7 +102,7 @@
   prove(Needed < 2 ? Now : Failing[Needed - 2], FreshSource::LogDownForAll);
 }
 
-void Freshness::advance(TimePoint Now, MembershipCommands &Out) {
+void StateProof::advance(TimePoint Now, MembershipCommands &Out) {
   const bool Young =
       Proven && By == FreshSource::Log && Now - *Proven < Options.AskPeersAfter;
   if (Young || Now < NextAsk)
@@ -122,17 +122,17 @@
     Out.emplace_back(MembershipSend{Peer, FreshAsk{Number}});
 }
 
-std::optional<TimePoint> Freshness::nextWake() const {
+std::optional<TimePoint> StateProof::nextWake() const {
   if (!Proven)
     return NextAsk;
   return std::max(NextAsk, *Proven + Options.AskPeersAfter);
 }
 
-LeaseGuard Freshness::lease() const {
+LeaseGuard StateProof::lease() const {
   return Proven ? LeaseGuard(*Proven + Options.FreshFor) : LeaseGuard();
 }
 
-FreshSource Freshness::source(TimePoint Now) const {
+FreshSource StateProof::source(TimePoint Now) const {
   return lease().holds(Now) ? By : FreshSource::None;
 }
 
--- a/packages/version/src/coltsfoottrail/membership/freshness.hpp
+++ b/packages/version/src/coltsfoottrail/membership/stateproof.hpp
@@ -1,7 +1,7 @@
 /// @file
 /// Whether this host knows all of the agreed stream, and since when it may not.
-#ifndef COLTSFOOTTRAIL_MEMBERSHIP_FRESHNESS_HPP
-#define COLTSFOOTTRAIL_MEMBERSHIP_FRESHNESS_HPP
+#ifndef COLTSFOOTTRAIL_MEMBERSHIP_STATEPROOF_HPP
+#define COLTSFOOTTRAIL_MEMBERSHIP_STATEPROOF_HPP
 
 #include "coltsfoottrail/membership/lease.hpp"
 #include "coltsfoottrail/membership/types.hpp"
@@ -20,10 +20,10 @@
 /// the log fails them too while none knows more. Pure.
 ///
 /// Not thread-safe. Times must not go back.
-class Freshness {
+class StateProof {
 public:
   /// @brief Starts without a proof.
-  explicit Freshness(const MembershipOptions &Limits);
+  explicit StateProof(const MembershipOptions &Limits);
 
   /// @brief Takes the other members.
   void members(const std::vector<HostName> &Others);
--- a/packages/version/test/coltsfoottrail/membership/freshness.cpp
+++ b/packages/version/test/coltsfoottrail/membership/stateproof.cpp
@@ -1,4 +1,4 @@
-#include "coltsfoottrail/membership/freshness.hpp"
+#include "coltsfoottrail/membership/stateproof.hpp"
 
 #include <gtest/gtest.h>
 
@@ -36,7 +36,7 @@
   }
 
   MembershipOptions Options;
-  std::optional<Freshness> Part;
+  std::optional<StateProof> Part;
   std::vector<HostName> Others;
   TimePoint Now{seconds(1000)};
 };
