Give teams their declared weight and limit on the request path

Cause: weight and max_in_flight of a team were declared, agreed on and then used by nobody; each dispatcher kept its defaults. The wait was estimated by the places granted so far, not by those that can be had. Change: teams and the expected places are set with each version of the routes; the unused even split of bounds is gone.

--- a/packages/process/src/coltsfoottrail/server/process.cpp
+++ b/packages/process/src/coltsfoottrail/server/process.cpp
@@ -459,7 +459,7 @@
     return;
   Applied = std::move(Keys);
   AppliedVersion = Filtered.Version;
-  Routing.setRoutes(Filtered, Shares);
+  Routing.setRoutes(Filtered, Shares, Agreed.state()->EntryHosts.size());
 }
 
 // Failure guarded against: between the decision and this moment the host was
--- a/packages/process/src/coltsfoottrail/server/router.cpp
+++ b/packages/process/src/coltsfoottrail/server/router.cpp
@@ -48,6 +48,12 @@
   };
   using Deliveries = std::vector<Delivery>;
 
+  /// Take over a version of the pool, of the teams and of the shares, while the
+  /// lock is held.
+  void configure(const Pool &Wanted, std::size_t JoinedHosts, Commands &Given);
+  void setTeams(const RouteTable &Routes, Commands &Given);
+  void setShares(const std::map<std::string, std::uint32_t> &Shares,
+                 Commands &Given);
   /// Translates commands while the lock is held.
   [[nodiscard]] Deliveries translate(const Commands &Given);
   [[nodiscard]] Decision decisionOf(const SendCommand &Send) const;
@@ -65,6 +71,32 @@
   std::map<Ticket, std::shared_ptr<Waiter>> Waiters;
 };
 
+void Place::Shard::configure(const Pool &Wanted, std::size_t JoinedHosts,
+                             Commands &Given) {
+  Endpoints.clear();
+  double Places = 0;
+  for (const EndpointSpec &Spec : Wanted.Endpoints) {
+    Endpoints[Spec.Key] = std::make_shared<const EndpointSpec>(Spec);
+    Places += Spec.WarmBound;
+  }
+  const std::size_t Hosts = std::max<std::size_t>(JoinedHosts, 1);
+  Decides.expectPlaces(Places / static_cast<double>(Hosts));
+  Decides.configure(Wanted, BootClock::now(), Given);
+}
+
+void Place::Shard::setTeams(const RouteTable &Routes, Commands &Given) {
+  for (const auto &[Credential, Team] : Routes.TeamsByCredential)
+    Decides.setTeam(Team.Name, TeamShare{Team.Weight, Team.MaxInFlight},
+                    BootClock::now(), Given);
+}
+
+void Place::Shard::setShares(const std::map<std::string, std::uint32_t> &Shares,
+                             Commands &Given) {
+  for (const auto &[Key, Spec] : Endpoints)
+    if (const auto Share = Shares.find(Key); Share != Shares.end())
+      Decides.setShare(Key, Share->second, BootClock::now(), Given);
+}
+
 Decision Place::Shard::decisionOf(const SendCommand &Send) const {
   const auto Found = Endpoints.find(Send.EndpointKey);
   if (Found == Endpoints.end())
@@ -174,38 +206,33 @@
   return Out;
 }
 
-void Router::setRoutes(const RouteTable &Routes,
-                       const std::map<std::string, std::uint32_t> &Shares) {
-  {
-    const std::lock_guard Hold(Lock);
-    for (const auto &[Name, Wanted] : Routes.Pools) {
-      std::shared_ptr<Place::Shard> &Home = Shards[Name];
-      if (Home)
-        continue;
-      DispatcherOptions Limits = Options.Dispatch;
-      Limits.Seed = hashText(Name, hashText(Options.Self.Text));
-      Home = std::make_shared<Place::Shard>(Name, std::move(Limits));
-    }
+void Router::openShards(const RouteTable &Routes) {
+  const std::lock_guard Hold(Lock);
+  for (const auto &[Name, Wanted] : Routes.Pools) {
+    std::shared_ptr<Place::Shard> &Home = Shards[Name];
+    if (Home)
+      continue;
+    DispatcherOptions Limits = Options.Dispatch;
+    Limits.Seed = hashText(Name, hashText(Options.Self.Text));
+    Home = std::make_shared<Place::Shard>(Name, std::move(Limits));
   }
-  for (const auto &[Name, Home] : [&] {
-         const std::lock_guard Hold(Lock);
-         return Shards;
-       }()) {
-    const auto Found = Routes.Pools.find(Name);
-    static const Pool Nothing;
+}
+
+void Router::setRoutes(const RouteTable &Routes,
+                       const std::map<std::string, std::uint32_t> &Shares,
+                       std::size_t JoinedHosts) {
+  static const Pool Nothing;
+  openShards(Routes);
+  for (const auto &Home : all()) {
+    const auto Found = Routes.Pools.find(Home->Name);
     const Pool &Wanted = Found == Routes.Pools.end() ? Nothing : Found->second;
     Place::Shard::Deliveries Due;
     {
       const std::lock_guard Hold(Home->Lock);
-      Home->Endpoints.clear();
-      for (const EndpointSpec &Spec : Wanted.Endpoints)
-        Home->Endpoints[Spec.Key] = std::make_shared<const EndpointSpec>(Spec);
       Commands Given;
-      const TimePoint Now = BootClock::now();
-      Home->Decides.configure(Wanted, Now, Given);
-      for (const EndpointSpec &Spec : Wanted.Endpoints)
-        if (const auto Share = Shares.find(Spec.Key); Share != Shares.end())
-          Home->Decides.setShare(Spec.Key, Share->second, Now, Given);
+      Home->configure(Wanted, JoinedHosts, Given);
+      Home->setTeams(Routes, Given);
+      Home->setShares(Shares, Given);
       Due = Home->translate(Given);
     }
     Place::Shard::deliver(std::move(Due), nullptr);
@@ -218,9 +245,7 @@
     {
       const std::lock_guard Hold(Home->Lock);
       Commands Given;
-      for (const auto &[Key, Spec] : Home->Endpoints)
-        if (const auto Share = Shares.find(Key); Share != Shares.end())
-          Home->Decides.setShare(Key, Share->second, BootClock::now(), Given);
+      Home->setShares(Shares, Given);
       Due = Home->translate(Given);
     }
     Place::Shard::deliver(std::move(Due), nullptr);
@@ -338,23 +363,4 @@
   return All;
 }
 
-std::map<std::string, std::uint32_t>
-evenShares(const RouteTable &Routes, const std::vector<HostName> &Hosts,
-           const HostName &Self) {
-  std::map<std::string, std::uint32_t> Out;
-  for (const auto &[Name, Wanted] : Routes.Pools)
-    for (const EndpointSpec &Spec : Wanted.Endpoints) {
-      const std::uint64_t Own = rendezvousWeight(Spec.Key, Self.Text);
-      std::uint32_t Rank = 0;
-      for (const HostName &Other : Hosts)
-        if (Other != Self && rendezvousWeight(Spec.Key, Other.Text) > Own)
-          ++Rank;
-      const auto Count =
-          static_cast<std::uint32_t>(std::max<std::size_t>(Hosts.size(), 1));
-      Out[Spec.Key] =
-          Spec.WarmBound / Count + (Rank < Spec.WarmBound % Count ? 1U : 0U);
-    }
-  return Out;
-}
-
 } // namespace coltsfoottrail
--- a/packages/process/src/coltsfoottrail/server/router.hpp
+++ b/packages/process/src/coltsfoottrail/server/router.hpp
@@ -83,8 +83,10 @@
   /// @param Routes The routes.
   /// @param Shares For each endpoint key, how many requests this entry host may
   /// have there at once.
+  /// @param JoinedHosts How many entry hosts share the endpoints.
   void setRoutes(const RouteTable &Routes,
-                 const std::map<std::string, std::uint32_t> &Shares);
+                 const std::map<std::string, std::uint32_t> &Shares,
+                 std::size_t JoinedHosts);
 
   /// @brief Takes notices from peers about requests that crash endpoints.
   /// @param PoolName The pool that they are about.
@@ -119,6 +121,7 @@
   [[nodiscard]] std::size_t waiting() const;
 
 private:
+  void openShards(const RouteTable &Routes);
   void tellWaiting(Place::Shard &Home);
   [[nodiscard]] std::shared_ptr<Place::Shard> find(std::string_view Name) const;
   [[nodiscard]] std::vector<std::shared_ptr<Place::Shard>> all() const;
@@ -128,16 +131,6 @@
   std::map<std::string, std::shared_ptr<Place::Shard>, std::less<>> Shards;
 };
 
-/// @brief Splits endpoints' bounds evenly over entry hosts: the sum over all
-/// hosts is the bound. Pure; thread-safe.
-/// @param Routes The routes.
-/// @param Hosts Names of the entry hosts that have joined.
-/// @param Self This host.
-/// @return This host's share of each endpoint.
-[[nodiscard]] std::map<std::string, std::uint32_t>
-evenShares(const RouteTable &Routes, const std::vector<HostName> &Hosts,
-           const HostName &Self);
-
 } // namespace coltsfoottrail
 
 #endif
--- a/packages/process/test/coltsfoottrail/server/drafts.cpp
+++ b/packages/process/test/coltsfoottrail/server/drafts.cpp
@@ -83,6 +83,38 @@
   EXPECT_GT(Hosts[0]->counters().Resumed, 0U);
 }
 
+// A team is declared with one request in progress at most. A second one of it
+// must wait for the first, though endpoints have room.
+TEST_F(Drafts, TeamsLimitIsKept) {
+  Json Declared = declaration();
+  Declared["teams"][0]["max_in_flight"] = 1;
+  apply({{"kind", "apply_declaration"}, {"declaration", Declared}});
+  ASSERT_TRUE(eventually([&] {
+    const auto &Teams = Hosts[0]->state()->Declared.Teams;
+    return !Teams.empty() && Teams.front().MaxInFlight == 1U;
+  }));
+  std::vector<std::thread> Callers;
+  std::atomic<std::uint32_t> Most{0};
+  std::atomic<bool> Done{false};
+  std::thread Watcher([&] {
+    while (!Done) {
+      std::uint32_t Now = 0;
+      for (const auto &Engine : Engines)
+        Now += Engine->report().Running;
+      Most = std::max(Most.load(), Now);
+    }
+  });
+  for (int Index = 0; Index < 4; ++Index)
+    Callers.emplace_back([&, Index] {
+      EXPECT_TRUE(stream(0, "limited " + std::to_string(Index), 30).Whole);
+    });
+  for (std::thread &Caller : Callers)
+    Caller.join();
+  Done = true;
+  Watcher.join();
+  EXPECT_EQ(Most, 1U);
+}
+
 // A caller hangs up in the middle of a long draft. The engine must not go on
 // drafting for nobody.
 TEST_F(Drafts, HangingUpStopsTheEnginesWork) {
