--- a/packages/process/src/coltsfoottrail/server/claimdesk.cpp
+++ b/packages/process/src/coltsfoottrail/server/claimdesk.cpp
@@ -97,13 +97,14 @@
 }
 
 void ClaimDesk::settle(ClaimId Id, Settlement How) {
-  ++Unsettled;
+  ++Posted;
   asio::post(Control, [this, Id, Ended = std::move(How)] {
     if (Stopped)
       return;
     ClaimCommands Due;
     Decides.settle(Id, Ended, now(), Due);
     perform(std::move(Due));
+    --Posted;
   });
 }
 
@@ -177,7 +178,7 @@
 }
 
 void ClaimDesk::arm() {
-  Unsettled = Decides.settling();
+  Settling = Decides.settling();
   const std::optional<TimePoint> At = Decides.nextWake();
   if (!At || Stopped)
     return;
--- a/packages/process/src/coltsfoottrail/server/claimdesk.hpp
+++ b/packages/process/src/coltsfoottrail/server/claimdesk.hpp
@@ -50,7 +50,9 @@
   /// @brief Takes the entry hosts of the agreed state. On the control thread.
   void members(const std::vector<ClaimMember> &Joined);
   /// @brief Settlements that are not on the log yet. Thread-safe.
-  [[nodiscard]] std::size_t unsettled() const noexcept { return Unsettled; }
+  [[nodiscard]] std::size_t unsettled() const noexcept {
+    return Posted + Settling;
+  }
 
   /// @brief Stops. On the control thread.
   void stop();
@@ -80,9 +82,10 @@
   std::map<ClaimId, AskedPtr> Open;
   boost::asio::steady_timer Wake;
   bool Stopped = false;
-  /// Granted claims that were told how they ended, and those not yet on the
-  /// log.
-  std::atomic<std::size_t> Unsettled{0};
+  /// Settlements on their way to the control thread, and those that are not
+  /// on the log yet.
+  std::atomic<std::size_t> Posted{0};
+  std::atomic<std::size_t> Settling{0};
 };
 
 /// @brief Settles a granted claim when it goes out of scope unsettled: as "may
