--- a/apps/coltsfoottraild/main.cpp
+++ b/apps/coltsfoottraild/main.cpp
@@ -1,3 +1,7 @@
+#include "fleetmain.hpp"
+
+#include "coltsfoottrail/fleethost/settings.hpp"
+#include "coltsfoottrail/json/reader.hpp"
 #include "coltsfoottrail/logging/log.hpp"
 #include "coltsfoottrail/server/process.hpp"
 #include "coltsfoottrail/settings/settings.hpp"
@@ -27,10 +31,14 @@
 
 constexpr const char *Usage =
     "usage: coltsfoottraild --config FILE [--check] [--show]\n"
+    "       coltsfoottraild --fleet FILE [--check]\n"
     "\n"
     "Runs an entry host of coltsfoottrail.\n"
     "\n"
     "  -c, --config FILE  settings in JSON; docs/operations/settings.md\n"
+    "  -f, --fleet FILE   run on a platform whose endpoints publish "
+    "themselves;\n"
+    "                     settings in JSON; docs/operations/fleet.md\n"
     "      --check        check the settings and exit\n"
     "      --show         show the settings with defaults filled in, and exit\n"
     "  -V, --version      show the version\n"
@@ -49,6 +57,7 @@
 
 struct Options {
   std::string File;
+  std::string FleetFile;
   bool Check = false;
   bool Show = false;
 };
@@ -129,12 +138,35 @@
   }
 }
 
+int startFleet(const Options &Given) {
+  try {
+    if (Given.Check) {
+      (void)readFleetSettings(Given.FleetFile);
+      std::cout << Given.FleetFile << ": ok\n";
+      return ExitOk;
+    }
+    openLog(TelemetrySettings{});
+    const std::size_t Cut = runFleetHost(Given.FleetFile);
+    closeLog();
+    return Cut > 0 ? ExitCut : ExitOk;
+  } catch (const InputError &Problem) {
+    logEvent(Event::SettingsRefused, {{"problem", Problem.what()}});
+    std::cerr << "coltsfoottraild: " << Problem.what() << '\n';
+    return ExitSettings;
+  } catch (const boost::system::system_error &Problem) {
+    logEvent(Event::PortTaken, {{"problem", Problem.what()}});
+    std::cerr << "coltsfoottraild: cannot listen: " << Problem.what() << '\n';
+    return ExitPort;
+  }
+}
+
 } // namespace
 
 int main(int Count, char **Arguments) {
   constexpr int CheckOption = 256;
   constexpr int ShowOption = 257;
   static const option Known[] = {{"config", required_argument, nullptr, 'c'},
+                                 {"fleet", required_argument, nullptr, 'f'},
                                  {"check", no_argument, nullptr, CheckOption},
                                  {"show", no_argument, nullptr, ShowOption},
                                  {"version", no_argument, nullptr, 'V'},
@@ -142,12 +174,15 @@
                                  {nullptr, 0, nullptr, 0}};
   Options Given;
   int Letter = 0;
-  while ((Letter = ::getopt_long(Count, Arguments, "c:Vh", Known, nullptr)) !=
+  while ((Letter = ::getopt_long(Count, Arguments, "c:f:Vh", Known, nullptr)) !=
          -1) {
     switch (Letter) {
     case 'c':
       Given.File = optarg;
       break;
+    case 'f':
+      Given.FleetFile = optarg;
+      break;
     case CheckOption:
       Given.Check = true;
       break;
@@ -165,9 +200,9 @@
       return ExitUsage;
     }
   }
-  if (Given.File.empty() || optind != Count) {
+  if (Given.File.empty() == Given.FleetFile.empty() || optind != Count) {
     std::cerr << Usage;
     return ExitUsage;
   }
-  return start(Given);
+  return Given.File.empty() ? startFleet(Given) : start(Given);
 }
--- /dev/null
+++ b/packages/connection/src/coltsfoottrail/boundary/wire.hpp
@@ -0,0 +1,104 @@
+/// @file
+/// What requests and answers say beside their bodies.
+#ifndef COLTSFOOTTRAIL_BOUNDARY_WIRE_HPP
+#define COLTSFOOTTRAIL_BOUNDARY_WIRE_HPP
+
+#include "coltsfoottrail/boundary/fwd.hpp"
+#include "coltsfoottrail/core/name.hpp"
+#include "coltsfoottrail/core/time.hpp"
+#include "coltsfoottrail/fleet/endpoint.hpp"
+#include "coltsfoottrail/http/message.hpp"
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace coltsfoottrail {
+
+/// @brief What a caller's request says of itself.
+struct CallerWork {
+  /// Identifier of this attempt of the caller; empty when missing.
+  std::string Id;
+  std::string HostHeader;
+  /// Path without the query.
+  std::string Path;
+  std::string Credential;
+  /// How long the caller waits; nothing when it did not say.
+  std::optional<milliseconds> Patience;
+  /// Empty where the service has no models.
+  ModelName Model;
+  std::uint32_t PromptTokens = 0;
+  /// Most tokens of the answer.
+  std::uint32_t AnswerTokens = 0;
+  /// The caller's guess at the tokens of the answer.
+  std::optional<std::uint32_t> ExpectedTokens;
+  /// Last event that the caller has of an earlier answer.
+  std::string LastEvent;
+};
+
+/// @brief What is said to an endpoint with a request.
+struct ForwardMarks {
+  EndpointName Endpoint;
+  TeamName Team;
+  milliseconds TimeLeft{0};
+  /// Event after which a stream goes on; empty to leave the caller's.
+  std::string LastEvent;
+};
+
+/// @brief What an endpoint's answer says of itself.
+struct AnswerMarks {
+  /// The endpoint states that the request has not run.
+  bool NotRun = false;
+  /// Another endpoint has the address.
+  bool WrongEndpoint = false;
+  /// Identifier of the request that it answers; empty when not told.
+  std::string Id;
+  /// Requests that run and wait there, and its slots.
+  struct Load {
+    std::uint32_t Running = 0;
+    std::uint32_t Waiting = 0;
+    std::uint32_t Slots = 0;
+  };
+  std::optional<Load> Reported;
+  /// Whether it bears the endpoint's digest.
+  bool Signed = false;
+  /// The endpoint is leaving, or closes this connection.
+  bool Closing = false;
+  /// Member that the endpoint holds at fault; empty when not told.
+  EndpointName AtFault;
+};
+
+/// @brief Reads and writes the header fields of requests and answers.
+/// Thread-safe.
+class CallerWire {
+public:
+  CallerWire() = default;
+  CallerWire(const CallerWire &) = delete;
+  CallerWire &operator=(const CallerWire &) = delete;
+  virtual ~CallerWire() = default;
+
+  /// @brief Reads what a request says of itself.
+  [[nodiscard]] virtual CallerWork read(const HttpRequest &Request) const = 0;
+
+  /// @brief Makes the request for an endpoint: the caller's without what
+  /// concerns only its connection and without its credential.
+  [[nodiscard]] virtual HttpRequest
+  forward(const HttpRequest &Request, const ForwardMarks &Marks) const = 0;
+
+  /// @brief Reads what an answer says of itself.
+  [[nodiscard]] virtual AnswerMarks
+  readAnswer(const HttpResponse &Answer) const = 0;
+
+  /// @brief Makes the head for the caller: the endpoint's without what concerns
+  /// only its connection.
+  [[nodiscard]] virtual HttpResponse
+  answerHead(const HttpResponse &Answer) const = 0;
+
+  /// @brief Adds to an answer of the project's own what the platform wants of
+  /// every answer.
+  virtual void mark(HttpResponse &Own, std::string_view Id) const = 0;
+};
+
+} // namespace coltsfoottrail
+
+#endif
--- /dev/null
+++ b/packages/process/src/coltsfoottrail/fleethost/assemblydesk.cpp
@@ -0,0 +1,193 @@
+#include "coltsfoottrail/fleethost/assemblydesk.hpp"
+
+#include "coltsfoottrail/core/overloaded.hpp"
+#include "coltsfoottrail/logging/log.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <utility>
+
+namespace coltsfoottrail {
+
+namespace asio = boost::asio;
+
+namespace {
+
+std::string_view orderName(const SeatOrder &Order) {
+  return std::visit(
+      Overloaded{
+          [](const JoinSeat &) { return std::string_view("join"); },
+          [](const OpenSeat &) { return std::string_view("open"); },
+          [](const CloseSeat &) { return std::string_view("close"); },
+          [](const LeaveSeat &) { return std::string_view("leave"); },
+          [](const StageModel &) { return std::string_view("stage"); },
+      },
+      Order);
+}
+
+std::uint64_t epochOf(const SeatOrder &Order) {
+  return std::visit(
+      Overloaded{
+          [](const StageModel &) { return GroupEpoch{0}; },
+          [](const auto &Seat) { return Seat.Epoch; },
+      },
+      Order);
+}
+
+std::string_view outcomeName(OrderOutcome Outcome) {
+  switch (Outcome) {
+  case OrderOutcome::Taken:
+    return "taken";
+  case OrderOutcome::Unfit:
+    return "unfit";
+  case OrderOutcome::Fenced:
+    return "fenced";
+  case OrderOutcome::WrongEndpoint:
+    return "wrong-endpoint";
+  case OrderOutcome::NotSent:
+    return "not-sent";
+  case OrderOutcome::Unknown:
+    break;
+  }
+  return "unknown";
+}
+
+std::string_view fateName(GroupFate Fate) {
+  switch (Fate) {
+  case GroupFate::Formed:
+    return "formed";
+  case GroupFate::Adopted:
+    return "adopted";
+  case GroupFate::Lost:
+    return "lost";
+  case GroupFate::Retired:
+    break;
+  }
+  return "retired";
+}
+
+} // namespace
+
+AssemblyDesk::AssemblyDesk(FleetStore &Where, FleetEngines &Given,
+                           const FleetView &Believed, std::string Member,
+                           AssemblyTimes Wanted)
+    : Store(Where), Engines(Given), View(Believed), Self(std::move(Member)),
+      Times(Wanted) {}
+
+Awaitable<void> AssemblyDesk::holdDuty() {
+  asio::steady_timer Pause(co_await asio::this_coro::executor);
+  while (!Leaving) {
+    const TimePoint AskedAt = BootClock::now();
+    DutyAsk Ask;
+    Ask.Member = Self;
+    Ask.Lease = Pace.Lease;
+    Ask.Generation = Generation;
+    const auto Answer = co_await Store.joinDuty(std::move(Ask));
+    if (const auto *const Grant = std::get_if<DutyGrant>(&Answer))
+      take(*Grant, AskedAt);
+    Pause.expires_after(Pace.RenewEvery);
+    co_await Pause.async_wait(asio::use_awaitable);
+  }
+}
+
+// The lease counts from when the renewal left: the store counts from when it
+// arrived, which is later.
+void AssemblyDesk::take(const DutyGrant &Grant, TimePoint AskedAt) {
+  const bool Had = Held && BootClock::now() < HeldUntil;
+  const bool Moved = Grant.Generation != Generation;
+  Generation = Grant.Generation;
+  if (!Grant.Holds) {
+    if (std::exchange(Held, false)) {
+      logEvent(Event::DutyLost, {{"generation", Generation}});
+      if (Changed)
+        Changed(false);
+    }
+    return;
+  }
+  HeldUntil = AskedAt + Pace.Lease - Pace.LeaseMargin;
+  if (Had)
+    return;
+  // A lease that lapsed may have been another host's meanwhile.
+  Held = true;
+  Fence = Generation;
+  logEvent(Event::DutyGained, {{"fence", Fence}, {"moved", Moved}});
+  for (auto &[Name, Each] : Assemblers)
+    Each.begin(BootClock::now());
+  if (Changed)
+    Changed(true);
+}
+
+Awaitable<void> AssemblyDesk::drive() {
+  const auto Executor = co_await asio::this_coro::executor;
+  asio::steady_timer Pause(Executor);
+  while (true) {
+    look(BootClock::now(), Executor);
+    Pause.expires_after(Pace.LookEvery);
+    co_await Pause.async_wait(asio::use_awaitable);
+  }
+}
+
+void AssemblyDesk::look(TimePoint Now, const asio::any_io_executor &Executor) {
+  if (!holds(Now) || !View.config())
+    return;
+  for (const ServiceProfile &Service : View.config()->config().Services) {
+    if (!Service.Engine || Service.Engine->Models.empty())
+      continue;
+    auto Found = Assemblers.find(Service.Name);
+    if (Found == Assemblers.end()) {
+      Found = Assemblers.emplace(Service.Name, Assembler(Times)).first;
+      Found->second.begin(Now);
+    }
+    const AssemblyView Seen{View.endpoints(), Service, View.drained(), Fence,
+                            Begun};
+    for (SeatCommand &Command : Found->second.plan(Seen, Now))
+      asio::co_spawn(Executor, carryOut(std::move(Command), Fence),
+                     asio::detached);
+  }
+  logNotes();
+}
+
+Awaitable<void> AssemblyDesk::carryOut(SeatCommand Command,
+                                       std::uint64_t Term) {
+  const EndpointName To = Command.To;
+  const SeatOrder Order = Command.Order;
+  const OrderOutcome Outcome =
+      co_await Engines.order(Command.Address, To, Order, Term);
+  logEvent(Event::SeatOrdered, {{"order", orderName(Order)},
+                                {"endpoint", To},
+                                {"epoch", epochOf(Order)},
+                                {"fence", Term},
+                                {"outcome", outcomeName(Outcome)}});
+  for (auto &[Name, Each] : Assemblers)
+    if (Term == Fence)
+      Each.ordered(To, Order, Outcome, BootClock::now());
+  // Another host has the duty: nothing more is ordered under this number.
+  if (Outcome == OrderOutcome::Fenced && Term == Fence)
+    HeldUntil = TimePoint{};
+}
+
+void AssemblyDesk::logNotes() {
+  for (auto &[Name, Each] : Assemblers)
+    for (const GroupNote &Note : Each.takeNotes())
+      logEvent(Event::GroupChanged, {{"fate", fateName(Note.Fate)},
+                                     {"group", Note.Group},
+                                     {"model", Note.Model},
+                                     {"endpoint", Note.Cause},
+                                     {"why", Note.Why}});
+}
+
+Awaitable<void> AssemblyDesk::leave() {
+  Leaving = true;
+  Held = false;
+  co_await Store.leaveDuty(Self);
+}
+
+void AssemblyDesk::silent(const EndpointName &Which) {
+  for (auto &[Name, Each] : Assemblers)
+    Each.suspect(Which, BootClock::now());
+}
+
+} // namespace coltsfoottrail
--- /dev/null
+++ b/packages/process/src/coltsfoottrail/fleethost/assemblydesk.hpp
@@ -0,0 +1,89 @@
+/// @file
+/// Holds the duty to drive the groups and carries the assembly's orders out.
+#ifndef COLTSFOOTTRAIL_FLEETHOST_ASSEMBLYDESK_HPP
+#define COLTSFOOTTRAIL_FLEETHOST_ASSEMBLYDESK_HPP
+
+#include "coltsfoottrail/assembly/assembler.hpp"
+#include "coltsfoottrail/boundary/engines.hpp"
+#include "coltsfoottrail/boundary/store.hpp"
+#include "coltsfoottrail/fleethost/view.hpp"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <functional>
+#include <map>
+#include <string>
+
+namespace coltsfoottrail {
+
+/// @brief Times of the duty.
+struct DutyTimes {
+  /// Another host takes over when this one was silent for so long.
+  milliseconds Lease{2'000};
+  /// A renewal this often leaves room for two that are lost.
+  milliseconds RenewEvery{600};
+  /// Between two looks at the groups, when nothing has changed.
+  milliseconds LookEvery{150};
+  /// Kept free of the lease, so that an order arrives inside it.
+  milliseconds LeaseMargin{300};
+};
+
+/// @brief Takes part in the duty and acts while it is held. Belongs to one
+/// thread.
+class AssemblyDesk {
+public:
+  /// @brief Makes a desk; what it is given must outlive it.
+  /// @param Where The store.
+  /// @param Given The engines.
+  /// @param Believed What this host believes.
+  /// @param Member Unique for this run of the process.
+  /// @param Times Times of the assembly.
+  AssemblyDesk(FleetStore &Where, FleetEngines &Given,
+               const FleetView &Believed, std::string Member,
+               AssemblyTimes Times);
+
+  /// @brief Joins the duty and renews it until it is cancelled.
+  [[nodiscard]] Awaitable<void> holdDuty();
+  /// @brief Looks at the groups until it is cancelled.
+  [[nodiscard]] Awaitable<void> drive();
+  /// @brief Gives the duty up.
+  [[nodiscard]] Awaitable<void> leave();
+
+  /// @brief Whether this host drives the groups now.
+  [[nodiscard]] bool holds(TimePoint Now) const noexcept {
+    return Held && Now < HeldUntil;
+  }
+  /// @brief A caller's request has been seen.
+  void callersBegun() noexcept { Begun = true; }
+  /// @brief A request found an endpoint silent.
+  void silent(const EndpointName &Which);
+  /// @brief Calls a function when the duty is gained or lost.
+  void onDuty(std::function<void(bool)> Told) { Changed = std::move(Told); }
+
+private:
+  void take(const DutyGrant &Grant, TimePoint AskedAt);
+  void look(TimePoint Now, const boost::asio::any_io_executor &Executor);
+  [[nodiscard]] Awaitable<void> carryOut(SeatCommand Command,
+                                         std::uint64_t Fence);
+  void logNotes();
+
+  FleetStore &Store;
+  FleetEngines &Engines;
+  const FleetView &View;
+  std::string Self;
+  DutyTimes Pace;
+  /// One for each service with engines.
+  std::map<ServiceName, Assembler> Assemblers;
+  AssemblyTimes Times;
+  std::uint64_t Generation = 0;
+  /// Generation at which the duty was gained: the fencing number.
+  std::uint64_t Fence = 0;
+  bool Held = false;
+  bool Leaving = false;
+  TimePoint HeldUntil{};
+  bool Begun = false;
+  std::function<void(bool)> Changed;
+};
+
+} // namespace coltsfoottrail
+
+#endif
--- /dev/null
+++ b/packages/process/src/coltsfoottrail/fleethost/follower.hpp
@@ -0,0 +1,65 @@
+/// @file
+/// Follows a feed of the platform's store.
+#ifndef COLTSFOOTTRAIL_FLEETHOST_FOLLOWER_HPP
+#define COLTSFOOTTRAIL_FLEETHOST_FOLLOWER_HPP
+
+#include "coltsfoottrail/boundary/store.hpp"
+#include "coltsfoottrail/core/time.hpp"
+
+#include <functional>
+#include <optional>
+
+namespace coltsfoottrail {
+
+/// @brief How a feed is followed.
+struct FollowTimes {
+  /// How long the store may hold a read back for a change.
+  milliseconds Wait{800};
+  /// Shortest time between two reads: each call is paid for.
+  milliseconds Spacing{0};
+  /// Pause after a failed read.
+  milliseconds RetryPause{200};
+};
+
+/// @brief What a follower tells.
+struct FollowHooks {
+  /// Takes a page: the page, whether it is whole, when it was asked for.
+  std::function<void(FeedPage, bool, TimePoint)> Take;
+  /// A read failed.
+  std::function<void(StoreFailure)> Failed;
+};
+
+/// @brief Reads a feed for ever: first the newest values, then the changes, and
+/// again the newest values when the changes have expired. Belongs to one
+/// thread.
+class FeedFollower {
+public:
+  /// @brief Makes a follower.
+  /// @param Where The store; must outlive the follower.
+  /// @param Followed The feed.
+  /// @param Given Its times.
+  /// @param Told What to call.
+  FeedFollower(FleetStore &Where, Feed Followed, FollowTimes Given,
+               FollowHooks Told)
+      : Store(Where), Which(Followed), Times(Given), Hooks(std::move(Told)) {}
+
+  /// @brief Follows until it is cancelled.
+  [[nodiscard]] Awaitable<void> run();
+
+  /// @brief Changes the spacing of later reads.
+  void space(milliseconds Wanted) noexcept { Times.Spacing = Wanted; }
+
+private:
+  [[nodiscard]] Awaitable<bool> step();
+
+  FleetStore &Store;
+  Feed Which;
+  FollowTimes Times;
+  FollowHooks Hooks;
+  /// Where to read on; nothing before the newest values are known.
+  std::optional<Offset> Next;
+};
+
+} // namespace coltsfoottrail
+
+#endif
--- /dev/null
+++ b/packages/process/src/coltsfoottrail/fleethost/fwd.hpp
@@ -0,0 +1,19 @@
+/// @file
+/// Forward declarations of the fleethost module: an entry host on a platform
+/// whose endpoints publish themselves.
+#ifndef COLTSFOOTTRAIL_FLEETHOST_FWD_HPP
+#define COLTSFOOTTRAIL_FLEETHOST_FWD_HPP
+
+namespace coltsfoottrail {
+
+struct FleetSettings;
+struct FleetBounds;
+class FleetView;
+class FeedFollower;
+class FleetRelay;
+class AssemblyDesk;
+class FleetHost;
+
+} // namespace coltsfoottrail
+
+#endif
--- /dev/null
+++ b/packages/process/src/coltsfoottrail/fleethost/host.cpp
@@ -0,0 +1,283 @@
+#include "coltsfoottrail/fleethost/host.hpp"
+
+#include "coltsfoottrail/core/hash.hpp"
+#include "coltsfoottrail/core/overloaded.hpp"
+#include "coltsfoottrail/logging/log.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <utility>
+
+namespace coltsfoottrail {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr unsigned StatusOk = 200;
+constexpr unsigned StatusUnavailable = 503;
+
+/// Between two looks at what waits: a request that waits is placed by events,
+/// this only ends waits whose time is up.
+constexpr milliseconds BusyTick{20};
+/// The same while nothing waits; a cold endpoint counts as warm this late.
+constexpr milliseconds IdleTick{200};
+/// Reads of the endpoints' feed cost a call each. The driver of the groups
+/// reads more often: a lost member is replaced this much sooner.
+constexpr milliseconds DriverSpacing{150};
+constexpr milliseconds FollowerSpacing{400};
+/// The balancer asks once a second and needs two misses; a little more.
+constexpr milliseconds BalancerNotices{2'600};
+/// Kept free of the time to stop, for answers on their way.
+constexpr milliseconds StopMargin{500};
+constexpr milliseconds StopPoll{50};
+/// Beyond these a request waits in the caller instead.
+constexpr std::size_t MostWaiting = 256;
+constexpr std::size_t MostWaitingBytes = std::size_t{4} << 20U;
+/// Sets of prefix hints for each pool; each takes about 128 bytes.
+constexpr std::uint32_t HintSets = 16;
+/// Connections kept for reuse to one endpoint: an engine's slots.
+constexpr std::size_t IdlePerEndpoint = 16;
+/// Retries saved up at one entry host.
+constexpr double RetryBurst = 10.0;
+/// Part of the platform's ratio that is used; the rest is kept for what other
+/// hosts' bursts add in the same window.
+constexpr double RetryRatioUsed = 0.75;
+/// How long a request is held while its pool has no endpoint: a group that is
+/// being opened serves after 0.3 s.
+constexpr milliseconds NoEndpointHold{250};
+
+DispatcherOptions dispatcherOptions(const FleetSettings &Given) {
+  DispatcherOptions Out;
+  Out.Self = Given.DataCentre;
+  Out.MaxWaiting = MostWaiting;
+  Out.MaxWaitingBytes = MostWaitingBytes;
+  Out.NoEndpointHold = NoEndpointHold;
+  Out.NoShareHold = NoEndpointHold;
+  EstimatedWaitPolicy Policy;
+  Policy.HintSets = HintSets;
+  Policy.UseRing = false;
+  Out.Policy = Policy;
+  Out.Retries.Budget.Ratio = Given.Bounds.RetryRatio * RetryRatioUsed;
+  Out.Retries.Budget.DataCentreRatio = Given.Bounds.RetryRatio;
+  Out.Retries.Budget.Burst = RetryBurst;
+  return Out;
+}
+
+ClientOptions clientOptions() {
+  ClientOptions Out;
+  Out.MaxIdlePerEndpoint = IdlePerEndpoint;
+  return Out;
+}
+
+std::string memberName(const FleetSettings &Given) {
+  const auto Since = std::chrono::system_clock::now().time_since_epoch();
+  return Given.Host.Text + "." + std::to_string(Since.count());
+}
+
+AssemblyTimes assemblyTimes(const FleetSettings &Given) {
+  AssemblyTimes Out;
+  Out.StallTime = Given.Bounds.Stall;
+  return Out;
+}
+
+FollowTimes operatorTimes() {
+  FollowTimes Out;
+  Out.Wait = milliseconds(900);
+  return Out;
+}
+
+FollowTimes endpointTimes() {
+  FollowTimes Out;
+  Out.Spacing = FollowerSpacing;
+  return Out;
+}
+
+} // namespace
+
+FleetHost::FleetHost(FleetSettings Wanted, IoPool &Pool, FleetLinks Links)
+    : Settings(std::move(Wanted)), Threads(Pool), Platform(Links),
+      View(Settings.Bounds),
+      Routing(RouterOptions{Settings.Host, dispatcherOptions(Settings), {}}),
+      Client(Pool.context(0), clientOptions()),
+      Relay(View, Routing, Client, Links.Wire, hashText(Settings.Host.Text)),
+      Desk(Links.Store, Links.Engines, View, memberName(Settings),
+           assemblyTimes(Settings)),
+      Operators(Links.Store, Feed::Operators, operatorTimes(),
+                {[this](FeedPage Page, bool Whole, TimePoint AskedAt) {
+                   took(Feed::Operators, std::move(Page), Whole, AskedAt);
+                 },
+                 [this](StoreFailure) { readFailed(Feed::Operators); }}),
+      Endpoints(Links.Store, Feed::Endpoints, endpointTimes(),
+                {[this](FeedPage Page, bool Whole, TimePoint AskedAt) {
+                   took(Feed::Endpoints, std::move(Page), Whole, AskedAt);
+                 },
+                 [this](StoreFailure) { readFailed(Feed::Endpoints); }}),
+      Front(Pool, Settings.Callers.Address, Settings.Callers.Port,
+            ServerLimits{}, frontHooks()),
+      Readiness(Pool, Settings.Readiness.Address, Settings.Readiness.Port,
+                ServerLimits{},
+                {[this](Exchange &Call) { return answerReadiness(Call); },
+                 {},
+                 {}}) {
+  if (Settings.Metrics)
+    MetricsServer = std::make_unique<HttpServer>(
+        Pool, Settings.Metrics->Address, Settings.Metrics->Port, ServerLimits{},
+        ServerHooks{[this](Exchange &Call) { return answerMetrics(Call); },
+                    {},
+                    {}});
+  startFollowing();
+}
+
+FleetHost::~FleetHost() = default;
+
+ServerHooks FleetHost::frontHooks() {
+  return {[this](Exchange &Call) {
+            Desk.callersBegun();
+            return Relay.serve(Call);
+          },
+          {},
+          {}};
+}
+
+void FleetHost::startFollowing() {
+  Relay.onSilence([this](const EndpointName &Which) { Desk.silent(Which); });
+  Desk.onDuty([this](bool Holds) {
+    Endpoints.space(Holds ? DriverSpacing : FollowerSpacing);
+  });
+  asio::io_context &Context = Threads.context(0);
+  asio::co_spawn(Context, Operators.run(), asio::detached);
+  asio::co_spawn(Context, Endpoints.run(), asio::detached);
+  asio::co_spawn(Context, Desk.holdDuty(), asio::detached);
+  asio::co_spawn(Context, Desk.drive(), asio::detached);
+  asio::co_spawn(Context, tick(), asio::detached);
+}
+
+void FleetHost::took(Feed Which, FeedPage Page, bool Whole,
+                     TimePoint AskedAt) {
+  if (!std::exchange(StoreAnswers, true))
+    logEvent(Event::StoreRegained);
+  logChanges(Page);
+  View.take(Which, std::move(Page), Whole, AskedAt, BootClock::now());
+  refreshRoutes();
+}
+
+void FleetHost::readFailed(Feed Which) {
+  if (std::exchange(StoreAnswers, false))
+    logEvent(Event::StoreLost,
+             {{"feed", Which == Feed::Operators ? "operators" : "endpoints"}});
+  View.failed(Which, BootClock::now());
+}
+
+void FleetHost::logChanges(const FeedPage &Page) const {
+  for (const FleetChange &Change : Page.Changes)
+    std::visit(
+        Overloaded{
+            [](const ConfigPublished &One) {
+              logEvent(Event::ConfigInForce,
+                       {{"version", One.Config.Version}});
+            },
+            [](const DataCentreDrained &One) {
+              logEvent(Event::Drained, {{"data_centre", One.DataCentre},
+                                        {"drained", true}});
+            },
+            [](const DataCentreReturned &One) {
+              logEvent(Event::Drained, {{"data_centre", One.DataCentre},
+                                        {"drained", false}});
+            },
+            [](const UnreadableEntry &One) {
+              logEvent(Event::EntryUnreadable,
+                       {{"key", One.Key}, {"problem", One.Problem}});
+            },
+            [](const auto &) {},
+        },
+        Change);
+}
+
+void FleetHost::refreshRoutes() {
+  if (View.version() == RoutedVersion)
+    return;
+  RoutedVersion = View.version();
+  const FleetRoutes Made = View.routes();
+  Routing.setRoutes(Made.Table, Made.Shares, 1);
+}
+
+Awaitable<void> FleetHost::tick() {
+  asio::steady_timer Pause(co_await asio::this_coro::executor);
+  while (true) {
+    View.advance(BootClock::now());
+    refreshRoutes();
+    Routing.advance();
+    Pause.expires_after(Routing.waiting() > 0 ? BusyTick : IdleTick);
+    co_await Pause.async_wait(asio::use_awaitable);
+  }
+}
+
+Awaitable<void> FleetHost::answerReadiness(Exchange &Call) {
+  const bool Ready = !Stopping && View.ready(BootClock::now());
+  HttpResponse Out = jsonResponse(Ready ? StatusOk : StatusUnavailable,
+                                  Ready ? R"({"ready":true})"
+                                        : R"({"ready":false})");
+  co_await Call.respond(std::move(Out));
+}
+
+Awaitable<void> FleetHost::answerMetrics(Exchange &Call) {
+  HttpResponse Out;
+  Out.Fields.push_back({"Content-Type", "text/plain; version=0.0.4"});
+  Out.Body = metricsText();
+  co_await Call.respond(std::move(Out));
+}
+
+std::string FleetHost::metricsText() const {
+  const FleetRelayCounts &Done = Relay.counts();
+  std::string Out;
+  const auto Line = [&Out](std::string_view Name, std::uint64_t Value) {
+    Out += "coltsfoottrail_";
+    Out += Name;
+    Out += ' ';
+    Out += std::to_string(Value);
+    Out += '\n';
+  };
+  Line("requests_total", Done.Requests);
+  Line("answered_total", Done.Answered);
+  Line("refused_not_run_total", Done.RefusedNotRun);
+  Line("failed_may_have_run_total", Done.FailedMayHaveRun);
+  Line("sends_total", Done.Sends);
+  Line("streams_resumed_total", Done.Resumed);
+  Line("streams_cut_total", Done.CutStreams);
+  Line("waiting", Routing.waiting());
+  Line("endpoints", View.endpoints().all().size());
+  Line("config_version", View.config() ? View.config()->version() : 0);
+  Line("drives_groups", Desk.holds(BootClock::now()) ? 1 : 0);
+  return Out;
+}
+
+void FleetHost::stop(std::function<void(std::size_t)> Done) {
+  asio::co_spawn(Threads.context(0), runStop(std::move(Done)), asio::detached);
+}
+
+// Failure guarded against: the balancer still sends connections for a while,
+// and clients go on using open ones. Both are served until the balancer must
+// have noticed; only then do answers close their connections.
+Awaitable<void> FleetHost::runStop(std::function<void(std::size_t)> Done) {
+  const TimePoint Began = BootClock::now();
+  Stopping = true;
+  logEvent(Event::Stopping, {{"in_progress", Front.inProgress()}});
+  co_await Desk.leave();
+  asio::steady_timer Pause(co_await asio::this_coro::executor);
+  Pause.expires_at(asio::steady_timer::clock_type::now() + BalancerNotices);
+  co_await Pause.async_wait(asio::use_awaitable);
+  Front.stopAccepting();
+  const TimePoint End = Began + Settings.Bounds.StopGrace - StopMargin;
+  while (Front.inProgress() > 0 && BootClock::now() < End) {
+    Pause.expires_after(StopPoll);
+    co_await Pause.async_wait(asio::use_awaitable);
+  }
+  const std::size_t Cut = Front.inProgress();
+  logEvent(Event::Stopped, {{"cut", Cut}});
+  Done(Cut);
+}
+
+} // namespace coltsfoottrail
--- /dev/null
+++ b/packages/process/src/coltsfoottrail/fleethost/host.hpp
@@ -0,0 +1,92 @@
+/// @file
+/// An entry host on a platform whose endpoints publish themselves.
+#ifndef COLTSFOOTTRAIL_FLEETHOST_HOST_HPP
+#define COLTSFOOTTRAIL_FLEETHOST_HOST_HPP
+
+#include "coltsfoottrail/boundary/engines.hpp"
+#include "coltsfoottrail/boundary/store.hpp"
+#include "coltsfoottrail/boundary/wire.hpp"
+#include "coltsfoottrail/fleethost/assemblydesk.hpp"
+#include "coltsfoottrail/fleethost/follower.hpp"
+#include "coltsfoottrail/fleethost/relay.hpp"
+#include "coltsfoottrail/fleethost/settings.hpp"
+#include "coltsfoottrail/fleethost/view.hpp"
+
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+
+namespace coltsfoottrail {
+
+/// @brief What reaches the platform; must outlive the host.
+struct FleetLinks {
+  FleetStore &Store;
+  FleetEngines &Engines;
+  const CallerWire &Wire;
+};
+
+/// @brief Wires the parts of an entry host together. All of its work runs on
+/// the first thread of the pool.
+class FleetHost {
+public:
+  /// @brief Listens and starts to follow the store.
+  /// @param Wanted Checked settings.
+  /// @param Pool Threads; must outlive the host.
+  /// @param Links The platform.
+  /// @throws boost::system::system_error A port cannot be had.
+  FleetHost(FleetSettings Wanted, IoPool &Pool, FleetLinks Links);
+  FleetHost(const FleetHost &) = delete;
+  FleetHost &operator=(const FleetHost &) = delete;
+  ~FleetHost();
+
+  /// @brief Begins a planned stop: unready at once, requests go on. Calls back
+  /// on the pool's thread once nothing is in progress or the time is used up.
+  /// Thread-safe.
+  /// @param Done Gets how many requests were cut.
+  void stop(std::function<void(std::size_t)> Done);
+
+  /// @brief Port for callers. Thread-safe.
+  [[nodiscard]] std::uint16_t callerPort() const noexcept {
+    return Front.port();
+  }
+  /// @brief Port for the question whether this host takes requests.
+  /// Thread-safe.
+  [[nodiscard]] std::uint16_t readinessPort() const noexcept {
+    return Readiness.port();
+  }
+
+private:
+  void startFollowing();
+  void took(Feed Which, FeedPage Page, bool Whole, TimePoint AskedAt);
+  void readFailed(Feed Which);
+  void logChanges(const FeedPage &Page) const;
+  void refreshRoutes();
+  [[nodiscard]] Awaitable<void> tick();
+  [[nodiscard]] Awaitable<void> runStop(std::function<void(std::size_t)> Done);
+  [[nodiscard]] Awaitable<void> answerReadiness(Exchange &Call);
+  [[nodiscard]] Awaitable<void> answerMetrics(Exchange &Call);
+  [[nodiscard]] std::string metricsText() const;
+  [[nodiscard]] ServerHooks frontHooks();
+
+  FleetSettings Settings;
+  IoPool &Threads;
+  FleetLinks Platform;
+  FleetView View;
+  Router Routing;
+  HttpClient Client;
+  FleetRelay Relay;
+  AssemblyDesk Desk;
+  FeedFollower Operators;
+  FeedFollower Endpoints;
+  std::uint64_t RoutedVersion = 0;
+  std::uint64_t LoggedConfig = 0;
+  bool StoreAnswers = true;
+  bool Stopping = false;
+  HttpServer Front;
+  HttpServer Readiness;
+  std::unique_ptr<HttpServer> MetricsServer;
+};
+
+} // namespace coltsfoottrail
+
+#endif
--- /dev/null
+++ b/packages/process/src/coltsfoottrail/fleethost/relay.cpp
@@ -0,0 +1,384 @@
+#include "coltsfoottrail/fleethost/relay.hpp"
+
+#include "coltsfoottrail/core/hash.hpp"
+
+#include <algorithm>
+#include <boost/asio/this_coro.hpp>
+#include <cstdio>
+#include <utility>
+
+namespace coltsfoottrail {
+
+namespace {
+
+constexpr unsigned StatusOk = 200;
+constexpr unsigned StatusFirstOther = 300;
+constexpr unsigned StatusBadRequest = 400;
+constexpr unsigned StatusUnauthenticated = 401;
+constexpr unsigned StatusNotFound = 404;
+constexpr unsigned StatusFirstServerError = 500;
+constexpr unsigned StatusBadGateway = 502;
+constexpr unsigned StatusUnavailable = 503;
+constexpr unsigned StatusGatewayTimeout = 504;
+
+/// Where the host itself cannot serve for now: another host probably can.
+constexpr milliseconds ElsewhereRetryAfter{100};
+/// Less time than this is no use to an endpoint: a connection and a step of an
+/// engine take about as long.
+constexpr Duration LeastUsefulTime = milliseconds(10);
+/// Silence after which a stream is taken up elsewhere: several times the pause
+/// that is on time, and well before the platform's callers give up, which is
+/// after two seconds at the earliest.
+constexpr int SilenceFactor = 4;
+constexpr Duration ShortestSilence = milliseconds(900);
+constexpr Duration LongestSilence = milliseconds(1500);
+
+bool isSuccess(unsigned Status) {
+  return Status >= StatusOk && Status < StatusFirstOther;
+}
+
+AttemptResult failed(RunState State, Reason Why, TimePoint Start) {
+  AttemptResult Out;
+  Out.State = State;
+  Out.Why = Why;
+  Out.Total = BootClock::now() - Start;
+  return Out;
+}
+
+AttemptResult failed(const CallFailure &Failure, TimePoint Start) {
+  AttemptResult Out = failed(Failure.State, Failure.Why, Start);
+  Out.ConnectionLost = Failure.ConnectionLost;
+  return Out;
+}
+
+AttemptResult answered(TimePoint Start, TimePoint FirstByte) {
+  AttemptResult Out;
+  Out.State = RunState::Ran;
+  Out.Answered = true;
+  Out.FirstByte = FirstByte - Start;
+  Out.Total = BootClock::now() - Start;
+  return Out;
+}
+
+std::string secondsText(milliseconds Span) {
+  char Text[32];
+  std::snprintf(Text, sizeof Text, "%.3f",
+                std::chrono::duration<double>(Span).count());
+  return Text;
+}
+
+Duration silenceLimit(const RouteSpec &Route) {
+  return std::clamp<Duration>(Route.TargetGap * SilenceFactor, ShortestSilence,
+                              LongestSilence);
+}
+
+Priority urgencyOf(std::uint32_t Rank) {
+  if (Rank == 0)
+    return Priority::Urgent;
+  return Rank <= 2 ? Priority::Normal : Priority::Batch;
+}
+
+} // namespace
+
+Awaitable<void> FleetRelay::serve(Exchange &Call) {
+  ++Counts.Requests;
+  Work Asked;
+  std::optional<HttpResponse> Refused = admit(Call.request(), Asked);
+  if (!Refused)
+    Refused = choosePool(Asked);
+  if (Refused) {
+    Wire.mark(*Refused, Asked.Said.Id);
+    co_await Call.respond(std::move(*Refused));
+    co_return;
+  }
+  co_await route(Call, Asked);
+}
+
+std::optional<HttpResponse> FleetRelay::admit(const HttpRequest &Request,
+                                              Work &Asked) {
+  Asked.ArrivedAt = BootClock::now();
+  Asked.AnswerBy = Asked.ArrivedAt;
+  Asked.Said = Wire.read(Request);
+  Asked.Config = View.config();
+  const Verdict Elsewhere{RunState::NotRun, Reason::Stale, ElsewhereRetryAfter};
+  if (!Asked.Config || Stopping)
+    return refusal(Asked, Elsewhere);
+  Asked.Route = Asked.Config->route(Asked.Said.HostHeader, Asked.Said.Path);
+  if (Asked.Route == nullptr)
+    return jsonResponse(StatusNotFound, R"({"error":"no-route"})");
+  if (!Asked.Route->Public && Asked.Config->hasTeams()) {
+    if (!View.credentialsFresh(Asked.ArrivedAt))
+      return refusal(Asked, Elsewhere);
+    const TeamKeys *const Team = Asked.Config->team(Asked.Said.Credential);
+    if (Team == nullptr)
+      return jsonResponse(StatusUnauthenticated,
+                          R"({"error":"unknown-credential"})");
+    Asked.Team = Team->Name;
+  }
+  milliseconds Patience = Asked.Route->Timeout;
+  if (Asked.Said.Patience)
+    Patience = std::min(Patience, *Asked.Said.Patience);
+  Asked.AnswerBy = Asked.ArrivedAt + Patience;
+  return std::nullopt;
+}
+
+std::optional<HttpResponse> FleetRelay::choosePool(Work &Asked) {
+  std::uint64_t Total = 0;
+  for (const WeightedService &Each : Asked.Route->Services)
+    Total += Each.Weight;
+  if (Total == 0)
+    return jsonResponse(StatusNotFound, R"({"error":"no-service"})");
+  std::uint64_t Point = Draw.below(Total);
+  const WeightedService *Chosen = nullptr;
+  for (const WeightedService &Each : Asked.Route->Services) {
+    Chosen = &Each;
+    if (Point < Each.Weight)
+      break;
+    Point -= Each.Weight;
+  }
+  const ServiceProfile *const Service =
+      Asked.Config->service(Chosen->Service);
+  if (Service == nullptr)
+    return jsonResponse(StatusNotFound, R"({"error":"no-service"})");
+  ModelName Model;
+  if (Service->Engine && !Service->Engine->Models.empty()) {
+    const auto &Models = Service->Engine->Models;
+    const bool Known =
+        std::any_of(Models.begin(), Models.end(), [&](const ServedModel &One) {
+          return One.Name == Asked.Said.Model;
+        });
+    if (!Known)
+      return jsonResponse(StatusBadRequest, R"({"error":"unknown-model"})");
+    Model = Asked.Said.Model;
+  }
+  Asked.Pool = FleetView::poolName(Service->Name, Model);
+  return std::nullopt;
+}
+
+WorkItem FleetRelay::itemOf(const HttpRequest &Request,
+                            const Work &Asked) const {
+  WorkItem Out;
+  Out.Team = Asked.Team;
+  Out.Urgency = urgencyOf(Asked.Route->Priority);
+  Out.Deadline = Asked.AnswerBy;
+  Out.Repeatable = Asked.Route->repeatable();
+  Out.Fingerprint =
+      hashText(Request.Body,
+               hashText(Request.Target, hashText(Asked.Team.Text)));
+  Out.Bytes = Request.Body.size();
+  return Out;
+}
+
+Awaitable<void> FleetRelay::route(Exchange &Call, Work &Asked) {
+  std::optional<Place> Mine =
+      Routing.submit(Asked.Pool, itemOf(Call.request(), Asked),
+                     co_await boost::asio::this_coro::executor);
+  if (!Mine) {
+    const Verdict None{RunState::NotRun, Reason::NoEndpoint,
+                       ElsewhereRetryAfter};
+    co_await finish(Call, Asked, None);
+    co_return;
+  }
+  while (true) {
+    const Decision Next = co_await Mine->next();
+    if (const auto *const Final = std::get_if<Verdict>(&Next)) {
+      co_await finish(Call, Asked, *Final);
+      co_return;
+    }
+    const auto To = std::get<Assignment>(Next).Endpoint;
+    AttemptResult Result = co_await attempt(Call, Asked, *To);
+    if (Result.State != RunState::NotRun)
+      ++Asked.Runs;
+    // The operators bound how many endpoints may run one request.
+    if (!Result.Answered && Asked.Runs >= Asked.Route->MaxAttempts)
+      Result.CallerSawBytes = true;
+    Mine->report(Result);
+    if (Result.Answered) {
+      ++Counts.Answered;
+      co_return;
+    }
+  }
+}
+
+Awaitable<AttemptResult> FleetRelay::attempt(Exchange &Call, Work &Asked,
+                                             const EndpointSpec &To) {
+  const TimePoint Start = BootClock::now();
+  const Duration Left = Asked.AnswerBy - Start;
+  if (Left < LeastUsefulTime)
+    co_return failed(RunState::NotRun, Reason::DeadlinePassed, Start);
+  ForwardMarks Marks;
+  Marks.Endpoint = EndpointName(To.Host.Text);
+  Marks.Team = Asked.Team;
+  Marks.TimeLeft = std::chrono::floor<milliseconds>(Left);
+  if (Asked.Events.any()) {
+    Asked.Events.dropPartial();
+    Marks.LastEvent = Asked.Events.lastId();
+    ++Counts.Resumed;
+  }
+  ++Counts.Sends;
+  const bool Repeatable = Asked.Route->repeatable();
+  HttpRequest Sent = Wire.forward(Call.request(), Marks);
+  const bool MayMove =
+      Repeatable && Asked.Route->streams() &&
+      Asked.Runs + 1 < Asked.Route->MaxAttempts;
+  const TimePoint HeadBy =
+      MayMove ? std::min(Asked.AnswerBy, Start + LongestSilence)
+              : Asked.AnswerBy;
+  // A request that must not run twice gets a connection of its own: written to
+  // one that the endpoint is just closing, nobody could tell whether it ran.
+  auto Started = co_await Client.start(To.Address, std::move(Sent), HeadBy,
+                                       Repeatable ? Reuse::Allowed
+                                                  : Reuse::Never);
+  if (const auto *const Failure = std::get_if<CallFailure>(&Started)) {
+    AttemptResult Result = failed(*Failure, Start);
+    if (Failure->Why == Reason::EndpointTimedOut &&
+        BootClock::now() < Asked.AnswerBy) {
+      Result.Why = Reason::EndpointCut;
+      if (Silent)
+        Silent(Marks.Endpoint);
+    }
+    co_return Result;
+  }
+  HttpCall Answer = std::move(std::get<HttpCall>(Started));
+  const AnswerMarks Said = Wire.readAnswer(Answer.head());
+  observe(To, Said);
+  if (!Said.Id.empty() && Said.Id != Asked.Said.Id)
+    co_return failed(RunState::MayHaveRun, Reason::EndpointCut, Start);
+  if (Said.NotRun || Said.WrongEndpoint)
+    co_return failed(RunState::NotRun, Reason::EndpointRefused, Start);
+  const unsigned Status = Answer.head().Status;
+  const bool Broken = isSuccess(Status) ? !Said.Signed : Call.begun();
+  if (Broken)
+    co_return failed(RunState::MayHaveRun, Reason::EndpointFailed, Start);
+  if (Asked.Route->streams() && isSuccess(Status))
+    co_return co_await relayStream(Call, Asked, std::move(Answer), To, Start);
+  co_return co_await relayWhole(Call, Asked, std::move(Answer), Start);
+}
+
+void FleetRelay::observe(const EndpointSpec &From, const AnswerMarks &Marks) {
+  if (!Marks.Reported)
+    return;
+  LoadReport Report;
+  Report.EndpointKey = From.Key;
+  Report.Running = Marks.Reported->Running;
+  Report.Queued = Marks.Reported->Waiting;
+  Routing.observe(Report);
+}
+
+Awaitable<AttemptResult> FleetRelay::relayWhole(Exchange &Call, Work &Asked,
+                                                HttpCall Answer,
+                                                TimePoint Start) {
+  const TimePoint FirstByte = BootClock::now();
+  HttpResponse Whole = Wire.answerHead(Answer.head());
+  while (true) {
+    auto Next = co_await Answer.next(Asked.AnswerBy);
+    if (const auto *const Failure = std::get_if<CallFailure>(&Next))
+      co_return failed(*Failure, Start);
+    auto &Part = std::get<std::optional<std::string>>(Next);
+    if (!Part)
+      break;
+    Whole.Body += *Part;
+  }
+  const bool Worthwhile = Whole.Status >= StatusFirstServerError &&
+                          Asked.Route->repeatable() &&
+                          Asked.Runs + 1 < Asked.Route->MaxAttempts;
+  if (Worthwhile) {
+    Asked.Kept = std::move(Whole);
+    co_return failed(RunState::MayHaveRun, Reason::EndpointFailed, Start);
+  }
+  co_await Call.respond(std::move(Whole));
+  co_return answered(Start, FirstByte);
+}
+
+// Failure guarded against: an endpoint dies or falls silent in the middle of a
+// stream, and the caller takes the part for the whole, or waits until it gives
+// up. Only whole events are passed on; a stream that breaks, or is silent for
+// several times the pause that is on time, goes on behind the last event from
+// another endpoint; and one that cannot is cut so that the caller sees it.
+Awaitable<AttemptResult> FleetRelay::relayStream(Exchange &Call, Work &Asked,
+                                                 HttpCall Answer,
+                                                 const EndpointSpec &To,
+                                                 TimePoint Start) {
+  const TimePoint FirstByte = BootClock::now();
+  const bool MayMove = Asked.Route->repeatable() &&
+                       Asked.Runs + 1 < Asked.Route->MaxAttempts;
+  while (true) {
+    TimePoint Until = Asked.AnswerBy;
+    if (MayMove)
+      Until = std::min(Until, BootClock::now() + silenceLimit(*Asked.Route));
+    auto Next = co_await Answer.next(Until);
+    if (const auto *const Failure = std::get_if<CallFailure>(&Next)) {
+      AttemptResult Result = failed(*Failure, Start);
+      const bool Fell = Failure->Why == Reason::EndpointTimedOut &&
+                        BootClock::now() < Asked.AnswerBy;
+      if (Fell && Silent)
+        Silent(EndpointName(To.Host.Text));
+      if (Fell)
+        Result.Why = Reason::EndpointCut;
+      Result.CallerSawBytes = Asked.Events.any() &&
+                              (!MayMove || Asked.Events.lastId().empty());
+      co_return Result;
+    }
+    auto &Part = std::get<std::optional<std::string>>(Next);
+    if (!Part)
+      break;
+    const std::string_view Events = Asked.Events.take(*Part);
+    if (Events.empty())
+      continue;
+    if (!Call.begun()) {
+      HttpResponse Head = Wire.answerHead(Answer.head());
+      co_await Call.begin(std::move(Head));
+    }
+    co_await Call.write(Events);
+  }
+  if (!Asked.Events.whole()) {
+    AttemptResult Result =
+        failed(RunState::MayHaveRun, Reason::EndpointCut, Start);
+    Result.CallerSawBytes =
+        Asked.Events.any() && (!MayMove || Asked.Events.lastId().empty());
+    co_return Result;
+  }
+  if (!Call.begun()) {
+    HttpResponse Head = Wire.answerHead(Answer.head());
+    co_await Call.begin(std::move(Head));
+  }
+  co_await Call.end();
+  co_return answered(Start, FirstByte);
+}
+
+Awaitable<void> FleetRelay::finish(Exchange &Call, Work &Asked,
+                                   Verdict Final) {
+  if (Call.begun()) {
+    ++Counts.CutStreams;
+    Call.cut();
+    co_return;
+  }
+  HttpResponse Out = Asked.Kept && Final.State != RunState::NotRun
+                         ? std::move(*Asked.Kept)
+                         : refusal(Asked, Final);
+  co_await Call.respond(std::move(Out));
+}
+
+HttpResponse FleetRelay::refusal(const Work &Asked, const Verdict &Final) {
+  const bool NotRun = Final.State == RunState::NotRun;
+  if (NotRun)
+    ++Counts.RefusedNotRun;
+  else
+    ++Counts.FailedMayHaveRun;
+  unsigned Status = StatusUnavailable;
+  if (!NotRun)
+    Status = Final.Why == Reason::EndpointTimedOut ||
+                     Final.Why == Reason::DeadlinePassed
+                 ? StatusGatewayTimeout
+                 : StatusBadGateway;
+  HttpResponse Out = jsonResponse(
+      Status, R"({"verdict":")" + std::string(runStateCode(Final.State)) +
+                  R"(","reason":")" + std::string(reasonCode(Final.Why)) +
+                  "\"}");
+  if (NotRun && Final.RetryAfter)
+    Out.Fields.push_back({"Retry-After", secondsText(*Final.RetryAfter)});
+  Wire.mark(Out, Asked.Said.Id);
+  return Out;
+}
+
+} // namespace coltsfoottrail
--- /dev/null
+++ b/packages/process/src/coltsfoottrail/fleethost/relay.hpp
@@ -0,0 +1,110 @@
+/// @file
+/// Carries callers' requests to endpoints and the answers back.
+#ifndef COLTSFOOTTRAIL_FLEETHOST_RELAY_HPP
+#define COLTSFOOTTRAIL_FLEETHOST_RELAY_HPP
+
+#include "coltsfoottrail/boundary/wire.hpp"
+#include "coltsfoottrail/core/random.hpp"
+#include "coltsfoottrail/fleethost/eventtail.hpp"
+#include "coltsfoottrail/fleethost/view.hpp"
+#include "coltsfoottrail/http/client.hpp"
+#include "coltsfoottrail/http/server.hpp"
+#include "coltsfoottrail/server/router.hpp"
+
+#include <functional>
+#include <optional>
+#include <string>
+
+namespace coltsfoottrail {
+
+/// @brief What a relay has done since its start.
+struct FleetRelayCounts {
+  std::uint64_t Requests = 0;
+  std::uint64_t Answered = 0;
+  std::uint64_t RefusedNotRun = 0;
+  std::uint64_t FailedMayHaveRun = 0;
+  std::uint64_t Sends = 0;
+  std::uint64_t Resumed = 0;
+  std::uint64_t CutStreams = 0;
+};
+
+/// @brief Serves callers. Belongs to one thread.
+class FleetRelay {
+public:
+  /// @brief Makes a relay; what it is given must outlive it.
+  /// @param Believed What this host believes.
+  /// @param Decides Where requests are queued and placed.
+  /// @param Out Connections to endpoints.
+  /// @param Fields Reads and writes header fields.
+  /// @param Seed Starts the choice among a route's services.
+  FleetRelay(const FleetView &Believed, Router &Decides, HttpClient &Out,
+             const CallerWire &Fields, std::uint64_t Seed)
+      : View(Believed), Routing(Decides), Client(Out), Wire(Fields),
+        Draw(Seed) {}
+
+  /// @brief Serves one request.
+  /// @throws boost::system::system_error The caller is gone.
+  [[nodiscard]] Awaitable<void> serve(Exchange &Call);
+
+  /// @brief New requests are refused from now on.
+  void stop() noexcept { Stopping = true; }
+
+  /// @brief Hears that an endpoint fell silent during a request.
+  void onSilence(std::function<void(const EndpointName &)> Told) {
+    Silent = std::move(Told);
+  }
+
+  /// @brief What it has done.
+  [[nodiscard]] const FleetRelayCounts &counts() const noexcept {
+    return Counts;
+  }
+
+private:
+  /// A request and what is known of it.
+  struct Work {
+    CallerWork Said;
+    /// Keeps the route alive.
+    RouteIndexPtr Config;
+    const RouteSpec *Route = nullptr;
+    TeamName Team;
+    TimePoint ArrivedAt;
+    TimePoint AnswerBy;
+    std::string Pool;
+    /// Endpoints that may have run it.
+    std::uint32_t Runs = 0;
+    EventTail Events;
+    /// An endpoint's failure, to be passed on if nothing better comes.
+    std::optional<HttpResponse> Kept;
+  };
+
+  [[nodiscard]] std::optional<HttpResponse> admit(const HttpRequest &Request,
+                                                  Work &Asked);
+  [[nodiscard]] std::optional<HttpResponse> choosePool(Work &Asked);
+  [[nodiscard]] WorkItem itemOf(const HttpRequest &Request,
+                                const Work &Asked) const;
+  [[nodiscard]] Awaitable<void> route(Exchange &Call, Work &Asked);
+  [[nodiscard]] Awaitable<AttemptResult> attempt(Exchange &Call, Work &Asked,
+                                                 const EndpointSpec &To);
+  [[nodiscard]] Awaitable<AttemptResult>
+  relayWhole(Exchange &Call, Work &Asked, HttpCall Answer, TimePoint Start);
+  [[nodiscard]] Awaitable<AttemptResult>
+  relayStream(Exchange &Call, Work &Asked, HttpCall Answer,
+              const EndpointSpec &To, TimePoint Start);
+  [[nodiscard]] Awaitable<void> finish(Exchange &Call, Work &Asked,
+                                       Verdict Final);
+  [[nodiscard]] HttpResponse refusal(const Work &Asked, const Verdict &Final);
+  void observe(const EndpointSpec &From, const AnswerMarks &Marks);
+
+  const FleetView &View;
+  Router &Routing;
+  HttpClient &Client;
+  const CallerWire &Wire;
+  Random Draw;
+  FleetRelayCounts Counts;
+  std::function<void(const EndpointName &)> Silent;
+  bool Stopping = false;
+};
+
+} // namespace coltsfoottrail
+
+#endif
--- /dev/null
+++ b/packages/process/src/coltsfoottrail/fleethost/settings.hpp
@@ -0,0 +1,52 @@
+/// @file
+/// Settings of an entry host on a platform whose endpoints publish themselves.
+/// docs/operations/fleet.md explains each key.
+#ifndef COLTSFOOTTRAIL_FLEETHOST_SETTINGS_HPP
+#define COLTSFOOTTRAIL_FLEETHOST_SETTINGS_HPP
+
+#include "coltsfoottrail/core/name.hpp"
+#include "coltsfoottrail/core/time.hpp"
+#include "coltsfoottrail/settings/settings.hpp"
+
+#include <filesystem>
+#include <optional>
+
+namespace coltsfoottrail {
+
+/// @brief What the platform holds every entry host to.
+struct FleetBounds {
+  /// A withdrawn credential must not be served for longer after its withdrawal
+  /// was accepted.
+  milliseconds Revocation{5'000};
+  /// A group's leader stands still for so long after the loss of a member.
+  milliseconds Stall{5'000};
+  /// From the signal to stop until the process is killed.
+  milliseconds StopGrace{8'000};
+  /// Sends beyond the first of each request, as a part of the requests, over
+  /// all entry hosts.
+  double RetryRatio = 0.2;
+};
+
+/// @brief All settings, checked.
+struct FleetSettings {
+  HostName Host;
+  DataCentreName DataCentre;
+  SocketAddress Callers;
+  SocketAddress Readiness;
+  /// Nothing for no metrics.
+  std::optional<SocketAddress> Metrics;
+  SocketAddress Store;
+  FleetBounds Bounds;
+};
+
+/// @brief Reads and checks a settings file. Unknown keys are passed over: the
+/// platform adds fields without notice. Thread-safe.
+/// @param File JSON.
+/// @throws InputError The file cannot be read, or a value cannot be used: the
+/// error names file, JSON pointer, value and what is allowed.
+[[nodiscard]] FleetSettings
+readFleetSettings(const std::filesystem::path &File);
+
+} // namespace coltsfoottrail
+
+#endif
--- /dev/null
+++ b/packages/process/src/coltsfoottrail/fleethost/view.cpp
@@ -0,0 +1,164 @@
+#include "coltsfoottrail/fleethost/view.hpp"
+
+#include "coltsfoottrail/core/overloaded.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace coltsfoottrail {
+
+namespace {
+
+/// Kept free of the revocation bound: a request that is taken just before it
+/// still has to reach its endpoint.
+constexpr Duration RevocationMargin = milliseconds(700);
+/// Requests that one entry host may have in progress at a cold endpoint. With
+/// ten entry hosts and requests of 0.2 s or more this stays below 50 a second.
+constexpr std::uint32_t ColdShare = 1;
+
+std::string endpointKey(const EndpointRecord &Of) {
+  std::string Out = Of.Name.Text + "#" + std::to_string(Of.Born);
+  if (Of.Seat)
+    Out += "@" + std::to_string(Of.Seat->Epoch);
+  return Out;
+}
+
+} // namespace
+
+std::string FleetView::poolName(const ServiceName &Service,
+                                const ModelName &Model) {
+  return Model.empty() ? "service/" + Service.Text
+                       : "model/" + Service.Text + "/" + Model.Text;
+}
+
+void FleetView::take(Feed Which, FeedPage Page, bool Whole, TimePoint AskedAt,
+                     TimePoint Now) {
+  if (std::exchange(FailuresInRow[Which], 0) > 0 && Which == Feed::Endpoints)
+    Catalogue.storeReturned(Now);
+  if (Whole && Which == Feed::Endpoints)
+    retainEndpoints(Page, Now);
+  if (Whole && Which == Feed::Operators)
+    retainDrains(Page);
+  applyAll(Page, Now);
+  if (Which == Feed::Operators)
+    ConfigAsOf = std::max(ConfigAsOf, AskedAt);
+  else
+    EndpointsKnown = true;
+}
+
+void FleetView::failed(Feed Which, TimePoint Now) {
+  ++FailuresInRow[Which];
+  if (Which == Feed::Endpoints)
+    Catalogue.storeReturned(Now);
+}
+
+void FleetView::applyAll(FeedPage &Page, TimePoint Now) {
+  for (FleetChange &Change : Page.Changes)
+    std::visit(Overloaded{
+                   [&](ConfigPublished &One) { apply(std::move(One)); },
+                   [&](const DataCentreDrained &One) {
+                     Changes += Drained.insert(One.DataCentre).second ? 1 : 0;
+                   },
+                   [&](const DataCentreReturned &One) {
+                     Changes += Drained.erase(One.DataCentre);
+                   },
+                   [&](EndpointPublished &One) {
+                     Catalogue.publish(std::move(One.Record), Now);
+                   },
+                   [&](const EndpointRemoved &One) {
+                     Catalogue.remove(One.Name, Now);
+                   },
+                   [](const UnreadableEntry &) {},
+               },
+               Change);
+}
+
+// Failure guarded against: the store is read again from an earlier point, or a
+// lagging answer overtakes a newer one, and callers are served by routes and
+// credentials that were withdrawn. Versions only grow within one run.
+void FleetView::apply(ConfigPublished Change) {
+  if (Index && Change.Config.Version <= Index->version())
+    return;
+  Index = std::make_shared<const RouteIndex>(std::move(Change.Config));
+  ++Changes;
+}
+
+void FleetView::retainEndpoints(const FeedPage &Page, TimePoint Now) {
+  std::set<EndpointName> Present;
+  for (const FleetChange &Change : Page.Changes)
+    if (const auto *const One = std::get_if<EndpointPublished>(&Change))
+      Present.insert(One->Record.Name);
+  Catalogue.retain(Present, Now);
+}
+
+void FleetView::retainDrains(const FeedPage &Page) {
+  std::set<DataCentreName> Present;
+  for (const FleetChange &Change : Page.Changes)
+    if (const auto *const One = std::get_if<DataCentreDrained>(&Change))
+      Present.insert(One->DataCentre);
+  if (Present == Drained)
+    return;
+  Drained = std::move(Present);
+  ++Changes;
+}
+
+void FleetView::advance(TimePoint Now) { Catalogue.advance(Now); }
+
+// Failure guarded against: this host is cut off from the store, a credential is
+// withdrawn meanwhile, and its callers are served on. Once the last proof of
+// the configuration is older than the bound, no credential is trusted. The
+// clock counts suspension, so a host that wakes knows that it slept.
+bool FleetView::credentialsFresh(TimePoint Now) const noexcept {
+  return Index && Now - ConfigAsOf < Bounds.Revocation - RevocationMargin;
+}
+
+FleetRoutes FleetView::routes() const {
+  FleetRoutes Out;
+  if (!Index)
+    return Out;
+  Out.Table.Version = version();
+  for (const ServiceProfile &Service : Index->config().Services) {
+    std::vector<ModelName> Models{ModelName()};
+    if (Service.Engine) {
+      Models.clear();
+      for (const ServedModel &Each : Service.Engine->Models)
+        Models.push_back(Each.Name);
+    }
+    for (const ModelName &Model : Models) {
+      const std::string Name = poolName(Service.Name, Model);
+      Out.Table.Pools[Name].Name = Name;
+    }
+  }
+  for (const auto &[Name, Known] : Catalogue.all())
+    addEndpoint(Known, Out);
+  return Out;
+}
+
+void FleetView::addEndpoint(const KnownEndpoint &Known,
+                            FleetRoutes &Out) const {
+  const EndpointRecord &Record = Known.Record;
+  const ServiceProfile *const Service = Index->service(Record.Service);
+  if (Service == nullptr || Record.State != EndpointState::Serving ||
+      Drained.contains(Record.DataCentre))
+    return;
+  ModelName Model;
+  if (Service->Engine) {
+    if (!Record.leads() || Record.Loaded.empty())
+      return;
+    Model = Record.Loaded.back();
+  }
+  const auto Pool = Out.Table.Pools.find(poolName(Service->Name, Model));
+  if (Pool == Out.Table.Pools.end())
+    return;
+  EndpointSpec Spec;
+  Spec.Key = endpointKey(Record);
+  Spec.Address = Record.Address;
+  Spec.Host = HostName(Record.Name.Text);
+  Spec.DataCentre = Record.DataCentre;
+  Spec.WarmBound = std::max<std::uint32_t>(1, Record.Slots);
+  Spec.Members = {Record.Address};
+  Out.Shares[Spec.Key] = Known.Cold ? ColdShare : Spec.WarmBound;
+  Pool->second.Endpoints.push_back(std::move(Spec));
+}
+
+} // namespace coltsfoottrail
--- /dev/null
+++ b/packages/process/src/coltsfoottrail/fleethost/view.hpp
@@ -0,0 +1,102 @@
+/// @file
+/// What an entry host believes of the platform, and since when.
+#ifndef COLTSFOOTTRAIL_FLEETHOST_VIEW_HPP
+#define COLTSFOOTTRAIL_FLEETHOST_VIEW_HPP
+
+#include "coltsfoottrail/boundary/store.hpp"
+#include "coltsfoottrail/fleet/catalogue.hpp"
+#include "coltsfoottrail/fleet/routeindex.hpp"
+#include "coltsfoottrail/fleethost/settings.hpp"
+#include "coltsfoottrail/route/table.hpp"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace coltsfoottrail {
+
+using RouteIndexPtr = std::shared_ptr<const RouteIndex>;
+
+/// @brief Routes and shares for the router, made from the beliefs.
+struct FleetRoutes {
+  RouteTable Table;
+  std::map<std::string, std::uint32_t> Shares;
+};
+
+/// @brief The beliefs of one entry host. Pure; belongs to one thread. Times
+/// must not go back.
+class FleetView {
+public:
+  /// @brief Starts without beliefs.
+  /// @param Given The platform's bounds.
+  explicit FleetView(const FleetBounds &Given) : Bounds(Given) {}
+
+  /// @brief Takes a part of a feed.
+  /// @param Which The feed.
+  /// @param Page What was read.
+  /// @param Whole Whether it holds the newest value of every key.
+  /// @param AskedAt When the question left this host: the page is at least as
+  /// new.
+  void take(Feed Which, FeedPage Page, bool Whole, TimePoint AskedAt,
+            TimePoint Now);
+  /// @brief A read of a feed failed.
+  void failed(Feed Which, TimePoint Now);
+  /// @brief Does what time alone brings.
+  void advance(TimePoint Now);
+
+  /// @brief The configuration in force; null before the first.
+  [[nodiscard]] const RouteIndexPtr &config() const noexcept { return Index; }
+  /// @brief The endpoints.
+  [[nodiscard]] const EndpointCatalogue &endpoints() const noexcept {
+    return Catalogue;
+  }
+  /// @brief Data centres that get no new work.
+  [[nodiscard]] const std::set<DataCentreName> &drained() const noexcept {
+    return Drained;
+  }
+  /// @brief Whether credentials can be trusted: this host would know of a
+  /// withdrawal that is old enough to bind.
+  [[nodiscard]] bool credentialsFresh(TimePoint Now) const noexcept;
+  /// @brief How old the configuration may be.
+  [[nodiscard]] Duration configAge(TimePoint Now) const noexcept {
+    return Now - ConfigAsOf;
+  }
+  /// @brief Whether callers can be served at all.
+  [[nodiscard]] bool ready(TimePoint Now) const noexcept {
+    return Index && EndpointsKnown && credentialsFresh(Now);
+  }
+  /// @brief Grows with each change that routes depend on.
+  [[nodiscard]] std::uint64_t version() const noexcept {
+    return Changes + Catalogue.version();
+  }
+
+  /// @brief Makes the routes.
+  [[nodiscard]] FleetRoutes routes() const;
+
+  /// @brief Name of the pool of a service's endpoints, or of a model's groups.
+  /// @param Model Empty for plain services.
+  [[nodiscard]] static std::string poolName(const ServiceName &Service,
+                                            const ModelName &Model);
+
+private:
+  void apply(ConfigPublished Change);
+  void applyAll(FeedPage &Page, TimePoint Now);
+  void retainEndpoints(const FeedPage &Page, TimePoint Now);
+  void retainDrains(const FeedPage &Page);
+  void addEndpoint(const KnownEndpoint &Known, FleetRoutes &Out) const;
+
+  FleetBounds Bounds;
+  EndpointCatalogue Catalogue;
+  RouteIndexPtr Index;
+  std::set<DataCentreName> Drained;
+  TimePoint ConfigAsOf{};
+  bool EndpointsKnown = false;
+  std::uint64_t Changes = 0;
+  std::map<Feed, std::uint32_t> FailuresInRow;
+};
+
+} // namespace coltsfoottrail
+
+#endif
--- /dev/null
+++ b/packages/version/src/coltsfoottrail/assembly/assembler.cpp
@@ -0,0 +1,539 @@
+#include "coltsfoottrail/assembly/assembler.hpp"
+
+#include "coltsfoottrail/core/overloaded.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace coltsfoottrail {
+
+namespace {
+
+/// Epochs of one fencing number; groups formed in one term stay far below.
+constexpr std::uint64_t EpochsPerFence = std::uint64_t{1} << 20U;
+/// Part of the engines that groups are made of; the rest are spares that
+/// replace lost members without a load. In each domain of nine engines this
+/// leaves two, as a crash takes one or two members.
+constexpr double SeatedPart = 0.8;
+/// Loads before the first caller take a tenth of their time; a bound of the
+/// platform.
+constexpr int EarlyLoadFactor = 10;
+/// Expected time of a load when others slow it down, as a multiple.
+constexpr int CrowdedLoadFactor = 2;
+/// How long a suspicion from a request lasts.
+constexpr Duration SuspicionLife = seconds(4);
+
+bool contains(const std::vector<ModelName> &Models, const ModelName &Which) {
+  return std::find(Models.begin(), Models.end(), Which) != Models.end();
+}
+
+/// What it takes an engine to join: the less, the sooner the group serves.
+enum class JoinCost : std::uint8_t { Kept, Staged, Load };
+
+JoinCost joinCost(const EndpointRecord &Of, const ModelName &Model) {
+  if (contains(Of.Loaded, Model))
+    return JoinCost::Kept;
+  return contains(Of.Staged, Model) ? JoinCost::Staged : JoinCost::Load;
+}
+
+} // namespace
+
+/// What one call of plan() works with.
+struct Assembler::Pass {
+  const AssemblyView &View;
+  const EngineProfile &Engine;
+  TimePoint Now;
+  std::vector<SeatCommand> Out;
+
+  [[nodiscard]] const ServedModel *model(const ModelName &Name) const {
+    for (const ServedModel &Each : Engine.Models)
+      if (Each.Name == Name)
+        return &Each;
+    return nullptr;
+  }
+  void order(const KnownEndpoint &To, SeatOrder What) {
+    Out.push_back({To.Record.Name, To.Record.Address, std::move(What)});
+  }
+  [[nodiscard]] Duration loadTime(const ServedModel &Of) const {
+    const milliseconds Plain =
+        View.CallersBegun ? Of.LoadTime : Of.LoadTime / EarlyLoadFactor;
+    return Plain * CrowdedLoadFactor;
+  }
+};
+
+void Assembler::begin(TimePoint Now) {
+  Groups.clear();
+  Retired.clear();
+  Pending.clear();
+  LockedUntil.clear();
+  Counter = 0;
+  ActFrom = Now + Times.TakeOverPause;
+}
+
+std::vector<SeatCommand> Assembler::plan(const AssemblyView &View,
+                                         TimePoint Now) {
+  if (Now < ActFrom || !View.Service.Engine)
+    return {};
+  Pass In{View, *View.Service.Engine, Now, {}};
+  Pacer.bound(In.Engine.LoadsPerSecond, In.Engine.LoadsAtOnce);
+  Pacer.advance(Now);
+  settle(In);
+  adopt(In);
+  watch(In);
+  form(In);
+  return std::move(In.Out);
+}
+
+/// Drops what the records have caught up with.
+void Assembler::settle(const Pass &In) {
+  std::erase_if(Pending, [&](const auto &Entry) {
+    const KnownEndpoint *const Known = In.View.Endpoints.find(Entry.first);
+    if (Known == nullptr || Known->Record.Born != Entry.second.Born)
+      return true;
+    const auto &Seat = Known->Record.Seat;
+    return Seat && Seat->Epoch >= Entry.second.Epoch;
+  });
+  const auto Over = [&](const auto &Entry) { return Entry.second <= In.Now; };
+  std::erase_if(LockedUntil, Over);
+  std::erase_if(SuspectUntil, Over);
+  for (const auto &[Name, Known] : In.View.Endpoints.all()) {
+    const auto &Seat = Known.Record.Seat;
+    const bool Seated = Seat && Seat->Phase != SeatPhase::Joining;
+    if (Pacer.loads(Name) && Seated && !Pending.contains(Name))
+      Pacer.end(Name);
+  }
+}
+
+/// Takes over groups that the records show and this term did not form.
+void Assembler::adopt(const Pass &In) {
+  std::map<GroupEpoch, Group> Found;
+  for (const auto &[Name, Known] : In.View.Endpoints.all()) {
+    const EndpointRecord &Record = Known.Record;
+    if (Record.Service != In.View.Service.Name || !Record.Seat)
+      continue;
+    const GroupSeat &Seat = *Record.Seat;
+    if (Groups.contains(Seat.Epoch) || Retired.contains(Seat.Epoch))
+      continue;
+    Group &Of = Found[Seat.Epoch];
+    Of.Name = Seat.Group;
+    Of.Epoch = Seat.Epoch;
+    if (Of.Members.size() <= Seat.Rank)
+      Of.Members.resize(Seat.Rank + 1);
+    Of.Members[Seat.Rank] = {Name, Record.Born};
+    if (!Record.Loaded.empty())
+      Of.Model = Record.Loaded.back();
+  }
+  for (auto &[Epoch, Of] : Found) {
+    if (const ServedModel *const Model = In.model(Of.Model);
+        Model != nullptr && Of.Members.size() < Model->Size)
+      Of.Members.resize(Model->Size);
+    Of.JoinBy = In.Now + Times.JoinSlack;
+    for (const ServedModel &Each : In.Engine.Models)
+      Of.JoinBy = std::max(Of.JoinBy, In.Now + In.loadTime(Each));
+    Of.OpenUncertain = true;
+    Of.WasOpen = true;
+    note(GroupFate::Adopted, Of, {}, "from the records");
+    Groups.emplace(Epoch, std::move(Of));
+  }
+}
+
+void Assembler::watch(Pass &In) {
+  for (auto Each = Groups.begin(); Each != Groups.end();)
+    Each = advanceGroup(In, Each->second) ? Groups.erase(Each)
+                                          : std::next(Each);
+}
+
+std::optional<Assembler::Seating>
+Assembler::seatOf(const KnownEndpoint &Of) const {
+  const auto Ordered = Pending.find(Of.Record.Name);
+  if (Ordered != Pending.end())
+    return Seating{Ordered->second.Epoch, SeatPhase::Joining};
+  if (!Of.Record.Seat)
+    return std::nullopt;
+  return Seating{Of.Record.Seat->Epoch, Of.Record.Seat->Phase};
+}
+
+/// Whether a member is there, in the same life, and seated in this group.
+bool Assembler::holds(const Pass &In, const Member &Of,
+                      GroupEpoch Epoch) const {
+  const KnownEndpoint *const Known = In.View.Endpoints.find(Of.Name);
+  if (Known == nullptr || Known->Record.Born != Of.Born)
+    return false;
+  const std::optional<Seating> Seat = seatOf(*Known);
+  return Seat && Seat->Epoch == Epoch;
+}
+
+bool Assembler::advanceGroup(Pass &In, Group &Of) {
+  const Member &Leader = Of.Members.front();
+  const KnownEndpoint *const Known = In.View.Endpoints.find(Leader.Name);
+  if (Known == nullptr)
+    return leaderGone(In, Of);
+  const std::optional<Seating> Seat = seatOf(*Known);
+  if (Known->Record.Born != Leader.Born || !Seat || Seat->Epoch != Of.Epoch) {
+    retire(Of, "the leader has left the group");
+    return true;
+  }
+  if (Seat->Phase == SeatPhase::Broken) {
+    retire(Of, "the leader is broken");
+    return true;
+  }
+  Of.WasOpen = Of.WasOpen || Seat->Phase == SeatPhase::Open;
+  bool Lost = false;
+  bool Leaving = false;
+  for (const Member &Each : Of.Members) {
+    const bool Here = holds(In, Each, Of.Epoch);
+    const KnownEndpoint *const Its = In.View.Endpoints.find(Each.Name);
+    const bool Drains =
+        Its != nullptr && Its->Record.State == EndpointState::Draining;
+    if ((!Here || Drains) && !Of.LossNoted) {
+      Of.LossNoted = true;
+      note(GroupFate::Lost, Of, Each.Name,
+           Drains ? "member drains" : "member lost");
+    }
+    Lost = Lost || !Here;
+    Leaving = Leaving || Drains;
+  }
+  if (Lost || Leaving)
+    return memberLost(In, Of, *Seat, Lost);
+  if (allReady(In, Of)) {
+    open(In, Of);
+    return false;
+  }
+  const bool Serving =
+      Seat->Phase == SeatPhase::Open || Seat->Phase == SeatPhase::Closing;
+  if (Serving || Of.OpenOrdered)
+    return false;
+  if (In.Now < Of.JoinBy) {
+    repeatJoins(In, Of);
+    return false;
+  }
+  for (const Member &Each : Of.Members) {
+    const KnownEndpoint *const Its = In.View.Endpoints.find(Each.Name);
+    if (!Its->Record.Seat || Its->Record.Seat->Phase == SeatPhase::Joining)
+      LockedUntil[Each.Name] = In.Now + Times.LeaveOut;
+    Pending.erase(Each.Name);
+  }
+  retire(Of, "members were not ready in time");
+  return true;
+}
+
+// Failure guarded against: a leader's record lapses because it is cut off from
+// the store, while callers' hosts still reach it and it still serves. Its
+// members would sit in two groups. One member leaves: from then on the leader
+// stands still, and after StallTime it is broken, whether it is alive or not.
+// Only then do the members take other seats.
+bool Assembler::leaderGone(Pass &In, Group &Of) {
+  if (!Of.WasOpen && !Of.OpenOrdered) {
+    retire(Of, "the leader is gone before it was opened");
+    return true;
+  }
+  if (!Of.LossNoted) {
+    Of.LossNoted = true;
+    note(GroupFate::Lost, Of, Of.Members.front().Name, "leader lost");
+  }
+  if (Of.LeaveTaken) {
+    if (In.Now < *Of.LeaveTaken + Times.StallTime + Times.StallMargin)
+      return false;
+    retire(Of, "the leader has stood still for long enough");
+    return true;
+  }
+  if (Of.LeaveOrdered && In.Now < *Of.LeaveOrdered + Times.OrderRetry)
+    return false;
+  for (const Member &Each : Of.Members) {
+    if (!holds(In, Each, Of.Epoch) || Pending.contains(Each.Name))
+      continue;
+    leave(In, Of, Each.Name);
+    Of.LeaveOrdered = In.Now;
+    return false;
+  }
+  retire(Of, "no member is left");
+  return true;
+}
+
+/// A member is gone or leaves, the leader is there.
+bool Assembler::memberLost(Pass &In, Group &Of, const Seating &Leader,
+                           bool Evict) {
+  switch (Leader.Phase) {
+  case SeatPhase::Joining:
+    for (const Member &Each : Of.Members)
+      Pending.erase(Each.Name);
+    retire(Of, "a member was lost before the group was ready");
+    return true;
+  case SeatPhase::Ready:
+    if (!Of.OpenUncertain) {
+      retire(Of, "closed after the loss of a member");
+      return true;
+    }
+    // An order to open may still arrive: without a seat the leader refuses it.
+    if (!Of.LeaveOrdered || In.Now >= *Of.LeaveOrdered + Times.OrderRetry) {
+      leave(In, Of, Of.Members.front().Name);
+      Of.LeaveOrdered = In.Now;
+    }
+    return false;
+  case SeatPhase::Open:
+  case SeatPhase::Closing:
+    close(In, Of, Evict);
+    return false;
+  case SeatPhase::Broken:
+    break;
+  }
+  return false;
+}
+
+bool Assembler::allReady(const Pass &In, const Group &Of) const {
+  return std::all_of(
+      Of.Members.begin(), Of.Members.end(), [&](const Member &Each) {
+        const KnownEndpoint *const Its = In.View.Endpoints.find(Each.Name);
+        return Its != nullptr && !Pending.contains(Each.Name) &&
+               Its->Record.Seat && Its->Record.Seat->Epoch == Of.Epoch &&
+               Its->Record.Seat->Phase == SeatPhase::Ready;
+      });
+}
+
+void Assembler::open(Pass &In, Group &Of) {
+  if (Of.OpenOrdered && In.Now < *Of.OpenOrdered + Times.OrderRetry)
+    return;
+  Of.OpenOrdered = In.Now;
+  const KnownEndpoint &Leader =
+      *In.View.Endpoints.find(Of.Members.front().Name);
+  In.order(Leader, OpenSeat{Of.Name, Of.Epoch});
+}
+
+void Assembler::close(Pass &In, Group &Of, bool Evict) {
+  const bool Again =
+      !Of.CloseOrdered || In.Now >= *Of.CloseOrdered + Times.OrderRetry;
+  if (!Again && (Of.CloseEvicts || !Evict))
+    return;
+  Of.CloseOrdered = In.Now;
+  Of.CloseEvicts = Evict;
+  const KnownEndpoint &Leader =
+      *In.View.Endpoints.find(Of.Members.front().Name);
+  In.order(Leader, CloseSeat{Of.Name, Of.Epoch, Evict});
+}
+
+void Assembler::leave(Pass &In, const Group &Of, const EndpointName &Who) {
+  In.order(*In.View.Endpoints.find(Who), LeaveSeat{Of.Name, Of.Epoch});
+  LockedUntil[Who] = In.Now + Times.StallTime + Times.StallMargin;
+}
+
+/// Gives joins again that were not answered; the epoch makes them idempotent.
+void Assembler::repeatJoins(Pass &In, const Group &Of) {
+  std::vector<EndpointName> Names;
+  for (const Member &Each : Of.Members)
+    Names.push_back(Each.Name);
+  for (const Member &Each : Of.Members) {
+    const auto Ordered = Pending.find(Each.Name);
+    if (Ordered == Pending.end() || Ordered->second.Answered ||
+        In.Now < Ordered->second.OrderedAt + Times.OrderRetry)
+      continue;
+    Ordered->second.OrderedAt = In.Now;
+    In.order(*In.View.Endpoints.find(Each.Name),
+             JoinSeat{Of.Name, Of.Epoch, Of.Model, Names});
+  }
+}
+
+void Assembler::retire(const Group &Of, std::string_view Why) {
+  Retired.insert(Of.Epoch);
+  note(GroupFate::Retired, Of, {}, Why);
+}
+
+bool Assembler::isFree(const Pass &In, const KnownEndpoint &Of) const {
+  const EndpointRecord &Record = Of.Record;
+  if (Record.Service != In.View.Service.Name || Of.MissingUntil ||
+      Record.State != EndpointState::Serving ||
+      In.View.Drained.contains(Record.DataCentre))
+    return false;
+  if (Pending.contains(Record.Name) || LockedUntil.contains(Record.Name) ||
+      SuspectUntil.contains(Record.Name) || Pacer.loads(Record.Name))
+    return false;
+  return !Record.Seat || Retired.contains(Record.Seat->Epoch);
+}
+
+Assembler::FreeEndpoints Assembler::freeEndpoints(const Pass &In) const {
+  FreeEndpoints Out;
+  for (const auto &[Name, Known] : In.View.Endpoints.all())
+    if (isFree(In, Known))
+      Out[{Known.Record.DataCentre, Known.Record.Domain}].push_back(&Known);
+  return Out;
+}
+
+/// For each model, the part of its wanted groups that is missing.
+std::map<ModelName, double> Assembler::deficits(const Pass &In) const {
+  double Usable = 0;
+  for (const auto &[Name, Known] : In.View.Endpoints.all())
+    if (Known.Record.Service == In.View.Service.Name &&
+        Known.Record.State == EndpointState::Serving &&
+        !In.View.Drained.contains(Known.Record.DataCentre))
+      ++Usable;
+  std::map<ModelName, double> Have;
+  for (const auto &[Epoch, Of] : Groups) {
+    const KnownEndpoint *const Leader =
+        In.View.Endpoints.find(Of.Members.front().Name);
+    if (!Of.LossNoted && Leader != nullptr &&
+        !In.View.Drained.contains(Leader->Record.DataCentre))
+      ++Have[Of.Model];
+  }
+  std::map<ModelName, double> Out;
+  for (const ServedModel &Each : In.Engine.Models) {
+    const double Wanted = std::max(
+        1.0, std::round(Usable * SeatedPart * Each.Share / Each.Size));
+    Out[Each.Name] = (Wanted - Have[Each.Name]) / Wanted;
+  }
+  return Out;
+}
+
+std::optional<Assembler::Candidate>
+Assembler::bestCandidate(const Pass &In, const FreeEndpoints &Free) const {
+  const std::map<ModelName, double> Missing = deficits(In);
+  std::optional<Candidate> Best;
+  for (const auto &[Domain, Endpoints] : Free)
+    for (const ServedModel &Model : In.Engine.Models) {
+      const double Deficit = Missing.at(Model.Name);
+      if (Deficit <= 0.0 || Endpoints.size() < Model.Size)
+        continue;
+      Candidate Next{&Model, Endpoints, 0, Deficit};
+      std::stable_sort(Next.Members.begin(), Next.Members.end(),
+                       [&](const auto *Left, const auto *Right) {
+                         return joinCost(Left->Record, Model.Name) <
+                                joinCost(Right->Record, Model.Name);
+                       });
+      Next.Members.resize(Model.Size);
+      for (const KnownEndpoint *const Each : Next.Members)
+        Next.Loads += joinCost(Each->Record, Model.Name) == JoinCost::Load;
+      if (Next.Loads > 0 &&
+          !Pacer.admits(Next.Loads, In.View.CallersBegun, In.Now))
+        continue;
+      const auto Rank = [](const Candidate &Of) {
+        return std::pair(Of.Loads > 0, -Of.Deficit);
+      };
+      if (!Best || Rank(Next) < Rank(*Best))
+        Best = std::move(Next);
+    }
+  return Best;
+}
+
+void Assembler::form(Pass &In) {
+  FreeEndpoints Free = freeEndpoints(In);
+  while (const std::optional<Candidate> Chosen = bestCandidate(In, Free)) {
+    start(In, *Chosen);
+    const EndpointRecord &First = Chosen->Members.front()->Record;
+    auto &Left = Free.at({First.DataCentre, First.Domain});
+    std::erase_if(Left, [&](const KnownEndpoint *Each) {
+      return std::find(Chosen->Members.begin(), Chosen->Members.end(), Each) !=
+             Chosen->Members.end();
+    });
+  }
+  stage(In, Free);
+}
+
+void Assembler::start(Pass &In, const Candidate &Chosen) {
+  Group Of;
+  Of.Epoch = In.View.Fence * EpochsPerFence + ++Counter;
+  Of.Name = "g" + std::to_string(Of.Epoch);
+  Of.Model = Chosen.Model->Name;
+  std::vector<EndpointName> Names;
+  for (const KnownEndpoint *const Each : Chosen.Members) {
+    Of.Members.push_back({Each->Record.Name, Each->Record.Born});
+    Names.push_back(Each->Record.Name);
+  }
+  Duration Expected = Chosen.Model->WarmTime;
+  if (Chosen.Loads > 0)
+    Expected = std::max(Expected, In.loadTime(*Chosen.Model));
+  Of.JoinBy = In.Now + Expected * 2 + Times.JoinSlack;
+  for (const KnownEndpoint *const Each : Chosen.Members) {
+    if (joinCost(Each->Record, Of.Model) == JoinCost::Load)
+      Pacer.begin(Each->Record.Name, In.loadTime(*Chosen.Model), In.Now);
+    Pending[Each->Record.Name] = {Of.Epoch, Each->Record.Born, In.Now, false};
+    In.order(*Each, JoinSeat{Of.Name, Of.Epoch, Of.Model, Names});
+  }
+  note(GroupFate::Formed, Of, Names.front(),
+       Chosen.Loads > 0 ? "with loads" : "without loads");
+  Groups.emplace(Of.Epoch, std::move(Of));
+}
+
+// Spares get the weights that their domain will need: a group is then whole
+// again after WarmTime, a tenth of LoadTime.
+void Assembler::stage(Pass &In, const FreeEndpoints &Free) {
+  for (const auto &[Domain, Endpoints] : Free) {
+    std::map<ModelName, std::uint32_t> Staged;
+    for (const KnownEndpoint *const Each : Endpoints)
+      for (const ModelName &Model : Each->Record.Staged)
+        ++Staged[Model];
+    for (const KnownEndpoint *const Each : Endpoints) {
+      if (!Each->Record.Staged.empty() ||
+          !Pacer.admits(1, In.View.CallersBegun, In.Now))
+        continue;
+      const auto Wanted = std::min_element(
+          In.Engine.Models.begin(), In.Engine.Models.end(),
+          [&](const ServedModel &Left, const ServedModel &Right) {
+            return Staged[Left.Name] < Staged[Right.Name];
+          });
+      if (Wanted == In.Engine.Models.end())
+        return;
+      ++Staged[Wanted->Name];
+      Pacer.begin(Each->Record.Name, In.loadTime(*Wanted), In.Now);
+      In.order(*Each, StageModel{Wanted->Name});
+    }
+  }
+}
+
+void Assembler::ordered(const EndpointName &To, const SeatOrder &Order,
+                        OrderOutcome Outcome, TimePoint Now) {
+  const auto GroupOf = [&](GroupEpoch Epoch) -> Group * {
+    const auto Found = Groups.find(Epoch);
+    return Found == Groups.end() ? nullptr : &Found->second;
+  };
+  std::visit(
+      Overloaded{
+          [&](const JoinSeat &Join) {
+            const auto Ordered = Pending.find(To);
+            if (Ordered == Pending.end() ||
+                Ordered->second.Epoch != Join.Epoch)
+              return;
+            if (Outcome == OrderOutcome::Taken) {
+              Ordered->second.Answered = true;
+              return;
+            }
+            if (Outcome == OrderOutcome::Unknown)
+              return;
+            Pacer.end(To);
+            if (Outcome == OrderOutcome::NotSent)
+              return;
+            Pending.erase(Ordered);
+            LockedUntil[To] = Now + Times.LeaveOut;
+          },
+          [&](const OpenSeat &Open) {
+            if (Group *const Of = GroupOf(Open.Epoch);
+                Of != nullptr && Outcome == OrderOutcome::Unknown)
+              Of->OpenUncertain = true;
+          },
+          [&](const CloseSeat &) {},
+          [&](const LeaveSeat &Leave) {
+            if (Group *const Of = GroupOf(Leave.Epoch);
+                Of != nullptr && Outcome == OrderOutcome::Taken)
+              Of->LeaveTaken = Now;
+          },
+          [&](const StageModel &) {
+            if (Outcome != OrderOutcome::Taken &&
+                Outcome != OrderOutcome::Unknown)
+              Pacer.end(To);
+          },
+      },
+      Order);
+}
+
+void Assembler::suspect(const EndpointName &Which, TimePoint Now) {
+  SuspectUntil[Which] = Now + SuspicionLife;
+}
+
+std::vector<GroupNote> Assembler::takeNotes() {
+  return std::exchange(Notes, {});
+}
+
+void Assembler::note(GroupFate Fate, const Group &Of, const EndpointName &Cause,
+                     std::string_view Why) {
+  Notes.push_back({Fate, Of.Name, Of.Epoch, Of.Model, Cause, Why});
+}
+
+} // namespace coltsfoottrail
--- /dev/null
+++ b/packages/version/src/coltsfoottrail/assembly/assembler.hpp
@@ -0,0 +1,200 @@
+/// @file
+/// Decides which engines form groups, and repairs groups that lost a member.
+#ifndef COLTSFOOTTRAIL_ASSEMBLY_ASSEMBLER_HPP
+#define COLTSFOOTTRAIL_ASSEMBLY_ASSEMBLER_HPP
+
+#include "coltsfoottrail/assembly/loadpacer.hpp"
+#include "coltsfoottrail/fleet/catalogue.hpp"
+#include "coltsfoottrail/fleet/config.hpp"
+#include "coltsfoottrail/fleet/order.hpp"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace coltsfoottrail {
+
+/// @brief Times of the assembly.
+struct AssemblyTimes {
+  /// A leader whose member is lost stands still for this long and is then
+  /// broken; a bound of the platform.
+  Duration StallTime = seconds(5);
+  /// Beyond StallTime, for clocks and messages: an order that was taken is
+  /// carried out within a second of its answer.
+  Duration StallMargin = milliseconds(1500);
+  /// An order whose effect is not seen is given again after this: several round
+  /// trips and two polls of the feed.
+  Duration OrderRetry = milliseconds(900);
+  /// After the duty was gained, records written under the predecessor are still
+  /// on their way; one poll of the feed and a margin.
+  Duration TakeOverPause = milliseconds(500);
+  /// Beyond the time of its loads, for a group to become ready.
+  Duration JoinSlack = seconds(4);
+  /// How long an engine that did not join in time is left out.
+  Duration LeaveOut = seconds(6);
+};
+
+/// @brief What the assembly decides on.
+struct AssemblyView {
+  const EndpointCatalogue &Endpoints;
+  /// A service whose Engine is set.
+  const ServiceProfile &Service;
+  const std::set<DataCentreName> &Drained;
+  /// Fencing number of the duty.
+  std::uint64_t Fence = 0;
+  /// Whether callers have begun: loads are counted and slow from then on.
+  bool CallersBegun = false;
+};
+
+/// @brief An order to be given.
+struct SeatCommand {
+  EndpointName To;
+  EngineAddress Address;
+  SeatOrder Order;
+};
+
+/// What became of a group.
+enum class GroupFate : std::uint8_t { Formed, Adopted, Lost, Retired };
+
+/// @brief A change worth a line in the log.
+struct GroupNote {
+  GroupFate Fate = GroupFate::Formed;
+  std::string Group;
+  GroupEpoch Epoch = 0;
+  ModelName Model;
+  /// The endpoint that caused it; may be empty.
+  EndpointName Cause;
+  std::string_view Why;
+};
+
+/// @brief Forms and repairs the groups of one service. Pure: takes the
+/// endpoints' records and a time, answers orders. Not thread-safe; times must
+/// not go back.
+///
+/// Its state is what the records say, and beside them only orders under way: a
+/// successor starts from the records alone. Invariants:
+/// - a group is opened only after each member's own record showed it ready
+///   under this group, epoch and list;
+/// - a member takes a seat elsewhere only after its leader was seen closed,
+///   broken, restarted or in another group, or has provably stood still for
+///   longer than StallTime;
+/// - an epoch is used once, and epochs grow with the fencing number, so that an
+///   order that is carried out late meets a higher epoch and is refused.
+class Assembler {
+public:
+  /// @brief Starts with nothing known.
+  explicit Assembler(AssemblyTimes Given) : Times(Given) {}
+
+  /// @brief The duty was gained: forgets what an earlier term knew.
+  void begin(TimePoint Now);
+
+  /// @brief Decides what to order now.
+  [[nodiscard]] std::vector<SeatCommand> plan(const AssemblyView &View,
+                                              TimePoint Now);
+
+  /// @brief Takes an order's outcome.
+  void ordered(const EndpointName &To, const SeatOrder &Order,
+               OrderOutcome Outcome, TimePoint Now);
+
+  /// @brief A request shows that an endpoint does not answer: it is left out of
+  /// new groups, and its group counts as lost.
+  void suspect(const EndpointName &Which, TimePoint Now);
+
+  /// @brief Hands over what is worth a line in the log since the last call.
+  [[nodiscard]] std::vector<GroupNote> takeNotes();
+
+private:
+  struct Member {
+    EndpointName Name;
+    std::uint64_t Born = 0;
+  };
+  struct Group {
+    std::string Name;
+    GroupEpoch Epoch = 0;
+    ModelName Model;
+    /// The leader first; an empty name where a record is missing.
+    std::vector<Member> Members;
+    /// Until when its members must be ready.
+    TimePoint JoinBy;
+    std::optional<TimePoint> OpenOrdered;
+    /// An order to open may still be carried out.
+    bool OpenUncertain = false;
+    bool WasOpen = false;
+    std::optional<TimePoint> CloseOrdered;
+    bool CloseEvicts = false;
+    std::optional<TimePoint> LeaveOrdered;
+    /// A member has left, so the leader is broken StallTime later at most.
+    std::optional<TimePoint> LeaveTaken;
+    bool LossNoted = false;
+  };
+  struct PendingJoin {
+    GroupEpoch Epoch = 0;
+    std::uint64_t Born = 0;
+    TimePoint OrderedAt;
+    bool Answered = false;
+  };
+  /// An endpoint's seat by its record and by orders under way.
+  struct Seating {
+    GroupEpoch Epoch = 0;
+    SeatPhase Phase = SeatPhase::Joining;
+  };
+  /// A group that could be formed.
+  struct Candidate {
+    const ServedModel *Model = nullptr;
+    std::vector<const KnownEndpoint *> Members;
+    std::uint32_t Loads = 0;
+    double Deficit = 0.0;
+  };
+  using DomainKey = std::pair<DataCentreName, FabricDomainName>;
+  using FreeEndpoints =
+      std::map<DomainKey, std::vector<const KnownEndpoint *>>;
+  struct Pass;
+
+  void settle(const Pass &In);
+  void adopt(const Pass &In);
+  void watch(Pass &In);
+  /// @return Whether the group is over.
+  [[nodiscard]] bool advanceGroup(Pass &In, Group &Of);
+  [[nodiscard]] bool leaderGone(Pass &In, Group &Of);
+  [[nodiscard]] bool memberLost(Pass &In, Group &Of, const Seating &Leader,
+                                bool Evict);
+  [[nodiscard]] bool allReady(const Pass &In, const Group &Of) const;
+  void open(Pass &In, Group &Of);
+  void close(Pass &In, Group &Of, bool Evict);
+  void leave(Pass &In, const Group &Of, const EndpointName &Who);
+  void repeatJoins(Pass &In, const Group &Of);
+  void retire(const Group &Of, std::string_view Why);
+
+  void form(Pass &In);
+  void stage(Pass &In, const FreeEndpoints &Free);
+  void start(Pass &In, const Candidate &Chosen);
+  [[nodiscard]] FreeEndpoints freeEndpoints(const Pass &In) const;
+  [[nodiscard]] std::optional<Candidate>
+  bestCandidate(const Pass &In, const FreeEndpoints &Free) const;
+  [[nodiscard]] std::map<ModelName, double> deficits(const Pass &In) const;
+  [[nodiscard]] bool isFree(const Pass &In, const KnownEndpoint &Of) const;
+  [[nodiscard]] bool holds(const Pass &In, const Member &Of,
+                           GroupEpoch Epoch) const;
+  [[nodiscard]] std::optional<Seating> seatOf(const KnownEndpoint &Of) const;
+  void note(GroupFate Fate, const Group &Of, const EndpointName &Cause,
+            std::string_view Why);
+
+  AssemblyTimes Times;
+  LoadPacer Pacer;
+  TimePoint ActFrom;
+  std::uint64_t Counter = 0;
+  std::map<GroupEpoch, Group> Groups;
+  /// Epochs of groups that are over: seats that still name them are free.
+  std::set<GroupEpoch> Retired;
+  std::map<EndpointName, PendingJoin> Pending;
+  /// Endpoints that may not take a seat before a time.
+  std::map<EndpointName, TimePoint> LockedUntil;
+  std::map<EndpointName, TimePoint> SuspectUntil;
+  std::vector<GroupNote> Notes;
+};
+
+} // namespace coltsfoottrail
+
+#endif
--- /dev/null
+++ b/packages/version/src/coltsfoottrail/fleet/routeindex.cpp
@@ -0,0 +1,48 @@
+#include "coltsfoottrail/fleet/routeindex.hpp"
+
+#include <utility>
+
+namespace coltsfoottrail {
+
+RouteIndex::RouteIndex(PublishedConfig Published)
+    : Config(std::move(Published)) {
+  for (std::size_t Index = 0; Index < Config.Routes.size(); ++Index) {
+    const RouteSpec &Route = Config.Routes[Index];
+    ByHost[Route.HostHeader][Route.PathPrefix] = Index;
+  }
+  for (std::size_t Index = 0; Index < Config.Teams.size(); ++Index)
+    for (const std::string &Credential : Config.Teams[Index].Credentials)
+      ByCredential[Credential] = Index;
+  for (std::size_t Index = 0; Index < Config.Services.size(); ++Index)
+    ByService[Config.Services[Index].Name] = Index;
+}
+
+const RouteSpec *RouteIndex::route(std::string_view HostHeader,
+                                   std::string_view Path) const {
+  const auto Host = ByHost.find(std::string(HostHeader));
+  if (Host == ByHost.end())
+    return nullptr;
+  std::string Prefix(Path);
+  while (true) {
+    const std::size_t Slash = Prefix.rfind('/');
+    if (Slash == std::string::npos)
+      return nullptr;
+    Prefix.resize(Slash + 1);
+    const auto Found = Host->second.find(Prefix);
+    if (Found != Host->second.end())
+      return &Config.Routes[Found->second];
+    Prefix.resize(Slash);
+  }
+}
+
+const TeamKeys *RouteIndex::team(std::string_view Credential) const {
+  const auto Found = ByCredential.find(std::string(Credential));
+  return Found == ByCredential.end() ? nullptr : &Config.Teams[Found->second];
+}
+
+const ServiceProfile *RouteIndex::service(const ServiceName &Name) const {
+  const auto Found = ByService.find(Name);
+  return Found == ByService.end() ? nullptr : &Config.Services[Found->second];
+}
+
+} // namespace coltsfoottrail
