Ask the members of a leader whose streams fall silent; stage weights before forming

Cause: a lost member was noticed when its record lapsed (3.3 s); groups were formed with loads that kept survivors idle 16 s.

--- a/packages/process/src/coltsfoottrail/fleethost/assemblydesk.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/assemblydesk.cpp
@@ -3,6 +3,7 @@
 #include "coltsfoottrail/core/overloaded.hpp"
 #include "coltsfoottrail/logging/log.hpp"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -72,10 +73,11 @@
 } // namespace
 
 AssemblyDesk::AssemblyDesk(FleetStore &Where, FleetEngines &Given,
-                           const FleetView &Believed, std::string Member,
+                           const FleetView &Believed,
+                           const SilenceWatch &Heard, std::string Member,
                            AssemblyTimes Wanted)
-    : Store(Where), Engines(Given), View(Believed), Self(std::move(Member)),
-      Times(Wanted) {}
+    : Store(Where), Engines(Given), View(Believed), Silence(Heard),
+      Self(std::move(Member)), Times(Wanted) {}
 
 Awaitable<void> AssemblyDesk::holdDuty() {
   asio::steady_timer Pause(co_await asio::this_coro::executor);
@@ -135,6 +137,7 @@
 void AssemblyDesk::look(TimePoint Now, const asio::any_io_executor &Executor) {
   if (!holds(Now) || !View.config())
     return;
+  askSilent(Now, Executor);
   for (const ServiceProfile &Service : View.config()->config().Services) {
     if (!Service.Engine || Service.Engine->Models.empty())
       continue;
@@ -187,9 +190,72 @@
   co_await Store.leaveDuty(Self);
 }
 
-void AssemblyDesk::silent(const EndpointName &Which) {
-  for (auto &[Name, Each] : Assemblers)
-    Each.suspect(Which, BootClock::now());
+/// Members of one leader, and which of them answered.
+struct AssemblyDesk::Inquiry {
+  std::string Leader;
+  std::vector<EndpointName> Members;
+  std::vector<bool> Answered;
+  std::size_t Left = 0;
+};
+
+void AssemblyDesk::askSilent(TimePoint Now,
+                             const asio::any_io_executor &Executor) {
+  std::erase_if(NotAskedBefore,
+                [&](const auto &Entry) { return Entry.second <= Now; });
+  for (const std::string &Leader : Silence.allSilent(Now)) {
+    if (NotAskedBefore.contains(Leader))
+      continue;
+    auto Round = std::make_shared<Inquiry>();
+    Round->Leader = Leader;
+    for (auto &[Name, Each] : Assemblers)
+      for (const EndpointName &Member : Each.membersWith(EndpointName(Leader)))
+        Round->Members.push_back(Member);
+    if (Round->Members.empty())
+      continue;
+    NotAskedBefore[Leader] = Now + Pace.AskAgainAfter;
+    Round->Answered.resize(Round->Members.size());
+    Round->Left = Round->Members.size();
+    for (std::size_t Index = 0; Index < Round->Members.size(); ++Index)
+      asio::co_spawn(Executor, ask(Round, Index), asio::detached);
+  }
+}
+
+Awaitable<void> AssemblyDesk::ask(std::shared_ptr<Inquiry> Round,
+                                  std::size_t Index) {
+  const KnownEndpoint *const Known =
+      View.endpoints().find(Round->Members[Index]);
+  if (Known != nullptr) {
+    const EngineAddress Address = Known->Record.Address;
+    bool Answered = co_await Engines.answers(Address, Pace.AnswerWithin);
+    if (!Answered)
+      Answered = co_await Engines.answers(Address, Pace.AnswerWithin);
+    Round->Answered[Index] = Answered;
+  }
+  if (--Round->Left == 0)
+    conclude(*Round);
+}
+
+// Failure guarded against: this host is cut off from the engines, or its own
+// link loses packets, and it takes sound groups for broken. A member counts as
+// dead only if another member of the same group answered in the same round.
+void AssemblyDesk::conclude(const Inquiry &Round) {
+  const auto Heard =
+      std::count(Round.Answered.begin(), Round.Answered.end(), true);
+  std::string Dead;
+  for (std::size_t Index = 0; Index < Round.Members.size(); ++Index) {
+    const KnownEndpoint *const Known =
+        View.endpoints().find(Round.Members[Index]);
+    if (Round.Answered[Index] || Known == nullptr || Heard == 0)
+      continue;
+    Dead += (Dead.empty() ? "" : ",") + Round.Members[Index].Text;
+    for (auto &[Name, Each] : Assemblers)
+      Each.declareDead(*Known, BootClock::now());
+  }
+  logEvent(Event::MembersAsked,
+           {{"leader", Round.Leader},
+            {"members", Round.Members.size()},
+            {"answered", static_cast<std::uint64_t>(Heard)},
+            {"dead", Dead}});
 }
 
 } // namespace coltsfoottrail
--- a/packages/process/src/coltsfoottrail/fleethost/assemblydesk.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/assemblydesk.hpp
@@ -7,26 +7,34 @@
 #include "coltsfoottrail/boundary/engines.hpp"
 #include "coltsfoottrail/boundary/store.hpp"
 #include "coltsfoottrail/fleethost/view.hpp"
+#include "coltsfoottrail/silence/silencewatch.hpp"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <functional>
 #include <map>
+#include <memory>
 #include <string>
+#include <vector>
 
 namespace coltsfoottrail {
 
 /// @brief Times of the duty.
 struct DutyTimes {
   /// Another host takes over when this one was silent for so long.
-  milliseconds Lease{2'000};
+  milliseconds Lease{1'500};
   /// A renewal this often leaves room for two that are lost.
-  milliseconds RenewEvery{600};
+  milliseconds RenewEvery{400};
   /// While hosts start, the duty moves with each that joins, and whoever gets it
   /// learns so at its next call: calls are more frequent for a while.
   milliseconds SettleEvery{150};
   milliseconds SettleTime{1'500};
   /// Between two looks at the groups, when nothing has changed.
-  milliseconds LookEvery{150};
+  milliseconds LookEvery{100};
+  /// Time for a member to answer a question; twice, as a connection may lose a
+  /// packet.
+  milliseconds AnswerWithin{250};
+  /// A leader whose members all answered is not asked about again for so long.
+  milliseconds AskAgainAfter{1'500};
   /// Kept free of the lease, so that an order arrives inside it.
   milliseconds LeaseMargin{300};
 };
@@ -39,11 +47,12 @@
   /// @param Where The store.
   /// @param Given The engines.
   /// @param Believed What this host believes.
+  /// @param Heard Which endpoints' streams move.
   /// @param Member Unique for this run of the process.
   /// @param Times Times of the assembly.
   AssemblyDesk(FleetStore &Where, FleetEngines &Given,
-               const FleetView &Believed, std::string Member,
-               AssemblyTimes Times);
+               const FleetView &Believed, const SilenceWatch &Heard,
+               std::string Member, AssemblyTimes Times);
 
   /// @brief Joins the duty and renews it until it is cancelled.
   [[nodiscard]] Awaitable<void> holdDuty();
@@ -58,8 +67,6 @@
   }
   /// @brief A caller's request has been seen.
   void callersBegun() noexcept { Begun = true; }
-  /// @brief A request found an endpoint silent.
-  void silent(const EndpointName &Which);
   /// @brief Calls a function when the duty is gained or lost.
   void onDuty(std::function<void(bool)> Told) { Changed = std::move(Told); }
 
@@ -69,10 +76,16 @@
   [[nodiscard]] Awaitable<void> carryOut(SeatCommand Command,
                                          std::uint64_t Fence);
   void logNotes();
+  void askSilent(TimePoint Now, const boost::asio::any_io_executor &Executor);
+  struct Inquiry;
+  [[nodiscard]] Awaitable<void> ask(std::shared_ptr<Inquiry> Round,
+                                    std::size_t Index);
+  void conclude(const Inquiry &Round);
 
   FleetStore &Store;
   FleetEngines &Engines;
   const FleetView &View;
+  const SilenceWatch &Silence;
   std::string Self;
   DutyTimes Pace;
   /// One for each service with engines.
@@ -85,6 +98,8 @@
   bool Leaving = false;
   TimePoint HeldUntil{};
   bool Begun = false;
+  /// Leaders whose members are not asked before a time.
+  std::map<std::string, TimePoint> NotAskedBefore;
   std::function<void(bool)> Changed;
 };
 
--- a/packages/process/src/coltsfoottrail/fleethost/host.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/host.cpp
@@ -102,8 +102,9 @@
       View(Settings.Bounds),
       Routing(RouterOptions{Settings.Host, dispatcherOptions(Settings), {}}),
       Client(Pool.context(0), clientOptions()),
-      Relay(View, Routing, Client, Links.Wire, hashText(Settings.Host.Text)),
-      Desk(Links.Store, Links.Engines, View, memberName(Settings),
+      Relay(View, Routing, Client, Links.Wire, Silence,
+            hashText(Settings.Host.Text)),
+      Desk(Links.Store, Links.Engines, View, Silence, memberName(Settings),
            assemblyTimes(Settings)),
       Operators(Links.Store, Feed::Operators, operatorTimes(),
                 {[this](FeedPage Page, bool Whole, TimePoint AskedAt) {
@@ -143,7 +144,6 @@
 }
 
 void FleetHost::startFollowing() {
-  Relay.onSilence([this](const EndpointName &Which) { Desk.silent(Which); });
   Desk.onDuty([this](bool Holds) {
     Endpoints.space(Holds ? DriverSpacing : FollowerSpacing);
   });
--- a/packages/process/src/coltsfoottrail/fleethost/host.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/host.hpp
@@ -74,6 +74,7 @@
   FleetView View;
   Router Routing;
   HttpClient Client;
+  SilenceWatch Silence;
   FleetRelay Relay;
   AssemblyDesk Desk;
   FeedFollower Operators;
--- a/packages/process/src/coltsfoottrail/fleethost/relay.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/relay.cpp
@@ -29,8 +29,8 @@
 /// Silence after which a stream is taken up elsewhere: several times the pause
 /// that is on time, and well before the platform's callers give up, which is
 /// after two seconds at the earliest.
-constexpr int SilenceFactor = 4;
-constexpr Duration ShortestSilence = milliseconds(900);
+constexpr int SilenceFactor = 2;
+constexpr Duration ShortestSilence = milliseconds(500);
 constexpr Duration LongestSilence = milliseconds(1500);
 
 bool isSuccess(unsigned Status) {
@@ -78,6 +78,30 @@
   return Rank <= 2 ? Priority::Normal : Priority::Batch;
 }
 
+/// Tells the watch of one stream, however it ends.
+class StreamMark {
+public:
+  StreamMark(SilenceWatch &Told, const std::string &Endpoint)
+      : Watch(Told), Name(Endpoint) {}
+  StreamMark(const StreamMark &) = delete;
+  StreamMark &operator=(const StreamMark &) = delete;
+  ~StreamMark() {
+    if (Begun)
+      Watch.ended(Name);
+  }
+  void heard() {
+    if (std::exchange(Begun, true))
+      Watch.heard(Name, BootClock::now());
+    else
+      Watch.began(Name, BootClock::now());
+  }
+
+private:
+  SilenceWatch &Watch;
+  std::string Name;
+  bool Begun = false;
+};
+
 } // namespace
 
 Awaitable<void> FleetRelay::serve(Exchange &Call) {
@@ -232,11 +256,8 @@
   if (const auto *const Failure = std::get_if<CallFailure>(&Started)) {
     AttemptResult Result = failed(*Failure, Start);
     if (Failure->Why == Reason::EndpointTimedOut &&
-        BootClock::now() < Asked.AnswerBy) {
+        BootClock::now() < Asked.AnswerBy)
       Result.Why = Reason::EndpointCut;
-      if (Silent)
-        Silent(Marks.Endpoint);
-    }
     co_return Result;
   }
   HttpCall Answer = std::move(std::get<HttpCall>(Started));
@@ -302,6 +323,7 @@
   const TimePoint FirstByte = BootClock::now();
   const bool MayMove = Asked.Route->repeatable() &&
                        Asked.Runs + 1 < Asked.Route->MaxAttempts;
+  StreamMark Mark(Silence, To.Host.Text);
   while (true) {
     TimePoint Until = Asked.AnswerBy;
     if (MayMove)
@@ -311,8 +333,6 @@
       AttemptResult Result = failed(*Failure, Start);
       const bool Fell = Failure->Why == Reason::EndpointTimedOut &&
                         BootClock::now() < Asked.AnswerBy;
-      if (Fell && Silent)
-        Silent(EndpointName(To.Host.Text));
       if (Fell)
         Result.Why = Reason::EndpointCut;
       Result.CallerSawBytes = Asked.Events.any() &&
@@ -322,6 +342,7 @@
     auto &Part = std::get<std::optional<std::string>>(Next);
     if (!Part)
       break;
+    Mark.heard();
     const std::string_view Events = Asked.Events.take(*Part);
     if (Events.empty())
       continue;
--- a/packages/process/src/coltsfoottrail/fleethost/relay.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/relay.hpp
@@ -10,8 +10,8 @@
 #include "coltsfoottrail/http/client.hpp"
 #include "coltsfoottrail/http/server.hpp"
 #include "coltsfoottrail/server/router.hpp"
+#include "coltsfoottrail/silence/silencewatch.hpp"
 
-#include <functional>
 #include <optional>
 #include <string>
 
@@ -36,11 +36,12 @@
   /// @param Decides Where requests are queued and placed.
   /// @param Out Connections to endpoints.
   /// @param Fields Reads and writes header fields.
+  /// @param Heard Is told which endpoints' streams move.
   /// @param Seed Starts the choice among a route's services.
   FleetRelay(const FleetView &Believed, Router &Decides, HttpClient &Out,
-             const CallerWire &Fields, std::uint64_t Seed)
+             const CallerWire &Fields, SilenceWatch &Heard, std::uint64_t Seed)
       : View(Believed), Routing(Decides), Client(Out), Wire(Fields),
-        Draw(Seed) {}
+        Silence(Heard), Draw(Seed) {}
 
   /// @brief Serves one request.
   /// @throws boost::system::system_error The caller is gone.
@@ -49,11 +50,6 @@
   /// @brief New requests are refused from now on.
   void stop() noexcept { Stopping = true; }
 
-  /// @brief Hears that an endpoint fell silent during a request.
-  void onSilence(std::function<void(const EndpointName &)> Told) {
-    Silent = std::move(Told);
-  }
-
   /// @brief What it has done.
   [[nodiscard]] const FleetRelayCounts &counts() const noexcept {
     return Counts;
@@ -99,9 +95,9 @@
   Router &Routing;
   HttpClient &Client;
   const CallerWire &Wire;
+  SilenceWatch &Silence;
   Random Draw;
   FleetRelayCounts Counts;
-  std::function<void(const EndpointName &)> Silent;
   bool Stopping = false;
 };
 
--- a/packages/process/src/coltsfoottrail/logging/event.cpp
+++ b/packages/process/src/coltsfoottrail/logging/event.cpp
@@ -90,6 +90,8 @@
      "An engine was given an order that concerns its seat in a group."},
     {Event::GroupChanged, LogLevel::Info, "group-changed",
      "A group was formed, taken over, lost a member or is over."},
+    {Event::MembersAsked, LogLevel::Info, "members-asked",
+     "A leader's streams fell silent and its members were asked."},
     {Event::ConfigInForce, LogLevel::Info, "config-in-force",
      "A version of the published configuration is in force on this host."},
     {Event::StoreLost, LogLevel::Warn, "store-lost",
--- a/packages/process/src/coltsfoottrail/logging/event.hpp
+++ b/packages/process/src/coltsfoottrail/logging/event.hpp
@@ -54,6 +54,7 @@
   DutyLost = 1521,
   SeatOrdered = 1522,
   GroupChanged = 1523,
+  MembersAsked = 1524,
   ConfigInForce = 1530,
   StoreLost = 1531,
   StoreRegained = 1532,
--- /dev/null
+++ b/packages/request/src/coltsfoottrail/silence/fwd.hpp
@@ -0,0 +1,12 @@
+/// @file
+/// Forward declarations of the silence module.
+#ifndef COLTSFOOTTRAIL_SILENCE_FWD_HPP
+#define COLTSFOOTTRAIL_SILENCE_FWD_HPP
+
+namespace coltsfoottrail {
+
+class SilenceWatch;
+
+} // namespace coltsfoottrail
+
+#endif
--- a/packages/version/src/coltsfoottrail/assembly/assembler.cpp
+++ b/packages/version/src/coltsfoottrail/assembly/assembler.cpp
@@ -3,6 +3,7 @@
 #include "coltsfoottrail/core/overloaded.hpp"
 
 #include <algorithm>
+#include <charconv>
 #include <cmath>
 #include <utility>
 
@@ -21,8 +22,9 @@
 constexpr int EarlyLoadFactor = 10;
 /// Expected time of a load when others slow it down, as a multiple.
 constexpr int CrowdedLoadFactor = 2;
-/// How long a suspicion from a request lasts.
-constexpr Duration SuspicionLife = seconds(4);
+/// How long an endpoint that did not answer counts as dead: by then its record
+/// has lapsed, or it has published itself again.
+constexpr Duration DeathLife = seconds(8);
 
 bool contains(const std::vector<ModelName> &Models, const ModelName &Which) {
   return std::find(Models.begin(), Models.end(), Which) != Models.end();
@@ -37,6 +39,36 @@
   return contains(Of.Staged, Model) ? JoinCost::Staged : JoinCost::Load;
 }
 
+/// A group's name tells its model and leader, so that whoever takes the duty
+/// over learns both from the seat of any member, also when the leader has moved
+/// on or is gone.
+std::string groupName(const ModelName &Model, const EndpointRecord &Leader) {
+  return Model.Text + "/" + std::to_string(Leader.Born) + "/" +
+         Leader.Name.Text;
+}
+
+struct NamedGroup {
+  ModelName Model;
+  std::uint64_t LeaderBorn = 0;
+  EndpointName Leader;
+};
+
+std::optional<NamedGroup> parseGroupName(std::string_view Name) {
+  const std::size_t First = Name.find('/');
+  const std::size_t Second = Name.find('/', First + 1);
+  if (First == std::string_view::npos || Second == std::string_view::npos)
+    return std::nullopt;
+  NamedGroup Out;
+  Out.Model = ModelName(Name.substr(0, First));
+  const std::string_view Born = Name.substr(First + 1, Second - First - 1);
+  const auto Parsed =
+      std::from_chars(Born.data(), Born.data() + Born.size(), Out.LeaderBorn);
+  Out.Leader = EndpointName(Name.substr(Second + 1));
+  if (Parsed.ec != std::errc{} || Out.Leader.empty())
+    return std::nullopt;
+  return Out;
+}
+
 /// Whether an endpoint has a seat: then a predecessor may have orders under way.
 bool anySeat(const AssemblyView &View) {
   const auto &All = View.Endpoints.all();
@@ -104,7 +136,9 @@
   });
   const auto Over = [&](const auto &Entry) { return Entry.second <= In.Now; };
   std::erase_if(LockedUntil, Over);
-  std::erase_if(SuspectUntil, Over);
+  std::erase_if(Dead, [&](const auto &Entry) {
+    return Entry.second.Until <= In.Now;
+  });
   for (const auto &[Name, Known] : In.View.Endpoints.all()) {
     const auto &Seat = Known.Record.Seat;
     const bool Seated = Seat && Seat->Phase != SeatPhase::Joining;
@@ -129,8 +163,10 @@
     if (Of.Members.size() <= Seat.Rank)
       Of.Members.resize(Seat.Rank + 1);
     Of.Members[Seat.Rank] = {Name, Record.Born};
-    if (!Record.Loaded.empty())
-      Of.Model = Record.Loaded.back();
+    if (const auto Named = parseGroupName(Seat.Group)) {
+      Of.Model = Named->Model;
+      Of.Members.front() = {Named->Leader, Named->LeaderBorn};
+    }
   }
   for (auto &[Epoch, Of] : Found) {
     if (const ServedModel *const Model = In.model(Of.Model);
@@ -162,11 +198,16 @@
   return Seating{Of.Record.Seat->Epoch, Of.Record.Seat->Phase};
 }
 
+bool Assembler::isDead(const KnownEndpoint &Of) const {
+  const auto Found = Dead.find(Of.Record.Name);
+  return Found != Dead.end() && Found->second.Born == Of.Record.Born;
+}
+
 /// Whether a member is there, in the same life, and seated in this group.
 bool Assembler::holds(const Pass &In, const Member &Of,
                       GroupEpoch Epoch) const {
   const KnownEndpoint *const Known = In.View.Endpoints.find(Of.Name);
-  if (Known == nullptr || Known->Record.Born != Of.Born)
+  if (Known == nullptr || Known->Record.Born != Of.Born || isDead(*Known))
     return false;
   const std::optional<Seating> Seat = seatOf(*Known);
   return Seat && Seat->Epoch == Epoch;
@@ -175,7 +216,7 @@
 bool Assembler::advanceGroup(Pass &In, Group &Of) {
   const Member &Leader = Of.Members.front();
   const KnownEndpoint *const Known = In.View.Endpoints.find(Leader.Name);
-  if (Known == nullptr)
+  if (Known == nullptr || isDead(*Known))
     return leaderGone(In, Of);
   const std::optional<Seating> Seat = seatOf(*Known);
   if (Known->Record.Born != Leader.Born || !Seat || Seat->Epoch != Of.Epoch) {
@@ -353,7 +394,7 @@
       In.View.Drained.contains(Record.DataCentre))
     return false;
   if (Pending.contains(Record.Name) || LockedUntil.contains(Record.Name) ||
-      SuspectUntil.contains(Record.Name) || Pacer.loads(Record.Name))
+      isDead(Of) || Pacer.loads(Record.Name))
     return false;
   return !Record.Seat || Retired.contains(Record.Seat->Epoch);
 }
@@ -409,8 +450,9 @@
       Next.Members.resize(Model.Size);
       for (const KnownEndpoint *const Each : Next.Members)
         Next.Loads += joinCost(Each->Record, Model.Name) == JoinCost::Load;
-      if (Next.Loads > 0 &&
-          !Pacer.admits(Next.Loads, In.View.CallersBegun, In.Now))
+      // A load takes a tenth of a minute and keeps the other members idle
+      // meanwhile: once callers have begun, weights are staged first.
+      if (Next.Loads > 0 && In.View.CallersBegun)
         continue;
       const auto Rank = [](const Candidate &Of) {
         return std::pair(Of.Loads > 0, -Of.Deficit);
@@ -438,7 +480,7 @@
 void Assembler::start(Pass &In, const Candidate &Chosen) {
   Group Of;
   Of.Epoch = In.View.Fence * EpochsPerFence + ++Counter;
-  Of.Name = "g" + std::to_string(Of.Epoch);
+  Of.Name = groupName(Chosen.Model->Name, Chosen.Members.front()->Record);
   Of.Model = Chosen.Model->Name;
   std::vector<EndpointName> Names;
   for (const KnownEndpoint *const Each : Chosen.Members) {
@@ -460,28 +502,51 @@
   Groups.emplace(Of.Epoch, std::move(Of));
 }
 
+/// Models in the order in which a domain should get weights for them.
+std::vector<const ServedModel *>
+Assembler::stagingOrder(const Pass &In,
+                        const std::vector<const KnownEndpoint *> &Free) const {
+  const std::map<ModelName, double> Missing = deficits(In);
+  const auto Staged = [&](const ServedModel &Model) {
+    return std::count_if(Free.begin(), Free.end(), [&](const auto *Each) {
+      return joinCost(Each->Record, Model.Name) != JoinCost::Load;
+    });
+  };
+  // First what lets a missing group be formed with the fewest loads, then what
+  // the domain has the fewest spares of.
+  const auto Rank = [&](const ServedModel &Model) {
+    const auto Have = Staged(Model);
+    const bool Wanted = Missing.at(Model.Name) > 0.0;
+    const auto Size = static_cast<std::ptrdiff_t>(Model.Size);
+    const std::ptrdiff_t Need = Wanted ? std::max<std::ptrdiff_t>(0, Size - Have)
+                                       : Size + Have;
+    return std::pair(!Wanted, Need);
+  };
+  std::vector<const ServedModel *> Out;
+  for (const ServedModel &Each : In.Engine.Models)
+    Out.push_back(&Each);
+  std::stable_sort(Out.begin(), Out.end(),
+                   [&](const ServedModel *Left, const ServedModel *Right) {
+                     return Rank(*Left) < Rank(*Right);
+                   });
+  return Out;
+}
+
 // Spares get the weights that their domain will need: a group is then whole
 // again after WarmTime, a tenth of LoadTime.
 void Assembler::stage(Pass &In, const FreeEndpoints &Free) {
   for (const auto &[Domain, Endpoints] : Free) {
-    std::map<ModelName, std::uint32_t> Staged;
-    for (const KnownEndpoint *const Each : Endpoints)
-      for (const ModelName &Model : Each->Record.Staged)
-        ++Staged[Model];
+    std::vector<const KnownEndpoint *> Counted = Endpoints;
     for (const KnownEndpoint *const Each : Endpoints) {
       if (!Each->Record.Staged.empty() ||
           !Pacer.admits(1, In.View.CallersBegun, In.Now))
         continue;
-      const auto Wanted = std::min_element(
-          In.Engine.Models.begin(), In.Engine.Models.end(),
-          [&](const ServedModel &Left, const ServedModel &Right) {
-            return Staged[Left.Name] < Staged[Right.Name];
-          });
-      if (Wanted == In.Engine.Models.end())
+      const std::vector<const ServedModel *> Order = stagingOrder(In, Counted);
+      if (Order.empty())
         return;
-      ++Staged[Wanted->Name];
-      Pacer.begin(Each->Record.Name, In.loadTime(*Wanted), In.Now);
-      In.order(*Each, StageModel{Wanted->Name});
+      Pacer.begin(Each->Record.Name, In.loadTime(*Order.front()), In.Now);
+      In.order(*Each, StageModel{Order.front()->Name});
+      std::erase(Counted, Each);
     }
   }
 }
@@ -531,8 +596,20 @@
       Order);
 }
 
-void Assembler::suspect(const EndpointName &Which, TimePoint Now) {
-  SuspectUntil[Which] = Now + SuspicionLife;
+void Assembler::declareDead(const KnownEndpoint &Which, TimePoint Now) {
+  Dead[Which.Record.Name] = {Which.Record.Born, Now + DeathLife};
+}
+
+std::vector<EndpointName>
+Assembler::membersWith(const EndpointName &Leader) const {
+  std::vector<EndpointName> Out;
+  for (const auto &[Epoch, Of] : Groups) {
+    if (Of.Members.front().Name != Leader)
+      continue;
+    for (const Member &Each : Of.Members)
+      Out.push_back(Each.Name);
+  }
+  return Out;
 }
 
 std::vector<GroupNote> Assembler::takeNotes() {
--- a/packages/version/src/coltsfoottrail/assembly/assembler.hpp
+++ b/packages/version/src/coltsfoottrail/assembly/assembler.hpp
@@ -98,9 +98,14 @@
   void ordered(const EndpointName &To, const SeatOrder &Order,
                OrderOutcome Outcome, TimePoint Now);
 
-  /// @brief A request shows that an endpoint does not answer: it is left out of
-  /// new groups, and its group counts as lost.
-  void suspect(const EndpointName &Which, TimePoint Now);
+  /// @brief An endpoint did not answer, while others did: it is left out of new
+  /// groups, and its group counts as lost, until its record lapses or shows
+  /// another life.
+  void declareDead(const KnownEndpoint &Which, TimePoint Now);
+
+  /// @brief Members of the groups that an endpoint leads.
+  [[nodiscard]] std::vector<EndpointName>
+  membersWith(const EndpointName &Leader) const;
 
   /// @brief Hands over what is worth a line in the log since the last call.
   [[nodiscard]] std::vector<GroupNote> takeNotes();
@@ -135,6 +140,10 @@
     TimePoint OrderedAt;
     bool Answered = false;
   };
+  struct Death {
+    std::uint64_t Born = 0;
+    TimePoint Until;
+  };
   /// An endpoint's seat by its record and by orders under way.
   struct Seating {
     GroupEpoch Epoch = 0;
@@ -170,6 +179,9 @@
   void form(Pass &In);
   void stage(Pass &In, const FreeEndpoints &Free);
   void start(Pass &In, const Candidate &Chosen);
+  [[nodiscard]] std::vector<const ServedModel *>
+  stagingOrder(const Pass &In,
+               const std::vector<const KnownEndpoint *> &Free) const;
   [[nodiscard]] FreeEndpoints freeEndpoints(const Pass &In) const;
   [[nodiscard]] std::optional<Candidate>
   bestCandidate(const Pass &In, const FreeEndpoints &Free) const;
@@ -177,6 +189,7 @@
   [[nodiscard]] bool isFree(const Pass &In, const KnownEndpoint &Of) const;
   [[nodiscard]] bool holds(const Pass &In, const Member &Of,
                            GroupEpoch Epoch) const;
+  [[nodiscard]] bool isDead(const KnownEndpoint &Of) const;
   [[nodiscard]] std::optional<Seating> seatOf(const KnownEndpoint &Of) const;
   void note(GroupFate Fate, const Group &Of, const EndpointName &Cause,
             std::string_view Why);
@@ -191,7 +204,7 @@
   std::map<EndpointName, PendingJoin> Pending;
   /// Endpoints that may not take a seat before a time.
   std::map<EndpointName, TimePoint> LockedUntil;
-  std::map<EndpointName, TimePoint> SuspectUntil;
+  std::map<EndpointName, Death> Dead;
   std::vector<GroupNote> Notes;
 };
 
