Let hosts tell the driver of silent leaders; wait for the fleet before the first groups

Cause: only the driver's own streams showed silence, and aborting them hid it; engines publish themselves over 3 s, and groups made of the first few cut the domains up.

--- a/packages/connection/src/coltsfoottrail/boundary/store.hpp
+++ b/packages/connection/src/coltsfoottrail/boundary/store.hpp
@@ -114,6 +114,11 @@
   [[nodiscard]] virtual Awaitable<std::variant<DutyGrant, StoreFailure>>
   joinDuty(DutyAsk Ask) = 0;
 
+  /// @brief Asks who has the duty.
+  /// @return The member's name; empty when nobody has it.
+  [[nodiscard]] virtual Awaitable<std::variant<std::string, StoreFailure>>
+  dutyHolder() = 0;
+
   /// @brief Gives the duty up.
   /// @param Member The member that asked for it.
   [[nodiscard]] virtual Awaitable<void> leaveDuty(std::string Member) = 0;
--- a/packages/connection/src/coltsfoottrail/http/client.cpp
+++ b/packages/connection/src/coltsfoottrail/http/client.cpp
@@ -27,11 +27,32 @@
   return std::max(Deadline - BootClock::now(), Duration::zero());
 }
 
+/// Whether the other side broke the connection, and not this one.
+bool lostConnection(const ErrorCode &Problem) {
+  return Problem != beast::error::timeout &&
+         Problem != asio::error::operation_aborted;
+}
+
 } // namespace
 
 class HttpCall::Connection {
 public:
   explicit Connection(asio::io_context &Context) : Stream(Context) {}
+  Connection(const Connection &) = delete;
+  Connection &operator=(const Connection &) = delete;
+  ~Connection() { leave(); }
+
+  /// Counts as in progress until leave(). The set must outlive the connection
+  /// or be empty.
+  using InProgress = std::multimap<EngineAddress, Connection *>;
+  void enter(const std::shared_ptr<InProgress> &All, const EngineAddress &To) {
+    Calls = All;
+    Place = All->emplace(To, this);
+  }
+  void leave() {
+    if (const auto All = std::exchange(Calls, {}).lock())
+      All->erase(Place);
+  }
 
   // Failure guarded against: an endpoint closes an idle connection, or a late
   // answer to an earlier request waits in it. Either shows as a readable
@@ -51,6 +72,10 @@
   beast::tcp_stream Stream;
   beast::flat_buffer Buffer{LargestBufferedBytes};
   TimePoint IdleSince{};
+
+private:
+  std::weak_ptr<InProgress> Calls;
+  InProgress::iterator Place;
 };
 
 struct HttpClient::Core {
@@ -80,6 +105,7 @@
       Kept.pop_front();
       --IdleCount;
     }
+    Used->leave();
     Used->Stream.expires_never();
     Used->IdleSince = BootClock::now();
     Kept.push_back(std::move(Used));
@@ -90,6 +116,8 @@
   ClientOptions Options;
   std::map<EngineAddress, std::deque<ConnectionPtr>> Idle;
   std::size_t IdleCount = 0;
+  std::shared_ptr<HttpCall::Connection::InProgress> Calls =
+      std::make_shared<HttpCall::Connection::InProgress>();
 };
 
 struct HttpCall::State {
@@ -128,7 +156,8 @@
       const bool TimedOut = Problem == beast::error::timeout;
       co_return CallFailure{
           RunState::MayHaveRun,
-          TimedOut ? Reason::EndpointTimedOut : Reason::EndpointCut, !TimedOut};
+          TimedOut ? Reason::EndpointTimedOut : Reason::EndpointCut,
+          lostConnection(Problem)};
     }
     const std::size_t Bytes = Call.Part.size() - Body.size;
     if (Bytes > 0) {
@@ -147,6 +176,13 @@
 
 HttpClient::~HttpClient() = default;
 
+std::size_t HttpClient::abort(const EngineAddress &To) {
+  const auto [First, Last] = Shared->Calls->equal_range(To);
+  for (auto Each = First; Each != Last; ++Each)
+    Each->second->Stream.cancel();
+  return static_cast<std::size_t>(std::distance(First, Last));
+}
+
 std::size_t HttpClient::idle() const noexcept { return Shared->IdleCount; }
 
 namespace {
@@ -188,6 +224,7 @@
       co_return CallFailure{RunState::NotRun, Reason::EndpointFailed, false};
     Link->Stream.socket().set_option(Tcp::no_delay(true), Problem);
   }
+  Link->enter(Own->Calls, To);
 
   const bool HeadOnly = Request.Method == "HEAD";
   const http::request<http::string_body> Message =
@@ -219,7 +256,7 @@
     co_return CallFailure{RunState::MayHaveRun,
                           TimedOut ? Reason::EndpointTimedOut
                                    : Reason::EndpointFailed,
-                          !TimedOut};
+                          lostConnection(Problem)};
   }
   Opened.Head.Status = Opened.Parser.get().result_int();
   for (const auto &Field : Opened.Parser.get())
--- a/packages/connection/src/coltsfoottrail/http/client.hpp
+++ b/packages/connection/src/coltsfoottrail/http/client.hpp
@@ -109,6 +109,11 @@
   fetch(EngineAddress To, HttpRequest Request, TimePoint Deadline,
         Reuse Mode = Reuse::Allowed);
 
+  /// @brief Ends all calls in progress to an address as cut; each learns so at
+  /// its next step.
+  /// @return How many there were.
+  std::size_t abort(const EngineAddress &To);
+
   /// @brief Connections that wait for reuse.
   [[nodiscard]] std::size_t idle() const noexcept;
 
--- a/packages/process/src/coltsfoottrail/fleethost/assemblydesk.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/assemblydesk.cpp
@@ -137,7 +137,6 @@
 void AssemblyDesk::look(TimePoint Now, const asio::any_io_executor &Executor) {
   if (!holds(Now) || !View.config())
     return;
-  askSilent(Now, Executor);
   for (const ServiceProfile &Service : View.config()->config().Services) {
     if (!Service.Engine || Service.Engine->Models.empty())
       continue;
@@ -198,26 +197,25 @@
   std::size_t Left = 0;
 };
 
-void AssemblyDesk::askSilent(TimePoint Now,
-                             const asio::any_io_executor &Executor) {
+void AssemblyDesk::askAbout(const std::string &Leader,
+                            const asio::any_io_executor &Executor) {
+  const TimePoint Now = BootClock::now();
   std::erase_if(NotAskedBefore,
                 [&](const auto &Entry) { return Entry.second <= Now; });
-  for (const std::string &Leader : Silence.allSilent(Now)) {
-    if (NotAskedBefore.contains(Leader))
-      continue;
-    auto Round = std::make_shared<Inquiry>();
-    Round->Leader = Leader;
-    for (auto &[Name, Each] : Assemblers)
-      for (const EndpointName &Member : Each.membersWith(EndpointName(Leader)))
-        Round->Members.push_back(Member);
-    if (Round->Members.empty())
-      continue;
-    NotAskedBefore[Leader] = Now + Pace.AskAgainAfter;
-    Round->Answered.resize(Round->Members.size());
-    Round->Left = Round->Members.size();
-    for (std::size_t Index = 0; Index < Round->Members.size(); ++Index)
-      asio::co_spawn(Executor, ask(Round, Index), asio::detached);
-  }
+  if (!holds(Now) || NotAskedBefore.contains(Leader))
+    return;
+  auto Round = std::make_shared<Inquiry>();
+  Round->Leader = Leader;
+  for (auto &[Name, Each] : Assemblers)
+    for (const EndpointName &Member : Each.membersWith(EndpointName(Leader)))
+      Round->Members.push_back(Member);
+  if (Round->Members.empty())
+    return;
+  NotAskedBefore[Leader] = Now + Pace.AskAgainAfter;
+  Round->Answered.resize(Round->Members.size());
+  Round->Left = Round->Members.size();
+  for (std::size_t Index = 0; Index < Round->Members.size(); ++Index)
+    asio::co_spawn(Executor, ask(Round, Index), asio::detached);
 }
 
 Awaitable<void> AssemblyDesk::ask(std::shared_ptr<Inquiry> Round,
@@ -235,17 +233,31 @@
     conclude(*Round);
 }
 
+bool AssemblyDesk::hearsNeighbours(const Inquiry &Round, TimePoint Now) const {
+  const KnownEndpoint *const Leader =
+      View.endpoints().find(EndpointName(Round.Leader));
+  if (Leader == nullptr)
+    return false;
+  for (const auto &[Name, Known] : View.endpoints().all())
+    if (Known.Record.DataCentre == Leader->Record.DataCentre &&
+        Name.Text != Round.Leader && Silence.moves(Name.Text, Now))
+      return true;
+  return false;
+}
+
 // Failure guarded against: this host is cut off from the engines, or its own
 // link loses packets, and it takes sound groups for broken. A member counts as
-// dead only if another member of the same group answered in the same round.
+// dead only if another member of the same group answered in the same round, or
+// streams from the same data centre move.
 void AssemblyDesk::conclude(const Inquiry &Round) {
   const auto Heard =
       std::count(Round.Answered.begin(), Round.Answered.end(), true);
+  const bool Credible = Heard > 0 || hearsNeighbours(Round, BootClock::now());
   std::string Dead;
   for (std::size_t Index = 0; Index < Round.Members.size(); ++Index) {
     const KnownEndpoint *const Known =
         View.endpoints().find(Round.Members[Index]);
-    if (Round.Answered[Index] || Known == nullptr || Heard == 0)
+    if (Round.Answered[Index] || Known == nullptr || !Credible)
       continue;
     Dead += (Dead.empty() ? "" : ",") + Round.Members[Index].Text;
     for (auto &[Name, Each] : Assemblers)
--- a/packages/process/src/coltsfoottrail/fleethost/assemblydesk.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/assemblydesk.hpp
@@ -67,17 +67,22 @@
   }
   /// @brief A caller's request has been seen.
   void callersBegun() noexcept { Begun = true; }
+  /// @brief An endpoint's streams fell silent: asks the members of the groups
+  /// that it leads, if this host drives them.
+  void askAbout(const std::string &Leader,
+                const boost::asio::any_io_executor &Executor);
   /// @brief Calls a function when the duty is gained or lost.
   void onDuty(std::function<void(bool)> Told) { Changed = std::move(Told); }
 
 private:
+  struct Inquiry;
+
   void take(const DutyGrant &Grant, TimePoint AskedAt);
   void look(TimePoint Now, const boost::asio::any_io_executor &Executor);
   [[nodiscard]] Awaitable<void> carryOut(SeatCommand Command,
                                          std::uint64_t Fence);
   void logNotes();
-  void askSilent(TimePoint Now, const boost::asio::any_io_executor &Executor);
-  struct Inquiry;
+  [[nodiscard]] bool hearsNeighbours(const Inquiry &Round, TimePoint Now) const;
   [[nodiscard]] Awaitable<void> ask(std::shared_ptr<Inquiry> Round,
                                     std::size_t Index);
   void conclude(const Inquiry &Round);
--- a/packages/process/src/coltsfoottrail/fleethost/host.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/host.cpp
@@ -23,7 +23,7 @@
 /// this only ends waits whose time is up.
 constexpr milliseconds BusyTick{20};
 /// The same while nothing waits; a cold endpoint counts as warm this late.
-constexpr milliseconds IdleTick{200};
+constexpr milliseconds IdleTick{100};
 /// Reads of the endpoints' feed cost a call each. The driver of the groups
 /// reads more often: a lost member is replaced this much sooner.
 constexpr milliseconds DriverSpacing{150};
@@ -74,7 +74,8 @@
 
 std::string memberName(const FleetSettings &Given) {
   const auto Since = std::chrono::system_clock::now().time_since_epoch();
-  return Given.Host.Text + "." + std::to_string(Since.count());
+  return dutyMemberName(Given.Peers, Given.Host.Text + "." +
+                                         std::to_string(Since.count()));
 }
 
 AssemblyTimes assemblyTimes(const FleetSettings &Given) {
@@ -116,6 +117,10 @@
                    took(Feed::Endpoints, std::move(Page), Whole, AskedAt);
                  },
                  [this](StoreFailure) { readFailed(Feed::Endpoints); }}),
+      Notices(Pool, Settings.Peers, Links.Store,
+              [this](const std::string &Endpoint) {
+                Desk.askAbout(Endpoint, Threads.context(0).get_executor());
+              }),
       Front(Pool, Settings.Callers.Address, Settings.Callers.Port,
             ServerLimits{}, frontHooks()),
       Readiness(Pool, Settings.Readiness.Address, Settings.Readiness.Port,
@@ -204,9 +209,31 @@
   Routing.setRoutes(Made.Table, Made.Shares, 1);
 }
 
+// Failure guarded against: a group stands still, and its callers wait until
+// each stream's own limit, those whose stream has not begun even longer. All
+// requests there are taken up elsewhere at once.
+void FleetHost::leaveSilent(TimePoint Now) {
+  for (const std::string &Name : Silence.allSilent(Now)) {
+    const EndpointName Which(Name);
+    const KnownEndpoint *const Known = View.endpoints().find(Which);
+    if (Known == nullptr || View.shuns(Which))
+      continue;
+    View.shun(Which, Now);
+    refreshRoutes();
+    const std::size_t Moved = Client.abort(Known->Record.Address);
+    logEvent(Event::EndpointSilent, {{"endpoint", Name}, {"moved", Moved}});
+    asio::io_context &Context = Threads.context(0);
+    if (Desk.holds(Now))
+      Desk.askAbout(Name, Context.get_executor());
+    else
+      asio::co_spawn(Context, Notices.tell(Name), asio::detached);
+  }
+}
+
 Awaitable<void> FleetHost::tick() {
   asio::steady_timer Pause(co_await asio::this_coro::executor);
   while (true) {
+    leaveSilent(BootClock::now());
     View.advance(BootClock::now());
     refreshRoutes();
     Routing.advance();
--- a/packages/process/src/coltsfoottrail/fleethost/host.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/host.hpp
@@ -8,6 +8,7 @@
 #include "coltsfoottrail/boundary/wire.hpp"
 #include "coltsfoottrail/fleethost/assemblydesk.hpp"
 #include "coltsfoottrail/fleethost/follower.hpp"
+#include "coltsfoottrail/fleethost/notices.hpp"
 #include "coltsfoottrail/fleethost/relay.hpp"
 #include "coltsfoottrail/fleethost/settings.hpp"
 #include "coltsfoottrail/fleethost/view.hpp"
@@ -61,6 +62,7 @@
   void readFailed(Feed Which);
   void logChanges(const FeedPage &Page) const;
   void refreshRoutes();
+  void leaveSilent(TimePoint Now);
   [[nodiscard]] Awaitable<void> tick();
   [[nodiscard]] Awaitable<void> runStop(std::function<void(std::size_t)> Done);
   [[nodiscard]] Awaitable<void> answerReadiness(Exchange &Call);
@@ -83,6 +85,7 @@
   std::uint64_t LoggedConfig = 0;
   bool StoreAnswers = true;
   bool Stopping = false;
+  SilenceNotices Notices;
   HttpServer Front;
   HttpServer Readiness;
   std::unique_ptr<HttpServer> MetricsServer;
--- a/packages/process/src/coltsfoottrail/fleethost/settings.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/settings.cpp
@@ -63,6 +63,7 @@
   Out.DataCentre = DataCentreName(Reader.text("data_centre"));
   Out.Callers = socketAddress(Reader, "callers");
   Out.Readiness = socketAddress(Reader, "readiness");
+  Out.Peers = socketAddress(Reader, "peers");
   Out.Store = socketAddress(Reader, "store");
   if (Reader.has("metrics"))
     Out.Metrics = socketAddress(Reader, "metrics");
--- a/packages/process/src/coltsfoottrail/fleethost/settings.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/settings.hpp
@@ -35,6 +35,8 @@
   SocketAddress Readiness;
   /// Nothing for no metrics.
   std::optional<SocketAddress> Metrics;
+  /// Where other entry hosts reach this one.
+  SocketAddress Peers;
   SocketAddress Store;
   FleetBounds Bounds;
 };
--- a/packages/process/src/coltsfoottrail/fleethost/view.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/view.cpp
@@ -16,6 +16,10 @@
 /// ten entry hosts and requests of 0.2 s or more this stays below 50 a second.
 constexpr std::uint32_t ColdShare = 1;
 
+/// How long a silent endpoint gets nothing new. By then the driver of the
+/// groups has asked its members and closed it, or it is sound.
+constexpr Duration ShunTime = milliseconds(2'000);
+
 std::string endpointKey(const EndpointRecord &Of) {
   std::string Out = Of.Name.Text + "#" + std::to_string(Of.Born);
   if (Of.Seat)
@@ -102,7 +106,16 @@
   ++Changes;
 }
 
-void FleetView::advance(TimePoint Now) { Catalogue.advance(Now); }
+void FleetView::shun(const EndpointName &Which, TimePoint Now) {
+  if (Shunned.insert_or_assign(Which, Now + ShunTime).second)
+    ++Changes;
+}
+
+void FleetView::advance(TimePoint Now) {
+  Catalogue.advance(Now);
+  Changes += std::erase_if(
+      Shunned, [&](const auto &Entry) { return Entry.second <= Now; });
+}
 
 // Failure guarded against: this host is cut off from the store, a credential is
 // withdrawn meanwhile, and its callers are served on. Once the last proof of
@@ -158,6 +171,8 @@
   Spec.WarmBound = std::max<std::uint32_t>(1, Record.Slots);
   Spec.Members = {Record.Address};
   Out.Shares[Spec.Key] = Known.Cold ? ColdShare : Spec.WarmBound;
+  if (shuns(Record.Name))
+    Out.Shares[Spec.Key] = 0;
   Pool->second.Endpoints.push_back(std::move(Spec));
 }
 
--- a/packages/process/src/coltsfoottrail/fleethost/view.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/view.hpp
@@ -43,6 +43,13 @@
             TimePoint Now);
   /// @brief A read of a feed failed.
   void failed(Feed Which, TimePoint Now);
+  /// @brief An endpoint's streams fell silent: it gets nothing new for a while,
+  /// or until its record changes.
+  void shun(const EndpointName &Which, TimePoint Now);
+  /// @brief Whether an endpoint gets nothing new for now.
+  [[nodiscard]] bool shuns(const EndpointName &Which) const {
+    return Shunned.contains(Which);
+  }
   /// @brief Does what time alone brings.
   void advance(TimePoint Now);
 
@@ -94,6 +101,7 @@
   TimePoint ConfigAsOf{};
   bool EndpointsKnown = false;
   std::uint64_t Changes = 0;
+  std::map<EndpointName, TimePoint> Shunned;
   std::map<Feed, std::uint32_t> FailuresInRow;
 };
 
--- a/packages/process/src/coltsfoottrail/logging/event.cpp
+++ b/packages/process/src/coltsfoottrail/logging/event.cpp
@@ -69,6 +69,8 @@
      "An endpoint takes work again."},
     {Event::EndpointCold, LogLevel::Info, "endpoint-cold",
      "An endpoint has just started and gets little work at first."},
+    {Event::EndpointSilent, LogLevel::Warn, "endpoint-silent",
+     "All streams of an endpoint stopped; its requests go elsewhere."},
     {Event::GroupBroken, LogLevel::Error, "group-broken",
      "A group lost a member and answers nothing."},
     {Event::GroupConfirmed, LogLevel::Info, "group-confirmed",
--- a/packages/process/src/coltsfoottrail/logging/event.hpp
+++ b/packages/process/src/coltsfoottrail/logging/event.hpp
@@ -43,6 +43,7 @@
   EndpointLost = 1401,
   EndpointBack = 1402,
   EndpointCold = 1403,
+  EndpointSilent = 1404,
   GroupBroken = 1410,
   GroupConfirmed = 1411,
   PlanTaken = 1501,
--- a/packages/request/src/coltsfoottrail/silence/silencewatch.cpp
+++ b/packages/request/src/coltsfoottrail/silence/silencewatch.cpp
@@ -24,6 +24,11 @@
   return Found != Streams.end() && Now - Found->second.HeardAt >= SilentAfter;
 }
 
+bool SilenceWatch::moves(std::string_view Endpoint, TimePoint Now) const {
+  const auto Found = Streams.find(Endpoint);
+  return Found != Streams.end() && Now - Found->second.HeardAt < SilentAfter;
+}
+
 std::vector<std::string> SilenceWatch::allSilent(TimePoint Now) const {
   std::vector<std::string> Out;
   for (const auto &[Endpoint, Its] : Streams)
--- a/packages/request/src/coltsfoottrail/silence/silencewatch.hpp
+++ b/packages/request/src/coltsfoottrail/silence/silencewatch.hpp
@@ -36,6 +36,8 @@
 
   /// @brief Whether an endpoint has streams and none of them moves.
   [[nodiscard]] bool silent(std::string_view Endpoint, TimePoint Now) const;
+  /// @brief Whether an endpoint has streams and at least one of them moves.
+  [[nodiscard]] bool moves(std::string_view Endpoint, TimePoint Now) const;
   /// @brief All endpoints that are silent.
   [[nodiscard]] std::vector<std::string> allSilent(TimePoint Now) const;
 
--- a/packages/version/src/coltsfoottrail/assembly/assembler.cpp
+++ b/packages/version/src/coltsfoottrail/assembly/assembler.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <charconv>
 #include <cmath>
+#include <tuple>
 #include <utility>
 
 namespace coltsfoottrail {
@@ -13,10 +14,6 @@
 
 /// Epochs of one fencing number; groups formed in one term stay far below.
 constexpr std::uint64_t EpochsPerFence = std::uint64_t{1} << 20U;
-/// Part of the engines that groups are made of; the rest are spares that
-/// replace lost members without a load. In each domain of nine engines this
-/// leaves two, as a crash takes one or two members.
-constexpr double SeatedPart = 0.8;
 /// Loads before the first caller take a tenth of their time; a bound of the
 /// platform.
 constexpr int EarlyLoadFactor = 10;
@@ -107,8 +104,20 @@
   Retired.clear();
   Pending.clear();
   LockedUntil.clear();
+  Staging.clear();
   Counter = 0;
   ActFrom = Now + Times.TakeOverPause;
+  BeganAt = Now;
+  FleetSize = 0;
+}
+
+bool Assembler::fleetSettled(const AssemblyView &View, TimePoint Now) {
+  const std::size_t Size = View.Endpoints.all().size();
+  if (Size > FleetSize)
+    GrewAt = Now;
+  FleetSize = Size;
+  return View.CallersBegun || Now - BeganAt >= Times.LongestSettle ||
+         (Size > 0 && Now - GrewAt >= Times.FleetSettle);
 }
 
 std::vector<SeatCommand> Assembler::plan(const AssemblyView &View,
@@ -121,7 +130,8 @@
   settle(In);
   adopt(In);
   watch(In);
-  form(In);
+  if (fleetSettled(View, Now))
+    form(In);
   return std::move(In.Out);
 }
 
@@ -142,7 +152,10 @@
   for (const auto &[Name, Known] : In.View.Endpoints.all()) {
     const auto &Seat = Known.Record.Seat;
     const bool Seated = Seat && Seat->Phase != SeatPhase::Joining;
-    if (Pacer.loads(Name) && Seated && !Pending.contains(Name))
+    const auto Told = Staging.find(Name);
+    const bool Staged =
+        Told != Staging.end() && contains(Known.Record.Staged, Told->second);
+    if (Pacer.loads(Name) && !Pending.contains(Name) && (Seated || Staged))
       Pacer.end(Name);
   }
 }
@@ -425,8 +438,8 @@
   }
   std::map<ModelName, double> Out;
   for (const ServedModel &Each : In.Engine.Models) {
-    const double Wanted = std::max(
-        1.0, std::round(Usable * SeatedPart * Each.Share / Each.Size));
+    const double Wanted =
+        std::max(1.0, std::ceil(Usable * Each.Share / Each.Size));
     Out[Each.Name] = (Wanted - Have[Each.Name]) / Wanted;
   }
   return Out;
@@ -454,8 +467,12 @@
       // meanwhile: once callers have begun, weights are staged first.
       if (Next.Loads > 0 && In.View.CallersBegun)
         continue;
+      for (const auto &[Name, Count] : groupsIn(In, Domain))
+        (Name == Model.Name ? Next.Alike : Next.Others) += Count;
+      // Domains of one model: whoever is left of a group there can replace a
+      // member of another without a load.
       const auto Rank = [](const Candidate &Of) {
-        return std::pair(Of.Loads > 0, -Of.Deficit);
+        return std::tuple(Of.Loads > 0, -Of.Deficit, Of.Others, -Of.Alike);
       };
       if (!Best || Rank(Next) < Rank(*Best))
         Best = std::move(Next);
@@ -502,53 +519,94 @@
   Groups.emplace(Of.Epoch, std::move(Of));
 }
 
-/// Models in the order in which a domain should get weights for them.
-std::vector<const ServedModel *>
-Assembler::stagingOrder(const Pass &In,
-                        const std::vector<const KnownEndpoint *> &Free) const {
+void Assembler::stage(Pass &In, const FreeEndpoints &Free) {
+  std::erase_if(Staging, [&](const auto &Entry) {
+    return !Pacer.loads(Entry.first);
+  });
+  for (const auto &[Domain, Endpoints] : Free) {
+    std::vector<const KnownEndpoint *> Left = Endpoints;
+    stageMissing(In, Domain, Left);
+    stageSpares(In, Domain, Left);
+  }
+}
+
+// Failure guarded against: engines that stayed behind in a domain have weights
+// of different models, no group can be formed of them, and they idle for the
+// rest of the day. Those that are lacking to a group load its weights.
+void Assembler::stageMissing(Pass &In, const DomainKey &Domain,
+                             std::vector<const KnownEndpoint *> &Free) {
   const std::map<ModelName, double> Missing = deficits(In);
-  const auto Staged = [&](const ServedModel &Model) {
-    return std::count_if(Free.begin(), Free.end(), [&](const auto *Each) {
-      return joinCost(Each->Record, Model.Name) != JoinCost::Load;
-    });
-  };
-  // First what lets a missing group be formed with the fewest loads, then what
-  // the domain has the fewest spares of.
-  const auto Rank = [&](const ServedModel &Model) {
-    const auto Have = Staged(Model);
-    const bool Wanted = Missing.at(Model.Name) > 0.0;
-    const auto Size = static_cast<std::ptrdiff_t>(Model.Size);
-    const std::ptrdiff_t Need = Wanted ? std::max<std::ptrdiff_t>(0, Size - Have)
-                                       : Size + Have;
-    return std::pair(!Wanted, Need);
+  for (const ServedModel &Model : In.Engine.Models) {
+    if (Missing.at(Model.Name) <= 0.0)
+      continue;
+    std::vector<const KnownEndpoint *> Lacking;
+    for (const KnownEndpoint *const Each : Free)
+      if (joinCost(Each->Record, Model.Name) == JoinCost::Load)
+        Lacking.push_back(Each);
+    const std::size_t Have = Free.size() - Lacking.size() +
+                             stagingIn(In, Domain, Model.Name);
+    if (Have >= Model.Size || Have + Lacking.size() < Model.Size)
+      continue;
+    Lacking.resize(Model.Size - Have);
+    for (const KnownEndpoint *const Each : Lacking)
+      if (stageAt(In, *Each, Model))
+        std::erase(Free, Each);
+  }
+}
+
+// Spares get the weights that most groups of their domain use: a group is then
+// whole again after WarmTime, a tenth of LoadTime.
+void Assembler::stageSpares(Pass &In, const DomainKey &Domain,
+                            const std::vector<const KnownEndpoint *> &Free) {
+  const std::map<ModelName, std::size_t> Groups = groupsIn(In, Domain);
+  const auto Used = [&](const ServedModel &Model) {
+    const auto Found = Groups.find(Model.Name);
+    return Found == Groups.end() ? std::size_t{0} : Found->second;
   };
-  std::vector<const ServedModel *> Out;
-  for (const ServedModel &Each : In.Engine.Models)
-    Out.push_back(&Each);
-  std::stable_sort(Out.begin(), Out.end(),
-                   [&](const ServedModel *Left, const ServedModel *Right) {
-                     return Rank(*Left) < Rank(*Right);
-                   });
-  return Out;
+  const auto Wanted = std::max_element(
+      In.Engine.Models.begin(), In.Engine.Models.end(),
+      [&](const ServedModel &Left, const ServedModel &Right) {
+        return Used(Left) < Used(Right);
+      });
+  if (Wanted == In.Engine.Models.end())
+    return;
+  for (const KnownEndpoint *const Each : Free)
+    if (Each->Record.Staged.empty())
+      stageAt(In, *Each, *Wanted);
 }
 
-// Spares get the weights that their domain will need: a group is then whole
-// again after WarmTime, a tenth of LoadTime.
-void Assembler::stage(Pass &In, const FreeEndpoints &Free) {
-  for (const auto &[Domain, Endpoints] : Free) {
-    std::vector<const KnownEndpoint *> Counted = Endpoints;
-    for (const KnownEndpoint *const Each : Endpoints) {
-      if (!Each->Record.Staged.empty() ||
-          !Pacer.admits(1, In.View.CallersBegun, In.Now))
-        continue;
-      const std::vector<const ServedModel *> Order = stagingOrder(In, Counted);
-      if (Order.empty())
-        return;
-      Pacer.begin(Each->Record.Name, In.loadTime(*Order.front()), In.Now);
-      In.order(*Each, StageModel{Order.front()->Name});
-      std::erase(Counted, Each);
-    }
+bool Assembler::stageAt(Pass &In, const KnownEndpoint &Where,
+                        const ServedModel &Model) {
+  if (!Pacer.admits(1, In.View.CallersBegun, In.Now))
+    return false;
+  Pacer.begin(Where.Record.Name, In.loadTime(Model), In.Now);
+  Staging[Where.Record.Name] = Model.Name;
+  In.order(Where, StageModel{Model.Name});
+  return true;
+}
+
+std::size_t Assembler::stagingIn(const Pass &In, const DomainKey &Domain,
+                                 const ModelName &Model) const {
+  return static_cast<std::size_t>(
+      std::count_if(Staging.begin(), Staging.end(), [&](const auto &Entry) {
+        const KnownEndpoint *const Its = In.View.Endpoints.find(Entry.first);
+        return Entry.second == Model && Its != nullptr &&
+               Its->Record.DataCentre == Domain.first &&
+               Its->Record.Domain == Domain.second;
+      }));
+}
+
+std::map<ModelName, std::size_t>
+Assembler::groupsIn(const Pass &In, const DomainKey &Domain) const {
+  std::map<ModelName, std::size_t> Out;
+  for (const auto &[Epoch, Of] : Groups) {
+    const KnownEndpoint *const Leader =
+        In.View.Endpoints.find(Of.Members.front().Name);
+    if (Leader != nullptr && Leader->Record.DataCentre == Domain.first &&
+        Leader->Record.Domain == Domain.second)
+      ++Out[Of.Model];
   }
+  return Out;
 }
 
 void Assembler::ordered(const EndpointName &To, const SeatOrder &Order,
@@ -588,8 +646,9 @@
               Of->LeaveTaken = Now;
           },
           [&](const StageModel &) {
-            if (Outcome != OrderOutcome::Taken &&
-                Outcome != OrderOutcome::Unknown)
+            // Unfit: it loads already, for an order of a predecessor.
+            if (Outcome == OrderOutcome::NotSent ||
+                Outcome == OrderOutcome::WrongEndpoint)
               Pacer.end(To);
           },
       },
--- a/packages/version/src/coltsfoottrail/assembly/assembler.hpp
+++ b/packages/version/src/coltsfoottrail/assembly/assembler.hpp
@@ -30,6 +30,12 @@
   /// After the duty was gained, records written under the predecessor are still
   /// on their way; one poll of the feed and a margin.
   Duration TakeOverPause = milliseconds(500);
+  /// Before the first caller, groups are formed once no endpoint has come for so
+  /// long: engines that start together publish themselves over about three
+  /// seconds, and groups made of the first few would cut domains up badly.
+  Duration FleetSettle = milliseconds(700);
+  /// At the latest this long after the duty was gained.
+  Duration LongestSettle = seconds(4);
   /// Beyond the time of its loads, for a group to become ready.
   Duration JoinSlack = seconds(4);
   /// How long an engine that did not join in time is left out.
@@ -155,12 +161,16 @@
     std::vector<const KnownEndpoint *> Members;
     std::uint32_t Loads = 0;
     double Deficit = 0.0;
+    /// Groups in the domain that serve other models, and this one.
+    std::size_t Others = 0;
+    std::size_t Alike = 0;
   };
   using DomainKey = std::pair<DataCentreName, FabricDomainName>;
   using FreeEndpoints =
       std::map<DomainKey, std::vector<const KnownEndpoint *>>;
   struct Pass;
 
+  [[nodiscard]] bool fleetSettled(const AssemblyView &View, TimePoint Now);
   void settle(const Pass &In);
   void adopt(const Pass &In);
   void watch(Pass &In);
@@ -179,9 +189,17 @@
   void form(Pass &In);
   void stage(Pass &In, const FreeEndpoints &Free);
   void start(Pass &In, const Candidate &Chosen);
-  [[nodiscard]] std::vector<const ServedModel *>
-  stagingOrder(const Pass &In,
-               const std::vector<const KnownEndpoint *> &Free) const;
+  void stageMissing(Pass &In, const DomainKey &Domain,
+                    std::vector<const KnownEndpoint *> &Free);
+  void stageSpares(Pass &In, const DomainKey &Domain,
+                   const std::vector<const KnownEndpoint *> &Free);
+  bool stageAt(Pass &In, const KnownEndpoint &Where, const ServedModel &Model);
+  /// @return Groups of a domain by model.
+  [[nodiscard]] std::map<ModelName, std::size_t>
+  groupsIn(const Pass &In, const DomainKey &Domain) const;
+  /// @return Endpoints of a domain that load a model's weights now.
+  [[nodiscard]] std::size_t stagingIn(const Pass &In, const DomainKey &Domain,
+                                      const ModelName &Model) const;
   [[nodiscard]] FreeEndpoints freeEndpoints(const Pass &In) const;
   [[nodiscard]] std::optional<Candidate>
   bestCandidate(const Pass &In, const FreeEndpoints &Free) const;
@@ -197,6 +215,10 @@
   AssemblyTimes Times;
   LoadPacer Pacer;
   TimePoint ActFrom;
+  TimePoint BeganAt;
+  /// Endpoints known, and when one more came.
+  std::size_t FleetSize = 0;
+  TimePoint GrewAt;
   std::uint64_t Counter = 0;
   std::map<GroupEpoch, Group> Groups;
   /// Epochs of groups that are over: seats that still name them are free.
@@ -205,6 +227,8 @@
   /// Endpoints that may not take a seat before a time.
   std::map<EndpointName, TimePoint> LockedUntil;
   std::map<EndpointName, Death> Dead;
+  /// Models whose weights endpoints were told to load.
+  std::map<EndpointName, ModelName> Staging;
   std::vector<GroupNote> Notes;
 };
 
