--- a/packages/process/src/coltsfoottrail/fleethost/host.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/host.cpp
@@ -27,12 +27,16 @@
 /// Reads of the endpoints' feed cost a call each. The driver of the groups
 /// reads more often: a lost member is replaced this much sooner.
 constexpr milliseconds DriverSpacing{150};
-constexpr milliseconds FollowerSpacing{400};
+constexpr milliseconds FollowerSpacing{700};
 /// The balancer asks once a second and needs two misses; a little more.
 constexpr milliseconds BalancerNotices{2'600};
 /// Kept free of the time to stop, for answers on their way.
 constexpr milliseconds StopMargin{500};
 constexpr milliseconds StopPoll{50};
+/// How long the store may hold back a read of the operators' feed. A connection
+/// that goes silent is noticed this much and a second later, which leaves time
+/// for one more try before credentials count as stale.
+constexpr milliseconds OperatorsWait{1'500};
 /// Beyond these a request waits in the caller instead.
 constexpr std::size_t MostWaiting = 256;
 constexpr std::size_t MostWaitingBytes = std::size_t{4} << 20U;
@@ -86,7 +90,7 @@
 
 FollowTimes operatorTimes() {
   FollowTimes Out;
-  Out.Wait = milliseconds(900);
+  Out.Wait = OperatorsWait;
   return Out;
 }
 
--- a/packages/version/src/coltsfoottrail/assembly/assembler.hpp
+++ b/packages/version/src/coltsfoottrail/assembly/assembler.hpp
@@ -21,9 +21,9 @@
   /// A leader whose member is lost stands still for this long and is then
   /// broken; a bound of the platform.
   Duration StallTime = seconds(5);
-  /// Beyond StallTime, for clocks and messages: an order that was taken is
-  /// carried out within a second of its answer.
-  Duration StallMargin = milliseconds(1500);
+  /// Beyond StallTime, for clocks that differ in speed and for the answer on its
+  /// way: a leave takes effect before it is answered.
+  Duration StallMargin = milliseconds(600);
   /// An order whose effect is not seen is given again after this: several round
   /// trips and two polls of the feed.
   Duration OrderRetry = milliseconds(900);
@@ -161,8 +161,7 @@
     std::vector<const KnownEndpoint *> Members;
     std::uint32_t Loads = 0;
     double Deficit = 0.0;
-    /// Groups in the domain that serve other models, and this one.
-    std::size_t Others = 0;
+    /// Groups in the domain that serve the same model.
     std::size_t Alike = 0;
   };
   using DomainKey = std::pair<DataCentreName, FabricDomainName>;
