End staged loads when the weights are there; leave seats on retire; say where engines stand

Cause: a staged load counted as ended when a stale seat was seen, and was ordered again each 100 ms; dead engines kept load places.

--- a/packages/process/src/coltsfoottrail/fleethost/assemblydesk.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/assemblydesk.cpp
@@ -150,10 +150,33 @@
     for (SeatCommand &Command : Found->second.plan(Seen, Now))
       asio::co_spawn(Executor, carryOut(std::move(Command), Fence),
                      asio::detached);
+    logSummary(Found->second, Seen, Now);
   }
+  if (Now >= SummaryDue)
+    SummaryDue = Now + Pace.SummaryEvery;
   logNotes();
 }
 
+void AssemblyDesk::logSummary(const Assembler &Of, const AssemblyView &Seen,
+                              TimePoint Now) {
+  if (Now < SummaryDue)
+    return;
+  for (const DomainSummary &Each : Of.summary(Seen, Now)) {
+    std::string With;
+    for (const auto &[Model, Count] : Each.FreeWith)
+      With += (With.empty() ? "" : ",") + Model.Text + ":" +
+              std::to_string(Count);
+    logEvent(Event::DomainState, {{"data_centre", Each.DataCentre},
+                                  {"domain", Each.Domain},
+                                  {"open", Each.Open},
+                                  {"other_seats", Each.OtherSeats},
+                                  {"free", Each.Free},
+                                  {"free_with", With},
+                                  {"loading", Each.Loading},
+                                  {"locked", Each.Locked}});
+  }
+}
+
 Awaitable<void> AssemblyDesk::carryOut(SeatCommand Command,
                                        std::uint64_t Term) {
   const EndpointName To = Command.To;
--- a/packages/process/src/coltsfoottrail/fleethost/assemblydesk.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/assemblydesk.hpp
@@ -35,6 +35,8 @@
   milliseconds AnswerWithin{250};
   /// A leader whose members all answered is not asked about again for so long.
   milliseconds AskAgainAfter{1'500};
+  /// Between two lines in the log on where the engines stand.
+  milliseconds SummaryEvery{5'000};
   /// Kept free of the lease, so that an order arrives inside it.
   milliseconds LeaseMargin{300};
 };
@@ -82,6 +84,8 @@
   [[nodiscard]] Awaitable<void> carryOut(SeatCommand Command,
                                          std::uint64_t Fence);
   void logNotes();
+  void logSummary(const Assembler &Of, const AssemblyView &Seen,
+                  TimePoint Now);
   [[nodiscard]] bool hearsNeighbours(const Inquiry &Round, TimePoint Now) const;
   [[nodiscard]] Awaitable<void> ask(std::shared_ptr<Inquiry> Round,
                                     std::size_t Index);
@@ -102,6 +106,7 @@
   bool Held = false;
   bool Leaving = false;
   TimePoint HeldUntil{};
+  TimePoint SummaryDue{};
   bool Begun = false;
   /// Leaders whose members are not asked before a time.
   std::map<std::string, TimePoint> NotAskedBefore;
--- a/packages/process/src/coltsfoottrail/logging/event.cpp
+++ b/packages/process/src/coltsfoottrail/logging/event.cpp
@@ -94,6 +94,8 @@
      "A group was formed, taken over, lost a member or is over."},
     {Event::MembersAsked, LogLevel::Info, "members-asked",
      "A leader's streams fell silent and its members were asked."},
+    {Event::DomainState, LogLevel::Info, "domain-state",
+     "Where the engines of a fabric domain stand, every few seconds."},
     {Event::ConfigInForce, LogLevel::Info, "config-in-force",
      "A version of the published configuration is in force on this host."},
     {Event::StoreLost, LogLevel::Warn, "store-lost",
--- a/packages/process/src/coltsfoottrail/logging/event.hpp
+++ b/packages/process/src/coltsfoottrail/logging/event.hpp
@@ -56,6 +56,7 @@
   SeatOrdered = 1522,
   GroupChanged = 1523,
   MembersAsked = 1524,
+  DomainState = 1525,
   ConfigInForce = 1530,
   StoreLost = 1531,
   StoreRegained = 1532,
--- a/packages/version/src/coltsfoottrail/assembly/assembler.cpp
+++ b/packages/version/src/coltsfoottrail/assembly/assembler.cpp
@@ -17,8 +17,9 @@
 /// Loads before the first caller take a tenth of their time; a bound of the
 /// platform.
 constexpr int EarlyLoadFactor = 10;
-/// Expected time of a load when others slow it down, as a multiple.
-constexpr int CrowdedLoadFactor = 2;
+/// Time after which a load must have ended, as a multiple of its usual time: the
+/// number of loads at once is kept, so that hardly anything slows them.
+constexpr double LoadTimeFactor = 1.25;
 /// How long an endpoint that did not answer counts as dead: by then its record
 /// has lapsed, or it has published itself again.
 constexpr Duration DeathLife = seconds(8);
@@ -95,7 +96,7 @@
   [[nodiscard]] Duration loadTime(const ServedModel &Of) const {
     const milliseconds Plain =
         View.CallersBegun ? Of.LoadTime : Of.LoadTime / EarlyLoadFactor;
-    return Plain * CrowdedLoadFactor;
+    return std::chrono::duration_cast<Duration>(Plain * LoadTimeFactor);
   }
 };
 
@@ -126,7 +127,7 @@
     return {};
   Pass In{View, *View.Service.Engine, Now, {}};
   Pacer.bound(In.Engine.LoadsPerSecond, In.Engine.LoadsAtOnce);
-  Pacer.advance(Now);
+  Pacer.advance(View.Endpoints, Now);
   settle(In);
   adopt(In);
   watch(In);
@@ -150,12 +151,15 @@
     return Entry.second.Until <= In.Now;
   });
   for (const auto &[Name, Known] : In.View.Endpoints.all()) {
+    if (!Pacer.loads(Name) || Pending.contains(Name))
+      continue;
     const auto &Seat = Known.Record.Seat;
-    const bool Seated = Seat && Seat->Phase != SeatPhase::Joining;
     const auto Told = Staging.find(Name);
-    const bool Staged =
-        Told != Staging.end() && contains(Known.Record.Staged, Told->second);
-    if (Pacer.loads(Name) && !Pending.contains(Name) && (Seated || Staged))
+    const bool Done =
+        Told != Staging.end()
+            ? contains(Known.Record.Staged, Told->second)
+            : !Seat || Seat->Phase != SeatPhase::Joining;
+    if (Done)
       Pacer.end(Name);
   }
 }
@@ -297,6 +301,12 @@
   if (Of.LeaveTaken) {
     if (In.Now < *Of.LeaveTaken + Times.StallTime + Times.StallMargin)
       return false;
+    // Without their seats, a successor in the duty takes the members for free
+    // at once, and does not wait for this leader all over again.
+    for (const Member &Each : Of.Members)
+      if (holds(In, Each, Of.Epoch) && !Pending.contains(Each.Name))
+        In.order(*In.View.Endpoints.find(Each.Name),
+                 LeaveSeat{Of.Name, Of.Epoch});
     retire(Of, "the leader has stood still for long enough");
     return true;
   }
@@ -509,7 +519,7 @@
   }
   Duration Expected = Chosen.Model->WarmTime;
   if (Chosen.Loads > 0)
-    Expected = std::max(Expected, In.loadTime(*Chosen.Model));
+    Expected = std::max<Duration>(Expected, In.loadTime(*Chosen.Model));
   Of.JoinBy = In.Now + Expected * 2 + Times.JoinSlack;
   for (const KnownEndpoint *const Each : Chosen.Members) {
     if (joinCost(Each->Record, Of.Model) == JoinCost::Load)
@@ -674,6 +684,42 @@
   return Out;
 }
 
+std::vector<DomainSummary> Assembler::summary(const AssemblyView &View,
+                                               TimePoint Now) const {
+  const Pass In{View, *View.Service.Engine, Now, {}};
+  std::map<DomainKey, DomainSummary> Out;
+  std::map<GroupEpoch, SeatPhase> Phases;
+  for (const auto &[Name, Known] : View.Endpoints.all())
+    if (Known.Record.Seat && Known.Record.Seat->Rank == 0)
+      Phases[Known.Record.Seat->Epoch] = Known.Record.Seat->Phase;
+  for (const auto &[Name, Known] : View.Endpoints.all()) {
+    const EndpointRecord &Record = Known.Record;
+    if (Record.Service != View.Service.Name)
+      continue;
+    DomainSummary &Its = Out[{Record.DataCentre, Record.Domain}];
+    Its.DataCentre = Record.DataCentre;
+    Its.Domain = Record.Domain;
+    if (Pacer.loads(Name))
+      ++Its.Loading;
+    else if (isFree(In, Known)) {
+      ++Its.Free;
+      for (const ModelName &Model : Record.Staged)
+        ++Its.FreeWith[Model];
+    } else if (LockedUntil.contains(Name) || isDead(Known))
+      ++Its.Locked;
+    else if (Record.Seat) {
+      const auto Phase = Phases.find(Record.Seat->Epoch);
+      const bool Open =
+          Phase != Phases.end() && Phase->second == SeatPhase::Open;
+      ++(Open ? Its.Open : Its.OtherSeats);
+    }
+  }
+  std::vector<DomainSummary> List;
+  for (auto &[Domain, Its] : Out)
+    List.push_back(std::move(Its));
+  return List;
+}
+
 std::vector<GroupNote> Assembler::takeNotes() {
   return std::exchange(Notes, {});
 }
--- a/packages/version/src/coltsfoottrail/assembly/assembler.hpp
+++ b/packages/version/src/coltsfoottrail/assembly/assembler.hpp
@@ -75,6 +75,21 @@
   std::string_view Why;
 };
 
+/// @brief Where the endpoints of one fabric domain stand.
+struct DomainSummary {
+  DataCentreName DataCentre;
+  FabricDomainName Domain;
+  /// Endpoints whose records show a seat, by its phase.
+  std::uint32_t Open = 0;
+  std::uint32_t OtherSeats = 0;
+  /// Endpoints that could take a seat, and the weights that they have.
+  std::uint32_t Free = 0;
+  std::map<ModelName, std::uint32_t> FreeWith;
+  /// Endpoints that load weights, and those that must not take a seat yet.
+  std::uint32_t Loading = 0;
+  std::uint32_t Locked = 0;
+};
+
 /// @brief Forms and repairs the groups of one service. Pure: takes the
 /// endpoints' records and a time, answers orders. Not thread-safe; times must
 /// not go back.
@@ -113,6 +128,10 @@
   [[nodiscard]] std::vector<EndpointName>
   membersWith(const EndpointName &Leader) const;
 
+  /// @brief Tells where the endpoints stand, by domain.
+  [[nodiscard]] std::vector<DomainSummary>
+  summary(const AssemblyView &View, TimePoint Now) const;
+
   /// @brief Hands over what is worth a line in the log since the last call.
   [[nodiscard]] std::vector<GroupNote> takeNotes();
 
--- a/packages/version/src/coltsfoottrail/assembly/loadpacer.cpp
+++ b/packages/version/src/coltsfoottrail/assembly/loadpacer.cpp
@@ -29,11 +29,14 @@
   UnderWay[Where] = Now + Expected;
 }
 
-void LoadPacer::advance(TimePoint Now) {
+void LoadPacer::advance(const EndpointCatalogue &Endpoints, TimePoint Now) {
   while (!Begun.empty() && Now - Begun.front() >= Window)
     Begun.pop_front();
-  std::erase_if(UnderWay,
-                [&](const auto &Entry) { return Entry.second <= Now; });
+  // Failure guarded against: engines that die while they load keep the places
+  // of loads that would replace them.
+  std::erase_if(UnderWay, [&](const auto &Entry) {
+    return Entry.second <= Now || Endpoints.find(Entry.first) == nullptr;
+  });
 }
 
 } // namespace coltsfoottrail
--- a/packages/version/src/coltsfoottrail/assembly/loadpacer.hpp
+++ b/packages/version/src/coltsfoottrail/assembly/loadpacer.hpp
@@ -4,7 +4,7 @@
 #define COLTSFOOTTRAIL_ASSEMBLY_LOADPACER_HPP
 
 #include "coltsfoottrail/core/time.hpp"
-#include "coltsfoottrail/fleet/endpoint.hpp"
+#include "coltsfoottrail/fleet/catalogue.hpp"
 
 #include <deque>
 #include <map>
@@ -43,8 +43,10 @@
   [[nodiscard]] bool loads(const EndpointName &Where) const {
     return UnderWay.contains(Where);
   }
-  /// @brief Forgets loads that must have ended.
-  void advance(TimePoint Now);
+  /// @brief Forgets loads that must have ended, and those of endpoints that are
+  /// gone.
+  /// @param Endpoints Those that are there.
+  void advance(const EndpointCatalogue &Endpoints, TimePoint Now);
 
 private:
   double Rate = 1.0;
