--- a/packages/process/src/coltsfoottrail/fleethost/host.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/host.cpp
@@ -63,6 +63,7 @@
   EstimatedWaitPolicy Policy;
   Policy.HintSets = HintSets;
   Policy.UseRing = false;
+  Policy.FullByLoad = true;
   Out.Policy = Policy;
   Out.Retries.Budget.Ratio = Given.Bounds.RetryRatio * RetryRatioUsed;
   Out.Retries.Budget.DataCentreRatio = Given.Bounds.RetryRatio;
--- a/packages/process/src/coltsfoottrail/fleethost/relay.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/relay.cpp
@@ -33,6 +33,21 @@
 constexpr Duration ShortestSilence = milliseconds(500);
 constexpr Duration LongestSilence = milliseconds(1500);
 
+/// A request with less of its route's time than this has been refused before:
+/// callers come back no sooner than a tenth of a second later.
+constexpr double CameBackPart = 0.985;
+/// How long a request waits for a place while it can still be on time, as a
+/// part of its target latency: the rest goes to reading the prompt.
+constexpr double FreshWaitPart = 0.35;
+/// One that has come back is late anyway. It fills places that no other needs,
+/// for a part of the time that it has left: refused again, it is lost.
+constexpr double LateWaitPart = 0.4;
+constexpr Duration LongestLateWait = milliseconds(1'500);
+/// When to come back, as a part of the time left: later than a third of it
+/// callers do not wait, and a group is repaired in two to four seconds.
+constexpr double ComeBackPart = 0.3;
+constexpr milliseconds LatestComeBack{1'500};
+
 bool isSuccess(unsigned Status) {
   return Status >= StatusOk && Status < StatusFirstOther;
 }
@@ -72,12 +87,6 @@
                               LongestSilence);
 }
 
-Priority urgencyOf(std::uint32_t Rank) {
-  if (Rank == 0)
-    return Priority::Urgent;
-  return Rank <= 2 ? Priority::Normal : Priority::Batch;
-}
-
 /// Tells the watch of one stream, however it ends.
 class StreamMark {
 public:
@@ -143,6 +152,7 @@
   if (Asked.Said.Patience)
     Patience = std::min(Patience, *Asked.Said.Patience);
   Asked.AnswerBy = Asked.ArrivedAt + Patience;
+  Asked.CameBack = Patience < Asked.Route->Timeout * CameBackPart;
   return std::nullopt;
 }
 
@@ -183,8 +193,17 @@
                             const Work &Asked) const {
   WorkItem Out;
   Out.Team = Asked.Team;
-  Out.Urgency = urgencyOf(Asked.Route->Priority);
+  Out.Urgency = Asked.CameBack ? Priority::Batch : Priority::Normal;
   Out.Deadline = Asked.AnswerBy;
+  const Duration Left = Asked.AnswerBy - Asked.ArrivedAt;
+  const Duration Wait =
+      Asked.CameBack
+          ? std::min<Duration>(LongestLateWait,
+                               std::chrono::duration_cast<Duration>(
+                                   Left * LateWaitPart))
+          : std::chrono::duration_cast<Duration>(Asked.Route->TargetLatency *
+                                                 FreshWaitPart);
+  Out.StartBy = Asked.ArrivedAt + Wait;
   Out.Repeatable = Asked.Route->repeatable();
   Out.Fingerprint =
       hashText(Request.Body,
@@ -380,6 +399,19 @@
   co_await Call.respond(std::move(Out));
 }
 
+// Callers that were refused together would come back together: the time is
+// drawn from its upper half.
+milliseconds FleetRelay::comeBackAfter(const Work &Asked) {
+  if (!View.credentialsFresh(BootClock::now()) || Stopping)
+    return ElsewhereRetryAfter;
+  const Duration Left = Asked.AnswerBy - BootClock::now();
+  const auto Most = std::min<Duration>(
+      LatestComeBack, std::chrono::duration_cast<Duration>(Left * ComeBackPart));
+  const double Part = 0.5 + 0.5 * Draw.fraction();
+  return std::max(milliseconds(1),
+                  std::chrono::duration_cast<milliseconds>(Most * Part));
+}
+
 HttpResponse FleetRelay::refusal(const Work &Asked, const Verdict &Final) {
   const bool NotRun = Final.State == RunState::NotRun;
   if (NotRun)
@@ -396,8 +428,10 @@
       Status, R"({"verdict":")" + std::string(runStateCode(Final.State)) +
                   R"(","reason":")" + std::string(reasonCode(Final.Why)) +
                   "\"}");
-  if (NotRun && Final.RetryAfter)
-    Out.Fields.push_back({"Retry-After", secondsText(*Final.RetryAfter)});
+  if (NotRun)
+    Out.Fields.push_back({"Retry-After", secondsText(Asked.Route != nullptr
+                                                         ? comeBackAfter(Asked)
+                                                         : ElsewhereRetryAfter)});
   Wire.mark(Out, Asked.Said.Id);
   return Out;
 }
--- a/packages/process/src/coltsfoottrail/fleethost/relay.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/relay.hpp
@@ -65,6 +65,8 @@
     TeamName Team;
     TimePoint ArrivedAt;
     TimePoint AnswerBy;
+    /// The caller was refused before and comes again: its time has run on.
+    bool CameBack = false;
     std::string Pool;
     /// Endpoints that may have run it.
     std::uint32_t Runs = 0;
@@ -76,6 +78,7 @@
   [[nodiscard]] std::optional<HttpResponse> admit(const HttpRequest &Request,
                                                   Work &Asked);
   [[nodiscard]] std::optional<HttpResponse> choosePool(Work &Asked);
+  [[nodiscard]] milliseconds comeBackAfter(const Work &Asked);
   [[nodiscard]] WorkItem itemOf(const HttpRequest &Request,
                                 const Work &Asked) const;
   [[nodiscard]] Awaitable<void> route(Exchange &Call, Work &Asked);
--- a/packages/request/src/coltsfoottrail/choice/chooser.cpp
+++ b/packages/request/src/coltsfoottrail/choice/chooser.cpp
@@ -114,7 +114,25 @@
   considerDrawn(Listing::Near, Chosen.NearProbes, Chosen, Query, Now, Found);
   considerDrawn(Listing::Far, Chosen.FarProbes + Moved, Chosen, Query, Now,
                 Found);
-  return Found.Which ? Found.Which : anyEligible(Query);
+  if (Found.Which || !Chosen.FullByLoad)
+    return Found.Which ? Found.Which : anyEligible(Query);
+  return anyBelowBound(Chosen, Query, Now);
+}
+
+bool Chooser::isFull(CandidateId Which, const EstimatedWaitPolicy &Chosen,
+                     TimePoint Now) const {
+  const Candidate &Endpoint = *Table.find(Which);
+  return Chosen.FullByLoad && Endpoint.Load.load(Now) >= Endpoint.Bound;
+}
+
+std::optional<CandidateId>
+Chooser::anyBelowBound(const EstimatedWaitPolicy &Chosen,
+                       const ChoiceQuery &Query, TimePoint Now) const {
+  for (const Listing From : {Listing::Near, Listing::Far})
+    for (const CandidateId Which : Table.listed(From))
+      if (eligible(Which, Query) && !isFull(Which, Chosen, Now))
+        return Which;
+  return std::nullopt;
 }
 
 // Failure guarded against: an endpoint that was ejected stays out for ever,
@@ -210,7 +228,7 @@
                        const EstimatedWaitPolicy &Chosen,
                        const ChoiceQuery &Query, TimePoint Now,
                        Best &Found) const {
-  if (!eligible(Which, Query))
+  if (!eligible(Which, Query) || isFull(Which, Chosen, Now))
     return;
   const double Score = score(*Table.find(Which), Saving, Chosen, Query, Now);
   if (Found.Which && Found.Score <= Score)
--- a/packages/request/src/coltsfoottrail/choice/chooser.hpp
+++ b/packages/request/src/coltsfoottrail/choice/chooser.hpp
@@ -156,6 +156,12 @@
   pick(const LeastInFlightPolicy &Chosen, const ChoiceQuery &Query,
        TimePoint Now);
 
+  [[nodiscard]] bool isFull(CandidateId Which,
+                            const EstimatedWaitPolicy &Chosen,
+                            TimePoint Now) const;
+  [[nodiscard]] std::optional<CandidateId>
+  anyBelowBound(const EstimatedWaitPolicy &Chosen, const ChoiceQuery &Query,
+                TimePoint Now) const;
   [[nodiscard]] bool eligible(CandidateId Which,
                               const ChoiceQuery &Query) const;
   [[nodiscard]] bool mayCache(const Candidate &Endpoint,
--- a/packages/request/src/coltsfoottrail/choice/policy.hpp
+++ b/packages/request/src/coltsfoottrail/choice/policy.hpp
@@ -59,6 +59,11 @@
   std::uint64_t ForgetGap = 16;
   /// Whether a prefix without a hint goes to its place on the hash ring.
   bool UseRing = true;
+  /// Whether an endpoint is full when its load, as reported and corrected by
+  /// own requests since, reaches its bound. For entry hosts that share
+  /// endpoints without shares of their own: their reports are all they know of
+  /// each other.
+  bool FullByLoad = false;
   EjectionLimits Ejection;
 };
 
--- a/packages/request/src/coltsfoottrail/dispatch/dispatcher.cpp
+++ b/packages/request/src/coltsfoottrail/dispatch/dispatcher.cpp
@@ -46,6 +46,13 @@
   }
 }
 
+/// Why a request whose latest start has passed is refused.
+Reason expiryOf(const WorkItem &Item, TimePoint Now) {
+  if (Item.Deadline <= Now)
+    return Reason::DeadlinePassed;
+  return Item.StartBy <= Now ? Reason::Overloaded : Reason::DeadlineTooShort;
+}
+
 QueueLimits queueLimits(const DispatcherOptions &Limits) {
   QueueLimits Out;
   Out.MaxWaiting = Limits.MaxWaiting;
@@ -144,8 +151,10 @@
 }
 
 TimePoint Dispatcher::latestStart(const Request &Asked) const {
-  return latestStart(Asked.Item, Asked.Attempts > 0 ? Options.RetryMargin
-                                                    : Options.ServiceMargin);
+  if (Asked.Attempts > 0)
+    return latestStart(Asked.Item, Options.RetryMargin);
+  return std::min(Asked.Item.StartBy,
+                  latestStart(Asked.Item, Options.ServiceMargin));
 }
 
 // Failure guarded against: shares are given on demand and lapse when they are
@@ -445,10 +454,7 @@
 
 void Dispatcher::expire(TimePoint Now, Commands &Out) {
   while (const std::optional<Ticket> Which = Queue.popExpired(Now)) {
-    const bool Passed = Requests.find(*Which)->Item.Deadline <= Now;
-    refuse(*Which,
-           notRun(Passed ? Reason::DeadlinePassed : Reason::DeadlineTooShort),
-           Out);
+    refuse(*Which, notRun(expiryOf(Requests.find(*Which)->Item, Now)), Out);
   }
   while (const std::optional<Ticket> Which = Held.popDue(Now))
     expireHeld(*Which, Now, Out);
@@ -461,9 +467,7 @@
     Held.holdReady(Which, Asked.Item.Bytes, Latest);
     return;
   }
-  const bool Passed = Asked.Item.Deadline <= Now;
-  const Reason Untried =
-      Passed ? Reason::DeadlinePassed : Reason::DeadlineTooShort;
+  const Reason Untried = expiryOf(Asked.Item, Now);
   refuse(Which, notRun(Asked.Attempts > 0 ? Asked.LastWhy : Untried), Out);
 }
 
--- a/packages/request/src/coltsfoottrail/dispatch/types.hpp
+++ b/packages/request/src/coltsfoottrail/dispatch/types.hpp
@@ -24,6 +24,9 @@
   TeamName Team;
   Priority Urgency = Priority::Normal;
   TimePoint Deadline;
+  /// Started first later than this, it is not worth its place: it is refused
+  /// instead. Does not bound retries.
+  TimePoint StartBy = TimePoint::max();
   /// Whether it may be sent again once a byte of it may have reached an
   /// endpoint.
   bool Repeatable = false;
--- a/packages/version/src/coltsfoottrail/assembly/assembler.cpp
+++ b/packages/version/src/coltsfoottrail/assembly/assembler.cpp
@@ -192,7 +192,7 @@
     Of.JoinBy = In.Now + Times.JoinSlack;
     for (const ServedModel &Each : In.Engine.Models)
       Of.JoinBy = std::max(Of.JoinBy, In.Now + In.loadTime(Each));
-    Of.OpenUncertain = true;
+    Of.OpenPending = true;
     Of.WasOpen = true;
     note(GroupFate::Adopted, Of, {}, "from the records");
     Groups.emplace(Epoch, std::move(Of));
@@ -244,7 +244,10 @@
     retire(Of, "the leader is broken");
     return true;
   }
-  Of.WasOpen = Of.WasOpen || Seat->Phase == SeatPhase::Open;
+  if (Seat->Phase == SeatPhase::Open) {
+    Of.WasOpen = true;
+    Of.OpenPending = false;
+  }
   bool Lost = false;
   bool Leaving = false;
   for (const Member &Each : Of.Members) {
@@ -333,11 +336,14 @@
     retire(Of, "a member was lost before the group was ready");
     return true;
   case SeatPhase::Ready:
-    if (!Of.OpenUncertain) {
+    if (!Of.OpenPending) {
       retire(Of, "closed after the loss of a member");
       return true;
     }
-    // An order to open may still arrive: without a seat the leader refuses it.
+    // Failure guarded against: the leader is opening, or the order to open
+    // arrives late, while its record still says that it is closed, and its
+    // members would take seats in another group beside one that serves. Once
+    // it has left, it opens no more.
     if (!Of.LeaveOrdered || In.Now >= *Of.LeaveOrdered + Times.OrderRetry) {
       leave(In, Of, Of.Members.front().Name);
       Of.LeaveOrdered = In.Now;
@@ -367,6 +373,7 @@
   if (Of.OpenOrdered && In.Now < *Of.OpenOrdered + Times.OrderRetry)
     return;
   Of.OpenOrdered = In.Now;
+  Of.OpenPending = true;
   const KnownEndpoint &Leader =
       *In.View.Endpoints.find(Of.Members.front().Name);
   In.order(Leader, OpenSeat{Of.Name, Of.Epoch});
@@ -647,11 +654,7 @@
             Pending.erase(Ordered);
             LockedUntil[To] = Now + Times.LeaveOut;
           },
-          [&](const OpenSeat &Open) {
-            if (Group *const Of = GroupOf(Open.Epoch);
-                Of != nullptr && Outcome == OrderOutcome::Unknown)
-              Of->OpenUncertain = true;
-          },
+          [&](const OpenSeat &) {},
           [&](const CloseSeat &) {},
           [&](const LeaveSeat &Leave) {
             if (Group *const Of = GroupOf(Leave.Epoch);
--- a/packages/version/src/coltsfoottrail/assembly/assembler.hpp
+++ b/packages/version/src/coltsfoottrail/assembly/assembler.hpp
@@ -149,8 +149,9 @@
     /// Until when its members must be ready.
     TimePoint JoinBy;
     std::optional<TimePoint> OpenOrdered;
-    /// An order to open may still be carried out.
-    bool OpenUncertain = false;
+    /// An order to open was given, or may have been, and no record has shown
+    /// its effect yet.
+    bool OpenPending = false;
     bool WasOpen = false;
     std::optional<TimePoint> CloseOrdered;
     bool CloseEvicts = false;
--- /dev/null
+++ b/packages/version/test/coltsfoottrail/assembly/assembler.cpp
@@ -0,0 +1,162 @@
+#include "coltsfoottrail/assembly/assembler.hpp"
+
+#include "engines.hpp"
+
+#include <gtest/gtest.h>
+
+namespace coltsfoottrail::test {
+
+namespace {
+
+constexpr Duration LongEnough = seconds(2);
+
+TEST(Assembler, FormsGroupsOfBothModelsBeforeTheFirstCaller) {
+  FakeEngines Fleet;
+  Fleet.addDomain("north", "n0", 9);
+  Fleet.addDomain("south", "s0", 9);
+  Fleet.run(LongEnough);
+  std::map<ModelName, int> Open;
+  for (const EndpointName &Leader : Fleet.leaders())
+    ++Open[Fleet.Records.at(Leader).Loaded.back()];
+  EXPECT_EQ(Open[ModelName("big")], 2);
+  EXPECT_EQ(Open[ModelName("small")], 3);
+  EXPECT_EQ(Fleet.OpenedPartial, 0);
+  EXPECT_EQ(Fleet.JoinedWhileOpen, 0);
+}
+
+TEST(Assembler, KeepsAGroupInsideOneDomain) {
+  FakeEngines Fleet;
+  Fleet.addDomain("north", "n0", 5);
+  Fleet.addDomain("north", "n1", 5);
+  Fleet.run(LongEnough);
+  for (const EndpointName &Leader : Fleet.leaders())
+    for (const EndpointName &Member : Fleet.membersOf(Leader))
+      EXPECT_EQ(Fleet.Records.at(Member).Domain,
+                Fleet.Records.at(Leader).Domain);
+  EXPECT_EQ(Fleet.leaders().size(), 2U);
+}
+
+// Callers see streams stand still until the group is whole again.
+// A member dies; the leader is closed at once, and the survivors and a spare
+// with the same weights form a group without a load.
+TEST(Assembler, ReplacesALostMemberWithoutALoad) {
+  FakeEngines Fleet;
+  Fleet.addDomain("north", "n0", 9);
+  Fleet.run(LongEnough);
+  Fleet.CallersBegun = true;
+  const std::size_t Before = Fleet.leaders().size();
+  const EndpointName Leader = Fleet.leaders().front();
+  EndpointName Lost;
+  for (const EndpointName &Member : Fleet.membersOf(Leader))
+    if (Member != Leader)
+      Lost = Member;
+  Fleet.lose(Lost);
+  Fleet.run(LongEnough);
+  EXPECT_EQ(Fleet.leaders().size(), Before);
+  EXPECT_EQ(Fleet.JoinedWhileOpen, 0);
+  EXPECT_EQ(Fleet.OpenedPartial, 0);
+}
+
+// An engine would serve two groups at once.
+// A group is told to open; before its record shows that it serves, a member is
+// lost. The record still says "ready", as if the leader were closed, and its
+// engines were given to another group while it was opening.
+TEST(Assembler, TakesNoMemberOfAGroupThatIsOpening) {
+  FakeEngines Fleet;
+  Fleet.Slow = true;
+  Fleet.addDomain("north", "n0", 5);
+  Fleet.run(LongEnough);
+  Fleet.finishAll();
+  Fleet.look();
+  ASSERT_EQ(Fleet.Opening.size(), 1U);
+  Fleet.CallersBegun = true;
+  const EndpointName Leader = *Fleet.Opening.begin();
+  for (const EndpointName &Member : Fleet.membersOf(Leader))
+    if (Member != Leader) {
+      Fleet.lose(Member);
+      break;
+    }
+  Fleet.run(LongEnough);
+  EXPECT_EQ(Fleet.JoinedWhileOpen, 0);
+  EXPECT_EQ(Fleet.OpenedPartial, 0);
+}
+
+// Members would sit in two groups.
+// The leader's record lapses while the leader is only cut off from the store
+// and still serves. Its members get no other seat before it has stood still for
+// longer than it takes to break.
+TEST(Assembler, WaitsForALeaderThatIsOnlyCutOff) {
+  FakeEngines Fleet;
+  Fleet.addDomain("north", "n0", 4);
+  Fleet.run(LongEnough);
+  ASSERT_EQ(Fleet.leaders().size(), 1U);
+  Fleet.CallersBegun = true;
+  const EndpointName Leader = Fleet.leaders().front();
+  const TimePoint LostAt = Fleet.Now;
+  Fleet.Catalogue.remove(Leader, Fleet.Now);
+  TimePoint FirstJoin{};
+  for (int Step = 0; Step < 100 && FirstJoin == TimePoint{}; ++Step) {
+    for (const SeatCommand &Each : Fleet.look())
+      if (std::holds_alternative<JoinSeat>(Each.Order))
+        FirstJoin = Fleet.Now;
+    Fleet.Now += milliseconds(100);
+  }
+  const Duration Waited =
+      FirstJoin == TimePoint{} ? Duration::max() : FirstJoin - LostAt;
+  EXPECT_GE(Waited, AssemblyTimes{}.StallTime);
+}
+
+// After a crash of the driver, groups would stand still until it is back.
+// A successor knows nothing but the records; it takes the groups over, leaves
+// sound ones alone and repairs the one that has lost a member.
+TEST(Assembler, SuccessorTakesSoundGroupsOverUntouched) {
+  FakeEngines Fleet;
+  Fleet.addDomain("north", "n0", 9);
+  Fleet.run(LongEnough);
+  Fleet.CallersBegun = true;
+  const std::vector<EndpointName> Before = Fleet.leaders();
+  Fleet.Driver = Assembler(AssemblyTimes{});
+  Fleet.Driver.begin(Fleet.Now);
+  Fleet.Fence = 2;
+  Fleet.run(LongEnough);
+  EXPECT_EQ(Fleet.leaders(), Before);
+  Fleet.lose(Fleet.membersOf(Before.front()).back());
+  Fleet.run(seconds(10));
+  EXPECT_EQ(Fleet.leaders().size(), Before.size());
+  EXPECT_EQ(Fleet.JoinedWhileOpen, 0);
+}
+
+// Requests pile up at a data centre that operators take out.
+// Groups are formed of the engines elsewhere only.
+TEST(Assembler, FormsNothingInADrainedDataCentre) {
+  FakeEngines Fleet;
+  Fleet.Drained.insert(DataCentreName("north"));
+  Fleet.addDomain("north", "n0", 9);
+  Fleet.addDomain("south", "s0", 9);
+  Fleet.run(LongEnough);
+  for (const EndpointName &Leader : Fleet.leaders())
+    EXPECT_EQ(Fleet.Records.at(Leader).DataCentre, DataCentreName("south"));
+  EXPECT_FALSE(Fleet.leaders().empty());
+}
+
+// All engines of the day's second half idle: no group is formed of them.
+// An engine that is told to load weights still has a seat of a group that is
+// over; its load must not count as done before its weights are there.
+TEST(Assembler, OrdersALoadOnce) {
+  FakeEngines Fleet;
+  Fleet.addDomain("north", "n0", 7);
+  Fleet.run(LongEnough);
+  Fleet.CallersBegun = true;
+  Fleet.add("n0-late", "north", "n0");
+  int Loads = 0;
+  for (int Step = 0; Step < 20; ++Step) {
+    for (const SeatCommand &Each : Fleet.look())
+      Loads += std::holds_alternative<StageModel>(Each.Order) ? 1 : 0;
+    Fleet.Now += milliseconds(100);
+  }
+  EXPECT_EQ(Loads, 1);
+}
+
+} // namespace
+
+} // namespace coltsfoottrail::test
--- /dev/null
+++ b/packages/version/test/coltsfoottrail/assembly/engines.hpp
@@ -0,0 +1,192 @@
+/// @file
+/// A fleet of engines that obey orders, for tests of the assembly.
+#ifndef COLTSFOOTTRAIL_TEST_ASSEMBLY_ENGINES_HPP
+#define COLTSFOOTTRAIL_TEST_ASSEMBLY_ENGINES_HPP
+
+#include "coltsfoottrail/assembly/assembler.hpp"
+#include "coltsfoottrail/core/overloaded.hpp"
+
+#include <algorithm>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace coltsfoottrail::test {
+
+/// @brief Engines whose records follow the orders that they get, at once or
+/// when the test says so. Checks what must always hold at each order.
+class FakeEngines {
+public:
+  FakeEngines() {
+    Service.Name = ServiceName("draft");
+    Service.Engine.emplace();
+    Service.Engine->LoadsPerSecond = 4.5;
+    Service.Engine->LoadsAtOnce = 6;
+    Service.Engine->OpenTime = milliseconds(300);
+    Service.Engine->Models = {
+        {ModelName("big"), 4, 1.0, 0.57, seconds(16), milliseconds(1600)},
+        {ModelName("small"), 3, 0.6, 0.43, seconds(12), milliseconds(1100)}};
+  }
+
+  void add(const std::string &Name, const std::string &DataCentre,
+           const std::string &Domain) {
+    EndpointRecord Record;
+    Record.Name = EndpointName(Name);
+    Record.Address = {"10.0.0." + std::to_string(Records.size() + 1), 8080};
+    Record.DataCentre = DataCentreName(DataCentre);
+    Record.Domain = FabricDomainName(Domain);
+    Record.Service = Service.Name;
+    Record.Born = 1;
+    Record.Slots = 26;
+    Records[Record.Name] = Record;
+    publish(Record.Name);
+  }
+
+  void addDomain(const std::string &DataCentre, const std::string &Domain,
+                 int Count) {
+    for (int Index = 0; Index < Count; ++Index)
+      add(Domain + "-" + std::to_string(Index), DataCentre, Domain);
+  }
+
+  /// The engine is gone, and its record has lapsed.
+  void lose(const EndpointName &Name) {
+    Records.erase(Name);
+    Catalogue.remove(Name, Now);
+  }
+
+  void publish(const EndpointName &Name) {
+    ++Records.at(Name).Sequence;
+    Catalogue.publish(Records.at(Name), Now);
+  }
+
+  /// One look of the driver; orders are carried out and answered.
+  std::vector<SeatCommand> look() {
+    const AssemblyView View{Catalogue, Service, Drained, Fence, CallersBegun};
+    const std::vector<SeatCommand> Orders = Driver.plan(View, Now);
+    for (const SeatCommand &Each : Orders) {
+      const OrderOutcome Outcome = carryOut(Each);
+      Driver.ordered(Each.To, Each.Order, Outcome, Now);
+    }
+    return Orders;
+  }
+
+  /// Lets time pass in steps of a look; loads and openings end at once between
+  /// two looks unless Slow is set.
+  void run(Duration Span) {
+    for (const TimePoint End = Now + Span; Now < End;
+         Now += milliseconds(100)) {
+      look();
+      if (!Slow)
+        finishAll();
+    }
+  }
+
+  void finishAll() {
+    for (auto &[Name, Record] : Records) {
+      if (Record.Seat && Record.Seat->Phase == SeatPhase::Joining) {
+        Record.Seat->Phase = SeatPhase::Ready;
+        publish(Name);
+      }
+      if (Opening.erase(Name) > 0 && Record.Seat) {
+        Record.Seat->Phase = SeatPhase::Open;
+        publish(Name);
+      }
+    }
+  }
+
+  [[nodiscard]] std::vector<EndpointName> leaders() const {
+    std::vector<EndpointName> Out;
+    for (const auto &[Name, Record] : Records)
+      if (Record.leads())
+        Out.push_back(Name);
+    return Out;
+  }
+
+  [[nodiscard]] std::vector<EndpointName>
+  membersOf(const EndpointName &Leader) const {
+    std::vector<EndpointName> Out;
+    const auto &Seat = Records.at(Leader).Seat;
+    for (const auto &[Name, Record] : Records)
+      if (Record.Seat && Seat && Record.Seat->Epoch == Seat->Epoch)
+        Out.push_back(Name);
+    return Out;
+  }
+
+  ServiceProfile Service;
+  EndpointCatalogue Catalogue;
+  std::set<DataCentreName> Drained;
+  std::map<EndpointName, EndpointRecord> Records;
+  /// Leaders that were told to open and have not done so yet.
+  std::set<EndpointName> Opening;
+  Assembler Driver{AssemblyTimes{}};
+  TimePoint Now{seconds(1000)};
+  std::uint64_t Fence = 1;
+  bool CallersBegun = false;
+  bool Slow = false;
+  /// Joins of a member whose leader was open or opening.
+  int JoinedWhileOpen = 0;
+  /// Openings of a group whose members were not all ready.
+  int OpenedPartial = 0;
+
+private:
+  OrderOutcome carryOut(const SeatCommand &Command) {
+    const auto Found = Records.find(Command.To);
+    if (Found == Records.end())
+      return OrderOutcome::Unknown;
+    EndpointRecord &Its = Found->second;
+    std::visit(
+        Overloaded{
+            [&](const JoinSeat &Join) { join(Its, Join); },
+            [&](const OpenSeat &Open) {
+              std::size_t Ready = 0;
+              for (const auto &[Name, Record] : Records)
+                Ready += Record.Seat && Record.Seat->Epoch == Open.Epoch &&
+                         Record.Seat->Phase == SeatPhase::Ready;
+              OpenedPartial += Ready == sizeOf(Its) ? 0 : 1;
+              Opening.insert(Its.Name);
+            },
+            [&](const CloseSeat &) {
+              Opening.erase(Its.Name);
+              if (Its.Seat)
+                Its.Seat->Phase = SeatPhase::Ready;
+            },
+            [&](const LeaveSeat &) {
+              Opening.erase(Its.Name);
+              Its.Seat.reset();
+            },
+            [&](const StageModel &Stage) { Its.Staged = {Stage.Model}; },
+        },
+        Command.Order);
+    publish(Its.Name);
+    return OrderOutcome::Taken;
+  }
+
+  void join(EndpointRecord &Its, const JoinSeat &Join) {
+    if (Its.Seat)
+      for (const auto &[Name, Record] : Records)
+        if (Record.Seat && Record.Seat->Epoch == Its.Seat->Epoch &&
+            Record.Seat->Rank == 0 &&
+            (Record.leads() || Opening.contains(Name)))
+          ++JoinedWhileOpen;
+    GroupSeat Seat;
+    Seat.Group = Join.Group;
+    Seat.Epoch = Join.Epoch;
+    const auto Place =
+        std::find(Join.Members.begin(), Join.Members.end(), Its.Name);
+    Seat.Rank = static_cast<std::uint32_t>(Place - Join.Members.begin());
+    Its.Seat = Seat;
+    Its.Loaded = {Join.Model};
+    Its.Staged = {Join.Model};
+  }
+
+  [[nodiscard]] std::size_t sizeOf(const EndpointRecord &Of) const {
+    for (const ServedModel &Each : Service.Engine->Models)
+      if (!Of.Loaded.empty() && Each.Name == Of.Loaded.back())
+        return Each.Size;
+    return 0;
+  }
+};
+
+} // namespace coltsfoottrail::test
+
+#endif
