--- a/apps/coltsfoottraild/fleetmain.cpp
+++ b/apps/coltsfoottraild/fleetmain.cpp
@@ -91,6 +91,9 @@
                             {"readiness_port", Host.readinessPort()}});
   const std::size_t Cut = SignalLoop(Host, File).run();
   Pool.stop();
+  Store.close();
+  Engines.close();
+  Host.close();
   return Cut;
 }
 
--- a/packages/connection/src/coltsfoottrail/boundary/engines.hpp
+++ b/packages/connection/src/coltsfoottrail/boundary/engines.hpp
@@ -23,9 +23,10 @@
   /// @param Name The endpoint that is meant.
   /// @param Order What to do.
   /// @param Fence Fencing number of the duty that it is given under.
-  [[nodiscard]] virtual Awaitable<OrderOutcome>
-  order(EngineAddress To, EndpointName Name, SeatOrder Order,
-        std::uint64_t Fence) = 0;
+  [[nodiscard]] virtual Awaitable<OrderOutcome> order(EngineAddress To,
+                                                      EndpointName Name,
+                                                      SeatOrder Order,
+                                                      std::uint64_t Fence) = 0;
 
   /// @brief Asks whether an engine answers at all.
   /// @param To Where the endpoint listens.
--- a/packages/connection/src/coltsfoottrail/http/client.cpp
+++ b/packages/connection/src/coltsfoottrail/http/client.cpp
@@ -154,10 +154,10 @@
       Problem = {};
     if (Problem) {
       const bool TimedOut = Problem == beast::error::timeout;
-      co_return CallFailure{
-          RunState::MayHaveRun,
-          TimedOut ? Reason::EndpointTimedOut : Reason::EndpointCut,
-          lostConnection(Problem)};
+      co_return CallFailure{RunState::MayHaveRun,
+                            TimedOut ? Reason::EndpointTimedOut
+                                     : Reason::EndpointCut,
+                            lostConnection(Problem)};
     }
     const std::size_t Bytes = Call.Part.size() - Body.size;
     if (Bytes > 0) {
@@ -183,6 +183,11 @@
   return static_cast<std::size_t>(std::distance(First, Last));
 }
 
+void HttpClient::closeIdle() {
+  Shared->Idle.clear();
+  Shared->IdleCount = 0;
+}
+
 std::size_t HttpClient::idle() const noexcept { return Shared->IdleCount; }
 
 namespace {
--- a/packages/connection/src/coltsfoottrail/http/client.hpp
+++ b/packages/connection/src/coltsfoottrail/http/client.hpp
@@ -114,6 +114,10 @@
   /// @return How many there were.
   std::size_t abort(const EngineAddress &To);
 
+  /// @brief Closes all connections that wait for reuse. Needed before the
+  /// context is destroyed: their sockets belong to it.
+  void closeIdle();
+
   /// @brief Connections that wait for reuse.
   [[nodiscard]] std::size_t idle() const noexcept;
 
--- a/packages/process/src/coltsfoottrail/fleethost/assemblydesk.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/assemblydesk.cpp
@@ -30,12 +30,11 @@
 }
 
 std::uint64_t epochOf(const SeatOrder &Order) {
-  return std::visit(
-      Overloaded{
-          [](const StageModel &) { return GroupEpoch{0}; },
-          [](const auto &Seat) { return Seat.Epoch; },
-      },
-      Order);
+  return std::visit(Overloaded{
+                        [](const StageModel &) { return GroupEpoch{0}; },
+                        [](const auto &Seat) { return Seat.Epoch; },
+                    },
+                    Order);
 }
 
 std::string_view outcomeName(OrderOutcome Outcome) {
@@ -73,9 +72,8 @@
 } // namespace
 
 AssemblyDesk::AssemblyDesk(FleetStore &Where, FleetEngines &Given,
-                           const FleetView &Believed,
-                           const SilenceWatch &Heard, std::string Member,
-                           AssemblyTimes Wanted)
+                           const FleetView &Believed, const SilenceWatch &Heard,
+                           std::string Member, AssemblyTimes Wanted)
     : Store(Where), Engines(Given), View(Believed), Silence(Heard),
       Self(std::move(Member)), Times(Wanted) {}
 
@@ -164,8 +162,8 @@
   for (const DomainSummary &Each : Of.summary(Seen, Now)) {
     std::string With;
     for (const auto &[Model, Count] : Each.FreeWith)
-      With += (With.empty() ? "" : ",") + Model.Text + ":" +
-              std::to_string(Count);
+      With +=
+          (With.empty() ? "" : ",") + Model.Text + ":" + std::to_string(Count);
     logEvent(Event::DomainState, {{"data_centre", Each.DataCentre},
                                   {"domain", Each.Domain},
                                   {"open", Each.Open},
--- a/packages/process/src/coltsfoottrail/fleethost/assemblydesk.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/assemblydesk.hpp
@@ -24,8 +24,8 @@
   milliseconds Lease{1'500};
   /// A renewal this often leaves room for two that are lost.
   milliseconds RenewEvery{400};
-  /// While hosts start, the duty moves with each that joins, and whoever gets it
-  /// learns so at its next call: calls are more frequent for a while.
+  /// While hosts start, the duty moves with each that joins, and whoever gets
+  /// it learns so at its next call: calls are more frequent for a while.
   milliseconds SettleEvery{150};
   milliseconds SettleTime{1'500};
   /// Between two looks at the groups, when nothing has changed.
@@ -84,8 +84,7 @@
   [[nodiscard]] Awaitable<void> carryOut(SeatCommand Command,
                                          std::uint64_t Fence);
   void logNotes();
-  void logSummary(const Assembler &Of, const AssemblyView &Seen,
-                  TimePoint Now);
+  void logSummary(const Assembler &Of, const AssemblyView &Seen, TimePoint Now);
   [[nodiscard]] bool hearsNeighbours(const Inquiry &Round, TimePoint Now) const;
   [[nodiscard]] Awaitable<void> ask(std::shared_ptr<Inquiry> Round,
                                     std::size_t Index);
--- a/packages/process/src/coltsfoottrail/fleethost/eventtail.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/eventtail.cpp
@@ -12,8 +12,7 @@
 std::size_t wholeLength(std::string_view Text) {
   const std::size_t Plain = Text.rfind("\n\n");
   const std::size_t Long = Text.rfind("\n\r\n");
-  const std::size_t PlainEnd =
-      Plain == std::string_view::npos ? 0 : Plain + 2;
+  const std::size_t PlainEnd = Plain == std::string_view::npos ? 0 : Plain + 2;
   const std::size_t LongEnd = Long == std::string_view::npos ? 0 : Long + 3;
   return std::max(PlainEnd, LongEnd);
 }
--- a/packages/process/src/coltsfoottrail/fleethost/follower.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/follower.cpp
@@ -11,8 +11,7 @@
   while (true) {
     const TimePoint AskedAt = BootClock::now();
     const bool Read = co_await step();
-    const TimePoint Due =
-        AskedAt + (Read ? Times.Spacing : Times.RetryPause);
+    const TimePoint Due = AskedAt + (Read ? Times.Spacing : Times.RetryPause);
     const Duration Left = Due - BootClock::now();
     if (Left <= Duration::zero())
       continue;
--- a/packages/process/src/coltsfoottrail/fleethost/host.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/host.cpp
@@ -79,8 +79,8 @@
 
 std::string memberName(const FleetSettings &Given) {
   const auto Since = std::chrono::system_clock::now().time_since_epoch();
-  return dutyMemberName(Given.Peers, Given.Host.Text + "." +
-                                         std::to_string(Since.count()));
+  return dutyMemberName(Given.Peers,
+                        Given.Host.Text + "." + std::to_string(Since.count()));
 }
 
 AssemblyTimes assemblyTimes(const FleetSettings &Given) {
@@ -125,23 +125,33 @@
       Notices(Pool, Settings.Peers, Links.Store,
               [this](const std::string &Endpoint) {
                 Desk.askAbout(Endpoint, Threads.context(0).get_executor());
-              }),
-      Front(Pool, Settings.Callers.Address, Settings.Callers.Port,
-            ServerLimits{}, frontHooks()),
-      Readiness(Pool, Settings.Readiness.Address, Settings.Readiness.Port,
-                ServerLimits{},
-                {[this](Exchange &Call) { return answerReadiness(Call); },
-                 {},
-                 {}}) {
+              }) {
+  Front.emplace(Pool, Settings.Callers.Address, Settings.Callers.Port,
+                ServerLimits{}, frontHooks());
+  Readiness.emplace(
+      Pool, Settings.Readiness.Address, Settings.Readiness.Port, ServerLimits{},
+      ServerHooks{
+          [this](Exchange &Call) { return answerReadiness(Call); }, {}, {}});
   if (Settings.Metrics)
-    MetricsServer = std::make_unique<HttpServer>(
+    MetricsServer.emplace(
         Pool, Settings.Metrics->Address, Settings.Metrics->Port, ServerLimits{},
-        ServerHooks{[this](Exchange &Call) { return answerMetrics(Call); },
-                    {},
-                    {}});
+        ServerHooks{
+            [this](Exchange &Call) { return answerMetrics(Call); }, {}, {}});
   startFollowing();
 }
 
+// Failure guarded against: a stop cuts streams whose coroutines still refer to
+// this object; destroyed after it with the contexts, they wrote into memory
+// that was given back, and the process died of it at its end.
+void FleetHost::close() {
+  MetricsServer.reset();
+  Readiness.reset();
+  Front.reset();
+  Notices.close();
+  Client.closeIdle();
+  Threads.clear();
+}
+
 FleetHost::~FleetHost() = default;
 
 ServerHooks FleetHost::frontHooks() {
@@ -165,8 +175,7 @@
   asio::co_spawn(Context, tick(), asio::detached);
 }
 
-void FleetHost::took(Feed Which, FeedPage Page, bool Whole,
-                     TimePoint AskedAt) {
+void FleetHost::took(Feed Which, FeedPage Page, bool Whole, TimePoint AskedAt) {
   if (!std::exchange(StoreAnswers, true))
     logEvent(Event::StoreRegained);
   logChanges(Page);
@@ -186,16 +195,15 @@
     std::visit(
         Overloaded{
             [](const ConfigPublished &One) {
-              logEvent(Event::ConfigInForce,
-                       {{"version", One.Config.Version}});
+              logEvent(Event::ConfigInForce, {{"version", One.Config.Version}});
             },
             [](const DataCentreDrained &One) {
-              logEvent(Event::Drained, {{"data_centre", One.DataCentre},
-                                        {"drained", true}});
+              logEvent(Event::Drained,
+                       {{"data_centre", One.DataCentre}, {"drained", true}});
             },
             [](const DataCentreReturned &One) {
-              logEvent(Event::Drained, {{"data_centre", One.DataCentre},
-                                        {"drained", false}});
+              logEvent(Event::Drained,
+                       {{"data_centre", One.DataCentre}, {"drained", false}});
             },
             [](const UnreadableEntry &One) {
               logEvent(Event::EntryUnreadable,
@@ -249,9 +257,9 @@
 
 Awaitable<void> FleetHost::answerReadiness(Exchange &Call) {
   const bool Ready = !Stopping && View.ready(BootClock::now());
-  HttpResponse Out = jsonResponse(Ready ? StatusOk : StatusUnavailable,
-                                  Ready ? R"({"ready":true})"
-                                        : R"({"ready":false})");
+  HttpResponse Out =
+      jsonResponse(Ready ? StatusOk : StatusUnavailable,
+                   Ready ? R"({"ready":true})" : R"({"ready":false})");
   co_await Call.respond(std::move(Out));
 }
 
@@ -296,18 +304,18 @@
 Awaitable<void> FleetHost::runStop(std::function<void(std::size_t)> Done) {
   const TimePoint Began = BootClock::now();
   Stopping = true;
-  logEvent(Event::Stopping, {{"in_progress", Front.inProgress()}});
+  logEvent(Event::Stopping, {{"in_progress", Front->inProgress()}});
   co_await Desk.leave();
   asio::steady_timer Pause(co_await asio::this_coro::executor);
   Pause.expires_at(asio::steady_timer::clock_type::now() + BalancerNotices);
   co_await Pause.async_wait(asio::use_awaitable);
-  Front.stopAccepting();
+  Front->stopAccepting();
   const TimePoint End = Began + Settings.Bounds.StopGrace - StopMargin;
-  while (Front.inProgress() > 0 && BootClock::now() < End) {
+  while (Front->inProgress() > 0 && BootClock::now() < End) {
     Pause.expires_after(StopPoll);
     co_await Pause.async_wait(asio::use_awaitable);
   }
-  const std::size_t Cut = Front.inProgress();
+  const std::size_t Cut = Front->inProgress();
   logEvent(Event::Stopped, {{"cut", Cut}});
   Done(Cut);
 }
--- a/packages/process/src/coltsfoottrail/fleethost/host.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/host.hpp
@@ -15,7 +15,7 @@
 
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
-#include <memory>
+#include <optional>
 
 namespace coltsfoottrail {
 
@@ -46,14 +46,19 @@
   /// @param Done Gets how many requests were cut.
   void stop(std::function<void(std::size_t)> Done);
 
+  /// @brief Lets go of all that belongs to the pool's contexts, and destroys
+  /// these. Preconditions: the pool is stopped, and so is all else that uses
+  /// it.
+  void close();
+
   /// @brief Port for callers. Thread-safe.
   [[nodiscard]] std::uint16_t callerPort() const noexcept {
-    return Front.port();
+    return Front->port();
   }
   /// @brief Port for the question whether this host takes requests.
   /// Thread-safe.
   [[nodiscard]] std::uint16_t readinessPort() const noexcept {
-    return Readiness.port();
+    return Readiness->port();
   }
 
 private:
@@ -86,9 +91,9 @@
   bool StoreAnswers = true;
   bool Stopping = false;
   SilenceNotices Notices;
-  HttpServer Front;
-  HttpServer Readiness;
-  std::unique_ptr<HttpServer> MetricsServer;
+  std::optional<HttpServer> Front;
+  std::optional<HttpServer> Readiness;
+  std::optional<HttpServer> MetricsServer;
 };
 
 } // namespace coltsfoottrail
--- a/packages/process/src/coltsfoottrail/fleethost/notices.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/notices.cpp
@@ -42,9 +42,16 @@
                                FleetStore &Where,
                                std::function<void(std::string)> Told)
     : Store(Where), Heard(std::move(Told)),
-      Client(Pool.context(0), ClientOptions{}),
-      Server(Pool, Listen.Address, Listen.Port, ServerLimits{},
-             {[this](Exchange &Call) { return take(Call); }, {}, {}}) {}
+      Client(Pool.context(0), ClientOptions{}) {
+  Server.emplace(
+      Pool, Listen.Address, Listen.Port, ServerLimits{},
+      ServerHooks{[this](Exchange &Call) { return take(Call); }, {}, {}});
+}
+
+void SilenceNotices::close() {
+  Server.reset();
+  Client.closeIdle();
+}
 
 Awaitable<void> SilenceNotices::take(Exchange &Call) {
   const std::string &Target = Call.request().Target;
--- a/packages/process/src/coltsfoottrail/fleethost/notices.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/notices.hpp
@@ -39,6 +39,10 @@
   SilenceNotices(IoPool &Pool, const SocketAddress &Listen, FleetStore &Where,
                  std::function<void(std::string)> Told);
 
+  /// @brief Stops listening and closes connections. Precondition: the pool is
+  /// stopped.
+  void close();
+
   /// @brief Tells the driver of the groups that an endpoint is silent.
   /// @param Endpoint Its name.
   [[nodiscard]] Awaitable<void> tell(std::string Endpoint);
@@ -53,7 +57,7 @@
   /// The driver when it was last asked for.
   std::optional<EngineAddress> Known;
   TimePoint KnownUntil{};
-  HttpServer Server;
+  std::optional<HttpServer> Server;
 };
 
 } // namespace coltsfoottrail
--- a/packages/process/src/coltsfoottrail/fleethost/relay.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/relay.cpp
@@ -43,11 +43,11 @@
 /// for a part of the time that it has left: refused again, it is lost.
 constexpr double LateWaitPart = 0.4;
 constexpr Duration LongestLateWait = milliseconds(1'500);
-/// Requests that wait in a leader's own queue. An engine that is busy ends 14 to
-/// 22 requests a second, so that the last of four still starts within 0.3 s.
+/// Requests that wait in a leader's own queue. An engine that is busy ends 14
+/// to 22 requests a second, so that the last of four still starts within 0.3 s.
 constexpr std::uint32_t FreshOvercommit = 4;
 /// Late ones wait behind all fresh ones.
-constexpr std::uint32_t LateOvercommit = 8;
+constexpr std::uint32_t LateOvercommit = 20;
 /// Places in an engine's queue: a stream that broke off is waited for most.
 constexpr std::uint32_t ResumedRank = 1;
 constexpr std::uint32_t FreshRank = 4;
@@ -179,8 +179,7 @@
       break;
     Point -= Each.Weight;
   }
-  const ServiceProfile *const Service =
-      Asked.Config->service(Chosen->Service);
+  const ServiceProfile *const Service = Asked.Config->service(Chosen->Service);
   if (Service == nullptr)
     return jsonResponse(StatusNotFound, R"({"error":"no-service"})");
   ModelName Model;
@@ -207,18 +206,17 @@
   const Duration Left = Asked.AnswerBy - Asked.ArrivedAt;
   const Duration Wait =
       Asked.CameBack
-          ? std::min<Duration>(LongestLateWait,
-                               std::chrono::duration_cast<Duration>(
-                                   Left * LateWaitPart))
+          ? std::min<Duration>(
+                LongestLateWait,
+                std::chrono::duration_cast<Duration>(Left * LateWaitPart))
           : std::chrono::duration_cast<Duration>(Asked.Route->TargetLatency *
                                                  FreshWaitPart);
   Out.StartBy = Asked.ArrivedAt + Wait;
   if (Asked.Route->streams())
     Out.Overcommit = Asked.CameBack ? LateOvercommit : FreshOvercommit;
   Out.Repeatable = Asked.Route->repeatable();
-  Out.Fingerprint =
-      hashText(Request.Body,
-               hashText(Request.Target, hashText(Asked.Team.Text)));
+  Out.Fingerprint = hashText(
+      Request.Body, hashText(Request.Target, hashText(Asked.Team.Text)));
   Out.Bytes = Request.Body.size();
   return Out;
 }
@@ -275,17 +273,16 @@
   ++Counts.Sends;
   const bool Repeatable = Asked.Route->repeatable();
   HttpRequest Sent = Wire.forward(Call.request(), Marks);
-  const bool MayMove =
-      Repeatable && Asked.Route->streams() &&
-      Asked.Runs + 1 < Asked.Route->MaxAttempts;
+  const bool MayMove = Repeatable && Asked.Route->streams() &&
+                       Asked.Runs + 1 < Asked.Route->MaxAttempts;
   const TimePoint HeadBy =
       MayMove ? std::min(Asked.AnswerBy, Start + LongestSilence)
               : Asked.AnswerBy;
   // A request that must not run twice gets a connection of its own: written to
   // one that the endpoint is just closing, nobody could tell whether it ran.
-  auto Started = co_await Client.start(To.Address, std::move(Sent), HeadBy,
-                                       Repeatable ? Reuse::Allowed
-                                                  : Reuse::Never);
+  auto Started =
+      co_await Client.start(To.Address, std::move(Sent), HeadBy,
+                            Repeatable ? Reuse::Allowed : Reuse::Never);
   if (const auto *const Failure = std::get_if<CallFailure>(&Started)) {
     AttemptResult Result = failed(*Failure, Start);
     if (Failure->Why == Reason::EndpointTimedOut &&
@@ -354,8 +351,8 @@
                                                  const EndpointSpec &To,
                                                  TimePoint Start) {
   const TimePoint FirstByte = BootClock::now();
-  const bool MayMove = Asked.Route->repeatable() &&
-                       Asked.Runs + 1 < Asked.Route->MaxAttempts;
+  const bool MayMove =
+      Asked.Route->repeatable() && Asked.Runs + 1 < Asked.Route->MaxAttempts;
   StreamMark Mark(Silence, To.Host.Text);
   while (true) {
     TimePoint Until = Asked.AnswerBy;
@@ -368,8 +365,8 @@
                         BootClock::now() < Asked.AnswerBy;
       if (Fell)
         Result.Why = Reason::EndpointCut;
-      Result.CallerSawBytes = Asked.Events.any() &&
-                              (!MayMove || Asked.Events.lastId().empty());
+      Result.CallerSawBytes =
+          Asked.Events.any() && (!MayMove || Asked.Events.lastId().empty());
       co_return Result;
     }
     auto &Part = std::get<std::optional<std::string>>(Next);
@@ -400,8 +397,7 @@
   co_return answered(Start, FirstByte);
 }
 
-Awaitable<void> FleetRelay::finish(Exchange &Call, Work &Asked,
-                                   Verdict Final) {
+Awaitable<void> FleetRelay::finish(Exchange &Call, Work &Asked, Verdict Final) {
   if (Call.begun()) {
     ++Counts.CutStreams;
     Call.cut();
@@ -420,7 +416,8 @@
     return ElsewhereRetryAfter;
   const Duration Left = Asked.AnswerBy - BootClock::now();
   const auto Most = std::min<Duration>(
-      LatestComeBack, std::chrono::duration_cast<Duration>(Left * ComeBackPart));
+      LatestComeBack,
+      std::chrono::duration_cast<Duration>(Left * ComeBackPart));
   const double Part = 0.5 + 0.5 * Draw.fraction();
   return std::max(milliseconds(1),
                   std::chrono::duration_cast<milliseconds>(Most * Part));
@@ -443,9 +440,10 @@
                   R"(","reason":")" + std::string(reasonCode(Final.Why)) +
                   "\"}");
   if (NotRun)
-    Out.Fields.push_back({"Retry-After", secondsText(Asked.Route != nullptr
-                                                         ? comeBackAfter(Asked)
-                                                         : ElsewhereRetryAfter)});
+    Out.Fields.push_back(
+        {"Retry-After",
+         secondsText(Asked.Route != nullptr ? comeBackAfter(Asked)
+                                            : ElsewhereRetryAfter)});
   Wire.mark(Out, Asked.Said.Id);
   return Out;
 }
--- a/packages/process/src/coltsfoottrail/fleethost/settings.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/settings.cpp
@@ -21,8 +21,7 @@
   SocketAddress Out;
   if (Colon != std::string::npos) {
     const char *const End = Text.data() + Text.size();
-    const auto Parsed =
-        std::from_chars(Text.data() + Colon + 1, End, Out.Port);
+    const auto Parsed = std::from_chars(Text.data() + Colon + 1, End, Out.Port);
     if (Parsed.ec == std::errc{} && Parsed.ptr == End && Out.Port != 0) {
       Out.Address = Text.substr(0, Colon);
       return Out;
@@ -41,8 +40,7 @@
   FleetBounds Out;
   Out.Revocation = boundOr(From, "revocation_ms", Out.Revocation);
   Out.Stall = boundOr(From, "stall_ms", Out.Stall);
-  const double GraceSeconds =
-      From.realOr("stop_grace_s", 8.0, 1.0, 3600.0);
+  const double GraceSeconds = From.realOr("stop_grace_s", 8.0, 1.0, 3600.0);
   Out.StopGrace = milliseconds(static_cast<std::int64_t>(GraceSeconds * 1000));
   Out.RetryRatio = From.realOr("retry_ratio", Out.RetryRatio, 0, HighestRatio);
   return Out;
--- a/packages/request/src/coltsfoottrail/dispatch/types.hpp
+++ b/packages/request/src/coltsfoottrail/dispatch/types.hpp
@@ -27,8 +27,8 @@
   /// Started first later than this, it is not worth its place: it is refused
   /// instead. Does not bound retries.
   TimePoint StartBy = TimePoint::max();
-  /// Requests beyond an endpoint's bound that it may be sent behind: it waits in
-  /// the endpoint's own queue then, which all entry hosts share.
+  /// Requests beyond an endpoint's bound that it may be sent behind: it waits
+  /// in the endpoint's own queue then, which all entry hosts share.
   std::uint32_t Overcommit = 0;
   /// Whether it may be sent again once a byte of it may have reached an
   /// endpoint.
--- a/packages/version/src/coltsfoottrail/assembly/assembler.cpp
+++ b/packages/version/src/coltsfoottrail/assembly/assembler.cpp
@@ -17,8 +17,8 @@
 /// Loads before the first caller take a tenth of their time; a bound of the
 /// platform.
 constexpr int EarlyLoadFactor = 10;
-/// Time after which a load must have ended, as a multiple of its usual time: the
-/// number of loads at once is kept, so that hardly anything slows them.
+/// Time after which a load must have ended, as a multiple of its usual time:
+/// the number of loads at once is kept, so that hardly anything slows them.
 constexpr double LoadTimeFactor = 1.25;
 /// How long an endpoint that did not answer counts as dead: by then its record
 /// has lapsed, or it has published itself again.
@@ -67,7 +67,8 @@
   return Out;
 }
 
-/// Whether an endpoint has a seat: then a predecessor may have orders under way.
+/// Whether an endpoint has a seat: then a predecessor may have orders under
+/// way.
 bool anySeat(const AssemblyView &View) {
   const auto &All = View.Endpoints.all();
   return std::any_of(All.begin(), All.end(), [](const auto &Entry) {
@@ -147,18 +148,16 @@
   });
   const auto Over = [&](const auto &Entry) { return Entry.second <= In.Now; };
   std::erase_if(LockedUntil, Over);
-  std::erase_if(Dead, [&](const auto &Entry) {
-    return Entry.second.Until <= In.Now;
-  });
+  std::erase_if(
+      Dead, [&](const auto &Entry) { return Entry.second.Until <= In.Now; });
   for (const auto &[Name, Known] : In.View.Endpoints.all()) {
     if (!Pacer.loads(Name) || Pending.contains(Name))
       continue;
     const auto &Seat = Known.Record.Seat;
     const auto Told = Staging.find(Name);
-    const bool Done =
-        Told != Staging.end()
-            ? contains(Known.Record.Staged, Told->second)
-            : !Seat || Seat->Phase != SeatPhase::Joining;
+    const bool Done = Told != Staging.end()
+                          ? contains(Known.Record.Staged, Told->second)
+                          : !Seat || Seat->Phase != SeatPhase::Joining;
     if (Done)
       Pacer.end(Name);
   }
@@ -201,8 +200,8 @@
 
 void Assembler::watch(Pass &In) {
   for (auto Each = Groups.begin(); Each != Groups.end();)
-    Each = advanceGroup(In, Each->second) ? Groups.erase(Each)
-                                          : std::next(Each);
+    Each =
+        advanceGroup(In, Each->second) ? Groups.erase(Each) : std::next(Each);
 }
 
 std::optional<Assembler::Seating>
@@ -540,9 +539,8 @@
 }
 
 void Assembler::stage(Pass &In, const FreeEndpoints &Free) {
-  std::erase_if(Staging, [&](const auto &Entry) {
-    return !Pacer.loads(Entry.first);
-  });
+  std::erase_if(Staging,
+                [&](const auto &Entry) { return !Pacer.loads(Entry.first); });
   for (const auto &[Domain, Endpoints] : Free) {
     std::vector<const KnownEndpoint *> Left = Endpoints;
     stageMissing(In, Domain, Left);
@@ -563,8 +561,8 @@
     for (const KnownEndpoint *const Each : Free)
       if (joinCost(Each->Record, Model.Name) == JoinCost::Load)
         Lacking.push_back(Each);
-    const std::size_t Have = Free.size() - Lacking.size() +
-                             stagingIn(In, Domain, Model.Name);
+    const std::size_t Have =
+        Free.size() - Lacking.size() + stagingIn(In, Domain, Model.Name);
     if (Have >= Model.Size || Have + Lacking.size() < Model.Size)
       continue;
     Lacking.resize(Model.Size - Have);
@@ -583,11 +581,11 @@
     const auto Found = Groups.find(Model.Name);
     return Found == Groups.end() ? std::size_t{0} : Found->second;
   };
-  const auto Wanted = std::max_element(
-      In.Engine.Models.begin(), In.Engine.Models.end(),
-      [&](const ServedModel &Left, const ServedModel &Right) {
-        return Used(Left) < Used(Right);
-      });
+  const auto Wanted =
+      std::max_element(In.Engine.Models.begin(), In.Engine.Models.end(),
+                       [&](const ServedModel &Left, const ServedModel &Right) {
+                         return Used(Left) < Used(Right);
+                       });
   if (Wanted == In.Engine.Models.end())
     return;
   for (const KnownEndpoint *const Each : Free)
@@ -635,40 +633,39 @@
     const auto Found = Groups.find(Epoch);
     return Found == Groups.end() ? nullptr : &Found->second;
   };
-  std::visit(
-      Overloaded{
-          [&](const JoinSeat &Join) {
-            const auto Ordered = Pending.find(To);
-            if (Ordered == Pending.end() ||
-                Ordered->second.Epoch != Join.Epoch)
-              return;
-            if (Outcome == OrderOutcome::Taken) {
-              Ordered->second.Answered = true;
-              return;
-            }
-            if (Outcome == OrderOutcome::Unknown)
-              return;
-            Pacer.end(To);
-            if (Outcome == OrderOutcome::NotSent)
-              return;
-            Pending.erase(Ordered);
-            LockedUntil[To] = Now + Times.LeaveOut;
-          },
-          [&](const OpenSeat &) {},
-          [&](const CloseSeat &) {},
-          [&](const LeaveSeat &Leave) {
-            if (Group *const Of = GroupOf(Leave.Epoch);
-                Of != nullptr && Outcome == OrderOutcome::Taken)
-              Of->LeaveTaken = Now;
-          },
-          [&](const StageModel &) {
-            // Unfit: it loads already, for an order of a predecessor.
-            if (Outcome == OrderOutcome::NotSent ||
-                Outcome == OrderOutcome::WrongEndpoint)
-              Pacer.end(To);
-          },
-      },
-      Order);
+  std::visit(Overloaded{
+                 [&](const JoinSeat &Join) {
+                   const auto Ordered = Pending.find(To);
+                   if (Ordered == Pending.end() ||
+                       Ordered->second.Epoch != Join.Epoch)
+                     return;
+                   if (Outcome == OrderOutcome::Taken) {
+                     Ordered->second.Answered = true;
+                     return;
+                   }
+                   if (Outcome == OrderOutcome::Unknown)
+                     return;
+                   Pacer.end(To);
+                   if (Outcome == OrderOutcome::NotSent)
+                     return;
+                   Pending.erase(Ordered);
+                   LockedUntil[To] = Now + Times.LeaveOut;
+                 },
+                 [&](const OpenSeat &) {},
+                 [&](const CloseSeat &) {},
+                 [&](const LeaveSeat &Leave) {
+                   if (Group *const Of = GroupOf(Leave.Epoch);
+                       Of != nullptr && Outcome == OrderOutcome::Taken)
+                     Of->LeaveTaken = Now;
+                 },
+                 [&](const StageModel &) {
+                   // Unfit: it loads already, for an order of a predecessor.
+                   if (Outcome == OrderOutcome::NotSent ||
+                       Outcome == OrderOutcome::WrongEndpoint)
+                     Pacer.end(To);
+                 },
+             },
+             Order);
 }
 
 void Assembler::declareDead(const KnownEndpoint &Which, TimePoint Now) {
@@ -688,7 +685,7 @@
 }
 
 std::vector<DomainSummary> Assembler::summary(const AssemblyView &View,
-                                               TimePoint Now) const {
+                                              TimePoint Now) const {
   const Pass In{View, *View.Service.Engine, Now, {}};
   std::map<DomainKey, DomainSummary> Out;
   std::map<GroupEpoch, SeatPhase> Phases;
--- a/packages/version/src/coltsfoottrail/assembly/assembler.hpp
+++ b/packages/version/src/coltsfoottrail/assembly/assembler.hpp
@@ -21,8 +21,8 @@
   /// A leader whose member is lost stands still for this long and is then
   /// broken; a bound of the platform.
   Duration StallTime = seconds(5);
-  /// Beyond StallTime, for clocks that differ in speed and for the answer on its
-  /// way: a leave takes effect before it is answered.
+  /// Beyond StallTime, for clocks that differ in speed and for the answer on
+  /// its way: a leave takes effect before it is answered.
   Duration StallMargin = milliseconds(600);
   /// An order whose effect is not seen is given again after this: several round
   /// trips and two polls of the feed.
@@ -30,8 +30,8 @@
   /// After the duty was gained, records written under the predecessor are still
   /// on their way; one poll of the feed and a margin.
   Duration TakeOverPause = milliseconds(500);
-  /// Before the first caller, groups are formed once no endpoint has come for so
-  /// long: engines that start together publish themselves over about three
+  /// Before the first caller, groups are formed once no endpoint has come for
+  /// so long: engines that start together publish themselves over about three
   /// seconds, and groups made of the first few would cut domains up badly.
   Duration FleetSettle = milliseconds(700);
   /// At the latest this long after the duty was gained.
@@ -129,8 +129,8 @@
   membersWith(const EndpointName &Leader) const;
 
   /// @brief Tells where the endpoints stand, by domain.
-  [[nodiscard]] std::vector<DomainSummary>
-  summary(const AssemblyView &View, TimePoint Now) const;
+  [[nodiscard]] std::vector<DomainSummary> summary(const AssemblyView &View,
+                                                   TimePoint Now) const;
 
   /// @brief Hands over what is worth a line in the log since the last call.
   [[nodiscard]] std::vector<GroupNote> takeNotes();
@@ -186,8 +186,7 @@
     std::size_t Alike = 0;
   };
   using DomainKey = std::pair<DataCentreName, FabricDomainName>;
-  using FreeEndpoints =
-      std::map<DomainKey, std::vector<const KnownEndpoint *>>;
+  using FreeEndpoints = std::map<DomainKey, std::vector<const KnownEndpoint *>>;
   struct Pass;
 
   [[nodiscard]] bool fleetSettled(const AssemblyView &View, TimePoint Now);
--- a/packages/version/src/coltsfoottrail/assembly/loadpacer.cpp
+++ b/packages/version/src/coltsfoottrail/assembly/loadpacer.cpp
@@ -15,9 +15,9 @@
     return true;
   if (!UnderWay.empty() && UnderWay.size() + More > Most)
     return false;
-  const auto Recent = static_cast<std::uint32_t>(std::count_if(
-      Begun.begin(), Begun.end(),
-      [&](TimePoint When) { return Now - When < Window; }));
+  const auto Recent = static_cast<std::uint32_t>(
+      std::count_if(Begun.begin(), Begun.end(),
+                    [&](TimePoint When) { return Now - When < Window; }));
   const double Allowed =
       std::floor(Rate * std::chrono::duration<double>(Window).count());
   return Recent + More <= static_cast<std::uint32_t>(std::max(Allowed, 1.0));
--- a/packages/version/src/coltsfoottrail/fleet/routeindex.hpp
+++ b/packages/version/src/coltsfoottrail/fleet/routeindex.hpp
@@ -47,8 +47,7 @@
 private:
   PublishedConfig Config;
   /// Routes of a host by prefix.
-  std::unordered_map<std::string,
-                     std::unordered_map<std::string, std::size_t>>
+  std::unordered_map<std::string, std::unordered_map<std::string, std::size_t>>
       ByHost;
   std::unordered_map<std::string, std::size_t> ByCredential;
   std::map<ServiceName, std::size_t> ByService;
--- a/packages/version/test/coltsfoottrail/assembly/engines.hpp
+++ b/packages/version/test/coltsfoottrail/assembly/engines.hpp
@@ -134,29 +134,29 @@
     if (Found == Records.end())
       return OrderOutcome::Unknown;
     EndpointRecord &Its = Found->second;
-    std::visit(
-        Overloaded{
-            [&](const JoinSeat &Join) { join(Its, Join); },
-            [&](const OpenSeat &Open) {
-              std::size_t Ready = 0;
-              for (const auto &[Name, Record] : Records)
-                Ready += Record.Seat && Record.Seat->Epoch == Open.Epoch &&
-                         Record.Seat->Phase == SeatPhase::Ready;
-              OpenedPartial += Ready == sizeOf(Its) ? 0 : 1;
-              Opening.insert(Its.Name);
-            },
-            [&](const CloseSeat &) {
-              Opening.erase(Its.Name);
-              if (Its.Seat)
-                Its.Seat->Phase = SeatPhase::Ready;
-            },
-            [&](const LeaveSeat &) {
-              Opening.erase(Its.Name);
-              Its.Seat.reset();
-            },
-            [&](const StageModel &Stage) { Its.Staged = {Stage.Model}; },
-        },
-        Command.Order);
+    std::visit(Overloaded{
+                   [&](const JoinSeat &Join) { join(Its, Join); },
+                   [&](const OpenSeat &Open) {
+                     std::size_t Ready = 0;
+                     for (const auto &[Name, Record] : Records)
+                       Ready += Record.Seat &&
+                                Record.Seat->Epoch == Open.Epoch &&
+                                Record.Seat->Phase == SeatPhase::Ready;
+                     OpenedPartial += Ready == sizeOf(Its) ? 0 : 1;
+                     Opening.insert(Its.Name);
+                   },
+                   [&](const CloseSeat &) {
+                     Opening.erase(Its.Name);
+                     if (Its.Seat)
+                       Its.Seat->Phase = SeatPhase::Ready;
+                   },
+                   [&](const LeaveSeat &) {
+                     Opening.erase(Its.Name);
+                     Its.Seat.reset();
+                   },
+                   [&](const StageModel &Stage) { Its.Staged = {Stage.Model}; },
+               },
+               Command.Order);
     publish(Its.Name);
     return OrderOutcome::Taken;
   }
