--- a/packages/process/src/coltsfoottrail/fleethost/relay.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/relay.cpp
@@ -48,6 +48,8 @@
 constexpr std::uint32_t FreshOvercommit = 4;
 /// Late ones wait behind all fresh ones.
 constexpr std::uint32_t LateOvercommit = 20;
+/// Late requests that already run do take places from fresh ones.
+constexpr double LeastLoadPart = 0.5;
 /// Places in an engine's queue: a stream that broke off is waited for most.
 constexpr std::uint32_t ResumedRank = 1;
 constexpr std::uint32_t FreshRank = 4;
@@ -197,8 +199,24 @@
   return std::nullopt;
 }
 
-WorkItem FleetRelay::itemOf(const HttpRequest &Request,
-                            const Work &Asked) const {
+/// Counts a request of a pool while it is in progress.
+class FleetRelay::MixMark {
+public:
+  MixMark(std::shared_ptr<PoolMix> Where, bool CameBack)
+      : Mix(std::move(Where)), Late(CameBack) {
+    ++(Late ? Mix->Late : Mix->Fresh);
+  }
+  MixMark(const MixMark &) = delete;
+  MixMark &operator=(const MixMark &) = delete;
+  ~MixMark() { --(Late ? Mix->Late : Mix->Fresh); }
+
+private:
+  std::shared_ptr<PoolMix> Mix;
+  bool Late;
+};
+
+WorkItem FleetRelay::itemOf(const HttpRequest &Request, const Work &Asked,
+                            const PoolMix &Mix) const {
   WorkItem Out;
   Out.Team = Asked.Team;
   Out.Urgency = Asked.CameBack ? Priority::Batch : Priority::Normal;
@@ -214,6 +232,13 @@
   Out.StartBy = Asked.ArrivedAt + Wait;
   if (Asked.Route->streams())
     Out.Overcommit = Asked.CameBack ? LateOvercommit : FreshOvercommit;
+  // Failure guarded against: late requests that wait in a leader's queue make
+  // it look full, fresh ones are refused and come back late, and soon nothing
+  // is on time. Fresh ones go before late ones there; other hosts' mix is taken
+  // to be like this host's.
+  const std::uint32_t All = Mix.Fresh + Mix.Late;
+  if (!Asked.CameBack && All > 0)
+    Out.LoadPart = std::max(LeastLoadPart, double(Mix.Fresh) / All);
   Out.Repeatable = Asked.Route->repeatable();
   Out.Fingerprint = hashText(
       Request.Body, hashText(Request.Target, hashText(Asked.Team.Text)));
@@ -222,8 +247,12 @@
 }
 
 Awaitable<void> FleetRelay::route(Exchange &Call, Work &Asked) {
+  std::shared_ptr<PoolMix> &Mix = Mixes[Asked.Pool];
+  if (!Mix)
+    Mix = std::make_shared<PoolMix>();
+  const MixMark Mark(Mix, Asked.CameBack);
   std::optional<Place> Mine =
-      Routing.submit(Asked.Pool, itemOf(Call.request(), Asked),
+      Routing.submit(Asked.Pool, itemOf(Call.request(), Asked, *Mix),
                      co_await boost::asio::this_coro::executor);
   if (!Mine) {
     const Verdict None{RunState::NotRun, Reason::NoEndpoint,
--- a/packages/process/src/coltsfoottrail/fleethost/relay.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/relay.hpp
@@ -12,6 +12,8 @@
 #include "coltsfoottrail/server/router.hpp"
 #include "coltsfoottrail/silence/silencewatch.hpp"
 
+#include <map>
+#include <memory>
 #include <optional>
 #include <string>
 
@@ -78,9 +80,16 @@
   [[nodiscard]] std::optional<HttpResponse> admit(const HttpRequest &Request,
                                                   Work &Asked);
   [[nodiscard]] std::optional<HttpResponse> choosePool(Work &Asked);
+  /// Own requests in progress in a pool.
+  struct PoolMix {
+    std::uint32_t Fresh = 0;
+    std::uint32_t Late = 0;
+  };
+  class MixMark;
+
   [[nodiscard]] milliseconds comeBackAfter(const Work &Asked);
   [[nodiscard]] WorkItem itemOf(const HttpRequest &Request,
-                                const Work &Asked) const;
+                                const Work &Asked, const PoolMix &Mix) const;
   [[nodiscard]] Awaitable<void> route(Exchange &Call, Work &Asked);
   [[nodiscard]] Awaitable<AttemptResult> attempt(Exchange &Call, Work &Asked,
                                                  const EndpointSpec &To);
@@ -101,6 +110,8 @@
   SilenceWatch &Silence;
   Random Draw;
   FleetRelayCounts Counts;
+  /// Shared with the coroutines, which may end after this object.
+  std::map<std::string, std::shared_ptr<PoolMix>> Mixes;
   bool Stopping = false;
 };
 
--- a/packages/request/src/coltsfoottrail/choice/chooser.cpp
+++ b/packages/request/src/coltsfoottrail/choice/chooser.cpp
@@ -123,7 +123,8 @@
                      const EstimatedWaitPolicy &Chosen, TimePoint Now) const {
   const Candidate &Endpoint = *Table.find(Which);
   return Chosen.FullByLoad &&
-         Endpoint.Load.load(Now) >= Endpoint.Bound + Query.Overcommit;
+         Endpoint.Load.load(Now) * Query.LoadPart >=
+             Endpoint.Bound + Query.Overcommit;
 }
 
 std::optional<CandidateId>
--- a/packages/request/src/coltsfoottrail/choice/chooser.hpp
+++ b/packages/request/src/coltsfoottrail/choice/chooser.hpp
@@ -22,6 +22,8 @@
   double Cost = 1.0;
   /// Requests beyond an endpoint's bound that it may wait behind there.
   std::uint32_t Overcommit = 0;
+  /// Part of an endpoint's requests that count against its bound.
+  double LoadPart = 1.0;
   /// Endpoint that just failed it.
   std::optional<CandidateId> Avoid = std::nullopt;
   /// It is suspected of crashing endpoints: keep it apart from other suspects.
