--- a/packages/process/src/coltsfoottrail/fleethost/relay.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/relay.cpp
@@ -43,6 +43,9 @@
 /// for a part of the time that it has left: refused again, it is lost.
 constexpr double LateWaitPart = 0.4;
 constexpr Duration LongestLateWait = milliseconds(1'500);
+/// One that found no place in time is put behind the others at an endpoint, or
+/// refused at once.
+constexpr Duration DemotedWait = milliseconds(10);
 /// Requests that wait in a leader's own queue. An engine that is busy ends 14
 /// to 22 requests a second, so that the last of four still starts within 0.3 s.
 constexpr std::uint32_t FreshOvercommit = 4;
@@ -199,6 +202,18 @@
   return std::nullopt;
 }
 
+Duration FleetRelay::longestWait(const Work &Asked) {
+  if (Asked.Demoted)
+    return DemotedWait;
+  if (!Asked.CameBack)
+    return std::chrono::duration_cast<Duration>(Asked.Route->TargetLatency *
+                                                FreshWaitPart);
+  const Duration Left = Asked.AnswerBy - Asked.ArrivedAt;
+  return std::min<Duration>(
+      LongestLateWait,
+      std::chrono::duration_cast<Duration>(Left * LateWaitPart));
+}
+
 /// Counts a request of a pool while it is in progress.
 class FleetRelay::MixMark {
 public:
@@ -219,25 +234,17 @@
                             const PoolMix &Mix) const {
   WorkItem Out;
   Out.Team = Asked.Team;
-  Out.Urgency = Asked.CameBack ? Priority::Batch : Priority::Normal;
+  Out.Urgency = Asked.late() ? Priority::Batch : Priority::Normal;
   Out.Deadline = Asked.AnswerBy;
-  const Duration Left = Asked.AnswerBy - Asked.ArrivedAt;
-  const Duration Wait =
-      Asked.CameBack
-          ? std::min<Duration>(
-                LongestLateWait,
-                std::chrono::duration_cast<Duration>(Left * LateWaitPart))
-          : std::chrono::duration_cast<Duration>(Asked.Route->TargetLatency *
-                                                 FreshWaitPart);
-  Out.StartBy = Asked.ArrivedAt + Wait;
+  Out.StartBy = BootClock::now() + longestWait(Asked);
   if (Asked.Route->streams())
-    Out.Overcommit = Asked.CameBack ? LateOvercommit : FreshOvercommit;
+    Out.Overcommit = Asked.late() ? LateOvercommit : FreshOvercommit;
   // Failure guarded against: late requests that wait in a leader's queue make
   // it look full, fresh ones are refused and come back late, and soon nothing
   // is on time. Fresh ones go before late ones there; other hosts' mix is taken
   // to be like this host's.
   const std::uint32_t All = Mix.Fresh + Mix.Late;
-  if (!Asked.CameBack && All > 0)
+  if (!Asked.late() && All > 0)
     Out.LoadPart = std::max(LeastLoadPart, double(Mix.Fresh) / All);
   Out.Repeatable = Asked.Route->repeatable();
   Out.Fingerprint = hashText(
@@ -250,21 +257,25 @@
   std::shared_ptr<PoolMix> &Mix = Mixes[Asked.Pool];
   if (!Mix)
     Mix = std::make_shared<PoolMix>();
-  const MixMark Mark(Mix, Asked.CameBack);
-  std::optional<Place> Mine =
-      Routing.submit(Asked.Pool, itemOf(Call.request(), Asked, *Mix),
-                     co_await boost::asio::this_coro::executor);
-  if (!Mine) {
-    const Verdict None{RunState::NotRun, Reason::NoEndpoint,
-                       ElsewhereRetryAfter};
-    co_await finish(Call, Asked, None);
-    co_return;
-  }
-  while (true) {
+  std::optional<MixMark> Mark(std::in_place, Mix, Asked.late());
+  const auto Executor = co_await boost::asio::this_coro::executor;
+  std::optional<Place> Mine = Routing.submit(
+      Asked.Pool, itemOf(Call.request(), Asked, *Mix), Executor);
+  while (Mine) {
     const Decision Next = co_await Mine->next();
     if (const auto *const Final = std::get_if<Verdict>(&Next)) {
-      co_await finish(Call, Asked, *Final);
-      co_return;
+      if (!mayDemote(Asked, *Final)) {
+        co_await finish(Call, Asked, *Final);
+        co_return;
+      }
+      Asked.Demoted = true;
+      Mark.emplace(Mix, true);
+      Mine.reset();
+      std::optional<Place> Behind = Routing.submit(
+          Asked.Pool, itemOf(Call.request(), Asked, *Mix), Executor);
+      if (Behind)
+        Mine.emplace(std::move(*Behind));
+      continue;
     }
     const auto To = std::get<Assignment>(Next).Endpoint;
     AttemptResult Result = co_await attempt(Call, Asked, *To);
@@ -279,6 +290,17 @@
       co_return;
     }
   }
+  const Verdict None{RunState::NotRun, Reason::NoEndpoint, ElsewhereRetryAfter};
+  co_await finish(Call, Asked, None);
+}
+
+// Failure guarded against: on a day with too few groups callers are refused,
+// come back late, and are refused again. A stream that finds no place in time
+// to be on time is late, whatever is done; behind the others it still gets the
+// first place that none of them needs.
+bool FleetRelay::mayDemote(const Work &Asked, const Verdict &Final) {
+  return Asked.Route->streams() && !Asked.late() && Asked.Runs == 0 &&
+         Final.State == RunState::NotRun && Final.Why == Reason::Overloaded;
 }
 
 Awaitable<AttemptResult> FleetRelay::attempt(Exchange &Call, Work &Asked,
@@ -292,7 +314,7 @@
   Marks.Team = Asked.Team;
   Marks.TimeLeft = std::chrono::floor<milliseconds>(Left);
   if (Asked.Route->streams())
-    Marks.Rank = Asked.CameBack ? LateRank : FreshRank;
+    Marks.Rank = Asked.late() ? LateRank : FreshRank;
   if (Asked.Events.any()) {
     Marks.Rank = ResumedRank;
     Asked.Events.dropPartial();
--- a/packages/process/src/coltsfoottrail/fleethost/relay.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/relay.hpp
@@ -69,6 +69,10 @@
     TimePoint AnswerBy;
     /// The caller was refused before and comes again: its time has run on.
     bool CameBack = false;
+    /// It found no place in time to be on time, and takes what is left.
+    bool Demoted = false;
+
+    [[nodiscard]] bool late() const noexcept { return CameBack || Demoted; }
     std::string Pool;
     /// Endpoints that may have run it.
     std::uint32_t Runs = 0;
@@ -90,6 +94,8 @@
   [[nodiscard]] milliseconds comeBackAfter(const Work &Asked);
   [[nodiscard]] WorkItem itemOf(const HttpRequest &Request,
                                 const Work &Asked, const PoolMix &Mix) const;
+  [[nodiscard]] static Duration longestWait(const Work &Asked);
+  [[nodiscard]] static bool mayDemote(const Work &Asked, const Verdict &Final);
   [[nodiscard]] Awaitable<void> route(Exchange &Call, Work &Asked);
   [[nodiscard]] Awaitable<AttemptResult> attempt(Exchange &Call, Work &Asked,
                                                  const EndpointSpec &To);
