--- a/apps/coltsfoottraild/main.cpp
+++ b/apps/coltsfoottraild/main.cpp
@@ -145,7 +145,7 @@
       std::cout << Given.FleetFile << ": ok\n";
       return ExitOk;
     }
-    openLog(TelemetrySettings{});
+    openOutputLog(LogLevel::Info);
     const std::size_t Cut = runFleetHost(Given.FleetFile);
     closeLog();
     return Cut > 0 ? ExitCut : ExitOk;
--- a/packages/process/src/coltsfoottrail/fleethost/host.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/host.cpp
@@ -260,6 +260,8 @@
     View.advance(BootClock::now());
     refreshRoutes();
     Routing.advance();
+    if (const std::uint64_t Dropped = Relay.takeDroppedTrails(); Dropped > 0)
+      logEvent(Event::TrailsDropped, {{"requests", Dropped}});
     Pause.expires_after(Routing.waiting() > 0 ? BusyTick : IdleTick);
     co_await Pause.async_wait(asio::use_awaitable);
   }
--- a/packages/process/src/coltsfoottrail/fleethost/relay.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/relay.cpp
@@ -127,13 +127,78 @@
 
 } // namespace
 
+/// Writes a request's lines when its coroutine ends, however it does.
+class FleetRelay::TrailMark {
+public:
+  TrailMark(Work &Of, std::shared_ptr<TrailBudget> Limits)
+      : Asked(Of), Budget(std::move(Limits)) {}
+  TrailMark(const TrailMark &) = delete;
+  TrailMark &operator=(const TrailMark &) = delete;
+  ~TrailMark() {
+    const TimePoint Now = BootClock::now();
+    if (!Asked.Ended) {
+      Asked.Trail.tells();
+      Asked.Trail.add(Event::CallerLeft, {{"sends", Asked.Sends}}, Now);
+    }
+    Asked.Trail.end(*Budget, Now);
+  }
+
+private:
+  Work &Asked;
+  std::shared_ptr<TrailBudget> Budget;
+};
+
+void FleetRelay::ended(Work &Asked, std::string_view Outcome, unsigned Status,
+                       const Verdict &Final) {
+  Asked.Ended = true;
+  const bool Answered = Outcome == "answered";
+  if (!Answered || Asked.Sends > 1)
+    Asked.Trail.tells();
+  const std::string_view Why = Answered ? "none" : reasonCode(Final.Why);
+  const std::string_view Ran = Answered ? "ran" : runStateCode(Final.State);
+  Asked.Trail.add(Event::RequestEnded,
+                  {{"outcome", Outcome},
+                   {"status", Status},
+                   {"verdict", Ran},
+                   {"reason", Why},
+                   {"sends", Asked.Sends},
+                   {"last_event", Asked.Events.lastId()}},
+                  BootClock::now());
+}
+
+void FleetRelay::noteFailure(Work &Asked, const EndpointSpec &To,
+                             const AttemptResult &Result) {
+  Asked.Trail.tells();
+  Asked.Trail.add(
+      Event::AttemptFailed,
+      {{"endpoint", To.Host},
+       {"verdict", runStateCode(Result.State)},
+       {"reason", reasonCode(Result.Why)},
+       {"after_ms",
+        std::chrono::duration_cast<milliseconds>(Result.Total).count()},
+       {"last_event", Asked.Events.lastId()}},
+      BootClock::now());
+}
+
 Awaitable<void> FleetRelay::serve(Exchange &Call) {
   ++Counts.Requests;
   Work Asked;
+  const TrailMark Mark(Asked, Budget);
   std::optional<HttpResponse> Refused = admit(Call.request(), Asked);
   if (!Refused)
     Refused = choosePool(Asked);
   if (Refused) {
+    const TimePoint Now = BootClock::now();
+    Asked.Ended = true;
+    Asked.Trail.tells();
+    Asked.Trail.add(Event::RequestTurnedAway,
+                    {{"status", Refused->Status},
+                     {"answer", Refused->Body},
+                     {"config", Asked.Config ? Asked.Config->version() : 0},
+                     {"config_age_ms", std::chrono::duration_cast<milliseconds>(
+                                           View.configAge(Now))
+                                           .count()}},
+                    Now);
     Wire.mark(*Refused, Asked.Said.Id);
     co_await Call.respond(std::move(*Refused));
     co_return;
@@ -146,6 +211,7 @@
   Asked.ArrivedAt = BootClock::now();
   Asked.AnswerBy = Asked.ArrivedAt;
   Asked.Said = Wire.read(Request);
+  Asked.Trail.begin(Asked.Said.Id, Asked.ArrivedAt);
   Asked.Config = View.config();
   const Verdict Elsewhere{RunState::NotRun, Reason::Stale, ElsewhereRetryAfter};
   if (!Asked.Config || Stopping)
@@ -269,6 +335,8 @@
         co_return;
       }
       Asked.Demoted = true;
+      Asked.Trail.add(Event::RequestDemoted, {{"pool", Asked.Pool}},
+                      BootClock::now());
       Mark.emplace(Mix, true);
       Mine.reset();
       std::optional<Place> Behind = Routing.submit(
@@ -289,6 +357,7 @@
       ++Counts.Answered;
       co_return;
     }
+    noteFailure(Asked, *To, Result);
   }
   const Verdict None{RunState::NotRun, Reason::NoEndpoint, ElsewhereRetryAfter};
   co_await finish(Call, Asked, None);
@@ -322,6 +391,16 @@
     ++Counts.Resumed;
   }
   ++Counts.Sends;
+  ++Asked.Sends;
+  Asked.Trail.add(Event::RequestPlaced,
+                  {{"pool", Asked.Pool},
+                   {"endpoint", To.Host},
+                   {"team", Asked.Team},
+                   {"config", Asked.Config->version()},
+                   {"left_ms", Marks.TimeLeft.count()},
+                   {"send", Asked.Sends},
+                   {"late", Asked.late()}},
+                  Start);
   const bool Repeatable = Asked.Route->repeatable();
   HttpRequest Sent = Wire.forward(Call.request(), Marks);
   const bool MayMove = Repeatable && Asked.Route->streams() &&
@@ -388,6 +467,7 @@
     Asked.Kept = std::move(Whole);
     co_return failed(RunState::MayHaveRun, Reason::EndpointFailed, Start);
   }
+  ended(Asked, "answered", Whole.Status, {});
   co_await Call.respond(std::move(Whole));
   co_return answered(Start, FirstByte);
 }
@@ -444,6 +524,7 @@
     HttpResponse Head = Wire.answerHead(Answer.head());
     co_await Call.begin(std::move(Head));
   }
+  ended(Asked, "answered", StatusOk, {});
   co_await Call.end();
   co_return answered(Start, FirstByte);
 }
@@ -451,12 +532,15 @@
 Awaitable<void> FleetRelay::finish(Exchange &Call, Work &Asked, Verdict Final) {
   if (Call.begun()) {
     ++Counts.CutStreams;
+    ended(Asked, "cut", StatusOk, Final);
     Call.cut();
     co_return;
   }
   HttpResponse Out = Asked.Kept && Final.State != RunState::NotRun
                          ? std::move(*Asked.Kept)
                          : refusal(Asked, Final);
+  ended(Asked, Final.State == RunState::NotRun ? "refused" : "failed",
+        Out.Status, Final);
   co_await Call.respond(std::move(Out));
 }
 
--- a/packages/process/src/coltsfoottrail/fleethost/relay.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/relay.hpp
@@ -9,6 +9,7 @@
 #include "coltsfoottrail/fleethost/view.hpp"
 #include "coltsfoottrail/http/client.hpp"
 #include "coltsfoottrail/http/server.hpp"
+#include "coltsfoottrail/logging/requesttrail.hpp"
 #include "coltsfoottrail/server/router.hpp"
 #include "coltsfoottrail/silence/silencewatch.hpp"
 
@@ -52,6 +53,11 @@
   /// @brief New requests are refused from now on.
   void stop() noexcept { Stopping = true; }
 
+  /// @brief Requests whose lines the log did not take since the last call.
+  [[nodiscard]] std::uint64_t takeDroppedTrails() {
+    return Budget->takeDropped();
+  }
+
   /// @brief What it has done.
   [[nodiscard]] const FleetRelayCounts &counts() const noexcept {
     return Counts;
@@ -79,6 +85,9 @@
     EventTail Events;
     /// An endpoint's failure, to be passed on if nothing better comes.
     std::optional<HttpResponse> Kept;
+    RequestTrail Trail;
+    std::uint32_t Sends = 0;
+    bool Ended = false;
   };
 
   [[nodiscard]] std::optional<HttpResponse> admit(const HttpRequest &Request,
@@ -107,6 +116,11 @@
   [[nodiscard]] Awaitable<void> finish(Exchange &Call, Work &Asked,
                                        Verdict Final);
   [[nodiscard]] HttpResponse refusal(const Work &Asked, const Verdict &Final);
+  class TrailMark;
+  void ended(Work &Asked, std::string_view Outcome, unsigned Status,
+             const Verdict &Final);
+  void noteFailure(Work &Asked, const EndpointSpec &To,
+                   const AttemptResult &Result);
   void observe(const EndpointSpec &From, const AnswerMarks &Marks);
 
   const FleetView &View;
@@ -117,6 +131,9 @@
   Random Draw;
   FleetRelayCounts Counts;
   /// Shared with the coroutines, which may end after this object.
+  std::shared_ptr<TrailBudget> Budget =
+      std::make_shared<TrailBudget>(TrailLimits{});
+  /// Shared with the coroutines, which may end after this object.
   std::map<std::string, std::shared_ptr<PoolMix>> Mixes;
   bool Stopping = false;
 };
--- a/packages/process/src/coltsfoottrail/logging/log.cpp
+++ b/packages/process/src/coltsfoottrail/logging/log.cpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <cstdio>
 #include <fstream>
+#include <log4cxx/asyncappender.h>
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/fileappender.h>
 #include <log4cxx/logger.h>
@@ -15,6 +16,8 @@
 namespace {
 
 constexpr std::size_t MaxValueBytes = 512;
+/// Lines that wait to be written: several seconds of a busy host, about 0.3 MB.
+constexpr int LinesAside = 1024;
 constexpr unsigned char FirstPrintable = 0x20;
 constexpr unsigned char Delete = 0x7f;
 
@@ -98,30 +101,58 @@
   logger()->addAppender(Appender);
 }
 
+void openOutputLog(LogLevel Least) {
+  const log4cxx::LayoutPtr Layout(
+      new log4cxx::PatternLayout("%d{yyyy-MM-ddTHH:mm:ss.SSSZ} %-5p %m%n"));
+  const log4cxx::AppenderPtr Output(new log4cxx::ConsoleAppender(
+      Layout, log4cxx::ConsoleAppender::getSystemOut()));
+  const auto Aside = std::make_shared<log4cxx::AsyncAppender>();
+  Aside->setBufferSize(LinesAside);
+  Aside->setBlocking(false);
+  Aside->addAppender(Output);
+  logger()->removeAllAppenders();
+  logger()->setAdditivity(false);
+  logger()->setLevel(levelOf(Least));
+  logger()->addAppender(Aside);
+}
+
 void closeLog() {
+  for (const log4cxx::AppenderPtr &Each : logger()->getAllAppenders())
+    Each->close();
   logger()->removeAllAppenders();
   logger()->setLevel(log4cxx::Level::getOff());
 }
 
-std::string eventLine(Event Which, std::initializer_list<Field> Fields) {
+std::string eventLine(Event Which, std::initializer_list<Field> Fields,
+                      std::initializer_list<Field> First) {
   std::string Line = "E";
   Line += std::to_string(static_cast<unsigned>(Which));
   Line += ' ';
   Line += eventInfo(Which).Name;
-  for (const Field &Each : Fields) {
-    Line += ' ';
-    Line += Each.Key;
-    Line += '=';
-    appendValue(Line, Each.Value);
-  }
+  for (const auto &List : {First, Fields})
+    for (const Field &Each : List) {
+      Line += ' ';
+      Line += Each.Key;
+      Line += '=';
+      appendValue(Line, Each.Value);
+    }
   return Line;
 }
 
 void logEvent(Event Which, std::initializer_list<Field> Fields) noexcept {
+  try {
+    if (logger()->isEnabledFor(levelOf(eventInfo(Which).Level)))
+      logLine(Which, eventLine(Which, Fields));
+  } catch (const std::exception &Problem) {
+    std::fprintf(stderr, "the log cannot be written: %s\n", Problem.what());
+  }
+}
+
+void logLine(Event Which, const std::string &Line) noexcept {
   try {
     const log4cxx::LevelPtr Level = levelOf(eventInfo(Which).Level);
     if (logger()->isEnabledFor(Level))
-      logger()->forcedLog(Level, eventLine(Which, Fields),
+      logger()->forcedLog(Level, Line,
                           log4cxx::spi::LocationInfo::getLocationUnavailable());
   } catch (const std::exception &Problem) {
     std::fprintf(stderr, "the log cannot be written: %s\n", Problem.what());
--- a/packages/process/src/coltsfoottrail/logging/log.hpp
+++ b/packages/process/src/coltsfoottrail/logging/log.hpp
@@ -58,6 +58,15 @@
 /// @throws Error The file cannot be opened.
 void openLog(const TelemetrySettings &Where);
 
+/// @brief Opens the log on the standard output, written aside by a thread of
+/// its own. Not thread-safe; as openLog().
+///
+/// Failure guarded against: whoever reads the output stops to read, the pipe
+/// fills up, and every request waits for a line to be written. Lines beyond the
+/// buffer are dropped, and the log says how many.
+/// @param Least Least urgent events that are logged.
+void openOutputLog(LogLevel Least);
+
 /// @brief Flushes and closes the log. Thread-safe against logEvent(): events
 /// logged later go nowhere.
 void closeLog();
@@ -67,6 +76,11 @@
 /// @param Fields What to say of it; the order is kept.
 void logEvent(Event Which, std::initializer_list<Field> Fields = {}) noexcept;
 
+/// @brief Logs a line that eventLine() made. Thread-safe; never throws.
+/// @param Which The line's event, for its level.
+/// @param Line The line.
+void logLine(Event Which, const std::string &Line) noexcept;
+
 /// @brief The line that logEvent() writes, without the time. Thread-safe.
 ///
 /// Failure guarded against: a caller sends a value with a line end in it and so
@@ -75,9 +89,11 @@
 /// always one line and its keys are those of the code.
 /// @param Which The event.
 /// @param Fields What to say of it.
+/// @param First Fields that go before the others.
 /// @return "E1001 started key=value other=\"two words\"".
 [[nodiscard]] std::string eventLine(Event Which,
-                                    std::initializer_list<Field> Fields);
+                                    std::initializer_list<Field> Fields,
+                                    std::initializer_list<Field> First = {});
 
 /// @brief Lets through a bounded number of events of one kind, so that a flood
 /// of refusals is not a flood of log lines. Thread-safe.
--- /dev/null
+++ b/packages/process/src/coltsfoottrail/logging/requesttrail.cpp
@@ -0,0 +1,45 @@
+#include "coltsfoottrail/logging/requesttrail.hpp"
+
+#include <utility>
+
+namespace coltsfoottrail {
+
+bool TrailBudget::admit(bool Telling, TimePoint Now) {
+  if (Now - SecondStart >= seconds(1)) {
+    SecondStart = Now;
+    UsualCount = 0;
+    TellingCount = 0;
+  }
+  std::uint32_t &Count = Telling ? TellingCount : UsualCount;
+  const std::uint32_t Most = Telling ? Limits.Telling : Limits.Usual;
+  if (Count >= Most) {
+    ++Dropped;
+    return false;
+  }
+  ++Count;
+  return true;
+}
+
+std::uint64_t TrailBudget::takeDropped() { return std::exchange(Dropped, 0); }
+
+void RequestTrail::begin(std::string_view Request, TimePoint Now) {
+  Id = Request;
+  BeganAt = Now;
+}
+
+void RequestTrail::add(Event Which, std::initializer_list<Field> Fields,
+                       TimePoint Now) {
+  const auto Since =
+      std::chrono::duration_cast<milliseconds>(Now - BeganAt).count();
+  Lines.push_back(
+      {Which, eventLine(Which, Fields, {{"request", Id}, {"at_ms", Since}})});
+}
+
+void RequestTrail::end(TrailBudget &Budget, TimePoint Now) {
+  if (!Lines.empty() && Budget.admit(Telling, Now))
+    for (const Line &Each : Lines)
+      logLine(Each.Which, Each.Text);
+  Lines.clear();
+}
+
+} // namespace coltsfoottrail
--- /dev/null
+++ b/packages/process/test/coltsfoottrail/fleethost/view.cpp
@@ -0,0 +1,111 @@
+#include "coltsfoottrail/fleethost/view.hpp"
+
+#include <gtest/gtest.h>
+
+namespace coltsfoottrail {
+
+namespace {
+
+constexpr TimePoint Start{seconds(100)};
+
+PublishedConfig config(std::uint64_t Version) {
+  PublishedConfig Out;
+  Out.Version = Version;
+  ServiceProfile Drafts;
+  Drafts.Name = ServiceName("draft");
+  Drafts.Engine.emplace();
+  ServedModel Model;
+  Model.Name = ModelName("m");
+  Drafts.Engine->Models.push_back(Model);
+  Out.Services.push_back(Drafts);
+  return Out;
+}
+
+FeedPage page(FleetChange Change) {
+  FeedPage Out;
+  Out.Changes.push_back(std::move(Change));
+  return Out;
+}
+
+EndpointRecord leader() {
+  EndpointRecord Out;
+  Out.Name = EndpointName("head");
+  Out.Service = ServiceName("draft");
+  Out.DataCentre = DataCentreName("north");
+  Out.Slots = 26;
+  Out.Loaded = {ModelName("m")};
+  Out.Seat = GroupSeat{"g", 7, 0, SeatPhase::Open};
+  return Out;
+}
+
+FleetView sound() {
+  FleetView View{FleetBounds{}};
+  View.take(Feed::Operators, page(ConfigPublished{config(5)}), true, Start,
+            Start);
+  View.take(Feed::Endpoints, page(EndpointPublished{leader()}), true, Start,
+            Start);
+  return View;
+}
+
+std::size_t endpointsOf(const FleetView &View) {
+  return View.routes().Table.Pools.at("model/draft/m").Endpoints.size();
+}
+
+// Callers are served by routes that were withdrawn.
+// The store is read again from an earlier point, or an answer is overtaken.
+TEST(FleetView, ConfigurationNeverGoesBack) {
+  FleetView View = sound();
+  View.take(Feed::Operators, page(ConfigPublished{config(4)}), false, Start,
+            Start);
+  EXPECT_EQ(View.config()->version(), 5U);
+}
+
+// A withdrawn credential is served on a host that the store is closed to.
+// Nothing proves the configuration any more; before the bound ends credentials
+// count as stale. A late answer to an old question proves only that time.
+TEST(FleetView, CredentialsAreStaleBeforeTheBoundEnds) {
+  FleetView View = sound();
+  EXPECT_TRUE(View.ready(Start + seconds(4)));
+  EXPECT_FALSE(View.ready(Start + seconds(5)));
+  View.take(Feed::Operators, FeedPage{}, false, Start, Start + seconds(6));
+  EXPECT_FALSE(View.ready(Start + seconds(6)));
+  View.take(Feed::Operators, FeedPage{}, false, Start + seconds(6),
+            Start + seconds(7));
+  EXPECT_TRUE(View.ready(Start + seconds(7)));
+}
+
+TEST(FleetView, OnlyOpenLeadersOutsideDrainsGetWork) {
+  FleetView View = sound();
+  EXPECT_EQ(endpointsOf(View), 1U);
+  View.take(Feed::Operators, page(DataCentreDrained{DataCentreName("north")}),
+            false, Start, Start);
+  EXPECT_EQ(endpointsOf(View), 0U);
+  View.take(Feed::Operators, page(DataCentreReturned{DataCentreName("north")}),
+            false, Start, Start);
+  EndpointRecord Closed = leader();
+  Closed.Seat->Phase = SeatPhase::Ready;
+  View.take(Feed::Endpoints, page(EndpointPublished{Closed}), false, Start,
+            Start);
+  EXPECT_EQ(endpointsOf(View), 0U);
+}
+
+TEST(FleetView, ShunnedEndpointGetsNoShareForAWhile) {
+  FleetView View = sound();
+  View.shun(EndpointName("head"), Start);
+  EXPECT_EQ(View.routes().Shares.begin()->second, 0U);
+  View.advance(Start + seconds(3));
+  EXPECT_EQ(View.routes().Shares.begin()->second, 26U);
+}
+
+TEST(FleetView, ColdEndpointGetsASmallShare) {
+  FleetView View = sound();
+  EndpointRecord Cold = leader();
+  Cold.ColdFor = seconds(3);
+  View.take(Feed::Endpoints, page(EndpointPublished{Cold}), false, Start,
+            Start);
+  EXPECT_EQ(View.routes().Shares.begin()->second, 1U);
+}
+
+} // namespace
+
+} // namespace coltsfoottrail
--- a/packages/request/src/coltsfoottrail/choice/chooser.hpp
+++ b/packages/request/src/coltsfoottrail/choice/chooser.hpp
@@ -20,10 +20,6 @@
   /// Hash of the prompt's head; zero for none.
   std::uint64_t PrefixHash = 0;
   double Cost = 1.0;
-  /// Requests beyond an endpoint's bound that it may wait behind there.
-  std::uint32_t Overcommit = 0;
-  /// Part of an endpoint's requests that count against its bound.
-  double LoadPart = 1.0;
   /// Endpoint that just failed it.
   std::optional<CandidateId> Avoid = std::nullopt;
   /// It is suspected of crashing endpoints: keep it apart from other suspects.
@@ -34,6 +30,10 @@
   bool CachedOnly = false;
   /// Time left to its deadline.
   Duration Patience = Duration::max();
+  /// Requests beyond an endpoint's bound that it may wait behind there.
+  std::uint32_t Overcommit = 0;
+  /// Part of an endpoint's requests that count against its bound.
+  double LoadPart = 1.0;
 };
 
 /// How an attempt ended, as far as the endpoint's health goes.
