Keep groups whose members are all behind a cut; pace requests to cold endpoints

Ruled out: the driver's loss (same driver, fence 8, throughout). Test: Assembler.GroupsBehindACutAreStillTheirsAfterIt, failed first (2).

--- a/packages/process/src/coltsfoottrail/fleethost/relay.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/relay.cpp
@@ -378,6 +378,8 @@
   const Duration Left = Asked.AnswerBy - Start;
   if (Left < LeastUsefulTime)
     co_return failed(RunState::NotRun, Reason::DeadlinePassed, Start);
+  if (!bears(Asked, To, Start))
+    co_return failed(RunState::NotRun, Reason::EndpointRefused, Start);
   ForwardMarks Marks;
   Marks.Endpoint = EndpointName(To.Host.Text);
   Marks.Team = Asked.Team;
@@ -436,6 +438,19 @@
   co_return co_await relayWhole(Call, Asked, std::move(Answer), Start);
 }
 
+bool FleetRelay::bears(const Work &Asked, const EndpointSpec &To,
+                       TimePoint Now) {
+  const KnownEndpoint *const Known =
+      View.endpoints().find(EndpointName(To.Host.Text));
+  if (Known == nullptr || !Known->Cold)
+    return true;
+  const ServiceProfile *const Service =
+      Asked.Config->service(Known->Record.Service);
+  if (Service == nullptr || Service->ColdRequestsPerSecond <= 0.0)
+    return true;
+  return Gate.admit(To.Host.Text, Service->ColdRequestsPerSecond, Now);
+}
+
 void FleetRelay::observe(const EndpointSpec &From, const AnswerMarks &Marks) {
   if (!Marks.Reported)
     return;
--- a/packages/process/src/coltsfoottrail/fleethost/relay.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/relay.hpp
@@ -3,6 +3,7 @@
 #ifndef COLTSFOOTTRAIL_FLEETHOST_RELAY_HPP
 #define COLTSFOOTTRAIL_FLEETHOST_RELAY_HPP
 
+#include "coltsfoottrail/admission/coldgate.hpp"
 #include "coltsfoottrail/boundary/wire.hpp"
 #include "coltsfoottrail/core/random.hpp"
 #include "coltsfoottrail/fleethost/eventtail.hpp"
@@ -121,6 +122,8 @@
              const Verdict &Final);
   void noteFailure(Work &Asked, const EndpointSpec &To,
                    const AttemptResult &Result);
+  [[nodiscard]] bool bears(const Work &Asked, const EndpointSpec &To,
+                           TimePoint Now);
   void observe(const EndpointSpec &From, const AnswerMarks &Marks);
 
   const FleetView &View;
@@ -129,6 +132,7 @@
   const CallerWire &Wire;
   SilenceWatch &Silence;
   Random Draw;
+  ColdGate Gate;
   FleetRelayCounts Counts;
   /// Shared with the coroutines, which may end after this object.
   std::shared_ptr<TrailBudget> Budget =
--- a/packages/request/test/coltsfoottrail/silence/silencewatch.cpp
+++ b/packages/request/test/coltsfoottrail/silence/silencewatch.cpp
@@ -27,8 +27,9 @@
   Watch.began("stuck", Start);
   Watch.began("stuck", Start);
   Watch.began("sound", Start);
-  EXPECT_EQ(Watch.quietFor(SilenceWatch::SuspectAfter,
-                           Start + SilenceWatch::SuspectAfter)
+  EXPECT_EQ(Watch
+                .quietFor(SilenceWatch::SuspectAfter,
+                          Start + SilenceWatch::SuspectAfter)
                 .size(),
             2U);
   const TimePoint Limit = Start + SilenceWatch::SilentAfter;
--- a/packages/version/src/coltsfoottrail/assembly/assembler.cpp
+++ b/packages/version/src/coltsfoottrail/assembly/assembler.cpp
@@ -321,8 +321,11 @@
     Of.LeaveOrdered = In.Now;
     return false;
   }
-  retire(Of, "no member is left");
-  return true;
+  // Failure guarded against: a whole data centre is cut off from the store, its
+  // records lapse, and its groups go on serving. Nothing proves that they are
+  // over. While no member is known there is nothing to give away; when they are
+  // back, so is the group, or its leader is waited for as above.
+  return false;
 }
 
 /// A member is gone or leaves, the leader is there.
--- a/packages/version/test/coltsfoottrail/assembly/assembler.cpp
+++ b/packages/version/test/coltsfoottrail/assembly/assembler.cpp
@@ -106,6 +106,31 @@
   EXPECT_GE(Waited, AssemblyTimes{}.StallTime);
 }
 
+// Engines would serve two groups at once after a data centre was cut off.
+// The records of a whole data centre lapse while its engines go on serving
+// behind the cut; when they are back, leaders still serve the groups that they
+// had, and their members must not be given away.
+TEST(Assembler, GroupsBehindACutAreStillTheirsAfterIt) {
+  FakeEngines Fleet;
+  Fleet.addDomain("north", "n0", 8);
+  Fleet.run(LongEnough);
+  Fleet.CallersBegun = true;
+  const std::vector<EndpointName> Before = Fleet.leaders();
+  for (const auto &[Name, Record] : Fleet.Records)
+    Fleet.Catalogue.remove(Name, Fleet.Now);
+  Fleet.run(seconds(20));
+  std::vector<EndpointName> Names;
+  for (const auto &[Name, Record] : Fleet.Records)
+    Names.push_back(Name);
+  for (const EndpointName &Name : Names) {
+    Fleet.publish(Name);
+    Fleet.run(milliseconds(100));
+  }
+  Fleet.run(LongEnough);
+  EXPECT_EQ(Fleet.JoinedWhileOpen, 0);
+  EXPECT_EQ(Fleet.leaders(), Before);
+}
+
 // After a crash of the driver, groups would stand still until it is back.
 // A successor knows nothing but the records; it takes the groups over, leaves
 // sound ones alone and repairs the one that has lost a member.
