--- a/packages/process/src/coltsfoottrail/fleethost/relay.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/relay.cpp
@@ -442,7 +442,7 @@
                        TimePoint Now) {
   const KnownEndpoint *const Known =
       View.endpoints().find(EndpointName(To.Host.Text));
-  if (Known == nullptr || !Known->Cold)
+  if (Known == nullptr || !View.mayBeCold(*Known))
     return true;
   const ServiceProfile *const Service =
       Asked.Config->service(Known->Record.Service);
--- a/packages/process/src/coltsfoottrail/fleethost/view.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/view.cpp
@@ -20,6 +20,10 @@
 /// groups has asked its members and closed it, or it is sound.
 constexpr Duration ShunTime = milliseconds(2'000);
 
+/// How long the endpoints of a returned data centre are taken for cold: two
+/// heartbeats of the platform and a poll.
+constexpr Duration ReturnCaution = milliseconds(3'000);
+
 std::string endpointKey(const EndpointRecord &Of) {
   std::string Out = Of.Name.Text + "#" + std::to_string(Of.Born);
   if (Of.Seat)
@@ -42,7 +46,7 @@
   if (Whole && Which == Feed::Endpoints)
     retainEndpoints(Page, Now);
   if (Whole && Which == Feed::Operators)
-    retainDrains(Page);
+    retainDrains(Page, Now);
   applyAll(Page, Now);
   if (Which == Feed::Operators)
     ConfigAsOf = std::max(ConfigAsOf, AskedAt);
@@ -64,7 +68,7 @@
                      Changes += Drained.insert(One.DataCentre).second ? 1 : 0;
                    },
                    [&](const DataCentreReturned &One) {
-                     Changes += Drained.erase(One.DataCentre);
+                     returned(One.DataCentre, Now);
                    },
                    [&](EndpointPublished &One) {
                      Catalogue.publish(std::move(One.Record), Now);
@@ -95,15 +99,25 @@
   Catalogue.retain(Present, Now);
 }
 
-void FleetView::retainDrains(const FeedPage &Page) {
+// Failure guarded against: endpoints of a drained data centre are often cold
+// when it is returned, but the record that says so comes up to a heartbeat and
+// a poll later. Every host sends them full load at once, and they fall over.
+void FleetView::returned(const DataCentreName &Which, TimePoint Now) {
+  if (Drained.erase(Which) == 0)
+    return;
+  Returned.insert_or_assign(Which, Now + ReturnCaution);
+  ++Changes;
+}
+
+void FleetView::retainDrains(const FeedPage &Page, TimePoint Now) {
   std::set<DataCentreName> Present;
   for (const FleetChange &Change : Page.Changes)
     if (const auto *const One = std::get_if<DataCentreDrained>(&Change))
       Present.insert(One->DataCentre);
-  if (Present == Drained)
-    return;
-  Drained = std::move(Present);
-  ++Changes;
+  const std::set<DataCentreName> Before = Drained;
+  for (const DataCentreName &Each : Before)
+    if (!Present.contains(Each))
+      returned(Each, Now);
 }
 
 void FleetView::shun(const EndpointName &Which, TimePoint Now) {
@@ -113,8 +127,9 @@
 
 void FleetView::advance(TimePoint Now) {
   Catalogue.advance(Now);
-  Changes += std::erase_if(
-      Shunned, [&](const auto &Entry) { return Entry.second <= Now; });
+  const auto Over = [&](const auto &Entry) { return Entry.second <= Now; };
+  Changes += std::erase_if(Shunned, Over);
+  Changes += std::erase_if(Returned, Over);
 }
 
 // Failure guarded against: this host is cut off from the store, a credential is
@@ -170,7 +185,7 @@
   Spec.DataCentre = Record.DataCentre;
   Spec.WarmBound = std::max<std::uint32_t>(1, Record.Slots);
   Spec.Members = {Record.Address};
-  Out.Shares[Spec.Key] = Known.Cold ? ColdShare : Spec.WarmBound;
+  Out.Shares[Spec.Key] = mayBeCold(Known) ? ColdShare : Spec.WarmBound;
   if (shuns(Record.Name))
     Out.Shares[Spec.Key] = 0;
   Pool->second.Endpoints.push_back(std::move(Spec));
--- a/packages/process/src/coltsfoottrail/fleethost/view.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/view.hpp
@@ -50,6 +50,11 @@
   [[nodiscard]] bool shuns(const EndpointName &Which) const {
     return Shunned.contains(Which);
   }
+  /// @brief Whether an endpoint may be cold: by its record, or because its data
+  /// centre has just been returned.
+  [[nodiscard]] bool mayBeCold(const KnownEndpoint &Known) const {
+    return Known.Cold || Returned.contains(Known.Record.DataCentre);
+  }
   /// @brief Does what time alone brings.
   void advance(TimePoint Now);
 
@@ -91,13 +96,16 @@
   void apply(ConfigPublished Change);
   void applyAll(FeedPage &Page, TimePoint Now);
   void retainEndpoints(const FeedPage &Page, TimePoint Now);
-  void retainDrains(const FeedPage &Page);
+  void retainDrains(const FeedPage &Page, TimePoint Now);
+  void returned(const DataCentreName &Which, TimePoint Now);
   void addEndpoint(const KnownEndpoint &Known, FleetRoutes &Out) const;
 
   FleetBounds Bounds;
   EndpointCatalogue Catalogue;
   RouteIndexPtr Index;
   std::set<DataCentreName> Drained;
+  /// Data centres that were returned, and until when that matters.
+  std::map<DataCentreName, TimePoint> Returned;
   TimePoint ConfigAsOf{};
   bool EndpointsKnown = false;
   std::uint64_t Changes = 0;
--- a/packages/process/test/coltsfoottrail/fleethost/view.cpp
+++ b/packages/process/test/coltsfoottrail/fleethost/view.cpp
@@ -97,6 +97,20 @@
   EXPECT_EQ(View.routes().Shares.begin()->second, 26U);
 }
 
+// A data centre is returned, and its endpoints fall over at once.
+// They are cold, but the records that say so are still on their way.
+TEST(FleetView, EndpointsOfAReturnedDataCentreCountAsColdAtFirst) {
+  FleetView View = sound();
+  const DataCentreName North("north");
+  View.take(Feed::Operators, page(DataCentreDrained{North}), false, Start,
+            Start);
+  View.take(Feed::Operators, page(DataCentreReturned{North}), false, Start,
+            Start);
+  EXPECT_EQ(View.routes().Shares.begin()->second, 1U);
+  View.advance(Start + seconds(3));
+  EXPECT_EQ(View.routes().Shares.begin()->second, 26U);
+}
+
 TEST(FleetView, ColdEndpointGetsASmallShare) {
   FleetView View = sound();
   EndpointRecord Cold = leader();
