--- a/packages/process/src/coltsfoottrail/fleethost/relay.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/relay.cpp
@@ -1,6 +1,7 @@
 #include "coltsfoottrail/fleethost/relay.hpp"
 
 #include "coltsfoottrail/core/hash.hpp"
+#include "coltsfoottrail/server/attempts.hpp"
 
 #include <algorithm>
 #include <boost/asio/this_coro.hpp>
@@ -67,29 +68,6 @@
   return Status >= StatusOk && Status < StatusFirstOther;
 }
 
-AttemptResult failed(RunState State, Reason Why, TimePoint Start) {
-  AttemptResult Out;
-  Out.State = State;
-  Out.Why = Why;
-  Out.Total = BootClock::now() - Start;
-  return Out;
-}
-
-AttemptResult failed(const CallFailure &Failure, TimePoint Start) {
-  AttemptResult Out = failed(Failure.State, Failure.Why, Start);
-  Out.ConnectionLost = Failure.ConnectionLost;
-  return Out;
-}
-
-AttemptResult answered(TimePoint Start, TimePoint FirstByte) {
-  AttemptResult Out;
-  Out.State = RunState::Ran;
-  Out.Answered = true;
-  Out.FirstByte = FirstByte - Start;
-  Out.Total = BootClock::now() - Start;
-  return Out;
-}
-
 std::string secondsText(milliseconds Span) {
   char Text[32];
   std::snprintf(Text, sizeof Text, "%.3f",
--- a/packages/process/src/coltsfoottrail/server/relay.cpp
+++ b/packages/process/src/coltsfoottrail/server/relay.cpp
@@ -3,6 +3,7 @@
 #include "coltsfoottrail/core/hash.hpp"
 #include "coltsfoottrail/core/overloaded.hpp"
 #include "coltsfoottrail/json/reader.hpp"
+#include "coltsfoottrail/server/attempts.hpp"
 #include "coltsfoottrail/server/events.hpp"
 #include "coltsfoottrail/server/refusal.hpp"
 
@@ -34,29 +35,6 @@
   return {RunState::NotRun, Why, RetryAfter};
 }
 
-AttemptResult failed(RunState State, Reason Why, TimePoint Start) {
-  AttemptResult Out;
-  Out.State = State;
-  Out.Why = Why;
-  Out.Total = BootClock::now() - Start;
-  return Out;
-}
-
-AttemptResult failed(const CallFailure &Failure, TimePoint Start) {
-  AttemptResult Out = failed(Failure.State, Failure.Why, Start);
-  Out.ConnectionLost = Failure.ConnectionLost;
-  return Out;
-}
-
-AttemptResult answered(TimePoint Start, TimePoint FirstByte) {
-  AttemptResult Out;
-  Out.State = RunState::Ran;
-  Out.Answered = true;
-  Out.FirstByte = FirstByte - Start;
-  Out.Total = BootClock::now() - Start;
-  return Out;
-}
-
 /// The key of a group's endpoint names its generation; the engine wants the
 /// group alone and refuses when it serves another one.
 std::string groupOf(const EndpointSpec &To) {
