Close connections behind streams that began before a stop; notice a lost read of endpoints in time

Cause 1 (LOST): an answer that began before the server stopped to accept kept its connection, a request came on it 4.9 s after SIGTERM and was cut. Test: HttpServer.ClosesBehindAStreamThatBeganBeforeTheStop, failed first. Cause 2 (DRAIN): a read of the endpoints' feed that was lost took 2.0 s to be noticed; requests reached a leaving leader 2.08 s after.

--- a/packages/connection/src/coltsfoottrail/http/server.cpp
+++ b/packages/connection/src/coltsfoottrail/http/server.cpp
@@ -197,7 +197,9 @@
 
   Awaitable<void> run() {
     try {
-      while (KeepAlive && co_await serveOne()) {
+      // An answer that began before the stop could not say that its connection
+      // closes; it closes all the same, so that no request comes on it later.
+      while (KeepAlive && co_await serveOne() && !Server->Stopping) {
       }
     } catch (const boost::system::system_error &) {
       // The client is gone, too slow, or this session was cut.
--- a/packages/process/src/coltsfoottrail/fleethost/host.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/host.cpp
@@ -39,6 +39,9 @@
 constexpr milliseconds OperatorsWait{1'500};
 /// The driver is told of the same endpoint again after this.
 constexpr milliseconds SuspectAgainAfter{1'000};
+/// Endpoints publish many times a second: a read hardly ever waits, and one that
+/// is lost is noticed this much sooner.
+constexpr milliseconds EndpointsWait{100};
 /// Beyond these a request waits in the caller instead.
 constexpr std::size_t MostWaiting = 256;
 constexpr std::size_t MostWaitingBytes = std::size_t{4} << 20U;
@@ -99,6 +102,7 @@
 
 FollowTimes endpointTimes() {
   FollowTimes Out;
+  Out.Wait = EndpointsWait;
   Out.Spacing = FollowerSpacing;
   return Out;
 }
