--- a/packages/process/src/coltsfoottrail/fleethost/host.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/host.cpp
@@ -39,8 +39,8 @@
 constexpr milliseconds OperatorsWait{1'500};
 /// The driver is told of the same endpoint again after this.
 constexpr milliseconds SuspectAgainAfter{1'000};
-/// Endpoints publish many times a second: a read hardly ever waits, and one that
-/// is lost is noticed this much sooner.
+/// Endpoints publish many times a second: a read hardly ever waits, and one
+/// that is lost is noticed this much sooner.
 constexpr milliseconds EndpointsWait{100};
 /// Beyond these a request waits in the caller instead.
 constexpr std::size_t MostWaiting = 256;
