Hold removals back only after an outage that can lapse entries; read again at once when the store is back

Cause: a host that was cut off from the store heard one feed again at 22.73 s while the other feed's read, lost in the cut, hung until 23.25 s. That second return armed the hold on removals anew, for 2.5 s, and an endpoint that had left at 23.59 s without saying so got requests until 25.75 s (bound 25.59 s). A read that does not hold all there is goes on at once. New line 1405 for what an endpoint's record changes.

--- a/packages/connection/src/coltsfoottrail/boundary/store.hpp
+++ b/packages/connection/src/coltsfoottrail/boundary/store.hpp
@@ -60,6 +60,8 @@
   std::vector<FleetChange> Changes;
   /// Where to read on.
   Offset Next = 0;
+  /// Behind the last record that the store held when it answered.
+  Offset End = 0;
 };
 
 /// Why a call to the store gave nothing.
--- a/packages/process/src/coltsfoottrail/fleethost/follower.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/follower.cpp
@@ -1,26 +1,48 @@
 #include "coltsfoottrail/fleethost/follower.hpp"
 
-#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/experimental/awaitable_operators.hpp>
+#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 namespace coltsfoottrail {
 
+using namespace boost::asio::experimental::awaitable_operators;
+
 Awaitable<void> FeedFollower::run() {
-  boost::asio::steady_timer Pause(co_await boost::asio::this_coro::executor);
+  const auto Executor = co_await boost::asio::this_coro::executor;
+  boost::asio::steady_timer Pause(Executor);
+  Hurry.emplace(Executor, boost::asio::steady_timer::time_point::max());
   while (true) {
     const TimePoint AskedAt = BootClock::now();
-    const bool Read = co_await step();
-    const TimePoint Due = AskedAt + (Read ? Times.Spacing : Times.RetryPause);
+    const auto Ended = co_await (step() || untilHurried());
+    const ReadEnd Read =
+        Ended.index() == 0 ? std::get<0>(Ended) : ReadEnd::More;
+    if (Read == ReadEnd::More)
+      continue;
+    const TimePoint Due =
+        AskedAt + (Read == ReadEnd::Newest ? Times.Spacing : Times.RetryPause);
     const Duration Left = Due - BootClock::now();
     if (Left <= Duration::zero())
       continue;
     Pause.expires_after(Left);
-    co_await Pause.async_wait(boost::asio::use_awaitable);
+    co_await (Pause.async_wait(boost::asio::use_awaitable) || untilHurried());
   }
 }
 
-Awaitable<bool> FeedFollower::step() {
+// Failure guarded against: a host is cut off from the store and reached again,
+// one feed is read, and the other still waits for an answer that was lost in
+// the cut. Hosts would hold removals back for longer than they may.
+Awaitable<void> FeedFollower::untilHurried() {
+  boost::system::error_code Cancelled;
+  co_await Hurry->async_wait(
+      boost::asio::redirect_error(boost::asio::use_awaitable, Cancelled));
+}
+
+// Failure guarded against: after an outage there is more to read than one
+// answer holds. Read at the usual spacing, the host lags behind by seconds, and
+// sends work to endpoints that have long said that they leave.
+Awaitable<FeedFollower::ReadEnd> FeedFollower::step() {
   const TimePoint AskedAt = BootClock::now();
   const bool Whole = !Next;
   std::variant<FeedPage, StoreFailure> Answer = StoreFailure::NotDone;
@@ -33,12 +55,13 @@
       Next.reset();
     else
       Hooks.Failed(*Failed);
-    co_return false;
+    co_return ReadEnd::Failed;
   }
   FeedPage &Page = std::get<FeedPage>(Answer);
   Next = Page.Next;
+  const bool More = Page.Next < Page.End;
   Hooks.Take(std::move(Page), Whole, AskedAt);
-  co_return true;
+  co_return More ? ReadEnd::More : ReadEnd::Newest;
 }
 
 } // namespace coltsfoottrail
--- a/packages/process/src/coltsfoottrail/fleethost/follower.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/follower.hpp
@@ -6,6 +6,7 @@
 #include "coltsfoottrail/boundary/store.hpp"
 #include "coltsfoottrail/core/time.hpp"
 
+#include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <optional>
 
@@ -46,16 +47,34 @@
   /// @brief Follows until it is cancelled.
   [[nodiscard]] Awaitable<void> run();
 
+  /// @brief Gives up a read under way, or the pause before the next one, and
+  /// reads at once.
+  void hurry() {
+    if (Hurry)
+      Hurry->cancel();
+  }
+
   /// @brief Changes the spacing of later reads.
   void space(milliseconds Wanted) noexcept { Times.Spacing = Wanted; }
 
 private:
-  [[nodiscard]] Awaitable<bool> step();
+  /// How one read ended.
+  enum class ReadEnd : std::uint8_t {
+    Failed,
+    /// The store holds more than it answered.
+    More,
+    Newest
+  };
+
+  [[nodiscard]] Awaitable<ReadEnd> step();
+  [[nodiscard]] Awaitable<void> untilHurried();
 
   FleetStore &Store;
   Feed Which;
   FollowTimes Times;
   FollowHooks Hooks;
+  /// Never expires: cancelled to end a wait.
+  std::optional<boost::asio::steady_timer> Hurry;
   /// Where to read on; nothing before the newest values are known.
   std::optional<Offset> Next;
 };
--- a/packages/process/src/coltsfoottrail/fleethost/host.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/host.cpp
@@ -1,7 +1,7 @@
 #include "coltsfoottrail/fleethost/host.hpp"
 
 #include "coltsfoottrail/core/hash.hpp"
-#include "coltsfoottrail/core/overloaded.hpp"
+#include "coltsfoottrail/fleethost/changelog.hpp"
 #include "coltsfoottrail/logging/log.hpp"
 
 #include <boost/asio/co_spawn.hpp>
@@ -182,10 +182,13 @@
 }
 
 void FleetHost::took(Feed Which, FeedPage Page, bool Whole, TimePoint AskedAt) {
-  if (!std::exchange(StoreAnswers, true))
+  if (!std::exchange(StoreAnswers, true)) {
     logEvent(Event::StoreRegained);
-  logChanges(Page);
-  View.take(Which, std::move(Page), Whole, AskedAt, BootClock::now());
+    (Which == Feed::Operators ? Endpoints : Operators).hurry();
+  }
+  const TimePoint Now = BootClock::now();
+  logFeedChanges(Page, View, AskedAt, Now);
+  View.take(Which, std::move(Page), Whole, AskedAt, Now);
   refreshRoutes();
 }
 
@@ -193,31 +196,6 @@
   if (std::exchange(StoreAnswers, false))
     logEvent(Event::StoreLost,
              {{"feed", Which == Feed::Operators ? "operators" : "endpoints"}});
-  View.failed(Which, BootClock::now());
-}
-
-void FleetHost::logChanges(const FeedPage &Page) const {
-  for (const FleetChange &Change : Page.Changes)
-    std::visit(
-        Overloaded{
-            [](const ConfigPublished &One) {
-              logEvent(Event::ConfigInForce, {{"version", One.Config.Version}});
-            },
-            [](const DataCentreDrained &One) {
-              logEvent(Event::Drained,
-                       {{"data_centre", One.DataCentre}, {"drained", true}});
-            },
-            [](const DataCentreReturned &One) {
-              logEvent(Event::Drained,
-                       {{"data_centre", One.DataCentre}, {"drained", false}});
-            },
-            [](const UnreadableEntry &One) {
-              logEvent(Event::EntryUnreadable,
-                       {{"key", One.Key}, {"problem", One.Problem}});
-            },
-            [](const auto &) {},
-        },
-        Change);
 }
 
 void FleetHost::refreshRoutes() {
--- a/packages/process/src/coltsfoottrail/fleethost/host.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/host.hpp
@@ -65,7 +65,6 @@
   void startFollowing();
   void took(Feed Which, FeedPage Page, bool Whole, TimePoint AskedAt);
   void readFailed(Feed Which);
-  void logChanges(const FeedPage &Page) const;
   void refreshRoutes();
   void leaveSilent(TimePoint Now);
   [[nodiscard]] Awaitable<void> tick();
--- a/packages/process/src/coltsfoottrail/fleethost/settings.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/settings.cpp
@@ -38,6 +38,7 @@
 
 FleetBounds readBounds(ObjectReader From) {
   FleetBounds Out;
+  Out.Heartbeat = boundOr(From, "heartbeat_ms", Out.Heartbeat);
   Out.Revocation = boundOr(From, "revocation_ms", Out.Revocation);
   Out.Stall = boundOr(From, "stall_ms", Out.Stall);
   const double GraceSeconds = From.realOr("stop_grace_s", 8.0, 1.0, 3600.0);
--- a/packages/process/src/coltsfoottrail/fleethost/settings.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/settings.hpp
@@ -15,6 +15,9 @@
 
 /// @brief What the platform holds every entry host to.
 struct FleetBounds {
+  /// Endpoints publish themselves this often; an entry lapses after three
+  /// heartbeats of silence.
+  milliseconds Heartbeat{1'200};
   /// A withdrawn credential must not be served for longer after its withdrawal
   /// was accepted.
   milliseconds Revocation{5'000};
--- a/packages/process/src/coltsfoottrail/fleethost/view.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/view.cpp
@@ -41,8 +41,8 @@
 
 void FleetView::take(Feed Which, FeedPage Page, bool Whole, TimePoint AskedAt,
                      TimePoint Now) {
-  if (std::exchange(FailuresInRow[Which], 0) > 0 && Which == Feed::Endpoints)
-    Catalogue.storeReturned(Now);
+  if (Which == Feed::Endpoints)
+    noteRead(Now);
   if (Whole && Which == Feed::Endpoints)
     retainEndpoints(Page, Now);
   if (Whole && Which == Feed::Operators)
@@ -54,10 +54,14 @@
     EndpointsKnown = true;
 }
 
-void FleetView::failed(Feed Which, TimePoint Now) {
-  ++FailuresInRow[Which];
-  if (Which == Feed::Endpoints)
+// Failure guarded against: single reads fail, removals are held back after each
+// of them, and endpoints that have left get work for seconds. Entries lapse
+// after three heartbeats of silence, so that an outage of less than two lets
+// none of a live endpoint lapse: removals read after it are real.
+void FleetView::noteRead(TimePoint Now) {
+  if (EndpointsReadAt && Now - *EndpointsReadAt >= 2 * Bounds.Heartbeat)
     Catalogue.storeReturned(Now);
+  EndpointsReadAt = Now;
 }
 
 void FleetView::applyAll(FeedPage &Page, TimePoint Now) {
--- a/packages/process/src/coltsfoottrail/fleethost/view.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/view.hpp
@@ -41,8 +41,6 @@
   /// new.
   void take(Feed Which, FeedPage Page, bool Whole, TimePoint AskedAt,
             TimePoint Now);
-  /// @brief A read of a feed failed.
-  void failed(Feed Which, TimePoint Now);
   /// @brief An endpoint's streams fell silent: it gets nothing new for a while,
   /// or until its record changes.
   void shun(const EndpointName &Which, TimePoint Now);
@@ -94,6 +92,7 @@
 
 private:
   void apply(ConfigPublished Change);
+  void noteRead(TimePoint Now);
   void applyAll(FeedPage &Page, TimePoint Now);
   void retainEndpoints(const FeedPage &Page, TimePoint Now);
   void retainDrains(const FeedPage &Page, TimePoint Now);
@@ -110,7 +109,8 @@
   bool EndpointsKnown = false;
   std::uint64_t Changes = 0;
   std::map<EndpointName, TimePoint> Shunned;
-  std::map<Feed, std::uint32_t> FailuresInRow;
+  /// When the endpoints' feed was last read.
+  std::optional<TimePoint> EndpointsReadAt;
 };
 
 } // namespace coltsfoottrail
--- a/packages/process/src/coltsfoottrail/logging/event.cpp
+++ b/packages/process/src/coltsfoottrail/logging/event.cpp
@@ -85,6 +85,8 @@
      "An endpoint has just started and gets little work at first."},
     {Event::EndpointSilent, LogLevel::Warn, "endpoint-silent",
      "All streams of an endpoint stopped; its requests go elsewhere."},
+    {Event::EndpointChanged, LogLevel::Info, "endpoint-changed",
+     "An endpoint's record came, went, or changed other than by a heartbeat."},
     {Event::GroupBroken, LogLevel::Error, "group-broken",
      "A group lost a member and answers nothing."},
     {Event::GroupConfirmed, LogLevel::Info, "group-confirmed",
--- a/packages/process/src/coltsfoottrail/logging/event.hpp
+++ b/packages/process/src/coltsfoottrail/logging/event.hpp
@@ -51,6 +51,7 @@
   EndpointBack = 1402,
   EndpointCold = 1403,
   EndpointSilent = 1404,
+  EndpointChanged = 1405,
   GroupBroken = 1410,
   GroupConfirmed = 1411,
   PlanTaken = 1501,
--- /dev/null
+++ b/packages/process/test/coltsfoottrail/fleethost/follower.cpp
@@ -0,0 +1,107 @@
+#include "coltsfoottrail/fleethost/follower.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+namespace coltsfoottrail {
+
+namespace {
+
+using FeedAnswer = std::variant<FeedPage, StoreFailure>;
+
+class MockStore : public FleetStore {
+public:
+  MOCK_METHOD(Awaitable<FeedAnswer>, newest, (Feed), (override));
+  MOCK_METHOD(Awaitable<FeedAnswer>, read, (Feed, Offset, milliseconds),
+              (override));
+  MOCK_METHOD((Awaitable<std::variant<DutyGrant, StoreFailure>>), joinDuty,
+              (DutyAsk), (override));
+  MOCK_METHOD((Awaitable<std::variant<std::string, StoreFailure>>), dutyHolder,
+              (), (override));
+  MOCK_METHOD(Awaitable<void>, leaveDuty, (std::string), (override));
+};
+
+Awaitable<FeedAnswer> page(Offset Next, Offset End) {
+  FeedPage Out;
+  Out.Next = Next;
+  Out.End = End;
+  co_return Out;
+}
+
+Awaitable<FeedAnswer> neverAnswered() {
+  boost::asio::steady_timer Silence(co_await boost::asio::this_coro::executor,
+                                    seconds(60));
+  co_await Silence.async_wait(boost::asio::use_awaitable);
+  co_return StoreFailure::Unknown;
+}
+
+class Follower : public ::testing::Test {
+protected:
+  Follower() {
+    Times.Spacing = seconds(60);
+    Times.RetryPause = seconds(60);
+  }
+
+  void follow() {
+    Followed.emplace(Store, Feed::Endpoints, Times,
+                     FollowHooks{[this](FeedPage Page, bool, TimePoint) {
+                                   Taken.push_back(Page.Next);
+                                 },
+                                 [this](StoreFailure) { ++Failures; }});
+    boost::asio::co_spawn(Context, Followed->run(), boost::asio::detached);
+  }
+
+  ::testing::StrictMock<MockStore> Store;
+  FollowTimes Times;
+  boost::asio::io_context Context;
+  std::optional<FeedFollower> Followed;
+  std::vector<Offset> Taken;
+  int Failures = 0;
+};
+
+// A foreman's request goes to an endpoint that said seconds ago that it leaves.
+// After an outage there is more to read than one answer holds; read at the
+// usual spacing, the host lags behind.
+TEST_F(Follower, ReadsOnAtOnceWhileTheStoreHoldsMore) {
+  EXPECT_CALL(Store, newest).WillOnce([] { return page(5, 5); });
+  Times.Spacing = milliseconds(1);
+  EXPECT_CALL(Store, read)
+      .WillOnce([] { return page(20, 60); })
+      .WillOnce([] { return page(40, 60); })
+      .WillOnce([] { return page(60, 60); })
+      .WillRepeatedly([] { return neverAnswered(); });
+  follow();
+  const TimePoint Start = BootClock::now();
+  while (Taken.size() < 4 && BootClock::now() < Start + seconds(5))
+    Context.run_one_for(seconds(1));
+  EXPECT_EQ(Taken, (std::vector<Offset>{5, 20, 40, 60}));
+}
+
+// The same, with another cause: the host was cut off from the store, another
+// feed is read again, and this one waits for an answer that was lost in the
+// cut.
+TEST_F(Follower, MakesAReadAgainWhenHurried) {
+  Times.Spacing = milliseconds(1);
+  EXPECT_CALL(Store, newest).WillOnce([] { return page(5, 5); });
+  EXPECT_CALL(Store, read)
+      .WillOnce([] { return neverAnswered(); })
+      .WillOnce([] { return page(9, 9); })
+      .WillRepeatedly([] { return neverAnswered(); });
+  follow();
+  Context.run_for(milliseconds(50));
+  ASSERT_EQ(Taken, std::vector<Offset>{5});
+  Followed->hurry();
+  Context.run_for(milliseconds(50));
+  EXPECT_EQ(Taken, (std::vector<Offset>{5, 9}));
+  EXPECT_EQ(Failures, 0);
+}
+
+} // namespace
+
+} // namespace coltsfoottrail
--- a/packages/process/test/coltsfoottrail/fleethost/view.cpp
+++ b/packages/process/test/coltsfoottrail/fleethost/view.cpp
@@ -111,6 +111,27 @@
   EXPECT_EQ(View.routes().Shares.begin()->second, 26U);
 }
 
+// A request goes to an endpoint that left two seconds ago.
+// One read of the store failed before; the removal is held back as if entries
+// had lapsed in an outage, but no live endpoint's entry lapses that soon.
+TEST(FleetView, RemovalAfterAShortFailureIsReal) {
+  FleetView View = sound();
+  const TimePoint Later = Start + seconds(2);
+  View.take(Feed::Endpoints, page(EndpointRemoved{EndpointName("head")}), false,
+            Later, Later);
+  EXPECT_EQ(endpointsOf(View), 0U);
+}
+
+TEST(FleetView, RemovalAfterAnOutageIsHeldBack) {
+  FleetView View = sound();
+  const TimePoint Later = Start + seconds(3);
+  View.take(Feed::Endpoints, page(EndpointRemoved{EndpointName("head")}), false,
+            Later, Later);
+  EXPECT_EQ(endpointsOf(View), 1U);
+  View.advance(Later + EndpointCatalogue::SettleTime);
+  EXPECT_EQ(endpointsOf(View), 0U);
+}
+
 TEST(FleetView, ColdEndpointGetsASmallShare) {
   FleetView View = sound();
   EndpointRecord Cold = leader();
--- a/packages/version/src/coltsfoottrail/fleet/catalogue.hpp
+++ b/packages/version/src/coltsfoottrail/fleet/catalogue.hpp
@@ -31,7 +31,8 @@
 /// endpoints lapse, and on its return every host would drop the whole fleet for
 /// the two seconds that the endpoints need to publish themselves again.
 /// Removals within the settling time after an outage are held back until it
-/// ends; an endpoint that is still missing then is gone.
+/// ends; an endpoint that is still missing then is gone. One that has published
+/// itself since the return and is removed after that has left.
 class EndpointCatalogue {
 public:
   /// How long after the store's return removals are held back: the platform
@@ -48,7 +49,10 @@
   /// @param Present All names that have a record.
   void retain(const std::set<EndpointName> &Present, TimePoint Now);
   /// @brief The store answers again after it did not.
-  void storeReturned(TimePoint Now) noexcept { SettledAt = Now + SettleTime; }
+  void storeReturned(TimePoint Now) noexcept {
+    ReturnedAt = Now;
+    SettledAt = Now + SettleTime;
+  }
   /// @brief Drops endpoints that are still missing, and lets cold ones warm up.
   /// @return Names of those dropped.
   std::vector<EndpointName> advance(TimePoint Now);
@@ -65,6 +69,7 @@
 
 private:
   std::map<EndpointName, KnownEndpoint> Known;
+  TimePoint ReturnedAt{};
   TimePoint SettledAt{};
   std::uint64_t Changes = 0;
 };
--- a/packages/version/test/coltsfoottrail/fleet/catalogue.cpp
+++ b/packages/version/test/coltsfoottrail/fleet/catalogue.cpp
@@ -53,6 +53,17 @@
   EXPECT_NE(All.find(EndpointName("back")), nullptr);
 }
 
+// A request goes to an endpoint that left two seconds ago.
+// It published itself after an outage of the store, and its entry was removed
+// after that: the entry did not lapse in the outage.
+TEST(Catalogue, EndpointHeardSinceAnOutageHasLeft) {
+  EndpointCatalogue All;
+  All.publish(record("a", 1, 1), Start);
+  All.storeReturned(Start);
+  All.publish(record("a", 1, 2), Start + milliseconds(300));
+  EXPECT_TRUE(All.remove(EndpointName("a"), Start + milliseconds(600)));
+}
+
 TEST(Catalogue, RemovalInQuietTimesIsAtOnce) {
   EndpointCatalogue All;
   All.publish(record("a", 1, 1), Start);
