Plan loads by what makes a group whole; form groups whenever engines suffice

Cause: a third of the fleet idled. Groups were not formed of engines that sufficed once their model had its share, and loads went to whoever was blank, not to where one load completes a group.

--- a/packages/version/src/coltsfoottrail/assembly/assembler.cpp
+++ b/packages/version/src/coltsfoottrail/assembly/assembler.cpp
@@ -479,7 +479,7 @@
   for (const auto &[Domain, Endpoints] : Free)
     for (const ServedModel &Model : In.Engine.Models) {
       const double Deficit = Missing.at(Model.Name);
-      if (Deficit <= 0.0 || Endpoints.size() < Model.Size)
+      if (Endpoints.size() < Model.Size)
         continue;
       Candidate Next{&Model, Endpoints, 0, Deficit};
       std::stable_sort(Next.Members.begin(), Next.Members.end(),
@@ -552,56 +552,34 @@
 void Assembler::stage(Pass &In, const FreeEndpoints &Free) {
   std::erase_if(Staging,
                 [&](const auto &Entry) { return !Pacer.loads(Entry.first); });
-  for (const auto &[Domain, Endpoints] : Free) {
-    std::vector<const KnownEndpoint *> Left = Endpoints;
-    stageMissing(In, Domain, Left);
-    stageSpares(In, Domain, Left);
-  }
-}
-
-// Failure guarded against: engines that stayed behind in a domain have weights
-// of different models, no group can be formed of them, and they idle for the
-// rest of the day. Those that are lacking to a group load its weights.
-void Assembler::stageMissing(Pass &In, const DomainKey &Domain,
-                             std::vector<const KnownEndpoint *> &Free) {
   const std::map<ModelName, double> Missing = deficits(In);
-  for (const ServedModel &Model : In.Engine.Models) {
-    if (Missing.at(Model.Name) <= 0.0)
-      continue;
-    std::vector<const KnownEndpoint *> Lacking;
-    for (const KnownEndpoint *const Each : Free)
-      if (joinCost(Each->Record, Model.Name) == JoinCost::Load)
-        Lacking.push_back(Each);
-    const std::size_t Have =
-        Free.size() - Lacking.size() + stagingIn(In, Domain, Model.Name);
-    if (Have >= Model.Size || Have + Lacking.size() < Model.Size)
-      continue;
-    Lacking.resize(Model.Size - Have);
-    for (const KnownEndpoint *const Each : Lacking)
-      if (stageAt(In, *Each, Model))
-        std::erase(Free, Each);
+  std::vector<WantedLoad> Wanted;
+  for (const auto &[Domain, Endpoints] : Free)
+    for (WantedLoad &Each : planLoads(idleDomain(In, Domain, Endpoints),
+                                      In.Engine.Models, Missing))
+      Wanted.push_back(std::move(Each));
+  std::stable_sort(Wanted.begin(), Wanted.end(),
+                   [](const WantedLoad &Left, const WantedLoad &Right) {
+                     return Left.Rank < Right.Rank;
+                   });
+  for (const WantedLoad &Each : Wanted)
+    stageAt(In, *In.View.Endpoints.find(Each.Where), *In.model(Each.Model));
+}
+
+IdleDomain
+Assembler::idleDomain(const Pass &In, const DomainKey &Domain,
+                      const std::vector<const KnownEndpoint *> &Free) const {
+  IdleDomain Out;
+  Out.Groups = groupsIn(In, Domain);
+  for (const ServedModel &Each : In.Engine.Models)
+    Out.Loading[Each.Name] = stagingIn(In, Domain, Each.Name);
+  for (const KnownEndpoint *const Each : Free) {
+    IdleEngine Idle{Each->Record.Name, std::nullopt};
+    if (!Each->Record.Staged.empty())
+      Idle.Has = Each->Record.Staged.back();
+    Out.Idle.push_back(std::move(Idle));
   }
-}
-
-// Spares get the weights that most groups of their domain use: a group is then
-// whole again after WarmTime, a tenth of LoadTime.
-void Assembler::stageSpares(Pass &In, const DomainKey &Domain,
-                            const std::vector<const KnownEndpoint *> &Free) {
-  const std::map<ModelName, std::size_t> Groups = groupsIn(In, Domain);
-  const auto Used = [&](const ServedModel &Model) {
-    const auto Found = Groups.find(Model.Name);
-    return Found == Groups.end() ? std::size_t{0} : Found->second;
-  };
-  const auto Wanted =
-      std::max_element(In.Engine.Models.begin(), In.Engine.Models.end(),
-                       [&](const ServedModel &Left, const ServedModel &Right) {
-                         return Used(Left) < Used(Right);
-                       });
-  if (Wanted == In.Engine.Models.end())
-    return;
-  for (const KnownEndpoint *const Each : Free)
-    if (Each->Record.Staged.empty())
-      stageAt(In, *Each, *Wanted);
+  return Out;
 }
 
 bool Assembler::stageAt(Pass &In, const KnownEndpoint &Where,
--- a/packages/version/src/coltsfoottrail/assembly/assembler.hpp
+++ b/packages/version/src/coltsfoottrail/assembly/assembler.hpp
@@ -3,6 +3,7 @@
 #ifndef COLTSFOOTTRAIL_ASSEMBLY_ASSEMBLER_HPP
 #define COLTSFOOTTRAIL_ASSEMBLY_ASSEMBLER_HPP
 
+#include "coltsfoottrail/assembly/layout.hpp"
 #include "coltsfoottrail/assembly/loadpacer.hpp"
 #include "coltsfoottrail/fleet/catalogue.hpp"
 #include "coltsfoottrail/fleet/config.hpp"
@@ -207,10 +208,9 @@
   void form(Pass &In);
   void stage(Pass &In, const FreeEndpoints &Free);
   void start(Pass &In, const Candidate &Chosen);
-  void stageMissing(Pass &In, const DomainKey &Domain,
-                    std::vector<const KnownEndpoint *> &Free);
-  void stageSpares(Pass &In, const DomainKey &Domain,
-                   const std::vector<const KnownEndpoint *> &Free);
+  [[nodiscard]] IdleDomain
+  idleDomain(const Pass &In, const DomainKey &Domain,
+             const std::vector<const KnownEndpoint *> &Free) const;
   bool stageAt(Pass &In, const KnownEndpoint &Where, const ServedModel &Model);
   /// @return Groups of a domain by model.
   [[nodiscard]] std::map<ModelName, std::size_t>
