Count only what waits before a fresh request at a leader

Cause: a fresh request counted a part of all that a leader had, running ones included, and the part was that of all own requests in progress; under overload leaders with forty late requests looked open to fresh ones and closed in turn. Now the part is that of own requests that wait, and it is taken of what waits. Two fresh ones may wait (four before). What binds: hosts know of each other's requests only by reports half a second old.

--- a/packages/process/src/coltsfoottrail/fleethost/relay.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/relay.cpp
@@ -50,11 +50,9 @@
 constexpr Duration DemotedWait = milliseconds(10);
 /// Requests that wait in a leader's own queue. An engine that is busy ends 14
 /// to 22 requests a second, so that the last of four still starts within 0.3 s.
-constexpr std::uint32_t FreshOvercommit = 4;
+constexpr std::uint32_t FreshOvercommit = 2;
 /// Late ones wait behind all fresh ones.
 constexpr std::uint32_t LateOvercommit = 36;
-/// Late requests that already run do take places from fresh ones.
-constexpr double LeastLoadPart = 0.5;
 /// Places in an engine's queue: a stream that broke off is waited for most.
 constexpr std::uint32_t ResumedRank = 1;
 constexpr std::uint32_t FreshRank = 4;
@@ -259,16 +257,26 @@
       std::chrono::duration_cast<Duration>(Left * LateWaitPart));
 }
 
-/// Counts a request of a pool while it is in progress.
+double FleetRelay::PoolMix::freshPart() const noexcept {
+  // One of each is added: a host with few requests knows little.
+  return (Fresh + 1.0) / (Fresh + Late + 2.0);
+}
+
+/// Counts a request of a pool from its send until it begins to be answered.
 class FleetRelay::MixMark {
 public:
-  MixMark(std::shared_ptr<PoolMix> Where, bool CameBack)
-      : Mix(std::move(Where)), Late(CameBack) {
+  MixMark(std::shared_ptr<PoolMix> Where, bool IsLate)
+      : Mix(std::move(Where)), Late(IsLate) {
     ++(Late ? Mix->Late : Mix->Fresh);
   }
   MixMark(const MixMark &) = delete;
   MixMark &operator=(const MixMark &) = delete;
-  ~MixMark() { --(Late ? Mix->Late : Mix->Fresh); }
+  ~MixMark() { begun(); }
+  void begun() {
+    if (Mix)
+      --(Late ? Mix->Late : Mix->Fresh);
+    Mix.reset();
+  }
 
 private:
   std::shared_ptr<PoolMix> Mix;
@@ -288,9 +296,8 @@
   // it look full, fresh ones are refused and come back late, and soon nothing
   // is on time. Fresh ones go before late ones there; other hosts' mix is taken
   // to be like this host's.
-  const std::uint32_t All = Mix.Fresh + Mix.Late;
-  if (!Asked.late() && All > 0)
-    Out.LoadPart = std::max(LeastLoadPart, double(Mix.Fresh) / All);
+  if (!Asked.late())
+    Out.WaitingPart = Mix.freshPart();
   Out.Repeatable = Asked.Route->repeatable();
   Out.Fingerprint = hashText(
       Request.Body, hashText(Request.Target, hashText(Asked.Team.Text)));
@@ -302,7 +309,6 @@
   std::shared_ptr<PoolMix> &Mix = Mixes[Asked.Pool];
   if (!Mix)
     Mix = std::make_shared<PoolMix>();
-  std::optional<MixMark> Mark(std::in_place, Mix, Asked.late());
   const auto Executor = co_await boost::asio::this_coro::executor;
   std::optional<Place> Mine =
       Routing.submit(Asked.Pool, itemOf(Call.request(), Asked, *Mix), Executor);
@@ -316,7 +322,6 @@
       Asked.Demoted = true;
       Asked.Trail.add(Event::RequestDemoted, {{"pool", Asked.Pool}},
                       BootClock::now());
-      Mark.emplace(Mix, true);
       Mine.reset();
       std::optional<Place> Behind = Routing.submit(
           Asked.Pool, itemOf(Call.request(), Asked, *Mix), Executor);
@@ -384,6 +389,7 @@
                   Start);
   const bool Repeatable = Asked.Route->repeatable();
   HttpRequest Sent = Wire.forward(Call.request(), Marks);
+  MixMark Waits(Mixes[Asked.Pool], Asked.late());
   const bool MayMove = Repeatable && Asked.Route->streams() &&
                        Asked.Runs + 1 < Asked.Route->MaxAttempts;
   const TimePoint HeadBy =
@@ -413,7 +419,8 @@
   if (Broken)
     co_return failed(RunState::MayHaveRun, Reason::EndpointFailed, Start);
   if (Asked.Route->streams() && isSuccess(Status))
-    co_return co_await relayStream(Call, Asked, std::move(Answer), To, Start);
+    co_return co_await relayStream(Call, Asked, std::move(Answer), To, Start,
+                                   Waits);
   co_return co_await relayWhole(Call, Asked, std::move(Answer), Start);
 }
 
@@ -474,7 +481,8 @@
 Awaitable<AttemptResult> FleetRelay::relayStream(Exchange &Call, Work &Asked,
                                                  HttpCall Answer,
                                                  const EndpointSpec &To,
-                                                 TimePoint Start) {
+                                                 TimePoint Start,
+                                                 MixMark &Waits) {
   const TimePoint FirstByte = BootClock::now();
   const bool MayMove =
       Asked.Route->repeatable() && Asked.Runs + 1 < Asked.Route->MaxAttempts;
@@ -498,6 +506,7 @@
     if (!Part)
       break;
     Mark.heard();
+    Waits.begun();
     const std::string_view Events = Asked.Events.take(*Part);
     if (Events.empty())
       continue;
--- a/packages/process/src/coltsfoottrail/fleethost/relay.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/relay.hpp
@@ -94,10 +94,13 @@
   [[nodiscard]] std::optional<HttpResponse> admit(const HttpRequest &Request,
                                                   Work &Asked);
   [[nodiscard]] std::optional<HttpResponse> choosePool(Work &Asked);
-  /// Own requests in progress in a pool.
+  /// Own requests that wait at the endpoints of a pool.
   struct PoolMix {
     std::uint32_t Fresh = 0;
     std::uint32_t Late = 0;
+
+    /// @brief Estimates which part of all that waits there is fresh.
+    [[nodiscard]] double freshPart() const noexcept;
   };
   class MixMark;
 
@@ -113,7 +116,7 @@
   relayWhole(Exchange &Call, Work &Asked, HttpCall Answer, TimePoint Start);
   [[nodiscard]] Awaitable<AttemptResult>
   relayStream(Exchange &Call, Work &Asked, HttpCall Answer,
-              const EndpointSpec &To, TimePoint Start);
+              const EndpointSpec &To, TimePoint Start, MixMark &Waits);
   [[nodiscard]] Awaitable<void> finish(Exchange &Call, Work &Asked,
                                        Verdict Final);
   [[nodiscard]] HttpResponse refusal(const Work &Asked, const Verdict &Final);
--- a/packages/request/src/coltsfoottrail/choice/chooser.cpp
+++ b/packages/request/src/coltsfoottrail/choice/chooser.cpp
@@ -122,10 +122,18 @@
 bool Chooser::isFull(CandidateId Which, const ChoiceQuery &Query,
                      const EstimatedWaitPolicy &Chosen, TimePoint Now) const {
   const Candidate &Endpoint = *Table.find(Which);
-  return Chosen.FullByLoad && Endpoint.Load.load(Now) * Query.LoadPart >=
+  return Chosen.FullByLoad && loadAhead(Endpoint, Query, Now) >=
                                   Endpoint.Bound + Query.Overcommit;
 }
 
+/// Requests that run at an endpoint, and those waiting there that go before.
+double Chooser::loadAhead(const Candidate &Endpoint, const ChoiceQuery &Query,
+                          TimePoint Now) {
+  const double Load = Endpoint.Load.load(Now);
+  const double Running = std::min<double>(Load, Endpoint.Bound);
+  return Running + (Load - Running) * Query.WaitingPart;
+}
+
 std::optional<CandidateId>
 Chooser::anyBelowBound(const EstimatedWaitPolicy &Chosen,
                        const ChoiceQuery &Query, TimePoint Now) const {
@@ -255,7 +263,7 @@
       Service.mean() > 0.0 ? Service.mean() : UnknownSeconds;
   const double Seconds = Endpoint.Service.estimate(PoolMean, PriorWeight, Now);
   const double Bound = Endpoint.Bound;
-  const double Load = Endpoint.Load.load(Now);
+  const double Load = loadAhead(Endpoint, Query, Now);
   const double Queued = std::max(0.0, Load + 1.0 - Bound);
   const double Wait = Seconds * Queued / Bound;
   const double Serve =
--- a/packages/request/src/coltsfoottrail/choice/chooser.hpp
+++ b/packages/request/src/coltsfoottrail/choice/chooser.hpp
@@ -32,8 +32,8 @@
   Duration Patience = Duration::max();
   /// Requests beyond an endpoint's bound that it may wait behind there.
   std::uint32_t Overcommit = 0;
-  /// Part of an endpoint's requests that count against its bound.
-  double LoadPart = 1.0;
+  /// Part of the requests waiting at an endpoint that go before this one.
+  double WaitingPart = 1.0;
 };
 
 /// How an attempt ended, as far as the endpoint's health goes.
@@ -160,6 +160,9 @@
   pick(const LeastInFlightPolicy &Chosen, const ChoiceQuery &Query,
        TimePoint Now);
 
+  [[nodiscard]] static double loadAhead(const Candidate &Endpoint,
+                                        const ChoiceQuery &Query,
+                                        TimePoint Now);
   [[nodiscard]] bool isFull(CandidateId Which, const ChoiceQuery &Query,
                             const EstimatedWaitPolicy &Chosen,
                             TimePoint Now) const;
--- a/packages/request/src/coltsfoottrail/dispatch/dispatcher.cpp
+++ b/packages/request/src/coltsfoottrail/dispatch/dispatcher.cpp
@@ -223,7 +223,7 @@
   Query.PrefixHash = Item.PrefixHash;
   Query.Cost = Item.Cost;
   Query.Overcommit = Item.Overcommit;
-  Query.LoadPart = Item.LoadPart;
+  Query.WaitingPart = Item.WaitingPart;
   Query.Avoid = Asked.FailedAt;
   Query.Suspect = Asked.Suspect;
   Query.Repeatable = Item.Repeatable;
--- a/packages/request/src/coltsfoottrail/dispatch/types.hpp
+++ b/packages/request/src/coltsfoottrail/dispatch/types.hpp
@@ -30,9 +30,8 @@
   /// Requests beyond an endpoint's bound that it may be sent behind: it waits
   /// in the endpoint's own queue then, which all entry hosts share.
   std::uint32_t Overcommit = 0;
-  /// Part of the requests at an endpoint that count for it: those behind it in
-  /// the endpoint's queue do not.
-  double LoadPart = 1.0;
+  /// Part of the requests waiting at an endpoint that go before it there.
+  double WaitingPart = 1.0;
   /// Whether it may be sent again once a byte of it may have reached an
   /// endpoint.
   bool Repeatable = false;
