Gather hosts' loads at a hub and let it relay the feeds

Cause: hosts knew of each other's requests only by an endpoint's report with its last answer, half a second old. Change: whoever drives the groups is the hub. Hosts report their own requests by endpoint (running, fresh, late) and get what the others have, and the records that change something, within 0.12 s or at once. Without the hub a host goes by the reports and reads the store as before. Feeds are proved by the age at the hub plus the host's own round trip.

--- a/packages/connection/src/coltsfoottrail/boundary/store.hpp
+++ b/packages/connection/src/coltsfoottrail/boundary/store.hpp
@@ -9,7 +9,9 @@
 #include "coltsfoottrail/fleet/endpoint.hpp"
 #include "coltsfoottrail/http/fwd.hpp"
 
+#include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -55,9 +57,19 @@
     std::variant<ConfigPublished, DataCentreDrained, DataCentreReturned,
                  EndpointPublished, EndpointRemoved, UnreadableEntry>;
 
+/// @brief A record of a feed as the store gave it.
+struct FeedRecord {
+  Offset At = 0;
+  std::string Bytes;
+};
+
 /// @brief A part of a feed.
 struct FeedPage {
   std::vector<FleetChange> Changes;
+  /// The record of each change; empty for newest values.
+  std::vector<FeedRecord> Raw;
+  /// Where the page begins; for newest values as Next.
+  Offset From = 0;
   /// Where to read on.
   Offset Next = 0;
   /// Behind the last record that the store held when it answered.
@@ -112,6 +124,12 @@
   [[nodiscard]] virtual Awaitable<std::variant<FeedPage, StoreFailure>>
   read(Feed Which, Offset From, milliseconds Wait) = 0;
 
+  /// @brief Decodes a record that another entry host read.
+  /// @param Record As FeedRecord::Bytes.
+  /// @return Nothing when it is of no interest.
+  [[nodiscard]] virtual std::optional<FleetChange>
+  decode(Feed Which, std::string_view Record) const = 0;
+
   /// @brief Asks for the duty to drive the groups, or renews it.
   [[nodiscard]] virtual Awaitable<std::variant<DutyGrant, StoreFailure>>
   joinDuty(DutyAsk Ask) = 0;
--- a/packages/process/src/coltsfoottrail/fleethost/follower.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/follower.cpp
@@ -1,5 +1,6 @@
 #include "coltsfoottrail/fleethost/follower.hpp"
 
+#include <algorithm>
 #include <boost/asio/experimental/awaitable_operators.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/this_coro.hpp>
@@ -14,6 +15,7 @@
   boost::asio::steady_timer Pause(Executor);
   Hurry.emplace(Executor, boost::asio::steady_timer::time_point::max());
   while (true) {
+    co_await untilUncovered();
     const TimePoint AskedAt = BootClock::now();
     const auto Ended = co_await (step() || untilHurried());
     const ReadEnd Read =
@@ -39,17 +41,33 @@
       boost::asio::redirect_error(boost::asio::use_awaitable, Cancelled));
 }
 
+void FeedFollower::cover(Offset To, TimePoint Until) {
+  if (!Next || To < *Next)
+    return;
+  Next = To;
+  CoveredUntil = std::max(CoveredUntil, Until);
+}
+
+Awaitable<void> FeedFollower::untilUncovered() {
+  boost::asio::steady_timer Pause(co_await boost::asio::this_coro::executor);
+  while (BootClock::now() < CoveredUntil) {
+    Pause.expires_after(CoveredUntil - BootClock::now());
+    co_await Pause.async_wait(boost::asio::use_awaitable);
+  }
+}
+
 // Failure guarded against: after an outage there is more to read than one
 // answer holds. Read at the usual spacing, the host lags behind by seconds, and
 // sends work to endpoints that have long said that they leave.
 Awaitable<FeedFollower::ReadEnd> FeedFollower::step() {
   const TimePoint AskedAt = BootClock::now();
-  const bool Whole = !Next;
+  const std::optional<Offset> From = Next;
+  const bool Whole = !From;
   std::variant<FeedPage, StoreFailure> Answer = StoreFailure::NotDone;
   if (Whole)
     Answer = co_await Store.newest(Which);
   else
-    Answer = co_await Store.read(Which, *Next, Times.Wait);
+    Answer = co_await Store.read(Which, *From, Times.Wait);
   if (const auto *const Failed = std::get_if<StoreFailure>(&Answer)) {
     if (*Failed == StoreFailure::Expired)
       Next.reset();
@@ -58,6 +76,10 @@
     co_return ReadEnd::Failed;
   }
   FeedPage &Page = std::get<FeedPage>(Answer);
+  // Failure guarded against: this host was told of later records while it read,
+  // and an endpoint that left and came back would be removed by the older ones.
+  if (!Whole && Next != From)
+    co_return ReadEnd::Newest;
   Next = Page.Next;
   const bool More = Page.Next < Page.End;
   Hooks.Take(std::move(Page), Whole, AskedAt);
--- a/packages/process/src/coltsfoottrail/fleethost/follower.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/follower.hpp
@@ -54,6 +54,16 @@
       Hurry->cancel();
   }
 
+  /// @brief Another host read the feed for this one: nothing is read here
+  /// before a time.
+  /// @param To Where to read on.
+  void cover(Offset To, TimePoint Until);
+
+  /// @brief Where to read on; nothing before the newest values are known.
+  [[nodiscard]] const std::optional<Offset> &next() const noexcept {
+    return Next;
+  }
+
   /// @brief Changes the spacing of later reads.
   void space(milliseconds Wanted) noexcept { Times.Spacing = Wanted; }
 
@@ -68,6 +78,7 @@
 
   [[nodiscard]] Awaitable<ReadEnd> step();
   [[nodiscard]] Awaitable<void> untilHurried();
+  [[nodiscard]] Awaitable<void> untilUncovered();
 
   FleetStore &Store;
   Feed Which;
@@ -77,6 +88,7 @@
   std::optional<boost::asio::steady_timer> Hurry;
   /// Where to read on; nothing before the newest values are known.
   std::optional<Offset> Next;
+  TimePoint CoveredUntil{};
 };
 
 } // namespace coltsfoottrail
--- a/packages/process/src/coltsfoottrail/fleethost/host.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/host.cpp
@@ -42,6 +42,12 @@
 /// Endpoints publish many times a second: a read hardly ever waits, and one
 /// that is lost is noticed this much sooner.
 constexpr milliseconds EndpointsWait{100};
+/// What the hub relayed stands in for own reads while it is no older than this:
+/// the hub reads endpoints every 0.15 s, and its read of the operators' feed is
+/// held back for OperatorsWait. Hosts must know of leaving endpoints and of
+/// configurations within two seconds, one own read included.
+constexpr milliseconds EndpointsCover{700};
+constexpr milliseconds OperatorsCover{1'900};
 /// Beyond these a request waits in the caller instead.
 constexpr std::size_t MostWaiting = 256;
 constexpr std::size_t MostWaitingBytes = std::size_t{4} << 20U;
@@ -110,8 +116,8 @@
       Client(Pool.context(0), clientOptions()),
       Relay(View, Routing, Client, Links.Wire, Silence,
             hashText(Settings.Host.Text)),
-      Desk(Links.Store, Links.Engines, View, Silence, memberName(Settings),
-           AssemblyTimes{}),
+      Member(memberName(Settings)),
+      Desk(Links.Store, Links.Engines, View, Silence, Member, AssemblyTimes{}),
       Operators(Links.Store, Feed::Operators, operatorTimes(),
                 {[this](FeedPage Page, bool Whole, TimePoint AskedAt) {
                    took(Feed::Operators, std::move(Page), Whole, AskedAt);
@@ -122,10 +128,7 @@
                    took(Feed::Endpoints, std::move(Page), Whole, AskedAt);
                  },
                  [this](StoreFailure) { readFailed(Feed::Endpoints); }}),
-      Notices(Pool, Settings.Peers, Links.Store,
-              [this](const std::string &Endpoint) {
-                Desk.askAbout(Endpoint, Threads.context(0).get_executor());
-              }) {
+      Link(Pool, Settings.Peers, Member, Links.Store, linkHooks()) {
   Front.emplace(Pool, Settings.Callers.Address, Settings.Callers.Port,
                 ServerLimits{}, frontHooks());
   Readiness.emplace(
@@ -147,7 +150,7 @@
   MetricsServer.reset();
   Readiness.reset();
   Front.reset();
-  Notices.close();
+  Link.close();
   Client.closeIdle();
   Threads.clear();
 }
@@ -171,6 +174,7 @@
   asio::co_spawn(Context, Operators.run(), asio::detached);
   asio::co_spawn(Context, Endpoints.run(), asio::detached);
   asio::co_spawn(Context, Desk.holdDuty(), asio::detached);
+  asio::co_spawn(Context, Link.run(), asio::detached);
   asio::co_spawn(Context, Desk.drive(), asio::detached);
   asio::co_spawn(Context, tick(), asio::detached);
 }
@@ -178,11 +182,71 @@
 void FleetHost::took(Feed Which, FeedPage Page, bool Whole, TimePoint AskedAt) {
   if (!std::exchange(StoreAnswers, true)) {
     logEvent(Event::StoreRegained);
-    (Which == Feed::Operators ? Endpoints : Operators).hurry();
+    follower(Which == Feed::Operators ? Feed::Endpoints : Feed::Operators)
+        .hurry();
   }
   const TimePoint Now = BootClock::now();
   logFeedChanges(Page, View, AskedAt, Now);
-  View.take(Which, std::move(Page), Whole, AskedAt, Now);
+  const std::vector<bool> Changed = View.take(Which, Page, Whole, AskedAt, Now);
+  Link.took(Which, Page, Changed, AskedAt);
+  refreshRoutes();
+}
+
+HubLinkHooks FleetHost::linkHooks() {
+  HubLinkHooks Out;
+  Out.Drives = [this] { return Desk.holds(BootClock::now()); };
+  Out.Report = [this] { return ownReport(); };
+  Out.Take = [this](const HostReport &Asked, HubAnswer Answer,
+                    TimePoint SentAt) {
+    heardHub(Asked, std::move(Answer), SentAt);
+  };
+  Out.Silent = [this](const std::string &Endpoint) {
+    Desk.askAbout(Endpoint, Threads.context(0).get_executor());
+  };
+  return Out;
+}
+
+HostReport FleetHost::ownReport() const {
+  HostReport Out;
+  Out.Host = HostName(Member);
+  Out.Loads = Routing.ownLoads();
+  if (Operators.next())
+    Out.Next[Feed::Operators] = *Operators.next();
+  if (Endpoints.next())
+    Out.Next[Feed::Endpoints] = *Endpoints.next();
+  return Out;
+}
+
+void FleetHost::heardHub(const HostReport &Asked, HubAnswer Answer,
+                         TimePoint SentAt) {
+  Routing.shareLoads(Answer.Loads);
+  for (const auto &[Which, Told] : Answer.Feeds)
+    takeRelayed(Which, Asked.Next.at(Which), Told, SentAt);
+}
+
+// The hub asked the store Age before it answered, and it answered after this
+// host's report had left: what it relays is at least as new as SentAt - Age,
+// by this host's clock alone.
+void FleetHost::takeRelayed(Feed Which, Offset From, const RelayedFeed &Told,
+                            TimePoint SentAt) {
+  FeedFollower &Its = follower(Which);
+  if (Its.next() != From)
+    return;
+  const TimePoint AsOf = SentAt - Told.Age;
+  const TimePoint CoveredUntil =
+      AsOf + (Which == Feed::Operators ? OperatorsCover : EndpointsCover);
+  if (CoveredUntil <= BootClock::now())
+    return;
+  FeedPage Page;
+  Page.Next = Told.Next;
+  Page.End = Told.Next;
+  for (const std::string &Each : Told.Records)
+    if (auto Change = Platform.Store.decode(Which, Each))
+      Page.Changes.push_back(std::move(*Change));
+  Its.cover(Told.Next, CoveredUntil);
+  const TimePoint Now = BootClock::now();
+  logFeedChanges(Page, View, AsOf, Now);
+  (void)View.take(Which, std::move(Page), false, AsOf, Now);
   refreshRoutes();
 }
 
@@ -212,7 +276,7 @@
     if (Desk.holds(Now))
       Desk.askAbout(Name, Context.get_executor());
     else if (Suspected.insert_or_assign(Name, Now).second)
-      asio::co_spawn(Context, Notices.tell(Name), asio::detached);
+      asio::co_spawn(Context, Link.tellSilent(Name), asio::detached);
   }
   std::erase_if(Suspected, [&](const auto &Entry) {
     return Now - Entry.second > SuspectAgainAfter;
--- a/packages/process/src/coltsfoottrail/fleethost/host.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/host.hpp
@@ -8,10 +8,10 @@
 #include "coltsfoottrail/boundary/wire.hpp"
 #include "coltsfoottrail/fleethost/assemblydesk.hpp"
 #include "coltsfoottrail/fleethost/follower.hpp"
-#include "coltsfoottrail/fleethost/notices.hpp"
 #include "coltsfoottrail/fleethost/relay.hpp"
 #include "coltsfoottrail/fleethost/settings.hpp"
 #include "coltsfoottrail/fleethost/view.hpp"
+#include "coltsfoottrail/hub/link.hpp"
 
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
@@ -65,6 +65,14 @@
   void startFollowing();
   void took(Feed Which, FeedPage Page, bool Whole, TimePoint AskedAt);
   void readFailed(Feed Which);
+  [[nodiscard]] HubLinkHooks linkHooks();
+  [[nodiscard]] HostReport ownReport() const;
+  void heardHub(const HostReport &Asked, HubAnswer Answer, TimePoint SentAt);
+  void takeRelayed(Feed Which, Offset From, const RelayedFeed &Told,
+                   TimePoint SentAt);
+  [[nodiscard]] FeedFollower &follower(Feed Which) {
+    return Which == Feed::Operators ? Operators : Endpoints;
+  }
   void refreshRoutes();
   void leaveSilent(TimePoint Now);
   [[nodiscard]] Awaitable<void> tick();
@@ -82,6 +90,8 @@
   HttpClient Client;
   SilenceWatch Silence;
   FleetRelay Relay;
+  /// Names this run of the host.
+  std::string Member;
   AssemblyDesk Desk;
   FeedFollower Operators;
   FeedFollower Endpoints;
@@ -91,7 +101,7 @@
   std::uint64_t LoggedConfig = 0;
   bool StoreAnswers = true;
   bool Stopping = false;
-  SilenceNotices Notices;
+  HubLink Link;
   std::optional<HttpServer> Front;
   std::optional<HttpServer> Readiness;
   std::optional<HttpServer> MetricsServer;
--- a/packages/process/src/coltsfoottrail/fleethost/relay.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/relay.cpp
@@ -330,6 +330,7 @@
       continue;
     }
     const auto To = std::get<Assignment>(Next).Endpoint;
+    Asked.Mine = &*Mine;
     AttemptResult Result = co_await attempt(Call, Asked, *To);
     if (Result.State != RunState::NotRun)
       ++Asked.Runs;
@@ -469,6 +470,7 @@
     co_return failed(RunState::MayHaveRun, Reason::EndpointFailed, Start);
   }
   ended(Asked, "answered", Whole.Status, {});
+  Asked.Mine->begun();
   co_await Call.respond(std::move(Whole));
   co_return answered(Start, FirstByte);
 }
@@ -507,6 +509,7 @@
       break;
     Mark.heard();
     Waits.begun();
+    Asked.Mine->begun();
     const std::string_view Events = Asked.Events.take(*Part);
     if (Events.empty())
       continue;
--- a/packages/process/src/coltsfoottrail/fleethost/relay.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/relay.hpp
@@ -88,6 +88,8 @@
     std::optional<HttpResponse> Kept;
     RequestTrail Trail;
     std::uint32_t Sends = 0;
+    /// Its place among those that wait or run; set while it has one.
+    Place *Mine = nullptr;
     bool Ended = false;
   };
 
--- a/packages/process/src/coltsfoottrail/fleethost/view.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/view.cpp
@@ -39,19 +39,23 @@
                        : "model/" + Service.Text + "/" + Model.Text;
 }
 
-void FleetView::take(Feed Which, FeedPage Page, bool Whole, TimePoint AskedAt,
-                     TimePoint Now) {
+std::vector<bool> FleetView::take(Feed Which, FeedPage Page, bool Whole,
+                                  TimePoint AskedAt, TimePoint Now) {
   if (Which == Feed::Endpoints)
     noteRead(Now);
   if (Whole && Which == Feed::Endpoints)
     retainEndpoints(Page, Now);
   if (Whole && Which == Feed::Operators)
     retainDrains(Page, Now);
-  applyAll(Page, Now);
+  std::vector<bool> Changed;
+  Changed.reserve(Page.Changes.size());
+  for (FleetChange &Change : Page.Changes)
+    Changed.push_back(applyOne(Change, Now));
   if (Which == Feed::Operators)
     ConfigAsOf = std::max(ConfigAsOf, AskedAt);
   else
     EndpointsKnown = true;
+  return Changed;
 }
 
 // Failure guarded against: single reads fail, removals are held back after each
@@ -64,35 +68,39 @@
   EndpointsReadAt = Now;
 }
 
-void FleetView::applyAll(FeedPage &Page, TimePoint Now) {
-  for (FleetChange &Change : Page.Changes)
-    std::visit(Overloaded{
-                   [&](ConfigPublished &One) { apply(std::move(One)); },
-                   [&](const DataCentreDrained &One) {
-                     Changes += Drained.insert(One.DataCentre).second ? 1 : 0;
-                   },
-                   [&](const DataCentreReturned &One) {
-                     returned(One.DataCentre, Now);
-                   },
-                   [&](EndpointPublished &One) {
-                     Catalogue.publish(std::move(One.Record), Now);
-                   },
-                   [&](const EndpointRemoved &One) {
-                     Catalogue.remove(One.Name, Now);
-                   },
-                   [](const UnreadableEntry &) {},
-               },
-               Change);
+bool FleetView::applyOne(FleetChange &Change, TimePoint Now) {
+  return std::visit(
+      Overloaded{
+          [&](ConfigPublished &One) { return apply(std::move(One)); },
+          [&](const DataCentreDrained &One) {
+            const bool New = Drained.insert(One.DataCentre).second;
+            Changes += New ? 1 : 0;
+            return New;
+          },
+          [&](const DataCentreReturned &One) {
+            return returned(One.DataCentre, Now);
+          },
+          [&](EndpointPublished &One) {
+            return Catalogue.publish(std::move(One.Record), Now);
+          },
+          [&](const EndpointRemoved &One) {
+            (void)Catalogue.remove(One.Name, Now);
+            return true;
+          },
+          [](const UnreadableEntry &) { return false; },
+      },
+      Change);
 }
 
 // Failure guarded against: the store is read again from an earlier point, or a
 // lagging answer overtakes a newer one, and callers are served by routes and
 // credentials that were withdrawn. Versions only grow within one run.
-void FleetView::apply(ConfigPublished Change) {
+bool FleetView::apply(ConfigPublished Change) {
   if (Index && Change.Config.Version <= Index->version())
-    return;
+    return false;
   Index = std::make_shared<const RouteIndex>(std::move(Change.Config));
   ++Changes;
+  return true;
 }
 
 void FleetView::retainEndpoints(const FeedPage &Page, TimePoint Now) {
@@ -106,11 +114,12 @@
 // Failure guarded against: endpoints of a drained data centre are often cold
 // when it is returned, but the record that says so comes up to a heartbeat and
 // a poll later. Every host sends them full load at once, and they fall over.
-void FleetView::returned(const DataCentreName &Which, TimePoint Now) {
+bool FleetView::returned(const DataCentreName &Which, TimePoint Now) {
   if (Drained.erase(Which) == 0)
-    return;
+    return false;
   Returned.insert_or_assign(Which, Now + ReturnCaution);
   ++Changes;
+  return true;
 }
 
 void FleetView::retainDrains(const FeedPage &Page, TimePoint Now) {
--- a/packages/process/src/coltsfoottrail/fleethost/view.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/view.hpp
@@ -14,6 +14,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace coltsfoottrail {
 
@@ -39,8 +40,9 @@
   /// @param Whole Whether it holds the newest value of every key.
   /// @param AskedAt When the question left this host: the page is at least as
   /// new.
-  void take(Feed Which, FeedPage Page, bool Whole, TimePoint AskedAt,
-            TimePoint Now);
+  /// @return For each change, whether it changed a belief.
+  std::vector<bool> take(Feed Which, FeedPage Page, bool Whole,
+                         TimePoint AskedAt, TimePoint Now);
   /// @brief An endpoint's streams fell silent: it gets nothing new for a while,
   /// or until its record changes.
   void shun(const EndpointName &Which, TimePoint Now);
@@ -91,12 +93,12 @@
                                             const ModelName &Model);
 
 private:
-  void apply(ConfigPublished Change);
+  bool apply(ConfigPublished Change);
   void noteRead(TimePoint Now);
-  void applyAll(FeedPage &Page, TimePoint Now);
+  [[nodiscard]] bool applyOne(FleetChange &Change, TimePoint Now);
   void retainEndpoints(const FeedPage &Page, TimePoint Now);
   void retainDrains(const FeedPage &Page, TimePoint Now);
-  void returned(const DataCentreName &Which, TimePoint Now);
+  bool returned(const DataCentreName &Which, TimePoint Now);
   void addEndpoint(const KnownEndpoint &Known, FleetRoutes &Out) const;
 
   FleetBounds Bounds;
--- a/packages/process/src/coltsfoottrail/hub/link.cpp
+++ b/packages/process/src/coltsfoottrail/hub/link.cpp
@@ -1,21 +1,38 @@
-#include "coltsfoottrail/fleethost/notices.hpp"
+#include "coltsfoottrail/hub/link.hpp"
 
+#include "coltsfoottrail/logging/log.hpp"
+
+#include <boost/asio/experimental/awaitable_operators.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <charconv>
 #include <utility>
 
 namespace coltsfoottrail {
 
+namespace asio = boost::asio;
+using namespace asio::experimental::awaitable_operators;
+
 namespace {
 
-constexpr std::string_view SilentPath = "/silent/";
-constexpr unsigned StatusNoContent = 204;
+constexpr std::string_view ReportPath = "/report";
+constexpr unsigned StatusOk = 200;
+constexpr unsigned StatusBadRequest = 400;
 constexpr unsigned StatusNotFound = 404;
-/// A driver is believed to stay for so long: each question to the store is paid
-/// for, and a crash takes several groups within this time.
-constexpr Duration DriverKnownFor = seconds(2);
-constexpr Duration NoticeWithin = milliseconds(500);
-/// Names of endpoints are much shorter; more is no name.
-constexpr std::size_t LongestName = 256;
+/// The hub holds an answer back for so long unless there is news: loads change
+/// within a tenth of a second, a request to an engine lasts a second.
+constexpr milliseconds Pace{120};
+/// An exchange that takes longer beyond the pace is lost, with the hub or on
+/// the way: hosts are a few milliseconds apart.
+constexpr milliseconds ExchangeSlack{230};
+/// Pause after a lost exchange.
+constexpr milliseconds RetryPause{100};
+/// While the hub is not known or does not drive the groups any more, the store
+/// is asked so often: each question is paid for.
+constexpr milliseconds AskEvery{500};
+/// The count of hosts is good for so long.
+constexpr Duration HostsLife = seconds(5);
 
 } // namespace
 
@@ -38,54 +55,150 @@
   return Out;
 }
 
-SilenceNotices::SilenceNotices(IoPool &Pool, const SocketAddress &Listen,
-                               FleetStore &Where,
-                               std::function<void(std::string)> Told)
-    : Store(Where), Heard(std::move(Told)),
-      Client(Pool.context(0), ClientOptions{}) {
+HubLink::HubLink(IoPool &Pool, const SocketAddress &Listen, std::string Member,
+                 FleetStore &Where, HubLinkHooks Told)
+    : Store(Where), Hooks(std::move(Told)), Self(std::move(Member)),
+      Client(Pool.context(0), ClientOptions{}),
+      News(Pool.context(0), asio::steady_timer::time_point::max()) {
   Server.emplace(
       Pool, Listen.Address, Listen.Port, ServerLimits{},
-      ServerHooks{[this](Exchange &Call) { return take(Call); }, {}, {}});
+      ServerHooks{[this](Exchange &Call) { return serve(Call); }, {}, {}});
 }
 
-void SilenceNotices::close() {
+void HubLink::close() {
   Server.reset();
   Client.closeIdle();
 }
 
-Awaitable<void> SilenceNotices::take(Exchange &Call) {
-  const std::string &Target = Call.request().Target;
+void HubLink::took(Feed Which, const FeedPage &Page,
+                   const std::vector<bool> &Changed, TimePoint AskedAt) {
+  Here.took(Which, Page, Changed, AskedAt);
+  if (std::find(Changed.begin(), Changed.end(), true) != Changed.end())
+    News.cancel();
+}
+
+Awaitable<void> HubLink::awaitNews(const HostReport &Told) {
+  const TimePoint Until = BootClock::now() + Pace;
+  asio::steady_timer Over(co_await asio::this_coro::executor);
+  Over.expires_after(Pace);
+  while (!Here.hasNews(Told) && BootClock::now() < Until) {
+    boost::system::error_code Woken;
+    co_await (
+        News.async_wait(asio::redirect_error(asio::use_awaitable, Woken)) ||
+        Over.async_wait(asio::use_awaitable));
+  }
+}
+
+Awaitable<void> HubLink::serve(Exchange &Call) {
   HttpResponse Out;
-  Out.Status = StatusNotFound;
-  if (Target.starts_with(SilentPath) && Target.size() < LongestName) {
-    Out.Status = StatusNoContent;
-    Heard(Target.substr(SilentPath.size()));
+  if (Call.request().Target != ReportPath) {
+    Out.Status = StatusNotFound;
+    co_await Call.respond(std::move(Out));
+    co_return;
+  }
+  HostReport Told;
+  try {
+    Told = decodeHostReport(Call.request().Body);
+  } catch (const Error &Problem) {
+    logEvent(Event::PeerRefused, {{"problem", Problem.what()}});
+    Out.Status = StatusBadRequest;
+  }
+  if (Out.Status == StatusOk) {
+    Here.report(Told, BootClock::now());
+    for (const std::string &Each : Told.Silent)
+      Hooks.Silent(Each);
+    if (Told.Silent.empty())
+      co_await awaitNews(Told);
+    Out.Fields.push_back({"Content-Type", "application/cbor"});
+    Out.Body = encode(Here.answer(Told, Hooks.Drives(), BootClock::now()));
   }
   co_await Call.respond(std::move(Out));
 }
 
-Awaitable<std::optional<EngineAddress>> SilenceNotices::driver() {
-  if (Known && BootClock::now() < KnownUntil)
+// Failure guarded against: the store does not answer, and nobody knows a new
+// hub. The old one still sums up loads; its feeds grow old and are not used.
+Awaitable<std::optional<EngineAddress>> HubLink::hub() {
+  if (Heard || BootClock::now() < AskAgainAt)
     co_return Known;
+  AskAgainAt = BootClock::now() + AskEvery;
   const auto Answer = co_await Store.dutyHolder();
-  if (const auto *const Member = std::get_if<std::string>(&Answer)) {
+  const auto *const Member = std::get_if<std::string>(&Answer);
+  if (Member != nullptr && *Member != Self && !Member->empty())
     Known = reachOfMember(*Member);
-    KnownUntil = BootClock::now() + DriverKnownFor;
-  }
   co_return Known;
 }
 
-Awaitable<void> SilenceNotices::tell(std::string Endpoint) {
-  const std::optional<EngineAddress> To = co_await driver();
-  if (!To)
-    co_return;
-  HttpRequest Notice;
-  Notice.Method = "POST";
-  Notice.Target = std::string(SilentPath) + Endpoint;
-  const auto Outcome = co_await Client.fetch(*To, std::move(Notice),
-                                             BootClock::now() + NoticeWithin);
-  if (std::holds_alternative<CallFailure>(Outcome))
-    KnownUntil = TimePoint{};
+Awaitable<bool> HubLink::exchange(EngineAddress To, HostReport Told) {
+  HttpRequest Request;
+  Request.Method = "POST";
+  Request.Target = ReportPath;
+  Request.Fields = {{"Content-Type", "application/cbor"}};
+  Request.Body = encode(Told);
+  const TimePoint SentAt = BootClock::now();
+  const auto Outcome = co_await Client.fetch(std::move(To), std::move(Request),
+                                             SentAt + Pace + ExchangeSlack);
+  const auto *const Answer = std::get_if<HttpResponse>(&Outcome);
+  if (Answer == nullptr || Answer->Status != StatusOk)
+    co_return false;
+  try {
+    HubAnswer Said = decodeHubAnswer(Answer->Body);
+    Heard = Said.Drives;
+    note(Said, BootClock::now());
+    Hooks.Take(Told, std::move(Said), SentAt);
+  } catch (const Error &Problem) {
+    logEvent(Event::PeerRefused, {{"problem", Problem.what()}});
+    co_return false;
+  }
+  co_return true;
+}
+
+void HubLink::note(const HubAnswer &Answer, TimePoint Now) {
+  Hosts = Answer.Hosts;
+  HostsAt = Now;
+}
+
+std::size_t HubLink::hosts(TimePoint Now) const noexcept {
+  return Now - HostsAt < HostsLife ? Hosts : 0;
+}
+
+/// The hub is a host like the others: it tells itself its loads.
+void HubLink::reportToSelf() {
+  HostReport Told = Hooks.Report();
+  Told.Next.clear();
+  const TimePoint Now = BootClock::now();
+  Here.report(Told, Now);
+  HubAnswer Answer = Here.answer(Told, true, Now);
+  note(Answer, Now);
+  Hooks.Take(Told, std::move(Answer), Now);
+}
+
+Awaitable<void> HubLink::run() {
+  asio::steady_timer Pause(co_await asio::this_coro::executor);
+  while (true) {
+    bool Done = true;
+    if (Hooks.Drives()) {
+      reportToSelf();
+      Done = false;
+    } else if (const auto To = co_await hub()) {
+      Done = co_await exchange(*To, Hooks.Report());
+      Heard = Heard && Done;
+    } else {
+      Heard = false;
+      Done = false;
+    }
+    if (Done)
+      continue;
+    Pause.expires_after(Hooks.Drives() ? Pace : RetryPause);
+    co_await Pause.async_wait(asio::use_awaitable);
+  }
+}
+
+Awaitable<void> HubLink::tellSilent(std::string Endpoint) {
+  HostReport Told = Hooks.Report();
+  Told.Next.clear();
+  Told.Silent.push_back(std::move(Endpoint));
+  if (Known)
+    co_await exchange(*Known, std::move(Told));
 }
 
 } // namespace coltsfoottrail
--- a/packages/process/src/coltsfoottrail/server/router.cpp
+++ b/packages/process/src/coltsfoottrail/server/router.cpp
@@ -173,6 +173,11 @@
   co_return Given;
 }
 
+void Place::begun() {
+  const std::lock_guard Hold(Home->Lock);
+  Home->Decides.begun(Own->Which);
+}
+
 void Place::report(const AttemptResult &Result) {
   Shard::Deliveries Due;
   {
@@ -252,6 +257,29 @@
   }
 }
 
+std::vector<EndpointLoad> Router::ownLoads() const {
+  std::vector<EndpointLoad> Out;
+  for (const auto &Home : all()) {
+    const std::lock_guard Hold(Home->Lock);
+    const std::vector<EndpointLoad> Its = Home->Decides.ownLoads();
+    Out.insert(Out.end(), Its.begin(), Its.end());
+  }
+  return Out;
+}
+
+void Router::shareLoads(std::span<const EndpointLoad> Others) {
+  for (const auto &Home : all()) {
+    Place::Shard::Deliveries Due;
+    {
+      const std::lock_guard Hold(Home->Lock);
+      Commands Given;
+      Home->Decides.share(Others, BootClock::now(), Given);
+      Due = Home->translate(Given);
+    }
+    Place::Shard::deliver(std::move(Due), nullptr);
+  }
+}
+
 void Router::observe(const LoadReport &Report) {
   for (const auto &Home : all()) {
     Place::Shard::Deliveries Due;
--- a/packages/process/src/coltsfoottrail/server/router.hpp
+++ b/packages/process/src/coltsfoottrail/server/router.hpp
@@ -12,6 +12,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <span>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -44,6 +45,9 @@
   /// @throws boost::system::system_error The coroutine was cancelled.
   [[nodiscard]] Awaitable<Decision> next();
 
+  /// @brief Tells that the answer of the attempt has begun.
+  void begun();
+
   /// @brief Tells how an attempt ended; next() tells what follows unless it was
   /// answered.
   /// @param Result How it ended.
@@ -99,6 +103,11 @@
   /// @brief Sets this host's share of endpoints' bounds.
   void setShares(const std::map<std::string, std::uint32_t> &Shares);
 
+  /// @brief Own requests at each endpoint that has any.
+  [[nodiscard]] std::vector<EndpointLoad> ownLoads() const;
+  /// @brief Takes what the other entry hosts have at all endpoints.
+  void shareLoads(std::span<const EndpointLoad> Others);
+
   /// @brief Takes a load report of an endpoint.
   void observe(const LoadReport &Report);
 
--- a/packages/process/test/coltsfoottrail/fleethost/follower.cpp
+++ b/packages/process/test/coltsfoottrail/fleethost/follower.cpp
@@ -20,6 +20,8 @@
   MOCK_METHOD(Awaitable<FeedAnswer>, newest, (Feed), (override));
   MOCK_METHOD(Awaitable<FeedAnswer>, read, (Feed, Offset, milliseconds),
               (override));
+  MOCK_METHOD(std::optional<FleetChange>, decode, (Feed, std::string_view),
+              (const, override));
   MOCK_METHOD((Awaitable<std::variant<DutyGrant, StoreFailure>>), joinDuty,
               (DutyAsk), (override));
   MOCK_METHOD((Awaitable<std::variant<std::string, StoreFailure>>), dutyHolder,
--- a/packages/request/src/coltsfoottrail/choice/chooser.cpp
+++ b/packages/request/src/coltsfoottrail/choice/chooser.cpp
@@ -1,6 +1,9 @@
 #include "coltsfoottrail/choice/chooser.hpp"
 
+#include "coltsfoottrail/core/hash.hpp"
+
 #include <algorithm>
+#include <unordered_map>
 #include <utility>
 
 namespace coltsfoottrail {
@@ -122,13 +125,16 @@
 bool Chooser::isFull(CandidateId Which, const ChoiceQuery &Query,
                      const EstimatedWaitPolicy &Chosen, TimePoint Now) const {
   const Candidate &Endpoint = *Table.find(Which);
-  return Chosen.FullByLoad && loadAhead(Endpoint, Query, Now) >=
-                                  Endpoint.Bound + Query.Overcommit;
+  return Chosen.FullByLoad &&
+         loadAhead(Endpoint, Query, Now) >= Endpoint.Bound + Query.Overcommit;
 }
 
 /// Requests that run at an endpoint, and those waiting there that go before.
 double Chooser::loadAhead(const Candidate &Endpoint, const ChoiceQuery &Query,
                           TimePoint Now) {
+  if (!Query.Late)
+    if (const auto Ahead = Endpoint.Load.aheadOfFresh(Now))
+      return *Ahead;
   const double Load = Endpoint.Load.load(Now);
   const double Running = std::min<double>(Load, Endpoint.Bound);
   return Running + (Load - Running) * Query.WaitingPart;
@@ -335,7 +341,7 @@
 
 bool Chooser::sent(CandidateId Which, const ChoiceQuery &Query, TimePoint Now) {
   Candidate &Endpoint = *Table.find(Which);
-  Endpoint.Load.sent(Now);
+  Endpoint.Load.sent(Query.Late, Now);
   Endpoint.Suspects += Query.Suspect ? 1U : 0U;
   ++OwnTotal;
   Table.relist(Which);
@@ -347,12 +353,39 @@
       });
 }
 
+void Chooser::begun(CandidateId Which, bool Late) {
+  if (Candidate *const Endpoint = Table.find(Which))
+    Endpoint->Load.begun(Late);
+}
+
+std::vector<EndpointLoad> Chooser::ownLoads() const {
+  std::vector<EndpointLoad> Out;
+  for (const CandidateId Which : Table.all()) {
+    const Candidate &Endpoint = *Table.find(Which);
+    if (Endpoint.Load.own() > 0)
+      Out.push_back({hashText(Endpoint.Spec.Key), Endpoint.Load.ownLoad()});
+  }
+  return Out;
+}
+
+void Chooser::share(std::span<const EndpointLoad> Others, TimePoint Now) {
+  std::unordered_map<std::uint64_t, RequestLoad> Sums;
+  for (const EndpointLoad &Each : Others)
+    Sums[Each.Endpoint] += Each.Load;
+  for (const CandidateId Which : Table.all()) {
+    Candidate &Endpoint = *Table.find(Which);
+    const auto Found = Sums.find(hashText(Endpoint.Spec.Key));
+    Endpoint.Load.share(Found == Sums.end() ? RequestLoad{} : Found->second,
+                        Now);
+  }
+}
+
 void Chooser::ended(CandidateId Which, const EndedAttempt &Attempt,
                     TimePoint Now) {
   Candidate *const Endpoint = Table.find(Which);
   if (Endpoint == nullptr)
     return;
-  Endpoint->Load.ended(Now);
+  Endpoint->Load.ended(Attempt.Late, Attempt.Begun, Now);
   Endpoint->Suspects -= Attempt.Suspect ? 1U : 0U;
   --OwnTotal;
   learn(*Endpoint, Attempt, Now);
--- a/packages/request/src/coltsfoottrail/choice/chooser.hpp
+++ b/packages/request/src/coltsfoottrail/choice/chooser.hpp
@@ -10,6 +10,7 @@
 #include "coltsfoottrail/queues/fairqueue.hpp"
 
 #include <optional>
+#include <span>
 #include <string_view>
 #include <vector>
 
@@ -32,8 +33,11 @@
   Duration Patience = Duration::max();
   /// Requests beyond an endpoint's bound that it may wait behind there.
   std::uint32_t Overcommit = 0;
-  /// Part of the requests waiting at an endpoint that go before this one.
+  /// Part of the requests waiting at an endpoint that go before this one, where
+  /// it is not known how many do.
   double WaitingPart = 1.0;
+  /// It waits at an endpoint behind those that can still be on time.
+  bool Late = false;
 };
 
 /// How an attempt ended, as far as the endpoint's health goes.
@@ -58,6 +62,9 @@
   bool Hinted = false;
   /// From send to end.
   Duration Total{};
+  bool Late = false;
+  /// Whether begun() was called for it.
+  bool Begun = false;
 };
 
 /// @brief The endpoints of one pool and the choice among them.
@@ -98,6 +105,15 @@
   /// @return Whether the endpoint was thought to have its prefix cached.
   bool sent(CandidateId Which, const ChoiceQuery &Query, TimePoint Now);
 
+  /// @brief Notes that a request's answer has begun.
+  void begun(CandidateId Which, bool Late);
+
+  /// @brief Own requests at each endpoint that has any.
+  [[nodiscard]] std::vector<EndpointLoad> ownLoads() const;
+  /// @brief Takes what the other entry hosts have at all endpoints; one that is
+  /// not named has nothing of theirs.
+  void share(std::span<const EndpointLoad> Others, TimePoint Now);
+
   /// @brief Notes that a request ended there.
   void ended(CandidateId Which, const EndedAttempt &Attempt, TimePoint Now);
 
@@ -160,9 +176,8 @@
   pick(const LeastInFlightPolicy &Chosen, const ChoiceQuery &Query,
        TimePoint Now);
 
-  [[nodiscard]] static double loadAhead(const Candidate &Endpoint,
-                                        const ChoiceQuery &Query,
-                                        TimePoint Now);
+  [[nodiscard]] static double
+  loadAhead(const Candidate &Endpoint, const ChoiceQuery &Query, TimePoint Now);
   [[nodiscard]] bool isFull(CandidateId Which, const ChoiceQuery &Query,
                             const EstimatedWaitPolicy &Chosen,
                             TimePoint Now) const;
--- a/packages/request/src/coltsfoottrail/choice/load.cpp
+++ b/packages/request/src/coltsfoottrail/choice/load.cpp
@@ -10,6 +10,9 @@
 constexpr Duration StepLength = milliseconds(125);
 /// A report that is older says nothing any more.
 constexpr Duration ReportLife = seconds(10);
+/// What other hosts told counts for so long: several times the pace at which
+/// they tell. After that the endpoint's own report is better.
+constexpr Duration SharedLife = milliseconds(600);
 
 std::int64_t stepOf(TimePoint When) {
   return When.time_since_epoch() / StepLength;
@@ -30,14 +33,39 @@
   LastStep = Step;
 }
 
-void LoadModel::sent(TimePoint Now) noexcept {
+void LoadModel::sent(bool Late, TimePoint Now) noexcept {
   roll(Now);
   ++Own;
+  ++(Late ? OwnLate : OwnFresh);
 }
 
-void LoadModel::ended(TimePoint Now) noexcept {
+void LoadModel::begun(bool Late) noexcept { --(Late ? OwnLate : OwnFresh); }
+
+void LoadModel::ended(bool Late, bool Begun, TimePoint Now) noexcept {
   roll(Now);
   --Own;
+  if (!Begun)
+    begun(Late);
+}
+
+void LoadModel::share(const RequestLoad &Of, TimePoint Now) noexcept {
+  Shared = Of;
+  SharedAt = Now;
+}
+
+bool LoadModel::isShared(TimePoint Now) const noexcept {
+  return SharedAt != TimePoint{} && Now - SharedAt < SharedLife;
+}
+
+std::optional<std::uint32_t>
+LoadModel::aheadOfFresh(TimePoint Now) const noexcept {
+  if (!isShared(Now))
+    return std::nullopt;
+  return Own - OwnLate + Shared.Running + Shared.Fresh;
+}
+
+RequestLoad LoadModel::ownLoad() const noexcept {
+  return {Own - OwnFresh - OwnLate, OwnFresh, OwnLate};
 }
 
 void LoadModel::report(std::uint32_t Total, Duration Age,
@@ -48,6 +76,8 @@
 }
 
 std::uint32_t LoadModel::load(TimePoint Now) const noexcept {
+  if (isShared(Now))
+    return Own + Shared.total();
   return Now - ReportedAt < ReportLife ? Own + Others : Own;
 }
 
--- a/packages/request/src/coltsfoottrail/choice/load.hpp
+++ b/packages/request/src/coltsfoottrail/choice/load.hpp
@@ -5,8 +5,10 @@
 
 #include "coltsfoottrail/choice/fwd.hpp"
 #include "coltsfoottrail/core/time.hpp"
+#include "coltsfoottrail/loadshare/loads.hpp"
 
 #include <array>
+#include <optional>
 
 namespace coltsfoottrail {
 
@@ -20,9 +22,16 @@
 class LoadModel {
 public:
   /// @brief Notes that a request was sent.
-  void sent(TimePoint Now) noexcept;
+  /// @param Late Whether it waits behind those that can still be on time.
+  void sent(bool Late, TimePoint Now) noexcept;
+  /// @brief Notes that a request's answer has begun.
+  void begun(bool Late) noexcept;
   /// @brief Notes that a request ended.
-  void ended(TimePoint Now) noexcept;
+  /// @param Begun Whether begun() was told of it.
+  void ended(bool Late, bool Begun, TimePoint Now) noexcept;
+
+  /// @brief Takes what all other entry hosts have there, as they tell.
+  void share(const RequestLoad &Of, TimePoint Now) noexcept;
 
   /// @brief Takes a report.
   /// @param Total Requests running and queued there.
@@ -34,6 +43,13 @@
 
   /// @brief Estimated requests at the endpoint.
   [[nodiscard]] std::uint32_t load(TimePoint Now) const noexcept;
+  /// @brief Requests that a request which can be on time finds before it: those
+  /// that run, and the fresh ones that wait. Nothing when other hosts have not
+  /// told theirs lately.
+  [[nodiscard]] std::optional<std::uint32_t>
+  aheadOfFresh(TimePoint Now) const noexcept;
+  /// @brief Own requests by how far they are.
+  [[nodiscard]] RequestLoad ownLoad() const noexcept;
   /// @brief Own requests in progress.
   [[nodiscard]] std::uint32_t own() const noexcept { return Own; }
   /// @brief Own requests in progress at a past time, to the nearest step of the
@@ -45,7 +61,14 @@
 
   void roll(TimePoint Now) noexcept;
 
+  [[nodiscard]] bool isShared(TimePoint Now) const noexcept;
+
   std::uint32_t Own = 0;
+  /// Those of them whose answer has not begun.
+  std::uint32_t OwnFresh = 0;
+  std::uint32_t OwnLate = 0;
+  RequestLoad Shared;
+  TimePoint SharedAt{};
   std::uint32_t Others = 0;
   TimePoint ReportedAt;
   std::int64_t LastStep = 0;
--- a/packages/request/src/coltsfoottrail/dispatch/dispatcher.cpp
+++ b/packages/request/src/coltsfoottrail/dispatch/dispatcher.cpp
@@ -224,6 +224,7 @@
   Query.Cost = Item.Cost;
   Query.Overcommit = Item.Overcommit;
   Query.WaitingPart = Item.WaitingPart;
+  Query.Late = Item.Urgency == Priority::Batch;
   Query.Avoid = Asked.FailedAt;
   Query.Suspect = Asked.Suspect;
   Query.Repeatable = Item.Repeatable;
@@ -268,6 +269,7 @@
   Asked.SentTo = To;
   Asked.SentAt = Now;
   Asked.SentRun = Chosen.Run;
+  Asked.Begun = false;
   if (Asked.Attempts++ == 0) {
     Budget.firstSend(Chosen.DataCentre);
     ++Counts.FirstSends;
@@ -279,6 +281,19 @@
   countPlaces();
 }
 
+void Dispatcher::begun(Ticket Which) {
+  Request *const Asked = Requests.find(Which);
+  if (Asked == nullptr || !Asked->SentTo || std::exchange(Asked->Begun, true))
+    return;
+  Choice.begun(*Asked->SentTo, Asked->Item.Urgency == Priority::Batch);
+}
+
+void Dispatcher::share(std::span<const EndpointLoad> Others, TimePoint Now,
+                       Commands &Out) {
+  Choice.share(Others, Now);
+  pump(Now, Out);
+}
+
 void Dispatcher::finished(Ticket Which, const AttemptResult &Result,
                           TimePoint Now, Commands &Out) {
   Request *const Asked = Requests.find(Which);
@@ -305,6 +320,8 @@
   Ended.Cost = Asked.Item.Cost;
   Ended.Suspect = Asked.Suspect;
   Ended.Hinted = Asked.Hinted;
+  Ended.Late = Asked.Item.Urgency == Priority::Batch;
+  Ended.Begun = Asked.Begun;
   Ended.Total =
       Result.Total > Duration::zero() ? Result.Total : Now - Asked.SentAt;
   Asked.FailedAt = std::exchange(Asked.SentTo, std::nullopt);
--- a/packages/request/src/coltsfoottrail/dispatch/dispatcher.hpp
+++ b/packages/request/src/coltsfoottrail/dispatch/dispatcher.hpp
@@ -14,6 +14,7 @@
 #include "coltsfoottrail/route/table.hpp"
 
 #include <optional>
+#include <span>
 #include <string_view>
 #include <vector>
 
@@ -115,6 +116,18 @@
   /// @return Names the request until its last command or release().
   [[nodiscard]] Ticket submit(WorkItem Item, TimePoint Now, Commands &Out);
 
+  /// @brief Tells that the answer of an attempt has begun.
+  void begun(Ticket Which);
+
+  /// @brief Own requests at each endpoint that has any.
+  [[nodiscard]] std::vector<EndpointLoad> ownLoads() const {
+    return Choice.ownLoads();
+  }
+  /// @brief Takes what the other entry hosts have at all endpoints; requests
+  /// that wait may find a place by it.
+  void share(std::span<const EndpointLoad> Others, TimePoint Now,
+             Commands &Out);
+
   /// @brief Tells how an attempt ended. Unless it was answered, a SendCommand
   /// or a RefuseCommand for the ticket follows, now or from a later advance();
   /// Out also gets SendCommands for those that waited.
@@ -182,6 +195,8 @@
     std::uint32_t Attempts = 0;
     std::uint32_t Delays = 0;
     std::uint32_t BudgetWaits = 0;
+    /// The answer of its attempt has begun.
+    bool Begun = false;
     /// Counted by the queue as in progress.
     bool InProgress = false;
     bool Suspect = false;
--- a/packages/request/test/coltsfoottrail/choice/load.cpp
+++ b/packages/request/test/coltsfoottrail/choice/load.cpp
@@ -13,16 +13,16 @@
   LoadModel Load;
   Load.report(3, Duration{}, Start);
   for (int Count = 0; Count < 5; ++Count)
-    Load.sent(Start + milliseconds(10));
+    Load.sent(false, Start + milliseconds(10));
   EXPECT_EQ(Load.load(Start + milliseconds(20)), 8U);
-  Load.ended(Start + milliseconds(30));
+  Load.ended(false, false, Start + milliseconds(30));
   EXPECT_EQ(Load.load(Start + milliseconds(40)), 7U);
 }
 
 TEST(LoadModel, OwnRequestsInTheReportAreNotCountedTwice) {
   LoadModel Load;
   for (int Count = 0; Count < 4; ++Count)
-    Load.sent(Start);
+    Load.sent(false, Start);
   Load.report(6, Duration{}, Start + milliseconds(200));
   EXPECT_EQ(Load.load(Start + milliseconds(200)), 6U);
 }
@@ -30,9 +30,9 @@
 // A report that was 500 ms on its way cannot contain what was sent meanwhile.
 TEST(LoadModel, AgeTellsWhatTheReportContains) {
   LoadModel Load;
-  Load.sent(Start);
+  Load.sent(false, Start);
   for (int Count = 0; Count < 4; ++Count)
-    Load.sent(Start + milliseconds(400));
+    Load.sent(false, Start + milliseconds(400));
   EXPECT_EQ(Load.ownAt(Start + milliseconds(130)), 1U);
   Load.report(6, milliseconds(400), Start + milliseconds(530));
   EXPECT_EQ(Load.load(Start + milliseconds(530)), 10U);
@@ -40,16 +40,35 @@
 
 TEST(LoadModel, OldReportIsLeftOut) {
   LoadModel Load;
-  Load.sent(Start);
+  Load.sent(false, Start);
   Load.report(9, Duration{}, Start);
   EXPECT_EQ(Load.load(Start + seconds(9)), 9U);
   EXPECT_EQ(Load.load(Start + seconds(10)), 1U);
 }
 
+// Callers are refused while a leader has free places.
+// Its last report is half a second old; the other entry hosts tell that their
+// requests there have ended since. Late ones that wait there are behind a fresh
+// request in any case.
+TEST(LoadModel, WhatOtherHostsTellGoesBeforeTheReport) {
+  LoadModel Load;
+  Load.sent(false, Start);
+  Load.sent(true, Start);
+  Load.report(30, Duration{}, Start);
+  EXPECT_FALSE(Load.aheadOfFresh(Start));
+  Load.share({5, 1, 9}, Start);
+  EXPECT_EQ(Load.load(Start), 17U);
+  EXPECT_EQ(Load.aheadOfFresh(Start), 7U);
+  Load.begun(true);
+  EXPECT_EQ(Load.ownLoad(), (RequestLoad{1, 1, 0}));
+  EXPECT_EQ(Load.aheadOfFresh(Start), 8U);
+  EXPECT_FALSE(Load.aheadOfFresh(Start + seconds(1))) << "no news for too long";
+}
+
 TEST(LoadModel, RecordCoversTheLastSteps) {
   LoadModel Load;
   for (int Step = 0; Step < 40; ++Step)
-    Load.sent(Start + Step * milliseconds(125));
+    Load.sent(false, Start + Step * milliseconds(125));
   const TimePoint Last = Start + 39 * milliseconds(125);
   EXPECT_EQ(Load.ownAt(Last), 40U);
   EXPECT_EQ(Load.ownAt(Last - milliseconds(125)), 39U);
