--- a/packages/process/test/coltsfoottrail/hub/hub.cpp
+++ b/packages/process/test/coltsfoottrail/hub/hub.cpp
@@ -1,5 +1,7 @@
 #include "coltsfoottrail/hub/hub.hpp"
 
+#include "coltsfoottrail/core/error.hpp"
+
 #include <gtest/gtest.h>
 
 namespace coltsfoottrail {
