--- a/packages/process/src/coltsfoottrail/fleethost/host.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/host.cpp
@@ -40,7 +40,7 @@
 /// How long the store may hold back a read of the operators' feed. A connection
 /// that goes silent is noticed this much and a second later, which leaves time
 /// for one more try before credentials count as stale.
-constexpr milliseconds OperatorsWait{1'500};
+constexpr milliseconds OperatorsWait{1'000};
 /// The driver is told of the same endpoint again after this.
 constexpr milliseconds SuspectAgainAfter{1'000};
 /// Endpoints publish many times a second: a read hardly ever waits, and one
@@ -51,7 +51,7 @@
 /// held back for OperatorsWait. Hosts must know of leaving endpoints and of
 /// configurations within two seconds, one own read included.
 constexpr milliseconds EndpointsCover{700};
-constexpr milliseconds OperatorsCover{1'900};
+constexpr milliseconds OperatorsCover{2'400};
 /// Beyond these a request waits in the caller instead.
 constexpr std::size_t MostWaiting = 256;
 constexpr std::size_t MostWaitingBytes = std::size_t{4} << 20U;
