--- a/packages/process/src/coltsfoottrail/fleethost/assemblydesk.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/assemblydesk.cpp
@@ -74,15 +74,30 @@
 
 AssemblyDesk::AssemblyDesk(FleetStore &Where, FleetEngines &Given,
                            const FleetView &Believed, const SilenceWatch &Heard,
-                           std::string Member, AssemblyTimes Wanted)
+                           std::string Member, AssemblyTimes Wanted,
+                           DutyRole Part)
     : Store(Where), Engines(Given), View(Believed), Silence(Heard),
-      Self(std::move(Member)), Times(Wanted) {}
+      Self(std::move(Member)), Times(Wanted), Role(Part) {}
+
+// Failure guarded against: the duty goes to a host with an eighth of a core. It
+// orders two hundred engines at once, is late with its lease, and the groups
+// are formed twice before the first caller. Seventy hosts that all renew their
+// membership also cost a tenth of what the day is worth.
+bool AssemblyDesk::standsAside(TimePoint Now) const {
+  return Role == DutyRole::Reserve && !Held &&
+         Now - HolderHeardAt < Pace.StandAsideFor;
+}
 
 Awaitable<void> AssemblyDesk::holdDuty() {
   asio::steady_timer Pause(co_await asio::this_coro::executor);
   const TimePoint Began = BootClock::now();
   while (!Leaving) {
     const TimePoint AskedAt = BootClock::now();
+    if (standsAside(AskedAt)) {
+      Pause.expires_after(Pace.StandAsideLook);
+      co_await Pause.async_wait(asio::use_awaitable);
+      continue;
+    }
     DutyAsk Ask;
     Ask.Member = Self;
     Ask.Lease = Pace.Lease;
--- a/packages/process/src/coltsfoottrail/fleethost/assemblydesk.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/assemblydesk.hpp
@@ -42,6 +42,17 @@
   milliseconds SummaryEvery{5'000};
   /// Kept free of the lease, so that an order arrives inside it.
   milliseconds LeaseMargin{300};
+  /// A host that stands aside looks this often whether it is needed, and is
+  /// when no other one drove the groups for so long: a lease and a renewal.
+  milliseconds StandAsideLook{250};
+  milliseconds StandAsideFor{2'000};
+};
+
+/// @brief Whether a host takes part in the duty from the start.
+enum class DutyRole : std::uint8_t {
+  Candidate,
+  /// Only when it hears of no other host that holds the duty.
+  Reserve
 };
 
 /// @brief Takes part in the duty and acts while it is held. Belongs to one
@@ -55,12 +66,15 @@
   /// @param Heard Which endpoints' streams move.
   /// @param Member Unique for this run of the process.
   /// @param Times Times of the assembly.
+  /// @param Part Whether it stands aside for others.
   AssemblyDesk(FleetStore &Where, FleetEngines &Given,
                const FleetView &Believed, const SilenceWatch &Heard,
-               std::string Member, AssemblyTimes Times);
+               std::string Member, AssemblyTimes Times, DutyRole Part);
 
   /// @brief Joins the duty and renews it until it is cancelled.
   [[nodiscard]] Awaitable<void> holdDuty();
+  /// @brief Another host was heard to hold the duty.
+  void heardHolder(TimePoint Now) noexcept { HolderHeardAt = Now; }
   /// @brief Looks at the groups until it is cancelled.
   [[nodiscard]] Awaitable<void> drive();
   /// @brief Gives the duty up.
@@ -88,6 +102,7 @@
 private:
   struct Inquiry;
 
+  [[nodiscard]] bool standsAside(TimePoint Now) const;
   void take(const DutyGrant &Grant, TimePoint AskedAt);
   void look(TimePoint Now, const boost::asio::any_io_executor &Executor);
   [[nodiscard]] Awaitable<void> carryOut(SeatCommand Command,
@@ -111,6 +126,8 @@
   /// One for each service with engines.
   std::map<ServiceName, Assembler> Assemblers;
   AssemblyTimes Times;
+  DutyRole Role;
+  TimePoint HolderHeardAt = BootClock::now();
   std::uint64_t Generation = 0;
   /// Generation at which the duty was gained: the fencing number.
   std::uint64_t Fence = 0;
--- a/packages/process/src/coltsfoottrail/fleethost/host.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/host.cpp
@@ -46,6 +46,9 @@
 /// Endpoints publish many times a second: a read hardly ever waits, and one
 /// that is lost is noticed this much sooner.
 constexpr milliseconds EndpointsWait{100};
+/// Part of a core below which a host stands aside from driving the groups: 222
+/// engines and 71 hosts took a driver up to a twentieth of a core.
+constexpr double LeastDriverShare = 0.2;
 /// What the hub relayed stands in for own reads while it is no older than this:
 /// the hub reads endpoints every 0.15 s, and its read of the operators' feed is
 /// held back for OperatorsWait. Hosts must know of leaving endpoints and of
@@ -98,6 +101,11 @@
                         Given.Host.Text + "." + std::to_string(Since.count()));
 }
 
+DutyRole dutyRole(const FleetSettings &Given) {
+  return Given.ProcessorShare < LeastDriverShare ? DutyRole::Reserve
+                                                 : DutyRole::Candidate;
+}
+
 FollowTimes operatorTimes() {
   FollowTimes Out;
   Out.Wait = OperatorsWait;
@@ -121,7 +129,8 @@
       Relay(View, Routing, Client, Links.Wire, Silence,
             hashText(Settings.Host.Text)),
       Member(memberName(Settings)),
-      Desk(Links.Store, Links.Engines, View, Silence, Member, AssemblyTimes{}),
+      Desk(Links.Store, Links.Engines, View, Silence, Member, AssemblyTimes{},
+           dutyRole(Settings)),
       Operators(Links.Store, Feed::Operators, operatorTimes(),
                 {[this](FeedPage Page, bool Whole, TimePoint AskedAt) {
                    took(Feed::Operators, std::move(Page), Whole, AskedAt);
@@ -228,6 +237,8 @@
 
 void FleetHost::heardHub(const HostReport &Asked, HubAnswer Answer,
                          TimePoint SentAt) {
+  if (Answer.Drives)
+    Desk.heardHolder(BootClock::now());
   Routing.shareLoads(Answer.Loads);
   for (const auto &[Which, Told] : Answer.Feeds)
     takeRelayed(Which, Asked.Next.at(Which), Told, SentAt);
--- a/packages/process/src/coltsfoottrail/fleethost/settings.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/settings.cpp
@@ -14,6 +14,7 @@
 
 constexpr std::uint64_t LongestBoundMs = 3'600'000;
 constexpr double HighestRatio = 100.0;
+constexpr double MostCores = 1024.0;
 
 SocketAddress socketAddress(ObjectReader &From, std::string_view Key) {
   const std::string Text = From.text(Key);
@@ -63,6 +64,8 @@
   Out.Readiness = socketAddress(Reader, "readiness");
   Out.Peers = socketAddress(Reader, "peers");
   Out.Store = socketAddress(Reader, "store");
+  Out.ProcessorShare =
+      Reader.realOr("processor_share", Out.ProcessorShare, 0.0, MostCores);
   if (Reader.has("metrics"))
     Out.Metrics = socketAddress(Reader, "metrics");
   if (Reader.has("bounds"))
--- a/packages/process/src/coltsfoottrail/fleethost/settings.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/settings.hpp
@@ -39,6 +39,8 @@
   /// Where other entry hosts reach this one.
   SocketAddress Peers;
   SocketAddress Store;
+  /// Part of a processor core that this host may use.
+  double ProcessorShare = 1.0;
   FleetBounds Bounds;
 };
 
--- a/packages/process/src/coltsfoottrail/hub/link.cpp
+++ b/packages/process/src/coltsfoottrail/hub/link.cpp
@@ -30,7 +30,7 @@
 constexpr milliseconds RetryPause{100};
 /// While the hub is not known or does not drive the groups any more, the store
 /// is asked so often: each question is paid for.
-constexpr milliseconds AskEvery{500};
+constexpr milliseconds AskEvery{700};
 /// The count of hosts is good for so long.
 constexpr Duration HostsLife = seconds(5);
 
