Load spares for the large groups that they are kept for

Cause: engines kept as spares of groups of sixteen were told to load the small model, as if they could form a group.

--- a/packages/version/src/coltsfoottrail/assembly/assembler.cpp
+++ b/packages/version/src/coltsfoottrail/assembly/assembler.cpp
@@ -472,20 +472,6 @@
   return Out;
 }
 
-// Failure guarded against: the few engines that large groups leave of a domain
-// form a small group, and when one of sixteen members dies, fifteen idle for
-// the length of a load. A spare for each group of a larger model, and one more,
-// stays. Gain: see docs/DAYS.md, the grown deployments.
-std::size_t Assembler::sparesKept(const Pass &In, const DomainKey &Domain,
-                                  const ServedModel &For) const {
-  std::size_t Out = 0;
-  for (const auto &[Name, Count] : groupsIn(In, Domain))
-    if (const ServedModel *const Its = In.model(Name);
-        Its != nullptr && Its->Size > For.Size)
-      Out += Count;
-  return Out > 0 ? Out + 1 : 0;
-}
-
 std::optional<Assembler::Candidate>
 Assembler::bestCandidate(const Pass &In, const FreeEndpoints &Free) const {
   const std::map<ModelName, double> Missing = deficits(In);
@@ -493,7 +479,9 @@
   for (const auto &[Domain, Endpoints] : Free)
     for (const ServedModel &Model : In.Engine.Models) {
       const double Deficit = Missing.at(Model.Name);
-      if (Endpoints.size() < Model.Size + sparesKept(In, Domain, Model))
+      const std::size_t Kept =
+          sparesKept(groupsIn(In, Domain), In.Engine.Models, Model);
+      if (Endpoints.size() < Model.Size + Kept)
         continue;
       Candidate Next{&Model, Endpoints, 0, Deficit};
       std::stable_sort(Next.Members.begin(), Next.Members.end(),
--- a/packages/version/src/coltsfoottrail/assembly/assembler.hpp
+++ b/packages/version/src/coltsfoottrail/assembly/assembler.hpp
@@ -219,9 +219,6 @@
   [[nodiscard]] std::size_t stagingIn(const Pass &In, const DomainKey &Domain,
                                       const ModelName &Model) const;
   [[nodiscard]] FreeEndpoints freeEndpoints(const Pass &In) const;
-  /// @return Idle engines that a group of a model must leave in a domain.
-  [[nodiscard]] std::size_t sparesKept(const Pass &In, const DomainKey &Domain,
-                                       const ServedModel &For) const;
   [[nodiscard]] std::optional<Candidate>
   bestCandidate(const Pass &In, const FreeEndpoints &Free) const;
   [[nodiscard]] std::map<ModelName, double> deficits(const Pass &In) const;
--- a/packages/version/src/coltsfoottrail/assembly/layout.cpp
+++ b/packages/version/src/coltsfoottrail/assembly/layout.cpp
@@ -57,10 +57,9 @@
   }
 
   [[nodiscard]] std::optional<Target> target(const ServedModel &Model) const {
-    const std::size_t Have =
-        having(Model.Name) + countOf(Loading, Model.Name);
+    const std::size_t Have = having(Model.Name) + countOf(Loading, Model.Name);
     const std::size_t Lacking = Left.size() - having(Model.Name);
-    if (Have + Lacking < Model.Size)
+    if (Have + Lacking < Model.Size + sparesKept(Domain.Groups, Models, Model))
       return std::nullopt;
     Target Out;
     Out.Model = &Model;
@@ -92,8 +91,8 @@
   void reserve(const Target &Of) {
     const ModelName &Model = Of.Model->Name;
     std::size_t &UnderWay = Loading[Model];
-    std::size_t Needed = Of.Model->Size - std::min<std::size_t>(
-                                              UnderWay, Of.Model->Size);
+    std::size_t Needed =
+        Of.Model->Size - std::min<std::size_t>(UnderWay, Of.Model->Size);
     UnderWay -= Of.Model->Size - Needed;
     // Those that have the weights, then blank ones, then unfit ones, then
     // spares.
@@ -149,9 +148,19 @@
 
 } // namespace
 
-std::vector<WantedLoad>
-planLoads(const IdleDomain &Domain, std::span<const ServedModel> Models,
-          const std::map<ModelName, double> &Deficits) {
+std::size_t sparesKept(const std::map<ModelName, std::size_t> &Groups,
+                       std::span<const ServedModel> Models,
+                       const ServedModel &For) {
+  std::size_t Larger = 0;
+  for (const ServedModel &Each : Models)
+    if (Each.Size > For.Size)
+      Larger += countOf(Groups, Each.Name);
+  return Larger > 0 ? Larger + 1 : 0;
+}
+
+std::vector<WantedLoad> planLoads(const IdleDomain &Domain,
+                                  std::span<const ServedModel> Models,
+                                  const std::map<ModelName, double> &Deficits) {
   return Planning(Domain, Models, Deficits).plan();
 }
 
--- a/packages/version/src/coltsfoottrail/assembly/layout.hpp
+++ b/packages/version/src/coltsfoottrail/assembly/layout.hpp
@@ -29,6 +29,19 @@
   std::map<ModelName, std::size_t> Groups;
 };
 
+/// @brief Idle engines that a new group must leave in its domain.
+///
+/// Failure guarded against: the few engines that large groups leave of a domain
+/// form a small group, and when one of sixteen members dies, fifteen idle for
+/// the length of a load. A spare for each group of a larger model, and one
+/// more, stays.
+/// @param Groups Groups of the domain by model.
+/// @param Models Models of the service.
+/// @param For Model of the new group.
+[[nodiscard]] std::size_t
+sparesKept(const std::map<ModelName, std::size_t> &Groups,
+           std::span<const ServedModel> Models, const ServedModel &For);
+
 /// @brief A load to be ordered.
 struct WantedLoad {
   EndpointName Where;
