Ask a store that is down from one host; the others hear from it

Change: pauses after failed reads and renewals double up to 1.6 s, but for the hub's; the hub stays the hub while its lease cannot be renewed; the first host that reads the store again hurries the other feed and the lease; a host whose own reads succeed while the hub's feeds are old asks who the hub is.

--- a/packages/process/src/coltsfoottrail/fleethost/assemblydesk.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/assemblydesk.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/experimental/awaitable_operators.hpp>
+#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -89,13 +90,13 @@
 }
 
 Awaitable<void> AssemblyDesk::holdDuty() {
-  asio::steady_timer Pause(co_await asio::this_coro::executor);
+  Renewal.emplace(co_await asio::this_coro::executor);
   const TimePoint Began = BootClock::now();
+  milliseconds Next = Pace.RenewEvery;
   while (!Leaving) {
     const TimePoint AskedAt = BootClock::now();
     if (standsAside(AskedAt)) {
-      Pause.expires_after(Pace.StandAsideLook);
-      co_await Pause.async_wait(asio::use_awaitable);
+      co_await pauseRenewal(Pace.StandAsideLook);
       continue;
     }
     DutyAsk Ask;
@@ -105,12 +106,21 @@
     const auto Answer = co_await Store.joinDuty(std::move(Ask));
     if (const auto *const Grant = std::get_if<DutyGrant>(&Answer))
       take(*Grant, AskedAt);
+    const bool Answered = std::holds_alternative<DutyGrant>(Answer);
+    Next =
+        Answered ? Pace.RenewEvery : std::min(2 * Next, Pace.LongestRenewPause);
     const bool Settling = BootClock::now() - Began < Pace.SettleTime;
-    Pause.expires_after(Settling ? Pace.SettleEvery : Pace.RenewEvery);
-    co_await Pause.async_wait(asio::use_awaitable);
+    co_await pauseRenewal(Settling ? Pace.SettleEvery : Next);
   }
 }
 
+Awaitable<void> AssemblyDesk::pauseRenewal(milliseconds Span) {
+  Renewal->expires_after(Span);
+  boost::system::error_code Hurried;
+  co_await Renewal->async_wait(
+      asio::redirect_error(asio::use_awaitable, Hurried));
+}
+
 // The lease counts from when the renewal left: the store counts from when it
 // arrived, which is later.
 void AssemblyDesk::take(const DutyGrant &Grant, TimePoint AskedAt) {
--- a/packages/process/src/coltsfoottrail/fleethost/assemblydesk.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/assemblydesk.hpp
@@ -10,6 +10,7 @@
 #include "coltsfoottrail/silence/silencewatch.hpp"
 
 #include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <map>
 #include <memory>
@@ -25,6 +26,8 @@
   milliseconds Lease{1'500};
   /// A renewal this often leaves room for two that are lost.
   milliseconds RenewEvery{400};
+  /// After a renewal that failed, twice as long after each further one.
+  milliseconds LongestRenewPause{1'600};
   /// While hosts start, the duty moves with each that joins, and whoever gets
   /// it learns so at its next call: calls are more frequent for a while.
   milliseconds SettleEvery{150};
@@ -84,6 +87,14 @@
   [[nodiscard]] bool holds(TimePoint Now) const noexcept {
     return Held && Now < HeldUntil;
   }
+  /// @brief Whether this host was the last one to hold the duty, as far as it
+  /// knows: its lease may have run out while the store is away.
+  [[nodiscard]] bool held() const noexcept { return Held; }
+  /// @brief The store answers again: renews the lease now.
+  void hurry() {
+    if (Renewal)
+      Renewal->cancel();
+  }
   /// @brief A caller's request has been seen.
   void callersBegun() noexcept { Begun = true; }
   /// @brief An endpoint's streams fell silent: asks the members of the groups
@@ -103,6 +114,7 @@
   struct Inquiry;
 
   [[nodiscard]] bool standsAside(TimePoint Now) const;
+  [[nodiscard]] Awaitable<void> pauseRenewal(milliseconds Span);
   void take(const DutyGrant &Grant, TimePoint AskedAt);
   void look(TimePoint Now, const boost::asio::any_io_executor &Executor);
   [[nodiscard]] Awaitable<void> carryOut(SeatCommand Command,
@@ -141,6 +153,8 @@
   std::function<void(bool)> Changed;
   std::function<void()> Moving;
   std::optional<boost::asio::any_io_executor> Executor;
+  /// Pause before the next renewal.
+  std::optional<boost::asio::steady_timer> Renewal;
 };
 
 } // namespace coltsfoottrail
--- a/packages/process/src/coltsfoottrail/fleethost/follower.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/follower.cpp
@@ -22,9 +22,7 @@
         Ended.index() == 0 ? std::get<0>(Ended) : ReadEnd::More;
     if (Read == ReadEnd::More)
       continue;
-    const TimePoint Due =
-        AskedAt + (Read == ReadEnd::Newest ? Times.Spacing : Times.RetryPause);
-    const Duration Left = Due - BootClock::now();
+    const Duration Left = AskedAt + pauseAfter(Read) - BootClock::now();
     if (Left <= Duration::zero())
       continue;
     Pause.expires_after(Left);
@@ -32,6 +30,21 @@
   }
 }
 
+// Failure guarded against: the store is down, and seventy hosts ask it for two
+// feeds five times a second each: 5,600 paid calls in eight seconds. One of
+// them asks often; the others hear from it when the store is back.
+Duration FeedFollower::pauseAfter(ReadEnd Ended) {
+  if (Ended == ReadEnd::Newest) {
+    NextRetryPause = Times.RetryPause;
+    return Times.Spacing;
+  }
+  if (Eager)
+    NextRetryPause = Times.RetryPause;
+  const milliseconds Pause = std::max(NextRetryPause, Times.RetryPause);
+  NextRetryPause = std::min(2 * Pause, Times.LongestRetryPause);
+  return Pause;
+}
+
 // Failure guarded against: a host is cut off from the store and reached again,
 // one feed is read, and the other still waits for an answer that was lost in
 // the cut. Hosts would hold removals back for longer than they may.
@@ -45,6 +58,7 @@
   if (!Next || To < *Next)
     return;
   Next = To;
+  NextRetryPause = Times.RetryPause;
   CoveredUntil = std::max(CoveredUntil, Until);
 }
 
--- a/packages/process/src/coltsfoottrail/fleethost/follower.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/follower.hpp
@@ -18,8 +18,10 @@
   milliseconds Wait{800};
   /// Shortest time between two reads: each call is paid for.
   milliseconds Spacing{0};
-  /// Pause after a failed read.
+  /// Pause after a failed read; twice as long after each further one, up to
+  /// the longest.
   milliseconds RetryPause{200};
+  milliseconds LongestRetryPause{1'600};
 };
 
 /// @brief What a follower tells.
@@ -64,6 +66,10 @@
     return Next;
   }
 
+  /// @brief Whether pauses after failed reads stay short: the one host that all
+  /// others wait for asks often.
+  void beEager(bool Wanted) noexcept { Eager = Wanted; }
+
   /// @brief Changes the spacing of later reads.
   void space(milliseconds Wanted) noexcept { Times.Spacing = Wanted; }
 
@@ -77,6 +83,7 @@
   };
 
   [[nodiscard]] Awaitable<ReadEnd> step();
+  [[nodiscard]] Duration pauseAfter(ReadEnd Ended);
   [[nodiscard]] Awaitable<void> untilHurried();
   [[nodiscard]] Awaitable<void> untilUncovered();
 
@@ -89,6 +96,8 @@
   /// Where to read on; nothing before the newest values are known.
   std::optional<Offset> Next;
   TimePoint CoveredUntil{};
+  bool Eager = false;
+  milliseconds NextRetryPause{0};
 };
 
 } // namespace coltsfoottrail
--- a/packages/process/src/coltsfoottrail/fleethost/host.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/host.cpp
@@ -181,6 +181,8 @@
 
 void FleetHost::startFollowing() {
   Desk.onDuty([this](bool Holds) {
+    Operators.beEager(Holds);
+    Endpoints.beEager(Holds);
     Endpoints.space(Holds ? DriverSpacing : FollowerSpacing);
   });
   Desk.onOrders([this] {
@@ -201,6 +203,7 @@
     logEvent(Event::StoreRegained);
     follower(Which == Feed::Operators ? Feed::Endpoints : Feed::Operators)
         .hurry();
+    Desk.hurry();
   }
   const TimePoint Now = BootClock::now();
   logFeedChanges(Page, View, AskedAt, Now);
@@ -212,7 +215,7 @@
 
 HubLinkHooks FleetHost::linkHooks() {
   HubLinkHooks Out;
-  Out.Drives = [this] { return Desk.holds(BootClock::now()); };
+  Out.Drives = [this] { return Desk.held(); };
   Out.Report = [this] { return ownReport(); };
   Out.Take = [this](const HostReport &Asked, HubAnswer Answer,
                     TimePoint SentAt) {
@@ -255,8 +258,13 @@
   const TimePoint AsOf = SentAt - Told.Age;
   const TimePoint CoveredUntil =
       AsOf + (Which == Feed::Operators ? OperatorsCover : EndpointsCover);
-  if (CoveredUntil <= BootClock::now())
+  if (CoveredUntil <= BootClock::now()) {
+    // Failure guarded against: the hub alone is cut off from the store, and
+    // another host holds the duty by now.
+    if (StoreAnswers && Which == Feed::Endpoints)
+      Link.doubt();
     return;
+  }
   FeedPage Page;
   Page.Next = Told.Next;
   Page.End = Told.Next;
--- a/packages/process/src/coltsfoottrail/hub/link.hpp
+++ b/packages/process/src/coltsfoottrail/hub/link.hpp
@@ -28,7 +28,8 @@
 
 /// @brief What a link calls; all on its thread.
 struct HubLinkHooks {
-  /// Whether this host drives the groups, and so is the hub.
+  /// Whether this host drives the groups, or did last before the store went
+  /// away, and so is the hub.
   std::function<bool()> Drives;
   /// Makes this host's report; Silent is left empty.
   std::function<HostReport()> Report;
@@ -65,6 +66,9 @@
   /// @brief Tells the hub at once that an endpoint is silent.
   [[nodiscard]] Awaitable<void> tellSilent(std::string Endpoint);
 
+  /// @brief The hub seems to be left behind: asks the store who it is now.
+  void doubt() noexcept { Heard = false; }
+
   /// @brief Takes a page of a feed that this host read; hosts that wait for
   /// news get them.
   void took(Feed Which, const FeedPage &Page, const std::vector<bool> &Changed,
