Give cold endpoints their requests in turns, shared among the hosts that there are

A host now learns from the hub how many there are, begins at a time of its own, and keeps a cold endpoint out of the choice until its turn.

--- a/packages/process/src/coltsfoottrail/fleethost/host.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/host.cpp
@@ -292,6 +292,17 @@
   Routing.setRoutes(Made.Table, Made.Shares, 1);
 }
 
+/// Opens cold endpoints whose turn has come to the choice.
+void FleetHost::shareCold(TimePoint Now) {
+  Relay.shareAmong(Link.hosts(Now));
+  std::map<std::string, std::uint32_t> Open;
+  for (const auto &[Name, Known] : View.endpoints().all())
+    if (View.mayBeCold(Known) && Relay.mayWarm(Known, Now))
+      Open[FleetView::endpointKey(Known.Record)] = FleetView::ColdShare;
+  if (!Open.empty())
+    Routing.setShares(Open);
+}
+
 // Failure guarded against: a group stands still, and its callers wait until
 // each stream's own limit, those whose stream has not begun even longer. All
 // requests there are taken up elsewhere at once.
@@ -335,6 +346,7 @@
     settleMoves(BootClock::now());
     View.advance(BootClock::now());
     refreshRoutes();
+    shareCold(BootClock::now());
     Routing.advance();
     if (const std::uint64_t Dropped = Relay.takeDroppedTrails(); Dropped > 0)
       logEvent(Event::TrailsDropped, {{"requests", Dropped}});
--- a/packages/process/src/coltsfoottrail/fleethost/host.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/host.hpp
@@ -74,6 +74,7 @@
     return Which == Feed::Operators ? Operators : Endpoints;
   }
   void refreshRoutes();
+  void shareCold(TimePoint Now);
   void leaveSilent(TimePoint Now);
   void settleMoves(TimePoint Now);
   [[nodiscard]] Awaitable<void> tick();
--- a/packages/process/src/coltsfoottrail/fleethost/relay.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/relay.cpp
@@ -425,17 +425,39 @@
   co_return co_await relayWhole(Call, Asked, std::move(Answer), Start);
 }
 
+namespace {
+
+/// Requests a second that an endpoint bears while it is cold; nothing where it
+/// is not limited.
+std::optional<double> coldRate(const RouteIndexPtr &Config,
+                               const KnownEndpoint &Known) {
+  const ServiceProfile *const Service =
+      Config ? Config->service(Known.Record.Service) : nullptr;
+  if (Service == nullptr || Service->ColdRequestsPerSecond <= 0.0)
+    return std::nullopt;
+  return Service->ColdRequestsPerSecond;
+}
+
+} // namespace
+
+bool FleetRelay::mayWarm(const KnownEndpoint &Known, TimePoint Now) {
+  const std::optional<double> Rate = coldRate(View.config(), Known);
+  return !Rate || Gate.open(Known.Record.Name.Text, *Rate, Now);
+}
+
 bool FleetRelay::bears(const Work &Asked, const EndpointSpec &To,
                        TimePoint Now) {
   const KnownEndpoint *const Known =
       View.endpoints().find(EndpointName(To.Host.Text));
   if (Known == nullptr || !View.mayBeCold(*Known))
     return true;
-  const ServiceProfile *const Service =
-      Asked.Config->service(Known->Record.Service);
-  if (Service == nullptr || Service->ColdRequestsPerSecond <= 0.0)
+  const std::optional<double> Rate = coldRate(Asked.Config, *Known);
+  if (!Rate)
     return true;
-  return Gate.admit(To.Host.Text, Service->ColdRequestsPerSecond, Now);
+  const bool Admitted = Gate.admit(To.Host.Text, *Rate, Now);
+  // The next one waits for its turn elsewhere and not in vain here.
+  Routing.setShares({{To.Key, 0}});
+  return Admitted;
 }
 
 void FleetRelay::observe(const EndpointSpec &From, const AnswerMarks &Marks) {
--- a/packages/process/src/coltsfoottrail/fleethost/relay.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/relay.hpp
@@ -45,12 +45,18 @@
   FleetRelay(const FleetView &Believed, Router &Decides, HttpClient &Out,
              const CallerWire &Fields, SilenceWatch &Heard, std::uint64_t Seed)
       : View(Believed), Routing(Decides), Client(Out), Wire(Fields),
-        Silence(Heard), Draw(Seed) {}
+        Silence(Heard), Draw(Seed), Gate(Draw()) {}
 
   /// @brief Serves one request.
   /// @throws boost::system::system_error The caller is gone.
   [[nodiscard]] Awaitable<void> serve(Exchange &Call);
 
+  /// @brief Sets how many entry hosts share what cold endpoints bear; zero for
+  /// not known.
+  void shareAmong(std::size_t Hosts) noexcept { Gate.share(Hosts); }
+  /// @brief Whether a cold endpoint may get a request of this host now.
+  [[nodiscard]] bool mayWarm(const KnownEndpoint &Known, TimePoint Now);
+
   /// @brief New requests are refused from now on.
   void stop() noexcept { Stopping = true; }
 
--- a/packages/process/src/coltsfoottrail/fleethost/view.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/view.cpp
@@ -12,10 +12,6 @@
 /// Kept free of the revocation bound: a request that is taken just before it
 /// still has to reach its endpoint.
 constexpr Duration RevocationMargin = milliseconds(700);
-/// Requests that one entry host may have in progress at a cold endpoint. With
-/// ten entry hosts and requests of 0.2 s or more this stays below 50 a second.
-constexpr std::uint32_t ColdShare = 1;
-
 /// How long a silent endpoint gets nothing new. By then the driver of the
 /// groups has asked its members and closed it, or it is sound.
 constexpr Duration ShunTime = milliseconds(2'000);
@@ -24,15 +20,15 @@
 /// heartbeats of the platform and a poll.
 constexpr Duration ReturnCaution = milliseconds(3'000);
 
-std::string endpointKey(const EndpointRecord &Of) {
+} // namespace
+
+std::string FleetView::endpointKey(const EndpointRecord &Of) {
   std::string Out = Of.Name.Text + "#" + std::to_string(Of.Born);
   if (Of.Seat)
     Out += "@" + std::to_string(Of.Seat->Epoch);
   return Out;
 }
 
-} // namespace
-
 std::string FleetView::poolName(const ServiceName &Service,
                                 const ModelName &Model) {
   return Model.empty() ? "service/" + Service.Text
@@ -198,7 +194,7 @@
   Spec.DataCentre = Record.DataCentre;
   Spec.WarmBound = std::max<std::uint32_t>(1, Record.Slots);
   Spec.Members = {Record.Address};
-  Out.Shares[Spec.Key] = mayBeCold(Known) ? ColdShare : Spec.WarmBound;
+  Out.Shares[Spec.Key] = mayBeCold(Known) ? 0 : Spec.WarmBound;
   if (shuns(Record.Name))
     Out.Shares[Spec.Key] = 0;
   Pool->second.Endpoints.push_back(std::move(Spec));
--- a/packages/process/src/coltsfoottrail/fleethost/view.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/view.hpp
@@ -87,6 +87,13 @@
   /// @brief Makes the routes.
   [[nodiscard]] FleetRoutes routes() const;
 
+  /// Requests that one entry host may have in progress at a cold endpoint whose
+  /// turn has come.
+  static constexpr std::uint32_t ColdShare = 1;
+
+  /// @brief Names an endpoint in its life and seat.
+  [[nodiscard]] static std::string endpointKey(const EndpointRecord &Of);
+
   /// @brief Name of the pool of a service's endpoints, or of a model's groups.
   /// @param Model Empty for plain services.
   [[nodiscard]] static std::string poolName(const ServiceName &Service,
--- a/packages/process/src/coltsfoottrail/hub/link.cpp
+++ b/packages/process/src/coltsfoottrail/hub/link.cpp
@@ -31,8 +31,9 @@
 /// While the hub is not known or does not drive the groups any more, the store
 /// is asked so often: each question is paid for.
 constexpr milliseconds AskEvery{700};
-/// The count of hosts is good for so long.
-constexpr Duration HostsLife = seconds(5);
+/// The largest count of hosts of so long a time is the one to go by: hosts that
+/// are cut off for a while still send.
+constexpr Duration HostsLife = seconds(30);
 
 } // namespace
 
@@ -153,6 +154,8 @@
 }
 
 void HubLink::note(const HubAnswer &Answer, TimePoint Now) {
+  if (Answer.Hosts < Hosts && Now - HostsAt < HostsLife)
+    return;
   Hosts = Answer.Hosts;
   HostsAt = Now;
 }
--- a/packages/request/src/coltsfoottrail/admission/coldgate.cpp
+++ b/packages/request/src/coltsfoottrail/admission/coldgate.cpp
@@ -2,15 +2,46 @@
 
 namespace coltsfoottrail {
 
+namespace {
+
+/// An endpoint that nobody asked about for so long is not cold any more; if it
+/// is again, it is drawn a new first time.
+constexpr Duration TurnLife = seconds(3);
+
+} // namespace
+
+Duration ColdGate::gap(double PerSecond) const {
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(Hosts / (PerSecond * PartUsed)));
+}
+
+ColdGate::Turn &ColdGate::turn(std::string_view Endpoint, double PerSecond,
+                               TimePoint Now) {
+  const auto Found = Turns.find(Endpoint);
+  if (Found != Turns.end() && Now - Found->second.AskedAt < TurnLife) {
+    Found->second.AskedAt = Now;
+    return Found->second;
+  }
+  std::erase_if(Turns, [&](const auto &Entry) {
+    return Now - Entry.second.AskedAt >= TurnLife;
+  });
+  const auto First =
+      std::chrono::duration_cast<Duration>(gap(PerSecond) * Draw.fraction());
+  return Turns.insert_or_assign(std::string(Endpoint), Turn{Now + First, Now})
+      .first->second;
+}
+
+bool ColdGate::open(std::string_view Endpoint, double PerSecond,
+                    TimePoint Now) {
+  return turn(Endpoint, PerSecond, Now).Next <= Now;
+}
+
 bool ColdGate::admit(std::string_view Endpoint, double PerSecond,
                      TimePoint Now) {
-  const auto Found = Next.find(Endpoint);
-  if (Found != Next.end() && Now < Found->second)
+  Turn &Its = turn(Endpoint, PerSecond, Now);
+  if (Its.Next > Now)
     return false;
-  std::erase_if(Next, [&](const auto &Entry) { return Entry.second <= Now; });
-  const auto Gap = std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double>(Sharers / PerSecond));
-  Next.insert_or_assign(std::string(Endpoint), Now + Gap);
+  Its.Next = Now + gap(PerSecond);
   return true;
 }
 
--- a/packages/request/src/coltsfoottrail/admission/coldgate.hpp
+++ b/packages/request/src/coltsfoottrail/admission/coldgate.hpp
@@ -3,6 +3,7 @@
 #ifndef COLTSFOOTTRAIL_ADMISSION_COLDGATE_HPP
 #define COLTSFOOTTRAIL_ADMISSION_COLDGATE_HPP
 
+#include "coltsfoottrail/core/random.hpp"
 #include "coltsfoottrail/core/time.hpp"
 
 #include <map>
@@ -16,26 +17,51 @@
 ///
 /// Failure guarded against: a cold endpoint bears a few dozen requests a second
 /// from all entry hosts together, and each host keeps only one request there at
-/// a time; with short requests nine hosts still send fifty a second, and the
-/// endpoint falls over. Each host keeps to its part of the rate.
+/// a time; with short requests nine hosts still send fifty a second, and with
+/// seventy hosts the first one of each is too much. Each host keeps to its part
+/// of the rate, and begins at a time of its own.
 class ColdGate {
 public:
-  /// Entry hosts that the rate is shared among. A host does not know how many
-  /// there are; more than this many would exceed the bound together, fewer
-  /// leave a part of it unused for the few seconds that an endpoint is cold.
-  static constexpr double Sharers = 16.0;
+  /// Hosts that the rate is shared among while their number is not known: more
+  /// than any deployment of today but the largest has.
+  static constexpr double UnknownHosts = 64.0;
+  /// Part of the rate that is used: hosts begin at random times, and with many
+  /// hosts a second may hold half as many requests again as the mean.
+  static constexpr double PartUsed = 0.7;
 
-  /// @brief Asks to send a request now.
+  /// @brief Makes a gate.
+  /// @param Seed Different on each host.
+  explicit ColdGate(std::uint64_t Seed) : Draw(Seed) {}
+
+  /// @brief Sets how many entry hosts share the rates; zero for not known.
+  void share(std::size_t Among) noexcept {
+    Hosts = Among > 0 ? double(Among) : UnknownHosts;
+  }
+
+  /// @brief Whether a request may be sent now.
   /// @param Endpoint The cold endpoint.
   /// @param PerSecond What it bears in a second from all entry hosts, above
   /// zero.
+  [[nodiscard]] bool open(std::string_view Endpoint, double PerSecond,
+                          TimePoint Now);
+  /// @brief Asks to send a request now.
   /// @return Whether it may be sent; if so, it is counted.
   [[nodiscard]] bool admit(std::string_view Endpoint, double PerSecond,
                            TimePoint Now);
 
 private:
-  /// When each endpoint may be sent the next request.
-  std::map<std::string, TimePoint, std::less<>> Next;
+  struct Turn {
+    /// When the next request may be sent.
+    TimePoint Next;
+    TimePoint AskedAt;
+  };
+
+  [[nodiscard]] Duration gap(double PerSecond) const;
+  Turn &turn(std::string_view Endpoint, double PerSecond, TimePoint Now);
+
+  Random Draw;
+  double Hosts = UnknownHosts;
+  std::map<std::string, Turn, std::less<>> Turns;
 };
 
 } // namespace coltsfoottrail
