Share the retries saved up among the hosts that there are

The platform's slack is now a setting, and each host saves up its part of 0.8 of it. Test: RetryBudget.HostsKeepToTheirPartsOfASharedBurst (the call is new).

--- a/packages/process/src/coltsfoottrail/fleethost/host.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/host.cpp
@@ -62,8 +62,9 @@
 constexpr std::uint32_t HintSets = 16;
 /// Connections kept for reuse to one endpoint: an engine's slots.
 constexpr std::size_t IdlePerEndpoint = 16;
-/// Retries saved up at one entry host.
-constexpr double RetryBurst = 10.0;
+/// Part of the platform's slack for retries that is used: hosts that were not
+/// counted lately send too.
+constexpr double RetrySlackUsed = 0.8;
 /// Part of the platform's ratio that is used; the rest is kept for what other
 /// hosts' bursts add in the same window.
 constexpr double RetryRatioUsed = 0.75;
@@ -85,7 +86,6 @@
   Out.Policy = Policy;
   Out.Retries.Budget.Ratio = Given.Bounds.RetryRatio * RetryRatioUsed;
   Out.Retries.Budget.DataCentreRatio = Given.Bounds.RetryRatio;
-  Out.Retries.Budget.Burst = RetryBurst;
   return Out;
 }
 
@@ -292,9 +292,31 @@
   Routing.setRoutes(Made.Table, Made.Shares, 1);
 }
 
+// Failure guarded against: the platform bounds retries over all entry hosts,
+// and each of seventy hosts saves up ten for each pool: 1,718 retries of 6,670
+// requests in ten seconds, where 1,585 are allowed.
+void FleetHost::shareRetries(std::size_t Hosts) {
+  const double Among =
+      Hosts > 0 ? double(Hosts) : double(ColdGate::UnknownHosts);
+  for (const auto &[Service, Names] : View.pools())
+    for (const std::string &Name : Names)
+      Routing.setRetryBurst(Name, Settings.Bounds.RetrySlack * RetrySlackUsed /
+                                      (Among * double(Names.size())));
+}
+
+/// What holds over all entry hosts is shared among those that there are.
+void FleetHost::shareBounds(TimePoint Now) {
+  const std::size_t Hosts = Link.hosts(Now);
+  if (SharedAmong == Hosts && SharedVersion == RoutedVersion)
+    return;
+  SharedAmong = Hosts;
+  SharedVersion = RoutedVersion;
+  Relay.shareAmong(Hosts);
+  shareRetries(Hosts);
+}
+
 /// Opens cold endpoints whose turn has come to the choice.
 void FleetHost::shareCold(TimePoint Now) {
-  Relay.shareAmong(Link.hosts(Now));
   std::map<std::string, std::uint32_t> Open;
   for (const auto &[Name, Known] : View.endpoints().all())
     if (View.mayBeCold(Known) && Relay.mayWarm(Known, Now))
@@ -346,6 +368,7 @@
     settleMoves(BootClock::now());
     View.advance(BootClock::now());
     refreshRoutes();
+    shareBounds(BootClock::now());
     shareCold(BootClock::now());
     Routing.advance();
     if (const std::uint64_t Dropped = Relay.takeDroppedTrails(); Dropped > 0)
--- a/packages/process/src/coltsfoottrail/fleethost/host.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/host.hpp
@@ -74,6 +74,8 @@
     return Which == Feed::Operators ? Operators : Endpoints;
   }
   void refreshRoutes();
+  void shareBounds(TimePoint Now);
+  void shareRetries(std::size_t Hosts);
   void shareCold(TimePoint Now);
   void leaveSilent(TimePoint Now);
   void settleMoves(TimePoint Now);
@@ -102,6 +104,9 @@
   /// Until when seats are expected to move.
   std::optional<TimePoint> MovingUntil;
   std::uint64_t RoutedVersion = 0;
+  /// Entry hosts and version of the routes for which bounds were shared.
+  std::optional<std::size_t> SharedAmong;
+  std::uint64_t SharedVersion = 0;
   std::uint64_t LoggedConfig = 0;
   bool StoreAnswers = true;
   bool Stopping = false;
--- a/packages/process/src/coltsfoottrail/fleethost/settings.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/settings.cpp
@@ -15,6 +15,7 @@
 constexpr std::uint64_t LongestBoundMs = 3'600'000;
 constexpr double HighestRatio = 100.0;
 constexpr double MostCores = 1024.0;
+constexpr double MostSlack = 1'000'000.0;
 
 SocketAddress socketAddress(ObjectReader &From, std::string_view Key) {
   const std::string Text = From.text(Key);
@@ -43,6 +44,7 @@
   Out.Revocation = boundOr(From, "revocation_ms", Out.Revocation);
   const double GraceSeconds = From.realOr("stop_grace_s", 8.0, 1.0, 3600.0);
   Out.StopGrace = milliseconds(static_cast<std::int64_t>(GraceSeconds * 1000));
+  Out.RetrySlack = From.realOr("retry_slack", Out.RetrySlack, 0, MostSlack);
   Out.RetryRatio = From.realOr("retry_ratio", Out.RetryRatio, 0, HighestRatio);
   return Out;
 }
--- a/packages/process/src/coltsfoottrail/fleethost/settings.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/settings.hpp
@@ -26,6 +26,9 @@
   /// Sends beyond the first of each request, as a part of the requests, over
   /// all entry hosts.
   double RetryRatio = 0.2;
+  /// Sends beyond that ratio in ten seconds, for a service, over all entry
+  /// hosts.
+  double RetrySlack = 130.0;
 };
 
 /// @brief All settings, checked.
--- a/packages/process/src/coltsfoottrail/fleethost/view.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/view.cpp
@@ -149,23 +149,29 @@
   return Index && Now - ConfigAsOf < Bounds.Revocation - RevocationMargin;
 }
 
+std::map<ServiceName, std::vector<std::string>> FleetView::pools() const {
+  std::map<ServiceName, std::vector<std::string>> Out;
+  if (!Index)
+    return Out;
+  for (const ServiceProfile &Service : Index->config().Services) {
+    std::vector<std::string> &Names = Out[Service.Name];
+    if (!Service.Engine)
+      Names.push_back(poolName(Service.Name, ModelName()));
+    else
+      for (const ServedModel &Each : Service.Engine->Models)
+        Names.push_back(poolName(Service.Name, Each.Name));
+  }
+  return Out;
+}
+
 FleetRoutes FleetView::routes() const {
   FleetRoutes Out;
   if (!Index)
     return Out;
   Out.Table.Version = version();
-  for (const ServiceProfile &Service : Index->config().Services) {
-    std::vector<ModelName> Models{ModelName()};
-    if (Service.Engine) {
-      Models.clear();
-      for (const ServedModel &Each : Service.Engine->Models)
-        Models.push_back(Each.Name);
-    }
-    for (const ModelName &Model : Models) {
-      const std::string Name = poolName(Service.Name, Model);
+  for (const auto &[Service, Names] : pools())
+    for (const std::string &Name : Names)
       Out.Table.Pools[Name].Name = Name;
-    }
-  }
   for (const auto &[Name, Known] : Catalogue.all())
     addEndpoint(Known, Out);
   return Out;
--- a/packages/process/src/coltsfoottrail/fleethost/view.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/view.hpp
@@ -84,6 +84,9 @@
     return Changes + Catalogue.version();
   }
 
+  /// @brief Pools of each service.
+  [[nodiscard]] std::map<ServiceName, std::vector<std::string>> pools() const;
+
   /// @brief Makes the routes.
   [[nodiscard]] FleetRoutes routes() const;
 
--- a/packages/process/src/coltsfoottrail/server/router.cpp
+++ b/packages/process/src/coltsfoottrail/server/router.cpp
@@ -280,6 +280,14 @@
   }
 }
 
+void Router::setRetryBurst(std::string_view PoolName, double Most) {
+  const std::shared_ptr<Place::Shard> Home = find(PoolName);
+  if (!Home)
+    return;
+  const std::lock_guard Hold(Home->Lock);
+  Home->Decides.setRetryBurst(Most);
+}
+
 void Router::observe(const LoadReport &Report) {
   for (const auto &Home : all()) {
     Place::Shard::Deliveries Due;
--- a/packages/process/src/coltsfoottrail/server/router.hpp
+++ b/packages/process/src/coltsfoottrail/server/router.hpp
@@ -108,6 +108,9 @@
   /// @brief Takes what the other entry hosts have at all endpoints.
   void shareLoads(std::span<const EndpointLoad> Others);
 
+  /// @brief Sets how many retries a pool saves up at most.
+  void setRetryBurst(std::string_view PoolName, double Most);
+
   /// @brief Takes a load report of an endpoint.
   void observe(const LoadReport &Report);
 
--- a/packages/request/src/coltsfoottrail/dispatch/dispatcher.hpp
+++ b/packages/request/src/coltsfoottrail/dispatch/dispatcher.hpp
@@ -107,6 +107,9 @@
   void setTeam(const TeamName &Team, TeamShare Wanted, TimePoint Now,
                Commands &Out);
 
+  /// @brief Sets how many retries are saved up at most.
+  void setRetryBurst(double Most) { Budget.setBurst(Most); }
+
   /// @brief Takes a request. Out gets at most one command for it now; the rest
   /// comes later. A request that by the estimated wait cannot make its deadline
   /// is refused at once.
--- a/packages/request/src/coltsfoottrail/retries/budget.cpp
+++ b/packages/request/src/coltsfoottrail/retries/budget.cpp
@@ -8,6 +8,18 @@
   Held = std::min(Limit, Held + Tokens);
 }
 
+void TokenBucket::limit(double Most) noexcept {
+  Limit = Most;
+  Held = std::min(Limit, Held);
+}
+
+void RetryBudget::setBurst(double Most) {
+  Limits.Burst = Most;
+  All.limit(Most);
+  for (TokenBucket &Each : DataCentres)
+    Each.limit(Most);
+}
+
 RetryBudget::RetryBudget(BudgetLimits Wanted)
     : Limits(Wanted), All(Wanted.Burst) {}
 
--- a/packages/request/src/coltsfoottrail/retries/budget.hpp
+++ b/packages/request/src/coltsfoottrail/retries/budget.hpp
@@ -28,6 +28,8 @@
 
   /// @brief Adds tokens up to the limit.
   void earn(double Tokens) noexcept;
+  /// @brief Sets how many tokens it holds at most.
+  void limit(double Most) noexcept;
   /// @brief Tells whether there is a token.
   [[nodiscard]] bool any() const noexcept { return Held >= 1.0; }
   /// @brief Takes a token. Precondition: any().
@@ -50,6 +52,10 @@
   /// @brief Makes a budget.
   explicit RetryBudget(BudgetLimits Wanted);
 
+  /// @brief Sets how many retries are saved up at most. Where many entry hosts
+  /// share a bound on retries, each saves up its part of it.
+  void setBurst(double Most);
+
   /// @brief Notes the first send of a request.
   /// @param DataCentre Number of the data centre that it goes to.
   void firstSend(std::size_t DataCentre);
--- a/packages/request/test/coltsfoottrail/retries/budget.cpp
+++ b/packages/request/test/coltsfoottrail/retries/budget.cpp
@@ -34,6 +34,25 @@
   }
 }
 
+// An outage of a data centre is followed by more retries than the platform
+// allows for all entry hosts together.
+// Seventy hosts have each saved up the burst of one; told how many they are,
+// they keep to their parts of it, also of what was saved before.
+TEST(RetryBudget, HostsKeepToTheirPartsOfASharedBurst) {
+  constexpr std::size_t Hosts = 70;
+  constexpr double Shared = 250.0;
+  std::size_t Taken = 0;
+  for (std::size_t Index = 0; Index < Hosts; ++Index) {
+    RetryBudget Budget{BudgetLimits{}};
+    Budget.firstSend(0);
+    Budget.setBurst(Shared / Hosts);
+    while (Budget.take(0))
+      ++Taken;
+  }
+  EXPECT_LE(double(Taken), Shared);
+  EXPECT_GT(double(Taken), Shared / 2);
+}
+
 TEST(RetryBudget, QuietTimesDoNotSaveUpMoreThanTheBurst) {
   RetryBudget Budget(BudgetLimits{0.5, 1.0, 2.0});
   for (int Count = 0; Count < 100; ++Count)
