Let a group serve on while a member without a record answers

Leaders without a record get nothing new, as before; a member without one is asked. Test: Assembler.GroupServesOnWhileAMissingMemberAnswers (on the code before, the groups are closed).

--- a/packages/connection/src/coltsfoottrail/boundary/engines.hpp
+++ b/packages/connection/src/coltsfoottrail/boundary/engines.hpp
@@ -30,9 +30,11 @@
 
   /// @brief Asks whether an engine answers at all.
   /// @param To Where the endpoint listens.
+  /// @param Name The endpoint that is meant; another one at its address does
+  /// not count.
   /// @param Within How long to wait.
-  [[nodiscard]] virtual Awaitable<bool> answers(EngineAddress To,
-                                                milliseconds Within) = 0;
+  [[nodiscard]] virtual Awaitable<bool>
+  answers(EngineAddress To, EndpointName Name, milliseconds Within) = 0;
 };
 
 } // namespace coltsfoottrail
--- a/packages/process/src/coltsfoottrail/fleethost/assemblydesk.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/assemblydesk.cpp
@@ -181,6 +181,9 @@
         Moving();
       asio::co_spawn(On, carryOut(std::move(Command), Fence), asio::detached);
     }
+    for (MemberQuestion &Each : Found->second.takeQuestions())
+      asio::co_spawn(On, askMissing(Service.Name, std::move(Each)),
+                     asio::detached);
     logSummary(Found->second, Seen, Now);
   }
   if (Now >= SummaryDue)
@@ -274,10 +277,11 @@
 
 /// Throws when there is no answer.
 Awaitable<void> AssemblyDesk::answersLater(EngineAddress Address,
+                                           EndpointName Name,
                                            milliseconds After) {
   asio::steady_timer Pause(co_await asio::this_coro::executor, After);
   co_await Pause.async_wait(asio::use_awaitable);
-  if (!co_await Engines.answers(Address, Pace.AnswerWithin - After))
+  if (!co_await Engines.answers(Address, Name, Pace.AnswerWithin - After))
     throw Error("no answer");
 }
 
@@ -285,24 +289,36 @@
 // dead, and its group is closed. With one packet in forty lost, a tenth of the
 // questions stays without an answer in time; of three in parallel, one in a
 // thousand. Asked one after the other they would take three times as long.
-Awaitable<bool> AssemblyDesk::answers(EngineAddress Address) {
+Awaitable<bool> AssemblyDesk::answers(EngineAddress Address,
+                                      EndpointName Name) {
   using namespace asio::experimental::awaitable_operators;
   try {
-    co_await (answersLater(Address, milliseconds(0)) ||
-              answersLater(Address, Pace.AskAgainEvery) ||
-              answersLater(Address, 2 * Pace.AskAgainEvery));
+    co_await (answersLater(Address, Name, milliseconds(0)) ||
+              answersLater(Address, Name, Pace.AskAgainEvery) ||
+              answersLater(Address, Name, 2 * Pace.AskAgainEvery));
   } catch (const std::exception &) {
     co_return false;
   }
   co_return true;
 }
 
+Awaitable<void> AssemblyDesk::askMissing(ServiceName Service,
+                                         MemberQuestion Whom) {
+  const bool Alive = co_await answers(Whom.Address, Whom.Name);
+  logEvent(Event::MissingAsked, {{"endpoint", Whom.Name}, {"alive", Alive}});
+  if (const auto Found = Assemblers.find(Service); Found != Assemblers.end())
+    Found->second.asked(Whom.Name, Alive, BootClock::now());
+  if (!Alive)
+    lookNow();
+}
+
 Awaitable<void> AssemblyDesk::ask(std::shared_ptr<Inquiry> Round,
                                   std::size_t Index) {
   const KnownEndpoint *const Known =
       View.endpoints().find(Round->Members[Index]);
   if (Known != nullptr) {
-    const bool Answered = co_await answers(Known->Record.Address);
+    const bool Answered =
+        co_await answers(Known->Record.Address, Known->Record.Name);
     Round->Answered[Index] = Answered;
   }
   if (--Round->Left == 0)
--- a/packages/process/src/coltsfoottrail/fleethost/assemblydesk.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/assemblydesk.hpp
@@ -122,9 +122,12 @@
   void logNotes();
   void logSummary(const Assembler &Of, const AssemblyView &Seen, TimePoint Now);
   [[nodiscard]] bool hearsNeighbours(const Inquiry &Round, TimePoint Now) const;
-  [[nodiscard]] Awaitable<bool> answers(EngineAddress Address);
-  [[nodiscard]] Awaitable<void> answersLater(EngineAddress Address,
-                                             milliseconds After);
+  [[nodiscard]] Awaitable<bool> answers(EngineAddress Address,
+                                        EndpointName Name);
+  [[nodiscard]] Awaitable<void>
+  answersLater(EngineAddress Address, EndpointName Name, milliseconds After);
+  [[nodiscard]] Awaitable<void> askMissing(ServiceName Service,
+                                           MemberQuestion Whom);
   [[nodiscard]] Awaitable<void> ask(std::shared_ptr<Inquiry> Round,
                                     std::size_t Index);
   void conclude(const Inquiry &Round);
--- a/packages/process/src/coltsfoottrail/logging/event.cpp
+++ b/packages/process/src/coltsfoottrail/logging/event.cpp
@@ -112,6 +112,9 @@
      "A leader's streams fell silent and its members were asked."},
     {Event::DomainState, LogLevel::Info, "domain-state",
      "Where the engines of a fabric domain stand, every few seconds."},
+    {Event::MissingAsked, LogLevel::Info, "missing-asked",
+     "A member of a serving group has no record; it was asked whether it is "
+     "alive."},
     {Event::ConfigInForce, LogLevel::Info, "config-in-force",
      "A version of the published configuration is in force on this host."},
     {Event::StoreLost, LogLevel::Warn, "store-lost",
--- a/packages/process/src/coltsfoottrail/logging/event.hpp
+++ b/packages/process/src/coltsfoottrail/logging/event.hpp
@@ -65,6 +65,7 @@
   GroupChanged = 1523,
   MembersAsked = 1524,
   DomainState = 1525,
+  MissingAsked = 1526,
   ConfigInForce = 1530,
   StoreLost = 1531,
   StoreRegained = 1532,
--- a/packages/version/src/coltsfoottrail/assembly/assembler.cpp
+++ b/packages/version/src/coltsfoottrail/assembly/assembler.cpp
@@ -107,6 +107,8 @@
   Pending.clear();
   LockedUntil.clear();
   Staging.clear();
+  Doubts.clear();
+  Questions.clear();
   Counter = 0;
   ActFrom = Now + Times.TakeOverPause;
   BeganAt = Now;
@@ -148,6 +150,9 @@
   });
   const auto Over = [&](const auto &Entry) { return Entry.second <= In.Now; };
   std::erase_if(LockedUntil, Over);
+  std::erase_if(Doubts, [&](const auto &Entry) {
+    return In.Now - Entry.second.AskedAt >= DeathLife;
+  });
   std::erase_if(
       Dead, [&](const auto &Entry) { return Entry.second.Until <= In.Now; });
   for (const auto &[Name, Known] : In.View.Endpoints.all()) {
@@ -178,10 +183,11 @@
     Of.Epoch = Seat.Epoch;
     if (Of.Members.size() <= Seat.Rank)
       Of.Members.resize(Seat.Rank + 1);
-    Of.Members[Seat.Rank] = {Name, Record.Born};
+    Of.Members[Seat.Rank] = {Name, Record.Born, Record.Address};
     if (const auto Named = parseGroupName(Seat.Group)) {
       Of.Model = Named->Model;
-      Of.Members.front() = {Named->Leader, Named->LeaderBorn};
+      Of.Members.front().Name = Named->Leader;
+      Of.Members.front().Born = Named->LeaderBorn;
     }
   }
   for (auto &[Epoch, Of] : Found) {
@@ -229,6 +235,44 @@
   return Seat && Seat->Epoch == Epoch;
 }
 
+// Failure guarded against: a third of the engines is cut off from the store,
+// their records lapse together, and nearly every group has lost a member by the
+// records, while all of them serve. A member whose record is missing is asked;
+// while it answers, its group is left alone. Gain: on a day with 84 of 296
+// engines cut off for ten seconds, callers were served at 0.03 to 0.3 of their
+// worth until the groups had been formed anew.
+bool Assembler::present(const Pass &In, const Member &Of, GroupEpoch Epoch) {
+  if (In.View.Endpoints.find(Of.Name) != nullptr) {
+    Doubts.erase(Of.Name);
+    return holds(In, Of, Epoch);
+  }
+  if (Of.Name.empty() || Of.Address.Port == 0)
+    return false;
+  const auto [Found, New] = Doubts.try_emplace(Of.Name, Doubt{In.Now});
+  Doubt &Its = Found->second;
+  const Duration Waited = In.Now - Its.AskedAt;
+  if (New || (Its.Answered && Its.Alive && Waited >= Times.AskMissing)) {
+    Its.AskedAt = In.Now;
+    Its.Answered = false;
+    Questions.push_back({Of.Name, Of.Address});
+    return true;
+  }
+  return Its.Answered ? Its.Alive : Waited < Times.AnswerMissing;
+}
+
+std::vector<MemberQuestion> Assembler::takeQuestions() {
+  return std::exchange(Questions, {});
+}
+
+void Assembler::asked(const EndpointName &Which, bool Alive, TimePoint Now) {
+  const auto Found = Doubts.find(Which);
+  if (Found == Doubts.end())
+    return;
+  Found->second.AskedAt = Now;
+  Found->second.Answered = true;
+  Found->second.Alive = Alive;
+}
+
 bool Assembler::advanceGroup(Pass &In, Group &Of) {
   const Member &Leader = Of.Members.front();
   const KnownEndpoint *const Known = In.View.Endpoints.find(Leader.Name);
@@ -249,8 +293,11 @@
   }
   bool Lost = false;
   bool Leaving = false;
+  const bool InService =
+      Seat->Phase == SeatPhase::Open || Seat->Phase == SeatPhase::Closing;
   for (const Member &Each : Of.Members) {
-    const bool Here = holds(In, Each, Of.Epoch);
+    const bool Here =
+        InService ? present(In, Each, Of.Epoch) : holds(In, Each, Of.Epoch);
     const KnownEndpoint *const Its = In.View.Endpoints.find(Each.Name);
     const bool Drains =
         Its != nullptr && Its->Record.State == EndpointState::Draining;
@@ -271,9 +318,7 @@
       open(In, Of);
     return false;
   }
-  const bool Serving =
-      Seat->Phase == SeatPhase::Open || Seat->Phase == SeatPhase::Closing;
-  if (Serving || Of.OpenOrdered)
+  if (InService || Of.OpenOrdered)
     return false;
   if (In.Now < Of.JoinBy) {
     repeatJoins(In, Of);
@@ -563,7 +608,8 @@
   Of.Model = Chosen.Model->Name;
   std::vector<EndpointName> Names;
   for (const KnownEndpoint *const Each : Chosen.Members) {
-    Of.Members.push_back({Each->Record.Name, Each->Record.Born});
+    Of.Members.push_back(
+        {Each->Record.Name, Each->Record.Born, Each->Record.Address});
     Names.push_back(Each->Record.Name);
   }
   Duration Expected = Chosen.Model->WarmTime;
--- a/packages/version/src/coltsfoottrail/assembly/assembler.hpp
+++ b/packages/version/src/coltsfoottrail/assembly/assembler.hpp
@@ -33,6 +33,11 @@
   Duration LongestSettle = seconds(4);
   /// Beyond the time of its loads, for a group to become ready.
   Duration JoinSlack = seconds(4);
+  /// A member whose record is missing is asked again this often.
+  Duration AskMissing = milliseconds(700);
+  /// One that has not been answered for within this counts as lost: the
+  /// question takes a third of a second.
+  Duration AnswerMissing = milliseconds(600);
   /// How long an engine that did not join in time is left out.
   Duration LeaveOut = seconds(6);
 };
@@ -56,6 +61,12 @@
   SeatOrder Order;
 };
 
+/// @brief A member whose record is missing, to be asked whether it is alive.
+struct MemberQuestion {
+  EndpointName Name;
+  EngineAddress Address;
+};
+
 /// What became of a group.
 enum class GroupFate : std::uint8_t { Formed, Adopted, Lost, Retired };
 
@@ -122,6 +133,11 @@
   /// another life.
   void declareDead(const KnownEndpoint &Which, TimePoint Now);
 
+  /// @brief Hands over whom to ask; each is to be answered by asked().
+  [[nodiscard]] std::vector<MemberQuestion> takeQuestions();
+  /// @brief Takes the answer to a question.
+  void asked(const EndpointName &Which, bool Alive, TimePoint Now);
+
   /// @brief Members of the groups that an endpoint leads.
   [[nodiscard]] std::vector<EndpointName>
   membersWith(const EndpointName &Leader) const;
@@ -137,6 +153,13 @@
   struct Member {
     EndpointName Name;
     std::uint64_t Born = 0;
+    EngineAddress Address;
+  };
+  /// What is known of a member whose record is missing.
+  struct Doubt {
+    TimePoint AskedAt;
+    bool Answered = false;
+    bool Alive = true;
   };
   struct Group {
     std::string Name;
@@ -226,6 +249,10 @@
   [[nodiscard]] bool isFree(const Pass &In, const KnownEndpoint &Of) const;
   [[nodiscard]] bool holds(const Pass &In, const Member &Of,
                            GroupEpoch Epoch) const;
+  /// @return Whether a member is there, or answers although its record is
+  /// missing.
+  [[nodiscard]] bool present(const Pass &In, const Member &Of,
+                             GroupEpoch Epoch);
   [[nodiscard]] bool isDead(const KnownEndpoint &Of) const;
   [[nodiscard]] std::optional<Seating> seatOf(const KnownEndpoint &Of) const;
   void note(GroupFate Fate, const Group &Of, const EndpointName &Cause,
@@ -246,6 +273,8 @@
   /// Endpoints that may not take a seat before a time.
   std::map<EndpointName, TimePoint> LockedUntil;
   std::map<EndpointName, Death> Dead;
+  std::map<EndpointName, Doubt> Doubts;
+  std::vector<MemberQuestion> Questions;
   /// Models whose weights endpoints were told to load.
   std::map<EndpointName, ModelName> Staging;
   std::vector<GroupNote> Notes;
--- a/packages/version/test/coltsfoottrail/assembly/assembler.cpp
+++ b/packages/version/test/coltsfoottrail/assembly/assembler.cpp
@@ -142,6 +142,35 @@
   EXPECT_EQ(Fleet.JoinedWhileOpen, 0);
 }
 
+// Callers are served by nobody for ten seconds.
+// A third of the engines is cut off from the store, their records lapse at
+// once, and by the records nearly every group has lost a member; all of them
+// serve. Groups whose leaders are known are left alone.
+TEST(Assembler, GroupServesOnWhileAMissingMemberAnswers) {
+  FakeEngines Fleet;
+  Fleet.addDomain("north", "n0", 9);
+  Fleet.run(LongEnough);
+  Fleet.CallersBegun = true;
+  const std::vector<EndpointName> Before = Fleet.leaders();
+  std::vector<EndpointName> Missing;
+  for (const EndpointName &Leader : Before)
+    Missing.push_back(Fleet.membersOf(Leader).back());
+  for (const EndpointName &Each : Missing) {
+    Fleet.Catalogue.remove(Each, Fleet.Now);
+    Fleet.Unheard.insert(Each);
+  }
+  Fleet.run(seconds(10));
+  EXPECT_EQ(Fleet.leaders(), Before);
+  const auto EpochOf = [&](const EndpointName &Leader) {
+    return Fleet.Records.at(Leader).Seat->Epoch;
+  };
+  const GroupEpoch Was = EpochOf(Before.front());
+  Fleet.Records.erase(Missing.front());
+  Fleet.run(seconds(2));
+  EXPECT_NE(EpochOf(Before.front()), Was)
+      << "once it no longer answers, its group is formed anew";
+}
+
 // Engines would serve two groups at once after a data centre was cut off.
 // The records of a whole data centre lapse while its engines go on serving
 // behind the cut; when they are back, leaders still serve the groups that they
--- a/packages/version/test/coltsfoottrail/assembly/engines.hpp
+++ b/packages/version/test/coltsfoottrail/assembly/engines.hpp
@@ -69,6 +69,8 @@
       const OrderOutcome Outcome = carryOut(Each);
       Driver.ordered(Each.To, Each.Order, Outcome, Now);
     }
+    for (const MemberQuestion &Each : Driver.takeQuestions())
+      Driver.asked(Each.Name, Records.contains(Each.Name), Now);
     return Orders;
   }
 
