Do not count a read that was given up as failed

Cause: a hurried read ended as failed, that told of a lost store, and the next answer of the other feed regained it and hurried the read again: the operators' feed was not read for as long as the endpoints' one was read often. Test: Follower.ReadThatIsGivenUpHasNotFailed (fails before: one failure, and the page comes late).

--- a/packages/process/src/coltsfoottrail/fleethost/follower.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/follower.cpp
@@ -75,6 +75,7 @@
 // sends work to endpoints that have long said that they leave.
 Awaitable<FeedFollower::ReadEnd> FeedFollower::step() {
   const TimePoint AskedAt = BootClock::now();
+  const std::uint64_t Begun = Hurries;
   const std::optional<Offset> From = Next;
   const bool Whole = !From;
   std::variant<FeedPage, StoreFailure> Answer = StoreFailure::NotDone;
@@ -82,6 +83,10 @@
     Answer = co_await Store.newest(Which);
   else
     Answer = co_await Store.read(Which, *From, Times.Wait);
+  // Failure guarded against: a read that was given up counts as failed, the
+  // next answer of the other feed hurries this one again, and it is never read.
+  if (Begun != Hurries)
+    co_return ReadEnd::More;
   if (const auto *const Failed = std::get_if<StoreFailure>(&Answer)) {
     if (*Failed == StoreFailure::Expired)
       Next.reset();
--- a/packages/process/src/coltsfoottrail/fleethost/follower.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/follower.hpp
@@ -52,6 +52,7 @@
   /// @brief Gives up a read under way, or the pause before the next one, and
   /// reads at once.
   void hurry() {
+    ++Hurries;
     if (Hurry)
       Hurry->cancel();
   }
@@ -93,6 +94,7 @@
   FollowHooks Hooks;
   /// Never expires: cancelled to end a wait.
   std::optional<boost::asio::steady_timer> Hurry;
+  std::uint64_t Hurries = 0;
   /// Where to read on; nothing before the newest values are known.
   std::optional<Offset> Next;
   TimePoint CoveredUntil{};
--- a/packages/process/test/coltsfoottrail/fleethost/follower.cpp
+++ b/packages/process/test/coltsfoottrail/fleethost/follower.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -43,6 +44,16 @@
   co_return StoreFailure::Unknown;
 }
 
+/// What a read over a connection answers when it is given up.
+Awaitable<FeedAnswer> failsWhenGivenUp() {
+  boost::asio::steady_timer Silence(co_await boost::asio::this_coro::executor,
+                                    seconds(60));
+  boost::system::error_code GivenUp;
+  co_await Silence.async_wait(
+      boost::asio::redirect_error(boost::asio::use_awaitable, GivenUp));
+  co_return StoreFailure::Unknown;
+}
+
 class Follower : public ::testing::Test {
 protected:
   Follower() {
@@ -85,6 +96,25 @@
   EXPECT_EQ(Taken, (std::vector<Offset>{5, 20, 40, 60}));
 }
 
+// Callers are refused on every host after a change of the store's history.
+// Each answer of one feed hurries the other, whose read is given up; counted as
+// failed, it made the next answer hurry it again, and the configuration was
+// never read.
+TEST_F(Follower, ReadThatIsGivenUpHasNotFailed) {
+  Times.Spacing = milliseconds(1);
+  EXPECT_CALL(Store, newest).WillOnce([] { return page(5, 5); });
+  EXPECT_CALL(Store, read)
+      .WillOnce([] { return failsWhenGivenUp(); })
+      .WillOnce([] { return page(9, 9); })
+      .WillRepeatedly([] { return neverAnswered(); });
+  follow();
+  Context.run_for(milliseconds(50));
+  Followed->hurry();
+  Context.run_for(milliseconds(50));
+  EXPECT_EQ(Failures, 0);
+  EXPECT_EQ(Taken, (std::vector<Offset>{5, 9}));
+}
+
 // The same, with another cause: the host was cut off from the store, another
 // feed is read again, and this one waits for an answer that was lost in the
 // cut.
