--- a/packages/process/src/coltsfoottrail/fleethost/changelog.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/changelog.cpp
@@ -33,46 +33,46 @@
   const auto Age =
       std::chrono::duration_cast<milliseconds>(Now - AskedAt).count();
   for (const FleetChange &Change : Page.Changes)
-    std::visit(
-        Overloaded{
-            [&](const ConfigPublished &One) {
-              logEvent(Event::ConfigInForce,
-                       {{"version", One.Config.Version}, {"age_ms", Age}});
-            },
-            [&](const DataCentreDrained &One) {
-              logEvent(Event::Drained, {{"data_centre", One.DataCentre},
-                                        {"drained", true},
-                                        {"age_ms", Age}});
-            },
-            [&](const DataCentreReturned &One) {
-              logEvent(Event::Drained, {{"data_centre", One.DataCentre},
-                                        {"drained", false},
-                                        {"age_ms", Age}});
-            },
-            [&](const EndpointPublished &One) {
-              const std::string_view What = whatChanged(
-                  Before.endpoints().find(One.Record.Name), One.Record);
-              if (!What.empty())
-                logEvent(Event::EndpointChanged,
-                         {{"endpoint", One.Record.Name},
-                          {"what", What},
-                          {"service", One.Record.Service},
-                          {"data_centre", One.Record.DataCentre},
-                          {"sequence", One.Record.Sequence},
-                          {"age_ms", Age}});
-            },
-            [&](const EndpointRemoved &One) {
-              if (Before.endpoints().find(One.Name) != nullptr)
-                logEvent(Event::EndpointChanged, {{"endpoint", One.Name},
-                                                  {"what", "removed"},
-                                                  {"age_ms", Age}});
-            },
-            [](const UnreadableEntry &One) {
-              logEvent(Event::EntryUnreadable,
-                       {{"key", One.Key}, {"problem", One.Problem}});
-            },
-        },
-        Change);
+    std::visit(Overloaded{
+                   [&](const ConfigPublished &One) {
+                     logEvent(
+                         Event::ConfigInForce,
+                         {{"version", One.Config.Version}, {"age_ms", Age}});
+                   },
+                   [&](const DataCentreDrained &One) {
+                     logEvent(Event::Drained, {{"data_centre", One.DataCentre},
+                                               {"drained", true},
+                                               {"age_ms", Age}});
+                   },
+                   [&](const DataCentreReturned &One) {
+                     logEvent(Event::Drained, {{"data_centre", One.DataCentre},
+                                               {"drained", false},
+                                               {"age_ms", Age}});
+                   },
+                   [&](const EndpointPublished &One) {
+                     const std::string_view What = whatChanged(
+                         Before.endpoints().find(One.Record.Name), One.Record);
+                     if (!What.empty())
+                       logEvent(Event::EndpointChanged,
+                                {{"endpoint", One.Record.Name},
+                                 {"what", What},
+                                 {"service", One.Record.Service},
+                                 {"data_centre", One.Record.DataCentre},
+                                 {"sequence", One.Record.Sequence},
+                                 {"age_ms", Age}});
+                   },
+                   [&](const EndpointRemoved &One) {
+                     if (Before.endpoints().find(One.Name) != nullptr)
+                       logEvent(Event::EndpointChanged, {{"endpoint", One.Name},
+                                                         {"what", "removed"},
+                                                         {"age_ms", Age}});
+                   },
+                   [](const UnreadableEntry &One) {
+                     logEvent(Event::EntryUnreadable,
+                              {{"key", One.Key}, {"problem", One.Problem}});
+                   },
+               },
+               Change);
 }
 
 } // namespace coltsfoottrail
--- a/packages/version/src/coltsfoottrail/fleet/catalogue.cpp
+++ b/packages/version/src/coltsfoottrail/fleet/catalogue.cpp
@@ -45,9 +45,9 @@
   const auto Found = Known.find(Name);
   if (Found == Known.end())
     return false;
-  const bool MayReturn =
-      Now < SettledAt && Found->second.HeardAt <= ReturnedAt &&
-      Found->second.Record.State == EndpointState::Serving;
+  const bool MayReturn = Now < SettledAt &&
+                         Found->second.HeardAt <= ReturnedAt &&
+                         Found->second.Record.State == EndpointState::Serving;
   if (MayReturn) {
     if (!Found->second.MissingUntil)
       Found->second.MissingUntil = SettledAt;
