Let a term of the duty go on over a gap in the lease; use each epoch once

Ruled out: lost records (the driver's records were right), a late order. Change: a term goes on if the store's generation has not moved (DutyTerm, pure); a slow store is asked for a longer lease; the counter of epochs is never reset.

--- a/packages/process/src/coltsfoottrail/fleethost/assemblydesk.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/assemblydesk.cpp
@@ -85,7 +85,7 @@
 // are formed twice before the first caller. Seventy hosts that all renew their
 // membership also cost a tenth of what the day is worth.
 bool AssemblyDesk::standsAside(TimePoint Now) const {
-  return Role == DutyRole::Reserve && !Held &&
+  return Role == DutyRole::Reserve && !Term.held() &&
          Now - HolderHeardAt < Pace.StandAsideFor;
 }
 
@@ -101,8 +101,8 @@
     }
     DutyAsk Ask;
     Ask.Member = Self;
-    Ask.Lease = Pace.Lease;
-    Ask.Generation = Generation;
+    Ask.Lease = Term.lease();
+    Ask.Generation = Term.generation();
     const auto Answer = co_await Store.joinDuty(std::move(Ask));
     if (const auto *const Grant = std::get_if<DutyGrant>(&Answer))
       take(*Grant, AskedAt);
@@ -121,31 +121,20 @@
       asio::redirect_error(asio::use_awaitable, Hurried));
 }
 
-// The lease counts from when the renewal left: the store counts from when it
-// arrived, which is later.
 void AssemblyDesk::take(const DutyGrant &Grant, TimePoint AskedAt) {
-  const bool Had = Held && BootClock::now() < HeldUntil;
-  const bool Moved = Grant.Generation != Generation;
-  Generation = Grant.Generation;
-  if (!Grant.Holds) {
-    if (std::exchange(Held, false)) {
-      logEvent(Event::DutyLost, {{"generation", Generation}});
-      if (Changed)
-        Changed(false);
-    }
-    return;
-  }
-  HeldUntil = AskedAt + Pace.Lease - Pace.LeaseMargin;
-  if (Had)
+  const TimePoint Now = BootClock::now();
+  const DutyChange What = Term.take(Grant, AskedAt, Now);
+  if (What == DutyChange::None)
     return;
-  // A lease that lapsed may have been another host's meanwhile.
-  Held = true;
-  Fence = Generation;
-  logEvent(Event::DutyGained, {{"fence", Fence}, {"moved", Moved}});
-  for (auto &[Name, Each] : Assemblers)
-    Each.begin(BootClock::now());
+  const bool Gained = What == DutyChange::Gained;
+  if (Gained) {
+    logEvent(Event::DutyGained, {{"fence", Term.fence()}});
+    for (auto &[Name, Each] : Assemblers)
+      Each.begin(Now);
+  } else
+    logEvent(Event::DutyLost, {{"generation", Term.generation()}});
   if (Changed)
-    Changed(true);
+    Changed(Gained);
 }
 
 Awaitable<void> AssemblyDesk::drive() {
@@ -174,12 +163,13 @@
       Found = Assemblers.emplace(Service.Name, Assembler(Times)).first;
       Found->second.begin(Now);
     }
-    const AssemblyView Seen{View.endpoints(), Service, View.drained(), Fence,
-                            Begun};
+    const AssemblyView Seen{View.endpoints(), Service, View.drained(),
+                            Term.fence(), Begun};
     for (SeatCommand &Command : Found->second.plan(Seen, Now)) {
       if (Moving && !std::holds_alternative<StageModel>(Command.Order))
         Moving();
-      asio::co_spawn(On, carryOut(std::move(Command), Fence), asio::detached);
+      asio::co_spawn(On, carryOut(std::move(Command), Term.fence()),
+                     asio::detached);
     }
     for (MemberQuestion &Each : Found->second.takeQuestions())
       asio::co_spawn(On, askMissing(Service.Name, std::move(Each)),
@@ -212,22 +202,22 @@
 }
 
 Awaitable<void> AssemblyDesk::carryOut(SeatCommand Command,
-                                       std::uint64_t Term) {
+                                       std::uint64_t Fence) {
   const EndpointName To = Command.To;
   const SeatOrder Order = Command.Order;
   const OrderOutcome Outcome =
-      co_await Engines.order(Command.Address, To, Order, Term);
+      co_await Engines.order(Command.Address, To, Order, Fence);
   logEvent(Event::SeatOrdered, {{"order", orderName(Order)},
                                 {"endpoint", To},
                                 {"epoch", epochOf(Order)},
-                                {"fence", Term},
+                                {"fence", Fence},
                                 {"outcome", outcomeName(Outcome)}});
   for (auto &[Name, Each] : Assemblers)
-    if (Term == Fence)
+    if (Fence == Term.fence())
       Each.ordered(To, Order, Outcome, BootClock::now());
   // Another host has the duty: nothing more is ordered under this number.
-  if (Outcome == OrderOutcome::Fenced && Term == Fence)
-    HeldUntil = TimePoint{};
+  if (Outcome == OrderOutcome::Fenced && Fence == Term.fence())
+    Term.fenced();
 }
 
 void AssemblyDesk::logNotes() {
@@ -242,7 +232,7 @@
 
 Awaitable<void> AssemblyDesk::leave() {
   Leaving = true;
-  Held = false;
+  Term.giveUp();
   co_await Store.leaveDuty(Self);
 }
 
--- a/packages/process/src/coltsfoottrail/fleethost/assemblydesk.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/assemblydesk.hpp
@@ -6,6 +6,7 @@
 #include "coltsfoottrail/assembly/assembler.hpp"
 #include "coltsfoottrail/boundary/engines.hpp"
 #include "coltsfoottrail/boundary/store.hpp"
+#include "coltsfoottrail/fleethost/dutyterm.hpp"
 #include "coltsfoottrail/fleethost/view.hpp"
 #include "coltsfoottrail/silence/silencewatch.hpp"
 
@@ -22,8 +23,7 @@
 
 /// @brief Times of the duty.
 struct DutyTimes {
-  /// Another host takes over when this one was silent for so long.
-  milliseconds Lease{1'500};
+  LeaseTimes Lease;
   /// A renewal this often leaves room for two that are lost.
   milliseconds RenewEvery{400};
   /// After a renewal that failed, twice as long after each further one.
@@ -43,8 +43,6 @@
   milliseconds AskAgainAfter{1'500};
   /// Between two lines in the log on where the engines stand.
   milliseconds SummaryEvery{5'000};
-  /// Kept free of the lease, so that an order arrives inside it.
-  milliseconds LeaseMargin{300};
   /// A host that stands aside looks this often whether it is needed, and is
   /// when no other one drove the groups for so long: a lease and a renewal.
   milliseconds StandAsideLook{250};
@@ -85,11 +83,11 @@
 
   /// @brief Whether this host drives the groups now.
   [[nodiscard]] bool holds(TimePoint Now) const noexcept {
-    return Held && Now < HeldUntil;
+    return Term.holds(Now);
   }
   /// @brief Whether this host was the last one to hold the duty, as far as it
   /// knows: its lease may have run out while the store is away.
-  [[nodiscard]] bool held() const noexcept { return Held; }
+  [[nodiscard]] bool held() const noexcept { return Term.held(); }
   /// @brief The store answers again: renews the lease now.
   void hurry() {
     if (Renewal)
@@ -143,12 +141,8 @@
   AssemblyTimes Times;
   DutyRole Role;
   TimePoint HolderHeardAt = BootClock::now();
-  std::uint64_t Generation = 0;
-  /// Generation at which the duty was gained: the fencing number.
-  std::uint64_t Fence = 0;
-  bool Held = false;
+  DutyTerm Term{Pace.Lease};
   bool Leaving = false;
-  TimePoint HeldUntil{};
   TimePoint SummaryDue{};
   bool Begun = false;
   /// Leaders whose members are not asked before a time.
--- a/packages/version/src/coltsfoottrail/assembly/assembler.cpp
+++ b/packages/version/src/coltsfoottrail/assembly/assembler.cpp
@@ -109,7 +109,6 @@
   Staging.clear();
   Doubts.clear();
   Questions.clear();
-  Counter = 0;
   ActFrom = Now + Times.TakeOverPause;
   BeganAt = Now;
   FleetSize = 0;
--- a/packages/version/src/coltsfoottrail/assembly/assembler.hpp
+++ b/packages/version/src/coltsfoottrail/assembly/assembler.hpp
@@ -265,6 +265,8 @@
   /// Endpoints known, and when one more came.
   std::size_t FleetSize = 0;
   TimePoint GrewAt;
+  /// Groups formed by this process: never begins anew, so that no epoch is used
+  /// twice even if two terms have one fencing number.
   std::uint64_t Counter = 0;
   std::map<GroupEpoch, Group> Groups;
   /// Epochs of groups that are over: seats that still name them are free.
--- a/packages/version/test/coltsfoottrail/assembly/assembler.cpp
+++ b/packages/version/test/coltsfoottrail/assembly/assembler.cpp
@@ -57,6 +57,29 @@
   EXPECT_EQ(Fleet.OpenedPartial, 0);
 }
 
+// An engine would serve two groups at once.
+// The driver's term ends and begins again under one fencing number; counting
+// groups from one again gave a new group the epoch of one that serves, whose
+// end then freed the members of both.
+TEST(Assembler, UsesNoEpochTwiceUnderOneFencingNumber) {
+  FakeEngines Fleet;
+  Fleet.addDomain("north", "n0", 5);
+  Fleet.run(LongEnough);
+  std::set<GroupEpoch> Before;
+  for (const auto &[Name, Record] : Fleet.Records)
+    if (Record.Seat)
+      Before.insert(Record.Seat->Epoch);
+  Fleet.Driver.begin(Fleet.Now);
+  Fleet.addDomain("south", "s0", 5);
+  Fleet.run(LongEnough);
+  for (const auto &[Name, Record] : Fleet.Records) {
+    if (Record.Seat && Record.DataCentre == DataCentreName("south")) {
+      EXPECT_FALSE(Before.contains(Record.Seat->Epoch));
+    }
+  }
+  EXPECT_EQ(Fleet.JoinedWhileOpen, 0);
+}
+
 // An engine would serve two groups at once.
 // A group is told to open; before its record shows that it serves, a member is
 // lost. The record still says "ready", as if the leader were closed, and its
