Leave no idle connections behind orders; ask anew for a hub that relays nothing

Ruled out: the service's own failures (4 in 1,000), its slots (a quarter taken). Change: a host keeps at most its part of half of an endpoint's connections (idleShare). Change: a hub that has relayed nothing for a second, while own reads are answered, is asked for anew.

--- a/packages/connection/src/coltsfoottrail/adapter/engines.cpp
+++ b/packages/connection/src/coltsfoottrail/adapter/engines.cpp
@@ -211,8 +211,8 @@
       [this, To, Sent = std::move(Request),
        Deadline = BootClock::now() + Timeout,
        Then = std::move(Done)]() mutable -> Awaitable<void> {
-        Then(orderResultOf(co_await Client.fetch(To, std::move(Sent), Deadline,
-                                                 Reuse::Allowed)));
+        Then(orderResultOf(
+            co_await Client.fetch(To, std::move(Sent), Deadline)));
       },
       boost::asio::detached);
 }
@@ -225,8 +225,8 @@
        Then = std::move(Done)]() mutable -> Awaitable<void> {
         HttpRequest Request;
         Request.Target = "/report";
-        Then(reportOf(co_await Client.fetch(Whom, std::move(Request), Deadline,
-                                            Reuse::Allowed)));
+        Then(reportOf(
+            co_await Client.fetch(Whom, std::move(Request), Deadline)));
       },
       boost::asio::detached);
 }
@@ -241,8 +241,8 @@
        Then = std::move(Done)]() mutable -> Awaitable<void> {
         HttpRequest Request;
         Request.Target = "/v1/hosts";
-        Then(hostsOf(co_await Client.fetch(Service, std::move(Request),
-                                           Deadline, Reuse::Allowed)));
+        Then(hostsOf(
+            co_await Client.fetch(Service, std::move(Request), Deadline)));
       },
       boost::asio::detached);
 }
--- a/packages/connection/src/coltsfoottrail/adapter/log.cpp
+++ b/packages/connection/src/coltsfoottrail/adapter/log.cpp
@@ -107,8 +107,8 @@
       [this, Request = appendRequest(Stream, Payload),
        Deadline = BootClock::now() + Timeout,
        Then = std::move(Done)]() mutable -> Awaitable<void> {
-        Then(appendResultOf(co_await Client.fetch(Service, std::move(Request),
-                                                  Deadline, Reuse::Allowed)));
+        Then(appendResultOf(
+            co_await Client.fetch(Service, std::move(Request), Deadline)));
       },
       boost::asio::detached);
 }
@@ -121,8 +121,8 @@
       [this, Request = readRequest(Stream, From, MaxEntries, Wait),
        Deadline = BootClock::now() + Wait + ReadMargin,
        Then = std::move(Done)]() mutable -> Awaitable<void> {
-        Then(readResultOf(co_await Client.fetch(Service, std::move(Request),
-                                                Deadline, Reuse::Allowed)));
+        Then(readResultOf(
+            co_await Client.fetch(Service, std::move(Request), Deadline)));
       },
       boost::asio::detached);
 }
--- a/packages/connection/src/coltsfoottrail/http/client.cpp
+++ b/packages/connection/src/coltsfoottrail/http/client.cpp
@@ -99,13 +99,17 @@
     return nullptr;
   }
 
-  void giveBack(const EngineAddress &To, ConnectionPtr Used) {
+  void giveBack(const EngineAddress &To, ConnectionPtr Used,
+                std::size_t MostIdle) {
+    Used->leave();
+    const std::size_t Most = std::min(Options.MaxIdlePerEndpoint, MostIdle);
     std::deque<ConnectionPtr> &Kept = Idle[To];
-    if (Kept.size() >= Options.MaxIdlePerEndpoint) {
+    while (!Kept.empty() && Kept.size() >= Most) {
       Kept.pop_front();
       --IdleCount;
     }
-    Used->leave();
+    if (Most == 0)
+      return;
     Used->Stream.expires_never();
     Used->IdleSince = BootClock::now();
     Kept.push_back(std::move(Used));
@@ -123,6 +127,7 @@
 struct HttpCall::State {
   std::weak_ptr<HttpClient::Core> Owner;
   EngineAddress To;
+  std::size_t MostIdle = 0;
   std::unique_ptr<Connection> Link;
   http::response_parser<http::buffer_body> Parser;
   HttpResponse Head;
@@ -167,7 +172,7 @@
   }
   const auto Owner = Call.Owner.lock();
   if (Owner && Call.Link && Call.Parser.get().keep_alive())
-    Owner->giveBack(Call.To, std::move(Call.Link));
+    Owner->giveBack(Call.To, std::move(Call.Link), Call.MostIdle);
   co_return std::optional<std::string>{};
 }
 
@@ -210,10 +215,10 @@
 
 Awaitable<std::variant<HttpCall, CallFailure>>
 HttpClient::start(EngineAddress To, HttpRequest Request, TimePoint Deadline,
-                  Reuse Mode) {
+                  ConnectionUse Use) {
   const std::shared_ptr<Core> Own = Shared;
   Core::ConnectionPtr Link =
-      Mode == Reuse::Allowed ? Own->takeIdle(To) : nullptr;
+      Use.Mode == Reuse::Allowed ? Own->takeIdle(To) : nullptr;
   ErrorCode Problem;
   if (!Link) {
     Link = std::make_unique<HttpCall::Connection>(Own->Context);
@@ -249,6 +254,7 @@
   HttpCall::State &Opened = *Call.Current;
   Opened.Owner = Own;
   Opened.To = std::move(To);
+  Opened.MostIdle = Use.MostIdle;
   Opened.Link = std::move(Link);
   Opened.Parser.header_limit(Own->Options.MaxHeaderBytes);
   Opened.Parser.body_limit(Own->Options.MaxBodyBytes);
@@ -272,9 +278,9 @@
 
 Awaitable<std::variant<HttpResponse, CallFailure>>
 HttpClient::fetch(EngineAddress To, HttpRequest Request, TimePoint Deadline,
-                  Reuse Mode) {
+                  ConnectionUse Use) {
   auto Started =
-      co_await start(std::move(To), std::move(Request), Deadline, Mode);
+      co_await start(std::move(To), std::move(Request), Deadline, Use);
   if (const auto *const Failed = std::get_if<CallFailure>(&Started))
     co_return *Failed;
   HttpCall &Call = std::get<HttpCall>(Started);
--- a/packages/connection/src/coltsfoottrail/http/client.hpp
+++ b/packages/connection/src/coltsfoottrail/http/client.hpp
@@ -10,6 +10,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
@@ -49,6 +50,15 @@
   Never,
 };
 
+/// @brief How a call uses connections.
+struct ConnectionUse {
+  Reuse Mode = Reuse::Allowed;
+  /// Connections to the endpoint that may stay open for reuse after the call.
+  std::size_t MostIdle = std::numeric_limits<std::size_t>::max();
+};
+/// For a call that leaves nothing behind.
+inline constexpr ConnectionUse OwnConnection{Reuse::Never, 0};
+
 /// @brief One call in progress. Belongs to one thread. Destroying it before the
 /// answer is whole closes the connection, which cancels the work behind it.
 class HttpCall {
@@ -93,21 +103,21 @@
   /// @param To Where to.
   /// @param Request What to send; Content-Length is added.
   /// @param Deadline When to give up.
-  /// @param Mode Whether an old connection may be used.
+  /// @param Use Whether an old connection may be used, and what stays.
   /// @return The call, or why there is none.
   [[nodiscard]] Awaitable<std::variant<HttpCall, CallFailure>>
   start(EngineAddress To, HttpRequest Request, TimePoint Deadline,
-        Reuse Mode = Reuse::Allowed);
+        ConnectionUse Use = {});
 
   /// @brief Sends a request and waits for the whole answer.
   /// @param To Where to.
   /// @param Request What to send.
   /// @param Deadline When to give up.
-  /// @param Mode Whether an old connection may be used.
+  /// @param Use Whether an old connection may be used, and what stays.
   /// @return The answer, or why there is none.
   [[nodiscard]] Awaitable<std::variant<HttpResponse, CallFailure>>
   fetch(EngineAddress To, HttpRequest Request, TimePoint Deadline,
-        Reuse Mode = Reuse::Allowed);
+        ConnectionUse Use = {});
 
   /// @brief Ends all calls in progress to an address as cut; each learns so at
   /// its next step.
--- a/packages/process/src/coltsfoottrail/fleethost/host.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/host.cpp
@@ -4,6 +4,7 @@
 #include "coltsfoottrail/fleethost/changelog.hpp"
 #include "coltsfoottrail/logging/log.hpp"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/this_coro.hpp>
@@ -55,6 +56,10 @@
 /// configurations within two seconds, one own read included.
 constexpr milliseconds EndpointsCover{700};
 constexpr milliseconds OperatorsCover{2'400};
+/// A hub that has relayed no endpoints for so long, while this host's own reads
+/// are answered, is asked for anew; less often while it stays the same.
+constexpr milliseconds UselessHubAfter{1'000};
+constexpr milliseconds LongestDoubtPause{8'000};
 /// Beyond these a request waits in the caller instead.
 constexpr std::size_t MostWaiting = 256;
 constexpr std::size_t MostWaitingBytes = std::size_t{4} << 20U;
@@ -245,6 +250,24 @@
   Routing.shareLoads(Answer.Loads);
   for (const auto &[Which, Told] : Answer.Feeds)
     takeRelayed(Which, Asked.Next.at(Which), Told, SentAt);
+  doubtHub(BootClock::now());
+}
+
+// Failure guarded against: the hub alone is cut off from the store, another
+// host has the duty by now, and seventy hosts read the store by themselves for
+// as long as the old hub answers: 1,200 paid calls in six seconds. The old hub
+// relays nothing to hosts that know more than it does.
+void FleetHost::doubtHub(TimePoint Now) {
+  const bool Useless = StoreAnswers && Now - RelayedAt > UselessHubAfter;
+  if (!Useless) {
+    DoubtPause = UselessHubAfter;
+    return;
+  }
+  if (Now < DoubtAgainAt)
+    return;
+  Link.doubt();
+  DoubtAgainAt = Now + DoubtPause;
+  DoubtPause = std::min(2 * DoubtPause, LongestDoubtPause);
 }
 
 // The hub asked the store Age before it answered, and it answered after this
@@ -258,13 +281,10 @@
   const TimePoint AsOf = SentAt - Told.Age;
   const TimePoint CoveredUntil =
       AsOf + (Which == Feed::Operators ? OperatorsCover : EndpointsCover);
-  if (CoveredUntil <= BootClock::now()) {
-    // Failure guarded against: the hub alone is cut off from the store, and
-    // another host holds the duty by now.
-    if (StoreAnswers && Which == Feed::Endpoints)
-      Link.doubt();
+  if (CoveredUntil <= BootClock::now())
     return;
-  }
+  if (Which == Feed::Endpoints)
+    RelayedAt = BootClock::now();
   FeedPage Page;
   Page.Next = Told.Next;
   Page.End = Told.Next;
--- a/packages/process/src/coltsfoottrail/fleethost/host.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/host.hpp
@@ -70,6 +70,7 @@
   void heardHub(const HostReport &Asked, HubAnswer Answer, TimePoint SentAt);
   void takeRelayed(Feed Which, Offset From, const RelayedFeed &Told,
                    TimePoint SentAt);
+  void doubtHub(TimePoint Now);
   [[nodiscard]] FeedFollower &follower(Feed Which) {
     return Which == Feed::Operators ? Operators : Endpoints;
   }
@@ -109,6 +110,10 @@
   std::uint64_t SharedVersion = 0;
   std::uint64_t LoggedConfig = 0;
   bool StoreAnswers = true;
+  /// When the hub last relayed endpoints that were new enough to go by.
+  TimePoint RelayedAt = BootClock::now();
+  TimePoint DoubtAgainAt{};
+  milliseconds DoubtPause{0};
   bool Stopping = false;
   HubLink Link;
   std::optional<HttpServer> Front;
--- a/packages/process/src/coltsfoottrail/fleethost/relay.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/relay.cpp
@@ -1,5 +1,6 @@
 #include "coltsfoottrail/fleethost/relay.hpp"
 
+#include "coltsfoottrail/admission/idleshare.hpp"
 #include "coltsfoottrail/core/hash.hpp"
 #include "coltsfoottrail/server/attempts.hpp"
 
@@ -241,6 +242,7 @@
       return jsonResponse(StatusBadRequest, R"({"error":"unknown-model"})");
     Model = Asked.Said.Model;
   }
+  Asked.Service = Service;
   Asked.Pool = FleetView::poolName(Service->Name, Model);
   return std::nullopt;
 }
@@ -257,6 +259,13 @@
       std::chrono::duration_cast<Duration>(Left * LateWaitPart));
 }
 
+// A request that must not run twice gets a connection of its own: written to
+// one that the endpoint is just closing, nobody could tell whether it ran.
+ConnectionUse FleetRelay::connectionUse(const Work &Asked) const {
+  return {Asked.Route->repeatable() ? Reuse::Allowed : Reuse::Never,
+          idleShare(Asked.Service->MaxConnections, EntryHosts)};
+}
+
 double FleetRelay::PoolMix::freshPart() const noexcept {
   // One of each is added: a host with few requests knows little.
   return (Fresh + 1.0) / (Fresh + Late + 2.0);
@@ -396,11 +405,8 @@
   const TimePoint HeadBy =
       MayMove ? std::min(Asked.AnswerBy, Start + LongestSilence)
               : Asked.AnswerBy;
-  // A request that must not run twice gets a connection of its own: written to
-  // one that the endpoint is just closing, nobody could tell whether it ran.
-  auto Started =
-      co_await Client.start(To.Address, std::move(Sent), HeadBy,
-                            Repeatable ? Reuse::Allowed : Reuse::Never);
+  auto Started = co_await Client.start(To.Address, std::move(Sent), HeadBy,
+                                       connectionUse(Asked));
   if (const auto *const Failure = std::get_if<CallFailure>(&Started)) {
     AttemptResult Result = failed(*Failure, Start);
     if (Failure->Why == Reason::EndpointTimedOut &&
--- a/packages/process/src/coltsfoottrail/fleethost/relay.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/relay.hpp
@@ -51,9 +51,12 @@
   /// @throws boost::system::system_error The caller is gone.
   [[nodiscard]] Awaitable<void> serve(Exchange &Call);
 
-  /// @brief Sets how many entry hosts share what cold endpoints bear; zero for
-  /// not known.
-  void shareAmong(std::size_t Hosts) noexcept { Gate.share(Hosts); }
+  /// @brief Sets how many entry hosts share what cold endpoints bear and the
+  /// connections that endpoints take; zero for not known.
+  void shareAmong(std::size_t Hosts) noexcept {
+    Gate.share(Hosts);
+    EntryHosts = Hosts > 0 ? Hosts : std::size_t(ColdGate::UnknownHosts);
+  }
   /// @brief Whether a cold endpoint may get a request of this host now.
   [[nodiscard]] bool mayWarm(const KnownEndpoint &Known, TimePoint Now);
 
@@ -87,6 +90,7 @@
 
     [[nodiscard]] bool late() const noexcept { return CameBack || Demoted; }
     std::string Pool;
+    const ServiceProfile *Service = nullptr;
     /// Endpoints that may have run it.
     std::uint32_t Runs = 0;
     EventTail Events;
@@ -116,6 +120,7 @@
   [[nodiscard]] WorkItem itemOf(const HttpRequest &Request, const Work &Asked,
                                 const PoolMix &Mix) const;
   [[nodiscard]] static Duration longestWait(const Work &Asked);
+  [[nodiscard]] ConnectionUse connectionUse(const Work &Asked) const;
   [[nodiscard]] static bool mayDemote(const Work &Asked, const Verdict &Final);
   [[nodiscard]] Awaitable<void> route(Exchange &Call, Work &Asked);
   [[nodiscard]] Awaitable<AttemptResult> attempt(Exchange &Call, Work &Asked,
@@ -150,6 +155,7 @@
       std::make_shared<TrailBudget>(TrailLimits{});
   /// Shared with the coroutines, which may end after this object.
   std::map<std::string, std::shared_ptr<PoolMix>> Mixes;
+  std::size_t EntryHosts = std::size_t(ColdGate::UnknownHosts);
   bool Stopping = false;
 };
 
--- a/packages/process/src/coltsfoottrail/server/relay.cpp
+++ b/packages/process/src/coltsfoottrail/server/relay.cpp
@@ -407,7 +407,8 @@
   auto Started =
       co_await client(Call.thread())
           .start(To.Address, std::move(Sent), Asked.AnswerBy,
-                 Asked.Item.Repeatable ? Reuse::Allowed : Reuse::Never);
+                 ConnectionUse{Asked.Item.Repeatable ? Reuse::Allowed
+                                                     : Reuse::Never});
   if (const auto *const Failure = std::get_if<CallFailure>(&Started)) {
     if (Guard != nullptr && Failure->State == RunState::NotRun)
       Guard->provedNotRun();
--- /dev/null
+++ b/packages/request/test/coltsfoottrail/admission/idleshare.cpp
@@ -0,0 +1,26 @@
+#include "coltsfoottrail/admission/idleshare.hpp"
+
+#include <gtest/gtest.h>
+
+namespace coltsfoottrail {
+
+namespace {
+
+// Orders end with an unknown outcome on a large deployment.
+// All entry hosts together keep more idle connections to a service than it
+// takes, and it resets the one that the next order comes on.
+TEST(IdleShare, AllHostsTogetherLeaveRoomForRequests) {
+  for (const std::uint32_t MaxConnections : {0U, 52U, 100U, 110U, 464U, 660U})
+    for (const std::size_t Hosts : {1U, 7U, 9U, 71U, 300U, 1'000U})
+      EXPECT_LE(idleShare(MaxConnections, Hosts) * Hosts * 2, MaxConnections);
+}
+
+TEST(IdleShare, IsAPartOfWhatTheEndpointTakes) {
+  EXPECT_EQ(idleShare(464, 7), 33U);
+  EXPECT_EQ(idleShare(660, 71), 4U);
+  EXPECT_EQ(idleShare(110, 71), 0U);
+}
+
+} // namespace
+
+} // namespace coltsfoottrail
