Let the host that lost the duty name its successor; space reads by the platform's bound

Change: the former hub asks and tells the others; the spacing and what a relayed page covers are 0.35 of the platform's bound (new setting bounds.leaving_ms). Test: HubMessages.PlainAnswersSurviveEncoding.

--- a/packages/process/src/coltsfoottrail/fleethost/host.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/host.cpp
@@ -28,7 +28,10 @@
 /// Reads of the endpoints' feed cost a call each. The driver of the groups
 /// reads more often: a lost member is replaced this much sooner.
 constexpr milliseconds DriverSpacing{150};
-constexpr milliseconds FollowerSpacing{700};
+/// Others read, and go by what the hub read, within this part of the time in
+/// which they must know that an endpoint leaves: a read that is lost and one
+/// more still fit in.
+constexpr double FollowerPart = 0.35;
 /// While seats move, from an order until its effect must show: each of the
 /// three steps of a repair is seen this much sooner, some 20 calls a repair.
 constexpr milliseconds MovingSpacing{50};
@@ -51,10 +54,8 @@
 /// engines and 71 hosts took a driver up to a twentieth of a core.
 constexpr double LeastDriverShare = 0.2;
 /// What the hub relayed stands in for own reads while it is no older than this:
-/// the hub reads endpoints every 0.15 s, and its read of the operators' feed is
-/// held back for OperatorsWait. Hosts must know of leaving endpoints and of
-/// configurations within two seconds, one own read included.
-constexpr milliseconds EndpointsCover{700};
+/// its read of the operators' feed is held back for OperatorsWait, and hosts
+/// must know of configurations within two seconds, one own read included.
 constexpr milliseconds OperatorsCover{2'400};
 /// A hub that has relayed no endpoints for so long, while this host's own reads
 /// are answered, is asked for anew; less often while it stays the same.
@@ -117,10 +118,15 @@
   return Out;
 }
 
-FollowTimes endpointTimes() {
+milliseconds followerSpacing(const FleetSettings &Given) {
+  return std::chrono::duration_cast<milliseconds>(Given.Bounds.Leaving *
+                                                  FollowerPart);
+}
+
+FollowTimes endpointTimes(const FleetSettings &Given) {
   FollowTimes Out;
   Out.Wait = EndpointsWait;
-  Out.Spacing = FollowerSpacing;
+  Out.Spacing = followerSpacing(Given);
   return Out;
 }
 
@@ -141,7 +147,7 @@
                    took(Feed::Operators, std::move(Page), Whole, AskedAt);
                  },
                  [this](StoreFailure) { readFailed(Feed::Operators); }}),
-      Endpoints(Links.Store, Feed::Endpoints, endpointTimes(),
+      Endpoints(Links.Store, Feed::Endpoints, endpointTimes(Settings),
                 {[this](FeedPage Page, bool Whole, TimePoint AskedAt) {
                    took(Feed::Endpoints, std::move(Page), Whole, AskedAt);
                  },
@@ -188,7 +194,7 @@
   Desk.onDuty([this](bool Holds) {
     Operators.beEager(Holds);
     Endpoints.beEager(Holds);
-    Endpoints.space(Holds ? DriverSpacing : FollowerSpacing);
+    Endpoints.space(Holds ? DriverSpacing : followerSpacing(Settings));
   });
   Desk.onOrders([this] {
     MovingUntil = BootClock::now() + MoveTime;
@@ -283,7 +289,8 @@
     return;
   const TimePoint AsOf = SentAt - Told.Age;
   const TimePoint CoveredUntil =
-      AsOf + (Which == Feed::Operators ? OperatorsCover : EndpointsCover);
+      AsOf +
+      (Which == Feed::Operators ? OperatorsCover : followerSpacing(Settings));
   if (CoveredUntil <= BootClock::now())
     return;
   if (Which == Feed::Endpoints)
@@ -381,7 +388,7 @@
   if (!MovingUntil || Now < *MovingUntil)
     return;
   MovingUntil.reset();
-  Endpoints.space(Desk.holds(Now) ? DriverSpacing : FollowerSpacing);
+  Endpoints.space(Desk.holds(Now) ? DriverSpacing : followerSpacing(Settings));
 }
 
 Awaitable<void> FleetHost::tick() {
--- a/packages/process/src/coltsfoottrail/fleethost/settings.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/settings.cpp
@@ -41,6 +41,7 @@
 FleetBounds readBounds(ObjectReader From) {
   FleetBounds Out;
   Out.Heartbeat = boundOr(From, "heartbeat_ms", Out.Heartbeat);
+  Out.Leaving = boundOr(From, "leaving_ms", Out.Leaving);
   Out.Revocation = boundOr(From, "revocation_ms", Out.Revocation);
   const double GraceSeconds = From.realOr("stop_grace_s", 8.0, 1.0, 3600.0);
   Out.StopGrace = milliseconds(static_cast<std::int64_t>(GraceSeconds * 1000));
--- a/packages/process/src/coltsfoottrail/hub/link.cpp
+++ b/packages/process/src/coltsfoottrail/hub/link.cpp
@@ -121,7 +121,10 @@
     if (Told.Silent.empty())
       co_await awaitNews(Told);
     Out.Fields.push_back({"Content-Type", "application/cbor"});
-    Out.Body = encode(Here.answer(Told, Hooks.Drives(), BootClock::now()));
+    HubAnswer Said = Here.answer(Told, Hooks.Drives(), BootClock::now());
+    if (!Said.Drives && Heard && Known)
+      Said.Successor = Known->Address + ":" + std::to_string(Known->Port);
+    Out.Body = encode(Said);
   }
   co_await Call.respond(std::move(Out));
 }
@@ -157,6 +160,8 @@
     Heard = Said.Drives;
     if (Heard)
       AskPause = AskEvery;
+    else if (Said.Successor)
+      follow(*Said.Successor);
     note(Said, BootClock::now());
     Hooks.Take(Told, std::move(Said), SentAt);
   } catch (const Error &Problem) {
@@ -166,6 +171,17 @@
   co_return true;
 }
 
+// Load answered: hosts are stopped in turn, the duty moves once a second, and
+// each of seventy hosts asks the store who has it now. Only the host that had
+// it asks; the others are told by it.
+void HubLink::follow(const std::string &Successor) {
+  const auto To = reachOfMember(Successor);
+  if (!To)
+    return;
+  Known = To;
+  Heard = true;
+}
+
 void HubLink::note(const HubAnswer &Answer, TimePoint Now) {
   if (Answer.Hosts < Hosts && Now - HostsAt < HostsLife)
     return;
--- a/packages/process/src/coltsfoottrail/hub/link.hpp
+++ b/packages/process/src/coltsfoottrail/hub/link.hpp
@@ -83,6 +83,7 @@
   [[nodiscard]] Awaitable<void> awaitNews(const HostReport &Told);
   [[nodiscard]] Awaitable<std::optional<EngineAddress>> hub();
   [[nodiscard]] Awaitable<bool> exchange(EngineAddress To, HostReport Told);
+  void follow(const std::string &Successor);
   void reportToSelf();
   void note(const HubAnswer &Answer, TimePoint Now);
 
--- a/packages/process/src/coltsfoottrail/hub/messages.cpp
+++ b/packages/process/src/coltsfoottrail/hub/messages.cpp
@@ -101,11 +101,14 @@
   Json Beyond = Json::array();
   for (const Feed Which : Told.Beyond)
     Beyond.push_back(std::string(nameOf(Which)));
-  return bytesOf({{"hosts", Told.Hosts},
-                  {"drives", Told.Drives},
-                  {"loads", loadsOut(Told.Loads)},
-                  {"feeds", std::move(Feeds)},
-                  {"beyond", std::move(Beyond)}});
+  Json Out = {{"hosts", Told.Hosts},
+              {"drives", Told.Drives},
+              {"loads", loadsOut(Told.Loads)},
+              {"feeds", std::move(Feeds)},
+              {"beyond", std::move(Beyond)}};
+  if (Told.Successor)
+    Out["successor"] = *Told.Successor;
+  return bytesOf(Out);
 }
 
 HostReport decodeHostReport(std::string_view Bytes) {
@@ -128,6 +131,8 @@
   HubAnswer Out;
   Out.Hosts = Reader.number("hosts");
   Out.Drives = Reader.flagOr("drives", false);
+  if (Reader.has("successor"))
+    Out.Successor = Reader.text("successor");
   Out.Loads = loadsIn(Reader, AnswerSource);
   ObjectReader Feeds = Reader.object("feeds");
   const std::vector<std::string> Beyond = Reader.texts("beyond");
--- a/packages/process/src/coltsfoottrail/hub/messages.hpp
+++ b/packages/process/src/coltsfoottrail/hub/messages.hpp
@@ -46,6 +46,8 @@
   /// Whether the hub still drives the groups; if not, another host is the hub
   /// soon.
   bool Drives = false;
+  /// Where the hub is, if it is another host and this one knows.
+  std::optional<std::string> Successor;
   /// What all other hosts have at the endpoints.
   std::vector<EndpointLoad> Loads;
   std::map<Feed, RelayedFeed> Feeds;
--- a/packages/process/test/coltsfoottrail/hub/hub.cpp
+++ b/packages/process/test/coltsfoottrail/hub/hub.cpp
@@ -116,15 +116,25 @@
   Answer.Hosts = 9;
   Answer.Drives = true;
   Answer.Beyond = {Feed::Endpoints};
+  Answer.Successor = "10.0.0.1:7";
   const std::string NoText("\x00\xff\x80", 3);
   Answer.Feeds[Feed::Operators] = {5, milliseconds(7), {NoText}};
   const HubAnswer Said = decodeHubAnswer(encode(Answer));
   EXPECT_EQ(Said.Hosts, 9U);
   EXPECT_TRUE(Said.Drives);
   EXPECT_EQ(Said.Beyond, Answer.Beyond);
+  EXPECT_EQ(Said.Successor, Answer.Successor);
   EXPECT_EQ(Said.Feeds.at(Feed::Operators).Records.at(0), NoText);
 }
 
+// Every host reads the store by itself, all day.
+// An answer of a hub that names no successor was refused as malformed.
+TEST(HubMessages, PlainAnswersSurviveEncoding) {
+  const HubAnswer Said = decodeHubAnswer(encode(HubAnswer{}));
+  EXPECT_FALSE(Said.Successor);
+  EXPECT_FALSE(Said.Drives);
+}
+
 TEST(HubMessages, RefuseWhatIsNoMessage) {
   EXPECT_THROW((void)decodeHostReport("no CBOR"), Error);
   EXPECT_THROW((void)decodeHubAnswer(""), Error);
