Save up retries by own requests; histograms; operators' limits; scripts/explain tested

Change: a host keeps what it begins with until it knows how many there are, and saves up what its own requests leave of the ratio (retriesSaved). Ruled out: lack of places (the other group had them). Tests: RetryShare (the bound over 1 to 300 hosts holds; fewer than one in fifty denied), RecentCount. Cause 2: requests over 1 MB were refused although operators allow 4 MB: their limits were read and not applied. They hold from a connection's next request on. Test: WholePath.KeepsToTheOperatorsLimits. Also: latency histograms (wait, first, whole, gap) and counts by service, kind, outcome and reason on the metrics address; tests that scripts/explain names the cause of five kinds of failed request, and that logs hold no credential and no body.

--- a/packages/connection/src/coltsfoottrail/http/server.cpp
+++ b/packages/connection/src/coltsfoottrail/http/server.cpp
@@ -80,6 +80,15 @@
     return Hooks.Refuse ? Hooks.Refuse(Status, Why) : plainRefusal(Status, Why);
   }
 
+  [[nodiscard]] ServerLimits limits() {
+    const std::lock_guard Hold(Lock);
+    return Limits;
+  }
+  void setLimits(const ServerLimits &Wanted) {
+    const std::lock_guard Hold(Lock);
+    Limits = Wanted;
+  }
+
   IoPool &Threads;
   ServerLimits Limits;
   ServerHooks Hooks;
@@ -147,7 +156,7 @@
     fillHead(Message, Whole);
     Message.body() = std::move(Whole.Body);
     Message.prepare_payload();
-    Stream.expires_after(Server->Limits.WriteTimeout);
+    Stream.expires_after(Bounds.WriteTimeout);
     co_await http::async_write(Stream, Message, asio::use_awaitable);
     AnswerWhole = true;
   }
@@ -158,21 +167,21 @@
     fillHead(Message, Head);
     Message.chunked(true);
     http::response_serializer<http::empty_body> Serializer(Message);
-    Stream.expires_after(Server->Limits.WriteTimeout);
+    Stream.expires_after(Bounds.WriteTimeout);
     co_await http::async_write_header(Stream, Serializer, asio::use_awaitable);
   }
 
   Awaitable<void> write(std::string_view Part) override {
     if (Part.empty())
       co_return;
-    Stream.expires_after(Server->Limits.WriteTimeout);
+    Stream.expires_after(Bounds.WriteTimeout);
     co_await asio::async_write(
         Stream, http::make_chunk(asio::buffer(Part.data(), Part.size())),
         asio::use_awaitable);
   }
 
   Awaitable<void> end() override {
-    Stream.expires_after(Server->Limits.WriteTimeout);
+    Stream.expires_after(Bounds.WriteTimeout);
     co_await asio::async_write(Stream, http::make_chunk_last(),
                                asio::use_awaitable);
     AnswerWhole = true;
@@ -210,9 +219,10 @@
 
   Awaitable<bool> serveOne() {
     resetRequest();
+    Bounds = Server->limits();
     http::request_parser<http::string_body> Parser;
-    Parser.header_limit(Server->Limits.MaxHeaderBytes);
-    Parser.body_limit(Server->Limits.MaxBodyBytes);
+    Parser.header_limit(Bounds.MaxHeaderBytes);
+    Parser.body_limit(Bounds.MaxBodyBytes);
     if (!co_await readHead(Parser))
       co_return false;
     Idle = false;
@@ -231,12 +241,12 @@
   Awaitable<bool> readHead(http::request_parser<http::string_body> &Parser) {
     Idle = Buffer.size() == 0;
     if (Idle) {
-      Stream.expires_after(Server->Limits.IdleTimeout);
+      Stream.expires_after(Bounds.IdleTimeout);
       const std::size_t Bytes = co_await Stream.async_read_some(
           Buffer.prepare(FirstReadBytes), asio::use_awaitable);
       Buffer.commit(Bytes);
     }
-    Stream.expires_after(Server->Limits.HeaderTimeout);
+    Stream.expires_after(Bounds.HeaderTimeout);
     ErrorCode Problem;
     co_await http::async_read_header(
         Stream, Buffer, Parser,
@@ -266,7 +276,7 @@
       co_await asio::async_write(Stream, asio::buffer(Continue),
                                  asio::use_awaitable);
     }
-    Stream.expires_after(Server->Limits.BodyTimeout);
+    Stream.expires_after(Bounds.BodyTimeout);
     ErrorCode Problem;
     co_await http::async_read(
         Stream, Buffer, Parser,
@@ -366,6 +376,8 @@
   asio::cancellation_signal Cancel;
   HttpRequest Request;
   bool KeepAlive = true;
+  /// In force for the request that is read or answered.
+  ServerLimits Bounds;
   bool Begun = false;
   bool AnswerWhole = false;
   bool Idle = true;
@@ -404,7 +416,7 @@
       co_await Pause.async_wait(asio::use_awaitable);
       continue;
     }
-    if (Open >= Limits.MaxConnections)
+    if (Open >= limits().MaxConnections)
       continue;
     Socket.set_option(Tcp::no_delay(true), Problem);
     asio::post(Threads.context(Thread), [Accepted = std::move(Socket), Thread,
@@ -433,6 +445,10 @@
   cutAll();
 }
 
+void HttpServer::setLimits(const ServerLimits &Wanted) {
+  Shared->setLimits(Wanted);
+}
+
 std::uint16_t HttpServer::port() const noexcept { return Shared->Port; }
 
 void HttpServer::stopAccepting() {
--- a/packages/connection/src/coltsfoottrail/http/server.hpp
+++ b/packages/connection/src/coltsfoottrail/http/server.hpp
@@ -107,6 +107,10 @@
   /// @brief The port listened on. Thread-safe.
   [[nodiscard]] std::uint16_t port() const noexcept;
 
+  /// @brief Changes the limits: they hold for each connection from its next
+  /// request on. Thread-safe.
+  void setLimits(const ServerLimits &Wanted);
+
   /// @brief Stops taking connections; answers carry "Connection: close" and
   /// idle connections are closed. Requests in progress go on. Thread-safe.
   void stopAccepting();
--- a/packages/process/src/coltsfoottrail/fleethost/host.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/host.cpp
@@ -3,6 +3,7 @@
 #include "coltsfoottrail/core/hash.hpp"
 #include "coltsfoottrail/fleethost/changelog.hpp"
 #include "coltsfoottrail/logging/log.hpp"
+#include "coltsfoottrail/retries/share.hpp"
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
@@ -68,12 +69,8 @@
 constexpr std::uint32_t HintSets = 16;
 /// Connections kept for reuse to one endpoint: an engine's slots.
 constexpr std::size_t IdlePerEndpoint = 16;
-/// Part of the platform's slack for retries that is used: hosts that were not
-/// counted lately send too.
-constexpr double RetrySlackUsed = 0.8;
-/// Part of the platform's ratio that is used; the rest is kept for what other
-/// hosts' bursts add in the same window.
-constexpr double RetryRatioUsed = 0.75;
+/// How often what is shared by the number of hosts and requests is set anew.
+constexpr milliseconds ShareEvery{500};
 /// How long a request is held while its pool has no endpoint: a group that is
 /// being opened serves after 0.3 s.
 constexpr milliseconds NoEndpointHold{250};
@@ -90,7 +87,7 @@
   Policy.UseRing = false;
   Policy.FullByLoad = true;
   Out.Policy = Policy;
-  Out.Retries.Budget.Ratio = Given.Bounds.RetryRatio * RetryRatioUsed;
+  Out.Retries.Budget.Ratio = Given.Bounds.RetryRatio * RetryRatioEarned;
   Out.Retries.Budget.DataCentreRatio = Given.Bounds.RetryRatio;
   return Out;
 }
@@ -112,6 +109,15 @@
                                                  : DutyRole::Candidate;
 }
 
+ServerLimits callerLimits(const CallerLimits &Given) {
+  ServerLimits Out;
+  Out.MaxHeaderBytes = Given.MaxHeaderBytes;
+  Out.MaxBodyBytes = Given.MaxBodyBytes;
+  Out.HeaderTimeout = Given.HeaderTimeout;
+  Out.IdleTimeout = Given.IdleTimeout;
+  return Out;
+}
+
 FollowTimes operatorTimes() {
   FollowTimes Out;
   Out.Wait = OperatorsWait;
@@ -320,29 +326,36 @@
   RoutedVersion = View.version();
   const FleetRoutes Made = View.routes();
   Routing.setRoutes(Made.Table, Made.Shares, 1);
+  if (View.config() && Front)
+    Front->setLimits(callerLimits(View.config()->config().Limits));
 }
 
 // Failure guarded against: the platform bounds retries over all entry hosts,
 // and each of seventy hosts saves up ten for each pool: 1,718 retries of 6,670
 // requests in ten seconds, where 1,585 are allowed.
-void FleetHost::shareRetries(std::size_t Hosts) {
-  const double Among =
-      Hosts > 0 ? double(Hosts) : double(ColdGate::UnknownHosts);
+void FleetHost::shareRetries(std::size_t Hosts, TimePoint Now) {
+  const RetryBound Bound{Settings.Bounds.RetryRatio,
+                         Settings.Bounds.RetrySlack};
   for (const auto &[Service, Names] : View.pools())
     for (const std::string &Name : Names)
-      Routing.setRetryBurst(Name, Settings.Bounds.RetrySlack * RetrySlackUsed /
-                                      (Among * double(Names.size())));
+      Routing.setRetryBurst(
+          Name, retriesSaved(Bound, double(Hosts), double(Names.size()),
+                             Relay.recentRequests(Name, Now)));
 }
 
 /// What holds over all entry hosts is shared among those that there are.
 void FleetHost::shareBounds(TimePoint Now) {
-  const std::size_t Hosts = Link.hosts(Now);
-  if (SharedAmong == Hosts && SharedVersion == RoutedVersion)
+  if (Now < ShareDue)
     return;
-  SharedAmong = Hosts;
-  SharedVersion = RoutedVersion;
+  ShareDue = Now + ShareEvery;
+  const std::size_t Hosts = Link.hosts(Now);
   Relay.shareAmong(Hosts);
-  shareRetries(Hosts);
+  // A host that has just started keeps the few retries that it begins with
+  // until it knows who else there is.
+  if (Hosts > 0)
+    SharedAmong = Hosts;
+  if (SharedAmong > 0)
+    shareRetries(SharedAmong, Now);
 }
 
 /// Opens cold endpoints whose turn has come to the choice.
@@ -443,7 +456,20 @@
   Line("waiting", Routing.waiting());
   Line("endpoints", View.endpoints().all().size());
   Line("config_version", View.config() ? View.config()->version() : 0);
-  Line("drives_groups", Desk.holds(BootClock::now()) ? 1 : 0);
+  const TimePoint Now = BootClock::now();
+  Line("drives_groups", Desk.holds(Now) ? 1 : 0);
+  Line("store_answers", StoreAnswers ? 1 : 0);
+  Line("config_age_milliseconds",
+       static_cast<std::uint64_t>(
+           std::chrono::duration_cast<milliseconds>(View.configAge(Now))
+               .count()));
+  Line("entry_hosts", Link.hosts(Now));
+  const EndpointTally Seen = View.tally();
+  Line("endpoints_serving", Seen.Serving);
+  Line("endpoints_draining", Seen.Draining);
+  Line("endpoints_cold", Seen.Cold);
+  Line("groups_open", Seen.Leaders);
+  Relay.measured().appendTo(Out);
   return Out;
 }
 
--- a/packages/process/src/coltsfoottrail/fleethost/host.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/host.hpp
@@ -76,7 +76,7 @@
   }
   void refreshRoutes();
   void shareBounds(TimePoint Now);
-  void shareRetries(std::size_t Hosts);
+  void shareRetries(std::size_t Hosts, TimePoint Now);
   void shareCold(TimePoint Now);
   void leaveSilent(TimePoint Now);
   void settleMoves(TimePoint Now);
@@ -105,9 +105,9 @@
   /// Until when seats are expected to move.
   std::optional<TimePoint> MovingUntil;
   std::uint64_t RoutedVersion = 0;
-  /// Entry hosts and version of the routes for which bounds were shared.
-  std::optional<std::size_t> SharedAmong;
-  std::uint64_t SharedVersion = 0;
+  /// Entry hosts among which bounds are shared; zero before any was heard of.
+  std::size_t SharedAmong = 0;
+  TimePoint ShareDue{};
   std::uint64_t LoggedConfig = 0;
   bool StoreAnswers = true;
   /// When the hub last relayed endpoints that were new enough to go by.
--- a/packages/process/src/coltsfoottrail/fleethost/relay.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/relay.cpp
@@ -134,6 +134,7 @@
     Asked.Trail.tells();
   const std::string_view Why = Answered ? "none" : reasonCode(Final.Why);
   const std::string_view Ran = Answered ? "ran" : runStateCode(Final.State);
+  measureEnd(Asked, Outcome, Why);
   Asked.Trail.add(Event::RequestEnded,
                   {{"outcome", Outcome},
                    {"status", Status},
@@ -144,6 +145,23 @@
                   BootClock::now());
 }
 
+void FleetRelay::measureEnd(const Work &Asked, std::string_view Outcome,
+                            std::string_view Why) {
+  const RunPolicy Kind =
+      Asked.Route != nullptr ? Asked.Route->Policy : RunPolicy::AtMostOnce;
+  Measured.ended(Asked.Service != nullptr ? Asked.Service->Name : ServiceName(),
+                 Kind, Outcome, Why, BootClock::now() - Asked.ArrivedAt);
+}
+
+void FleetRelay::measureEvent(Work &Asked) {
+  const TimePoint Now = BootClock::now();
+  if (Asked.EventAt)
+    Measured.paused(Now - *Asked.EventAt);
+  else
+    Measured.begun(Asked.Route->Policy, Now - Asked.ArrivedAt);
+  Asked.EventAt = Now;
+}
+
 void FleetRelay::noteFailure(Work &Asked, const EndpointSpec &To,
                              const AttemptResult &Result) {
   Asked.Trail.tells();
@@ -168,6 +186,7 @@
   if (Refused) {
     const TimePoint Now = BootClock::now();
     Asked.Ended = true;
+    measureEnd(Asked, "turned-away", std::to_string(Refused->Status));
     Asked.Trail.tells();
     Asked.Trail.add(Event::RequestTurnedAway,
                     {{"status", Refused->Status},
@@ -266,6 +285,12 @@
           idleShare(Asked.Service->MaxConnections, EntryHosts)};
 }
 
+double FleetRelay::recentRequests(const std::string &Pool,
+                                  TimePoint Now) const {
+  const auto Found = Mixes.find(Pool);
+  return Found == Mixes.end() ? 0.0 : Found->second->Recent.value(Now);
+}
+
 double FleetRelay::PoolMix::freshPart() const noexcept {
   // One of each is added: a host with few requests knows little.
   return (Fresh + 1.0) / (Fresh + Late + 2.0);
@@ -318,6 +343,7 @@
   std::shared_ptr<PoolMix> &Mix = Mixes[Asked.Pool];
   if (!Mix)
     Mix = std::make_shared<PoolMix>();
+  Mix->Recent.add(Asked.ArrivedAt);
   const auto Executor = co_await boost::asio::this_coro::executor;
   std::optional<Place> Mine =
       Routing.submit(Asked.Pool, itemOf(Call.request(), Asked, *Mix), Executor);
@@ -387,7 +413,8 @@
     ++Counts.Resumed;
   }
   ++Counts.Sends;
-  ++Asked.Sends;
+  if (++Asked.Sends == 1)
+    Measured.waited(Asked.Route->Policy, Start - Asked.ArrivedAt);
   Asked.Trail.add(Event::RequestPlaced,
                   {{"pool", Asked.Pool},
                    {"endpoint", To.Host},
@@ -498,6 +525,7 @@
     co_return failed(RunState::MayHaveRun, Reason::EndpointFailed, Start);
   }
   ended(Asked, "answered", Whole.Status, {});
+  Measured.begun(Asked.Route->Policy, BootClock::now() - Asked.ArrivedAt);
   Asked.Mine->begun();
   co_await Call.respond(std::move(Whole));
   co_return answered(Start, FirstByte);
@@ -545,6 +573,7 @@
       HttpResponse Head = Wire.answerHead(Answer.head());
       co_await Call.begin(std::move(Head));
     }
+    measureEvent(Asked);
     co_await Call.write(Events);
   }
   if (!Asked.Events.whole()) {
--- a/packages/process/src/coltsfoottrail/fleethost/relay.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/relay.hpp
@@ -7,10 +7,12 @@
 #include "coltsfoottrail/boundary/wire.hpp"
 #include "coltsfoottrail/core/random.hpp"
 #include "coltsfoottrail/fleethost/eventtail.hpp"
+#include "coltsfoottrail/fleethost/relaymetrics.hpp"
 #include "coltsfoottrail/fleethost/view.hpp"
 #include "coltsfoottrail/http/client.hpp"
 #include "coltsfoottrail/http/server.hpp"
 #include "coltsfoottrail/logging/requesttrail.hpp"
+#include "coltsfoottrail/retries/share.hpp"
 #include "coltsfoottrail/server/router.hpp"
 #include "coltsfoottrail/silence/silencewatch.hpp"
 
@@ -60,6 +62,10 @@
   /// @brief Whether a cold endpoint may get a request of this host now.
   [[nodiscard]] bool mayWarm(const KnownEndpoint &Known, TimePoint Now);
 
+  /// @brief Own requests of a pool in the last window of the bound on retries.
+  [[nodiscard]] double recentRequests(const std::string &Pool,
+                                      TimePoint Now) const;
+
   /// @brief New requests are refused from now on.
   void stop() noexcept { Stopping = true; }
 
@@ -68,6 +74,10 @@
     return Budget->takeDropped();
   }
 
+  /// @brief How requests ended and how long they took.
+  [[nodiscard]] const RelayMetrics &measured() const noexcept {
+    return Measured;
+  }
   /// @brief What it has done.
   [[nodiscard]] const FleetRelayCounts &counts() const noexcept {
     return Counts;
@@ -94,6 +104,8 @@
     /// Endpoints that may have run it.
     std::uint32_t Runs = 0;
     EventTail Events;
+    /// When the last event left for the caller.
+    std::optional<TimePoint> EventAt;
     /// An endpoint's failure, to be passed on if nothing better comes.
     std::optional<HttpResponse> Kept;
     RequestTrail Trail;
@@ -106,10 +118,12 @@
   [[nodiscard]] std::optional<HttpResponse> admit(const HttpRequest &Request,
                                                   Work &Asked);
   [[nodiscard]] std::optional<HttpResponse> choosePool(Work &Asked);
-  /// Own requests that wait at the endpoints of a pool.
+  /// Own requests that wait at the endpoints of a pool, and those that came
+  /// lately.
   struct PoolMix {
     std::uint32_t Fresh = 0;
     std::uint32_t Late = 0;
+    RecentCount Recent;
 
     /// @brief Estimates which part of all that waits there is fresh.
     [[nodiscard]] double freshPart() const noexcept;
@@ -136,6 +150,9 @@
   class TrailMark;
   void ended(Work &Asked, std::string_view Outcome, unsigned Status,
              const Verdict &Final);
+  void measureEnd(const Work &Asked, std::string_view Outcome,
+                  std::string_view Why);
+  void measureEvent(Work &Asked);
   void noteFailure(Work &Asked, const EndpointSpec &To,
                    const AttemptResult &Result);
   [[nodiscard]] bool bears(const Work &Asked, const EndpointSpec &To,
@@ -150,6 +167,7 @@
   Random Draw;
   ColdGate Gate;
   FleetRelayCounts Counts;
+  RelayMetrics Measured;
   /// Shared with the coroutines, which may end after this object.
   std::shared_ptr<TrailBudget> Budget =
       std::make_shared<TrailBudget>(TrailLimits{});
--- a/packages/process/src/coltsfoottrail/fleethost/view.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/view.cpp
@@ -164,6 +164,17 @@
   return Out;
 }
 
+EndpointTally FleetView::tally() const {
+  EndpointTally Out;
+  for (const auto &[Name, Known] : Catalogue.all()) {
+    const bool Drains = Known.Record.State == EndpointState::Draining;
+    ++(Drains ? Out.Draining : Out.Serving);
+    Out.Cold += mayBeCold(Known) ? 1 : 0;
+    Out.Leaders += Known.Record.leads() ? 1 : 0;
+  }
+  return Out;
+}
+
 FleetRoutes FleetView::routes() const {
   FleetRoutes Out;
   if (!Index)
--- a/packages/process/src/coltsfoottrail/fleethost/view.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/view.hpp
@@ -26,6 +26,15 @@
   std::map<std::string, std::uint32_t> Shares;
 };
 
+/// @brief Endpoints by what this host believes of them.
+struct EndpointTally {
+  std::uint32_t Serving = 0;
+  std::uint32_t Draining = 0;
+  std::uint32_t Cold = 0;
+  /// Leaders of groups that serve.
+  std::uint32_t Leaders = 0;
+};
+
 /// @brief The beliefs of one entry host. Pure; belongs to one thread. Times
 /// must not go back.
 class FleetView {
@@ -87,6 +96,9 @@
   /// @brief Pools of each service.
   [[nodiscard]] std::map<ServiceName, std::vector<std::string>> pools() const;
 
+  /// @brief Counts the endpoints by state.
+  [[nodiscard]] EndpointTally tally() const;
+
   /// @brief Makes the routes.
   [[nodiscard]] FleetRoutes routes() const;
 
--- a/packages/version/test/coltsfoottrail/assembly/assembler.cpp
+++ b/packages/version/test/coltsfoottrail/assembly/assembler.cpp
@@ -186,9 +186,8 @@
       Fleet.membersOf(EndpointName("n0-0"));
   for (const EndpointName &Each : Members)
     Fleet.ready(Each);
-  std::vector<EndpointName> Names = Members;
   const JoinSeat Late{"late", Fleet.Records.at(Members[0]).Seat->Epoch + 3,
-                      ModelName("big"), Names};
+                      ModelName("big"), Members};
   Fleet.Driver = Assembler(AssemblyTimes{});
   Fleet.Driver.begin(Fleet.Now);
   Fleet.Fence = 2;
