--- /dev/null
+++ b/packages/version/src/coltsfoottrail/assembly/formation.cpp
@@ -0,0 +1,279 @@
+// The part of the assembler that forms groups and prepares spares.
+#include "coltsfoottrail/assembly/assembler.hpp"
+
+#include "coltsfoottrail/assembly/groupname.hpp"
+#include "coltsfoottrail/assembly/pass.hpp"
+
+#include <cmath>
+#include <tuple>
+
+namespace coltsfoottrail {
+
+using internal::contains;
+
+namespace {
+
+/// Epochs of one fencing number; groups formed in one term stay far below.
+constexpr std::uint64_t EpochsPerFence = std::uint64_t{1} << 20U;
+
+/// What it takes an engine to join: the less, the sooner the group serves.
+enum class JoinCost : std::uint8_t { Kept, Staged, Load };
+
+JoinCost joinCost(const EndpointRecord &Of, const ModelName &Model) {
+  if (contains(Of.Loaded, Model))
+    return JoinCost::Kept;
+  return contains(Of.Staged, Model) ? JoinCost::Staged : JoinCost::Load;
+}
+
+} // namespace
+
+bool Assembler::isFree(const Pass &In, const KnownEndpoint &Of) const {
+  const EndpointRecord &Record = Of.Record;
+  if (Record.Service != In.View.Service.Name || Of.MissingUntil ||
+      Record.State != EndpointState::Serving ||
+      In.View.Drained.contains(Record.DataCentre))
+    return false;
+  if (Pending.contains(Record.Name) || LockedUntil.contains(Record.Name) ||
+      isDead(Of) || Pacer.loads(Record.Name))
+    return false;
+  return !Record.Seat || isStandby(*Record.Seat) ||
+         Retired.contains(Record.Seat->Epoch);
+}
+
+Assembler::FreeEndpoints Assembler::freeEndpoints(const Pass &In) const {
+  FreeEndpoints Out;
+  for (const auto &[Name, Known] : In.View.Endpoints.all())
+    if (isFree(In, Known))
+      Out[{Known.Record.DataCentre, Known.Record.Domain}].push_back(&Known);
+  return Out;
+}
+
+/// For each model, the part of its wanted groups that is missing.
+std::map<ModelName, double> Assembler::deficits(const Pass &In) const {
+  double Usable = 0;
+  for (const auto &[Name, Known] : In.View.Endpoints.all())
+    if (Known.Record.Service == In.View.Service.Name &&
+        Known.Record.State == EndpointState::Serving &&
+        !In.View.Drained.contains(Known.Record.DataCentre))
+      ++Usable;
+  std::map<ModelName, double> Have;
+  for (const auto &[Epoch, Of] : Groups) {
+    const KnownEndpoint *const Leader =
+        In.View.Endpoints.find(Of.Members.front().Name);
+    if (!Of.LossNoted && Leader != nullptr &&
+        !In.View.Drained.contains(Leader->Record.DataCentre))
+      ++Have[Of.Model];
+  }
+  std::map<ModelName, double> Out;
+  for (const ServedModel &Each : In.Engine.Models) {
+    // Large groups are formed first where models mix: what is left of the last
+    // one that is not whole goes to the small ones.
+    const double Groups = Usable * Each.Share / Each.Size;
+    const double Wanted =
+        std::max(1.0, mixesModels(In) ? std::floor(Groups) : std::ceil(Groups));
+    Out[Each.Name] = (Wanted - Have[Each.Name]) / Wanted;
+  }
+  return Out;
+}
+
+/// Whether domains hold groups of several models, rather than of one each.
+///
+/// In a domain of one model whoever is left of a group can replace a member of
+/// another without a load: with domains of nine, groups of four and three, and
+/// two losses every three seconds, mixed domains earned a fifth less of what
+/// users were owed. Where a domain has room for many small groups, those lose
+/// little by being mixed in, and the few large groups are spread, so that a
+/// dark domain takes one of them: with domains of 37, groups of 16 and 4, worth
+/// of a quiet day 0.71 with one model each and 0.80 mixed.
+bool Assembler::mixesModels(const Pass &In) {
+  constexpr std::size_t SmallGroupsInADomain = 6;
+  std::map<DomainKey, std::size_t> Sizes;
+  std::size_t Largest = 0;
+  for (const auto &[Name, Known] : In.View.Endpoints.all())
+    if (Known.Record.Service == In.View.Service.Name) {
+      const DomainKey Its{Known.Record.DataCentre, Known.Record.Domain};
+      Largest = std::max(Largest, ++Sizes[Its]);
+    }
+  const auto Smallest =
+      std::min_element(In.Engine.Models.begin(), In.Engine.Models.end(),
+                       [](const ServedModel &Left, const ServedModel &Right) {
+                         return Left.Size < Right.Size;
+                       });
+  return Largest >= SmallGroupsInADomain * Smallest->Size;
+}
+
+std::optional<Assembler::Candidate>
+Assembler::bestCandidate(const Pass &In, const FreeEndpoints &Free) const {
+  const std::map<ModelName, double> Missing = deficits(In);
+  const bool Mixing = mixesModels(In);
+  std::optional<Candidate> Best;
+  for (const auto &[Domain, Endpoints] : Free)
+    for (const ServedModel &Model : In.Engine.Models) {
+      const double Deficit = Missing.at(Model.Name);
+      const std::size_t Kept =
+          sparesKept(groupsIn(In, Domain), In.Engine.Models, Model);
+      if (Endpoints.size() < Model.Size + Kept)
+        continue;
+      Candidate Next{&Model, Endpoints, 0, Deficit};
+      std::stable_sort(Next.Members.begin(), Next.Members.end(),
+                       [&](const auto *Left, const auto *Right) {
+                         return joinCost(Left->Record, Model.Name) <
+                                joinCost(Right->Record, Model.Name);
+                       });
+      Next.Members.resize(Model.Size);
+      for (const KnownEndpoint *const Each : Next.Members)
+        Next.Loads += joinCost(Each->Record, Model.Name) == JoinCost::Load;
+      // A load takes a tenth of a minute and keeps the other members idle
+      // meanwhile: once callers have begun, weights are staged first.
+      if (Next.Loads > 0 && In.View.CallersBegun)
+        continue;
+      for (const auto &[Name, Count] : groupsIn(In, Domain))
+        (Name == Model.Name ? Next.Alike : Next.Others) += Count;
+      const auto Rank = [&](const Candidate &Of) {
+        const auto Alike = std::ptrdiff_t(Of.Alike);
+        if (Mixing)
+          return std::tuple(Of.Loads > 0, Of.Deficit <= 0.0,
+                            -double(Of.Model->Size), Alike, -Of.Deficit);
+        return std::tuple(Of.Loads > 0, false, -Of.Deficit,
+                          std::ptrdiff_t(Of.Others), -double(Alike));
+      };
+      if (!Best || Rank(Next) < Rank(*Best))
+        Best = std::move(Next);
+    }
+  return Best;
+}
+
+void Assembler::form(Pass &In) {
+  FreeEndpoints Free = freeEndpoints(In);
+  while (const std::optional<Candidate> Chosen = bestCandidate(In, Free)) {
+    start(In, *Chosen);
+    const EndpointRecord &First = Chosen->Members.front()->Record;
+    auto &Left = Free.at({First.DataCentre, First.Domain});
+    std::erase_if(Left, [&](const KnownEndpoint *Each) {
+      return std::find(Chosen->Members.begin(), Chosen->Members.end(), Each) !=
+             Chosen->Members.end();
+    });
+  }
+  stage(In, Free);
+}
+
+void Assembler::start(Pass &In, const Candidate &Chosen) {
+  Group Of;
+  Of.Epoch = nextEpoch(In);
+  Of.Name = groupName(Chosen.Model->Name, Chosen.Members.front()->Record);
+  Of.Model = Chosen.Model->Name;
+  std::vector<EndpointName> Names;
+  for (const KnownEndpoint *const Each : Chosen.Members) {
+    Of.Members.push_back(
+        {Each->Record.Name, Each->Record.Born, Each->Record.Address});
+    Names.push_back(Each->Record.Name);
+  }
+  Duration Expected = Chosen.Model->WarmTime;
+  if (Chosen.Loads > 0)
+    Expected = std::max<Duration>(Expected, In.loadTime(*Chosen.Model));
+  Of.JoinBy = In.Now + Expected * 2 + Times.JoinSlack;
+  for (const KnownEndpoint *const Each : Chosen.Members) {
+    if (joinCost(Each->Record, Of.Model) == JoinCost::Load)
+      Pacer.begin(Each->Record.Name, In.loadTime(*Chosen.Model), In.Now);
+    Pending[Each->Record.Name] = {Of.Epoch, Each->Record.Born, In.Now, false};
+    In.order(*Each, JoinSeat{Of.Name, Of.Epoch, Of.Model, Names});
+  }
+  note(GroupFate::Formed, Of, Names.front(),
+       Chosen.Loads > 0 ? "with loads" : "without loads");
+  Groups.emplace(Of.Epoch, std::move(Of));
+}
+
+void Assembler::stage(Pass &In, const FreeEndpoints &Free) {
+  std::erase_if(Staging,
+                [&](const auto &Entry) { return !Pacer.loads(Entry.first); });
+  const std::map<ModelName, double> Missing = deficits(In);
+  std::vector<WantedLoad> Wanted;
+  for (const auto &[Domain, Endpoints] : Free)
+    for (WantedLoad &Each : planLoads(idleDomain(In, Domain, Endpoints),
+                                      In.Engine.Models, Missing))
+      Wanted.push_back(std::move(Each));
+  std::stable_sort(Wanted.begin(), Wanted.end(),
+                   [](const WantedLoad &Left, const WantedLoad &Right) {
+                     return Left.Rank < Right.Rank;
+                   });
+  for (const WantedLoad &Each : Wanted)
+    stageAt(In, *In.View.Endpoints.find(Each.Where), *In.model(Each.Model));
+  for (const auto &[Domain, Endpoints] : Free)
+    for (const KnownEndpoint *const Each : Endpoints)
+      standBy(In, *Each);
+}
+
+// A spare whose host has the weights still takes them from the host when it
+// joins a group, 1.1 to 1.6 s during which the other members idle, and 0.2 s if
+// it had that model before. It takes a group of its own beforehand, which is
+// never opened.
+void Assembler::standBy(Pass &In, const KnownEndpoint &Spare) {
+  const EndpointRecord &Record = Spare.Record;
+  if (Record.Staged.empty() || Pacer.loads(Record.Name) ||
+      Pending.contains(Record.Name))
+    return;
+  const ModelName &Model = Record.Staged.back();
+  std::string Name = standbyName(Model, Record);
+  const bool UnderWay = Record.Seat && Record.Seat->Group == Name;
+  if (UnderWay || contains(Record.Loaded, Model) || In.model(Model) == nullptr)
+    return;
+  const GroupEpoch Epoch = nextEpoch(In);
+  Pending[Record.Name] = {Epoch, Record.Born, In.Now, false};
+  In.order(Spare, JoinSeat{std::move(Name), Epoch, Model, {Record.Name}});
+}
+
+GroupEpoch Assembler::nextEpoch(const Pass &In) {
+  return In.View.Fence * EpochsPerFence + ++Counter;
+}
+
+IdleDomain
+Assembler::idleDomain(const Pass &In, const DomainKey &Domain,
+                      const std::vector<const KnownEndpoint *> &Free) const {
+  IdleDomain Out;
+  Out.Groups = groupsIn(In, Domain);
+  for (const ServedModel &Each : In.Engine.Models)
+    Out.Loading[Each.Name] = stagingIn(In, Domain, Each.Name);
+  for (const KnownEndpoint *const Each : Free) {
+    IdleEngine Idle{Each->Record.Name, std::nullopt};
+    if (!Each->Record.Staged.empty())
+      Idle.Has = Each->Record.Staged.back();
+    Out.Idle.push_back(std::move(Idle));
+  }
+  return Out;
+}
+
+bool Assembler::stageAt(Pass &In, const KnownEndpoint &Where,
+                        const ServedModel &Model) {
+  if (!Pacer.admits(1, In.View.CallersBegun, In.Now))
+    return false;
+  Pacer.begin(Where.Record.Name, In.loadTime(Model), In.Now);
+  Staging[Where.Record.Name] = Model.Name;
+  In.order(Where, StageModel{Model.Name});
+  return true;
+}
+
+std::size_t Assembler::stagingIn(const Pass &In, const DomainKey &Domain,
+                                 const ModelName &Model) const {
+  return static_cast<std::size_t>(
+      std::count_if(Staging.begin(), Staging.end(), [&](const auto &Entry) {
+        const KnownEndpoint *const Its = In.View.Endpoints.find(Entry.first);
+        return Entry.second == Model && Its != nullptr &&
+               Its->Record.DataCentre == Domain.first &&
+               Its->Record.Domain == Domain.second;
+      }));
+}
+
+std::map<ModelName, std::size_t>
+Assembler::groupsIn(const Pass &In, const DomainKey &Domain) const {
+  std::map<ModelName, std::size_t> Out;
+  for (const auto &[Epoch, Of] : Groups) {
+    const KnownEndpoint *const Leader =
+        In.View.Endpoints.find(Of.Members.front().Name);
+    if (Leader != nullptr && Leader->Record.DataCentre == Domain.first &&
+        Leader->Record.Domain == Domain.second)
+      ++Out[Of.Model];
+  }
+  return Out;
+}
+
+} // namespace coltsfoottrail
