Let the driver act only on records read since its term began; former pause after failed reads

Change: orders are given only on records asked for since the term began, its pause included, and not older than 3 s; the feed is read at once when the duty is gained.

--- a/packages/process/src/coltsfoottrail/fleethost/dutyterm.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/dutyterm.cpp
@@ -34,6 +34,7 @@
     return DutyChange::None;
   Over = false;
   Fence = Generation;
+  ActFrom = Now + Times.TakeOverPause;
   return DutyChange::Gained;
 }
 
--- a/packages/process/src/coltsfoottrail/fleethost/dutyterm.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/dutyterm.hpp
@@ -18,6 +18,11 @@
   milliseconds LongestLease{6'000};
   /// Kept free of the lease, so that an order arrives inside it.
   milliseconds Margin{300};
+  /// After the duty was gained, records written under the predecessor are still
+  /// on their way.
+  milliseconds TakeOverPause{500};
+  /// Records that are older are not acted on: several reads of a slow store.
+  milliseconds StaleRecords{3'000};
 };
 
 /// What an answer changed.
@@ -58,6 +63,18 @@
   [[nodiscard]] bool holds(TimePoint Now) const noexcept {
     return Held && Now < HeldUntil;
   }
+  /// @brief Whether it may act on records that were read at a time.
+  ///
+  /// Failure guarded against: a host is cut off from the store for seconds,
+  /// gains the duty with the first call that gets through, and acts before its
+  /// feed is read again: engines that the last driver has put into a group look
+  /// free, and a leader that serves is given to another group.
+  /// @param RecordsAsOf When the store was asked for them.
+  [[nodiscard]] bool mayAct(TimePoint Now,
+                            TimePoint RecordsAsOf) const noexcept {
+    return holds(Now) && RecordsAsOf >= ActFrom &&
+           Now - RecordsAsOf < Times.StaleRecords;
+  }
   /// @brief Whether it was the last one to have the duty as far as it knows.
   [[nodiscard]] bool held() const noexcept { return Held; }
   /// @brief Fencing number of the term.
@@ -72,6 +89,7 @@
   bool Held = false;
   bool Over = false;
   TimePoint HeldUntil{};
+  TimePoint ActFrom{};
   /// How long the last answer took.
   Duration AnswerTook{};
 };
--- a/packages/process/src/coltsfoottrail/fleethost/follower.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/follower.hpp
@@ -21,7 +21,7 @@
   /// Pause after a failed read; twice as long after each further one, up to
   /// the longest.
   milliseconds RetryPause{200};
-  milliseconds LongestRetryPause{2'400};
+  milliseconds LongestRetryPause{1'600};
 };
 
 /// @brief What a follower tells.
--- a/packages/process/src/coltsfoottrail/fleethost/host.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/host.cpp
@@ -199,6 +199,8 @@
 
 void FleetHost::startFollowing() {
   Desk.onDuty([this](bool Holds) {
+    if (Holds)
+      Endpoints.hurry();
     Operators.beEager(Holds);
     Endpoints.beEager(Holds);
     Endpoints.space(Holds ? DriverSpacing : followerSpacing(Settings));
--- a/packages/process/src/coltsfoottrail/fleethost/view.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/view.cpp
@@ -47,10 +47,13 @@
   Changed.reserve(Page.Changes.size());
   for (FleetChange &Change : Page.Changes)
     Changed.push_back(applyOne(Change, Now));
-  if (Which == Feed::Operators)
+  if (Which == Feed::Operators) {
     ConfigAsOf = std::max(ConfigAsOf, AskedAt);
-  else
-    EndpointsKnown = true;
+    return Changed;
+  }
+  EndpointsKnown = true;
+  if (Page.Next >= Page.End)
+    EndpointsAsOf = std::max(EndpointsAsOf, AskedAt);
   return Changed;
 }
 
--- a/packages/process/src/coltsfoottrail/fleethost/view.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/view.hpp
@@ -73,6 +73,10 @@
   [[nodiscard]] const EndpointCatalogue &endpoints() const noexcept {
     return Catalogue;
   }
+  /// @brief When the store was asked for what is known of the endpoints.
+  [[nodiscard]] TimePoint endpointsAsOf() const noexcept {
+    return EndpointsAsOf;
+  }
   /// @brief Data centres that get no new work.
   [[nodiscard]] const std::set<DataCentreName> &drained() const noexcept {
     return Drained;
@@ -131,6 +135,7 @@
   std::map<DataCentreName, TimePoint> Returned;
   TimePoint ConfigAsOf{};
   bool EndpointsKnown = false;
+  TimePoint EndpointsAsOf{};
   std::uint64_t Changes = 0;
   std::map<EndpointName, TimePoint> Shunned;
   /// When the endpoints' feed was last read.
--- a/packages/process/test/coltsfoottrail/fleethost/dutyterm.cpp
+++ b/packages/process/test/coltsfoottrail/fleethost/dutyterm.cpp
@@ -47,6 +47,20 @@
   EXPECT_TRUE(Term.holds(at(3'900)));
 }
 
+// An engine serves two groups at once.
+// A host that was cut off from the store for six seconds gains the duty with
+// its first call; its records are as old as the cut, and it gives a leader that
+// serves to another group before its feed is read again.
+TEST(DutyTerm, ActsOnlyOnRecordsReadSinceItBegan) {
+  DutyTerm Term(LeaseTimes{});
+  (void)Term.take({7, true}, at(0), at(4));
+  EXPECT_FALSE(Term.mayAct(at(600), at(-5'000)));
+  EXPECT_FALSE(Term.mayAct(at(600), at(300)));
+  EXPECT_TRUE(Term.mayAct(at(600), at(510)));
+  (void)Term.take({7, true}, at(3'600), at(3'604));
+  EXPECT_FALSE(Term.mayAct(at(3'700), at(510)));
+}
+
 TEST(DutyTerm, EndsWhenAnEngineHasSeenAHigherNumber) {
   DutyTerm Term(LeaseTimes{});
   (void)Term.take({7, true}, at(0), at(4));
