--- a/packages/process/src/coltsfoottrail/fleethost/attempt.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/attempt.cpp
@@ -116,9 +116,11 @@
   Marks.TimeLeft = std::chrono::floor<milliseconds>(Left);
   if (Asked.Route->streams())
     Marks.Rank = Asked.late() ? LateRank : FreshRank;
+  // Failure guarded against: an endpoint breaks off inside its first event, and
+  // the part of it is put before the first event of the next endpoint.
+  Asked.Events.dropPartial();
   if (Asked.Events.any()) {
     Marks.Rank = ResumedRank;
-    Asked.Events.dropPartial();
     Marks.LastEvent = Asked.Events.lastId();
     ++Counts.Resumed;
   }
