Place streams by a forecast of their first event; late ones leave places

Prompts of 100 to 6,000 tokens are read one after the other, so that two leaders with as many requests begin a stream 0.1 or 0.5 s later, and each burst of prompts pauses all streams there beyond what is on time. Late requests queued at leaders behind fresh ones, up to 36 deep, in slots that fresh ones needed, and callers left unanswered.

Change: hosts tell each other the unread prompt tokens beside the counts; where a pace is declared, leaders are chosen by the forecast of the first event (choice/forecast); a fresh stream is sent only where it can begin in time; a late one leaves four slots of a leader to fresh ones, waits 0.15 of the time left and is refused at once then.

--- a/packages/process/src/coltsfoottrail/fleethost/relay.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/relay.cpp
@@ -26,22 +26,6 @@
 /// Callers' first attempts come with 85 to 100 in 100 of it; those that come
 /// back have waited three quarters of a second or more.
 constexpr double CameBackPart = 0.845;
-/// How long a request waits for a place while it can still be on time, as a
-/// part of its target latency: the rest goes to reading the prompt.
-constexpr double FreshWaitPart = 0.35;
-/// One that has come back is late anyway. It fills places that no other needs,
-/// for a part of the time that it has left: refused again, it is lost.
-constexpr double LateWaitPart = 0.4;
-constexpr Duration LongestLateWait = milliseconds(1'500);
-/// One that found no place in time is put behind the others at an endpoint, or
-/// refused at once.
-constexpr Duration DemotedWait = milliseconds(10);
-/// Requests that wait in a leader's own queue. An engine that is busy ends 14
-/// to 22 requests a second, so that the last of four still starts within 0.3 s.
-constexpr std::uint32_t FreshOvercommit = 2;
-/// Late ones wait behind all fresh ones.
-constexpr std::uint32_t LateOvercommit = 36;
-
 /// When to come back, as a part of the time left: later than a third of it
 /// callers do not wait, and a group is repaired in two to four seconds.
 constexpr double ComeBackPart = 0.3;
@@ -171,7 +155,8 @@
   if (Asked.Said.Patience)
     Patience = std::min(Patience, *Asked.Said.Patience);
   Asked.AnswerBy = Asked.ArrivedAt + Patience;
-  Asked.CameBack = Patience < Asked.Route->Timeout * CameBackPart;
+  if (Patience < Asked.Route->Timeout * CameBackPart)
+    Asked.How = Timeliness::CameBack;
   return std::nullopt;
 }
 
@@ -208,18 +193,6 @@
   return std::nullopt;
 }
 
-Duration FleetRelay::longestWait(const Work &Asked) {
-  if (Asked.Demoted)
-    return DemotedWait;
-  if (!Asked.CameBack)
-    return std::chrono::duration_cast<Duration>(Asked.Route->TargetLatency *
-                                                FreshWaitPart);
-  const Duration Left = Asked.AnswerBy - Asked.ArrivedAt;
-  return std::min<Duration>(
-      LongestLateWait,
-      std::chrono::duration_cast<Duration>(Left * LateWaitPart));
-}
-
 double FleetRelay::recentRequests(const std::string &Pool,
                                   TimePoint Now) const {
   const auto Found = Mixes.find(Pool);
@@ -235,17 +208,20 @@
                             const PoolMix &Mix) const {
   WorkItem Out;
   Out.Team = Asked.Team;
-  Out.Urgency = Asked.late() ? Priority::Batch : Priority::Normal;
-  Out.Deadline = Asked.AnswerBy;
-  Out.StartBy = BootClock::now() + longestWait(Asked);
-  if (Asked.Route->streams())
-    Out.Overcommit = Asked.late() ? LateOvercommit : FreshOvercommit;
+  CallerCase Case;
+  Case.How = Asked.How;
+  Case.Streams = Asked.Route->streams();
+  Case.ArrivedAt = Asked.ArrivedAt;
+  Case.AnswerBy = Asked.AnswerBy;
+  Case.TargetLatency = Asked.Route->TargetLatency;
+  setTerms(Case, BootClock::now(), Out);
   // Failure guarded against: late requests that wait in a leader's queue make
   // it look full, fresh ones are refused and come back late, and soon nothing
   // is on time. Fresh ones go before late ones there; other hosts' mix is taken
   // to be like this host's.
   if (!Asked.late())
     Out.WaitingPart = Mix.freshPart();
+  Out.PromptTokens = Asked.Said.PromptTokens;
   Out.Repeatable = Asked.Route->repeatable();
   Out.Fingerprint = hashText(
       Request.Body, hashText(Request.Target, hashText(Asked.Team.Text)));
@@ -268,7 +244,7 @@
         co_await finish(Call, Asked, *Final);
         co_return;
       }
-      Asked.Demoted = true;
+      Asked.How = Timeliness::Demoted;
       Asked.Trail.add(Event::RequestDemoted, {{"pool", Asked.Pool}},
                       BootClock::now());
       Mine.reset();
--- a/packages/process/src/coltsfoottrail/fleethost/relay.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/relay.hpp
@@ -6,6 +6,7 @@
 #include "coltsfoottrail/admission/coldgate.hpp"
 #include "coltsfoottrail/boundary/wire.hpp"
 #include "coltsfoottrail/core/random.hpp"
+#include "coltsfoottrail/dispatch/terms.hpp"
 #include "coltsfoottrail/fleethost/eventtail.hpp"
 #include "coltsfoottrail/fleethost/relaymetrics.hpp"
 #include "coltsfoottrail/fleethost/view.hpp"
@@ -93,12 +94,11 @@
     TeamName Team;
     TimePoint ArrivedAt;
     TimePoint AnswerBy;
-    /// The caller was refused before and comes again: its time has run on.
-    bool CameBack = false;
-    /// It found no place in time to be on time, and takes what is left.
-    bool Demoted = false;
+    Timeliness How = Timeliness::Fresh;
 
-    [[nodiscard]] bool late() const noexcept { return CameBack || Demoted; }
+    [[nodiscard]] bool late() const noexcept {
+      return How != Timeliness::Fresh;
+    }
     std::string Pool;
     const ServiceProfile *Service = nullptr;
     /// Endpoints that may have run it.
@@ -133,7 +133,6 @@
   [[nodiscard]] milliseconds comeBackAfter(const Work &Asked);
   [[nodiscard]] WorkItem itemOf(const HttpRequest &Request, const Work &Asked,
                                 const PoolMix &Mix) const;
-  [[nodiscard]] static Duration longestWait(const Work &Asked);
   [[nodiscard]] ConnectionUse connectionUse(const Work &Asked) const;
   [[nodiscard]] static bool mayDemote(const Work &Asked, const Verdict &Final);
   [[nodiscard]] Awaitable<void> route(Exchange &Call, Work &Asked);
--- a/packages/process/src/coltsfoottrail/fleethost/view.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/view.cpp
@@ -186,11 +186,22 @@
   for (const auto &[Service, Names] : pools())
     for (const std::string &Name : Names)
       Out.Table.Pools[Name].Name = Name;
+  addPaces(Out);
   for (const auto &[Name, Known] : Catalogue.all())
     addEndpoint(Known, Out);
   return Out;
 }
 
+void FleetView::addPaces(FleetRoutes &Out) const {
+  for (const ServiceProfile &Service : Index->config().Services) {
+    if (!Service.Engine)
+      continue;
+    for (const ServedModel &Each : Service.Engine->Models)
+      Out.Table.Pools[poolName(Service.Name, Each.Name)].Pace =
+          paceOf(*Service.Engine, Each);
+  }
+}
+
 void FleetView::addEndpoint(const KnownEndpoint &Known,
                             FleetRoutes &Out) const {
   const EndpointRecord &Record = Known.Record;
--- a/packages/process/src/coltsfoottrail/fleethost/view.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/view.hpp
@@ -125,6 +125,7 @@
   void retainEndpoints(const FeedPage &Page, TimePoint Now);
   void retainDrains(const FeedPage &Page, TimePoint Now);
   bool returned(const DataCentreName &Which, TimePoint Now);
+  void addPaces(FleetRoutes &Out) const;
   void addEndpoint(const KnownEndpoint &Known, FleetRoutes &Out) const;
 
   FleetBounds Bounds;
--- a/packages/process/src/coltsfoottrail/hub/messages.cpp
+++ b/packages/process/src/coltsfoottrail/hub/messages.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 
-constexpr std::size_t LoadFields = 4;
+constexpr std::size_t LoadFields = 5;
 constexpr std::string_view ReportSource = "report of an entry host";
 constexpr std::string_view AnswerSource = "answer of the hub";
 
@@ -33,8 +33,8 @@
 Json loadsOut(const std::vector<EndpointLoad> &Loads) {
   Json Out = Json::array();
   for (const EndpointLoad &Each : Loads)
-    Out.push_back(
-        {Each.Endpoint, Each.Load.Running, Each.Load.Fresh, Each.Load.Late});
+    Out.push_back({Each.Endpoint, Each.Load.Running, Each.Load.Fresh,
+                   Each.Load.Late, Each.Load.UnreadTokens});
   return Out;
 }
 
@@ -50,10 +50,10 @@
   for (const Json &Row : From.raw("loads")) {
     if (!Row.is_array() || Row.size() != LoadFields ||
         !Row[0].is_number_unsigned())
-      throw InputError(Source, "/loads", Row.dump(), "a hash and three counts");
+      throw InputError(Source, "/loads", Row.dump(), "a hash and four counts");
     Out.push_back({Row[0].get<std::uint64_t>(),
                    {countOf(Row[1], Source), countOf(Row[2], Source),
-                    countOf(Row[3], Source)}});
+                    countOf(Row[3], Source), countOf(Row[4], Source)}});
   }
   return Out;
 }
--- a/packages/request/src/coltsfoottrail/choice/chooser.cpp
+++ b/packages/request/src/coltsfoottrail/choice/chooser.cpp
@@ -1,5 +1,6 @@
 #include "coltsfoottrail/choice/chooser.hpp"
 
+#include "coltsfoottrail/choice/forecast.hpp"
 #include "coltsfoottrail/core/hash.hpp"
 
 #include <algorithm>
@@ -54,6 +55,7 @@
       Saving(settingsOf(Wanted).CacheSaving) {}
 
 void Chooser::configure(const Pool &Wanted) {
+  Pace = Wanted.Pace;
   for (const CandidateId Which : Table.configure(Wanted)) {
     Outliers.release(Table, Which);
     Table.drop(Which);
@@ -125,8 +127,13 @@
 bool Chooser::isFull(CandidateId Which, const ChoiceQuery &Query,
                      const EstimatedWaitPolicy &Chosen, TimePoint Now) const {
   const Candidate &Endpoint = *Table.find(Which);
-  return Chosen.FullByLoad &&
-         loadAhead(Endpoint, Query, Now) >= Endpoint.Bound + Query.Overcommit;
+  if (Pace.known() && Query.FirstEventWithin < Duration::max() &&
+      Endpoint.Load.unreadTokens(Now) > 0 &&
+      timeToAnswer(Endpoint, 0.0, Query, Now) >
+          toSeconds(Query.FirstEventWithin))
+    return true;
+  return Chosen.FullByLoad && loadAhead(Endpoint, Query, Now) >=
+                                  double(Endpoint.Bound) + Query.Overcommit;
 }
 
 /// Requests that run at an endpoint, and those waiting there that go before.
@@ -265,18 +272,35 @@
 double Chooser::score(const Candidate &Endpoint, double Saving,
                       const EstimatedWaitPolicy &Chosen,
                       const ChoiceQuery &Query, TimePoint Now) const {
+  const double Distance = Endpoint.IsNear ? 0.0 : toSeconds(Chosen.FarPenalty);
+  return timeToAnswer(Endpoint, Saving, Query, Now) *
+             (1.0 + FailureFactor * failing(Endpoint, Now)) +
+         Distance;
+}
+
+/// Mean time of service at an endpoint, in seconds for a unit of cost.
+double Chooser::secondsOf(const Candidate &Endpoint, TimePoint Now) const {
   const double PoolMean =
       Service.mean() > 0.0 ? Service.mean() : UnknownSeconds;
-  const double Seconds = Endpoint.Service.estimate(PoolMean, PriorWeight, Now);
+  return Endpoint.Service.estimate(PoolMean, PriorWeight, Now);
+}
+
+/// Until the first event where a pace is known, else until the end, in seconds.
+double Chooser::timeToAnswer(const Candidate &Endpoint, double Saving,
+                             const ChoiceQuery &Query, TimePoint Now) const {
+  const double Seconds = secondsOf(Endpoint, Now);
   const double Bound = Endpoint.Bound;
   const double Load = loadAhead(Endpoint, Query, Now);
+  if (Pace.known()) {
+    const EngineBacklog Before{
+        Bound, Load, double(Endpoint.Load.unreadTokens(Now)), Seconds};
+    return toSeconds(firstEventAfter(Pace, Before, Query.PromptTokens));
+  }
   const double Queued = std::max(0.0, Load + 1.0 - Bound);
   const double Wait = Seconds * Queued / Bound;
   const double Serve =
       Seconds * Query.Cost * (1.0 + Load / Bound) * (1.0 - Saving);
-  const double Distance = Endpoint.IsNear ? 0.0 : toSeconds(Chosen.FarPenalty);
-  return (Wait + Serve) * (1.0 + FailureFactor * failing(Endpoint, Now)) +
-         Distance;
+  return Wait + Serve;
 }
 
 std::optional<CandidateId>
@@ -341,7 +365,7 @@
 
 bool Chooser::sent(CandidateId Which, const ChoiceQuery &Query, TimePoint Now) {
   Candidate &Endpoint = *Table.find(Which);
-  Endpoint.Load.sent(Query.Late, Now);
+  Endpoint.Load.sent(Query.Late, Now, Query.PromptTokens);
   Endpoint.Suspects += Query.Suspect ? 1U : 0U;
   ++OwnTotal;
   Table.relist(Which);
@@ -353,9 +377,9 @@
       });
 }
 
-void Chooser::begun(CandidateId Which, bool Late) {
+void Chooser::begun(CandidateId Which, bool Late, std::uint32_t PromptTokens) {
   if (Candidate *const Endpoint = Table.find(Which))
-    Endpoint->Load.begun(Late);
+    Endpoint->Load.begun(Late, PromptTokens);
 }
 
 std::vector<EndpointLoad> Chooser::ownLoads() const {
@@ -385,7 +409,7 @@
   Candidate *const Endpoint = Table.find(Which);
   if (Endpoint == nullptr)
     return;
-  Endpoint->Load.ended(Attempt.Late, Attempt.Begun, Now);
+  Endpoint->Load.ended(Attempt.Late, Attempt.Begun, Now, Attempt.PromptTokens);
   Endpoint->Suspects -= Attempt.Suspect ? 1U : 0U;
   --OwnTotal;
   learn(*Endpoint, Attempt, Now);
--- a/packages/request/src/coltsfoottrail/choice/chooser.hpp
+++ b/packages/request/src/coltsfoottrail/choice/chooser.hpp
@@ -31,8 +31,13 @@
   bool CachedOnly = false;
   /// Time left to its deadline.
   Duration Patience = Duration::max();
-  /// Requests beyond an endpoint's bound that it may wait behind there.
-  std::uint32_t Overcommit = 0;
+  /// Requests beyond an endpoint's bound that it may wait behind there; below
+  /// zero, places that it leaves to others.
+  std::int32_t Overcommit = 0;
+  /// Tokens of its prompt.
+  std::uint32_t PromptTokens = 0;
+  /// Time left until its first event is late.
+  Duration FirstEventWithin = Duration::max();
   /// Part of the requests waiting at an endpoint that go before this one, where
   /// it is not known how many do.
   double WaitingPart = 1.0;
@@ -65,6 +70,7 @@
   bool Late = false;
   /// Whether begun() was called for it.
   bool Begun = false;
+  std::uint32_t PromptTokens = 0;
 };
 
 /// @brief The endpoints of one pool and the choice among them.
@@ -106,7 +112,7 @@
   bool sent(CandidateId Which, const ChoiceQuery &Query, TimePoint Now);
 
   /// @brief Notes that a request's answer has begun.
-  void begun(CandidateId Which, bool Late);
+  void begun(CandidateId Which, bool Late, std::uint32_t PromptTokens = 0);
 
   /// @brief Own requests at each endpoint that has any.
   [[nodiscard]] std::vector<EndpointLoad> ownLoads() const;
@@ -188,6 +194,11 @@
                               const ChoiceQuery &Query) const;
   [[nodiscard]] bool mayCache(const Candidate &Endpoint,
                               const EstimatedWaitPolicy &Chosen) const;
+  [[nodiscard]] double secondsOf(const Candidate &Endpoint,
+                                 TimePoint Now) const;
+  [[nodiscard]] double timeToAnswer(const Candidate &Endpoint, double Saving,
+                                    const ChoiceQuery &Query,
+                                    TimePoint Now) const;
   [[nodiscard]] double failing(const Candidate &Endpoint, TimePoint Now) const;
   [[nodiscard]] double score(const Candidate &Endpoint, double Saving,
                              const EstimatedWaitPolicy &Chosen,
@@ -219,6 +230,7 @@
             TimePoint Now);
 
   ChoicePolicy Policy;
+  EnginePace Pace;
   Random Draw;
   CandidateTable Table;
   Ejector Outliers;
--- a/packages/request/src/coltsfoottrail/choice/load.cpp
+++ b/packages/request/src/coltsfoottrail/choice/load.cpp
@@ -33,19 +33,24 @@
   LastStep = Step;
 }
 
-void LoadModel::sent(bool Late, TimePoint Now) noexcept {
+void LoadModel::sent(bool Late, TimePoint Now, std::uint32_t Tokens) noexcept {
   roll(Now);
   ++Own;
+  OwnUnread += Tokens;
   ++(Late ? OwnLate : OwnFresh);
 }
 
-void LoadModel::begun(bool Late) noexcept { --(Late ? OwnLate : OwnFresh); }
+void LoadModel::begun(bool Late, std::uint32_t Tokens) noexcept {
+  --(Late ? OwnLate : OwnFresh);
+  OwnUnread -= Tokens;
+}
 
-void LoadModel::ended(bool Late, bool Begun, TimePoint Now) noexcept {
+void LoadModel::ended(bool Late, bool Begun, TimePoint Now,
+                      std::uint32_t Tokens) noexcept {
   roll(Now);
   --Own;
   if (!Begun)
-    begun(Late);
+    begun(Late, Tokens);
 }
 
 void LoadModel::share(const RequestLoad &Of, TimePoint Now) noexcept {
@@ -65,7 +70,11 @@
 }
 
 RequestLoad LoadModel::ownLoad() const noexcept {
-  return {Own - OwnFresh - OwnLate, OwnFresh, OwnLate};
+  return {Own - OwnFresh - OwnLate, OwnFresh, OwnLate, OwnUnread};
+}
+
+std::uint32_t LoadModel::unreadTokens(TimePoint Now) const noexcept {
+  return isShared(Now) ? OwnUnread + Shared.UnreadTokens : OwnUnread;
 }
 
 void LoadModel::report(std::uint32_t Total, Duration Age,
--- a/packages/request/src/coltsfoottrail/choice/load.hpp
+++ b/packages/request/src/coltsfoottrail/choice/load.hpp
@@ -23,12 +23,16 @@
 public:
   /// @brief Notes that a request was sent.
   /// @param Late Whether it waits behind those that can still be on time.
-  void sent(bool Late, TimePoint Now) noexcept;
+  /// @param Tokens Tokens of its prompt.
+  void sent(bool Late, TimePoint Now, std::uint32_t Tokens = 0) noexcept;
   /// @brief Notes that a request's answer has begun.
-  void begun(bool Late) noexcept;
+  /// @param Tokens What sent() was told.
+  void begun(bool Late, std::uint32_t Tokens = 0) noexcept;
   /// @brief Notes that a request ended.
   /// @param Begun Whether begun() was told of it.
-  void ended(bool Late, bool Begun, TimePoint Now) noexcept;
+  /// @param Tokens What sent() was told.
+  void ended(bool Late, bool Begun, TimePoint Now,
+             std::uint32_t Tokens = 0) noexcept;
 
   /// @brief Takes what all other entry hosts have there, as they tell.
   void share(const RequestLoad &Of, TimePoint Now) noexcept;
@@ -48,6 +52,8 @@
   /// told theirs lately.
   [[nodiscard]] std::optional<std::uint32_t>
   aheadOfFresh(TimePoint Now) const noexcept;
+  /// @brief Estimated prompt tokens at the endpoint that are not read yet.
+  [[nodiscard]] std::uint32_t unreadTokens(TimePoint Now) const noexcept;
   /// @brief Own requests by how far they are.
   [[nodiscard]] RequestLoad ownLoad() const noexcept;
   /// @brief Own requests in progress.
@@ -67,6 +73,8 @@
   /// Those of them whose answer has not begun.
   std::uint32_t OwnFresh = 0;
   std::uint32_t OwnLate = 0;
+  /// Prompt tokens of both.
+  std::uint32_t OwnUnread = 0;
   RequestLoad Shared;
   TimePoint SharedAt{};
   std::uint32_t Others = 0;
--- a/packages/request/src/coltsfoottrail/dispatch/dispatcher.cpp
+++ b/packages/request/src/coltsfoottrail/dispatch/dispatcher.cpp
@@ -223,6 +223,9 @@
   Query.PrefixHash = Item.PrefixHash;
   Query.Cost = Item.Cost;
   Query.Overcommit = Item.Overcommit;
+  Query.PromptTokens = Item.PromptTokens;
+  if (Item.FirstEventBy < TimePoint::max() && Asked.Attempts == 0)
+    Query.FirstEventWithin = Item.FirstEventBy - Now;
   Query.WaitingPart = Item.WaitingPart;
   Query.Late = Item.Urgency == Priority::Batch;
   Query.Avoid = Asked.FailedAt;
@@ -285,7 +288,8 @@
   Request *const Asked = Requests.find(Which);
   if (Asked == nullptr || !Asked->SentTo || std::exchange(Asked->Begun, true))
     return;
-  Choice.begun(*Asked->SentTo, Asked->Item.Urgency == Priority::Batch);
+  Choice.begun(*Asked->SentTo, Asked->Item.Urgency == Priority::Batch,
+               Asked->Item.PromptTokens);
 }
 
 void Dispatcher::share(std::span<const EndpointLoad> Others, TimePoint Now,
@@ -322,6 +326,7 @@
   Ended.Hinted = Asked.Hinted;
   Ended.Late = Asked.Item.Urgency == Priority::Batch;
   Ended.Begun = Asked.Begun;
+  Ended.PromptTokens = Asked.Item.PromptTokens;
   Ended.Total =
       Result.Total > Duration::zero() ? Result.Total : Now - Asked.SentAt;
   Asked.FailedAt = std::exchange(Asked.SentTo, std::nullopt);
--- a/packages/request/src/coltsfoottrail/dispatch/types.hpp
+++ b/packages/request/src/coltsfoottrail/dispatch/types.hpp
@@ -28,8 +28,13 @@
   /// instead. Does not bound retries.
   TimePoint StartBy = TimePoint::max();
   /// Requests beyond an endpoint's bound that it may be sent behind: it waits
-  /// in the endpoint's own queue then, which all entry hosts share.
-  std::uint32_t Overcommit = 0;
+  /// in the endpoint's own queue then, which all entry hosts share. Below zero,
+  /// places that it leaves to others there.
+  std::int32_t Overcommit = 0;
+  /// Its first event is late after this.
+  TimePoint FirstEventBy = TimePoint::max();
+  /// Tokens of its prompt, where it has one.
+  std::uint32_t PromptTokens = 0;
   /// Part of the requests waiting at an endpoint that go before it there.
   double WaitingPart = 1.0;
   /// Whether it may be sent again once a byte of it may have reached an
--- a/packages/request/src/coltsfoottrail/loadshare/loads.hpp
+++ b/packages/request/src/coltsfoottrail/loadshare/loads.hpp
@@ -15,6 +15,8 @@
   std::uint32_t Fresh = 0;
   /// They wait there behind the fresh ones.
   std::uint32_t Late = 0;
+  /// Prompt tokens of those that wait.
+  std::uint32_t UnreadTokens = 0;
 
   [[nodiscard]] std::uint32_t total() const noexcept {
     return Running + Fresh + Late;
@@ -23,6 +25,7 @@
     Running += Other.Running;
     Fresh += Other.Fresh;
     Late += Other.Late;
+    UnreadTokens += Other.UnreadTokens;
     return *this;
   }
   [[nodiscard]] friend bool operator==(const RequestLoad &,
--- a/packages/version/src/coltsfoottrail/fleet/config.hpp
+++ b/packages/version/src/coltsfoottrail/fleet/config.hpp
@@ -6,6 +6,7 @@
 #include "coltsfoottrail/core/name.hpp"
 #include "coltsfoottrail/core/time.hpp"
 #include "coltsfoottrail/fleet/fwd.hpp"
+#include "coltsfoottrail/route/enginepace.hpp"
 
 #include <optional>
 #include <string>
@@ -40,6 +41,8 @@
   double StepMsPerRequest = 0.0;
   /// Prompt tokens read in a second.
   double PromptTokensPerSecond = 0.0;
+  /// Prompt tokens read between two token steps at most; zero for no bound.
+  std::uint32_t ChunkTokens = 0;
   /// Token steps in one pass.
   std::uint32_t Stride = 1;
   /// Loads that may begin in a second, over all engines.
@@ -53,6 +56,21 @@
   std::vector<ServedModel> Models;
 };
 
+/// @brief Pace of an engine that serves a model. Pure; thread-safe.
+[[nodiscard]] inline EnginePace paceOf(const EngineProfile &Engine,
+                                       const ServedModel &Model) {
+  constexpr double MsPerSecond = 1000.0;
+  EnginePace Out;
+  Out.StepSeconds = Engine.StepMs * Model.Pace / MsPerSecond;
+  Out.StepSecondsPerRequest =
+      Engine.StepMsPerRequest * Model.Pace / MsPerSecond;
+  if (Model.Pace > 0.0)
+    Out.PromptTokensPerSecond = Engine.PromptTokensPerSecond / Model.Pace;
+  Out.ChunkTokens = Engine.ChunkTokens;
+  Out.Stride = Engine.Stride;
+  return Out;
+}
+
 /// @brief A service: a set of like endpoints.
 struct ServiceProfile {
   ServiceName Name;
--- a/packages/version/src/coltsfoottrail/route/table.hpp
+++ b/packages/version/src/coltsfoottrail/route/table.hpp
@@ -5,6 +5,7 @@
 
 #include "coltsfoottrail/fold/state.hpp"
 #include "coltsfoottrail/platform/engine.hpp"
+#include "coltsfoottrail/route/enginepace.hpp"
 #include "coltsfoottrail/route/fwd.hpp"
 
 #include <map>
@@ -45,6 +46,8 @@
   /// "model/NAME" or "service/NAME".
   std::string Name;
   std::vector<EndpointSpec> Endpoints;
+  /// Pace of its engines, where one is declared.
+  EnginePace Pace;
   /// For services: paths whose calls may be repeated.
   std::vector<std::string> RepeatablePaths;
 };
