Prove a configuration only by reads that reach the feed's end; deny no route without it

Cause: a host whose reads of the operators' feed were answered in parts counted each part as proof that its configuration is in force, and a host that could prove nothing answered 404 for routes that it had not heard of. Change: only a read that reached the end counts, as for the endpoints' feed; a route that is not known is refused as not run (503) while the configuration is not proved.

--- a/packages/process/src/coltsfoottrail/fleethost/relay.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/relay.cpp
@@ -140,6 +140,10 @@
   if (!Asked.Config || Stopping)
     return refusal(Asked, Elsewhere);
   Asked.Route = Asked.Config->route(Asked.Said.HostHeader, Asked.Said.Path);
+  // A host that cannot prove its configuration does not know that there is no
+  // such route.
+  if (Asked.Route == nullptr && !View.credentialsFresh(Asked.ArrivedAt))
+    return refusal(Asked, Elsewhere);
   if (Asked.Route == nullptr)
     return jsonResponse(StatusNotFound, R"({"error":"no-route"})");
   if (!Asked.Route->Public && Asked.Config->hasTeams()) {
--- a/packages/process/src/coltsfoottrail/fleethost/view.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/view.cpp
@@ -48,7 +48,12 @@
   for (FleetChange &Change : Page.Changes)
     Changed.push_back(applyOne(Change, Now));
   if (Which == Feed::Operators) {
-    ConfigAsOf = std::max(ConfigAsOf, AskedAt);
+    // Failure guarded against: an overloaded store hands the feed out in parts,
+    // this host stays some versions behind while each part is answered, and it
+    // refuses proper requests by routes and credentials that are long replaced.
+    // Only a read that reached the end proves anything.
+    if (Page.Next >= Page.End)
+      ConfigAsOf = std::max(ConfigAsOf, AskedAt);
     return Changed;
   }
   EndpointsKnown = true;
--- a/packages/process/test/coltsfoottrail/fleethost/view.cpp
+++ b/packages/process/test/coltsfoottrail/fleethost/view.cpp
@@ -51,6 +51,23 @@
   return View.routes().Table.Pools.at("model/draft/m").Endpoints.size();
 }
 
+// Callers of a new route hear that there is none.
+// The store is overloaded and gives the operators' feed in parts; each read is
+// answered, and this host stays behind the newest version all the while.
+TEST(FleetView, ReadsThatDoNotReachTheEndProveNoConfiguration) {
+  FleetView View = sound();
+  FeedPage Part = page(ConfigPublished{config(6)});
+  Part.Next = 7;
+  Part.End = 9;
+  const TimePoint Later = Start + seconds(10);
+  View.take(Feed::Operators, Part, false, Later, Later);
+  EXPECT_EQ(View.config()->version(), 6U);
+  EXPECT_FALSE(View.credentialsFresh(Later));
+  Part.Next = 9;
+  View.take(Feed::Operators, Part, false, Later, Later);
+  EXPECT_TRUE(View.credentialsFresh(Later));
+}
+
 // Callers are served by routes that were withdrawn.
 // The store is read again from an earlier point, or an answer is overtaken.
 TEST(FleetView, ConfigurationNeverGoesBack) {
