Tell loads every 30 ms where hosts are few; account of requests from logs

Cause: each host places by what it sent itself and by what the others had up to 120 ms ago; with eight hosts it knows an eighth of a leader's unread prompts, and a leader reads three prompts in that time. Change: the pace of the exchange follows the number of hosts (hub/pace, tested): 30 ms up to 17 hosts, 120 ms at 71, 153 ms at 90, 240 ms at most, so that the hub answers at most 600 times a second.

--- a/packages/process/src/coltsfoottrail/fleethost/attempt.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/attempt.cpp
@@ -67,10 +67,13 @@
 
 void FleetRelay::measureEvent(Work &Asked) {
   const TimePoint Now = BootClock::now();
-  if (Asked.EventAt)
+  if (Asked.EventAt) {
     Measured.paused(Now - *Asked.EventAt);
-  else
+    Asked.LongestPause = std::max(Asked.LongestPause, Now - *Asked.EventAt);
+  } else {
     Measured.begun(Asked.Route->Policy, Now - Asked.ArrivedAt);
+    Asked.FirstEvent = Now - Asked.ArrivedAt;
+  }
   Asked.EventAt = Now;
 }
 
--- a/packages/process/src/coltsfoottrail/fleethost/relay.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/relay.cpp
@@ -31,6 +31,10 @@
 constexpr double ComeBackPart = 0.3;
 constexpr milliseconds LatestComeBack{1'500};
 
+std::int64_t wholeMs(Duration Span) {
+  return std::chrono::duration_cast<milliseconds>(Span).count();
+}
+
 std::string secondsText(milliseconds Span) {
   char Text[32];
   std::snprintf(Text, sizeof Text, "%.3f",
@@ -76,7 +80,10 @@
                    {"verdict", Ran},
                    {"reason", Why},
                    {"sends", Asked.Sends},
-                   {"last_event", Asked.Events.lastId()}},
+                   {"last_event", Asked.Events.lastId()},
+                   {"pool", Asked.Pool},
+                   {"first_ms", wholeMs(Asked.FirstEvent)},
+                   {"pause_ms", wholeMs(Asked.LongestPause)}},
                   BootClock::now());
 }
 
--- a/packages/process/src/coltsfoottrail/fleethost/relay.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/relay.hpp
@@ -106,6 +106,9 @@
     EventTail Events;
     /// When the last event left for the caller.
     std::optional<TimePoint> EventAt;
+    /// From its arrival to the first event, and the longest pause after it.
+    Duration FirstEvent{};
+    Duration LongestPause{};
     /// An endpoint's failure, to be passed on if nothing better comes.
     std::optional<HttpResponse> Kept;
     RequestTrail Trail;
--- a/packages/process/src/coltsfoottrail/hub/link.cpp
+++ b/packages/process/src/coltsfoottrail/hub/link.cpp
@@ -1,5 +1,6 @@
 #include "coltsfoottrail/hub/link.hpp"
 
+#include "coltsfoottrail/hub/pace.hpp"
 #include "coltsfoottrail/logging/log.hpp"
 
 #include <algorithm>
@@ -21,9 +22,6 @@
 constexpr unsigned StatusOk = 200;
 constexpr unsigned StatusBadRequest = 400;
 constexpr unsigned StatusNotFound = 404;
-/// The hub holds an answer back for so long unless there is news: loads change
-/// within a tenth of a second, a request to an engine lasts a second.
-constexpr milliseconds Pace{120};
 /// An exchange that takes longer beyond the pace is lost, with the hub or on
 /// the way: hosts are a few milliseconds apart.
 constexpr milliseconds ExchangeSlack{230};
@@ -89,6 +87,7 @@
 }
 
 Awaitable<void> HubLink::awaitNews(const HostReport &Told) {
+  const milliseconds Pace = reportPace(hosts(BootClock::now()));
   const TimePoint Until = BootClock::now() + Pace;
   asio::steady_timer Over(co_await asio::this_coro::executor);
   Over.expires_after(Pace);
@@ -150,8 +149,9 @@
   Request.Fields = {{"Content-Type", "application/cbor"}};
   Request.Body = encode(Told);
   const TimePoint SentAt = BootClock::now();
-  const auto Outcome = co_await Client.fetch(std::move(To), std::move(Request),
-                                             SentAt + Pace + ExchangeSlack);
+  const auto Outcome =
+      co_await Client.fetch(std::move(To), std::move(Request),
+                            SentAt + reportPace(hosts(SentAt)) + ExchangeSlack);
   const auto *const Answer = std::get_if<HttpResponse>(&Outcome);
   if (Answer == nullptr || Answer->Status != StatusOk)
     co_return false;
@@ -221,7 +221,8 @@
     }
     if (Done)
       continue;
-    Pause.expires_after(Hooks.Drives() ? Pace : RetryPause);
+    Pause.expires_after(Hooks.Drives() ? reportPace(hosts(BootClock::now()))
+                                       : RetryPause);
     co_await Pause.async_wait(asio::use_awaitable);
   }
 }
--- /dev/null
+++ b/packages/process/test/coltsfoottrail/hub/pace.cpp
@@ -0,0 +1,29 @@
+#include "coltsfoottrail/hub/pace.hpp"
+
+#include <gtest/gtest.h>
+
+namespace coltsfoottrail {
+namespace {
+
+TEST(ReportPace, FewHostsTellOftenManyLessOften) {
+  EXPECT_EQ(reportPace(8), ShortestReportPace);
+  EXPECT_LT(reportPace(71), reportPace(90));
+  EXPECT_EQ(reportPace(1'000), LongestReportPace);
+}
+
+// The hub's answers a second stop growing with the number of hosts.
+TEST(ReportPace, TheHubAnswersABoundedNumberASecond) {
+  constexpr double MostPerSecond = 600.0;
+  for (const std::size_t Hosts : {8U, 36U, 71U, 90U, 140U}) {
+    const double Seconds =
+        std::chrono::duration<double>(reportPace(Hosts)).count();
+    EXPECT_LE(double(Hosts) / Seconds, MostPerSecond) << Hosts;
+  }
+}
+
+TEST(ReportPace, UnknownNumberOfHostsIsTakenForMany) {
+  EXPECT_EQ(reportPace(0), LongestReportPace);
+}
+
+} // namespace
+} // namespace coltsfoottrail
