Take figures of tuning out of comments

Cause: comments told how values were found and what was measured; that belongs to commits and pages. Cleaned in fleethost, silence and assembly; a name in a test play that read badly.

--- a/packages/process/src/coltsfoottrail/fleethost/host.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/host.cpp
@@ -52,8 +52,7 @@
 /// Endpoints publish many times a second: a read hardly ever waits, and one
 /// that is lost is noticed this much sooner.
 constexpr milliseconds EndpointsWait{100};
-/// Part of a core below which a host stands aside from driving the groups: 222
-/// engines and 71 hosts took a driver up to a twentieth of a core.
+/// Part of a core below which a host stands aside from driving the groups.
 constexpr double LeastDriverShare = 0.2;
 /// What the hub relayed stands in for own reads while it is no older than this:
 /// its read of the operators' feed is held back for OperatorsWait, and hosts
@@ -335,8 +334,7 @@
   if (Front)
     Front->setLimits(callerLimits(View.config()->config().Limits));
   // What decoding a large configuration took stays with the allocator
-  // otherwise: on a day with 1,520 routes in 26 versions, 71 hosts used 27.0 GB
-  // x s of memory without this and 20.5 with it.
+  // otherwise.
   malloc_trim(0);
 }
 
--- a/packages/request/src/coltsfoottrail/silence/silencewatch.hpp
+++ b/packages/request/src/coltsfoottrail/silence/silencewatch.hpp
@@ -25,8 +25,7 @@
 public:
   /// An engine makes an event every 40 to 60 ms; 200 ms when it reads long
   /// prompts in between. Twice that keeps alarms rare: a false one moves all
-  /// streams of a sound endpoint. Measured as the mean worth of eighteen days:
-  /// 0.31 with 300 ms, 0.38 with 400 ms, 0.35 with 550 ms.
+  /// streams of a sound endpoint.
   static constexpr Duration SilentAfter = milliseconds(400);
   /// From here on its members may be asked whether they are alive, which costs
   /// a question each and moves nothing.
--- a/packages/request/test/coltsfoottrail/dispatch/batching.hpp
+++ b/packages/request/test/coltsfoottrail/dispatch/batching.hpp
@@ -209,14 +209,14 @@
   }
 
   void returnCallers() {
-    std::vector<Return> Now1;
+    std::vector<Return> DueNow;
     std::erase_if(Returns, [&](const Return &Each) {
       if (Each.When > Now)
         return false;
-      Now1.push_back(Each);
+      DueNow.push_back(Each);
       return true;
     });
-    for (const Return &Each : Now1) {
+    for (const Return &Each : DueNow) {
       Request &Asked = Requests[Each.Of];
       Asked.Case.How = Timeliness::CameBack;
       Asked.Case.ArrivedAt = Now;
--- a/packages/version/src/coltsfoottrail/assembly/formation.cpp
+++ b/packages/version/src/coltsfoottrail/assembly/formation.cpp
@@ -79,12 +79,9 @@
 /// Whether domains hold groups of several models, rather than of one each.
 ///
 /// In a domain of one model whoever is left of a group can replace a member of
-/// another without a load: with domains of nine, groups of four and three, and
-/// two losses every three seconds, mixed domains earned a fifth less of what
-/// users were owed. Where a domain has room for many small groups, those lose
-/// little by being mixed in, and the few large groups are spread, so that a
-/// dark domain takes one of them: with domains of 37, groups of 16 and 4, worth
-/// of a quiet day 0.71 with one model each and 0.80 mixed.
+/// another without a load. Where a domain has room for many small groups, those
+/// lose little by being mixed in, and the few large groups are spread, so that
+/// a dark domain takes one of them.
 bool Assembler::mixesModels(const Pass &In) {
   constexpr std::size_t SmallGroupsInADomain = 6;
   std::map<DomainKey, std::size_t> Sizes;
--- a/packages/version/src/coltsfoottrail/assembly/layout.cpp
+++ b/packages/version/src/coltsfoottrail/assembly/layout.cpp
@@ -14,9 +14,8 @@
 /// What one load weighs against a missing part of a model's groups.
 constexpr double LoadWeight = 0.25;
 
-/// Spares are kept for groups that are at least so many times as large: with
-/// groups of four beside three, keeping them cost 0.02 of worth, the mean of
-/// eighteen days; with sixteen beside four it gained 0.05 on a quiet one.
+/// Spares are kept for groups that are at least so many times as large: a small
+/// group that is not formed costs more than a group of like size that waits.
 constexpr std::uint32_t MuchLarger = 3;
 
 std::size_t countOf(const std::map<ModelName, std::size_t> &In,
--- a/packages/version/src/coltsfoottrail/assembly/repair.cpp
+++ b/packages/version/src/coltsfoottrail/assembly/repair.cpp
@@ -41,9 +41,8 @@
 // Failure guarded against: a third of the engines is cut off from the store,
 // their records lapse together, and nearly every group has lost a member by the
 // records, while all of them serve. A member whose record is missing is asked;
-// while it answers, its group is left alone. Gain: on a day with 84 of 296
-// engines cut off for ten seconds, callers were served at 0.03 to 0.3 of their
-// worth until the groups had been formed anew.
+// while it answers, its group is left alone. Otherwise hardly anybody is served
+// until all groups have been formed anew.
 bool Assembler::present(const Pass &In, const Member &Of, GroupEpoch Epoch) {
   if (In.View.Endpoints.find(Of.Name) != nullptr) {
     Doubts.erase(Of.Name);
@@ -141,9 +140,8 @@
 // the store, while callers' hosts still reach it and it still serves. Its
 // members would sit in two groups. Each of them leaves before it takes another
 // seat: a leader that is alive stands still from then on and breaks, and
-// nothing has to be known of it. Gain: a group that lost its leader is whole
-// again within 0.5 s; waiting until a silent leader is surely broken took 5.6
-// s.
+// nothing has to be known of it. A group that lost its leader is whole again in
+// a tenth of the time that it takes a silent leader to break.
 bool Assembler::leaderGone(Pass &In, Group &Of) {
   if (!Of.Adopted && !Of.OpenOrdered) {
     retire(Of, "the leader is gone before it was opened");
