Replace the hub by a tree of relays

Cause: 295 hosts served nothing. All of them reported to one hub, which summed 294 hosts' loads for each response and relayed each changed record to each host; while groups were formed (1,600 orders, 3,000 changed records) no exchange came through, every host read the store by itself, no read reached the end, and the configuration could not be proved. Ruled out: the store's rates (6% of its reads used), its link (22%). Tests: process_dissemination_test plays 30, 300 and 1,000 hosts in simulated time.

--- a/packages/connection/src/coltsfoottrail/boundary/store.hpp
+++ b/packages/connection/src/coltsfoottrail/boundary/store.hpp
@@ -60,14 +60,35 @@
 /// @brief A record of a feed as the store gave it.
 struct FeedRecord {
   Offset At = 0;
+  /// What the record is about; a later record of the same key replaces it.
+  std::string Key;
   std::string Bytes;
 };
 
+/// What a record means to a host that only routes.
+enum class RoutingEffect : std::uint8_t {
+  /// Nothing changes.
+  None,
+  /// A value that routing depends on is new.
+  Set,
+  /// A value that routing depended on is gone.
+  Unset
+};
+
+/// @brief A record that was decoded.
+struct DecodedRecord {
+  /// As FeedRecord::Key.
+  std::string Key;
+  FleetChange Change;
+};
+
 /// @brief A part of a feed.
 struct FeedPage {
   std::vector<FleetChange> Changes;
-  /// The record of each change; empty for newest values.
+  /// The record of each change.
   std::vector<FeedRecord> Raw;
+  /// Whether records that do not matter to routing were left out.
+  bool Projected = false;
   /// Where the page begins; for newest values as Next.
   Offset From = 0;
   /// Where to read on.
@@ -127,7 +148,7 @@
   /// @brief Decodes a record that another entry host read.
   /// @param Record As FeedRecord::Bytes.
   /// @return Nothing when it is of no interest.
-  [[nodiscard]] virtual std::optional<FleetChange>
+  [[nodiscard]] virtual std::optional<DecodedRecord>
   decode(Feed Which, std::string_view Record) const = 0;
 
   /// @brief Asks for the duty to drive the groups, or renews it.
--- a/packages/process/src/coltsfoottrail/cli/client.cpp
+++ b/packages/process/src/coltsfoottrail/cli/client.cpp
@@ -21,13 +21,6 @@
 
 } // namespace
 
-std::string textOf(const EngineAddress &Address) {
-  const bool IsV6 = Address.Address.find(':') != std::string::npos;
-  const std::string Shown =
-      IsV6 ? "[" + Address.Address + "]" : Address.Address;
-  return Shown + ":" + std::to_string(Address.Port);
-}
-
 OperatorClient::OperatorClient(ConnectionOptions Given, Secret Credential,
                                Send Sender)
     : Options(std::move(Given)), Proof(std::move(Credential)),
--- a/packages/process/src/coltsfoottrail/cli/client.hpp
+++ b/packages/process/src/coltsfoottrail/cli/client.hpp
@@ -70,9 +70,6 @@
   Send Sending;
 };
 
-/// @brief Text of an address, as --host takes it. Thread-safe.
-[[nodiscard]] std::string textOf(const EngineAddress &Address);
-
 } // namespace coltsfoottrail
 
 #endif
--- /dev/null
+++ b/packages/process/src/coltsfoottrail/dissemination/feedlog.cpp
@@ -0,0 +1,67 @@
+#include "coltsfoottrail/dissemination/feedlog.hpp"
+
+#include <utility>
+
+namespace coltsfoottrail {
+
+void FeedLog::restart(Offset At) {
+  Base = At;
+  Next = At;
+  Bytes = 0;
+  Changes.clear();
+}
+
+void FeedLog::clear(Offset At) {
+  restart(At);
+  Newest.clear();
+  TooLarge.clear();
+  Complete = true;
+}
+
+void FeedLog::updateNewest(FeedRecord Record, RoutingEffect Effect) {
+  TooLarge.erase(Record.Key);
+  Newest.erase(Record.Key);
+  if (Effect != RoutingEffect::Set)
+    return;
+  if (Record.Bytes.size() > LargestRecord)
+    TooLarge.insert(std::move(Record.Key));
+  else
+    Newest.insert_or_assign(std::move(Record.Key),
+                            RelayedRecord{Record.At, std::move(Record.Bytes)});
+}
+
+void FeedLog::keepNewest(FeedRecord Record) {
+  updateNewest(std::move(Record), RoutingEffect::Set);
+}
+
+void FeedLog::add(FeedRecord Record, RoutingEffect Effect) {
+  const Offset At = Record.At;
+  RelayedRecord Change{At, Record.Bytes};
+  updateNewest(std::move(Record), Effect);
+  if (Change.Bytes.size() > LargestRecord)
+    return restart(At + 1);
+  Bytes += Change.Bytes.size();
+  Changes.push_back(std::move(Change));
+  while (Changes.size() > MostRecords || Bytes > MostBytes) {
+    Base = Changes.front().At + 1;
+    Bytes -= Changes.front().Bytes.size();
+    Changes.pop_front();
+  }
+}
+
+std::vector<RelayedRecord> FeedLog::since(Offset From) const {
+  std::vector<RelayedRecord> Out;
+  for (const RelayedRecord &Each : Changes)
+    if (Each.At >= From)
+      Out.push_back(Each);
+  return Out;
+}
+
+std::vector<RelayedRecord> FeedLog::snapshot() const {
+  std::vector<RelayedRecord> Out;
+  for (const auto &[Key, Value] : Newest)
+    Out.push_back(Value);
+  return Out;
+}
+
+} // namespace coltsfoottrail
--- /dev/null
+++ b/packages/process/src/coltsfoottrail/dissemination/node.cpp
@@ -0,0 +1,131 @@
+#include "coltsfoottrail/dissemination/node.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace coltsfoottrail {
+
+namespace {
+
+/// What was never read counts as this old.
+constexpr milliseconds LongestStaleness = std::chrono::hours(1);
+
+} // namespace
+
+void TreeNode::ingest(Feed Which, const FeedPage &Page,
+                      std::span<const RoutingEffect> Effects, bool Whole,
+                      TimePoint AsOf) {
+  SharedFeed &Its = feed(Which);
+  if (Whole)
+    Its.Log.clear(Page.Next);
+  // Another host relayed to this one for a while. Its records are missing here,
+  // and a reporter that is served across the gap would never hear of them.
+  else if (Page.From != Its.Log.next())
+    Its.Log.restart(Page.From);
+  for (std::size_t Index = 0; Index < Page.Raw.size(); ++Index) {
+    if (Effects[Index] == RoutingEffect::None)
+      continue;
+    if (Whole)
+      Its.Log.keepNewest(Page.Raw[Index]);
+    else
+      Its.Log.add(Page.Raw[Index], Effects[Index]);
+  }
+  Its.Log.readTo(Page.Next);
+  // A page that does not reach the end proves nothing of what is behind it.
+  if (Page.Next >= Page.End)
+    Its.AsOf = std::max(Its.AsOf, AsOf);
+}
+
+void TreeNode::recordOwn(std::vector<EndpointLoad> Loads, TimePoint Now) {
+  Below.advance(Now);
+  Below.report(Self, std::move(Loads), Now);
+}
+
+void TreeNode::recordOutside(std::vector<EndpointLoad> Loads, TimePoint Now) {
+  Outside = std::move(Loads);
+  OutsideAt = Now;
+}
+
+void TreeNode::recordReport(const Report &From, TimePoint Now) {
+  Below.advance(Now);
+  Below.report(From.Host, From.Loads, Now, From.Hosts);
+}
+
+std::optional<HostName> TreeNode::assignRelay(const Report &From,
+                                              TimePoint Now) {
+  const auto Relay = Relays.assign(From, Below.hosts(Now), Now);
+  if (Relay)
+    Below.forget(From.Host);
+  return Relay;
+}
+
+std::size_t TreeNode::reporters(TimePoint Now) const {
+  const std::size_t All = Below.reporters(Now);
+  return All > 0 ? All - 1 : 0;
+}
+
+bool TreeNode::hasUpdate(const Report &From) const {
+  const auto HasChanges = [&](const auto &Entry) {
+    const FeedLog &Its = feed(Entry.first).Log;
+    return Its.isTruncated(Entry.second) || Its.hasSince(Entry.second);
+  };
+  const auto HasValues = [&](Feed Which) {
+    const FeedLog &Its = feed(Which).Log;
+    return Its.hasSnapshot() || Its.isTooLarge();
+  };
+  return std::any_of(From.Next.begin(), From.Next.end(), HasChanges) ||
+         std::any_of(From.Missing.begin(), From.Missing.end(), HasValues);
+}
+
+std::vector<EndpointLoad> TreeNode::loadsBeside(const HostName &Host,
+                                                TimePoint Now) const {
+  std::vector<EndpointLoad> Out = Below.others(Host, Now);
+  if (Now - OutsideAt >= LoadBoard::ReportLife || Outside.empty())
+    return Out;
+  std::map<std::uint64_t, RequestLoad> Sums;
+  for (const std::vector<EndpointLoad> *const Loads :
+       {&std::as_const(Out), &Outside})
+    for (const EndpointLoad &Each : *Loads)
+      Sums[Each.Endpoint] += Each.Load;
+  Out.clear();
+  for (const auto &[Endpoint, Load] : Sums)
+    Out.push_back({Endpoint, Load});
+  return Out;
+}
+
+Response TreeNode::respond(const Report &From, TimePoint Now) const {
+  Response Out;
+  Out.Hosts = Below.hosts(Now);
+  Out.Loads = loadsBeside(From.Host, Now);
+  const auto Update = [&](Feed Which, bool Snapshot) {
+    const SharedFeed &Its = feed(Which);
+    FeedUpdate Made;
+    Made.Snapshot = Snapshot;
+    Made.Next = Its.Log.next();
+    Made.Staleness = std::min(LongestStaleness,
+                              std::chrono::ceil<milliseconds>(Now - Its.AsOf));
+    return Made;
+  };
+  for (const auto &[Which, Next] : From.Next) {
+    const FeedLog &Log = feed(Which).Log;
+    if (Log.isTruncated(Next))
+      Out.Truncated.insert(Which);
+    if (!Log.covers(Next))
+      continue;
+    FeedUpdate Made = Update(Which, false);
+    Made.Records = Log.since(Next);
+    Out.Feeds.emplace(Which, std::move(Made));
+  }
+  for (const Feed Which : From.Missing) {
+    if (feed(Which).Log.isTooLarge())
+      Out.Truncated.insert(Which);
+    if (!feed(Which).Log.hasSnapshot())
+      continue;
+    FeedUpdate Made = Update(Which, true);
+    Made.Records = feed(Which).Log.snapshot();
+    Out.Feeds.emplace(Which, std::move(Made));
+  }
+  return Out;
+}
+
+} // namespace coltsfoottrail
--- a/packages/process/src/coltsfoottrail/fleethost/assemblydesk.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/assemblydesk.cpp
@@ -153,7 +153,7 @@
 }
 
 void AssemblyDesk::look(TimePoint Now, const asio::any_io_executor &On) {
-  if (!Term.mayAct(Now, View.endpointsAsOf()) || !View.config())
+  if (!Term.mayAct(Now, View.allEndpointsAsOf()) || !View.config())
     return;
   for (const ServiceProfile &Service : View.config()->config().Services) {
     if (!Service.Engine || Service.Engine->Models.empty())
--- a/packages/process/src/coltsfoottrail/fleethost/follower.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/follower.cpp
@@ -62,6 +62,30 @@
   CoveredUntil = std::max(CoveredUntil, Until);
 }
 
+void FeedFollower::adopt(Offset To, TimePoint Until) {
+  if (Next)
+    return;
+  Next = To;
+  CoveredUntil = Until;
+  hurry();
+}
+
+// Failure guarded against: an upstream says with each response that it cannot
+// relay the configuration, each of them cancels the read that was begun after
+// the last one, and the host never gets ready.
+void FeedFollower::endDeferral() {
+  if (CoveredUntil <= BootClock::now())
+    return;
+  CoveredUntil = TimePoint{};
+  hurry();
+}
+
+void FeedFollower::restart() {
+  Next.reset();
+  CoveredUntil = TimePoint{};
+  hurry();
+}
+
 void FeedFollower::fallBehind() {
   if (Behind || CoveredUntil <= BootClock::now())
     return;
@@ -106,7 +130,7 @@
   FeedPage &Page = std::get<FeedPage>(Answer);
   // Failure guarded against: this host was told of later records while it read,
   // and an endpoint that left and came back would be removed by the older ones.
-  if (!Whole && Next != From)
+  if (Next != From)
     co_return ReadEnd::Newest;
   Next = Page.Next;
   const bool More = Page.Next < Page.End;
--- a/packages/process/src/coltsfoottrail/fleethost/follower.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/follower.hpp
@@ -62,6 +62,18 @@
   /// @param To Where to read on.
   void cover(Offset To, TimePoint Until);
 
+  /// @brief Another host relayed the newest values: reading goes on behind
+  /// them, and not before a time. Ignored once the feed was read here.
+  void adopt(Offset To, TimePoint Until);
+
+  /// @brief Nothing is read before a time unless hurry() is called: another
+  /// host may relay the feed first.
+  void defer(TimePoint Until) noexcept { CoveredUntil = Until; }
+  /// @brief Ends a deferral. A read under way goes on.
+  void endDeferral();
+  /// @brief Reads the newest values again, now.
+  void restart();
+
   /// @brief Another host knows more than it can tell: what it told does not
   /// cover this host any longer, and the feed is read at once.
   void fallBehind();
--- a/packages/process/src/coltsfoottrail/fleethost/host.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/host.cpp
@@ -1,6 +1,7 @@
 #include "coltsfoottrail/fleethost/host.hpp"
 
 #include "coltsfoottrail/core/hash.hpp"
+#include "coltsfoottrail/core/random.hpp"
 #include "coltsfoottrail/fleethost/changelog.hpp"
 #include "coltsfoottrail/logging/log.hpp"
 #include "coltsfoottrail/retries/share.hpp"
@@ -30,7 +31,7 @@
 /// Reads of the endpoints' feed cost a call each. The driver of the groups
 /// reads more often: a lost member is replaced this much sooner.
 constexpr milliseconds DriverSpacing{150};
-/// Others read, and go by what the hub read, within this part of the time in
+/// Others read, or go by what was relayed, within this part of the time in
 /// which they must know that an endpoint leaves: a read that is lost and one
 /// more still fit in.
 constexpr double FollowerPart = 0.35;
@@ -54,14 +55,20 @@
 constexpr milliseconds EndpointsWait{100};
 /// Part of a core below which a host stands aside from driving the groups.
 constexpr double LeastDriverShare = 0.2;
-/// What the hub relayed stands in for own reads while it is no older than this:
-/// its read of the operators' feed is held back for OperatorsWait, and hosts
-/// must know of configurations within two seconds, one own read included.
+/// What an upstream relayed stands in for own reads while it is no older than
+/// this: the coordinator's read of the operators' feed is held back for
+/// OperatorsWait.
 constexpr milliseconds OperatorsCover{2'400};
-/// A hub that has relayed no endpoints for so long, while this host's own reads
-/// are answered, is asked for anew; less often while it stays the same.
-constexpr milliseconds UselessHubAfter{1'000};
-constexpr milliseconds LongestDoubtPause{8'000};
+/// An upstream that has relayed no endpoints for so long, while this host's own
+/// reads are answered, is abandoned; less often while that changes nothing.
+constexpr milliseconds UselessUpstreamAfter{1'000};
+constexpr milliseconds LongestAbandonPause{8'000};
+/// How long a host that does not coordinate waits for an upstream to relay the
+/// feeds before it reads them itself, and the spread over hosts that start
+/// together. There is no coordinator at first when all hosts are new.
+constexpr milliseconds RelayedStart{500};
+constexpr milliseconds RelayedFirstStart{3'000};
+constexpr milliseconds RelayedStartSpread{500};
 /// Beyond these a request waits in the caller instead.
 constexpr std::size_t MostWaiting = 256;
 constexpr std::size_t MostWaitingBytes = std::size_t{4} << 20U;
@@ -98,10 +105,10 @@
   return Out;
 }
 
-std::string memberName(const FleetSettings &Given) {
+std::string ownName(const FleetSettings &Given) {
   const auto Since = std::chrono::system_clock::now().time_since_epoch();
-  return dutyMemberName(Given.Peers,
-                        Given.Host.Text + "." + std::to_string(Since.count()));
+  return memberName(Given.Peers,
+                    Given.Host.Text + "." + std::to_string(Since.count()));
 }
 
 DutyRole dutyRole(const FleetSettings &Given) {
@@ -145,7 +152,7 @@
       Client(Pool.context(0), clientOptions()),
       Relay(View, Routing, Client, Links.Wire, Silence,
             hashText(Settings.Host.Text)),
-      Member(memberName(Settings)),
+      Member(ownName(Settings)),
       Desk(Links.Store, Links.Engines, View, Silence, Member, AssemblyTimes{},
            dutyRole(Settings)),
       Operators(Links.Store, Feed::Operators, operatorTimes(),
@@ -198,7 +205,9 @@
 
 void FleetHost::startFollowing() {
   Desk.onDuty([this](bool Holds) {
-    if (Holds)
+    if (Holds && !View.knowsAllEndpoints())
+      Endpoints.restart();
+    else if (Holds)
       Endpoints.hurry();
     Operators.beEager(Holds);
     Endpoints.beEager(Holds);
@@ -208,6 +217,7 @@
     MovingUntil = BootClock::now() + MoveTime;
     Endpoints.space(MovingSpacing);
   });
+  deferOwnReads();
   asio::io_context &Context = Threads.context(0);
   asio::co_spawn(Context, Operators.run(), asio::detached);
   asio::co_spawn(Context, Endpoints.run(), asio::detached);
@@ -226,93 +236,161 @@
   }
   const TimePoint Now = BootClock::now();
   logFeedChanges(Page, View, AskedAt, Now);
-  const std::vector<bool> Changed = View.take(Which, Page, Whole, AskedAt, Now);
-  Link.took(Which, Page, Changed, AskedAt);
+  const std::vector<RoutingEffect> Effects =
+      View.take(Which, Page, Whole, AskedAt, Now);
+  share(Which, Page, Effects, Whole, AskedAt);
   refreshRoutes();
   Desk.lookNow();
 }
 
-HubLinkHooks FleetHost::linkHooks() {
-  HubLinkHooks Out;
-  Out.Drives = [this] { return Desk.held(); };
-  Out.Report = [this] { return ownReport(); };
-  Out.Take = [this](const HostReport &Asked, HubAnswer Answer,
-                    TimePoint SentAt) {
-    heardHub(Asked, std::move(Answer), SentAt);
+// Without a configuration engines cannot be told from plain services, and all
+// of them would be relayed: the endpoints are shared from the next whole read.
+void FleetHost::share(Feed Which, const FeedPage &Page,
+                      std::span<const RoutingEffect> Effects, bool Whole,
+                      TimePoint AsOf) {
+  if (Which == Feed::Endpoints && !View.config()) {
+    EndpointsUnsorted = true;
+    return;
+  }
+  if (Which == Feed::Endpoints && Whole)
+    EndpointsUnsorted = false;
+  if (Which == Feed::Operators && View.config() && EndpointsUnsorted)
+    Endpoints.restart();
+  if (Which == Feed::Operators || !EndpointsUnsorted)
+    Link.ingest(Which, Page, Effects, Whole, AsOf);
+}
+
+// Failure guarded against: hundreds of hosts start together and read the whole
+// fleet from the store, one megabyte each. Hosts that take part in coordination
+// read at once, the others give an upstream time to relay the feeds.
+void FleetHost::deferOwnReads() {
+  if (dutyRole(Settings) == DutyRole::Candidate)
+    return;
+  const milliseconds Usual =
+      Settings.FirstStart ? RelayedFirstStart : RelayedStart;
+  Random Draw(hashText(Member));
+  const auto Spread = std::chrono::duration_cast<milliseconds>(
+      RelayedStartSpread * Draw.fraction());
+  const TimePoint Until = BootClock::now() + Usual + Spread;
+  Operators.defer(Until);
+  Endpoints.defer(Until);
+}
+
+TreeLinkHooks FleetHost::linkHooks() {
+  TreeLinkHooks Out;
+  Out.Coordinates = [this] { return Desk.held(); };
+  Out.MakeReport = [this] { return ownReport(); };
+  Out.Apply = [this](const Report &Sent, Response Answer, TimePoint SentAt) {
+    applyResponse(Sent, std::move(Answer), SentAt);
   };
-  Out.Silent = [this](const std::string &Endpoint) {
+  Out.Stalled = [this](const std::string &Endpoint) {
     Desk.askAbout(Endpoint, Threads.context(0).get_executor());
   };
   return Out;
 }
 
-HostReport FleetHost::ownReport() const {
-  HostReport Out;
-  Out.Host = HostName(Member);
+Report FleetHost::ownReport() const {
+  Report Out;
+  Out.DataCentre = Settings.DataCentre;
+  Out.CanRelay = dutyRole(Settings) == DutyRole::Candidate;
   Out.Loads = Routing.ownLoads();
-  if (Operators.next() && !Operators.isBehind())
-    Out.Next[Feed::Operators] = *Operators.next();
-  if (Endpoints.next() && !Endpoints.isBehind())
-    Out.Next[Feed::Endpoints] = *Endpoints.next();
+  const auto Describe = [&Out](Feed Which, const FeedFollower &Its) {
+    if (!Its.next())
+      Out.Missing.insert(Which);
+    else if (!Its.isBehind())
+      Out.Next[Which] = *Its.next();
+  };
+  Describe(Feed::Operators, Operators);
+  Describe(Feed::Endpoints, Endpoints);
   return Out;
 }
 
-void FleetHost::heardHub(const HostReport &Asked, HubAnswer Answer,
-                         TimePoint SentAt) {
-  if (Answer.Drives)
+void FleetHost::applyResponse(const Report &Sent, Response Answer,
+                              TimePoint SentAt) {
+  if (Answer.CoordinatorHeard)
     Desk.heardHolder(BootClock::now());
   Routing.shareLoads(Answer.Loads);
-  for (const auto &[Which, Told] : Answer.Feeds)
-    takeRelayed(Which, Asked.Next.at(Which), Told, SentAt);
-  for (const Feed Which : Answer.Beyond)
-    if (follower(Which).next() == Asked.Next.at(Which))
-      follower(Which).fallBehind();
-  doubtHub(BootClock::now());
-}
-
-// Failure guarded against: the hub alone is cut off from the store, another
-// host has the duty by now, and seventy hosts read the store by themselves for
-// as long as the old hub answers: 1,200 paid calls in six seconds. The old hub
-// relays nothing to hosts that know more than it does.
-void FleetHost::doubtHub(TimePoint Now) {
-  const bool Useless = StoreAnswers && Now - RelayedAt > UselessHubAfter;
+  for (const auto &[Which, Update] : Answer.Feeds) {
+    const auto Next = Sent.Next.find(Which);
+    applyUpdate(Which,
+                Next == Sent.Next.end() ? std::nullopt
+                                        : std::optional<Offset>(Next->second),
+                Update, SentAt);
+  }
+  for (const Feed Which : Answer.Truncated)
+    readTruncated(Which, Sent);
+  watchUpstream(BootClock::now());
+}
+
+/// The upstream no longer has what this host lacks.
+void FleetHost::readTruncated(Feed Which, const Report &Sent) {
+  FeedFollower &Its = follower(Which);
+  const auto Next = Sent.Next.find(Which);
+  if (Next == Sent.Next.end()) {
+    if (!Its.next())
+      Its.endDeferral();
+  } else if (Its.next() == Next->second)
+    Its.fallBehind();
+}
+
+// Failure guarded against: the coordinator alone is cut off from the store,
+// another host coordinates by now, and all hosts read the store by themselves
+// for as long as the old coordinator answers. It relays nothing to hosts that
+// know more than it does.
+void FleetHost::watchUpstream(TimePoint Now) {
+  const bool Useless = StoreAnswers && Now - RelayedAt > UselessUpstreamAfter;
   if (!Useless) {
-    DoubtPause = UselessHubAfter;
+    AbandonPause = UselessUpstreamAfter;
     return;
   }
-  if (Now < DoubtAgainAt)
+  if (Now < AbandonAgainAt)
     return;
-  Link.doubt();
-  DoubtAgainAt = Now + DoubtPause;
-  DoubtPause = std::min(2 * DoubtPause, LongestDoubtPause);
+  Link.abandonUpstream();
+  AbandonAgainAt = Now + AbandonPause;
+  AbandonPause = std::min(2 * AbandonPause, LongestAbandonPause);
 }
 
-// The hub asked the store Age before it answered, and it answered after this
-// host's report had left: what it relays is at least as new as SentAt - Age,
-// by this host's clock alone.
-void FleetHost::takeRelayed(Feed Which, Offset From, const RelayedFeed &Told,
-                            TimePoint SentAt) {
+FeedPage FleetHost::decodeUpdate(Feed Which, std::optional<Offset> From,
+                                 const FeedUpdate &Update) const {
+  FeedPage Out;
+  Out.From = From.value_or(Update.Next);
+  Out.Next = Update.Next;
+  Out.End = Update.Next;
+  Out.Projected = true;
+  for (const RelayedRecord &Each : Update.Records)
+    if (auto Decoded = Platform.Store.decode(Which, Each.Bytes)) {
+      Out.Changes.push_back(std::move(Decoded->Change));
+      Out.Raw.push_back({Each.At, std::move(Decoded->Key), Each.Bytes});
+    }
+  return Out;
+}
+
+// The store was read at least Staleness before the response left, and the
+// response left after this host's report: what it relays is at least as new as
+// SentAt - Staleness, by this host's clock alone.
+void FleetHost::applyUpdate(Feed Which, std::optional<Offset> From,
+                            const FeedUpdate &Update, TimePoint SentAt) {
   FeedFollower &Its = follower(Which);
-  if (Its.next() != From)
+  if (Its.next() != From || Update.Snapshot == From.has_value())
     return;
-  const TimePoint AsOf = SentAt - Told.Age;
+  const TimePoint AsOf = SentAt - Update.Staleness;
   const TimePoint CoveredUntil =
       AsOf +
       (Which == Feed::Operators ? OperatorsCover : followerSpacing(Settings));
-  if (CoveredUntil <= BootClock::now())
+  const TimePoint Now = BootClock::now();
+  if (CoveredUntil <= Now)
     return;
   if (Which == Feed::Endpoints)
-    RelayedAt = BootClock::now();
-  FeedPage Page;
-  Page.Next = Told.Next;
-  Page.End = Told.Next;
-  for (const std::string &Each : Told.Records)
-    if (auto Change = Platform.Store.decode(Which, Each))
-      Page.Changes.push_back(std::move(*Change));
-  Its.cover(Told.Next, CoveredUntil);
-  const TimePoint Now = BootClock::now();
+    RelayedAt = Now;
+  const FeedPage Page = decodeUpdate(Which, From, Update);
+  if (Update.Snapshot)
+    Its.adopt(Update.Next, CoveredUntil);
+  else
+    Its.cover(Update.Next, CoveredUntil);
   logFeedChanges(Page, View, AsOf, Now);
-  (void)View.take(Which, std::move(Page), false, AsOf, Now);
+  const std::vector<RoutingEffect> Effects =
+      View.take(Which, Page, Update.Snapshot, AsOf, Now);
+  share(Which, Page, Effects, Update.Snapshot, AsOf);
   refreshRoutes();
 }
 
@@ -388,7 +466,7 @@
     if (Desk.holds(Now))
       Desk.askAbout(Name, Context.get_executor());
     else if (Suspected.insert_or_assign(Name, Now).second)
-      asio::co_spawn(Context, Link.tellSilent(Name), asio::detached);
+      asio::co_spawn(Context, Link.reportStall(Name), asio::detached);
   }
   std::erase_if(Suspected, [&](const auto &Entry) {
     return Now - Entry.second > SuspectAgainAfter;
--- a/packages/process/src/coltsfoottrail/fleethost/host.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/host.hpp
@@ -6,12 +6,12 @@
 #include "coltsfoottrail/boundary/engines.hpp"
 #include "coltsfoottrail/boundary/store.hpp"
 #include "coltsfoottrail/boundary/wire.hpp"
+#include "coltsfoottrail/dissemination/link.hpp"
 #include "coltsfoottrail/fleethost/assemblydesk.hpp"
 #include "coltsfoottrail/fleethost/follower.hpp"
 #include "coltsfoottrail/fleethost/relay.hpp"
 #include "coltsfoottrail/fleethost/settings.hpp"
 #include "coltsfoottrail/fleethost/view.hpp"
-#include "coltsfoottrail/hub/link.hpp"
 
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
@@ -65,12 +65,19 @@
   void startFollowing();
   void took(Feed Which, FeedPage Page, bool Whole, TimePoint AskedAt);
   void readFailed(Feed Which);
-  [[nodiscard]] HubLinkHooks linkHooks();
-  [[nodiscard]] HostReport ownReport() const;
-  void heardHub(const HostReport &Asked, HubAnswer Answer, TimePoint SentAt);
-  void takeRelayed(Feed Which, Offset From, const RelayedFeed &Told,
-                   TimePoint SentAt);
-  void doubtHub(TimePoint Now);
+  void share(Feed Which, const FeedPage &Page,
+             std::span<const RoutingEffect> Effects, bool Whole,
+             TimePoint AsOf);
+  void deferOwnReads();
+  [[nodiscard]] TreeLinkHooks linkHooks();
+  [[nodiscard]] Report ownReport() const;
+  void applyResponse(const Report &Sent, Response Answer, TimePoint SentAt);
+  void applyUpdate(Feed Which, std::optional<Offset> From,
+                   const FeedUpdate &Update, TimePoint SentAt);
+  [[nodiscard]] FeedPage decodeUpdate(Feed Which, std::optional<Offset> From,
+                                      const FeedUpdate &Update) const;
+  void readTruncated(Feed Which, const Report &Sent);
+  void watchUpstream(TimePoint Now);
   [[nodiscard]] FeedFollower &follower(Feed Which) {
     return Which == Feed::Operators ? Operators : Endpoints;
   }
@@ -112,12 +119,15 @@
   /// Version whose limits on callers are in force.
   std::uint64_t LimitedVersion = 0;
   bool StoreAnswers = true;
-  /// When the hub last relayed endpoints that were new enough to go by.
+  /// When the upstream last relayed endpoints that were new enough to go by.
   TimePoint RelayedAt = BootClock::now();
-  TimePoint DoubtAgainAt{};
-  milliseconds DoubtPause{0};
+  TimePoint AbandonAgainAt{};
+  milliseconds AbandonPause{0};
+  /// Endpoints were read before the configuration that tells engines from plain
+  /// services.
+  bool EndpointsUnsorted = false;
   bool Stopping = false;
-  HubLink Link;
+  TreeLink Link;
   std::optional<HttpServer> Front;
   std::optional<HttpServer> Readiness;
   std::optional<HttpServer> MetricsServer;
--- a/packages/process/src/coltsfoottrail/fleethost/settings.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/settings.cpp
@@ -69,6 +69,7 @@
   Out.Store = socketAddress(Reader, "store");
   Out.ProcessorShare =
       Reader.realOr("processor_share", Out.ProcessorShare, 0.0, MostCores);
+  Out.FirstStart = Reader.flagOr("first_start", false);
   if (Reader.has("metrics"))
     Out.Metrics = socketAddress(Reader, "metrics");
   if (Reader.has("bounds"))
--- a/packages/process/src/coltsfoottrail/fleethost/settings.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/settings.hpp
@@ -44,6 +44,8 @@
   /// Where other entry hosts reach this one.
   SocketAddress Peers;
   SocketAddress Store;
+  /// Whether all hosts of the system start for the first time.
+  bool FirstStart = false;
   /// Part of a processor core that this host may use.
   double ProcessorShare = 1.0;
   FleetBounds Bounds;
--- a/packages/process/src/coltsfoottrail/fleethost/view.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/view.cpp
@@ -35,18 +35,19 @@
                        : "model/" + Service.Text + "/" + Model.Text;
 }
 
-std::vector<bool> FleetView::take(Feed Which, FeedPage Page, bool Whole,
-                                  TimePoint AskedAt, TimePoint Now) {
+std::vector<RoutingEffect> FleetView::take(Feed Which, FeedPage Page,
+                                           bool Whole, TimePoint AskedAt,
+                                           TimePoint Now) {
   if (Which == Feed::Endpoints)
     noteRead(Now);
   if (Whole && Which == Feed::Endpoints)
     retainEndpoints(Page, Now);
   if (Whole && Which == Feed::Operators)
     retainDrains(Page, Now);
-  std::vector<bool> Changed;
-  Changed.reserve(Page.Changes.size());
+  std::vector<RoutingEffect> Effects;
+  Effects.reserve(Page.Changes.size());
   for (FleetChange &Change : Page.Changes)
-    Changed.push_back(applyOne(Change, Now));
+    Effects.push_back(effectOf(Change, Whole, Now));
   if (Which == Feed::Operators) {
     // Failure guarded against: an overloaded store hands the feed out in parts,
     // this host stays some versions behind while each part is answered, and it
@@ -54,12 +55,46 @@
     // Only a read that reached the end proves anything.
     if (Page.Next >= Page.End)
       ConfigAsOf = std::max(ConfigAsOf, AskedAt);
-    return Changed;
+    return Effects;
   }
   EndpointsKnown = true;
+  KnowsAllEndpoints = !Page.Projected && (Whole || KnowsAllEndpoints);
   if (Page.Next >= Page.End)
     EndpointsAsOf = std::max(EndpointsAsOf, AskedAt);
-  return Changed;
+  return Effects;
+}
+
+/// Whether a host that only routes needs the record of an endpoint.
+bool FleetView::isRoutable(const EndpointName &Which) const {
+  const KnownEndpoint *const Known = Catalogue.find(Which);
+  if (Known == nullptr)
+    return false;
+  const ServiceProfile *const Service =
+      Index ? Index->service(Known->Record.Service) : nullptr;
+  return Service == nullptr || !Service->Engine || Known->Record.leads();
+}
+
+RoutingEffect FleetView::effectOf(FleetChange &Change, bool Whole,
+                                  TimePoint Now) {
+  const auto OfEndpoint = [&](const EndpointName &Name) {
+    const bool Before = isRoutable(Name);
+    const bool Changed = applyOne(Change, Now);
+    const bool After = isRoutable(Name);
+    if (After)
+      return Changed || Whole ? RoutingEffect::Set : RoutingEffect::None;
+    return Before ? RoutingEffect::Unset : RoutingEffect::None;
+  };
+  if (const auto *const One = std::get_if<EndpointPublished>(&Change))
+    return OfEndpoint(EndpointName(One->Record.Name));
+  if (const auto *const One = std::get_if<EndpointRemoved>(&Change)) {
+    const bool Before = isRoutable(One->Name);
+    (void)applyOne(Change, Now);
+    return Before ? RoutingEffect::Unset : RoutingEffect::None;
+  }
+  const bool Returned = std::holds_alternative<DataCentreReturned>(Change);
+  if (!applyOne(Change, Now) && !Whole)
+    return RoutingEffect::None;
+  return Returned ? RoutingEffect::Unset : RoutingEffect::Set;
 }
 
 // Failure guarded against: single reads fail, removals are held back after each
--- a/packages/process/src/coltsfoottrail/fleethost/view.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/view.hpp
@@ -49,9 +49,9 @@
   /// @param Whole Whether it holds the newest value of every key.
   /// @param AskedAt When the question left this host: the page is at least as
   /// new.
-  /// @return For each change, whether it changed a belief.
-  std::vector<bool> take(Feed Which, FeedPage Page, bool Whole,
-                         TimePoint AskedAt, TimePoint Now);
+  /// @return For each change, what it means to routing.
+  std::vector<RoutingEffect> take(Feed Which, FeedPage Page, bool Whole,
+                                  TimePoint AskedAt, TimePoint Now);
   /// @brief An endpoint's streams fell silent: it gets nothing new for a while,
   /// or until its record changes.
   void shun(const EndpointName &Which, TimePoint Now);
@@ -73,9 +73,15 @@
   [[nodiscard]] const EndpointCatalogue &endpoints() const noexcept {
     return Catalogue;
   }
-  /// @brief When the store was asked for what is known of the endpoints.
-  [[nodiscard]] TimePoint endpointsAsOf() const noexcept {
-    return EndpointsAsOf;
+  /// @brief When the store was asked for the records of all endpoints; the
+  /// beginning of time while only those are known that matter to routing.
+  [[nodiscard]] TimePoint allEndpointsAsOf() const noexcept {
+    return KnowsAllEndpoints ? EndpointsAsOf : TimePoint{};
+  }
+  /// @brief Whether the records of all endpoints are known, as far as they have
+  /// been read.
+  [[nodiscard]] bool knowsAllEndpoints() const noexcept {
+    return KnowsAllEndpoints;
   }
   /// @brief Data centres that get no new work.
   [[nodiscard]] const std::set<DataCentreName> &drained() const noexcept {
@@ -120,6 +126,9 @@
 
 private:
   bool apply(ConfigPublished Change);
+  [[nodiscard]] RoutingEffect effectOf(FleetChange &Change, bool Whole,
+                                       TimePoint Now);
+  [[nodiscard]] bool isRoutable(const EndpointName &Which) const;
   void noteRead(TimePoint Now);
   [[nodiscard]] bool applyOne(FleetChange &Change, TimePoint Now);
   void retainEndpoints(const FeedPage &Page, TimePoint Now);
@@ -136,6 +145,7 @@
   std::map<DataCentreName, TimePoint> Returned;
   TimePoint ConfigAsOf{};
   bool EndpointsKnown = false;
+  bool KnowsAllEndpoints = false;
   TimePoint EndpointsAsOf{};
   std::uint64_t Changes = 0;
   std::map<EndpointName, TimePoint> Shunned;
--- a/packages/process/src/coltsfoottrail/logging/event.cpp
+++ b/packages/process/src/coltsfoottrail/logging/event.cpp
@@ -53,6 +53,11 @@
      "The connection to another entry host ended."},
     {Event::PeerRefused, LogLevel::Warn, "peer-refused",
      "A connection between entry hosts was refused."},
+    {Event::RelayAssigned, LogLevel::Info, "relay-assigned",
+     "This host reports to a relay of its data centre from now on."},
+    {Event::RelayLeft, LogLevel::Warn, "relay-left",
+     "The relay of this host failed or relayed nothing new; it reports to the "
+     "coordinator."},
     {Event::RequestRefused, LogLevel::Info, "request-refused",
      "A request was refused (sampled; the metrics count all)."},
     {Event::RequestQuarantined, LogLevel::Warn, "request-quarantined",
--- a/packages/process/src/coltsfoottrail/logging/event.hpp
+++ b/packages/process/src/coltsfoottrail/logging/event.hpp
@@ -36,6 +36,8 @@
   PeerConnected = 1201,
   PeerLost = 1202,
   PeerRefused = 1203,
+  RelayAssigned = 1210,
+  RelayLeft = 1211,
   RequestRefused = 1301,
   RequestQuarantined = 1302,
   ClaimUnavailable = 1303,
--- a/packages/process/test/coltsfoottrail/hub/pace.cpp
+++ b/packages/process/test/coltsfoottrail/dissemination/pace.cpp
@@ -1,18 +1,18 @@
-#include "coltsfoottrail/hub/pace.hpp"
+#include "coltsfoottrail/dissemination/pace.hpp"
 
 #include <gtest/gtest.h>
 
 namespace coltsfoottrail {
 namespace {
 
-TEST(ReportPace, FewHostsTellOftenManyLessOften) {
+TEST(ReportPace, FewHostsReportOftenManyLessOften) {
   EXPECT_EQ(reportPace(8), ShortestReportPace);
   EXPECT_LT(reportPace(71), reportPace(90));
   EXPECT_EQ(reportPace(1'000), LongestReportPace);
 }
 
-// The hub's answers a second stop growing with the number of hosts.
-TEST(ReportPace, TheHubAnswersABoundedNumberASecond) {
+// Guards against responses per second that grow with the number of hosts.
+TEST(ReportPace, ResponsesPerSecondAreBounded) {
   constexpr double MostPerSecond = 600.0;
   for (const std::size_t Hosts : {8U, 36U, 71U, 90U, 140U}) {
     const double Seconds =
--- /dev/null
+++ b/packages/process/test/coltsfoottrail/dissemination/simulation.cpp
@@ -0,0 +1,157 @@
+#include "simulation.hpp"
+
+#include <gtest/gtest.h>
+
+namespace coltsfoottrail::test {
+
+namespace {
+
+/// A configuration has to be in force within four seconds; hosts go by what was
+/// relayed for less than that.
+constexpr Duration StalenessBound = milliseconds(2'400);
+/// Part of a call for a host and second that the store's price allows.
+constexpr double CallsPerHost = 0.1;
+
+class Dissemination : public ::testing::TestWithParam<std::size_t> {
+protected:
+  Dissemination() {
+    Shape.Hosts = GetParam();
+    Fleet.emplace(Shape);
+    Fleet->publishVersion();
+    Fleet->publishEndpoints(1'000, 10);
+  }
+  void settle() {
+    Fleet->run(seconds(6));
+    (void)Fleet->takeStoreCalls();
+    (void)Fleet->takeMostBytes();
+  }
+  void expectAllFresh() {
+    EXPECT_EQ(Fleet->fresh(StalenessBound), Fleet->running());
+    EXPECT_EQ(Fleet->violations(), 0U);
+  }
+
+  FleetShape Shape;
+  std::optional<FleetSimulation> Fleet;
+};
+
+TEST_P(Dissemination, ColdStartIsReadyInThreeSeconds) {
+  Fleet->run(seconds(3));
+  expectAllFresh();
+  EXPECT_LE(Fleet->takeStoreCalls(), 6 * Shape.Hosts);
+}
+
+TEST_P(Dissemination, StoreCallsDoNotGrowWithHosts) {
+  settle();
+  constexpr int Span = 10;
+  Fleet->run(seconds(Span));
+  const double Reads =
+      2 * Span / 0.15 + CallsPerHost * double(Shape.Hosts) * Span;
+  EXPECT_LE(double(Fleet->takeStoreCalls()), Reads);
+  EXPECT_LE(Fleet->mostReporters(), RelayAssignment::MostReporters + 8);
+  expectAllFresh();
+}
+
+// Guards against a configuration that waits behind a storm of endpoint records.
+TEST_P(Dissemination, ConfigurationOvertakesAStormOfRecords) {
+  settle();
+  for (int Round = 0; Round < 20; ++Round) {
+    Fleet->publishEndpoints(80, 10);
+    Fleet->run(milliseconds(50));
+  }
+  Fleet->publishVersion();
+  Fleet->publishEndpoints(600, 10);
+  Fleet->run(seconds(1));
+  EXPECT_EQ(Fleet->withVersion(2), Fleet->running());
+  expectAllFresh();
+}
+
+TEST_P(Dissemination, LossOfAllRelaysIsRepaired) {
+  settle();
+  for (const std::size_t Each : Fleet->relays())
+    Fleet->kill(Each);
+  Fleet->publishVersion();
+  Fleet->run(seconds(4));
+  EXPECT_EQ(Fleet->withVersion(2), Fleet->running());
+  expectAllFresh();
+}
+
+// Guards against hosts that go by what a frozen relay knew before it slept.
+TEST_P(Dissemination, FrozenRelayWakesWithOldState) {
+  settle();
+  const std::vector<std::size_t> Relays = Fleet->relays();
+  if (Relays.empty())
+    GTEST_SKIP() << "a small fleet has no relays";
+  Fleet->freeze(Relays.front(), true);
+  Fleet->run(seconds(2));
+  Fleet->publishVersion();
+  Fleet->run(seconds(2));
+  Fleet->freeze(Relays.front(), false);
+  Fleet->run(seconds(3));
+  EXPECT_EQ(Fleet->withVersion(2), Fleet->running());
+  expectAllFresh();
+}
+
+TEST_P(Dissemination, CoordinatorThatDiesIsReplaced) {
+  settle();
+  Fleet->kill(*Fleet->coordinator());
+  Fleet->run(milliseconds(500));
+  Fleet->publishVersion();
+  Fleet->run(seconds(4));
+  EXPECT_EQ(Fleet->withVersion(2), Fleet->running());
+  expectAllFresh();
+}
+
+// Guards against a host whose reports reach its relay while no response comes
+// back.
+TEST_P(Dissemination, CutOneWayMovesTheHost) {
+  settle();
+  const std::vector<std::size_t> Relays = Fleet->relays();
+  if (Relays.empty())
+    GTEST_SKIP() << "a small fleet has no relays";
+  for (std::size_t Index = 0; Index < Shape.Hosts; ++Index)
+    if (Index != *Fleet->coordinator())
+      Fleet->cut(Relays.front(), Index);
+  Fleet->run(seconds(2));
+  Fleet->publishVersion();
+  Fleet->run(seconds(3));
+  EXPECT_EQ(Fleet->withVersion(2), Fleet->running());
+  expectAllFresh();
+}
+
+TEST_P(Dissemination, ReturnOfTheStoreIsNoStorm) {
+  settle();
+  Fleet->setStoreAway(true);
+  Fleet->run(seconds(8));
+  Fleet->setStoreAway(false);
+  (void)Fleet->takeStoreCalls();
+  Fleet->publishVersion();
+  Fleet->run(milliseconds(1'500));
+  EXPECT_EQ(Fleet->withVersion(2), Fleet->running());
+  EXPECT_LE(Fleet->takeStoreCalls(), 6 * Shape.Hosts);
+  expectAllFresh();
+}
+
+TEST_P(Dissemination, AllHostsRestartTogether) {
+  settle();
+  for (std::size_t Index = 0; Index < Shape.Hosts; ++Index)
+    Fleet->restart(Index);
+  Fleet->run(seconds(3));
+  expectAllFresh();
+}
+
+// A host that relays to others has a link of 20 to 200 Mbit/s.
+TEST_P(Dissemination, BusiestHostSendsLittle) {
+  settle();
+  constexpr std::size_t Span = 5;
+  constexpr std::size_t MostBytesPerSecond = 3'000'000;
+  Fleet->publishEndpoints(500, 10);
+  Fleet->run(seconds(Span));
+  EXPECT_LE(Fleet->takeMostBytes(), Span * MostBytesPerSecond);
+}
+
+INSTANTIATE_TEST_SUITE_P(Fleets, Dissemination,
+                         ::testing::Values(30U, 300U, 1'000U));
+
+} // namespace
+
+} // namespace coltsfoottrail::test
--- a/packages/process/test/coltsfoottrail/fleethost/follower.cpp
+++ b/packages/process/test/coltsfoottrail/fleethost/follower.cpp
@@ -21,7 +21,7 @@
   MOCK_METHOD(Awaitable<FeedAnswer>, newest, (Feed), (override));
   MOCK_METHOD(Awaitable<FeedAnswer>, read, (Feed, Offset, milliseconds),
               (override));
-  MOCK_METHOD(std::optional<FleetChange>, decode, (Feed, std::string_view),
+  MOCK_METHOD(std::optional<DecodedRecord>, decode, (Feed, std::string_view),
               (const, override));
   MOCK_METHOD((Awaitable<std::variant<DutyGrant, StoreFailure>>), joinDuty,
               (DutyAsk), (override));
@@ -156,6 +156,56 @@
   EXPECT_FALSE(Followed->isBehind());
 }
 
+/// A read that takes longer than the pause between two responses.
+Awaitable<FeedAnswer> answeredLate(Offset Next) {
+  boost::asio::steady_timer Late(co_await boost::asio::this_coro::executor,
+                                 milliseconds(60));
+  co_await Late.async_wait(boost::asio::use_awaitable);
+  FeedPage Out;
+  Out.Next = Next;
+  Out.End = Next;
+  co_return Out;
+}
+
+// Guards against a first read that is given up and made again for each response
+// of an upstream that cannot relay a large configuration.
+TEST_F(Follower, DeferralThatEndsTwiceIsOneRead) {
+  EXPECT_CALL(Store, newest).WillOnce([] { return answeredLate(4); });
+  Times.Spacing = seconds(60);
+  Followed.emplace(Store, Feed::Endpoints, Times,
+                   FollowHooks{[this](FeedPage Page, bool, TimePoint) {
+                                 Taken.push_back(Page.Next);
+                               },
+                               [this](StoreFailure) { ++Failures; }});
+  Followed->defer(BootClock::now() + seconds(60));
+  boost::asio::co_spawn(Context, Followed->run(), boost::asio::detached);
+  Context.run_for(milliseconds(10));
+  for (int Response = 0; Response < 8; ++Response) {
+    Followed->endDeferral();
+    Context.run_for(milliseconds(20));
+  }
+  EXPECT_EQ(Taken, std::vector<Offset>{4});
+}
+
+TEST_F(Follower, RelayedValuesTakeThePlaceOfTheFirstRead) {
+  EXPECT_CALL(Store, newest).Times(0);
+  EXPECT_CALL(Store, read(Feed::Endpoints, Offset{9}, ::testing::_))
+      .WillOnce([] { return page(9, 9); });
+  Followed.emplace(Store, Feed::Endpoints, Times,
+                   FollowHooks{[this](FeedPage Page, bool, TimePoint) {
+                                 Taken.push_back(Page.Next);
+                               },
+                               [this](StoreFailure) { ++Failures; }});
+  Followed->defer(BootClock::now() + seconds(60));
+  boost::asio::co_spawn(Context, Followed->run(), boost::asio::detached);
+  Context.run_for(milliseconds(10));
+  Followed->adopt(9, BootClock::now() + milliseconds(50));
+  Context.run_for(milliseconds(20));
+  EXPECT_TRUE(Taken.empty());
+  Context.run_for(milliseconds(80));
+  EXPECT_EQ(Taken, std::vector<Offset>{9});
+}
+
 } // namespace
 
 } // namespace coltsfoottrail
--- a/packages/request/src/coltsfoottrail/loadshare/board.hpp
+++ b/packages/request/src/coltsfoottrail/loadshare/board.hpp
@@ -1,5 +1,5 @@
 /// @file
-/// What all entry hosts have at the endpoints, gathered at one of them.
+/// Sums of the requests that entry hosts have at the endpoints.
 #ifndef COLTSFOOTTRAIL_LOADSHARE_BOARD_HPP
 #define COLTSFOOTTRAIL_LOADSHARE_BOARD_HPP
 
@@ -8,45 +8,64 @@
 #include "coltsfoottrail/loadshare/loads.hpp"
 
 #include <map>
+#include <span>
 #include <vector>
 
 namespace coltsfoottrail {
 
-/// @brief Sums up hosts' own loads. Pure; not thread-safe; times must not go
-/// back.
+/// @brief Sums of the loads that hosts report, kept up to date with each
+/// report. Pure; not thread-safe; times must not go back.
 ///
-/// Load answered: seven to nine hosts place requests on the same few leaders,
-/// and each knows of the others only by an endpoint's report with its last
-/// answer, half a second old and missing where a host has no answer. Under
-/// overload leaders stand at 15 of 26 places while callers are refused.
+/// A reporter may stand for several hosts: then its loads are the sums of
+/// theirs. Reading a sum costs time in proportion to the endpoints, whatever
+/// the number of reporters.
 class LoadBoard {
 public:
-  /// A host that has not told its loads for so long is not counted: it is gone,
-  /// or frozen, and its requests end. Several times the pace of the reports.
+  /// A reporter that has been silent for so long is not counted: it is gone or
+  /// frozen, and its requests end. Several times the pace of the reports.
   static constexpr Duration ReportLife = milliseconds(1'000);
 
-  /// @brief Takes a host's own loads in place of its last ones.
-  /// @param Host Tells one run of a host from another.
+  /// @brief Replaces a reporter's loads.
+  /// @param Host Identifies one run of a host.
+  /// @param Loads Requests at endpoints.
+  /// @param HostCount Hosts that the loads stand for.
   void report(const HostName &Host, std::vector<EndpointLoad> Loads,
-              TimePoint Now);
+              TimePoint Now, std::size_t HostCount = 1);
 
-  /// @brief What all hosts but one have at the endpoints.
+  /// @brief Removes a reporter, which reports elsewhere from now on.
+  void forget(const HostName &Host);
+
+  /// @brief Sums over all reporters.
+  [[nodiscard]] std::vector<EndpointLoad> total(TimePoint Now) const;
+  /// @brief Sums over all reporters but one.
   [[nodiscard]] std::vector<EndpointLoad> others(const HostName &Asking,
                                                  TimePoint Now) const;
 
-  /// @brief Hosts that told their loads lately.
+  /// @brief Hosts that the current reports stand for.
   [[nodiscard]] std::size_t hosts(TimePoint Now) const;
+  /// @brief Current reporters.
+  [[nodiscard]] std::size_t reporters(TimePoint Now) const;
 
-  /// @brief Forgets hosts that have fallen silent.
+  /// @brief Removes reporters that have been silent for too long.
   void advance(TimePoint Now);
 
 private:
-  struct Told {
+  struct Entry {
     std::vector<EndpointLoad> Loads;
+    std::size_t HostCount = 1;
     TimePoint At;
   };
 
-  std::map<HostName, Told> Hosts;
+  [[nodiscard]] static bool isCurrent(const Entry &Of, TimePoint Now) noexcept {
+    return Now - Of.At < ReportLife;
+  }
+  void add(std::span<const EndpointLoad> Loads);
+  void subtract(std::span<const EndpointLoad> Loads);
+  [[nodiscard]] std::vector<EndpointLoad> sumWithout(const HostName *Left,
+                                                     TimePoint Now) const;
+
+  std::map<HostName, Entry> Entries;
+  std::map<std::uint64_t, RequestLoad> Sums;
 };
 
 } // namespace coltsfoottrail
--- a/packages/request/src/coltsfoottrail/loadshare/loads.hpp
+++ b/packages/request/src/coltsfoottrail/loadshare/loads.hpp
@@ -28,6 +28,14 @@
     UnreadTokens += Other.UnreadTokens;
     return *this;
   }
+  /// @brief Precondition: Other is a part of this sum.
+  RequestLoad &operator-=(const RequestLoad &Other) noexcept {
+    Running -= Other.Running;
+    Fresh -= Other.Fresh;
+    Late -= Other.Late;
+    UnreadTokens -= Other.UnreadTokens;
+    return *this;
+  }
   [[nodiscard]] friend bool operator==(const RequestLoad &,
                                        const RequestLoad &) = default;
 };
--- a/packages/version/src/coltsfoottrail/platform/engine.hpp
+++ b/packages/version/src/coltsfoottrail/platform/engine.hpp
@@ -25,6 +25,9 @@
   // NOLINTEND(readability-identifier-naming,modernize-use-nullptr)
 };
 
+/// @brief Formats an address and port; IPv6 addresses in brackets. Thread-safe.
+[[nodiscard]] std::string textOf(const EngineAddress &Address);
+
 /// Load the weights and serve as a member of a group.
 struct JoinGroup {
   GroupId Group;
