Do not count reports twice when coordination moves; spread failed reads over the fleet

A host that had been the coordinator went on to report its reporters' loads as its own for a second, beside their reports to the successor: leaders looked full, callers were refused, and the doubled count of hosts halved the retries for 30 s. Now it drops its reporters, and a host that is taken for the coordinator wrongly does not count the report. Test: TreeNode.FormerCoordinatorReportsOnlyItself. Hosts that an upstream reads for pause 20 ms for each host of the fleet. Test: Follower.FailedReadsPauseAsLongAsTheFleetNeeds. Not measured yet.

--- a/packages/process/src/coltsfoottrail/dissemination/link.cpp
+++ b/packages/process/src/coltsfoottrail/dissemination/link.cpp
@@ -25,6 +25,9 @@
 constexpr milliseconds ExchangeSlack{230};
 /// Pause after a lost exchange.
 constexpr milliseconds RetryPause{100};
+/// Pause after a host answered that does not coordinate: two hosts that take
+/// each other for the coordinator would exchange reports without end.
+constexpr milliseconds MistakenPause{30};
 /// The largest count of hosts of so long a time is the one to go by: hosts that
 /// are cut off for a while still send.
 constexpr Duration HostsLife = seconds(30);
@@ -89,7 +92,13 @@
 }
 
 Awaitable<Response> TreeLink::respond(const Report &From) {
-  Node.recordReport(From, BootClock::now());
+  noticeSuccession();
+  // A sender that takes this host for the coordinator reports to the real one
+  // next; counted here too, its loads would be in both sums.
+  const bool Mistaken =
+      !Hooks.Coordinates() && !From.ToRelay && Up.coordinator();
+  if (!Mistaken)
+    Node.recordReport(From, BootClock::now());
   Response Out;
   std::optional<HostName> Assigned;
   if (Hooks.Coordinates())
@@ -97,7 +106,7 @@
   if (Assigned) {
     Out.Relay = textOf(*addressOfMember(Assigned->Text));
   } else {
-    if (From.Stalled.empty())
+    if (From.Stalled.empty() && !Mistaken)
       co_await waitForUpdate(From);
     Out = Node.respond(From, BootClock::now());
   }
@@ -154,12 +163,23 @@
     Up.setCoordinator(*Member);
 }
 
+// Failure guarded against: coordination moves, and for a second the former
+// coordinator reports the loads of all hosts as its own: leaders look full, and
+// callers are refused.
+void TreeLink::noticeSuccession() {
+  const bool Coordinates = Hooks.Coordinates();
+  if (std::exchange(Coordinated, Coordinates) && !Coordinates)
+    Node.forgetReporters();
+}
+
 Report TreeLink::ownReport(TimePoint Now) {
+  noticeSuccession();
   Report Out = Hooks.MakeReport();
   Out.Host = HostName(Self);
   Node.recordOwn(std::move(Out.Loads), Now);
   Out.Loads = Node.loadsBelow(Now);
   Out.Hosts = Node.hostsBelow(Now);
+  Out.ToRelay = Up.hasRelay();
   Out.FailedRelay = Up.failedRelay(Now);
   return Out;
 }
@@ -186,19 +206,21 @@
     co_return Exchanged::Failed;
   }
   const TimePoint Now = BootClock::now();
+  UpstreamHeardAt = Now;
   if (Made.CoordinatorHeard)
     CoordinatorHeardAt = Now;
   recordHosts(Made.Hosts, Now);
   if (Up.respond(Made, ByRelay)) {
     Hold = LongestReportPace;
     logEvent(Event::RelayAssigned, {{"relay", *Made.Relay}});
-    co_return Exchanged::Redirected;
+    co_return Exchanged::Done;
   }
   Hold = std::clamp(Made.Hold, ShortestReportPace, LongestReportPace);
   Node.recordOutside(std::move(Made.Loads), Now);
   Made.Loads = Node.otherLoads(Now);
+  const bool Mistaken = !ByRelay && !Made.Coordinates;
   Hooks.Apply(Message, std::move(Made), SentAt);
-  co_return Exchanged::Done;
+  co_return Mistaken ? Exchanged::Mistaken : Exchanged::Done;
 }
 
 void TreeLink::recordHosts(std::uint64_t Count, TimePoint Now) {
@@ -212,6 +234,10 @@
   return Now - HostsAt < HostsLife ? Hosts : 0;
 }
 
+bool TreeLink::hearsUpstream(TimePoint Now) const noexcept {
+  return Now - UpstreamHeardAt < CoordinatorLife;
+}
+
 /// The root is a host like the others: it takes part in the sums itself.
 void TreeLink::recordOwnAsRoot() {
   const TimePoint Now = BootClock::now();
@@ -242,6 +268,10 @@
   if (!To)
     co_return false;
   const Exchanged Ended = co_await exchange(*To, ownReport(BootClock::now()));
+  if (Ended == Exchanged::Mistaken) {
+    asio::steady_timer Pause(co_await asio::this_coro::executor, MistakenPause);
+    co_await Pause.async_wait(asio::use_awaitable);
+  }
   if (Ended != Exchanged::Failed)
     co_return true;
   const bool HadRelay = Up.hasRelay();
--- a/packages/process/src/coltsfoottrail/dissemination/link.hpp
+++ b/packages/process/src/coltsfoottrail/dissemination/link.hpp
@@ -77,6 +77,8 @@
 
   /// @brief Entry hosts in the tree as last heard; zero when unknown.
   [[nodiscard]] std::size_t hosts(TimePoint Now) const noexcept;
+  /// @brief Whether an upstream has answered within the last second.
+  [[nodiscard]] bool hearsUpstream(TimePoint Now) const noexcept;
   /// @brief Hosts that report to this one.
   [[nodiscard]] std::size_t reporters() const {
     return Node.reporters(BootClock::now());
@@ -86,7 +88,12 @@
 
 private:
   /// How an exchange with an upstream ended.
-  enum class Exchanged : std::uint8_t { Failed, Done, Redirected };
+  enum class Exchanged : std::uint8_t {
+    Failed,
+    Done,
+    /// The answer came from neither the coordinator nor a relay.
+    Mistaken
+  };
 
   [[nodiscard]] Awaitable<void> serve(Exchange &Call);
   [[nodiscard]] Awaitable<Response> respond(const Report &From);
@@ -97,6 +104,7 @@
   [[nodiscard]] Awaitable<bool> step();
   [[nodiscard]] Report ownReport(TimePoint Now);
   void recordOwnAsRoot();
+  void noticeSuccession();
   void recordHosts(std::uint64_t Count, TimePoint Now);
 
   FleetStore &Store;
@@ -108,6 +116,8 @@
   boost::asio::steady_timer Updated;
   Upstream Up;
   TimePoint CoordinatorHeardAt{};
+  TimePoint UpstreamHeardAt{};
+  bool Coordinated = false;
   /// Longest time for which the upstream holds a response back.
   milliseconds Hold;
   std::size_t Hosts = 0;
--- a/packages/process/src/coltsfoottrail/dissemination/messages.cpp
+++ b/packages/process/src/coltsfoottrail/dissemination/messages.cpp
@@ -122,6 +122,7 @@
   Json Out = {{"host", Message.Host.Text},
               {"data_centre", Message.DataCentre.Text},
               {"hosts", Message.Hosts},
+              {"to_relay", Message.ToRelay},
               {"can_relay", Message.CanRelay},
               {"loads", encodeLoads(Message.Loads)},
               {"next", std::move(Next)},
@@ -157,6 +158,7 @@
   Out.Host = HostName(Reader.text("host"));
   Out.DataCentre = DataCentreName(Reader.text("data_centre"));
   Out.Hosts = Reader.number("hosts");
+  Out.ToRelay = Reader.flagOr("to_relay", false);
   Out.CanRelay = Reader.flagOr("can_relay", false);
   Out.FailedRelay = optionalText(Reader, "failed_relay");
   Out.Loads = decodeLoads(Reader, ReportSource);
--- a/packages/process/src/coltsfoottrail/dissemination/messages.hpp
+++ b/packages/process/src/coltsfoottrail/dissemination/messages.hpp
@@ -23,6 +23,9 @@
   DataCentreName DataCentre;
   /// Hosts that the loads stand for, the sender included.
   std::uint64_t Hosts = 1;
+  /// Whether the receiver was named as the sender's relay; otherwise the sender
+  /// takes it for the coordinator.
+  bool ToRelay = false;
   /// Whether the sender has the processor to relay for others.
   bool CanRelay = false;
   /// A relay that failed this host lately, as address and port.
--- a/packages/process/src/coltsfoottrail/dissemination/node.cpp
+++ b/packages/process/src/coltsfoottrail/dissemination/node.cpp
@@ -51,6 +51,11 @@
   Below.report(From.Host, From.Loads, Now, From.Hosts);
 }
 
+void TreeNode::forgetReporters() {
+  LoadBoard Own;
+  std::swap(Below, Own);
+}
+
 std::optional<HostName> TreeNode::assignRelay(const Report &From,
                                               TimePoint Now) {
   const auto Relay = Relays.assign(From, Below.hosts(Now), Now);
--- a/packages/process/src/coltsfoottrail/dissemination/node.hpp
+++ b/packages/process/src/coltsfoottrail/dissemination/node.hpp
@@ -42,6 +42,9 @@
   void recordOutside(std::vector<EndpointLoad> Loads, TimePoint Now);
   /// @brief Takes a report.
   void recordReport(const Report &From, TimePoint Now);
+  /// @brief Removes all reporters: this host coordinates no more, and they will
+  /// report to its successor.
+  void forgetReporters();
   /// @brief Decides, as the coordinator, where a reporter reports from now on.
   /// @return Name of a relay; nothing when it stays here.
   [[nodiscard]] std::optional<HostName> assignRelay(const Report &From,
--- a/packages/process/src/coltsfoottrail/fleethost/follower.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/follower.cpp
@@ -42,7 +42,7 @@
     NextRetryPause = Times.RetryPause;
   const milliseconds Pause = std::max(NextRetryPause, Times.RetryPause);
   NextRetryPause = std::min(2 * Pause, Times.LongestRetryPause);
-  return Pause;
+  return Eager ? Pause : std::max(Pause, FailurePause);
 }
 
 // Failure guarded against: a host is cut off from the store and reached again,
--- a/packages/process/src/coltsfoottrail/fleethost/follower.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/follower.hpp
@@ -89,6 +89,13 @@
   /// others wait for asks often.
   void beEager(bool Wanted) noexcept { Eager = Wanted; }
 
+  /// @brief Sets the shortest pause after a failed read of a host that others
+  /// read for: the attempts of all hosts together stay few while the store is
+  /// away.
+  void pauseAfterFailure(milliseconds Shortest) noexcept {
+    FailurePause = Shortest;
+  }
+
   /// @brief Changes the spacing of later reads.
   void space(milliseconds Wanted) noexcept { Times.Spacing = Wanted; }
 
@@ -119,6 +126,7 @@
   bool Behind = false;
   bool Eager = false;
   milliseconds NextRetryPause{0};
+  milliseconds FailurePause{0};
 };
 
 } // namespace coltsfoottrail
--- a/packages/process/src/coltsfoottrail/fleethost/host.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/host.cpp
@@ -1,7 +1,6 @@
 #include "coltsfoottrail/fleethost/host.hpp"
 
 #include "coltsfoottrail/core/hash.hpp"
-#include "coltsfoottrail/core/random.hpp"
 #include "coltsfoottrail/fleethost/changelog.hpp"
 #include "coltsfoottrail/logging/log.hpp"
 #include "coltsfoottrail/retries/share.hpp"
@@ -76,6 +75,11 @@
 constexpr std::uint32_t HintSets = 16;
 /// Connections kept for reuse to one endpoint: an engine's slots.
 constexpr std::size_t IdlePerEndpoint = 16;
+/// While the store fails, all hosts together attempt one read of a feed in this
+/// time, apart from the hosts that read for others; a host waits no longer than
+/// the second.
+constexpr milliseconds FailedReadEvery{20};
+constexpr milliseconds LongestFailurePause{8'000};
 /// How often what is shared by the number of hosts and requests is set anew.
 constexpr milliseconds ShareEvery{500};
 /// How long a request is held while its pool has no endpoint: a group that is
@@ -147,7 +151,7 @@
 
 FleetHost::FleetHost(FleetSettings Wanted, IoPool &Pool, FleetLinks Links)
     : Settings(std::move(Wanted)), Threads(Pool), Platform(Links),
-      View(Settings.Bounds),
+      View(Settings.Bounds), Draw(hashText(Settings.Host.Text)),
       Routing(RouterOptions{Settings.Host, dispatcherOptions(Settings), {}}),
       Client(Pool.context(0), clientOptions()),
       Relay(View, Routing, Client, Links.Wire, Silence,
@@ -268,7 +272,6 @@
     return;
   const milliseconds Usual =
       Settings.FirstStart ? RelayedFirstStart : RelayedStart;
-  Random Draw(hashText(Member));
   const auto Spread = std::chrono::duration_cast<milliseconds>(
       RelayedStartSpread * Draw.fraction());
   const TimePoint Until = BootClock::now() + Usual + Spread;
@@ -429,6 +432,20 @@
                              Relay.recentRequests(Name, Now)));
 }
 
+// Failure guarded against: the store is away for eight seconds, and 295 hosts
+// make 6,000 calls in vain. While an upstream answers, it reads for this host
+// and relays as soon as the store is back.
+void FleetHost::shareReads(std::size_t Hosts, TimePoint Now) {
+  const bool ReadFor = Link.hearsUpstream(Now);
+  const double Spread = 0.5 + Draw.fraction();
+  const auto Pause = std::chrono::duration_cast<milliseconds>(
+      FailedReadEvery * double(Hosts) * Spread);
+  const milliseconds Shortest =
+      ReadFor ? std::min(Pause, LongestFailurePause) : milliseconds(0);
+  Operators.pauseAfterFailure(Shortest);
+  Endpoints.pauseAfterFailure(Shortest);
+}
+
 /// What holds over all entry hosts is shared among those that there are.
 void FleetHost::shareBounds(TimePoint Now) {
   if (Now < ShareDue)
@@ -436,6 +453,7 @@
   ShareDue = Now + ShareEvery;
   const std::size_t Hosts = Link.hosts(Now);
   Relay.shareAmong(Hosts);
+  shareReads(Hosts, Now);
   // A host that has just started keeps the few retries that it begins with
   // until it knows who else there is.
   if (Hosts > 0)
--- a/packages/process/src/coltsfoottrail/fleethost/host.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/host.hpp
@@ -6,6 +6,7 @@
 #include "coltsfoottrail/boundary/engines.hpp"
 #include "coltsfoottrail/boundary/store.hpp"
 #include "coltsfoottrail/boundary/wire.hpp"
+#include "coltsfoottrail/core/random.hpp"
 #include "coltsfoottrail/dissemination/link.hpp"
 #include "coltsfoottrail/fleethost/assemblydesk.hpp"
 #include "coltsfoottrail/fleethost/follower.hpp"
@@ -83,6 +84,7 @@
   }
   void refreshRoutes();
   void shareBounds(TimePoint Now);
+  void shareReads(std::size_t Hosts, TimePoint Now);
   void shareRetries(std::size_t Hosts, TimePoint Now);
   void shareCold(TimePoint Now);
   void leaveSilent(TimePoint Now);
@@ -98,6 +100,7 @@
   IoPool &Threads;
   FleetLinks Platform;
   FleetView View;
+  Random Draw;
   Router Routing;
   HttpClient Client;
   SilenceWatch Silence;
--- a/packages/process/test/coltsfoottrail/dissemination/node.cpp
+++ b/packages/process/test/coltsfoottrail/dissemination/node.cpp
@@ -194,6 +194,21 @@
   EXPECT_EQ(loadAt(Relay.respond(Leaf, Start).Loads, 7).Running, 3U);
 }
 
+// Guards against loads that a former coordinator goes on reporting for hosts
+// that report to its successor.
+TEST(TreeNode, FormerCoordinatorReportsOnlyItself) {
+  TreeNode Node = node();
+  Node.recordOwn({{7, {1, 0, 0, 0}}}, Start);
+  Report Leaf;
+  Leaf.Host = HostName("leaf");
+  Leaf.Loads = {{7, {4, 0, 0, 0}}};
+  Node.recordReport(Leaf, Start);
+  Node.forgetReporters();
+  Node.recordOwn({{7, {1, 0, 0, 0}}}, Start);
+  EXPECT_EQ(Node.hostsBelow(Start), 1U);
+  EXPECT_EQ(loadAt(Node.loadsBelow(Start), 7).Running, 1U);
+}
+
 // Guards against leaders that look full for good after their upstream died.
 TEST(TreeNode, LoadsFromOutsideExpire) {
   TreeNode Node = node();
@@ -207,6 +222,7 @@
   Sent.DataCentre = DataCentreName("north");
   Sent.Hosts = 5;
   Sent.CanRelay = true;
+  Sent.ToRelay = true;
   Sent.FailedRelay = "10.0.0.1:7";
   Sent.Missing = {Feed::Operators};
   Sent.Loads = {{~std::uint64_t{0}, {1, 2, 3, 4}}};
@@ -216,6 +232,7 @@
   EXPECT_EQ(Read.DataCentre, Sent.DataCentre);
   EXPECT_EQ(Read.Hosts, Sent.Hosts);
   EXPECT_TRUE(Read.CanRelay);
+  EXPECT_TRUE(Read.ToRelay);
   EXPECT_EQ(Read.FailedRelay, Sent.FailedRelay);
   EXPECT_EQ(Read.Loads.at(0).Load, Sent.Loads.at(0).Load);
   EXPECT_EQ(Read.Next, Sent.Next);
--- a/packages/process/test/coltsfoottrail/fleethost/follower.cpp
+++ b/packages/process/test/coltsfoottrail/fleethost/follower.cpp
@@ -187,6 +187,36 @@
   EXPECT_EQ(Taken, std::vector<Offset>{4});
 }
 
+Awaitable<FeedAnswer> refused() { co_return StoreFailure::NotDone; }
+
+// Guards against thousands of calls in vain while the store is away and another
+// host reads for this one.
+TEST_F(Follower, FailedReadsPauseAsLongAsTheFleetNeeds) {
+  Times.RetryPause = milliseconds(1);
+  EXPECT_CALL(Store, newest).Times(1).WillRepeatedly([] { return refused(); });
+  Followed.emplace(Store, Feed::Endpoints, Times,
+                   FollowHooks{[](FeedPage, bool, TimePoint) {},
+                               [this](StoreFailure) { ++Failures; }});
+  Followed->pauseAfterFailure(seconds(60));
+  boost::asio::co_spawn(Context, Followed->run(), boost::asio::detached);
+  Context.run_for(milliseconds(60));
+  EXPECT_EQ(Failures, 1);
+}
+
+// Guards against a coordinator that learns late that the store is back.
+TEST_F(Follower, EagerReaderDoesNotWaitForTheOthers) {
+  Times.RetryPause = milliseconds(1);
+  EXPECT_CALL(Store, newest).WillRepeatedly([] { return refused(); });
+  Followed.emplace(Store, Feed::Endpoints, Times,
+                   FollowHooks{[](FeedPage, bool, TimePoint) {},
+                               [this](StoreFailure) { ++Failures; }});
+  Followed->pauseAfterFailure(seconds(60));
+  Followed->beEager(true);
+  boost::asio::co_spawn(Context, Followed->run(), boost::asio::detached);
+  Context.run_for(milliseconds(60));
+  EXPECT_GT(Failures, 2);
+}
+
 TEST_F(Follower, RelayedValuesTakeThePlaceOfTheFirstRead) {
   EXPECT_CALL(Store, newest).Times(0);
   EXPECT_CALL(Store, read(Feed::Endpoints, Offset{9}, ::testing::_))
