Trust a configuration by the tighter bound while the store answers; keep a coordinator's records whole

Cause 1: on the large site an old version served on past the 4 s in which it must be replaced, as its proof was trusted for 4.3 s. A host whose reads are answered while the configuration's end was not reached within its bound refuses now as not run; a store that does not answer at all is still allowed for. Reads of the operators' feed are held back for 0.15 of the bound and repeated without a wait after a failure, relayed proofs cover 0.55 of it. A response of the former coordinator that arrived after the new one had read all records put the projected ones in their place; it never acted again. Cause 3: the largest count of hosts was passed on and so renewed for good.

--- a/packages/process/src/coltsfoottrail/dissemination/link.cpp
+++ b/packages/process/src/coltsfoottrail/dissemination/link.cpp
@@ -114,7 +114,10 @@
   Out.Coordinates = Hooks.Coordinates();
   Out.CoordinatorHeard =
       Out.Coordinates || Now - CoordinatorHeardAt < CoordinatorLife;
-  Out.Hosts = std::max<std::uint64_t>(Out.Hosts, hosts(Now));
+  // The largest count of a while must not be passed on: hosts would renew it
+  // among themselves, and a restarted host would count twice for good.
+  if (!Out.Coordinates && hearsUpstream(Now))
+    Out.Hosts = std::max<std::uint64_t>(Out.Hosts, UpstreamHosts);
   Out.Hold = reportPace(Node.reporters(Now));
   if (!Out.Coordinates && Up.coordinator())
     Out.Coordinator = textOf(*Up.coordinator());
@@ -207,6 +210,7 @@
   }
   const TimePoint Now = BootClock::now();
   UpstreamHeardAt = Now;
+  UpstreamHosts = Made.Hosts;
   if (Made.CoordinatorHeard)
     CoordinatorHeardAt = Now;
   recordHosts(Made.Hosts, Now);
--- a/packages/process/src/coltsfoottrail/dissemination/link.hpp
+++ b/packages/process/src/coltsfoottrail/dissemination/link.hpp
@@ -117,6 +117,8 @@
   Upstream Up;
   TimePoint CoordinatorHeardAt{};
   TimePoint UpstreamHeardAt{};
+  /// Hosts in the tree by the last response.
+  std::uint64_t UpstreamHosts = 0;
   bool Coordinated = false;
   /// Longest time for which the upstream holds a response back.
   milliseconds Hold;
--- a/packages/process/src/coltsfoottrail/fleethost/follower.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/follower.cpp
@@ -58,6 +58,7 @@
   if (!Next || To < *Next)
     return;
   Next = To;
+  Unheld = true;
   NextRetryPause = Times.RetryPause;
   CoveredUntil = std::max(CoveredUntil, Until);
 }
@@ -114,11 +115,13 @@
   if (Whole)
     Answer = co_await Store.newest(Which);
   else
-    Answer = co_await Store.read(Which, *From, Times.Wait);
+    Answer = co_await Store.read(Which, *From,
+                                 Unheld ? milliseconds(0) : Times.Wait);
   // Failure guarded against: a read that was given up counts as failed, the
   // next answer of the other feed hurries this one again, and it is never read.
   if (Begun != Hurries)
     co_return ReadEnd::More;
+  Unheld = std::holds_alternative<StoreFailure>(Answer);
   if (const auto *const Failed = std::get_if<StoreFailure>(&Answer)) {
     if (*Failed == StoreFailure::Expired)
       Next.reset();
--- a/packages/process/src/coltsfoottrail/fleethost/follower.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/follower.hpp
@@ -127,6 +127,8 @@
   bool Eager = false;
   milliseconds NextRetryPause{0};
   milliseconds FailurePause{0};
+  /// The next read is not to be held back: what is known is old already.
+  bool Unheld = false;
 };
 
 } // namespace coltsfoottrail
--- a/packages/process/src/coltsfoottrail/fleethost/host.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/host.cpp
@@ -46,7 +46,9 @@
 /// How long the store may hold back a read of the operators' feed. A connection
 /// that goes silent is noticed this much and a second later, which leaves time
 /// for one more try before credentials count as stale.
-constexpr milliseconds OperatorsWait{1'000};
+constexpr milliseconds LongestOperatorsWait{1'000};
+/// The same as a part of the time in which a configuration must be in force.
+constexpr double OperatorsWaitPart = 0.15;
 /// The driver is told of the same endpoint again after this.
 constexpr milliseconds SuspectAgainAfter{1'000};
 /// Endpoints publish many times a second: a read hardly ever waits, and one
@@ -55,9 +57,10 @@
 /// Part of a core below which a host stands aside from driving the groups.
 constexpr double LeastDriverShare = 0.2;
 /// What an upstream relayed stands in for own reads while it is no older than
-/// this: the coordinator's read of the operators' feed is held back for
-/// OperatorsWait.
-constexpr milliseconds OperatorsCover{2'400};
+/// this part of the time in which a configuration must be in force: an own read
+/// and one more still fit in.
+constexpr double OperatorsCoverPart = 0.55;
+constexpr milliseconds LongestOperatorsCover{2'400};
 /// An upstream that has relayed no endpoints for so long, while this host's own
 /// reads are answered, is abandoned; less often while that changes nothing.
 constexpr milliseconds UselessUpstreamAfter{1'000};
@@ -129,12 +132,23 @@
   return Out;
 }
 
-FollowTimes operatorTimes() {
+milliseconds partOf(milliseconds Bound, double Part, milliseconds Longest) {
+  return std::min(Longest,
+                  std::chrono::duration_cast<milliseconds>(Bound * Part));
+}
+
+FollowTimes operatorTimes(const FleetSettings &Given) {
   FollowTimes Out;
-  Out.Wait = OperatorsWait;
+  Out.Wait = partOf(Given.Bounds.Configuration, OperatorsWaitPart,
+                    LongestOperatorsWait);
   return Out;
 }
 
+milliseconds operatorsCover(const FleetSettings &Given) {
+  return partOf(Given.Bounds.Configuration, OperatorsCoverPart,
+                LongestOperatorsCover);
+}
+
 milliseconds followerSpacing(const FleetSettings &Given) {
   return std::chrono::duration_cast<milliseconds>(Given.Bounds.Leaving *
                                                   FollowerPart);
@@ -159,7 +173,7 @@
       Member(ownName(Settings)),
       Desk(Links.Store, Links.Engines, View, Silence, Member, AssemblyTimes{},
            dutyRole(Settings)),
-      Operators(Links.Store, Feed::Operators, operatorTimes(),
+      Operators(Links.Store, Feed::Operators, operatorTimes(Settings),
                 {[this](FeedPage Page, bool Whole, TimePoint AskedAt) {
                    took(Feed::Operators, std::move(Page), Whole, AskedAt);
                  },
@@ -209,10 +223,8 @@
 
 void FleetHost::startFollowing() {
   Desk.onDuty([this](bool Holds) {
-    if (Holds && !View.knowsAllEndpoints())
-      Endpoints.restart();
-    else if (Holds)
-      Endpoints.hurry();
+    if (Holds)
+      readAllEndpoints();
     Operators.beEager(Holds);
     Endpoints.beEager(Holds);
     Endpoints.space(Holds ? DriverSpacing : followerSpacing(Settings));
@@ -247,6 +259,14 @@
   Desk.lookNow();
 }
 
+// A coordinator forms groups of endpoints that routing does not need to know.
+void FleetHost::readAllEndpoints() {
+  if (View.knowsAllEndpoints())
+    Endpoints.hurry();
+  else if (Endpoints.next())
+    Endpoints.restart();
+}
+
 // Without a configuration engines cannot be told from plain services, and all
 // of them would be relayed: the endpoints are shared from the next whole read.
 void FleetHost::share(Feed Which, const FeedPage &Page,
@@ -373,13 +393,18 @@
 // SentAt - Staleness, by this host's clock alone.
 void FleetHost::applyUpdate(Feed Which, std::optional<Offset> From,
                             const FeedUpdate &Update, TimePoint SentAt) {
+  // Failure guarded against: this host has just become the coordinator and read
+  // the records of all endpoints, and a response of its predecessor puts the
+  // few that routing needs in their place: no group is repaired any more.
+  if (Desk.held())
+    return;
   FeedFollower &Its = follower(Which);
   if (Its.next() != From || Update.Snapshot == From.has_value())
     return;
   const TimePoint AsOf = SentAt - Update.Staleness;
   const TimePoint CoveredUntil =
-      AsOf +
-      (Which == Feed::Operators ? OperatorsCover : followerSpacing(Settings));
+      AsOf + (Which == Feed::Operators ? operatorsCover(Settings)
+                                       : followerSpacing(Settings));
   const TimePoint Now = BootClock::now();
   if (CoveredUntil <= Now)
     return;
@@ -515,6 +540,8 @@
     settleMoves(BootClock::now());
     View.advance(BootClock::now());
     refreshRoutes();
+    if (Desk.held() && !View.knowsAllEndpoints())
+      readAllEndpoints();
     shareBounds(BootClock::now());
     shareCold(BootClock::now());
     Routing.advance();
--- a/packages/process/src/coltsfoottrail/fleethost/host.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/host.hpp
@@ -70,6 +70,7 @@
              std::span<const RoutingEffect> Effects, bool Whole,
              TimePoint AsOf);
   void deferOwnReads();
+  void readAllEndpoints();
   [[nodiscard]] TreeLinkHooks linkHooks();
   [[nodiscard]] Report ownReport() const;
   void applyResponse(const Report &Sent, Response Answer, TimePoint SentAt);
--- a/packages/process/src/coltsfoottrail/fleethost/settings.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/settings.cpp
@@ -42,6 +42,7 @@
   FleetBounds Out;
   Out.Heartbeat = boundOr(From, "heartbeat_ms", Out.Heartbeat);
   Out.Leaving = boundOr(From, "leaving_ms", Out.Leaving);
+  Out.Configuration = boundOr(From, "configuration_ms", Out.Configuration);
   Out.Revocation = boundOr(From, "revocation_ms", Out.Revocation);
   const double GraceSeconds = From.realOr("stop_grace_s", 8.0, 1.0, 3600.0);
   Out.StopGrace = milliseconds(static_cast<std::int64_t>(GraceSeconds * 1000));
--- a/packages/process/src/coltsfoottrail/fleethost/settings.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/settings.hpp
@@ -21,6 +21,8 @@
   /// A withdrawn credential must not be served for longer after its withdrawal
   /// was accepted.
   milliseconds Revocation{5'000};
+  /// An accepted configuration must be in force after this.
+  milliseconds Configuration{2'000};
   /// An endpoint that says that it leaves must get no new work after this.
   milliseconds Leaving{2'000};
   /// From the signal to stop until the process is killed.
--- a/packages/process/src/coltsfoottrail/fleethost/view.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/view.cpp
@@ -12,6 +12,8 @@
 /// Kept free of the revocation bound: a request that is taken just before it
 /// still has to reach its endpoint.
 constexpr Duration RevocationMargin = milliseconds(700);
+/// The same for the bound on configurations.
+constexpr Duration ConfigurationMargin = milliseconds(200);
 /// How long a silent endpoint gets nothing new. By then the driver of the
 /// groups has asked its members and closed it, or it is sound.
 constexpr Duration ShunTime = milliseconds(2'000);
@@ -38,6 +40,7 @@
 std::vector<RoutingEffect> FleetView::take(Feed Which, FeedPage Page,
                                            bool Whole, TimePoint AskedAt,
                                            TimePoint Now) {
+  StoreAnsweredAsOf = std::max(StoreAnsweredAsOf, AskedAt);
   if (Which == Feed::Endpoints)
     noteRead(Now);
   if (Whole && Which == Feed::Endpoints)
@@ -188,8 +191,16 @@
 // withdrawn meanwhile, and its callers are served on. Once the last proof of
 // the configuration is older than the bound, no credential is trusted. The
 // clock counts suspension, so a host that wakes knows that it slept.
+//
+// Failure guarded against: the store answers, but its reads are so many that
+// the configuration's end is not reached, and callers are served by a version
+// that was replaced seconds ago. Only a store that does not answer at all
+// excuses a configuration that is older than its bound.
 bool FleetView::credentialsFresh(TimePoint Now) const noexcept {
-  return Index && Now - ConfigAsOf < Bounds.Revocation - RevocationMargin;
+  const bool Starved = StoreAnsweredAsOf - ConfigAsOf >=
+                       Bounds.Configuration - ConfigurationMargin;
+  return Index && !Starved &&
+         Now - ConfigAsOf < Bounds.Revocation - RevocationMargin;
 }
 
 std::map<ServiceName, std::vector<std::string>> FleetView::pools() const {
--- a/packages/process/src/coltsfoottrail/fleethost/view.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/view.hpp
@@ -144,6 +144,9 @@
   /// Data centres that were returned, and until when that matters.
   std::map<DataCentreName, TimePoint> Returned;
   TimePoint ConfigAsOf{};
+  /// When the store was asked last for what it answered, the end of a feed
+  /// reached or not.
+  TimePoint StoreAnsweredAsOf{};
   bool EndpointsKnown = false;
   bool KnowsAllEndpoints = false;
   TimePoint EndpointsAsOf{};
--- a/packages/process/test/coltsfoottrail/fleethost/view.cpp
+++ b/packages/process/test/coltsfoottrail/fleethost/view.cpp
@@ -68,6 +68,78 @@
   EXPECT_TRUE(View.credentialsFresh(Later));
 }
 
+// Guards against an old configuration that serves on while the store answers
+// and its reads do not reach the end.
+TEST(FleetView, StarvedConfigurationIsNotTrustedBeyondItsBound) {
+  FleetBounds Bounds;
+  Bounds.Configuration = milliseconds(2'000);
+  FleetView View(Bounds);
+  View.take(Feed::Operators, page(ConfigPublished{config(5)}), true, Start,
+            Start);
+  const TimePoint Later = Start + milliseconds(1'900);
+  FeedPage Part = page(EndpointPublished{leader()});
+  Part.Next = 5;
+  Part.End = 90;
+  EXPECT_TRUE(View.credentialsFresh(Later));
+  View.take(Feed::Endpoints, Part, false, Later, Later);
+  EXPECT_FALSE(View.credentialsFresh(Later));
+  View.take(Feed::Operators, FeedPage{}, false, Later, Later);
+  EXPECT_TRUE(View.credentialsFresh(Later));
+}
+
+FeedPage projected(FleetChange Change) {
+  FeedPage Out = page(std::move(Change));
+  Out.Projected = true;
+  return Out;
+}
+
+// Guards against a coordinator that takes the endpoints which were relayed to
+// it for all there are, and gives away members of groups that it cannot see.
+TEST(FleetView, RelayedRecordsAreNotAllEndpoints) {
+  FleetView View = sound();
+  EXPECT_TRUE(View.knowsAllEndpoints());
+  EXPECT_EQ(View.allEndpointsAsOf(), Start);
+  const TimePoint Later = Start + seconds(1);
+  View.take(Feed::Endpoints, projected(EndpointRemoved{EndpointName("x")}),
+            false, Later, Later);
+  EXPECT_EQ(View.allEndpointsAsOf(), TimePoint{});
+  View.take(Feed::Endpoints, FeedPage{}, false, Later, Later);
+  EXPECT_EQ(View.allEndpointsAsOf(), TimePoint{});
+  View.take(Feed::Endpoints, page(EndpointPublished{leader()}), true, Later,
+            Later);
+  EXPECT_EQ(View.allEndpointsAsOf(), Later);
+}
+
+// Guards against members and heartbeats being relayed to every host.
+TEST(FleetView, OnlyLeadersMatterToRouting) {
+  FleetView View = sound();
+  EndpointRecord Member = leader();
+  Member.Name = EndpointName("member");
+  Member.Seat->Rank = 1;
+  using Effects = std::vector<RoutingEffect>;
+  const auto Publish = [&](const EndpointRecord &Record) {
+    return View.take(Feed::Endpoints, page(EndpointPublished{Record}), false,
+                     Start, Start);
+  };
+  EXPECT_EQ(Publish(Member), Effects{RoutingEffect::None});
+  EXPECT_EQ(Publish(leader()), Effects{RoutingEffect::None});
+  EndpointRecord Closed = leader();
+  Closed.Seat->Phase = SeatPhase::Closing;
+  EXPECT_EQ(Publish(Closed), Effects{RoutingEffect::Unset});
+  EXPECT_EQ(Publish(leader()), Effects{RoutingEffect::Set});
+  EXPECT_EQ(View.take(Feed::Endpoints,
+                      page(EndpointRemoved{EndpointName("head")}), false, Start,
+                      Start),
+            Effects{RoutingEffect::Unset});
+}
+
+// Guards against hosts that refuse their callers although the store is away,
+// when nobody can have a newer configuration from it.
+TEST(FleetView, ConfigurationIsTrustedWhileTheStoreIsAway) {
+  FleetView View = sound();
+  EXPECT_TRUE(View.credentialsFresh(Start + milliseconds(4'200)));
+}
+
 // Callers are served by routes that were withdrawn.
 // The store is read again from an earlier point, or an answer is overtaken.
 TEST(FleetView, ConfigurationNeverGoesBack) {
