Relay all changes to hosts that may coordinate

Cause: with projected records a host that became coordinator learned of members from the store's newest values only. Records of live members that had lapsed while they were cut off were unknown to it, so it took their groups for incomplete; and each handover waited for a read. Hosts that may coordinate get all changes again, the others what routing needs. Tests: TreeNode.HostsThatMayCoordinateGetAllChanges, ProjectedPagesAreNotAllChanges.

--- a/packages/connection/src/coltsfoottrail/boundary/store.hpp
+++ b/packages/connection/src/coltsfoottrail/boundary/store.hpp
@@ -69,6 +69,8 @@
 enum class RoutingEffect : std::uint8_t {
   /// Nothing changes.
   None,
+  /// Something changes that only a coordinator needs.
+  Other,
   /// A value that routing depends on is new.
   Set,
   /// A value that routing depended on is gone.
--- a/packages/process/src/coltsfoottrail/dissemination/feedlog.cpp
+++ b/packages/process/src/coltsfoottrail/dissemination/feedlog.cpp
@@ -35,11 +35,14 @@
 }
 
 void FeedLog::add(FeedRecord Record, RoutingEffect Effect) {
-  const Offset At = Record.At;
-  RelayedRecord Change{At, Record.Bytes};
+  RelayedRecord Change{Record.At, Record.Bytes};
   updateNewest(std::move(Record), Effect);
+  addChange(std::move(Change));
+}
+
+void FeedLog::addChange(RelayedRecord Change) {
   if (Change.Bytes.size() > LargestRecord)
-    return restart(At + 1);
+    return restart(Change.At + 1);
   Bytes += Change.Bytes.size();
   Changes.push_back(std::move(Change));
   while (Changes.size() > MostRecords || Bytes > MostBytes) {
--- a/packages/process/src/coltsfoottrail/dissemination/feedlog.hpp
+++ b/packages/process/src/coltsfoottrail/dissemination/feedlog.hpp
@@ -33,6 +33,8 @@
   void clear(Offset At);
   /// @brief Records a change. Precondition: offsets grow.
   void add(FeedRecord Record, RoutingEffect Effect);
+  /// @brief Records a change without a newest value.
+  void addChange(RelayedRecord Change);
   /// @brief Records a newest value without a change.
   void keepNewest(FeedRecord Record);
   /// @brief All records before an offset have been read.
--- a/packages/process/src/coltsfoottrail/dissemination/messages.cpp
+++ b/packages/process/src/coltsfoottrail/dissemination/messages.cpp
@@ -85,6 +85,7 @@
     Records.push_back({Each.At, Json::binary(std::vector<std::uint8_t>(
                                     Each.Bytes.begin(), Each.Bytes.end()))});
   return {{"snapshot", Of.Snapshot},
+          {"projected", Of.Projected},
           {"next", Of.Next},
           {"staleness_ms", Of.Staleness.count()},
           {"records", std::move(Records)}};
@@ -93,6 +94,7 @@
 FeedUpdate decodeUpdate(ObjectReader From) {
   FeedUpdate Out;
   Out.Snapshot = From.flagOr("snapshot", false);
+  Out.Projected = From.flagOr("projected", true);
   Out.Next = From.number("next");
   Out.Staleness =
       milliseconds(From.number("staleness_ms", 0, MostMilliseconds));
@@ -124,6 +126,7 @@
               {"hosts", Message.Hosts},
               {"to_relay", Message.ToRelay},
               {"can_relay", Message.CanRelay},
+              {"wants_all", Message.WantsAll},
               {"loads", encodeLoads(Message.Loads)},
               {"next", std::move(Next)},
               {"missing", encodeFeeds(Message.Missing)},
@@ -160,6 +163,7 @@
   Out.Hosts = Reader.number("hosts");
   Out.ToRelay = Reader.flagOr("to_relay", false);
   Out.CanRelay = Reader.flagOr("can_relay", false);
+  Out.WantsAll = Reader.flagOr("wants_all", false);
   Out.FailedRelay = optionalText(Reader, "failed_relay");
   Out.Loads = decodeLoads(Reader, ReportSource);
   ObjectReader Next = Reader.object("next");
--- a/packages/process/src/coltsfoottrail/dissemination/messages.hpp
+++ b/packages/process/src/coltsfoottrail/dissemination/messages.hpp
@@ -28,6 +28,9 @@
   bool ToRelay = false;
   /// Whether the sender has the processor to relay for others.
   bool CanRelay = false;
+  /// Whether the sender may become the coordinator and wants all records that
+  /// change.
+  bool WantsAll = false;
   /// A relay that failed this host lately, as address and port.
   std::optional<std::string> FailedRelay;
   /// Requests at endpoints.
@@ -49,10 +52,12 @@
                                        const RelayedRecord &) = default;
 };
 
-/// @brief A part of a feed, without the records that do not matter to routing.
+/// @brief A part of a feed.
 struct FeedUpdate {
   /// Whether the records are the newest values rather than changes.
   bool Snapshot = false;
+  /// Whether records that do not matter to routing were left out.
+  bool Projected = true;
   /// Where to read on.
   Offset Next = 0;
   /// Time between the read of the store that this proves and this response:
--- a/packages/process/src/coltsfoottrail/dissemination/node.cpp
+++ b/packages/process/src/coltsfoottrail/dissemination/node.cpp
@@ -16,21 +16,33 @@
                       std::span<const RoutingEffect> Effects, bool Whole,
                       TimePoint AsOf) {
   SharedFeed &Its = feed(Which);
-  if (Whole)
+  if (Whole) {
     Its.Log.clear(Page.Next);
+    Its.All.restart(Page.Next);
+  }
   // Another host relayed to this one for a while. Its records are missing here,
   // and a reporter that is served across the gap would never hear of them.
   else if (Page.From != Its.Log.next())
     Its.Log.restart(Page.From);
+  if (!Page.Projected && Page.From != Its.All.next())
+    Its.All.restart(Page.From);
   for (std::size_t Index = 0; Index < Page.Raw.size(); ++Index) {
-    if (Effects[Index] == RoutingEffect::None)
+    const FeedRecord &Record = Page.Raw[Index];
+    const RoutingEffect Effect = Effects[Index];
+    if (Effect == RoutingEffect::None)
+      continue;
+    if (!Whole && !Page.Projected)
+      Its.All.addChange({Record.At, Record.Bytes});
+    if (Effect == RoutingEffect::Other)
       continue;
     if (Whole)
-      Its.Log.keepNewest(Page.Raw[Index]);
+      Its.Log.keepNewest(Record);
     else
-      Its.Log.add(Page.Raw[Index], Effects[Index]);
+      Its.Log.add(Record, Effect);
   }
   Its.Log.readTo(Page.Next);
+  if (!Page.Projected)
+    Its.All.readTo(Page.Next);
   // A page that does not reach the end proves nothing of what is behind it.
   if (Page.Next >= Page.End)
     Its.AsOf = std::max(Its.AsOf, AsOf);
@@ -71,7 +83,7 @@
 
 bool TreeNode::hasUpdate(const Report &From) const {
   const auto HasChanges = [&](const auto &Entry) {
-    const FeedLog &Its = feed(Entry.first).Log;
+    const FeedLog &Its = feed(Entry.first).logFor(From);
     return Its.isTruncated(Entry.second) || Its.hasSince(Entry.second);
   };
   const auto HasValues = [&](Feed Which) {
@@ -112,12 +124,13 @@
     return Made;
   };
   for (const auto &[Which, Next] : From.Next) {
-    const FeedLog &Log = feed(Which).Log;
+    const FeedLog &Log = feed(Which).logFor(From);
     if (Log.isTruncated(Next))
       Out.Truncated.insert(Which);
     if (!Log.covers(Next))
       continue;
     FeedUpdate Made = Update(Which, false);
+    Made.Projected = &Log == &feed(Which).Log;
     Made.Records = Log.since(Next);
     Out.Feeds.emplace(Which, std::move(Made));
   }
--- a/packages/process/src/coltsfoottrail/dissemination/node.hpp
+++ b/packages/process/src/coltsfoottrail/dissemination/node.hpp
@@ -72,8 +72,15 @@
 
 private:
   struct SharedFeed {
+    /// What routing needs.
     FeedLog Log;
+    /// All changes; ends with the last page that had all of them.
+    FeedLog All;
     TimePoint AsOf{};
+
+    [[nodiscard]] const FeedLog &logFor(const Report &From) const noexcept {
+      return From.WantsAll && All.next() == Log.next() ? All : Log;
+    }
   };
 
   [[nodiscard]] SharedFeed &feed(Feed Which) {
--- a/packages/process/src/coltsfoottrail/fleethost/host.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/host.cpp
@@ -316,10 +316,13 @@
   Report Out;
   Out.DataCentre = Settings.DataCentre;
   Out.CanRelay = dutyRole(Settings) == DutyRole::Candidate;
+  Out.WantsAll = Out.CanRelay;
   Out.Loads = Routing.ownLoads();
   const auto Describe = [&Out](Feed Which, const FeedFollower &Its) {
-    if (!Its.next())
+    if (!Its.next() && !Out.WantsAll)
       Out.Missing.insert(Which);
+    else if (!Its.next())
+      return;
     else if (!Its.isBehind())
       Out.Next[Which] = *Its.next();
   };
@@ -379,7 +382,7 @@
   Out.From = From.value_or(Update.Next);
   Out.Next = Update.Next;
   Out.End = Update.Next;
-  Out.Projected = true;
+  Out.Projected = Update.Projected;
   for (const RelayedRecord &Each : Update.Records)
     if (auto Decoded = Platform.Store.decode(Which, Each.Bytes)) {
       Out.Changes.push_back(std::move(Decoded->Change));
--- a/packages/process/src/coltsfoottrail/fleethost/view.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/view.cpp
@@ -85,14 +85,16 @@
     const bool After = isRoutable(Name);
     if (After)
       return Changed || Whole ? RoutingEffect::Set : RoutingEffect::None;
-    return Before ? RoutingEffect::Unset : RoutingEffect::None;
+    if (Before)
+      return RoutingEffect::Unset;
+    return Changed ? RoutingEffect::Other : RoutingEffect::None;
   };
   if (const auto *const One = std::get_if<EndpointPublished>(&Change))
     return OfEndpoint(EndpointName(One->Record.Name));
   if (const auto *const One = std::get_if<EndpointRemoved>(&Change)) {
     const bool Before = isRoutable(One->Name);
     (void)applyOne(Change, Now);
-    return Before ? RoutingEffect::Unset : RoutingEffect::None;
+    return Before ? RoutingEffect::Unset : RoutingEffect::Other;
   }
   const bool Returned = std::holds_alternative<DataCentreReturned>(Change);
   if (!applyOne(Change, Now) && !Whole)
--- a/packages/process/test/coltsfoottrail/dissemination/node.cpp
+++ b/packages/process/test/coltsfoottrail/dissemination/node.cpp
@@ -64,6 +64,38 @@
   EXPECT_FALSE(Node.hasUpdate(report("a", 10)));
 }
 
+// Guards against a new coordinator that has to learn of members from the store,
+// where the records of live ones may have lapsed.
+TEST(TreeNode, HostsThatMayCoordinateGetAllChanges) {
+  TreeNode Node = node();
+  ingest(Node, 0, 2);
+  ingest(Node, page(2, 4), RoutingEffect::Other);
+  Report Candidate = report("a", 1);
+  Candidate.WantsAll = true;
+  EXPECT_FALSE(Node.hasUpdate(report("b", 2)));
+  Candidate.Next[Feed::Endpoints] = 2;
+  EXPECT_TRUE(Node.hasUpdate(Candidate));
+  const Response All = Node.respond(Candidate, Start);
+  EXPECT_EQ(All.Feeds.at(Feed::Endpoints).Records.size(), 2U);
+  EXPECT_FALSE(All.Feeds.at(Feed::Endpoints).Projected);
+  const Response Few = Node.respond(report("b", 2), Start);
+  EXPECT_TRUE(Few.Feeds.at(Feed::Endpoints).Records.empty());
+  EXPECT_TRUE(Few.Feeds.at(Feed::Endpoints).Projected);
+}
+
+// Guards against a relay that passes what was projected for it on as complete.
+TEST(TreeNode, ProjectedPagesAreNotAllChanges) {
+  TreeNode Node = node();
+  ingest(Node, 0, 2);
+  FeedPage Part = page(2, 4);
+  Part.Projected = true;
+  ingest(Node, Part, RoutingEffect::Set);
+  Report Candidate = report("a", 2);
+  Candidate.WantsAll = true;
+  EXPECT_TRUE(
+      Node.respond(Candidate, Start).Feeds.at(Feed::Endpoints).Projected);
+}
+
 // Guards against hosts that decode every heartbeat of a thousand endpoints.
 TEST(TreeNode, RecordsThatDoNotMatterAreLeftOutAndMoveTheOffset) {
   TreeNode Node = node();
@@ -248,7 +280,11 @@
   Answer.Relay = "10.0.0.2:7";
   Answer.Truncated = {Feed::Endpoints};
   const std::string NoText("\x00\xff\x80", 3);
-  Answer.Feeds[Feed::Operators] = {true, 5, milliseconds(7), {{4, NoText}}};
+  FeedUpdate &Update = Answer.Feeds[Feed::Operators];
+  Update.Snapshot = true;
+  Update.Next = 5;
+  Update.Staleness = milliseconds(7);
+  Update.Records = {{4, NoText}};
   const Response Back = decodeResponse(encode(Answer));
   EXPECT_EQ(Back.Hosts, 9U);
   EXPECT_EQ(Back.Hold, Answer.Hold);
--- a/packages/process/test/coltsfoottrail/fleethost/view.cpp
+++ b/packages/process/test/coltsfoottrail/fleethost/view.cpp
@@ -121,6 +121,7 @@
     return View.take(Feed::Endpoints, page(EndpointPublished{Record}), false,
                      Start, Start);
   };
+  EXPECT_EQ(Publish(Member), Effects{RoutingEffect::Other});
   EXPECT_EQ(Publish(Member), Effects{RoutingEffect::None});
   EXPECT_EQ(Publish(leader()), Effects{RoutingEffect::None});
   EndpointRecord Closed = leader();
