--- a/packages/process/src/coltsfoottrail/fleethost/host.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/host.cpp
@@ -1,7 +1,6 @@
 #include "coltsfoottrail/fleethost/host.hpp"
 
 #include "coltsfoottrail/core/hash.hpp"
-#include "coltsfoottrail/fleethost/changelog.hpp"
 #include "coltsfoottrail/logging/log.hpp"
 #include "coltsfoottrail/retries/share.hpp"
 
@@ -56,21 +55,6 @@
 constexpr milliseconds EndpointsWait{100};
 /// Part of a core below which a host stands aside from driving the groups.
 constexpr double LeastDriverShare = 0.2;
-/// What an upstream relayed stands in for own reads while it is no older than
-/// this part of the time in which a configuration must be in force: an own read
-/// and one more still fit in.
-constexpr double OperatorsCoverPart = 0.55;
-constexpr milliseconds LongestOperatorsCover{2'400};
-/// An upstream that has relayed no endpoints for so long, while this host's own
-/// reads are answered, is abandoned; less often while that changes nothing.
-constexpr milliseconds UselessUpstreamAfter{1'000};
-constexpr milliseconds LongestAbandonPause{8'000};
-/// How long a host that does not coordinate waits for an upstream to relay the
-/// feeds before it reads them itself, and the spread over hosts that start
-/// together. There is no coordinator at first when all hosts are new.
-constexpr milliseconds RelayedStart{500};
-constexpr milliseconds RelayedFirstStart{3'000};
-constexpr milliseconds RelayedStartSpread{500};
 /// Beyond these a request waits in the caller instead.
 constexpr std::size_t MostWaiting = 256;
 constexpr std::size_t MostWaitingBytes = std::size_t{4} << 20U;
@@ -78,11 +62,6 @@
 constexpr std::uint32_t HintSets = 16;
 /// Connections kept for reuse to one endpoint: an engine's slots.
 constexpr std::size_t IdlePerEndpoint = 16;
-/// While the store fails, all hosts together attempt one read of a feed in this
-/// time, apart from the hosts that read for others; a host waits no longer than
-/// the second.
-constexpr milliseconds FailedReadEvery{20};
-constexpr milliseconds LongestFailurePause{8'000};
 /// How often what is shared by the number of hosts and requests is set anew.
 constexpr milliseconds ShareEvery{500};
 /// How long a request is held while its pool has no endpoint: a group that is
@@ -118,11 +97,6 @@
                     Given.Host.Text + "." + std::to_string(Since.count()));
 }
 
-DutyRole dutyRole(const FleetSettings &Given) {
-  return Given.ProcessorShare < LeastDriverShare ? DutyRole::Reserve
-                                                 : DutyRole::Candidate;
-}
-
 ServerLimits callerLimits(const CallerLimits &Given) {
   ServerLimits Out;
   Out.MaxHeaderBytes = Given.MaxHeaderBytes;
@@ -132,37 +106,33 @@
   return Out;
 }
 
-milliseconds partOf(milliseconds Bound, double Part, milliseconds Longest) {
-  return std::min(Longest,
-                  std::chrono::duration_cast<milliseconds>(Bound * Part));
-}
-
-FollowTimes operatorTimes(const FleetSettings &Given) {
+FollowTimes operatorTimes(const FleetBounds &Bounds) {
+  const auto Part = std::chrono::duration_cast<milliseconds>(
+      Bounds.Configuration * OperatorsWaitPart);
   FollowTimes Out;
-  Out.Wait = partOf(Given.Bounds.Configuration, OperatorsWaitPart,
-                    LongestOperatorsWait);
+  Out.Wait = std::min(LongestOperatorsWait, Part);
   return Out;
 }
 
-milliseconds operatorsCover(const FleetSettings &Given) {
-  return partOf(Given.Bounds.Configuration, OperatorsCoverPart,
-                LongestOperatorsCover);
-}
-
-milliseconds followerSpacing(const FleetSettings &Given) {
-  return std::chrono::duration_cast<milliseconds>(Given.Bounds.Leaving *
-                                                  FollowerPart);
-}
-
-FollowTimes endpointTimes(const FleetSettings &Given) {
+FollowTimes endpointTimes(milliseconds Spacing) {
   FollowTimes Out;
   Out.Wait = EndpointsWait;
-  Out.Spacing = followerSpacing(Given);
+  Out.Spacing = Spacing;
   return Out;
 }
 
 } // namespace
 
+DutyRole FleetHost::dutyRole() const noexcept {
+  return Settings.ProcessorShare < LeastDriverShare ? DutyRole::Reserve
+                                                    : DutyRole::Candidate;
+}
+
+milliseconds FleetHost::followerSpacing() const noexcept {
+  return std::chrono::duration_cast<milliseconds>(Settings.Bounds.Leaving *
+                                                  FollowerPart);
+}
+
 FleetHost::FleetHost(FleetSettings Wanted, IoPool &Pool, FleetLinks Links)
     : Settings(std::move(Wanted)), Threads(Pool), Platform(Links),
       View(Settings.Bounds), Draw(hashText(Settings.Host.Text)),
@@ -170,15 +140,14 @@
       Client(Pool.context(0), clientOptions()),
       Relay(View, Routing, Client, Links.Wire, Silence,
             hashText(Settings.Host.Text)),
-      Member(ownName(Settings)),
-      Desk(Links.Store, Links.Engines, View, Silence, Member, AssemblyTimes{},
-           dutyRole(Settings)),
-      Operators(Links.Store, Feed::Operators, operatorTimes(Settings),
+      Member(ownName(Settings)), Desk(Links.Store, Links.Engines, View, Silence,
+                                      Member, AssemblyTimes{}, dutyRole()),
+      Operators(Links.Store, Feed::Operators, operatorTimes(Settings.Bounds),
                 {[this](FeedPage Page, bool Whole, TimePoint AskedAt) {
                    took(Feed::Operators, std::move(Page), Whole, AskedAt);
                  },
                  [this](StoreFailure) { readFailed(Feed::Operators); }}),
-      Endpoints(Links.Store, Feed::Endpoints, endpointTimes(Settings),
+      Endpoints(Links.Store, Feed::Endpoints, endpointTimes(followerSpacing()),
                 {[this](FeedPage Page, bool Whole, TimePoint AskedAt) {
                    took(Feed::Endpoints, std::move(Page), Whole, AskedAt);
                  },
@@ -227,7 +196,7 @@
       readAllEndpoints();
     Operators.beEager(Holds);
     Endpoints.beEager(Holds);
-    Endpoints.space(Holds ? DriverSpacing : followerSpacing(Settings));
+    Endpoints.space(Holds ? DriverSpacing : followerSpacing());
   });
   Desk.onOrders([this] {
     MovingUntil = BootClock::now() + MoveTime;
@@ -243,194 +212,6 @@
   asio::co_spawn(Context, tick(), asio::detached);
 }
 
-void FleetHost::took(Feed Which, FeedPage Page, bool Whole, TimePoint AskedAt) {
-  if (!std::exchange(StoreAnswers, true)) {
-    logEvent(Event::StoreRegained);
-    follower(Which == Feed::Operators ? Feed::Endpoints : Feed::Operators)
-        .hurry();
-    Desk.hurry();
-  }
-  const TimePoint Now = BootClock::now();
-  logFeedChanges(Page, View, AskedAt, Now);
-  const std::vector<RoutingEffect> Effects =
-      View.take(Which, Page, Whole, AskedAt, Now);
-  share(Which, Page, Effects, Whole, AskedAt);
-  refreshRoutes();
-  Desk.lookNow();
-}
-
-// A coordinator forms groups of endpoints that routing does not need to know.
-void FleetHost::readAllEndpoints() {
-  if (View.knowsAllEndpoints())
-    Endpoints.hurry();
-  else if (Endpoints.next())
-    Endpoints.restart();
-}
-
-// Without a configuration engines cannot be told from plain services, and all
-// of them would be relayed: the endpoints are shared from the next whole read.
-void FleetHost::share(Feed Which, const FeedPage &Page,
-                      std::span<const RoutingEffect> Effects, bool Whole,
-                      TimePoint AsOf) {
-  if (Which == Feed::Endpoints && !View.config()) {
-    EndpointsUnsorted = true;
-    return;
-  }
-  if (Which == Feed::Endpoints && Whole)
-    EndpointsUnsorted = false;
-  if (Which == Feed::Operators && View.config() && EndpointsUnsorted)
-    Endpoints.restart();
-  if (Which == Feed::Operators || !EndpointsUnsorted)
-    Link.ingest(Which, Page, Effects, Whole, AsOf);
-}
-
-// Failure guarded against: hundreds of hosts start together and read the whole
-// fleet from the store, one megabyte each. Hosts that take part in coordination
-// read at once, the others give an upstream time to relay the feeds.
-void FleetHost::deferOwnReads() {
-  if (dutyRole(Settings) == DutyRole::Candidate)
-    return;
-  const milliseconds Usual =
-      Settings.FirstStart ? RelayedFirstStart : RelayedStart;
-  const auto Spread = std::chrono::duration_cast<milliseconds>(
-      RelayedStartSpread * Draw.fraction());
-  const TimePoint Until = BootClock::now() + Usual + Spread;
-  Operators.defer(Until);
-  Endpoints.defer(Until);
-}
-
-TreeLinkHooks FleetHost::linkHooks() {
-  TreeLinkHooks Out;
-  Out.Coordinates = [this] { return Desk.held(); };
-  Out.MakeReport = [this] { return ownReport(); };
-  Out.Apply = [this](const Report &Sent, Response Answer, TimePoint SentAt) {
-    applyResponse(Sent, std::move(Answer), SentAt);
-  };
-  Out.Stalled = [this](const std::string &Endpoint) {
-    Desk.askAbout(Endpoint, Threads.context(0).get_executor());
-  };
-  return Out;
-}
-
-Report FleetHost::ownReport() const {
-  Report Out;
-  Out.DataCentre = Settings.DataCentre;
-  Out.CanRelay = dutyRole(Settings) == DutyRole::Candidate;
-  Out.WantsAll = Out.CanRelay;
-  Out.Loads = Routing.ownLoads();
-  const auto Describe = [&Out](Feed Which, const FeedFollower &Its) {
-    if (!Its.next() && !Out.WantsAll)
-      Out.Missing.insert(Which);
-    else if (!Its.next())
-      return;
-    else if (!Its.isBehind())
-      Out.Next[Which] = *Its.next();
-  };
-  Describe(Feed::Operators, Operators);
-  Describe(Feed::Endpoints, Endpoints);
-  return Out;
-}
-
-void FleetHost::applyResponse(const Report &Sent, Response Answer,
-                              TimePoint SentAt) {
-  if (Answer.CoordinatorHeard)
-    Desk.heardHolder(BootClock::now());
-  Routing.shareLoads(Answer.Loads);
-  for (const auto &[Which, Update] : Answer.Feeds) {
-    const auto Next = Sent.Next.find(Which);
-    applyUpdate(Which,
-                Next == Sent.Next.end() ? std::nullopt
-                                        : std::optional<Offset>(Next->second),
-                Update, SentAt);
-  }
-  for (const Feed Which : Answer.Truncated)
-    readTruncated(Which, Sent);
-  watchUpstream(BootClock::now());
-}
-
-/// The upstream no longer has what this host lacks.
-void FleetHost::readTruncated(Feed Which, const Report &Sent) {
-  FeedFollower &Its = follower(Which);
-  const auto Next = Sent.Next.find(Which);
-  if (Next == Sent.Next.end()) {
-    if (!Its.next())
-      Its.endDeferral();
-  } else if (Its.next() == Next->second)
-    Its.fallBehind();
-}
-
-// Failure guarded against: the coordinator alone is cut off from the store,
-// another host coordinates by now, and all hosts read the store by themselves
-// for as long as the old coordinator answers. It relays nothing to hosts that
-// know more than it does.
-void FleetHost::watchUpstream(TimePoint Now) {
-  const bool Useless = StoreAnswers && Now - RelayedAt > UselessUpstreamAfter;
-  if (!Useless) {
-    AbandonPause = UselessUpstreamAfter;
-    return;
-  }
-  if (Now < AbandonAgainAt)
-    return;
-  Link.abandonUpstream();
-  AbandonAgainAt = Now + AbandonPause;
-  AbandonPause = std::min(2 * AbandonPause, LongestAbandonPause);
-}
-
-FeedPage FleetHost::decodeUpdate(Feed Which, std::optional<Offset> From,
-                                 const FeedUpdate &Update) const {
-  FeedPage Out;
-  Out.From = From.value_or(Update.Next);
-  Out.Next = Update.Next;
-  Out.End = Update.Next;
-  Out.Projected = Update.Projected;
-  for (const RelayedRecord &Each : Update.Records)
-    if (auto Decoded = Platform.Store.decode(Which, Each.Bytes)) {
-      Out.Changes.push_back(std::move(Decoded->Change));
-      Out.Raw.push_back({Each.At, std::move(Decoded->Key), Each.Bytes});
-    }
-  return Out;
-}
-
-// The store was read at least Staleness before the response left, and the
-// response left after this host's report: what it relays is at least as new as
-// SentAt - Staleness, by this host's clock alone.
-void FleetHost::applyUpdate(Feed Which, std::optional<Offset> From,
-                            const FeedUpdate &Update, TimePoint SentAt) {
-  // Failure guarded against: this host has just become the coordinator and read
-  // the records of all endpoints, and a response of its predecessor puts the
-  // few that routing needs in their place: no group is repaired any more.
-  if (Desk.held())
-    return;
-  FeedFollower &Its = follower(Which);
-  if (Its.next() != From || Update.Snapshot == From.has_value())
-    return;
-  const TimePoint AsOf = SentAt - Update.Staleness;
-  const TimePoint CoveredUntil =
-      AsOf + (Which == Feed::Operators ? operatorsCover(Settings)
-                                       : followerSpacing(Settings));
-  const TimePoint Now = BootClock::now();
-  if (CoveredUntil <= Now)
-    return;
-  if (Which == Feed::Endpoints)
-    RelayedAt = Now;
-  const FeedPage Page = decodeUpdate(Which, From, Update);
-  if (Update.Snapshot)
-    Its.adopt(Update.Next, CoveredUntil);
-  else
-    Its.cover(Update.Next, CoveredUntil);
-  logFeedChanges(Page, View, AsOf, Now);
-  const std::vector<RoutingEffect> Effects =
-      View.take(Which, Page, Update.Snapshot, AsOf, Now);
-  share(Which, Page, Effects, Update.Snapshot, AsOf);
-  refreshRoutes();
-}
-
-void FleetHost::readFailed(Feed Which) {
-  if (std::exchange(StoreAnswers, false))
-    logEvent(Event::StoreLost,
-             {{"feed", Which == Feed::Operators ? "operators" : "endpoints"}});
-}
-
 void FleetHost::refreshRoutes() {
   if (View.version() == RoutedVersion)
     return;
@@ -460,20 +241,6 @@
                              Relay.recentRequests(Name, Now)));
 }
 
-// Failure guarded against: the store is away for eight seconds, and 295 hosts
-// make 6,000 calls in vain. While an upstream answers, it reads for this host
-// and relays as soon as the store is back.
-void FleetHost::shareReads(std::size_t Hosts, TimePoint Now) {
-  const bool ReadFor = Link.hearsUpstream(Now);
-  const double Spread = 0.5 + Draw.fraction();
-  const auto Pause = std::chrono::duration_cast<milliseconds>(
-      FailedReadEvery * double(Hosts) * Spread);
-  const milliseconds Shortest =
-      ReadFor ? std::min(Pause, LongestFailurePause) : milliseconds(0);
-  Operators.pauseAfterFailure(Shortest);
-  Endpoints.pauseAfterFailure(Shortest);
-}
-
 /// What holds over all entry hosts is shared among those that there are.
 void FleetHost::shareBounds(TimePoint Now) {
   if (Now < ShareDue)
@@ -533,7 +300,7 @@
   if (!MovingUntil || Now < *MovingUntil)
     return;
   MovingUntil.reset();
-  Endpoints.space(Desk.holds(Now) ? DriverSpacing : followerSpacing(Settings));
+  Endpoints.space(Desk.holds(Now) ? DriverSpacing : followerSpacing());
 }
 
 Awaitable<void> FleetHost::tick() {
--- a/packages/process/src/coltsfoottrail/fleethost/host.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/host.hpp
@@ -64,6 +64,10 @@
 
 private:
   void startFollowing();
+  [[nodiscard]] DutyRole dutyRole() const noexcept;
+  /// Time between two reads of the endpoints' feed by a host that does not
+  /// coordinate.
+  [[nodiscard]] milliseconds followerSpacing() const noexcept;
   void took(Feed Which, FeedPage Page, bool Whole, TimePoint AskedAt);
   void readFailed(Feed Which);
   void share(Feed Which, const FeedPage &Page,
--- a/packages/process/test/coltsfoottrail/dissemination/simulation.cpp
+++ b/packages/process/test/coltsfoottrail/dissemination/simulation.cpp
@@ -34,6 +34,9 @@
   std::optional<FleetSimulation> Fleet;
 };
 
+/// Fleets that are large enough for relays.
+class RelayedDissemination : public Dissemination {};
+
 TEST_P(Dissemination, ColdStartIsReadyInThreeSeconds) {
   Fleet->run(seconds(3));
   expectAllFresh();
@@ -76,11 +79,10 @@
 }
 
 // Guards against hosts that go by what a frozen relay knew before it slept.
-TEST_P(Dissemination, FrozenRelayWakesWithOldState) {
+TEST_P(RelayedDissemination, FrozenRelayWakesWithOldState) {
   settle();
   const std::vector<std::size_t> Relays = Fleet->relays();
-  if (Relays.empty())
-    GTEST_SKIP() << "a small fleet has no relays";
+  ASSERT_FALSE(Relays.empty());
   Fleet->freeze(Relays.front(), true);
   Fleet->run(seconds(2));
   Fleet->publishVersion();
@@ -103,11 +105,10 @@
 
 // Guards against a host whose reports reach its relay while no response comes
 // back.
-TEST_P(Dissemination, CutOneWayMovesTheHost) {
+TEST_P(RelayedDissemination, CutOneWayMovesTheHost) {
   settle();
   const std::vector<std::size_t> Relays = Fleet->relays();
-  if (Relays.empty())
-    GTEST_SKIP() << "a small fleet has no relays";
+  ASSERT_FALSE(Relays.empty());
   for (std::size_t Index = 0; Index < Shape.Hosts; ++Index)
     if (Index != *Fleet->coordinator())
       Fleet->cut(Relays.front(), Index);
@@ -151,6 +152,8 @@
 
 INSTANTIATE_TEST_SUITE_P(Fleets, Dissemination,
                          ::testing::Values(30U, 300U, 1'000U));
+INSTANTIATE_TEST_SUITE_P(Fleets, RelayedDissemination,
+                         ::testing::Values(300U, 1'000U));
 
 } // namespace
 
