Take relayed records although own reads have gone on; names and comments

Cause, read from the code and not traced: a host that reads the feed by itself without a pause, as it lags behind, advances between its report and the response, and every response was dropped; it never came back to its upstream. Test: Follower.AcceptsRelayedRecordsThatBeginBeforeItsOwnReads (the condition before, next() == From, fails its first line).

--- a/packages/process/src/coltsfoottrail/dissemination/link.cpp
+++ b/packages/process/src/coltsfoottrail/dissemination/link.cpp
@@ -166,9 +166,8 @@
     Up.setCoordinator(*Member);
 }
 
-// Failure guarded against: coordination moves, and for a second the former
-// coordinator reports the loads of all hosts as its own: leaders look full, and
-// callers are refused.
+// The reporters of a former coordinator report to its successor; reported here
+// as well, their loads would count twice.
 void TreeLink::noticeSuccession() {
   const bool Coordinates = Hooks.Coordinates();
   if (std::exchange(Coordinated, Coordinates) && !Coordinates)
--- a/packages/process/src/coltsfoottrail/fleethost/feeds.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/feeds.cpp
@@ -41,7 +41,8 @@
 
 } // namespace
 
-void FleetHost::took(Feed Which, FeedPage Page, bool Whole, TimePoint AskedAt) {
+void FleetHost::ingestPage(Feed Which, FeedPage Page, bool Whole,
+                           TimePoint AskedAt) {
   if (!std::exchange(StoreAnswers, true)) {
     logEvent(Event::StoreRegained);
     follower(Which == Feed::Operators ? Feed::Endpoints : Feed::Operators)
@@ -82,9 +83,9 @@
     Link.ingest(Which, Page, Effects, Whole, AsOf);
 }
 
-// Failure guarded against: hundreds of hosts start together and read the whole
-// fleet from the store, one megabyte each. Hosts that take part in coordination
-// read at once, the others give an upstream time to relay the feeds.
+// Hosts that start together would each read the whole fleet from the store. The
+// hosts that may coordinate read at once, the others give an upstream time to
+// relay the newest values.
 void FleetHost::deferOwnReads() {
   if (dutyRole() == DutyRole::Candidate)
     return;
@@ -157,10 +158,8 @@
     Its.fallBehind();
 }
 
-// Failure guarded against: the coordinator alone is cut off from the store,
-// another host coordinates by now, and all hosts read the store by themselves
-// for as long as the old coordinator answers. It relays nothing to hosts that
-// know more than it does.
+// A coordinator that is cut off from the store answers on but relays nothing to
+// hosts that know more than it does.
 void FleetHost::watchUpstream(TimePoint Now) {
   const bool Useless = StoreAnswers && Now - RelayedAt > UselessUpstreamAfter;
   if (!Useless) {
@@ -194,13 +193,14 @@
 // SentAt - Staleness, by this host's clock alone.
 void FleetHost::applyUpdate(Feed Which, std::optional<Offset> From,
                             const FeedUpdate &Update, TimePoint SentAt) {
-  // Failure guarded against: this host has just become the coordinator and read
-  // the records of all endpoints, and a response of its predecessor puts the
-  // few that routing needs in their place: no group is repaired any more.
+  // A response of the former coordinator may arrive after this host has read
+  // all records; projected ones must not take their place.
   if (Desk.held())
     return;
   FeedFollower &Its = follower(Which);
-  if (Its.next() != From || Update.Snapshot == From.has_value())
+  if (Update.Snapshot == From.has_value())
+    return;
+  if (From ? !Its.accepts(*From, Update.Next) : Its.next().has_value())
     return;
   const TimePoint AsOf = SentAt - Update.Staleness;
   const TimePoint CoveredUntil =
@@ -229,9 +229,8 @@
              {{"feed", Which == Feed::Operators ? "operators" : "endpoints"}});
 }
 
-// Failure guarded against: the store is away for eight seconds, and 295 hosts
-// make 6,000 calls in vain. While an upstream answers, it reads for this host
-// and relays as soon as the store is back.
+// Bounds the reads of the whole fleet while the store is away: an upstream that
+// answers reads for this host and relays as soon as the store is back.
 void FleetHost::shareReads(std::size_t Hosts, TimePoint Now) {
   const bool ReadFor = Link.hearsUpstream(Now);
   const double Spread = 0.5 + Draw.fraction();
--- a/packages/process/src/coltsfoottrail/fleethost/follower.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/follower.cpp
@@ -71,9 +71,8 @@
   hurry();
 }
 
-// Failure guarded against: an upstream says with each response that it cannot
-// relay the configuration, each of them cancels the read that was begun after
-// the last one, and the host never gets ready.
+// Must not cancel a read under way: an upstream that cannot relay the newest
+// values says so with each response.
 void FeedFollower::endDeferral() {
   if (CoveredUntil <= BootClock::now())
     return;
--- a/packages/process/src/coltsfoottrail/fleethost/follower.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/follower.hpp
@@ -62,6 +62,15 @@
   /// @param To Where to read on.
   void cover(Offset To, TimePoint Until);
 
+  /// @brief Whether relayed records leave no gap and lead further: own reads
+  /// may have gone on since they were asked for. Records that are repeated are
+  /// followed by all that came after them.
+  /// @param From Offset of the first one.
+  /// @param To Where to read on behind them.
+  [[nodiscard]] bool accepts(Offset From, Offset To) const noexcept {
+    return Next && From <= *Next && To >= *Next;
+  }
+
   /// @brief Another host relayed the newest values: reading goes on behind
   /// them, and not before a time. Ignored once the feed was read here.
   void adopt(Offset To, TimePoint Until);
--- a/packages/process/src/coltsfoottrail/fleethost/host.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/host.cpp
@@ -144,12 +144,12 @@
                                       Member, AssemblyTimes{}, dutyRole()),
       Operators(Links.Store, Feed::Operators, operatorTimes(Settings.Bounds),
                 {[this](FeedPage Page, bool Whole, TimePoint AskedAt) {
-                   took(Feed::Operators, std::move(Page), Whole, AskedAt);
+                   ingestPage(Feed::Operators, std::move(Page), Whole, AskedAt);
                  },
                  [this](StoreFailure) { readFailed(Feed::Operators); }}),
       Endpoints(Links.Store, Feed::Endpoints, endpointTimes(followerSpacing()),
                 {[this](FeedPage Page, bool Whole, TimePoint AskedAt) {
-                   took(Feed::Endpoints, std::move(Page), Whole, AskedAt);
+                   ingestPage(Feed::Endpoints, std::move(Page), Whole, AskedAt);
                  },
                  [this](StoreFailure) { readFailed(Feed::Endpoints); }}),
       Link(Pool, Settings.Peers, Member, Links.Store, linkHooks()) {
--- a/packages/process/src/coltsfoottrail/fleethost/host.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/host.hpp
@@ -68,7 +68,7 @@
   /// Time between two reads of the endpoints' feed by a host that does not
   /// coordinate.
   [[nodiscard]] milliseconds followerSpacing() const noexcept;
-  void took(Feed Which, FeedPage Page, bool Whole, TimePoint AskedAt);
+  void ingestPage(Feed Which, FeedPage Page, bool Whole, TimePoint AskedAt);
   void readFailed(Feed Which);
   void share(Feed Which, const FeedPage &Page,
              std::span<const RoutingEffect> Effects, bool Whole,
--- a/packages/process/src/coltsfoottrail/fleethost/view.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/view.cpp
@@ -194,10 +194,8 @@
 // the configuration is older than the bound, no credential is trusted. The
 // clock counts suspension, so a host that wakes knows that it slept.
 //
-// Failure guarded against: the store answers, but its reads are so many that
-// the configuration's end is not reached, and callers are served by a version
-// that was replaced seconds ago. Only a store that does not answer at all
-// excuses a configuration that is older than its bound.
+// Only a store that does not answer at all excuses a configuration that is
+// older than its bound; one that answers without reaching the end does not.
 bool FleetView::credentialsFresh(TimePoint Now) const noexcept {
   const bool Starved = StoreAnsweredAsOf - ConfigAsOf >=
                        Bounds.Configuration - ConfigurationMargin;
--- a/packages/process/test/coltsfoottrail/fleethost/follower.cpp
+++ b/packages/process/test/coltsfoottrail/fleethost/follower.cpp
@@ -187,6 +187,19 @@
   EXPECT_EQ(Taken, std::vector<Offset>{4});
 }
 
+// Guards against a host that reads on and on by itself: each response of its
+// upstream came after one more own read, and was dropped.
+TEST_F(Follower, AcceptsRelayedRecordsThatBeginBeforeItsOwnReads) {
+  EXPECT_CALL(Store, newest).WillOnce([] { return page(7, 7); });
+  follow();
+  Context.poll();
+  ASSERT_EQ(Taken, std::vector<Offset>{7});
+  EXPECT_TRUE(Followed->accepts(5, 9));
+  EXPECT_TRUE(Followed->accepts(7, 7));
+  EXPECT_FALSE(Followed->accepts(5, 6));
+  EXPECT_FALSE(Followed->accepts(8, 9));
+}
+
 Awaitable<FeedAnswer> refused() { co_return StoreFailure::NotDone; }
 
 // Guards against thousands of calls in vain while the store is away and another
