Keep repeated records in the log that is relayed

The repeated records no longer changed its view, so they were left out, and the log went on behind them. Once that host coordinated, its reporters were served across the hole: they were proved up to date without the configuration or the endpoint's record that was missing. The newest values of several pages had the same hole between the first page's end and the last record that they hold.

Now repeated records are skipped and only a gap restarts the log. Newest values that hold later records serve nobody before the last of them.

--- a/packages/process/src/coltsfoottrail/dissemination/feedlog.cpp
+++ b/packages/process/src/coltsfoottrail/dissemination/feedlog.cpp
@@ -4,15 +4,15 @@
 
 namespace coltsfoottrail {
 
-void FeedLog::restart(Offset At) {
-  Base = At;
+void FeedLog::restart(Offset At, Offset Consistent) {
+  Base = Consistent;
   Next = At;
   Bytes = 0;
   Changes.clear();
 }
 
-void FeedLog::clear(Offset At) {
-  restart(At);
+void FeedLog::clear(Offset At, Offset Consistent) {
+  restart(At, Consistent);
   Newest.clear();
   TooLarge.clear();
   Complete = true;
--- a/packages/process/src/coltsfoottrail/dissemination/feedlog.hpp
+++ b/packages/process/src/coltsfoottrail/dissemination/feedlog.hpp
@@ -28,9 +28,16 @@
 
   /// @brief Drops all changes; newest values are kept. Needed where records
   /// before an offset were not seen.
-  void restart(Offset At);
+  void restart(Offset At) { restart(At, At); }
+  /// @brief Drops all changes where some records behind the offset at which
+  /// reading goes on are known already.
+  /// @param At Where reading goes on.
+  /// @param Consistent Readers before this offset cannot be served: records
+  /// that were known already are not added again. At least At.
+  void restart(Offset At, Offset Consistent);
   /// @brief Drops everything, newest values included.
-  void clear(Offset At);
+  /// @copydetails restart(Offset, Offset)
+  void clear(Offset At, Offset Consistent);
   /// @brief Records a change. Precondition: offsets grow.
   void add(FeedRecord Record, RoutingEffect Effect);
   /// @brief Records a change without a newest value.
@@ -59,7 +66,7 @@
 
   /// @brief Whether snapshot() has every newest value.
   [[nodiscard]] bool hasSnapshot() const noexcept {
-    return Complete && TooLarge.empty();
+    return Complete && TooLarge.empty() && Next >= Base;
   }
   /// @brief Whether a newest value is too large to be relayed: a reader that
   /// starts reads the store itself.
--- a/packages/process/src/coltsfoottrail/dissemination/node.cpp
+++ b/packages/process/src/coltsfoottrail/dissemination/node.cpp
@@ -10,26 +10,37 @@
 /// What was never read counts as this old.
 constexpr milliseconds LongestStaleness = std::chrono::hours(1);
 
+/// @return Behind the last record of a page.
+Offset endOfRecords(const FeedPage &Page) {
+  Offset Out = 0;
+  for (const FeedRecord &Each : Page.Raw)
+    Out = std::max(Out, Each.At + 1);
+  return Out;
+}
+
 } // namespace
 
 void TreeNode::ingest(Feed Which, const FeedPage &Page,
                       std::span<const RoutingEffect> Effects, bool Whole,
                       TimePoint AsOf) {
   SharedFeed &Its = feed(Which);
+  // Records before this offset are in the log already. They are skipped when
+  // they are repeated: they no longer change the view, and a log that began
+  // anew with the repeated page would leave them out.
+  const Offset Known = Whole ? Page.Next : Its.Log.next();
   if (Whole) {
-    Its.Log.clear(Page.Next);
-    Its.All.restart(Page.Next);
-  }
-  // Another host relayed to this one for a while. Its records are missing here,
-  // and a reporter that is served across the gap would never hear of them.
-  else if (Page.From != Its.Log.next())
+    const Offset Consistent = std::max(Page.Next, endOfRecords(Page));
+    Its.Log.clear(Page.Next, Consistent);
+    Its.All.restart(Page.Next, Consistent);
+  } else if (Page.From > Known) {
     Its.Log.restart(Page.From);
-  if (!Page.Projected && Page.From != Its.All.next())
-    Its.All.restart(Page.From);
+  }
+  if (!Whole && !Page.Projected && (Page.From > Known || Its.All.next() != Known))
+    Its.All.restart(std::max(Page.From, Known));
   for (std::size_t Index = 0; Index < Page.Raw.size(); ++Index) {
     const FeedRecord &Record = Page.Raw[Index];
     const RoutingEffect Effect = Effects[Index];
-    if (Effect == RoutingEffect::None)
+    if (Effect == RoutingEffect::None || (!Whole && Record.At < Known))
       continue;
     if (!Whole && !Page.Projected)
       Its.All.addChange({Record.At, Record.Bytes});
@@ -40,6 +51,8 @@
     else
       Its.Log.add(Record, Effect);
   }
+  if (Page.Next < Known)
+    return;
   Its.Log.readTo(Page.Next);
   if (!Page.Projected)
     Its.All.readTo(Page.Next);
--- a/packages/process/test/coltsfoottrail/dissemination/node.cpp
+++ b/packages/process/test/coltsfoottrail/dissemination/node.cpp
@@ -130,6 +130,55 @@
       Node.respond(report("a", 12), Start).Feeds.contains(Feed::Endpoints));
 }
 
+// Guards against records that a host has read and is then relayed again: they
+// no longer change its view, and its reporters would never hear of them.
+TEST(TreeNode, RepeatedRecordsStayInTheLog) {
+  for (const bool WantsAll : {false, true}) {
+    TreeNode Node = node();
+    ingest(Node, 4, 7);
+    ingest(Node, page(4, 7), RoutingEffect::None);
+    Report From = report("a", 5);
+    From.WantsAll = WantsAll;
+    EXPECT_TRUE(Node.hasUpdate(From));
+    const Response Made = Node.respond(From, Start);
+    ASSERT_TRUE(Made.Feeds.contains(Feed::Endpoints));
+    EXPECT_EQ(Made.Feeds.at(Feed::Endpoints).Records.size(), 2U);
+  }
+}
+
+// Guards against a page that begins with repeated records and goes on behind
+// them.
+TEST(TreeNode, AddsWhatIsBehindRepeatedRecords) {
+  TreeNode Node = node();
+  ingest(Node, 4, 7);
+  FeedPage Page = page(5, 9);
+  const std::vector<RoutingEffect> Effects{
+      RoutingEffect::None, RoutingEffect::None, RoutingEffect::Set,
+      RoutingEffect::Set};
+  Node.ingest(Feed::Endpoints, Page, Effects, false, Start);
+  Report From = report("a", 4);
+  From.WantsAll = true;
+  const FeedUpdate Update = Node.respond(From, Start).Feeds.at(Feed::Endpoints);
+  EXPECT_EQ(Update.Next, 9U);
+  EXPECT_EQ(Update.Records.size(), 5U);
+}
+
+// Guards against newest values of several pages, some of them written while the
+// pages were read: read again, they change nothing and would not be relayed.
+TEST(TreeNode, ServesNobodyAmongRecordsThatTheNewestValuesHad) {
+  TreeNode Node = node();
+  FeedPage Newest = page(0, 6);
+  Newest.Next = 4;
+  Newest.End = 4;
+  ingest(Node, Newest, RoutingEffect::Set, Start, true);
+  EXPECT_FALSE(Node.hasUpdate(newcomer()));
+  ingest(Node, page(4, 6), RoutingEffect::None);
+  EXPECT_TRUE(Node.hasUpdate(newcomer()));
+  const Response Made = Node.respond(report("a", 5), Start);
+  EXPECT_FALSE(Made.Feeds.contains(Feed::Endpoints));
+  EXPECT_TRUE(Made.Truncated.contains(Feed::Endpoints));
+}
+
 TEST(TreeNode, ReporterThatIsTooFarBehindReadsForItself) {
   TreeNode Node = node();
   ingest(Node, 0, FeedLog::MostRecords + 5);
--- a/packages/process/test/coltsfoottrail/dissemination/simulation.cpp
+++ b/packages/process/test/coltsfoottrail/dissemination/simulation.cpp
@@ -34,6 +34,9 @@
   std::optional<FleetSimulation> Fleet;
 };
 
+/// Fleets that are played through several losses of the coordinator.
+class CoordinationMoves : public Dissemination {};
+
 /// Fleets that are large enough for relays.
 class RelayedDissemination : public Dissemination {};
 
@@ -132,6 +135,23 @@
   expectAllFresh();
 }
 
+// Guards against a new coordinator that is relayed what it has just read itself,
+// and then proves to its reporters a configuration that they do not have.
+TEST_P(CoordinationMoves, ConfigurationReachesAllHosts) {
+  settle();
+  for (int Round = 0; Round < 6; ++Round) {
+    Fleet->setStoreAway(true);
+    Fleet->run(seconds(4));
+    Fleet->setStoreAway(false);
+    Fleet->publishVersion();
+    Fleet->run(milliseconds(100));
+    Fleet->kill(*Fleet->coordinator());
+    Fleet->run(seconds(4));
+    expectAllFresh();
+  }
+  EXPECT_EQ(Fleet->withVersion(7), Fleet->running());
+}
+
 TEST_P(Dissemination, AllHostsRestartTogether) {
   settle();
   for (std::size_t Index = 0; Index < Shape.Hosts; ++Index)
@@ -152,6 +172,8 @@
 
 INSTANTIATE_TEST_SUITE_P(Fleets, Dissemination,
                          ::testing::Values(30U, 300U, 1'000U));
+INSTANTIATE_TEST_SUITE_P(Fleets, CoordinationMoves,
+                         ::testing::Values(30U, 300U));
 INSTANTIATE_TEST_SUITE_P(Fleets, RelayedDissemination,
                          ::testing::Values(300U, 1'000U));
 
