Judge engines after an outage by what they published since; reserves wait

Where the coordinator was stopped during the outage, all 62 hosts asked for the lease (generation 11 to 73 in two seconds) and a host with an eighth of a core kept it.

Change: an engine is free for a group only once its record came after the return, for the two and a half seconds in which live engines publish themselves; a group's time to become ready does not run out meanwhile. Candidacy is a decision of its own: a reserve stands aside while the store is away and for its usual span after that.

Tests: Assembler.UsesEnginesOnlyOnceTheyPublishedAfterAnOutage, GroupsThatBecameReadyDuringAnOutageAreOpened, Candidacy.*.

--- a/packages/process/src/coltsfoottrail/fleethost/assemblydesk.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/assemblydesk.cpp
@@ -78,16 +78,8 @@
                            std::string Member, AssemblyTimes Wanted,
                            DutyRole Part)
     : Store(Where), Engines(Given), View(Believed), Silence(Heard),
-      Self(std::move(Member)), Times(Wanted), Role(Part) {}
-
-// Failure guarded against: the duty goes to a host with an eighth of a core. It
-// orders two hundred engines at once, is late with its lease, and the groups
-// are formed twice before the first caller. Seventy hosts that all renew their
-// membership also cost a tenth of what the day is worth.
-bool AssemblyDesk::standsAside(TimePoint Now) const {
-  return Role == DutyRole::Reserve && !Term.held() &&
-         Now - HolderHeardAt < Pace.StandAsideFor;
-}
+      Self(std::move(Member)), Times(Wanted),
+      Election(Part, Pace.Candidacy, BootClock::now()) {}
 
 Awaitable<void> AssemblyDesk::holdDuty() {
   Renewal.emplace(co_await asio::this_coro::executor);
@@ -95,7 +87,7 @@
   milliseconds Next = Pace.RenewEvery;
   while (!Leaving) {
     const TimePoint AskedAt = BootClock::now();
-    if (standsAside(AskedAt)) {
+    if (Election.standsAside(Term.held(), AskedAt)) {
       co_await pauseRenewal(Pace.StandAsideLook);
       continue;
     }
--- a/packages/process/src/coltsfoottrail/fleethost/assemblydesk.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/assemblydesk.hpp
@@ -6,6 +6,7 @@
 #include "coltsfoottrail/assembly/assembler.hpp"
 #include "coltsfoottrail/boundary/engines.hpp"
 #include "coltsfoottrail/boundary/store.hpp"
+#include "coltsfoottrail/fleethost/candidacy.hpp"
 #include "coltsfoottrail/fleethost/dutyterm.hpp"
 #include "coltsfoottrail/fleethost/view.hpp"
 #include "coltsfoottrail/silence/silencewatch.hpp"
@@ -43,17 +44,9 @@
   milliseconds AskAgainAfter{1'500};
   /// Between two lines in the log on where the engines stand.
   milliseconds SummaryEvery{5'000};
-  /// A host that stands aside looks this often whether it is needed, and is
-  /// when no other one drove the groups for so long: a lease and a renewal.
+  /// A host that stands aside looks this often whether it is needed.
   milliseconds StandAsideLook{250};
-  milliseconds StandAsideFor{2'000};
-};
-
-/// @brief Whether a host takes part in the duty from the start.
-enum class DutyRole : std::uint8_t {
-  Candidate,
-  /// Only when it hears of no other host that holds the duty.
-  Reserve
+  CandidacyTimes Candidacy;
 };
 
 /// @brief Takes part in the duty and acts while it is held. Belongs to one
@@ -74,8 +67,14 @@
 
   /// @brief Joins the duty and renews it until it is cancelled.
   [[nodiscard]] Awaitable<void> holdDuty();
-  /// @brief Another host was heard to hold the duty.
-  void heardHolder(TimePoint Now) noexcept { HolderHeardAt = Now; }
+  /// @brief Takes a sign that another host holds the duty.
+  void recordCoordinator(TimePoint Now) noexcept {
+    Election.recordCoordinator(Now);
+  }
+  /// @brief Takes whether the store answers this host's reads.
+  void recordStore(bool Answers, TimePoint Now) noexcept {
+    Election.recordStore(Answers, Now);
+  }
   /// @brief Looks at the groups until it is cancelled.
   [[nodiscard]] Awaitable<void> drive();
   /// @brief Gives the duty up.
@@ -111,7 +110,6 @@
 private:
   struct Inquiry;
 
-  [[nodiscard]] bool standsAside(TimePoint Now) const;
   [[nodiscard]] Awaitable<void> pauseRenewal(milliseconds Span);
   void take(const DutyGrant &Grant, TimePoint AskedAt);
   void look(TimePoint Now, const boost::asio::any_io_executor &Executor);
@@ -139,8 +137,7 @@
   /// One for each service with engines.
   std::map<ServiceName, Assembler> Assemblers;
   AssemblyTimes Times;
-  DutyRole Role;
-  TimePoint HolderHeardAt = BootClock::now();
+  Candidacy Election;
   DutyTerm Term{Pace.Lease};
   bool Leaving = false;
   TimePoint SummaryDue{};
--- a/packages/process/src/coltsfoottrail/fleethost/feeds.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/feeds.cpp
@@ -45,6 +45,7 @@
                            TimePoint AskedAt) {
   if (!std::exchange(StoreAnswers, true)) {
     logEvent(Event::StoreRegained);
+    Desk.recordStore(true, BootClock::now());
     follower(Which == Feed::Operators ? Feed::Endpoints : Feed::Operators)
         .hurry();
     Desk.hurry();
@@ -133,7 +134,7 @@
 void FleetHost::applyResponse(const Report &Sent, Response Answer,
                               TimePoint SentAt) {
   if (Answer.CoordinatorHeard)
-    Desk.heardHolder(BootClock::now());
+    Desk.recordCoordinator(BootClock::now());
   Routing.shareLoads(Answer.Loads);
   for (const auto &[Which, Update] : Answer.Feeds) {
     const auto Next = Sent.Next.find(Which);
@@ -224,6 +225,7 @@
 }
 
 void FleetHost::readFailed(Feed Which) {
+  Desk.recordStore(false, BootClock::now());
   if (std::exchange(StoreAnswers, false))
     logEvent(Event::StoreLost,
              {{"feed", Which == Feed::Operators ? "operators" : "endpoints"}});
--- a/packages/version/src/coltsfoottrail/assembly/formation.cpp
+++ b/packages/version/src/coltsfoottrail/assembly/formation.cpp
@@ -29,7 +29,10 @@
 
 bool Assembler::isFree(const Pass &In, const KnownEndpoint &Of) const {
   const EndpointRecord &Record = Of.Record;
+  // An engine that was lost or restarted during an outage of the store would
+  // hold up the group that it is chosen for.
   if (Record.Service != In.View.Service.Name || Of.MissingUntil ||
+      In.View.Endpoints.isUncertain(Of, In.Now) ||
       Record.State != EndpointState::Serving ||
       In.View.Drained.contains(Record.DataCentre))
     return false;
--- a/packages/version/src/coltsfoottrail/assembly/repair.cpp
+++ b/packages/version/src/coltsfoottrail/assembly/repair.cpp
@@ -122,7 +122,8 @@
   }
   if (InService || Of.OpenOrdered)
     return false;
-  if (In.Now < Of.JoinBy) {
+  // Members that became ready while the store was away have yet to say so.
+  if (In.Now < Of.JoinBy || In.View.Endpoints.isSettling(In.Now)) {
     repeatJoins(In, Of);
     return false;
   }
--- a/packages/version/src/coltsfoottrail/fleet/catalogue.hpp
+++ b/packages/version/src/coltsfoottrail/fleet/catalogue.hpp
@@ -53,6 +53,18 @@
     ReturnedAt = Now;
     SettledAt = Now + SettleTime;
   }
+  /// @brief Whether live endpoints may not have published themselves again yet
+  /// since the store's return. Thread-compatible.
+  [[nodiscard]] bool isSettling(TimePoint Now) const noexcept {
+    return Now < SettledAt;
+  }
+  /// @brief Whether a record was written before the store's return, so that
+  /// what happened to its endpoint during the outage may still be unknown.
+  /// Thread-compatible.
+  [[nodiscard]] bool isUncertain(const KnownEndpoint &Which,
+                                 TimePoint Now) const noexcept {
+    return isSettling(Now) && Which.HeardAt <= ReturnedAt;
+  }
   /// @brief Drops endpoints that are still missing, and lets cold ones warm up.
   /// @return Names of those dropped.
   std::vector<EndpointName> advance(TimePoint Now);
--- a/packages/version/test/coltsfoottrail/assembly/assembler.cpp
+++ b/packages/version/test/coltsfoottrail/assembly/assembler.cpp
@@ -272,6 +272,48 @@
   EXPECT_EQ(Fleet.JoinedWhileOpen, 0);
 }
 
+// Guards against groups formed, after an outage of the store, of engines that
+// were lost or restarted during it.
+TEST(Assembler, UsesEnginesOnlyOnceTheyPublishedAfterAnOutage) {
+  FakeEngines Fleet;
+  Fleet.addDomain("north", "n0", 4);
+  Fleet.run(LongEnough);
+  ASSERT_EQ(Fleet.leaders().size(), 1U);
+  Fleet.CallersBegun = true;
+  Fleet.addDomain("north", "n1", 4);
+  const std::vector<EndpointName> Idle = Fleet.inDomain("n1");
+  for (const EndpointName &Each : Idle)
+    Fleet.giveWeights(Each, ModelName("big"));
+  Fleet.storeAway(seconds(8));
+  Fleet.storeReturns();
+  EXPECT_TRUE(Fleet.look().empty());
+  Fleet.Now += milliseconds(300);
+  for (const EndpointName &Each : Idle)
+    Fleet.publish(Each);
+  Fleet.run(seconds(1));
+  EXPECT_EQ(Fleet.leaders().size(), 2U);
+}
+
+// Guards against groups that are dissolved after an outage of the store because
+// their time to become ready ran out while nobody could see that they were.
+TEST(Assembler, GroupsThatBecameReadyDuringAnOutageAreOpened) {
+  FakeEngines Fleet;
+  Fleet.Slow = true;
+  Fleet.addDomain("north", "n0", 4);
+  Fleet.run(LongEnough);
+  Fleet.CallersBegun = true;
+  const GroupEpoch Epoch = Fleet.epochOf(EndpointName("n0-0"));
+  Fleet.storeAway(seconds(60));
+  Fleet.finishAll();
+  Fleet.storeReturns();
+  Fleet.run(milliseconds(500));
+  Fleet.publishAll();
+  Fleet.Slow = false;
+  Fleet.run(seconds(1));
+  EXPECT_EQ(Fleet.epochOf(EndpointName("n0-0")), Epoch);
+  EXPECT_EQ(Fleet.leaders().size(), 1U);
+}
+
 // Requests pile up at a data centre that operators take out.
 // Groups are formed of the engines elsewhere only.
 TEST(Assembler, FormsNothingInADrainedDataCentre) {
--- a/packages/version/test/coltsfoottrail/assembly/engines.hpp
+++ b/packages/version/test/coltsfoottrail/assembly/engines.hpp
@@ -61,6 +61,44 @@
     Catalogue.publish(Records.at(Name), Now);
   }
 
+  /// Nothing reaches the store, and nobody is looked after meanwhile.
+  void storeAway(Duration Span) {
+    for (const auto &[Name, Record] : Records)
+      Unheard.insert(Name);
+    Now += Span;
+  }
+
+  /// The store answers again; endpoints have yet to publish themselves.
+  void storeReturns() {
+    Catalogue.storeReturned(Now);
+    Unheard.clear();
+  }
+
+  void giveWeights(const EndpointName &Name, const ModelName &Model) {
+    Records.at(Name).Staged = {Model};
+    Records.at(Name).Loaded = {Model};
+    publish(Name);
+  }
+
+  [[nodiscard]] std::vector<EndpointName>
+  inDomain(const std::string &Domain) const {
+    std::vector<EndpointName> Out;
+    for (const auto &[Name, Record] : Records)
+      if (Record.Domain == FabricDomainName(Domain))
+        Out.push_back(Name);
+    return Out;
+  }
+
+  [[nodiscard]] GroupEpoch epochOf(const EndpointName &Name) const {
+    return Records.at(Name).Seat->Epoch;
+  }
+
+  /// All engines publish themselves.
+  void publishAll() {
+    for (const auto &[Name, Record] : Records)
+      publish(Name);
+  }
+
   /// One look of the driver; orders are carried out and answered.
   std::vector<SeatCommand> look() {
     const AssemblyView View{Catalogue, Service, Drained, Fence, CallersBegun};
