--- a/packages/process/src/coltsfoottrail/dissemination/link.cpp
+++ b/packages/process/src/coltsfoottrail/dissemination/link.cpp
@@ -33,6 +33,8 @@
 constexpr Duration HostsLife = seconds(30);
 /// The coordinator counts as alive for so long after it was heard.
 constexpr Duration CoordinatorLife = seconds(1);
+/// A relay passes the sign of a valid lease on for so long: some exchanges.
+constexpr Duration LeaseSignLife = milliseconds(300);
 
 } // namespace
 
@@ -114,6 +116,7 @@
   Out.Coordinates = Hooks.Coordinates();
   Out.CoordinatorHeard =
       Out.Coordinates || Now - CoordinatorHeardAt < CoordinatorLife;
+  Out.LeaseHeard = Hooks.HoldsLease() || Now - LeaseHeardAt < LeaseSignLife;
   // The largest count of a while must not be passed on: hosts would renew it
   // among themselves, and a restarted host would count twice for good.
   if (!Out.Coordinates && hearsUpstream(Now))
@@ -212,6 +215,8 @@
   UpstreamHosts = Made.Hosts;
   if (Made.CoordinatorHeard)
     CoordinatorHeardAt = Now;
+  if (Made.LeaseHeard)
+    LeaseHeardAt = Now;
   recordHosts(Made.Hosts, Now);
   if (Up.respond(Made, ByRelay)) {
     Hold = LongestReportPace;
@@ -250,7 +255,6 @@
   CoordinatorHeardAt = Now;
   Response Made;
   Made.Coordinates = true;
-  Made.CoordinatorHeard = true;
   Made.Loads = Node.otherLoads(Now);
   Own.Next.clear();
   Own.Missing.clear();
--- a/packages/process/src/coltsfoottrail/dissemination/link.hpp
+++ b/packages/process/src/coltsfoottrail/dissemination/link.hpp
@@ -29,6 +29,8 @@
   /// Whether this host coordinates the groups, or did last before the store
   /// went away, and so is the root.
   std::function<bool()> Coordinates;
+  /// Whether its lease is valid now.
+  std::function<bool()> HoldsLease;
   /// Makes this host's own report; Stalled is left empty.
   std::function<Report()> MakeReport;
   /// Takes a response to a report that left at a time. Its loads are those of
@@ -116,6 +118,7 @@
   boost::asio::steady_timer Updated;
   Upstream Up;
   TimePoint CoordinatorHeardAt{};
+  TimePoint LeaseHeardAt{};
   TimePoint UpstreamHeardAt{};
   /// Hosts in the tree by the last response.
   std::uint64_t UpstreamHosts = 0;
--- a/packages/process/src/coltsfoottrail/dissemination/messages.cpp
+++ b/packages/process/src/coltsfoottrail/dissemination/messages.cpp
@@ -144,6 +144,7 @@
               {"hold_ms", Message.Hold.count()},
               {"coordinates", Message.Coordinates},
               {"coordinator_heard", Message.CoordinatorHeard},
+              {"lease_heard", Message.LeaseHeard},
               {"loads", encodeLoads(Message.Loads)},
               {"feeds", std::move(Feeds)},
               {"truncated", encodeFeeds(Message.Truncated)}};
@@ -183,6 +184,7 @@
   Out.Hold = milliseconds(Reader.number("hold_ms", 0, MostMilliseconds));
   Out.Coordinates = Reader.flagOr("coordinates", false);
   Out.CoordinatorHeard = Reader.flagOr("coordinator_heard", false);
+  Out.LeaseHeard = Reader.flagOr("lease_heard", false);
   Out.Coordinator = optionalText(Reader, "coordinator");
   Out.Relay = optionalText(Reader, "relay");
   Out.Loads = decodeLoads(Reader, ResponseSource);
--- a/packages/process/src/coltsfoottrail/dissemination/messages.hpp
+++ b/packages/process/src/coltsfoottrail/dissemination/messages.hpp
@@ -74,8 +74,11 @@
   milliseconds Hold{0};
   /// Whether the sender is the coordinator.
   bool Coordinates = false;
-  /// Whether the sender has heard the coordinator within the last second.
+  /// Whether the sender is the coordinator or has heard it lately.
   bool CoordinatorHeard = false;
+  /// Whether the sender holds a valid lease to coordinate or has heard lately
+  /// of a host that does. A coordinator has none while the store is away.
+  bool LeaseHeard = false;
   /// Address and port of the coordinator, if known.
   std::optional<std::string> Coordinator;
   /// Address and port of the relay to report to from now on.
--- a/packages/process/src/coltsfoottrail/fleethost/assemblydesk.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/assemblydesk.cpp
@@ -76,10 +76,10 @@
 AssemblyDesk::AssemblyDesk(FleetStore &Where, FleetEngines &Given,
                            const FleetView &Believed, const SilenceWatch &Heard,
                            std::string Member, AssemblyTimes Wanted,
-                           DutyRole Part)
+                           Candidacy Rule)
     : Store(Where), Engines(Given), View(Believed), Silence(Heard),
       Self(std::move(Member)), Times(Wanted),
-      Election(Part, Pace.Candidacy, BootClock::now()) {}
+      Election(Rule) {}
 
 Awaitable<void> AssemblyDesk::holdDuty() {
   Renewal.emplace(co_await asio::this_coro::executor);
@@ -93,11 +93,14 @@
     }
     DutyAsk Ask;
     Ask.Member = Self;
-    Ask.Lease = Term.lease();
+    const milliseconds Lease = Term.lease();
+    Ask.Lease = Lease;
     Ask.Generation = Term.generation();
     const auto Answer = co_await Store.joinDuty(std::move(Ask));
-    if (const auto *const Grant = std::get_if<DutyGrant>(&Answer))
+    if (const auto *const Grant = std::get_if<DutyGrant>(&Answer)) {
+      Election.recordMembership(AskedAt + Lease);
       take(*Grant, AskedAt);
+    }
     const bool Answered = std::holds_alternative<DutyGrant>(Answer);
     Next =
         Answered ? Pace.RenewEvery : std::min(2 * Next, Pace.LongestRenewPause);
--- a/packages/process/src/coltsfoottrail/fleethost/assemblydesk.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/assemblydesk.hpp
@@ -45,8 +45,7 @@
   /// Between two lines in the log on where the engines stand.
   milliseconds SummaryEvery{5'000};
   /// A host that stands aside looks this often whether it is needed.
-  milliseconds StandAsideLook{250};
-  CandidacyTimes Candidacy;
+  milliseconds StandAsideLook{100};
 };
 
 /// @brief Takes part in the duty and acts while it is held. Belongs to one
@@ -60,16 +59,16 @@
   /// @param Heard Which endpoints' streams move.
   /// @param Member Unique for this run of the process.
   /// @param Times Times of the assembly.
-  /// @param Part Whether it stands aside for others.
+  /// @param Election Whether it stands aside for others.
   AssemblyDesk(FleetStore &Where, FleetEngines &Given,
                const FleetView &Believed, const SilenceWatch &Heard,
-               std::string Member, AssemblyTimes Times, DutyRole Part);
+               std::string Member, AssemblyTimes Times, Candidacy Election);
 
   /// @brief Joins the duty and renews it until it is cancelled.
   [[nodiscard]] Awaitable<void> holdDuty();
-  /// @brief Takes a sign that another host holds the duty.
-  void recordCoordinator(TimePoint Now) noexcept {
-    Election.recordCoordinator(Now);
+  /// @copydoc Candidacy::recordCoordinator
+  void recordCoordinator(bool LeaseIsValid, TimePoint Now) noexcept {
+    Election.recordCoordinator(LeaseIsValid, Now);
   }
   /// @brief Takes whether the store answers this host's reads.
   void recordStore(bool Answers, TimePoint Now) noexcept {
--- a/packages/process/src/coltsfoottrail/fleethost/candidacy.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/candidacy.cpp
@@ -13,9 +13,10 @@
 bool Candidacy::standsAside(bool Holds, TimePoint Now) const noexcept {
   if (Holds)
     return false;
+  const Duration Alone = Now - AloneSince;
   if (Role == DutyRole::Candidate)
-    return Now - AloneSince < Times.Candidate;
-  return !StoreAnswers || Now - AloneSince < Times.Reserve;
+    return Now >= MemberUntil && Alone < Times.Candidate;
+  return !StoreAnswers || Alone < Times.Reserve;
 }
 
 } // namespace coltsfoottrail
--- a/packages/process/src/coltsfoottrail/fleethost/candidacy.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/candidacy.hpp
@@ -18,24 +18,41 @@
 struct CandidacyTimes {
   /// Without a sign of a coordinator, while the store answers.
   milliseconds Reserve{2'000};
-  milliseconds Candidate{0};
+  /// Longer than a few lost exchanges with it.
+  milliseconds Candidate{500};
 };
 
 /// @brief One host's decision whether to ask for the lease. Pure; not
 /// thread-safe; times must not go back.
 ///
-/// The store deals the lease out anew with each host that asks for it. A
-/// reserve leaves it to the candidates, also after an outage of the store: all
-/// hosts have lost the coordinator then, and it takes the candidates a moment
-/// to elect one.
+/// The store deals the lease out anew whenever its members change. A host
+/// becomes a member only if there is no sign of a coordinator whose lease is
+/// valid; a candidate that is one remains so. After an outage of the store, when
+/// no lease is valid, the last holder asks first, then the candidates, then the
+/// reserves.
 class Candidacy {
 public:
-  /// @brief Starts without a coordinator.
-  Candidacy(DutyRole Given, CandidacyTimes Spans, TimePoint Now) noexcept
-      : Role(Given), Times(Spans), AloneSince(Now) {}
+  /// @brief Starts without a sign of a coordinator.
+  /// @param Given The role of this host.
+  /// @param Spans How long it stands aside.
+  /// @param NewFleet Whether all hosts start for the first time: there is no
+  /// coordinator that a candidate could hear of.
+  /// @param Now The time.
+  Candidacy(DutyRole Given, CandidacyTimes Spans, bool NewFleet,
+            TimePoint Now) noexcept
+      : Role(Given), Times(Spans),
+        AloneSince(NewFleet && Given == DutyRole::Candidate ? TimePoint{}
+                                                            : Now) {}
 
   /// @brief Takes a sign that another host coordinates.
-  void recordCoordinator(TimePoint Now) noexcept { AloneSince = Now; }
+  /// @param LeaseIsValid Whether it may act: one that is cut off from the store
+  /// may not, and a candidate is to take over from it.
+  void recordCoordinator(bool LeaseIsValid, TimePoint Now) noexcept {
+    if (LeaseIsValid || Role == DutyRole::Reserve)
+      AloneSince = Now;
+  }
+  /// @brief Takes that the store counts this host as a member until a time.
+  void recordMembership(TimePoint Until) noexcept { MemberUntil = Until; }
   /// @brief Takes whether the store answers.
   void recordStore(bool Answers, TimePoint Now) noexcept;
 
@@ -48,6 +65,7 @@
   CandidacyTimes Times;
   /// Since when there has been no sign of a coordinator.
   TimePoint AloneSince;
+  TimePoint MemberUntil{};
   bool StoreAnswers = true;
 };
 
--- a/packages/process/src/coltsfoottrail/fleethost/feeds.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/feeds.cpp
@@ -102,6 +102,7 @@
 TreeLinkHooks FleetHost::linkHooks() {
   TreeLinkHooks Out;
   Out.Coordinates = [this] { return Desk.held(); };
+  Out.HoldsLease = [this] { return Desk.holds(BootClock::now()); };
   Out.MakeReport = [this] { return ownReport(); };
   Out.Apply = [this](const Report &Sent, Response Answer, TimePoint SentAt) {
     applyResponse(Sent, std::move(Answer), SentAt);
@@ -133,8 +134,8 @@
 
 void FleetHost::applyResponse(const Report &Sent, Response Answer,
                               TimePoint SentAt) {
-  if (Answer.CoordinatorHeard)
-    Desk.recordCoordinator(BootClock::now());
+  if (Answer.CoordinatorHeard || Answer.LeaseHeard)
+    Desk.recordCoordinator(Answer.LeaseHeard, BootClock::now());
   Routing.shareLoads(Answer.Loads);
   for (const auto &[Which, Update] : Answer.Feeds) {
     const auto Next = Sent.Next.find(Which);
--- a/packages/process/src/coltsfoottrail/fleethost/host.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/host.cpp
@@ -141,7 +141,9 @@
       Relay(View, Routing, Client, Links.Wire, Silence,
             hashText(Settings.Host.Text)),
       Member(ownName(Settings)), Desk(Links.Store, Links.Engines, View, Silence,
-                                      Member, AssemblyTimes{}, dutyRole()),
+                                      Member, AssemblyTimes{},
+                                      {dutyRole(), CandidacyTimes{},
+                                       Settings.FirstStart, BootClock::now()}),
       Operators(Links.Store, Feed::Operators, operatorTimes(Settings.Bounds),
                 {[this](FeedPage Page, bool Whole, TimePoint AskedAt) {
                    ingestPage(Feed::Operators, std::move(Page), Whole, AskedAt);
--- a/packages/process/test/coltsfoottrail/dissemination/node.cpp
+++ b/packages/process/test/coltsfoottrail/dissemination/node.cpp
@@ -325,6 +325,7 @@
   Answer.Hold = milliseconds(99);
   Answer.Coordinates = true;
   Answer.CoordinatorHeard = true;
+  Answer.LeaseHeard = true;
   Answer.Coordinator = "10.0.0.1:7";
   Answer.Relay = "10.0.0.2:7";
   Answer.Truncated = {Feed::Endpoints};
@@ -339,6 +340,7 @@
   EXPECT_EQ(Back.Hold, Answer.Hold);
   EXPECT_TRUE(Back.Coordinates);
   EXPECT_TRUE(Back.CoordinatorHeard);
+  EXPECT_TRUE(Back.LeaseHeard);
   EXPECT_EQ(Back.Coordinator, Answer.Coordinator);
   EXPECT_EQ(Back.Relay, Answer.Relay);
   EXPECT_EQ(Back.Truncated, Answer.Truncated);
