Bound the orders of one step; count groups of a domain once

A step also counted the groups of each domain anew for each candidate group, which grows with the cube of the fleet.

Change: groups and loads are begun while fewer than 96 orders are under way; repairs are not held up. Domains, their groups and their candidates are computed once a step and updated for the domain that a group was formed in.

Test: Assembler.BoundsTheOrdersOfOneStep.

--- a/packages/process/src/coltsfoottrail/fleethost/assemblydesk.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/assemblydesk.cpp
@@ -159,10 +159,11 @@
       Found->second.begin(Now);
     }
     const AssemblyView Seen{View.endpoints(), Service, View.drained(),
-                            Term.fence(), Begun};
+                            Term.fence(), Begun, ordersLeft()};
     for (SeatCommand &Command : Found->second.plan(Seen, Now)) {
       if (Moving && !std::holds_alternative<StageModel>(Command.Order))
         Moving();
+      ++OrdersUnderWay;
       asio::co_spawn(On, carryOut(std::move(Command), Term.fence()),
                      asio::detached);
     }
@@ -176,6 +177,10 @@
   logNotes();
 }
 
+std::size_t AssemblyDesk::ordersLeft() const noexcept {
+  return Pace.MostOrders - std::min(Pace.MostOrders, OrdersUnderWay);
+}
+
 void AssemblyDesk::logSummary(const Assembler &Of, const AssemblyView &Seen,
                               TimePoint Now) {
   if (Now < SummaryDue)
@@ -202,6 +207,7 @@
   const SeatOrder Order = Command.Order;
   const OrderOutcome Outcome =
       co_await Engines.order(Command.Address, To, Order, Fence);
+  --OrdersUnderWay;
   logEvent(Event::SeatOrdered, {{"order", orderName(Order)},
                                 {"endpoint", To},
                                 {"epoch", epochOf(Order)},
--- a/packages/process/src/coltsfoottrail/fleethost/assemblydesk.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/assemblydesk.hpp
@@ -44,6 +44,10 @@
   milliseconds AskAgainAfter{1'500};
   /// Between two lines in the log on where the engines stand.
   milliseconds SummaryEvery{5'000};
+  /// Orders under way beyond which no group or load is begun. Together with
+  /// LookEvery they bound what a fleet that starts costs the coordinator, which
+  /// has to renew its lease and relay the records that the orders change.
+  std::size_t MostOrders = 96;
   /// A host that stands aside looks this often whether it is needed.
   milliseconds StandAsideLook{100};
 };
@@ -114,6 +118,7 @@
   void look(TimePoint Now, const boost::asio::any_io_executor &Executor);
   [[nodiscard]] Awaitable<void> carryOut(SeatCommand Command,
                                          std::uint64_t Fence);
+  [[nodiscard]] std::size_t ordersLeft() const noexcept;
   void logNotes();
   void logSummary(const Assembler &Of, const AssemblyView &Seen, TimePoint Now);
   [[nodiscard]] bool hearsNeighbours(const Inquiry &Round, TimePoint Now) const;
@@ -139,6 +144,7 @@
   Candidacy Election;
   DutyTerm Term{Pace.Lease};
   bool Leaving = false;
+  std::size_t OrdersUnderWay = 0;
   TimePoint SummaryDue{};
   bool Begun = false;
   /// Leaders whose members are not asked before a time.
--- a/packages/version/src/coltsfoottrail/assembly/assembler.hpp
+++ b/packages/version/src/coltsfoottrail/assembly/assembler.hpp
@@ -9,6 +9,7 @@
 #include "coltsfoottrail/fleet/config.hpp"
 #include "coltsfoottrail/fleet/order.hpp"
 
+#include <limits>
 #include <map>
 #include <optional>
 #include <set>
@@ -52,6 +53,9 @@
   std::uint64_t Fence = 0;
   /// Whether callers have begun: loads are counted and slow from then on.
   bool CallersBegun = false;
+  /// No group or load is begun beyond so many orders of one call: an order
+  /// takes the host a millisecond, and a fleet that starts needs thousands.
+  std::size_t MostOrders = std::numeric_limits<std::size_t>::max();
 };
 
 /// @brief An order to be given.
@@ -201,13 +205,23 @@
     const ServedModel *Model = nullptr;
     std::vector<const KnownEndpoint *> Members;
     std::uint32_t Loads = 0;
-    double Deficit = 0.0;
     /// Groups in the domain that serve other models, and this one.
     std::size_t Others = 0;
     std::size_t Alike = 0;
   };
   using DomainKey = std::pair<DataCentreName, FabricDomainName>;
-  using FreeEndpoints = std::map<DomainKey, std::vector<const KnownEndpoint *>>;
+  /// A domain with endpoints that are free.
+  struct DomainState {
+    std::vector<const KnownEndpoint *> Free;
+    std::map<ModelName, std::size_t> Groups;
+    /// At most one a model.
+    std::vector<Candidate> Candidates;
+  };
+  /// What holds for the service's endpoints as a whole.
+  struct Fleet {
+    double Usable = 0;
+    bool MixesModels = false;
+  };
   struct Pass;
 
   [[nodiscard]] bool fleetSettled(const AssemblyView &View, TimePoint Now);
@@ -229,25 +243,30 @@
   void retire(const Group &Of, std::string_view Why);
 
   void form(Pass &In);
-  void stage(Pass &In, const FreeEndpoints &Free);
+  void stage(Pass &In, const std::map<DomainKey, DomainState> &Domains,
+             const std::map<ModelName, double> &Missing);
   void start(Pass &In, const Candidate &Chosen);
   [[nodiscard]] IdleDomain
   idleDomain(const Pass &In, const DomainKey &Domain,
-             const std::vector<const KnownEndpoint *> &Free) const;
+             const DomainState &State) const;
   void standBy(Pass &In, const KnownEndpoint &Spare);
   [[nodiscard]] GroupEpoch nextEpoch(const Pass &In);
   bool stageAt(Pass &In, const KnownEndpoint &Where, const ServedModel &Model);
-  /// @return Groups of a domain by model.
-  [[nodiscard]] std::map<ModelName, std::size_t>
-  groupsIn(const Pass &In, const DomainKey &Domain) const;
   /// @return Endpoints of a domain that load a model's weights now.
   [[nodiscard]] std::size_t stagingIn(const Pass &In, const DomainKey &Domain,
                                       const ModelName &Model) const;
-  [[nodiscard]] FreeEndpoints freeEndpoints(const Pass &In) const;
-  [[nodiscard]] static bool mixesModels(const Pass &In);
-  [[nodiscard]] std::optional<Candidate>
-  bestCandidate(const Pass &In, const FreeEndpoints &Free) const;
-  [[nodiscard]] std::map<ModelName, double> deficits(const Pass &In) const;
+  [[nodiscard]] std::map<DomainKey, DomainState>
+  freeDomains(const Pass &In) const;
+  [[nodiscard]] Fleet measureFleet(const Pass &In) const;
+  [[nodiscard]] static bool mixesModels(const Pass &In, std::size_t Largest);
+  [[nodiscard]] static std::vector<Candidate>
+  candidatesOf(const Pass &In, const DomainState &Domain);
+  /// @return Null when no group can be formed.
+  [[nodiscard]] static const Candidate *
+  bestCandidate(const std::map<DomainKey, DomainState> &Domains,
+                const std::map<ModelName, double> &Missing, bool Mixing);
+  [[nodiscard]] std::map<ModelName, double> deficits(const Pass &In,
+                                                     const Fleet &Whole) const;
   [[nodiscard]] bool isFree(const Pass &In, const KnownEndpoint &Of) const;
   [[nodiscard]] bool holds(const Pass &In, const Member &Of,
                            GroupEpoch Epoch) const;
--- a/packages/version/src/coltsfoottrail/assembly/formation.cpp
+++ b/packages/version/src/coltsfoottrail/assembly/formation.cpp
@@ -43,22 +43,46 @@
          Retired.contains(Record.Seat->Epoch);
 }
 
-Assembler::FreeEndpoints Assembler::freeEndpoints(const Pass &In) const {
-  FreeEndpoints Out;
+std::map<Assembler::DomainKey, Assembler::DomainState>
+Assembler::freeDomains(const Pass &In) const {
+  std::map<DomainKey, DomainState> Out;
   for (const auto &[Name, Known] : In.View.Endpoints.all())
     if (isFree(In, Known))
-      Out[{Known.Record.DataCentre, Known.Record.Domain}].push_back(&Known);
+      Out[{Known.Record.DataCentre, Known.Record.Domain}].Free.push_back(
+          &Known);
+  for (const auto &[Epoch, Of] : Groups) {
+    const KnownEndpoint *const Leader =
+        In.View.Endpoints.find(Of.Members.front().Name);
+    if (Leader == nullptr)
+      continue;
+    const auto Found =
+        Out.find({Leader->Record.DataCentre, Leader->Record.Domain});
+    if (Found != Out.end())
+      ++Found->second.Groups[Of.Model];
+  }
+  return Out;
+}
+
+Assembler::Fleet Assembler::measureFleet(const Pass &In) const {
+  Fleet Out;
+  std::map<DomainKey, std::size_t> Sizes;
+  std::size_t Largest = 0;
+  for (const auto &[Name, Known] : In.View.Endpoints.all()) {
+    const EndpointRecord &Record = Known.Record;
+    if (Record.Service != In.View.Service.Name)
+      continue;
+    Largest = std::max(Largest, ++Sizes[{Record.DataCentre, Record.Domain}]);
+    if (Record.State == EndpointState::Serving &&
+        !In.View.Drained.contains(Record.DataCentre))
+      ++Out.Usable;
+  }
+  Out.MixesModels = mixesModels(In, Largest);
   return Out;
 }
 
 /// For each model, the part of its wanted groups that is missing.
-std::map<ModelName, double> Assembler::deficits(const Pass &In) const {
-  double Usable = 0;
-  for (const auto &[Name, Known] : In.View.Endpoints.all())
-    if (Known.Record.Service == In.View.Service.Name &&
-        Known.Record.State == EndpointState::Serving &&
-        !In.View.Drained.contains(Known.Record.DataCentre))
-      ++Usable;
+std::map<ModelName, double> Assembler::deficits(const Pass &In,
+                                                const Fleet &Whole) const {
   std::map<ModelName, double> Have;
   for (const auto &[Epoch, Of] : Groups) {
     const KnownEndpoint *const Leader =
@@ -71,9 +95,9 @@
   for (const ServedModel &Each : In.Engine.Models) {
     // Large groups are formed first where models mix: what is left of the last
     // one that is not whole goes to the small ones.
-    const double Groups = Usable * Each.Share / Each.Size;
+    const double Groups = Whole.Usable * Each.Share / Each.Size;
     const double Wanted =
-        std::max(1.0, mixesModels(In) ? std::floor(Groups) : std::ceil(Groups));
+        std::max(1.0, Whole.MixesModels ? std::floor(Groups) : std::ceil(Groups));
     Out[Each.Name] = (Wanted - Have[Each.Name]) / Wanted;
   }
   return Out;
@@ -85,15 +109,9 @@
 /// another without a load. Where a domain has room for many small groups, those
 /// lose little by being mixed in, and the few large groups are spread, so that
 /// a dark domain takes one of them.
-bool Assembler::mixesModels(const Pass &In) {
+/// @param Largest Endpoints of the largest domain.
+bool Assembler::mixesModels(const Pass &In, std::size_t Largest) {
   constexpr std::size_t SmallGroupsInADomain = 6;
-  std::map<DomainKey, std::size_t> Sizes;
-  std::size_t Largest = 0;
-  for (const auto &[Name, Known] : In.View.Endpoints.all())
-    if (Known.Record.Service == In.View.Service.Name) {
-      const DomainKey Its{Known.Record.DataCentre, Known.Record.Domain};
-      Largest = std::max(Largest, ++Sizes[Its]);
-    }
   const auto Smallest =
       std::min_element(In.Engine.Models.begin(), In.Engine.Models.end(),
                        [](const ServedModel &Left, const ServedModel &Right) {
@@ -102,59 +120,80 @@
   return Largest >= SmallGroupsInADomain * Smallest->Size;
 }
 
-std::optional<Assembler::Candidate>
-Assembler::bestCandidate(const Pass &In, const FreeEndpoints &Free) const {
-  const std::map<ModelName, double> Missing = deficits(In);
-  const bool Mixing = mixesModels(In);
-  std::optional<Candidate> Best;
-  for (const auto &[Domain, Endpoints] : Free)
-    for (const ServedModel &Model : In.Engine.Models) {
-      const double Deficit = Missing.at(Model.Name);
-      const std::size_t Kept =
-          sparesKept(groupsIn(In, Domain), In.Engine.Models, Model);
-      if (Endpoints.size() < Model.Size + Kept)
-        continue;
-      Candidate Next{&Model, Endpoints, 0, Deficit};
-      std::stable_sort(Next.Members.begin(), Next.Members.end(),
-                       [&](const auto *Left, const auto *Right) {
-                         return joinCost(Left->Record, Model.Name) <
-                                joinCost(Right->Record, Model.Name);
-                       });
-      Next.Members.resize(Model.Size);
-      for (const KnownEndpoint *const Each : Next.Members)
-        Next.Loads += joinCost(Each->Record, Model.Name) == JoinCost::Load;
-      // A load takes a tenth of a minute and keeps the other members idle
-      // meanwhile: once callers have begun, weights are staged first.
-      if (Next.Loads > 0 && In.View.CallersBegun)
-        continue;
-      for (const auto &[Name, Count] : groupsIn(In, Domain))
-        (Name == Model.Name ? Next.Alike : Next.Others) += Count;
-      const auto Rank = [&](const Candidate &Of) {
-        const auto Alike = std::ptrdiff_t(Of.Alike);
-        if (Mixing)
-          return std::tuple(Of.Loads > 0, Of.Deficit <= 0.0,
-                            -double(Of.Model->Size), Alike, -Of.Deficit);
-        return std::tuple(Of.Loads > 0, false, -Of.Deficit,
-                          std::ptrdiff_t(Of.Others), -double(Alike));
-      };
-      if (!Best || Rank(Next) < Rank(*Best))
-        Best = std::move(Next);
-    }
+std::vector<Assembler::Candidate>
+Assembler::candidatesOf(const Pass &In, const DomainState &Domain) {
+  std::vector<Candidate> Out;
+  for (const ServedModel &Model : In.Engine.Models) {
+    const std::size_t Kept =
+        sparesKept(Domain.Groups, In.Engine.Models, Model);
+    if (Domain.Free.size() < Model.Size + Kept)
+      continue;
+    Candidate Next{&Model, Domain.Free};
+    std::stable_sort(Next.Members.begin(), Next.Members.end(),
+                     [&](const auto *Left, const auto *Right) {
+                       return joinCost(Left->Record, Model.Name) <
+                              joinCost(Right->Record, Model.Name);
+                     });
+    Next.Members.resize(Model.Size);
+    for (const KnownEndpoint *const Each : Next.Members)
+      Next.Loads += joinCost(Each->Record, Model.Name) == JoinCost::Load;
+    // A load takes a tenth of a minute and keeps the other members idle
+    // meanwhile: once callers have begun, weights are staged first.
+    if (Next.Loads > 0 && In.View.CallersBegun)
+      continue;
+    for (const auto &[Name, Count] : Domain.Groups)
+      (Name == Model.Name ? Next.Alike : Next.Others) += Count;
+    Out.push_back(std::move(Next));
+  }
+  return Out;
+}
+
+const Assembler::Candidate *
+Assembler::bestCandidate(const std::map<DomainKey, DomainState> &Domains,
+                         const std::map<ModelName, double> &Missing,
+                         bool Mixing) {
+  const auto Rank = [&](const Candidate &Of) {
+    const double Deficit = Missing.at(Of.Model->Name);
+    const auto Alike = std::ptrdiff_t(Of.Alike);
+    if (Mixing)
+      return std::tuple(Of.Loads > 0, Deficit <= 0.0, -double(Of.Model->Size),
+                        Alike, -Deficit);
+    return std::tuple(Of.Loads > 0, false, -Deficit, std::ptrdiff_t(Of.Others),
+                      -double(Alike));
+  };
+  const Candidate *Best = nullptr;
+  for (const auto &[Name, Domain] : Domains)
+    for (const Candidate &Each : Domain.Candidates)
+      if (Best == nullptr || Rank(Each) < Rank(*Best))
+        Best = &Each;
   return Best;
 }
 
 void Assembler::form(Pass &In) {
-  FreeEndpoints Free = freeEndpoints(In);
-  while (const std::optional<Candidate> Chosen = bestCandidate(In, Free)) {
-    start(In, *Chosen);
-    const EndpointRecord &First = Chosen->Members.front()->Record;
-    auto &Left = Free.at({First.DataCentre, First.Domain});
-    std::erase_if(Left, [&](const KnownEndpoint *Each) {
-      return std::find(Chosen->Members.begin(), Chosen->Members.end(), Each) !=
-             Chosen->Members.end();
+  std::map<DomainKey, DomainState> Domains = freeDomains(In);
+  if (Domains.empty())
+    return;
+  const Fleet Whole = measureFleet(In);
+  for (auto &[Name, Domain] : Domains)
+    Domain.Candidates = candidatesOf(In, Domain);
+  while (In.Out.size() < In.View.MostOrders) {
+    const Candidate *const Found =
+        bestCandidate(Domains, deficits(In, Whole), Whole.MixesModels);
+    if (Found == nullptr)
+      break;
+    const Candidate Chosen = *Found;
+    start(In, Chosen);
+    const EndpointRecord &First = Chosen.Members.front()->Record;
+    DomainState &Its = Domains.at({First.DataCentre, First.Domain});
+    std::erase_if(Its.Free, [&](const KnownEndpoint *Each) {
+      return std::find(Chosen.Members.begin(), Chosen.Members.end(), Each) !=
+             Chosen.Members.end();
     });
+    ++Its.Groups[Chosen.Model->Name];
+    Its.Candidates = candidatesOf(In, Its);
   }
-  stage(In, Free);
+  if (In.Out.size() < In.View.MostOrders)
+    stage(In, Domains, deficits(In, Whole));
 }
 
 void Assembler::start(Pass &In, const Candidate &Chosen) {
@@ -183,13 +222,14 @@
   Groups.emplace(Of.Epoch, std::move(Of));
 }
 
-void Assembler::stage(Pass &In, const FreeEndpoints &Free) {
+void Assembler::stage(Pass &In,
+                      const std::map<DomainKey, DomainState> &Domains,
+                      const std::map<ModelName, double> &Missing) {
   std::erase_if(Staging,
                 [&](const auto &Entry) { return !Pacer.loads(Entry.first); });
-  const std::map<ModelName, double> Missing = deficits(In);
   std::vector<WantedLoad> Wanted;
-  for (const auto &[Domain, Endpoints] : Free)
-    for (WantedLoad &Each : planLoads(idleDomain(In, Domain, Endpoints),
+  for (const auto &[Name, Domain] : Domains)
+    for (WantedLoad &Each : planLoads(idleDomain(In, Name, Domain),
                                       In.Engine.Models, Missing))
       Wanted.push_back(std::move(Each));
   std::stable_sort(Wanted.begin(), Wanted.end(),
@@ -197,10 +237,12 @@
                      return Left.Rank < Right.Rank;
                    });
   for (const WantedLoad &Each : Wanted)
-    stageAt(In, *In.View.Endpoints.find(Each.Where), *In.model(Each.Model));
-  for (const auto &[Domain, Endpoints] : Free)
-    for (const KnownEndpoint *const Each : Endpoints)
-      standBy(In, *Each);
+    if (In.Out.size() < In.View.MostOrders)
+      stageAt(In, *In.View.Endpoints.find(Each.Where), *In.model(Each.Model));
+  for (const auto &[Name, Domain] : Domains)
+    for (const KnownEndpoint *const Each : Domain.Free)
+      if (In.Out.size() < In.View.MostOrders)
+        standBy(In, *Each);
 }
 
 // A spare whose host has the weights still takes them from the host when it
@@ -228,12 +270,12 @@
 
 IdleDomain
 Assembler::idleDomain(const Pass &In, const DomainKey &Domain,
-                      const std::vector<const KnownEndpoint *> &Free) const {
+                      const DomainState &State) const {
   IdleDomain Out;
-  Out.Groups = groupsIn(In, Domain);
+  Out.Groups = State.Groups;
   for (const ServedModel &Each : In.Engine.Models)
     Out.Loading[Each.Name] = stagingIn(In, Domain, Each.Name);
-  for (const KnownEndpoint *const Each : Free) {
+  for (const KnownEndpoint *const Each : State.Free) {
     IdleEngine Idle{Each->Record.Name, std::nullopt};
     if (!Each->Record.Staged.empty())
       Idle.Has = Each->Record.Staged.back();
@@ -263,17 +305,4 @@
       }));
 }
 
-std::map<ModelName, std::size_t>
-Assembler::groupsIn(const Pass &In, const DomainKey &Domain) const {
-  std::map<ModelName, std::size_t> Out;
-  for (const auto &[Epoch, Of] : Groups) {
-    const KnownEndpoint *const Leader =
-        In.View.Endpoints.find(Of.Members.front().Name);
-    if (Leader != nullptr && Leader->Record.DataCentre == Domain.first &&
-        Leader->Record.Domain == Domain.second)
-      ++Out[Of.Model];
-  }
-  return Out;
-}
-
 } // namespace coltsfoottrail
--- a/packages/version/test/coltsfoottrail/assembly/assembler.cpp
+++ b/packages/version/test/coltsfoottrail/assembly/assembler.cpp
@@ -272,6 +272,28 @@
   EXPECT_EQ(Fleet.JoinedWhileOpen, 0);
 }
 
+// Guards against a coordinator that gives thousands of orders in one step when a
+// large fleet starts, loses its lease over them, and is followed by another that
+// begins anew.
+TEST(Assembler, BoundsTheOrdersOfOneStep) {
+  FakeEngines Fleet;
+  for (int Domain = 0; Domain < 20; ++Domain)
+    Fleet.addDomain("north", "d" + std::to_string(Domain), 9);
+  Fleet.MostOrders = 24;
+  std::size_t Most = 0;
+  for (int Step = 0; Step < 40; ++Step) {
+    Most = std::max(Most, Fleet.look().size());
+    Fleet.Now += milliseconds(100);
+  }
+  EXPECT_LE(Most, 24U + 3U);
+  Fleet.finishAll();
+  Fleet.run(LongEnough);
+  std::size_t Seated = 0;
+  for (const EndpointName &Leader : Fleet.leaders())
+    Seated += Fleet.membersOf(Leader).size();
+  EXPECT_GE(Seated, 20U * 7U) << "a domain of nine leaves two at the most";
+}
+
 // Guards against groups formed, after an outage of the store, of engines that
 // were lost or restarted during it.
 TEST(Assembler, UsesEnginesOnlyOnceTheyPublishedAfterAnOutage) {
--- a/packages/version/test/coltsfoottrail/assembly/engines.hpp
+++ b/packages/version/test/coltsfoottrail/assembly/engines.hpp
@@ -101,7 +101,8 @@
 
   /// One look of the driver; orders are carried out and answered.
   std::vector<SeatCommand> look() {
-    const AssemblyView View{Catalogue, Service, Drained, Fence, CallersBegun};
+    const AssemblyView View{Catalogue, Service,      Drained,
+                            Fence,     CallersBegun, MostOrders};
     const std::vector<SeatCommand> Orders = Driver.plan(View, Now);
     for (const SeatCommand &Each : Orders) {
       const OrderOutcome Outcome = carryOut(Each);
@@ -182,6 +183,7 @@
   std::uint64_t Fence = 1;
   bool CallersBegun = false;
   bool Slow = false;
+  std::size_t MostOrders = 1'000'000;
   /// Joins of a member whose leader was open or opening.
   int JoinedWhileOpen = 0;
   /// Openings of a group whose members were not all ready.
