A former holder asks who has the lease before it asks for it

Cause: a coordinator that the store alone had turned away reports to nobody and does not hear of its successor.

Change: it asks the store for the holder first and ends its own term if there is another.

--- a/packages/process/src/coltsfoottrail/fleethost/assemblydesk.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/assemblydesk.cpp
@@ -91,6 +91,10 @@
       co_await pauseRenewal(Pace.StandAsideLook);
       continue;
     }
+    if (Term.held() && !Term.holds(AskedAt) && co_await isSucceeded()) {
+      endTerm();
+      continue;
+    }
     DutyAsk Ask;
     Ask.Member = Self;
     const milliseconds Lease = Term.lease();
@@ -109,6 +113,23 @@
   }
 }
 
+// A host that was cut off from the store alone reports to nobody and does not
+// hear of its successor. Were it to ask for the lease, the store would deal it
+// out anew.
+Awaitable<bool> AssemblyDesk::isSucceeded() {
+  const auto Answer = co_await Store.dutyHolder();
+  const auto *const Holder = std::get_if<std::string>(&Answer);
+  co_return Holder != nullptr && !Holder->empty() && *Holder != Self;
+}
+
+void AssemblyDesk::endTerm() {
+  Term.giveUp();
+  Election.recordCoordinator(true, BootClock::now());
+  logEvent(Event::DutyLost, {{"generation", Term.generation()}});
+  if (Changed)
+    Changed(false);
+}
+
 Awaitable<void> AssemblyDesk::pauseRenewal(milliseconds Span) {
   Renewal->expires_after(Span);
   boost::system::error_code Hurried;
--- a/packages/process/src/coltsfoottrail/fleethost/assemblydesk.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/assemblydesk.hpp
@@ -113,6 +113,9 @@
 private:
   struct Inquiry;
 
+  /// @return Whether another host has the lease by now.
+  [[nodiscard]] Awaitable<bool> isSucceeded();
+  void endTerm();
   [[nodiscard]] Awaitable<void> pauseRenewal(milliseconds Span);
   void take(const DutyGrant &Grant, TimePoint AskedAt);
   void look(TimePoint Now, const boost::asio::any_io_executor &Executor);
--- a/packages/process/src/coltsfoottrail/fleethost/candidacy.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/candidacy.hpp
@@ -18,8 +18,9 @@
 struct CandidacyTimes {
   /// Without a sign of a coordinator, while the store answers.
   milliseconds Reserve{2'000};
-  /// Longer than a few lost exchanges with it.
-  milliseconds Candidate{500};
+  /// Longer than a few lost exchanges with it, and than the last holder takes to
+  /// notice the store's return; shorter than a lease.
+  milliseconds Candidate{1'000};
 };
 
 /// @brief One host's decision whether to ask for the lease. Pure; not
