Leave out leaders whose answers prove them unusable

Cause: while the store is away a group that lost a member stays in everybody's view.

Change: a refusal that blames another engine's address, or says that another endpoint has this address, takes the leader out until its record shows another life or group, eight seconds at the most, and the coordinator is told. A full engine blames itself or nobody.

Tests: FleetView.UnusableEndpointGetsNothingUntilItsGroupIsFormedAnew, AnswerMarks.OnlyARefusalThatBlamesAnotherProvesAnEndpointUnusable.

--- a/packages/connection/src/coltsfoottrail/boundary/wire.hpp
+++ b/packages/connection/src/coltsfoottrail/boundary/wire.hpp
@@ -66,8 +66,18 @@
   bool Signed = false;
   /// The endpoint is leaving, or closes this connection.
   bool Closing = false;
-  /// Member that the endpoint holds at fault; empty when not told.
-  EndpointName AtFault;
+  /// Address and port of the engine that the endpoint holds at fault; empty
+  /// when not told.
+  std::string AtFault;
+
+  /// @brief Whether the answer proves that the endpoint can serve nobody, as it
+  /// is: another one has its address, or its group lost a member. A full
+  /// endpoint refuses too, but blames no other.
+  /// @param Asked Address of the endpoint that the request was sent to.
+  [[nodiscard]] bool provesUnusable(const EngineAddress &Asked) const {
+    const bool BlamesAnother = !AtFault.empty() && AtFault != textOf(Asked);
+    return WrongEndpoint || (NotRun && BlamesAnother);
+  }
 };
 
 /// @brief Reads and writes the header fields of requests and answers.
--- a/packages/process/src/coltsfoottrail/dissemination/node.cpp
+++ b/packages/process/src/coltsfoottrail/dissemination/node.cpp
@@ -35,7 +35,8 @@
   } else if (Page.From > Known) {
     Its.Log.restart(Page.From);
   }
-  if (!Whole && !Page.Projected && (Page.From > Known || Its.All.next() != Known))
+  if (!Whole && !Page.Projected &&
+      (Page.From > Known || Its.All.next() != Known))
     Its.All.restart(std::max(Page.From, Known));
   for (std::size_t Index = 0; Index < Page.Raw.size(); ++Index) {
     const FeedRecord &Record = Page.Raw[Index];
--- a/packages/process/src/coltsfoottrail/fleethost/assemblydesk.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/assemblydesk.cpp
@@ -78,8 +78,7 @@
                            std::string Member, AssemblyTimes Wanted,
                            Candidacy Rule)
     : Store(Where), Engines(Given), View(Believed), Silence(Heard),
-      Self(std::move(Member)), Times(Wanted),
-      Election(Rule) {}
+      Self(std::move(Member)), Times(Wanted), Election(Rule) {}
 
 Awaitable<void> AssemblyDesk::holdDuty() {
   Renewal.emplace(co_await asio::this_coro::executor);
@@ -180,7 +179,7 @@
       Found->second.begin(Now);
     }
     const AssemblyView Seen{View.endpoints(), Service, View.drained(),
-                            Term.fence(), Begun, ordersLeft()};
+                            Term.fence(),     Begun,   ordersLeft()};
     for (SeatCommand &Command : Found->second.plan(Seen, Now)) {
       if (Moving && !std::holds_alternative<StageModel>(Command.Order))
         Moving();
--- a/packages/process/src/coltsfoottrail/fleethost/attempt.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/attempt.cpp
@@ -161,6 +161,8 @@
   observe(To, Said);
   if (!Said.Id.empty() && Said.Id != Asked.Said.Id)
     co_return failed(RunState::MayHaveRun, Reason::EndpointCut, Start);
+  if (ReportUnusable && Said.provesUnusable(To.Address))
+    ReportUnusable(EndpointName(To.Host.Text), Said.AtFault);
   if (Said.NotRun || Said.WrongEndpoint)
     co_return failed(RunState::NotRun, Reason::EndpointRefused, Start);
   const unsigned Status = Answer.head().Status;
--- a/packages/process/src/coltsfoottrail/fleethost/candidacy.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/candidacy.hpp
@@ -18,8 +18,8 @@
 struct CandidacyTimes {
   /// Without a sign of a coordinator, while the store answers.
   milliseconds Reserve{2'000};
-  /// Longer than a few lost exchanges with it, and than the last holder takes to
-  /// notice the store's return; shorter than a lease.
+  /// Longer than a few lost exchanges with it, and than the last holder takes
+  /// to notice the store's return; shorter than a lease.
   milliseconds Candidate{1'000};
 };
 
@@ -28,9 +28,9 @@
 ///
 /// The store deals the lease out anew whenever its members change. A host
 /// becomes a member only if there is no sign of a coordinator whose lease is
-/// valid; a candidate that is one remains so. After an outage of the store, when
-/// no lease is valid, the last holder asks first, then the candidates, then the
-/// reserves.
+/// valid; a candidate that is one remains so. After an outage of the store,
+/// when no lease is valid, the last holder asks first, then the candidates,
+/// then the reserves.
 class Candidacy {
 public:
   /// @brief Starts without a sign of a coordinator.
--- a/packages/process/src/coltsfoottrail/fleethost/host.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/host.cpp
@@ -140,10 +140,10 @@
       Client(Pool.context(0), clientOptions()),
       Relay(View, Routing, Client, Links.Wire, Silence,
             hashText(Settings.Host.Text)),
-      Member(ownName(Settings)), Desk(Links.Store, Links.Engines, View, Silence,
-                                      Member, AssemblyTimes{},
-                                      {dutyRole(), CandidacyTimes{},
-                                       Settings.FirstStart, BootClock::now()}),
+      Member(ownName(Settings)),
+      Desk(Links.Store, Links.Engines, View, Silence, Member, AssemblyTimes{},
+           {dutyRole(), CandidacyTimes{}, Settings.FirstStart,
+            BootClock::now()}),
       Operators(Links.Store, Feed::Operators, operatorTimes(Settings.Bounds),
                 {[this](FeedPage Page, bool Whole, TimePoint AskedAt) {
                    ingestPage(Feed::Operators, std::move(Page), Whole, AskedAt);
@@ -193,6 +193,10 @@
 }
 
 void FleetHost::startFollowing() {
+  Relay.onUnusable(
+      [this](const EndpointName &Which, const std::string &AtFault) {
+        reportUnusable(Which, AtFault);
+      });
   Desk.onDuty([this](bool Holds) {
     if (Holds)
       readAllEndpoints();
@@ -291,13 +295,30 @@
     const KnownEndpoint *const Known = View.endpoints().find(Which);
     if (Known == nullptr || View.shuns(Which))
       continue;
-    View.shun(Which, Now);
+    View.shun(Which, FleetView::SilenceSpan, Now);
     refreshRoutes();
     const std::size_t Moved = Client.abort(Known->Record.Address);
     logEvent(Event::EndpointSilent, {{"endpoint", Name}, {"moved", Moved}});
   }
 }
 
+/// The endpoint's group needs repair: the coordinator is told.
+void FleetHost::reportUnusable(const EndpointName &Which,
+                               const std::string &AtFault) {
+  const TimePoint Now = BootClock::now();
+  if (View.shuns(Which) || View.endpoints().find(Which) == nullptr)
+    return;
+  View.shun(Which, FleetView::UnusableSpan, Now);
+  refreshRoutes();
+  logEvent(Event::EndpointUnusable,
+           {{"endpoint", Which}, {"at_fault", AtFault}});
+  asio::io_context &Context = Threads.context(0);
+  if (Desk.holds(Now))
+    Desk.askAbout(Which.Text, Context.get_executor());
+  else if (Suspected.insert_or_assign(Which.Text, Now).second)
+    asio::co_spawn(Context, Link.reportStall(Which.Text), asio::detached);
+}
+
 void FleetHost::settleMoves(TimePoint Now) {
   if (!MovingUntil || Now < *MovingUntil)
     return;
--- a/packages/process/src/coltsfoottrail/fleethost/host.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/host.hpp
@@ -93,6 +93,7 @@
   void shareRetries(std::size_t Hosts, TimePoint Now);
   void shareCold(TimePoint Now);
   void leaveSilent(TimePoint Now);
+  void reportUnusable(const EndpointName &Which, const std::string &AtFault);
   void settleMoves(TimePoint Now);
   [[nodiscard]] Awaitable<void> tick();
   [[nodiscard]] Awaitable<void> runStop(std::function<void(std::size_t)> Done);
--- a/packages/process/src/coltsfoottrail/fleethost/relay.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/relay.hpp
@@ -17,6 +17,7 @@
 #include "coltsfoottrail/server/router.hpp"
 #include "coltsfoottrail/silence/silencewatch.hpp"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -50,6 +51,14 @@
       : View(Believed), Routing(Decides), Client(Out), Wire(Fields),
         Silence(Heard), Draw(Seed), Gate(Draw()) {}
 
+  /// @brief Calls a function when an endpoint's answer proves that it can serve
+  /// nobody: with the endpoint, and the address of the member that it lacks
+  /// if it names one.
+  void onUnusable(
+      std::function<void(const EndpointName &, const std::string &)> Call) {
+    ReportUnusable = std::move(Call);
+  }
+
   /// @brief Serves one request.
   /// @throws boost::system::system_error The caller is gone.
   [[nodiscard]] Awaitable<void> serve(Exchange &Call);
@@ -176,6 +185,7 @@
   /// Shared with the coroutines, which may end after this object.
   std::map<std::string, std::shared_ptr<PoolMix>> Mixes;
   std::size_t EntryHosts = std::size_t(ColdGate::UnknownHosts);
+  std::function<void(const EndpointName &, const std::string &)> ReportUnusable;
   bool Stopping = false;
 };
 
--- a/packages/process/src/coltsfoottrail/fleethost/view.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/view.cpp
@@ -14,10 +14,6 @@
 constexpr Duration RevocationMargin = milliseconds(700);
 /// The same for the bound on configurations.
 constexpr Duration ConfigurationMargin = milliseconds(200);
-/// How long a silent endpoint gets nothing new. By then the driver of the
-/// groups has asked its members and closed it, or it is sound.
-constexpr Duration ShunTime = milliseconds(2'000);
-
 /// How long the endpoints of a returned data centre are taken for cold: two
 /// heartbeats of the platform and a poll.
 constexpr Duration ReturnCaution = milliseconds(3'000);
@@ -125,7 +121,7 @@
             return returned(One.DataCentre, Now);
           },
           [&](EndpointPublished &One) {
-            return Catalogue.publish(std::move(One.Record), Now);
+            return publish(std::move(One.Record), Now);
           },
           [&](const EndpointRemoved &One) {
             (void)Catalogue.remove(One.Name, Now);
@@ -136,6 +132,19 @@
       Change);
 }
 
+bool FleetView::publish(EndpointRecord Record, TimePoint Now) {
+  const EndpointName Name = Record.Name;
+  const auto Key = [&] {
+    const KnownEndpoint *const Known = Catalogue.find(Name);
+    return Known == nullptr ? std::string() : endpointKey(Known->Record);
+  };
+  const std::string Before = Key();
+  const bool Changed = Catalogue.publish(std::move(Record), Now);
+  if (Changed && Key() != Before)
+    Changes += Shunned.erase(Name);
+  return Changed;
+}
+
 // Failure guarded against: the store is read again from an earlier point, or a
 // lagging answer overtakes a newer one, and callers are served by routes and
 // credentials that were withdrawn. Versions only grow within one run.
@@ -177,8 +186,11 @@
       returned(Each, Now);
 }
 
-void FleetView::shun(const EndpointName &Which, TimePoint Now) {
-  if (Shunned.insert_or_assign(Which, Now + ShunTime).second)
+void FleetView::shun(const EndpointName &Which, Duration Span, TimePoint Now) {
+  TimePoint &Until = Shunned[Which];
+  const bool New = Until == TimePoint{};
+  Until = std::max(Until, Now + Span);
+  if (New)
     ++Changes;
 }
 
--- a/packages/process/src/coltsfoottrail/fleethost/view.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/view.hpp
@@ -52,9 +52,16 @@
   /// @return For each change, what it means to routing.
   std::vector<RoutingEffect> take(Feed Which, FeedPage Page, bool Whole,
                                   TimePoint AskedAt, TimePoint Now);
-  /// @brief An endpoint's streams fell silent: it gets nothing new for a while,
-  /// or until its record changes.
-  void shun(const EndpointName &Which, TimePoint Now);
+  /// How long a silent endpoint gets nothing new. By then the coordinator has
+  /// asked its members and closed it, or it is sound.
+  static constexpr Duration SilenceSpan = milliseconds(2'000);
+  /// The same for one that cannot serve until its group is formed anew; while
+  /// the store is away it is tried again this seldom.
+  static constexpr Duration UnusableSpan = milliseconds(8'000);
+
+  /// @brief An endpoint gets nothing new for a while, or until its record shows
+  /// another life or group.
+  void shun(const EndpointName &Which, Duration Span, TimePoint Now);
   /// @brief Whether an endpoint gets nothing new for now.
   [[nodiscard]] bool shuns(const EndpointName &Which) const {
     return Shunned.contains(Which);
@@ -126,6 +133,7 @@
 
 private:
   bool apply(ConfigPublished Change);
+  bool publish(EndpointRecord Record, TimePoint Now);
   [[nodiscard]] RoutingEffect effectOf(FleetChange &Change, bool Whole,
                                        TimePoint Now);
   [[nodiscard]] bool isRoutable(const EndpointName &Which) const;
--- a/packages/process/src/coltsfoottrail/logging/event.cpp
+++ b/packages/process/src/coltsfoottrail/logging/event.cpp
@@ -92,6 +92,9 @@
      "All streams of an endpoint stopped; its requests go elsewhere."},
     {Event::EndpointChanged, LogLevel::Info, "endpoint-changed",
      "An endpoint's record came, went, or changed other than by a heartbeat."},
+    {Event::EndpointUnusable, LogLevel::Warn, "endpoint-unusable",
+     "An endpoint's answer shows that it can serve nobody; it gets nothing "
+     "until its record changes."},
     {Event::GroupBroken, LogLevel::Error, "group-broken",
      "A group lost a member and answers nothing."},
     {Event::GroupConfirmed, LogLevel::Info, "group-confirmed",
--- a/packages/process/src/coltsfoottrail/logging/event.hpp
+++ b/packages/process/src/coltsfoottrail/logging/event.hpp
@@ -54,6 +54,7 @@
   EndpointCold = 1403,
   EndpointSilent = 1404,
   EndpointChanged = 1405,
+  EndpointUnusable = 1406,
   GroupBroken = 1410,
   GroupConfirmed = 1411,
   PlanTaken = 1501,
--- a/packages/process/test/coltsfoottrail/dissemination/simulation.cpp
+++ b/packages/process/test/coltsfoottrail/dissemination/simulation.cpp
@@ -135,8 +135,9 @@
   expectAllFresh();
 }
 
-// Guards against a new coordinator that is relayed what it has just read itself,
-// and then proves to its reporters a configuration that they do not have.
+// Guards against a new coordinator that is relayed what it has just read
+// itself, and then proves to its reporters a configuration that they do not
+// have.
 TEST_P(CoordinationMoves, ConfigurationReachesAllHosts) {
   settle();
   for (int Round = 0; Round < 6; ++Round) {
--- a/packages/process/test/coltsfoottrail/fleethost/view.cpp
+++ b/packages/process/test/coltsfoottrail/fleethost/view.cpp
@@ -1,5 +1,7 @@
 #include "coltsfoottrail/fleethost/view.hpp"
 
+#include "coltsfoottrail/boundary/wire.hpp"
+
 #include <gtest/gtest.h>
 
 namespace coltsfoottrail {
@@ -181,12 +183,45 @@
 
 TEST(FleetView, ShunnedEndpointGetsNoShareForAWhile) {
   FleetView View = sound();
-  View.shun(EndpointName("head"), Start);
+  View.shun(EndpointName("head"), FleetView::SilenceSpan, Start);
   EXPECT_EQ(View.routes().Shares.begin()->second, 0U);
   View.advance(Start + seconds(3));
   EXPECT_EQ(View.routes().Shares.begin()->second, 26U);
 }
 
+// Guards against a leader that refuses all requests at once, looks idle by
+// that, and draws the requests of all hosts.
+TEST(FleetView, UnusableEndpointGetsNothingUntilItsGroupIsFormedAnew) {
+  FleetView View = sound();
+  View.shun(EndpointName("head"), FleetView::UnusableSpan, Start);
+  View.advance(Start + seconds(3));
+  EXPECT_EQ(View.routes().Shares.begin()->second, 0U);
+  EndpointRecord Again = leader();
+  Again.Seat->Epoch = 8;
+  Again.Sequence = 9;
+  View.take(Feed::Endpoints, page(EndpointPublished{Again}), false, Start,
+            Start);
+  EXPECT_EQ(View.routes().Shares.begin()->second, 26U);
+}
+
+TEST(AnswerMarks, OnlyARefusalThatBlamesAnotherProvesAnEndpointUnusable) {
+  const EngineAddress Asked{"10.0.0.1", 80};
+  AnswerMarks Full;
+  Full.NotRun = true;
+  EXPECT_FALSE(Full.provesUnusable(Asked));
+  Full.AtFault = "10.0.0.1:80";
+  EXPECT_FALSE(Full.provesUnusable(Asked));
+  AnswerMarks Broken = Full;
+  Broken.AtFault = "10.0.0.2:80";
+  EXPECT_TRUE(Broken.provesUnusable(Asked));
+  AnswerMarks Served;
+  Served.AtFault = "10.0.0.2:80";
+  EXPECT_FALSE(Served.provesUnusable(Asked));
+  AnswerMarks Reused;
+  Reused.WrongEndpoint = true;
+  EXPECT_TRUE(Reused.provesUnusable(Asked));
+}
+
 // A data centre is returned, and its endpoints fall over at once.
 // They are cold, but the records that say so are still on their way.
 TEST(FleetView, EndpointsOfAReturnedDataCentreCountAsColdAtFirst) {
--- a/packages/version/src/coltsfoottrail/assembly/assembler.hpp
+++ b/packages/version/src/coltsfoottrail/assembly/assembler.hpp
@@ -246,9 +246,8 @@
   void stage(Pass &In, const std::map<DomainKey, DomainState> &Domains,
              const std::map<ModelName, double> &Missing);
   void start(Pass &In, const Candidate &Chosen);
-  [[nodiscard]] IdleDomain
-  idleDomain(const Pass &In, const DomainKey &Domain,
-             const DomainState &State) const;
+  [[nodiscard]] IdleDomain idleDomain(const Pass &In, const DomainKey &Domain,
+                                      const DomainState &State) const;
   void standBy(Pass &In, const KnownEndpoint &Spare);
   [[nodiscard]] GroupEpoch nextEpoch(const Pass &In);
   bool stageAt(Pass &In, const KnownEndpoint &Where, const ServedModel &Model);
--- a/packages/version/src/coltsfoottrail/assembly/formation.cpp
+++ b/packages/version/src/coltsfoottrail/assembly/formation.cpp
@@ -96,8 +96,8 @@
     // Large groups are formed first where models mix: what is left of the last
     // one that is not whole goes to the small ones.
     const double Groups = Whole.Usable * Each.Share / Each.Size;
-    const double Wanted =
-        std::max(1.0, Whole.MixesModels ? std::floor(Groups) : std::ceil(Groups));
+    const double Wanted = std::max(1.0, Whole.MixesModels ? std::floor(Groups)
+                                                          : std::ceil(Groups));
     Out[Each.Name] = (Wanted - Have[Each.Name]) / Wanted;
   }
   return Out;
@@ -124,8 +124,7 @@
 Assembler::candidatesOf(const Pass &In, const DomainState &Domain) {
   std::vector<Candidate> Out;
   for (const ServedModel &Model : In.Engine.Models) {
-    const std::size_t Kept =
-        sparesKept(Domain.Groups, In.Engine.Models, Model);
+    const std::size_t Kept = sparesKept(Domain.Groups, In.Engine.Models, Model);
     if (Domain.Free.size() < Model.Size + Kept)
       continue;
     Candidate Next{&Model, Domain.Free};
@@ -222,15 +221,14 @@
   Groups.emplace(Of.Epoch, std::move(Of));
 }
 
-void Assembler::stage(Pass &In,
-                      const std::map<DomainKey, DomainState> &Domains,
+void Assembler::stage(Pass &In, const std::map<DomainKey, DomainState> &Domains,
                       const std::map<ModelName, double> &Missing) {
   std::erase_if(Staging,
                 [&](const auto &Entry) { return !Pacer.loads(Entry.first); });
   std::vector<WantedLoad> Wanted;
   for (const auto &[Name, Domain] : Domains)
-    for (WantedLoad &Each : planLoads(idleDomain(In, Name, Domain),
-                                      In.Engine.Models, Missing))
+    for (WantedLoad &Each :
+         planLoads(idleDomain(In, Name, Domain), In.Engine.Models, Missing))
       Wanted.push_back(std::move(Each));
   std::stable_sort(Wanted.begin(), Wanted.end(),
                    [](const WantedLoad &Left, const WantedLoad &Right) {
@@ -268,9 +266,8 @@
   return In.View.Fence * EpochsPerFence + ++Counter;
 }
 
-IdleDomain
-Assembler::idleDomain(const Pass &In, const DomainKey &Domain,
-                      const DomainState &State) const {
+IdleDomain Assembler::idleDomain(const Pass &In, const DomainKey &Domain,
+                                 const DomainState &State) const {
   IdleDomain Out;
   Out.Groups = State.Groups;
   for (const ServedModel &Each : In.Engine.Models)
--- a/packages/version/test/coltsfoottrail/assembly/assembler.cpp
+++ b/packages/version/test/coltsfoottrail/assembly/assembler.cpp
@@ -272,9 +272,9 @@
   EXPECT_EQ(Fleet.JoinedWhileOpen, 0);
 }
 
-// Guards against a coordinator that gives thousands of orders in one step when a
-// large fleet starts, loses its lease over them, and is followed by another that
-// begins anew.
+// Guards against a coordinator that gives thousands of orders in one step when
+// a large fleet starts, loses its lease over them, and is followed by another
+// that begins anew.
 TEST(Assembler, BoundsTheOrdersOfOneStep) {
   FakeEngines Fleet;
   for (int Domain = 0; Domain < 20; ++Domain)
