Let candidates ask for the lease at once unless they lost the store

Change: only a candidate that lost the store, and with it its membership, stands aside for a valid lease.

Tests: Candidacy.CandidateAsksAtOnceWhenItStarts failed before.

--- a/packages/process/src/coltsfoottrail/fleethost/candidacy.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/candidacy.cpp
@@ -8,6 +8,7 @@
   if (Answers && !StoreAnswers)
     AloneSince = Now;
   StoreAnswers = Answers;
+  LostStore = LostStore || !Answers;
 }
 
 bool Candidacy::standsAside(bool Holds, TimePoint Now) const noexcept {
@@ -15,7 +16,7 @@
     return false;
   const Duration Alone = Now - AloneSince;
   if (Role == DutyRole::Candidate)
-    return Now >= MemberUntil && Alone < Times.Candidate;
+    return LostStore && Now >= MemberUntil && Alone < Times.Candidate;
   return !StoreAnswers || Alone < Times.Reserve;
 }
 
--- a/packages/process/src/coltsfoottrail/fleethost/candidacy.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/candidacy.hpp
@@ -26,24 +26,16 @@
 /// @brief One host's decision whether to ask for the lease. Pure; not
 /// thread-safe; times must not go back.
 ///
-/// The store deals the lease out anew whenever its members change. A host
-/// becomes a member only if there is no sign of a coordinator whose lease is
-/// valid; a candidate that is one remains so. After an outage of the store,
-/// when no lease is valid, the last holder asks first, then the candidates,
-/// then the reserves.
+/// The store may deal the lease out anew when its members change. Candidates
+/// are members from their start, so that one of them takes over at once from a
+/// holder that stops. One that lost the store asks again only if there is no
+/// sign of a coordinator whose lease is valid. After an outage, when no lease
+/// is, the last holder asks first, then the candidates, then the reserves.
 class Candidacy {
 public:
   /// @brief Starts without a sign of a coordinator.
-  /// @param Given The role of this host.
-  /// @param Spans How long it stands aside.
-  /// @param NewFleet Whether all hosts start for the first time: there is no
-  /// coordinator that a candidate could hear of.
-  /// @param Now The time.
-  Candidacy(DutyRole Given, CandidacyTimes Spans, bool NewFleet,
-            TimePoint Now) noexcept
-      : Role(Given), Times(Spans),
-        AloneSince(NewFleet && Given == DutyRole::Candidate ? TimePoint{}
-                                                            : Now) {}
+  Candidacy(DutyRole Given, CandidacyTimes Spans, TimePoint Now) noexcept
+      : Role(Given), Times(Spans), AloneSince(Now) {}
 
   /// @brief Takes a sign that another host coordinates.
   /// @param LeaseIsValid Whether it may act: one that is cut off from the store
@@ -53,7 +45,10 @@
       AloneSince = Now;
   }
   /// @brief Takes that the store counts this host as a member until a time.
-  void recordMembership(TimePoint Until) noexcept { MemberUntil = Until; }
+  void recordMembership(TimePoint Until) noexcept {
+    MemberUntil = Until;
+    LostStore = false;
+  }
   /// @brief Takes whether the store answers.
   void recordStore(bool Answers, TimePoint Now) noexcept;
 
@@ -68,6 +63,8 @@
   TimePoint AloneSince;
   TimePoint MemberUntil{};
   bool StoreAnswers = true;
+  /// Whether the store was away since this host was a member.
+  bool LostStore = false;
 };
 
 } // namespace coltsfoottrail
--- a/packages/process/src/coltsfoottrail/fleethost/host.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/host.cpp
@@ -142,8 +142,7 @@
             hashText(Settings.Host.Text)),
       Member(ownName(Settings)),
       Desk(Links.Store, Links.Engines, View, Silence, Member, AssemblyTimes{},
-           {dutyRole(), CandidacyTimes{}, Settings.FirstStart,
-            BootClock::now()}),
+           {dutyRole(), CandidacyTimes{}, BootClock::now()}),
       Operators(Links.Store, Feed::Operators, operatorTimes(Settings.Bounds),
                 {[this](FeedPage Page, bool Whole, TimePoint AskedAt) {
                    ingestPage(Feed::Operators, std::move(Page), Whole, AskedAt);
