Serve public routes only while the configuration is within its bound

Requests with credentials are refused once the last proof is 4.3 s old; public routes were served without any bound.

Change: where callers have credentials, a public route is served only while the configuration is proved within its own bound (2.8 of 3 s here), and refused as not run otherwise, to be tried elsewhere. Where there are no credentials at all nothing changes.

--- a/packages/process/src/coltsfoottrail/fleethost/relay.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/relay.cpp
@@ -153,6 +153,11 @@
     return refusal(Asked, Elsewhere);
   if (Asked.Route == nullptr)
     return jsonResponse(StatusNotFound, R"({"error":"no-route"})");
+  // Where callers have credentials a host serves none of them once it cannot
+  // prove these. A public route needs no credential, but may be withdrawn.
+  if (Asked.Route->Public && Asked.Config->hasTeams() &&
+      !View.routesFresh(Asked.ArrivedAt))
+    return refusal(Asked, Elsewhere);
   if (!Asked.Route->Public && Asked.Config->hasTeams()) {
     if (!View.credentialsFresh(Asked.ArrivedAt))
       return refusal(Asked, Elsewhere);
--- a/packages/process/src/coltsfoottrail/fleethost/view.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/view.cpp
@@ -215,6 +215,10 @@
          Now - ConfigAsOf < Bounds.Revocation - RevocationMargin;
 }
 
+bool FleetView::routesFresh(TimePoint Now) const noexcept {
+  return Index && configAge(Now) < Bounds.Configuration - ConfigurationMargin;
+}
+
 std::map<ServiceName, std::vector<std::string>> FleetView::pools() const {
   std::map<ServiceName, std::vector<std::string>> Out;
   if (!Index)
--- a/packages/process/src/coltsfoottrail/fleethost/view.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/view.hpp
@@ -97,6 +97,9 @@
   /// @brief Whether credentials can be trusted: this host would know of a
   /// withdrawal that is old enough to bind.
   [[nodiscard]] bool credentialsFresh(TimePoint Now) const noexcept;
+  /// @brief Whether routes can be trusted: a newer configuration that this host
+  /// does not know is not yet in force everywhere.
+  [[nodiscard]] bool routesFresh(TimePoint Now) const noexcept;
   /// @brief How old the configuration may be.
   [[nodiscard]] Duration configAge(TimePoint Now) const noexcept {
     return Now - ConfigAsOf;
--- a/packages/process/test/coltsfoottrail/fleethost/view.cpp
+++ b/packages/process/test/coltsfoottrail/fleethost/view.cpp
@@ -143,6 +143,15 @@
   EXPECT_TRUE(View.credentialsFresh(Start + milliseconds(4'200)));
 }
 
+// Guards against a host that is slow to follow after the store's return and
+// goes on serving routes that were withdrawn meanwhile.
+TEST(FleetView, RoutesAreTrustedForTheBoundOfConfigurations) {
+  const FleetView View = sound();
+  EXPECT_TRUE(View.routesFresh(Start + milliseconds(1'500)));
+  EXPECT_FALSE(View.routesFresh(Start + FleetBounds{}.Configuration));
+  EXPECT_FALSE(FleetView{FleetBounds{}}.routesFresh(Start));
+}
+
 // Callers are served by routes that were withdrawn.
 // The store is read again from an earlier point, or an answer is overtaken.
 TEST(FleetView, ConfigurationNeverGoesBack) {
