Log what ends retries, what holds a key, and who removed a host

Three known failures could not be told from their logs:

- A stream that an endpoint cut ends as "cut" without a word on why it was not sent on (budget, time, attempts, quarantine, no endpoint).
- A repeat that hears key-in-use does not tell how far the partition's owner had read.

--- a/packages/process/src/coltsfoottrail/fleethost/relay.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/relay.cpp
@@ -103,6 +103,7 @@
       {{"endpoint", To.Host},
        {"verdict", runStateCode(Result.State)},
        {"reason", reasonCode(Result.Why)},
+       {"connection_lost", Result.ConnectionLost},
        {"after_ms",
         std::chrono::duration_cast<milliseconds>(Result.Total).count()},
        {"last_event", Asked.Events.lastId()}},
@@ -255,9 +256,10 @@
       Routing.submit(Asked.Pool, itemOf(Call.request(), Asked, *Mix), Executor);
   while (Mine) {
     const Decision Next = co_await Mine->next();
-    if (const auto *const Final = std::get_if<Verdict>(&Next)) {
-      if (!mayDemote(Asked, *Final)) {
-        co_await finish(Call, Asked, *Final);
+    if (const auto *const Refused = std::get_if<Refusal>(&Next)) {
+      if (!mayDemote(Asked, Refused->Final)) {
+        recordRefusal(Asked, Refused->Basis);
+        co_await finish(Call, Asked, Refused->Final);
         co_return;
       }
       Asked.How = Timeliness::Demoted;
@@ -289,6 +291,22 @@
   co_await finish(Call, Asked, None);
 }
 
+void FleetRelay::recordRefusal(Work &Asked, const RefusalBasis &Basis) {
+  if (Basis.Stop == RetryStop::NotTried)
+    return;
+  const TimePoint Now = BootClock::now();
+  Asked.Trail.add(
+      Event::RetryEnded,
+      {{"why", retryStopCode(Basis.Stop)},
+       {"attempts", Basis.Attempts},
+       {"runs", Asked.Runs},
+       {"budget_waits", Basis.BudgetWaits},
+       {"endpoints", Basis.Endpoints},
+       {"since_failure_ms", wholeMs(Now - Basis.FailedAt.value_or(Now))},
+       {"left_ms", wholeMs(Asked.AnswerBy - Now)}},
+      Now);
+}
+
 // Failure guarded against: on a day with too few groups callers are refused,
 // come back late, and are refused again. A stream that finds no place in time
 // to be on time is late, whatever is done; behind the others it still gets the
--- a/packages/process/src/coltsfoottrail/server/memberdesk.cpp
+++ b/packages/process/src/coltsfoottrail/server/memberdesk.cpp
@@ -43,6 +43,7 @@
         Proof(memberOptions(Name)), Shares(shareOptions(Name, MaxWork)) {}
 
   void perform(const MembershipCommands &Due);
+  void append(const MembershipAppend &Due);
   void perform(const ShareCommands &Due);
   void prove();
 
@@ -77,12 +78,27 @@
     if (const auto *const Send = std::get_if<MembershipSend>(&One))
       Hooks.SendMembership(Send->To, writeMembershipMessage(Send->What));
     else if (const auto *const Append = std::get_if<MembershipAppend>(&One))
-      Hooks.Append(Append->What);
+      append(*Append);
     else
       Hooks.OnEnded();
   }
 }
 
+void MemberDesk::Inner::append(const MembershipAppend &Due) {
+  const auto *const Gone = std::get_if<EntryHostLeft>(&Due.What);
+  if (Gone != nullptr && Due.Basis)
+    logEvent(
+        Event::PeerRemoved,
+        {{"host", Gone->Host},
+         {"run", Gone->Run},
+         {"silent_ms",
+          std::chrono::duration_cast<milliseconds>(Due.Basis->Silence).count()},
+         {"heard", Due.Basis->Heard},
+         {"agreeing", Due.Basis->Agreeing},
+         {"watchers", Due.Basis->Watchers}});
+  Hooks.Append(Due.What);
+}
+
 void MemberDesk::Inner::perform(const ShareCommands &Due) {
   std::map<std::string, std::uint32_t> Changed;
   for (const ShareCommand &One : Due) {
--- a/packages/process/src/coltsfoottrail/server/relay.cpp
+++ b/packages/process/src/coltsfoottrail/server/relay.cpp
@@ -286,6 +286,23 @@
   }
 }
 
+void Relay::logKeyInUse(const CallerRequest &Asked,
+                        const ClaimInProgress &Held) {
+  const std::optional<std::uint64_t> HeldBack =
+      Sampler.admit(Event::KeyInUse, BootClock::now());
+  if (!HeldBack)
+    return;
+  logEvent(
+      Event::KeyInUse,
+      {{"team", Asked.Team.Name},
+       {"key", Asked.IdempotencyKey},
+       {"partition", partitionOf(keyOf(Asked.Team.Name, Asked.IdempotencyKey))},
+       {"claimant", Held.Claimant},
+       {"fence", Held.Fence},
+       {"read_up_to", Held.ReadUpTo},
+       {"held_back", *HeldBack}});
+}
+
 Awaitable<void> Relay::serveClaimed(Exchange &Call, CallerRequest Asked) {
   const ClaimDecide Told = co_await claimOrJoin(Asked);
   if (const auto *const Replay = std::get_if<ClaimReplay>(&Told.Decision)) {
@@ -294,8 +311,10 @@
     co_return;
   }
   if (std::optional<Verdict> Refused = verdictOf(Told.Decision)) {
-    if (std::holds_alternative<ClaimInProgress>(Told.Decision))
+    if (const auto *const Held = std::get_if<ClaimInProgress>(&Told.Decision)) {
       Refused->RetryAfter = InProgressRetryAfter;
+      logKeyInUse(Asked, *Held);
+    }
     co_await refuse(Call, *Refused);
     co_return;
   }
@@ -315,9 +334,9 @@
   StreamProgress Progress;
   while (true) {
     const Decision Next = co_await Mine->next();
-    if (const auto *const Final = std::get_if<Verdict>(&Next)) {
+    if (const auto *const Refused = std::get_if<Refusal>(&Next)) {
       if (!Call.begun()) {
-        co_await refuse(Call, *Final);
+        co_await refuse(Call, Refused->Final);
       } else {
         ++Counts.Cut;
         Call.cut();
--- a/packages/process/src/coltsfoottrail/server/relay.hpp
+++ b/packages/process/src/coltsfoottrail/server/relay.hpp
@@ -5,6 +5,7 @@
 
 #include "coltsfoottrail/http/client.hpp"
 #include "coltsfoottrail/http/server.hpp"
+#include "coltsfoottrail/logging/log.hpp"
 #include "coltsfoottrail/server/callerrequest.hpp"
 #include "coltsfoottrail/server/claimdesk.hpp"
 #include "coltsfoottrail/server/router.hpp"
@@ -73,6 +74,8 @@
 
 private:
   struct StreamProgress;
+  /// Most lines of one kind in a second.
+  static constexpr std::uint32_t MostLines = 10;
 
   [[nodiscard]] RouteTablePtr routes() const;
   [[nodiscard]] Awaitable<void> refuse(Exchange &Call, Verdict Final);
@@ -97,6 +100,7 @@
   relayStream(Exchange &Call, const CallerRequest &Asked, HttpCall Answer,
               TimePoint Start, StreamProgress &Progress);
   [[nodiscard]] Awaitable<void> answerQuery(Exchange &Call);
+  void logKeyInUse(const CallerRequest &Asked, const ClaimInProgress &Held);
   [[nodiscard]] HttpClient &client(std::size_t Thread);
 
   Router &Routing;
@@ -109,6 +113,7 @@
   RouteTablePtr Routes;
   std::atomic<bool> Stopping{false};
   RelayCounters Counts;
+  EventSampler Sampler{MostLines, seconds(1)};
 };
 
 } // namespace coltsfoottrail
--- a/packages/process/src/coltsfoottrail/server/router.cpp
+++ b/packages/process/src/coltsfoottrail/server/router.cpp
@@ -100,23 +100,23 @@
 Decision Place::Shard::decisionOf(const SendCommand &Send) const {
   const auto Found = Endpoints.find(Send.EndpointKey);
   if (Found == Endpoints.end())
-    return Verdict{RunState::NotRun, Reason::Internal, std::nullopt};
+    return Refusal{{RunState::NotRun, Reason::Internal, std::nullopt}, {}};
   return Assignment{Found->second};
 }
 
 Place::Shard::Deliveries Place::Shard::translate(const Commands &Given) {
   Deliveries Out;
   for (const Command &One : Given) {
-    const bool Sends = std::holds_alternative<SendCommand>(One);
-    const Ticket Which = Sends ? std::get<SendCommand>(One).Which
-                               : std::get<RefuseCommand>(One).Which;
+    const auto *const Refused = std::get_if<RefuseCommand>(&One);
+    const Ticket Which =
+        Refused != nullptr ? Refused->Which : std::get<SendCommand>(One).Which;
     const auto Found = Waiters.find(Which);
     if (Found == Waiters.end())
       continue;
-    if (Sends) {
+    if (Refused == nullptr) {
       Out.push_back({Found->second, decisionOf(std::get<SendCommand>(One))});
     } else {
-      Out.push_back({Found->second, std::get<RefuseCommand>(One).Final});
+      Out.push_back({Found->second, Refusal{Refused->Final, Refused->Basis}});
       Waiters.erase(Found);
     }
   }
@@ -168,7 +168,7 @@
   }
   Decision Given = std::move(*Own->Ready);
   Own->Ready.reset();
-  if (std::holds_alternative<Verdict>(Given))
+  if (std::holds_alternative<Refusal>(Given))
     Own->Ended = true;
   co_return Given;
 }
--- a/packages/process/src/coltsfoottrail/server/router.hpp
+++ b/packages/process/src/coltsfoottrail/server/router.hpp
@@ -25,8 +25,14 @@
   std::shared_ptr<const EndpointSpec> Endpoint;
 };
 
+/// @brief A final refusal and what it rests on.
+struct Refusal {
+  Verdict Final;
+  RefusalBasis Basis;
+};
+
 /// What is decided for a request: where to send it, or its final refusal.
-using Decision = std::variant<Assignment, Verdict>;
+using Decision = std::variant<Assignment, Refusal>;
 
 /// @brief A request's place in a dispatcher, from its taking to its end.
 ///
--- a/packages/request/src/coltsfoottrail/claims/codec.cpp
+++ b/packages/request/src/coltsfoottrail/claims/codec.cpp
@@ -155,6 +155,8 @@
   }
   void operator()(const ClaimInProgress &Made) const {
     Out["claimant"] = Made.Claimant.Text;
+    Out["fence"] = Made.Fence;
+    Out["read_up_to"] = Made.ReadUpTo;
   }
   void operator()(const ClaimUnavailable &Made) const {
     Out["earlier"] = Made.EarlierTry;
@@ -183,7 +185,9 @@
   case Replay:
     return ClaimReplay{readOutcome(From)};
   case InProgress:
-    return ClaimInProgress{HostName(From.textOr("claimant", ""))};
+    return ClaimInProgress{HostName(From.textOr("claimant", "")),
+                           From.numberOr("fence", 0),
+                           From.numberOr("read_up_to", 0)};
   case BodyDiffers:
     return ClaimBodyDiffers{};
   case MayHaveRun:
--- a/packages/request/src/coltsfoottrail/claims/owner.cpp
+++ b/packages/request/src/coltsfoottrail/claims/owner.cpp
@@ -47,11 +47,12 @@
 struct StandingVisitor {
   const LedgerEntry &Entry;
   bool ClaimantGone;
+  Offset ReadUpTo;
 
   ClaimDecision operator()(const ClaimHeld &) const {
     if (ClaimantGone)
       return ClaimMayHaveRun{};
-    return ClaimInProgress{Entry.Claimant};
+    return ClaimInProgress{Entry.Claimant, Entry.Fence, ReadUpTo};
   }
   ClaimDecision operator()(const ReleaseClaim &) const { return ClaimNotRun{}; }
   ClaimDecision operator()(const OutcomeUnknown &) const {
@@ -112,7 +113,8 @@
 ClaimDecision ClaimOwner::standingOf(const LedgerEntry &Entry, TimePoint Now) {
   const bool Held = std::holds_alternative<ClaimHeld>(Entry.Standing);
   const bool Gone = Held && Watch.gone(Entry.Holder.Run, Now);
-  return std::visit(StandingVisitor{Entry, Gone}, Entry.Standing);
+  return std::visit(StandingVisitor{Entry, Gone, Ledger.next()},
+                    Entry.Standing);
 }
 
 std::optional<ClaimDecision> ClaimOwner::decide(const ClaimAsk &Message,
--- a/packages/request/src/coltsfoottrail/claims/types.hpp
+++ b/packages/request/src/coltsfoottrail/claims/types.hpp
@@ -93,6 +93,10 @@
 /// Another try with the key is under way.
 struct ClaimInProgress {
   HostName Claimant;
+  /// Offset of the claim's record.
+  Offset Fence = 0;
+  /// Offset up to which the owner that decided had read the partition.
+  Offset ReadUpTo = 0;
   [[nodiscard]] friend bool operator==(const ClaimInProgress &,
                                        const ClaimInProgress &) = default;
 };
--- a/packages/request/src/coltsfoottrail/dispatch/dispatcher.cpp
+++ b/packages/request/src/coltsfoottrail/dispatch/dispatcher.cpp
@@ -97,13 +97,13 @@
   const Ticket Which = Requests.insert(std::move(Asked));
   watchCapacity(Now);
   if (const auto Final = refusalAtOnce(*Requests.find(Which), Now)) {
-    refuse(Which, *Final, Out);
+    refuse(Which, *Final, RetryStop::NotTried, Out);
     return Which;
   }
   if (startNow(Which, Now, Out))
     return Which;
   if (const auto Final = refusalToWait(*Requests.find(Which), Now)) {
-    refuse(Which, *Final, Out);
+    refuse(Which, *Final, RetryStop::NotTried, Out);
     return Which;
   }
   enqueue(Which, Now);
@@ -349,14 +349,15 @@
   Request &Asked = *Requests.find(Which);
   Asked.State = laterOf(Asked.State, Result.State);
   Asked.LastWhy = Result.Why;
-  if (Crashes.standing(Asked.Item.Fingerprint, Now) == Standing::Quarantined) {
-    refuse(Which, notRun(Reason::Quarantined), Out);
-    return;
-  }
-  const bool Again = mayRetry(Asked.Item, Result) &&
-                     Asked.Attempts < Options.Retries.MaxAttempts;
-  if (!Again || !holdForRetry(Which, Now))
-    refuse(Which, notRun(Result.Why), Out);
+  Asked.FailedWhen = Now;
+  if (Crashes.standing(Asked.Item.Fingerprint, Now) == Standing::Quarantined)
+    refuse(Which, notRun(Reason::Quarantined), RetryStop::Quarantined, Out);
+  else if (!mayRetry(Asked.Item, Result))
+    refuse(Which, notRun(Result.Why), RetryStop::NotRepeatable, Out);
+  else if (Asked.Attempts >= Options.Retries.MaxAttempts)
+    refuse(Which, notRun(Result.Why), RetryStop::AttemptsUsed, Out);
+  else if (const auto Stop = holdForRetry(Which, Now))
+    refuse(Which, notRun(Result.Why), *Stop, Out);
 }
 
 // Failure guarded against: thousands of requests fail at once and are held back
@@ -366,26 +367,31 @@
          Held.bytes() + Asked.Item.Bytes <= Options.MaxWaitingBytes;
 }
 
-bool Dispatcher::holdForRetry(Ticket Which, TimePoint Now) {
+/// Holds a request until its next attempt.
+/// @return Why there is none.
+std::optional<RetryStop> Dispatcher::holdForRetry(Ticket Which, TimePoint Now) {
   Request &Asked = *Requests.find(Which);
   const Duration Left = latestStart(Asked) - Now;
   const std::optional<Duration> Delay =
       retryDelay(Options.Retries, Asked.Delays, Left, Draw);
-  if (!Delay || !mayHold(Asked))
-    return false;
+  if (!Delay)
+    return RetryStop::NoTime;
+  if (!mayHold(Asked))
+    return RetryStop::QueueFull;
   ++Asked.Delays;
   Held.holdUntil(Which, Asked.Item.Bytes, Now + *Delay);
-  return true;
+  return std::nullopt;
 }
 
 void Dispatcher::waitForBudget(Ticket Which, TimePoint Now, Commands &Out) {
   Request &Asked = *Requests.find(Which);
   Held.remove(Which);
   if (Asked.BudgetWaits++ < Options.Retries.MaxBudgetWaits &&
-      holdForRetry(Which, Now))
+      !holdForRetry(Which, Now))
     return;
   ++Counts.BudgetExhausted;
-  refuse(Which, notRun(Asked.LastWhy, UnknownRetryAfter), Out);
+  refuse(Which, notRun(Asked.LastWhy, UnknownRetryAfter), RetryStop::BudgetUsed,
+         Out);
 }
 
 void Dispatcher::cancel(Ticket Which, TimePoint Now, Commands &Out) {
@@ -478,7 +484,9 @@
 
 void Dispatcher::expire(TimePoint Now, Commands &Out) {
   while (const std::optional<Ticket> Which = Queue.popExpired(Now)) {
-    refuse(*Which, notRun(expiryOf(Requests.find(*Which)->Item, Now)), Out);
+    const Request &Asked = *Requests.find(*Which);
+    refuse(*Which, notRun(expiryOf(Asked.Item, Now)),
+           stopOf(Asked, RetryStop::NoTime), Out);
   }
   while (const std::optional<Ticket> Which = Held.popDue(Now))
     expireHeld(*Which, Now, Out);
@@ -492,7 +500,8 @@
     return;
   }
   const Reason Untried = expiryOf(Asked.Item, Now);
-  refuse(Which, notRun(Asked.Attempts > 0 ? Asked.LastWhy : Untried), Out);
+  refuse(Which, notRun(Asked.Attempts > 0 ? Asked.LastWhy : Untried),
+         stopOf(Asked, RetryStop::NoTime), Out);
 }
 
 void Dispatcher::sendHeld(TimePoint Now, Commands &Out) {
@@ -521,7 +530,7 @@
   Request &Asked = *Requests.find(Which);
   if (Crashes.standing(Asked.Item.Fingerprint, Now) == Standing::Quarantined) {
     Held.remove(Which);
-    refuse(Which, notRun(Reason::Quarantined), Out);
+    refuse(Which, notRun(Reason::Quarantined), RetryStop::Quarantined, Out);
     return Placing::Done;
   }
   if (Asked.Attempts > 0 && !Budget.any()) {
@@ -558,7 +567,7 @@
       return;
     Asked.InProgress = Queue.pop().has_value();
     if (Barred) {
-      refuse(*Which, notRun(Reason::Quarantined), Out);
+      refuse(*Which, notRun(Reason::Quarantined), RetryStop::Quarantined, Out);
     } else if (To) {
       send(*Which, *To, Now, Out);
     } else {
@@ -580,7 +589,8 @@
   if (mayHold(Asked))
     Held.holdReady(Which, Asked.Item.Bytes, Until);
   else
-    refuse(Which, notRun(Reason::Overloaded, UnknownRetryAfter), Out);
+    refuse(Which, notRun(Reason::Overloaded, UnknownRetryAfter),
+           stopOf(Asked, RetryStop::QueueFull), Out);
 }
 
 void Dispatcher::watchCapacity(TimePoint Now) {
@@ -613,7 +623,8 @@
     const Duration Wait = Queue.estimatedWait(Asked.Team, Asked.Item.Urgency,
                                               Asked.Item.Cost, Speed);
     Queue.remove(Which);
-    refuse(Which, notRun(Reason::DeadlineTooShort, retryAfter(Wait)), Out);
+    refuse(Which, notRun(Reason::DeadlineTooShort, retryAfter(Wait)),
+           stopOf(Asked, RetryStop::NoTime), Out);
   }
 }
 
@@ -626,19 +637,28 @@
     Gone.push_back(Which);
   }
   for (const Ticket Which : Gone)
-    refuse(Which, Final, Out);
+    refuse(Which, Final, stopOf(*Requests.find(Which), RetryStop::NoEndpoint),
+           Out);
 }
 
 /// Ends a request that was not answered; its run state is the latest of all of
 /// its attempts.
-void Dispatcher::refuse(Ticket Which, Verdict Final, Commands &Out) {
-  Final.State = laterOf(Final.State, Requests.find(Which)->State);
+void Dispatcher::refuse(Ticket Which, Verdict Final, RetryStop Stop,
+                        Commands &Out) {
+  const Request &Asked = *Requests.find(Which);
+  Final.State = laterOf(Final.State, Asked.State);
+  const RefusalBasis Basis{Stop, Asked.Attempts, Asked.BudgetWaits,
+                           Choice.size(), Asked.FailedWhen};
   ++Counts.Refused;
   Counts.RefusedTooShort += Final.Why == Reason::DeadlineTooShort ? 1U : 0U;
   Counts.RefusedOverloaded += Final.Why == Reason::Overloaded ? 1U : 0U;
   Counts.RefusedQuarantined += Final.Why == Reason::Quarantined ? 1U : 0U;
   forget(Which);
-  Out.emplace_back(RefuseCommand{Which, Final});
+  Out.emplace_back(RefuseCommand{Which, Final, Basis});
+}
+
+RetryStop Dispatcher::stopOf(const Request &Asked, RetryStop IfTried) noexcept {
+  return Asked.Attempts > 0 ? IfTried : RetryStop::NotTried;
 }
 
 void Dispatcher::forget(Ticket Which) {
--- a/packages/request/src/coltsfoottrail/dispatch/dispatcher.hpp
+++ b/packages/request/src/coltsfoottrail/dispatch/dispatcher.hpp
@@ -193,8 +193,9 @@
     TeamId Team;
     /// Latest of all attempts so far.
     RunState State = RunState::NotRun;
-    /// Why the last attempt failed.
+    /// Why the last attempt failed, and when.
     Reason LastWhy = Reason::Internal;
+    std::optional<TimePoint> FailedWhen;
     std::uint32_t Attempts = 0;
     std::uint32_t Delays = 0;
     std::uint32_t BudgetWaits = 0;
@@ -248,7 +249,8 @@
   [[nodiscard]] Placing placeHeld(Ticket Which, TimePoint Now, Commands &Out);
   void send(Ticket Which, CandidateId To, TimePoint Now, Commands &Out);
   [[nodiscard]] bool mayHold(const Request &Asked) const;
-  [[nodiscard]] bool holdForRetry(Ticket Which, TimePoint Now);
+  [[nodiscard]] std::optional<RetryStop> holdForRetry(Ticket Which,
+                                                      TimePoint Now);
   void waitForBudget(Ticket Which, TimePoint Now, Commands &Out);
   void failed(Ticket Which, const AttemptResult &Result, TimePoint Now,
               Commands &Out);
@@ -261,7 +263,9 @@
   void watchCapacity(TimePoint Now);
   void refuseHopeless(TimePoint Now, Commands &Out);
   void refuseAllWaiting(const Verdict &Final, Commands &Out);
-  void refuse(Ticket Which, Verdict Final, Commands &Out);
+  void refuse(Ticket Which, Verdict Final, RetryStop Stop, Commands &Out);
+  [[nodiscard]] static RetryStop stopOf(const Request &Asked,
+                                        RetryStop IfTried) noexcept;
   void forget(Ticket Which);
 
   DispatcherOptions Options;
--- a/packages/request/src/coltsfoottrail/dispatch/fwd.hpp
+++ b/packages/request/src/coltsfoottrail/dispatch/fwd.hpp
@@ -18,6 +18,8 @@
 struct AttemptResult;
 struct LoadReport;
 struct SendCommand;
+enum class RetryStop : std::uint8_t;
+struct RefusalBasis;
 struct RefuseCommand;
 struct DispatchCounts;
 struct DispatcherOptions;
--- a/packages/request/src/coltsfoottrail/dispatch/types.hpp
+++ b/packages/request/src/coltsfoottrail/dispatch/types.hpp
@@ -9,7 +9,9 @@
 #include "coltsfoottrail/dispatch/fwd.hpp"
 #include "coltsfoottrail/verdict/verdict.hpp"
 
+#include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -86,10 +88,43 @@
   Ticket Which;
   std::string EndpointKey;
 };
+/// Why a request is not sent to another endpoint.
+enum class RetryStop : std::uint8_t {
+  /// It was not sent at all.
+  NotTried,
+  /// It must not be sent again, or its caller has seen part of an answer.
+  NotRepeatable,
+  AttemptsUsed,
+  BudgetUsed,
+  /// Too little time was left to its deadline.
+  NoTime,
+  /// Too many requests waited already.
+  QueueFull,
+  Quarantined,
+  /// The pool had no endpoint.
+  NoEndpoint
+};
+
+/// @brief Words for logs. Thread-safe.
+[[nodiscard]] std::string_view retryStopCode(RetryStop Why) noexcept;
+
+/// @brief What a final refusal rests on, for logs.
+struct RefusalBasis {
+  RetryStop Stop = RetryStop::NotTried;
+  std::uint32_t Attempts = 0;
+  /// How often the retry waited for the budget.
+  std::uint32_t BudgetWaits = 0;
+  /// Endpoints of the pool.
+  std::size_t Endpoints = 0;
+  /// When its last attempt failed.
+  std::optional<TimePoint> FailedAt;
+};
+
 /// Give a request its final refusal.
 struct RefuseCommand {
   Ticket Which;
   Verdict Final;
+  RefusalBasis Basis;
 };
 
 using Command = std::variant<SendCommand, RefuseCommand>;
--- a/packages/version/src/coltsfoottrail/membership/membership.cpp
+++ b/packages/version/src/coltsfoottrail/membership/membership.cpp
@@ -279,7 +279,10 @@
                     Options.AppendStagger * static_cast<int>(rankAmong(Kept));
   if (*Kept.AppendAt > Now)
     return;
-  Out.emplace_back(MembershipAppend{EntryHostLeft{Host, Kept.Run}});
+  Out.emplace_back(MembershipAppend{
+      EntryHostLeft{Host, Kept.Run},
+      RemovalBasis{Now - Kept.LastHeard, Kept.Heard, Kept.Agreeing.size(),
+                   Kept.Watchers.size()}});
   Kept.Delay = std::min(Options.MaxRetry,
                         std::max(Options.RetryAfter * 4, Kept.Delay * 2));
   Kept.AppendAt = Now + withRandom(2 * Kept.Delay);
--- a/packages/version/src/coltsfoottrail/membership/types.hpp
+++ b/packages/version/src/coltsfoottrail/membership/types.hpp
@@ -9,6 +9,7 @@
 #include "coltsfoottrail/membership/fwd.hpp"
 #include "coltsfoottrail/record/record.hpp"
 
+#include <optional>
 #include <string_view>
 #include <variant>
 #include <vector>
@@ -95,10 +96,23 @@
   HostName To;
   MembershipMessage What;
 };
+/// @brief What a host goes by when it reports another one as gone.
+struct RemovalBasis {
+  /// Since its last heartbeat, or another watcher's word for it.
+  Duration Silence{};
+  /// A heartbeat of this run has come here.
+  bool Heard = false;
+  /// Other watchers that have not heard of it either.
+  std::size_t Agreeing = 0;
+  std::size_t Watchers = 0;
+};
+
 /// Append this record to the agreed stream; the effect is seen in the state,
 /// so the result need not be told.
 struct MembershipAppend {
   Record What;
+  /// Set for the end of another host.
+  std::optional<RemovalBasis> Basis = std::nullopt;
 };
 /// This run has been found gone: it must stop what it does under it and join
 /// again under a new run.
