Connect entry hosts on demand above 32 of them

What callers saw: a fleet of more than 32 hosts stops serving host by host, 30 to 40 s after its start, with nothing wrong. Each live host is declared gone by a watcher, logs unready "its peers have found this run gone", and ends.

Cause: up to 32 hosts all are connected. Whatever is sent by name to a host that is no neighbour was dropped: heartbeats to watchers, their questions to each other, claims to the owner of a partition, shares, questions to the jury, records.

The silence began when the connection was cut, no watcher was connected, and AloneAfter (30 s) ran out. Ruled out: load (32 hosts at the same load are sound), heartbeats that were late (none came after the cut).

Fix: the mesh knows all members; neighbours stay connected, any other member is dialled when there is a message for it, the message waits for the connection, and the connection is closed after 30 s without messages. So every message by name gets through, and an idle host has few connections. A host that cannot be reached is dialled with the usual backoff and holds no messages. Peers are set only when the members change.

The same elsewhere: all other channels send through Mesh::send and are served alike.

--- a/bench/nodes.py
+++ b/bench/nodes.py
@@ -1,6 +1,7 @@
 #!/usr/bin/env python3
 """Starts N entry hosts and stand-ins on loopback, and prints what each node
-costs at rest and how many of them serve a streamed draft.
+costs at rest and how many of them serve a streamed draft. Exits with 1 when an
+entry host ended by itself.
 
 usage: bench/nodes.py BUILD_FOLDER N [N ...]
 """
@@ -123,8 +124,15 @@
     return out
 
 
+def exited(nodes):
+    return [f"entry-{n}" for n, node in enumerate(nodes)
+            if node.poll() is not None]
+
+
 def spread(values):
     values = sorted(values)
+    if not values:
+        return None
     return {"mean": round(sum(values) / len(values), 2),
             "most": round(values[-1], 2)}
 
@@ -161,16 +169,18 @@
                               capture_output=True, text=True, timeout=30)
         confirmed = done.returncode
     time.sleep(20)
-    before = [processor(node.pid) for node in nodes]
+    alive = [node for node in nodes if node.poll() is None]
+    before = {node.pid: processor(node.pid) for node in alive}
     began = time.monotonic()
     time.sleep(SPAN)
     span = time.monotonic() - began
-    core = [(processor(node.pid) - was) / span * 100
-            for node, was in zip(nodes, before)]
-    memory = [resident(node.pid) for node in nodes]
+    alive = [node for node in alive if node.poll() is None]
+    core = [(processor(node.pid) - before[node.pid]) / span * 100
+            for node in alive]
+    memory = [resident(node.pid) for node in alive]
     are_ready = sum(ready(caller(n)) for n in range(count))
     answers = tally(draft(caller(n)) for n in range(count))
-    return {"nodes": count, "confirm": confirmed, "ready": are_ready,
+    return {"nodes": count, "exited": exited(nodes), "confirm": confirmed, "ready": are_ready,
             "drafts": answers, "core_percent_at_rest": spread(core),
             "resident_mb": spread(memory),
             "load_average": os.getloadavg()}
@@ -178,18 +188,21 @@
 
 def main():
     build = os.path.abspath(sys.argv[1])
+    ended = False
     for count in map(int, sys.argv[2:]):
         started = []
         with tempfile.TemporaryDirectory() as folder:
             try:
-                print(json.dumps(measure(build, count, folder, started)),
-                      flush=True)
+                result = measure(build, count, folder, started)
+                print(json.dumps(result), flush=True)
+                ended = ended or bool(result["exited"])
             finally:
                 for each in started:
                     each.kill()
                 for each in started:
                     each.wait()
+    return 1 if ended else 0
 
 
 if __name__ == "__main__":
-    main()
+    sys.exit(main())
--- a/packages/connection/src/coltsfoottrail/mesh/link.hpp
+++ b/packages/connection/src/coltsfoottrail/mesh/link.hpp
@@ -99,6 +99,11 @@
   /// @brief Tells whether messages from it still count. Thread-safe.
   [[nodiscard]] bool delivers() const noexcept { return Delivers; }
 
+  /// @brief Notes that a message went either way. Thread-safe.
+  void markUsed(TimePoint Now) noexcept { LastUsed = Now; }
+  /// @brief When the last message went either way. Thread-safe.
+  [[nodiscard]] TimePoint lastUsed() const noexcept { return LastUsed; }
+
 private:
   void connect();
   void greet();
@@ -140,6 +145,7 @@
   bool Closing = false;
   bool Ended = false;
   std::atomic<bool> Delivers = true;
+  std::atomic<TimePoint> LastUsed = TimePoint{};
   std::atomic<bool> WakePosted = false;
 };
 
--- a/packages/connection/src/coltsfoottrail/mesh/mesh.cpp
+++ b/packages/connection/src/coltsfoottrail/mesh/mesh.cpp
@@ -41,6 +41,7 @@
   internal::DialPolicy Out;
   Out.FirstDelay = Limits.FirstRedial;
   Out.MaxDelay = Limits.MaxRedial;
+  Out.UnusedAfter = Limits.UnusedAfter;
   return Out;
 }
 
@@ -87,9 +88,15 @@
   void cutLink(LinkId Which, const std::string &Why,
                std::vector<PeerEvent> &Out);
   void tell(std::vector<PeerEvent> What);
-  [[nodiscard]] bool isActive(const HostName &Host) const;
+  [[nodiscard]] bool hold(const HostName &To, Channel Which,
+                          const internal::Encoded &Bytes);
+  void dropUnexpected(TimePoint Now);
+  void closeUnused(TimePoint Now, std::vector<PeerEvent> &Out);
+  void drop(internal::Outbox &Waiting);
   [[nodiscard]] bool push(Link &To, Channel Which,
                           const internal::Encoded &Bytes);
+  [[nodiscard]] bool enqueue(internal::Outbox &Into, Channel Which,
+                             const internal::Encoded &Bytes);
   [[nodiscard]] internal::Encoded encode(Channel Which, Json Body);
   AtomicCounters &countersOf(Channel Which) {
     return Counters[static_cast<std::size_t>(Which)];
@@ -122,6 +129,8 @@
 
   mutable std::shared_mutex ActiveMutex;
   std::unordered_map<HostName, std::shared_ptr<Link>> Active;
+  /// Messages for hosts with which a connection is under way.
+  std::unordered_map<HostName, internal::Outbox> Pending;
 };
 
 std::uint16_t Mesh::State::start() {
@@ -236,12 +245,17 @@
 
 void Mesh::State::dialDue() {
   std::vector<internal::DialTarget> Due;
+  std::vector<PeerEvent> What;
   {
     const std::lock_guard Lock(Mutex);
     if (Stopping)
       return;
-    Due = Table.due(BootClock::now());
+    const TimePoint Now = BootClock::now();
+    dropUnexpected(Now);
+    closeUnused(Now, What);
+    Due = Table.due(Now);
   }
+  tell(std::move(What));
   for (const internal::DialTarget &Each : Due)
     dial(Each);
   DialTimer.expires_after(Config.Limits.DialInterval);
@@ -311,10 +325,48 @@
     (*Old)->waiting().drainInto(Which.waiting());
     (*Old)->closeLater();
   }
+  if (const auto Held = Pending.find(Host); Held != Pending.end()) {
+    Held->second.drainInto(Which.waiting());
+    Pending.erase(Held);
+  }
+  Which.markUsed(BootClock::now());
   Active[Host] = Which.shared_from_this();
   return std::nullopt;
 }
 
+/// Drops what waits for hosts that could not be reached.
+void Mesh::State::dropUnexpected(TimePoint Now) {
+  const std::unique_lock Lock(ActiveMutex);
+  for (auto Each = Pending.begin(); Each != Pending.end();) {
+    if (Table.expects(Each->first, Now)) {
+      ++Each;
+      continue;
+    }
+    drop(Each->second);
+    Each = Pending.erase(Each);
+  }
+}
+
+void Mesh::State::closeUnused(TimePoint Now, std::vector<PeerEvent> &Out) {
+  std::vector<LinkId> Unused;
+  {
+    const std::shared_lock Lock(ActiveMutex);
+    for (const auto &[Host, Each] : Active)
+      if (Table.isUnused(Host, Each->lastUsed(), Now))
+        Unused.push_back(Each->id());
+  }
+  for (const LinkId Each : Unused) {
+    Table.release(Each);
+    cutLink(Each, "no messages for it", Out);
+  }
+}
+
+void Mesh::State::drop(internal::Outbox &Waiting) {
+  const auto Lost = Waiting.close();
+  for (std::size_t Index = 0; Index < ChannelCount; ++Index)
+    Counters[Index].Dropped += Lost[Index];
+}
+
 void Mesh::State::cutLink(LinkId Which, const std::string &Why,
                           std::vector<PeerEvent> &Out) {
   const auto *const Found = Links.find(Which);
@@ -355,9 +407,7 @@
           *Refused == PeerRefusal::ByPeer ? Why : Which.other().Host.Text;
       What.emplace_back(PeerRefused{Which.remote(), *Refused, Detail});
     }
-    const auto Lost = Which.waiting().close();
-    for (std::size_t Index = 0; Index < ChannelCount; ++Index)
-      Counters[Index].Dropped += Lost[Index];
+    drop(Which.waiting());
     Links.erase(Which.id());
     if (Links.size() == 0)
       LinksGone.notify_all();
@@ -389,6 +439,7 @@
       ++UnknownChannel;
       return;
     }
+    Which.markUsed(BootClock::now());
     AtomicCounters &Its = countersOf(*Read.Which);
     ++Its.MessagesIn;
     Its.BytesIn += Message.size();
@@ -426,35 +477,60 @@
       internal::encodeMessage(Which, std::move(Body)));
 }
 
-bool Mesh::State::push(Link &To, Channel Which,
-                       const internal::Encoded &Bytes) {
+bool Mesh::State::enqueue(internal::Outbox &Into, Channel Which,
+                          const internal::Encoded &Bytes) {
   AtomicCounters &Its = countersOf(Which);
   if (Bytes->size() > Config.Limits.MaxMessageBytes) {
     ++Its.Dropped;
     return false;
   }
-  const internal::Queued Result = To.waiting().push(Outgoing{Which, Bytes});
+  const internal::Queued Result = Into.push(Outgoing{Which, Bytes});
   Its.Dropped += Result.Evicted + (Result.Taken ? 0 : 1);
   if (!Result.Taken)
     return false;
   ++Its.MessagesOut;
   Its.BytesOut += Bytes->size();
+  return true;
+}
+
+bool Mesh::State::push(Link &To, Channel Which,
+                       const internal::Encoded &Bytes) {
+  if (!enqueue(To.waiting(), Which, Bytes))
+    return false;
+  To.markUsed(BootClock::now());
   To.wake();
   return true;
 }
 
-bool Mesh::State::isActive(const HostName &Host) const {
-  const std::shared_lock Lock(ActiveMutex);
-  return Active.contains(Host);
+/// Keeps a message until the connection that it asks for is there.
+bool Mesh::State::hold(const HostName &To, Channel Which,
+                       const internal::Encoded &Bytes) {
+  const std::lock_guard Lock(Mutex);
+  const bool Expected = Table.demand(To, BootClock::now());
+  const std::unique_lock ActiveLock(ActiveMutex);
+  if (const auto Found = Active.find(To); Found != Active.end())
+    return push(*Found->second, Which, Bytes);
+  if (!Expected || Stopping) {
+    ++countersOf(Which).Dropped;
+    return false;
+  }
+  const auto [Place, Added] = Pending.try_emplace(
+      To,
+      internal::OutboxBounds{Config.Limits.MaxQueuedMessages,
+                             Config.Limits.MaxQueuedBytes},
+      QueuedBytes, Config.Limits.MaxTotalQueuedBytes);
+  return enqueue(Place->second, Which, Bytes);
 }
 
 bool Mesh::State::send(const HostName &To, Channel Which, Json Body) {
-  if (!isActive(To))
-    return false;
   const internal::Encoded Bytes = encode(Which, std::move(Body));
-  const std::shared_lock Lock(ActiveMutex);
-  const auto Found = Active.find(To);
-  return Found != Active.end() && push(*Found->second, Which, Bytes);
+  {
+    const std::shared_lock Lock(ActiveMutex);
+    const auto Found = Active.find(To);
+    if (Found != Active.end())
+      return push(*Found->second, Which, Bytes);
+  }
+  return hold(To, Which, Bytes);
 }
 
 std::size_t Mesh::State::broadcast(Channel Which, Json Body) {
--- a/packages/connection/src/coltsfoottrail/mesh/mesh.hpp
+++ b/packages/connection/src/coltsfoottrail/mesh/mesh.hpp
@@ -44,6 +44,9 @@
   milliseconds MaxRedial{10000};
   /// How often it is looked whom to dial.
   milliseconds DialInterval{50};
+  /// A connection with a host that is no neighbour is closed after this time
+  /// without a message.
+  milliseconds UnusedAfter{30'000};
 };
 
 /// @brief What the mesh is made with.
@@ -139,12 +142,13 @@
   /// afterwards. Not from a handler.
   void stop();
 
-  /// @brief Sets the peers that the agreed state names and that this host wants
-  /// to be connected with. Thread-safe.
+  /// @brief Sets the peers that the agreed state names. Thread-safe.
   ///
-  /// Others may connect with this host all the same. A host whose run changes
-  /// is cut off under its old run. See chooseNeighbours() for a choice that
-  /// does not grow with the number of hosts.
+  /// This host stays connected with those that are marked as neighbours, and
+  /// is connected with the others while there are messages for them. Others may
+  /// connect with this host all the same. A host whose run changes is cut off
+  /// under its old run. See chooseNeighbours() for a choice that does not grow
+  /// with the number of hosts.
   /// @param Wanted All of them; this host among them is passed over.
   void setPeers(std::span<const MeshPeer> Wanted);
   /// @brief Sets addresses that are dialled whoever answers. Thread-safe.
@@ -155,8 +159,8 @@
   /// @param Which The channel.
   /// @param Body The message.
   /// @return Whether it waits to be sent. False when there is no connection
-  /// with the host, when the queue is full, or when it is too large; then
-  /// nothing of it has left.
+  /// with the host and none is under way, when the queue is full, or when it is
+  /// too large; then nothing of it has left.
   [[nodiscard]] bool send(const HostName &To, Channel Which, Json Body);
   /// @brief Sends a message to all connected peers; it is encoded once.
   /// Thread-safe; never waits.
--- a/packages/connection/src/coltsfoottrail/mesh/peer.hpp
+++ b/packages/connection/src/coltsfoottrail/mesh/peer.hpp
@@ -12,13 +12,16 @@
 
 namespace coltsfoottrail {
 
-/// @brief An entry host to be connected with, as the agreed state names it.
+/// @brief An entry host as the agreed state names it.
 struct MeshPeer {
   HostName Host;
   Incarnation Run = 0;
   /// IP number.
   std::string Address;
   std::uint16_t Port = 0;
+  /// Whether to stay connected with it. Any other one is connected on demand:
+  /// from a message to it until no more come.
+  bool Neighbour = true;
   [[nodiscard]] friend bool operator==(const MeshPeer &,
                                        const MeshPeer &) = default;
 };
--- a/packages/connection/src/coltsfoottrail/mesh/table.cpp
+++ b/packages/connection/src/coltsfoottrail/mesh/table.cpp
@@ -45,6 +45,7 @@
   const bool SameHost = Its.Host == Peer.Host;
   Its.Host = Peer.Host;
   Its.IsSelf = false;
+  Its.Neighbour = Peer.Neighbour;
   if (!New && SameHost && !NewRun)
     return;
   Its.Failures = 0;
@@ -70,6 +71,7 @@
     }
     std::erase(Its.Retired, Peer.Run);
     Its.Listed = Peer.Run;
+    Its.At = {Peer.Address, Peer.Port};
     want(Peer, NewRun, Now);
   }
   forgetOldHosts();
@@ -198,6 +200,12 @@
   return true;
 }
 
+void PeerTable::release(LinkId Link) {
+  for (auto &[Host, Its] : Hosts)
+    if (Its.Link && Its.Link->Link == Link)
+      Its.Link.reset();
+}
+
 void PeerTable::dialFailed(const DialTarget &Which,
                            std::optional<PeerRefusal> Why, TimePoint Now) {
   const auto Found = Targets.find(Which);
@@ -210,10 +218,48 @@
   ++Its.Failures;
 }
 
+const PeerTable::Target *PeerTable::targetOf(const HostName &Host) const {
+  const auto Found = Hosts.find(Host);
+  if (Found == Hosts.end() || !Found->second.Listed)
+    return nullptr;
+  const auto Entry = Targets.find(Found->second.At);
+  return Entry == Targets.end() ? nullptr : &Entry->second;
+}
+
+bool PeerTable::demand(const HostName &Host, TimePoint Now) {
+  if (targetOf(Host) == nullptr)
+    return false;
+  Target &Its = Targets.at(Hosts.at(Host).At);
+  if (!Its.Neighbour) {
+    if (Its.Failures == 0 && Its.WantedUntil <= Now)
+      Its.Next = Now;
+    Its.WantedUntil = Now + Policy.DemandLife;
+  }
+  return expects(Host, Now);
+}
+
+bool PeerTable::expects(const HostName &Host, TimePoint Now) const {
+  const Target *const Its = targetOf(Host);
+  return Its != nullptr && (Its->Busy || (Its->Next <= Now && !Its->IsSelf));
+}
+
+bool PeerTable::isUnused(const HostName &Host, TimePoint LastUsed,
+                         TimePoint Now) const {
+  const Target *const Its = targetOf(Host);
+  if (Its == nullptr || Its->Neighbour || Its->FromSeed)
+    return false;
+  const auto &Link = Hosts.at(Host).Link;
+  return Link && Link->DialledByUs && Now - LastUsed >= Policy.UnusedAfter;
+}
+
+bool PeerTable::isWanted(const Target &Its, TimePoint Now) {
+  return Its.FromSeed || Its.Neighbour || Its.WantedUntil > Now;
+}
+
 std::vector<DialTarget> PeerTable::due(TimePoint Now) {
   std::vector<DialTarget> Out;
   for (auto &[Where, Its] : Targets) {
-    if (Its.Busy || Its.IsSelf || Its.Next > Now)
+    if (Its.Busy || Its.IsSelf || Its.Next > Now || !isWanted(Its, Now))
       continue;
     if (!Its.Host.empty() && connected(Its.Host))
       continue;
--- a/packages/connection/src/coltsfoottrail/mesh/table.hpp
+++ b/packages/connection/src/coltsfoottrail/mesh/table.hpp
@@ -25,6 +25,11 @@
   Duration MaxDelay = seconds(10);
   /// A connection that lasted this long makes the failures before it forgotten.
   Duration StableAfter = seconds(10);
+  /// How long after a message to it a host that is no neighbour is dialled.
+  Duration DemandLife = seconds(5);
+  /// A connection with a host that is no neighbour is closed after this time
+  /// without a message.
+  Duration UnusedAfter = seconds(30);
 };
 
 /// An address that is dialled.
@@ -88,7 +93,7 @@
   PeerTable(HostName Own, DialPolicy Dialling, std::uint64_t Seed)
       : Self(std::move(Own)), Policy(Dialling), Source(Seed) {}
 
-  /// @brief Takes the peers that the agreed state names and the caller wants.
+  /// @brief Takes the peers that the agreed state names.
   /// @param Wanted All of them; this host among them is passed over.
   /// @param Now The time.
   /// @return Connections to cut.
@@ -102,11 +107,23 @@
   /// @brief Learns that an admitted connection is over.
   /// @return Whether it was the host's current one.
   bool lost(LinkId Link, TimePoint Now);
+  /// @brief Learns that this end closes an admitted connection that is unused.
+  void release(LinkId Link);
   /// @brief Learns that a dialled connection ended before it was admitted.
   /// @param Target What was dialled.
   /// @param Why Nothing when it could not be reached.
   void dialFailed(const DialTarget &Target, std::optional<PeerRefusal> Why,
                   TimePoint Now);
+  /// @brief Notes that there is a message for a host that is not connected.
+  /// @return Whether a connection is under way, so that the message may wait.
+  [[nodiscard]] bool demand(const HostName &Host, TimePoint Now);
+  /// @brief Tells whether a connection with a host is under way.
+  [[nodiscard]] bool expects(const HostName &Host, TimePoint Now) const;
+  /// @brief Tells whether the current connection with a host may be closed: it
+  /// is no neighbour, this end dialled, and no messages come.
+  /// @param LastUsed When the last message went either way.
+  [[nodiscard]] bool isUnused(const HostName &Host, TimePoint LastUsed,
+                              TimePoint Now) const;
   /// @brief Whom to dial now. Each is taken as being dialled until admit(),
   /// dialFailed() or lost() is told.
   [[nodiscard]] std::vector<DialTarget> due(TimePoint Now);
@@ -125,8 +142,9 @@
     TimePoint Since;
   };
   struct Known {
-    /// The run that the agreed state names.
+    /// The run that the agreed state names, and where it listens.
     std::optional<Incarnation> Listed;
+    DialTarget At;
     std::optional<Current> Link;
     std::deque<Incarnation> Retired;
   };
@@ -136,6 +154,9 @@
     bool FromSeed = false;
     /// The address is this host's own.
     bool IsSelf = false;
+    bool Neighbour = false;
+    /// There are messages for a host that is no neighbour.
+    TimePoint WantedUntil;
     bool Busy = false;
     unsigned Failures = 0;
     TimePoint Next;
@@ -150,6 +171,8 @@
   void forgetOldHosts();
   [[nodiscard]] bool connected(const HostName &Host) const;
   [[nodiscard]] static bool isSpareable(const Known &Its);
+  [[nodiscard]] static bool isWanted(const Target &Its, TimePoint Now);
+  [[nodiscard]] const Target *targetOf(const HostName &Host) const;
 
   HostName Self;
   DialPolicy Policy;
--- a/packages/connection/test/coltsfoottrail/mesh/mesh.cpp
+++ b/packages/connection/test/coltsfoottrail/mesh/mesh.cpp
@@ -9,6 +9,7 @@
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
 #include <mutex>
+#include <thread>
 
 namespace coltsfoottrail {
 namespace {
@@ -154,6 +155,49 @@
   EXPECT_EQ(One.Links.broadcast(Channel::Credits, Json(1)), 0U);
 }
 
+// Guards against dropping messages to hosts that are no neighbours.
+TEST(Mesh, ConnectsOnDemandAndClosesWhenUnused) {
+  MeshConfig Config = configOf("one", 1);
+  Config.Limits.UnusedAfter = milliseconds(300);
+  Node One(Config);
+  Node Two(configOf("two", 2));
+  MeshPeer Far = Two.asPeer();
+  Far.Neighbour = false;
+  One.know({Far});
+  EXPECT_TRUE(One.Links.send(Two.name(), Channel::Claims, Json(1)));
+  EXPECT_TRUE(One.Links.send(Two.name(), Channel::Claims, Json(2)));
+  ASSERT_TRUE(Two.got(2));
+  EXPECT_EQ(Two.Told.Messages[0].Body, Json(1));
+  EXPECT_EQ(Two.Told.Messages[1].Body, Json(2));
+  EXPECT_TRUE(Two.Links.send(One.name(), Channel::Claims, Json(3)));
+  ASSERT_TRUE(One.got(1));
+  ASSERT_TRUE(One.Told.wait([&] { return One.Told.Downs.size() == 1; }));
+  EXPECT_TRUE(One.Links.send(Two.name(), Channel::Claims, Json(4)));
+  EXPECT_TRUE(Two.got(3));
+}
+
+// Guards against keeping messages for a host that cannot be reached.
+TEST(Mesh, DropsMessagesForAHostThatCannotBeReached) {
+  Node One(configOf("one", 1));
+  MeshPeer Gone;
+  {
+    Node Two(configOf("two", 2));
+    Gone = Two.asPeer();
+  }
+  Gone.Neighbour = false;
+  One.know({Gone});
+  EXPECT_TRUE(One.Links.send(Gone.Host, Channel::Claims, Json(1)));
+  const auto Dropped = [&] {
+    return One.Links.counters()
+        .Channels[static_cast<std::size_t>(Channel::Claims)]
+        .Dropped;
+  };
+  for (int Turn = 0; Turn < 4'000 && Dropped() == 0; ++Turn)
+    std::this_thread::sleep_for(milliseconds(5));
+  EXPECT_EQ(Dropped(), 1U);
+  EXPECT_EQ(One.Links.counters().QueuedBytes, 0U);
+}
+
 // A new entry host knows nothing but an address of one other: it must get into
 // the mesh by that, and pass over its own address in the list.
 TEST(Mesh, SeedIsEnoughToBegin) {
--- a/packages/connection/test/coltsfoottrail/mesh/table.cpp
+++ b/packages/connection/test/coltsfoottrail/mesh/table.cpp
@@ -147,6 +147,35 @@
   EXPECT_EQ(Table.due(Now).size(), 1U);
 }
 
+// Guards against a full mesh: other members are not dialled unasked.
+TEST_F(PeerTableTest, OtherMembersAreDialledOnDemand) {
+  const std::vector<MeshPeer> Far{
+      {HostName("z"), 1, Where.Address, Where.Port, false}};
+  EXPECT_THAT(Table.setPeers(Far, Now), IsEmpty());
+  EXPECT_THAT(Table.due(Now), IsEmpty());
+  EXPECT_TRUE(Table.demand(HostName("z"), Now));
+  EXPECT_THAT(Table.due(Now), ::testing::SizeIs(1));
+  EXPECT_TRUE(Table.expects(HostName("z"), Now));
+  Table.dialFailed(Where, std::nullopt, Now);
+  EXPECT_FALSE(Table.expects(HostName("z"), Now));
+  EXPECT_THAT(Table.due(Now + seconds(6)), IsEmpty());
+  EXPECT_FALSE(Table.demand(HostName("unknown"), Now));
+}
+
+// Guards against connections that stay after their last message.
+TEST_F(PeerTableTest, UnusedConnectionOnDemandMayBeClosed) {
+  const std::vector<MeshPeer> Far{
+      {HostName("z"), 1, Where.Address, Where.Port, false}};
+  EXPECT_THAT(Table.setPeers(Far, Now), IsEmpty());
+  EXPECT_TRUE(Table.demand(HostName("z"), Now));
+  (void)Table.due(Now);
+  (void)dialled(1, "z", 1);
+  EXPECT_FALSE(Table.isUnused(HostName("z"), Now, Now + seconds(29)));
+  EXPECT_TRUE(Table.isUnused(HostName("z"), Now, Now + seconds(30)));
+  list("z", 1);
+  EXPECT_FALSE(Table.isUnused(HostName("z"), Now, Now + seconds(30)));
+}
+
 TEST_F(PeerTableTest, SeedsAreDialledUntilTheirHostIsConnected) {
   Table.setSeeds(std::vector<MeshSeed>{{Where.Address, Where.Port}}, Now);
   EXPECT_EQ(Table.due(Now).size(), 1U);
--- /dev/null
+++ b/packages/process/src/coltsfoottrail/server/meshpeers.hpp
@@ -0,0 +1,22 @@
+/// @file
+/// The peers of an entry host by the agreed state.
+#ifndef COLTSFOOTTRAIL_SERVER_MESHPEERS_HPP
+#define COLTSFOOTTRAIL_SERVER_MESHPEERS_HPP
+
+#include "coltsfoottrail/fold/state.hpp"
+#include "coltsfoottrail/mesh/peer.hpp"
+
+#include <vector>
+
+namespace coltsfoottrail {
+
+/// @brief All entry hosts of the agreed state but one, with its neighbours
+/// marked. Pure; thread-safe.
+/// @param Self The host that asks.
+/// @param Now The agreed state.
+[[nodiscard]] std::vector<MeshPeer> meshPeers(const HostName &Self,
+                                              const State &Now);
+
+} // namespace coltsfoottrail
+
+#endif
--- a/packages/process/src/coltsfoottrail/server/process.cpp
+++ b/packages/process/src/coltsfoottrail/server/process.cpp
@@ -5,7 +5,7 @@
 #include "coltsfoottrail/intents/describe.hpp"
 #include "coltsfoottrail/json/reader.hpp"
 #include "coltsfoottrail/logging/log.hpp"
-#include "coltsfoottrail/mesh/neighbours.hpp"
+#include "coltsfoottrail/server/meshpeers.hpp"
 #include "coltsfoottrail/server/noticewire.hpp"
 #include "coltsfoottrail/server/refusal.hpp"
 
@@ -373,7 +373,7 @@
   Routes = Built;
   Members->onState(*Now, *Built);
   Claims.members(Claimants);
-  connectPeers(*Now);
+  setPeers(*Now);
   Groups.poll();
   refreshUsable();
   applyRoutes();
@@ -413,16 +413,11 @@
   });
 }
 
-void EntryHostProcess::connectPeers(const State &Now) {
-  std::vector<MeshMember> All;
-  for (const auto &[Name, Host] : Now.EntryHosts)
-    All.push_back({Name, Host.Joined.DataCentre});
-  std::vector<MeshPeer> Wanted;
-  for (const HostName &Name : chooseNeighbours(Options.Host, All)) {
-    const EntryHostJoined &Peer = Now.EntryHosts.at(Name).Joined;
-    Wanted.push_back({Name, Peer.Run, Peer.Address, Peer.MeshPort});
-  }
-  Peers.setPeers(Wanted);
+void EntryHostProcess::setPeers(const State &Now) {
+  if (PeersChange == Now.EntryHostsChange)
+    return;
+  PeersChange = Now.EntryHostsChange;
+  Peers.setPeers(meshPeers(Options.Host, Now));
 }
 
 void EntryHostProcess::refreshUsable() {
--- a/packages/process/src/coltsfoottrail/server/process.hpp
+++ b/packages/process/src/coltsfoottrail/server/process.hpp
@@ -99,7 +99,7 @@
   void send(const HostName &To, Channel Which, Json Body);
 
   void onState(const StatePtr &Now);
-  void connectPeers(const State &Now);
+  void setPeers(const State &Now);
   void refreshUsable();
   void applyRoutes();
   void pollLoad();
@@ -138,6 +138,8 @@
   std::map<GroupId, GroupPhase> SeenGroups;
   std::map<Offset, PlanPhase> SeenPlans;
   std::uint64_t SlowTicks = 0;
+  /// The change of the entry hosts that the mesh goes by.
+  std::optional<Offset> PeersChange;
   mutable std::mutex UsableLock;
   std::shared_ptr<const UsableEndpoints> Usable;
   std::function<void()> Ended;
