Answer that a key is held from a read that left after the claim came

Cause: an owner that had read its partition once answered asks from that reading. A host that is asked in the owner's stead (no answer in 250 ms, or a member that leaves) reads the stream while the first order is in progress. The outcome is then appended by the other owner, and nothing here reads again unless something is appended here: every later ask is answered "in progress", for as long as the caller waits.

Ruled out: a settlement that never reached the log, and a second grant (each key has one effective claim).

Fix: a decision that a later record can change (held, outcome not known) is answered only from a read that left after the ask came, as queries are; one read serves all that wait. While the log is away, what is known is told.

--- a/packages/process/test/coltsfoottrail/faults/matrix.cpp
+++ b/packages/process/test/coltsfoottrail/faults/matrix.cpp
@@ -495,11 +495,9 @@
 
 class StopRepeats : public Matrix {};
 
-// An order has been answered whole, and its caller sends it again around the
-// planned stop of an entry host. Nothing else is wrong, so it should get the
-// stored answer; a few hear key-in-use, may-have-run. Cause not found: see
-// KNOWN-RED.txt.
-TEST_P(StopRepeats, DISABLED_GetTheStoredAnswer) {
+// Guards against answering a repeat from a ledger that was read while the first
+// order was in progress: its stored answer must come around a planned stop too.
+TEST_P(StopRepeats, GetTheStoredAnswer) {
   runCell();
   for (const CallEnded &Ended : eventsOf<CallEnded>(Past.events()))
     EXPECT_EQ(Ended.End, CallEnd::Answered)
--- a/packages/request/src/coltsfoottrail/claims/owner.cpp
+++ b/packages/request/src/coltsfoottrail/claims/owner.cpp
@@ -44,6 +44,13 @@
       ClaimSend{To, ClaimAnswer{Asked.Id, Asked.What, std::move(Decision)}});
 }
 
+/// Whether no later record changes a decision. While a key is held, or its
+/// outcome is not known, its claimant may still settle it.
+bool isFinal(const ClaimDecision &Decision) {
+  return !std::holds_alternative<ClaimInProgress>(Decision) &&
+         !std::holds_alternative<ClaimMayHaveRun>(Decision);
+}
+
 struct StandingVisitor {
   const LedgerEntry &Entry;
   bool ClaimantGone;
@@ -96,8 +103,8 @@
     : Partition(Which), Options(Limits), Watch(Claimants) {}
 
 bool ClaimOwner::idle() const noexcept {
-  return Asks.empty() && Settles.empty() && Queries.empty() && !UnderWay &&
-         !Reading;
+  return Asks.empty() && Settles.empty() && Queries.empty() &&
+         Contended.empty() && !UnderWay && !Reading;
 }
 
 void ClaimOwner::close() {
@@ -182,7 +189,10 @@
   }
   if (CaughtUp) {
     if (std::optional<ClaimDecision> Decision = decide(Message, Time.Now)) {
-      answer(From, Message, *std::move(Decision), Out);
+      if (isFinal(*Decision) || Contended.size() >= Options.MaxWaiting)
+        answer(From, Message, *std::move(Decision), Out);
+      else
+        confirm(From, Message, Time, Out);
       return;
     }
   }
@@ -230,12 +240,53 @@
   // Failure guarded against: a query answered from an old reading says "not
   // known" of a request that runs. Only a read that leaves from now on counts.
   Queries.push_back(WaitingQuery{From, Message, NextToken});
+  readAfresh(Out);
+}
+
+void ClaimOwner::readAfresh(ClaimCommands &Out) {
   if (Reading)
     ReadAgain = true;
   else if (!ReadRetryAt)
     startRead(Ledger.next(), Out);
 }
 
+// Failure guarded against: this ledger was read while a claim was held, another
+// owner appended the claim's outcome, and nothing here reads again: a repeated
+// request is refused as in progress although its answer is stored.
+void ClaimOwner::confirm(const HostName &From, const ClaimAsk &Message,
+                         ClaimTime Time, ClaimCommands &Out) {
+  for (ContendedAsk &Known : Contended)
+    if (Known.Message.Id == Message.Id) {
+      Known.From = From;
+      return;
+    }
+  Contended.push_back(
+      ContendedAsk{From, Message, Time.Now + Message.Budget, NextToken});
+  readAfresh(Out);
+}
+
+/// Decides the asks that a read was started for.
+void ClaimOwner::decideContended(std::uint64_t Token, ClaimTime Time,
+                                 ClaimCommands &Out) {
+  std::vector<ContendedAsk> Due;
+  const auto Later = std::stable_partition(
+      Contended.begin(), Contended.end(),
+      [Token](const ContendedAsk &Each) { return Each.FromToken > Token; });
+  Due.assign(std::make_move_iterator(Later),
+             std::make_move_iterator(Contended.end()));
+  Contended.erase(Later, Contended.end());
+  for (ContendedAsk &Each : Due) {
+    if (std::optional<ClaimDecision> Decision =
+            decide(Each.Message, Time.Now)) {
+      answer(Each.From, Each.Message, *std::move(Decision), Out);
+      continue;
+    }
+    Each.Message.Budget = std::chrono::duration_cast<milliseconds>(
+        std::max(Duration::zero(), Each.Until - Time.Now));
+    ask(Each.From, Each.Message, Time, Out);
+  }
+}
+
 void ClaimOwner::open(ClaimTime Time, ClaimCommands &Out) {
   LastUsed = std::max(LastUsed, Time.Now);
   if (!CaughtUp && !Reading && !ReadRetryAt)
@@ -434,7 +485,8 @@
            decideQuery(Waiting.Message, Time.Now), Out);
   }
   Queries = std::move(Later);
-  if (!Queries.empty() || ReadAgain)
+  decideContended(Token, Time, Out);
+  if (!Queries.empty() || !Contended.empty() || ReadAgain)
     startRead(Ledger.next(), Out);
   pump(Time, Out);
 }
@@ -455,6 +507,8 @@
   for (const WaitingQuery &Waiting : Queries)
     answer(Waiting.From, Waiting.Message, ClaimUnavailable{}, Out);
   Queries.clear();
+  // By the last reading the key is held; that is all that can be said now.
+  decideContended(NextToken, Time, Out);
   if (CaughtUp)
     return;
   for (const auto &[Id, Waiting] : Asks)
--- a/packages/request/src/coltsfoottrail/claims/owner.hpp
+++ b/packages/request/src/coltsfoottrail/claims/owner.hpp
@@ -53,7 +53,8 @@
   ClaimOwner(ClaimPartition Which, const ClaimOptions &Limits,
              ClaimantWatch &Claimants);
 
-  /// @brief Takes a claim; answered with a ClaimSend to the asker.
+  /// @brief Takes a claim; answered with a ClaimSend to the asker. That a key
+  /// is held is answered from a read that left after the claim came.
   void ask(const HostName &From, const ClaimAsk &Message, ClaimTime Time,
            ClaimCommands &Out);
   /// @brief Takes a settlement; confirmed once it stands on the log.
@@ -92,6 +93,14 @@
     TimePoint Until;
     std::uint32_t Appends = 0;
   };
+  /// An ask whose key is held, as far as the ledger goes.
+  struct ContendedAsk {
+    HostName From;
+    ClaimAsk Message;
+    TimePoint Until;
+    /// First read that shows what the log held after the ask came.
+    std::uint64_t FromToken = 0;
+  };
   struct WaitingSettle {
     HostName From;
     ClaimSettle Message;
@@ -126,6 +135,10 @@
   [[nodiscard]] ClaimDecision decideQuery(const ClaimQuery &Message,
                                           TimePoint Now);
   [[nodiscard]] bool isSettled(const ClaimSettle &Message) const;
+  void readAfresh(ClaimCommands &Out);
+  void confirm(const HostName &From, const ClaimAsk &Message, ClaimTime Time,
+               ClaimCommands &Out);
+  void decideContended(std::uint64_t Token, ClaimTime Time, ClaimCommands &Out);
   [[nodiscard]] std::optional<TimePoint> batchDue() const;
   void enqueue(Queued Item, ClaimTime Time);
   void pump(ClaimTime Time, ClaimCommands &Out);
@@ -145,6 +158,7 @@
   std::map<ClaimId, WaitingAsk> Asks;
   std::map<ClaimId, WaitingSettle> Settles;
   std::vector<WaitingQuery> Queries;
+  std::vector<ContendedAsk> Contended;
   std::deque<Queued> Queue;
   std::size_t QueueBytes = 0;
   TimePoint FirstQueued;
--- a/packages/request/test/coltsfoottrail/claims/service.cpp
+++ b/packages/request/test/coltsfoottrail/claims/service.cpp
@@ -137,6 +137,49 @@
   }
 }
 
+// Guards against refusing a repeat as in progress after its answer was stored:
+// the host had read the claim for one that timed out at the partition's owner.
+TEST(Claims, RepeatGetsTheOutcomeThatAnotherOwnerAppended) {
+  Hosts Three(3);
+  Three.run(milliseconds(50));
+  const std::size_t Owner = Three.ownerOf("order-8");
+  const std::size_t Claimant = (Owner + 1) % 3;
+  const std::size_t Other = (Owner + 2) % 3;
+  const ClaimId First = Three.claim(Claimant, "order-8");
+  Three.run(milliseconds(100));
+  ASSERT_TRUE(Three.is<ClaimGranted>(First));
+  const auto Alone = [&](auto &Service, ClaimTime Time, auto &Out) {
+    const ClaimMember Self{Three.All[Other].Name, Three.All[Other].Run};
+    const ClaimMember Held{Three.All[Claimant].Name, Three.All[Claimant].Run};
+    Service.members(std::array{Held, Self}, Time, Out);
+  };
+  Three.act(Other, Alone);
+  const ClaimId Early = Three.claim(Other, "order-8");
+  Three.run(milliseconds(600));
+  ASSERT_TRUE(Three.is<ClaimInProgress>(Early));
+  Three.settle(Claimant, First, Answered);
+  Three.run(milliseconds(200));
+  ASSERT_EQ(Three.All[Claimant].Service->settling(), 0U);
+  Three.stop(Owner);
+  Three.tellMembers();
+  const ClaimId Repeat = Three.claim(Other, "order-8");
+  Three.run(milliseconds(600));
+  ASSERT_TRUE(Three.is<ClaimReplay>(Repeat));
+}
+
+// Guards against answering from a reading that is older than the ask while the
+// log is away: what is known is told, and nothing is granted.
+TEST(Claims, RepeatIsInProgressWhileTheLogIsAway) {
+  Hosts Two(2);
+  const ClaimId First = Two.claim(0, "order-9");
+  Two.run(milliseconds(100));
+  ASSERT_TRUE(Two.is<ClaimGranted>(First));
+  Two.Wrong.LogDown = true;
+  const ClaimId Repeat = Two.claim(1, "order-9");
+  Two.run(milliseconds(1'500));
+  EXPECT_TRUE(Two.is<ClaimInProgress>(Repeat));
+}
+
 // An ask was refused as the key was in use, and a copy of it comes to the owner
 // when the key is free. The claim that it makes has nobody waiting; the
 // caller's retry must not find the key in use for hours.
