Share the retry budget among the pools of a service; streams wait for it

Cause: the platform bounds retries by service; each host's part of it was split once more among the service's pools. With 295 hosts and two models a pool of a host holds one or two retries, the second stream that a closing group leaves at a host finds none, waits for the budget seven times, 0.8 s in the mean, and is given up.

Fix: the pools of a service draw on one bucket of the host (the sum over all hosts stays within the same bound), and a stream that its caller has part of waits for the budget as long as there is time: no truthful refusal is left for it, and cutting it early gains nobody anything. Requests without an answer are still given up after the waits, at once as before.

--- a/packages/process/src/coltsfoottrail/fleethost/attempt.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/attempt.cpp
@@ -248,6 +248,14 @@
   co_return answered(Start, FirstByte);
 }
 
+/// Tells of a broken stream whether it can go on at another endpoint.
+void FleetRelay::markDelivered(const Work &Asked, bool MayMove,
+                               AttemptResult &Result) {
+  const bool Continues = MayMove && !Asked.Events.lastId().empty();
+  Result.CallerSawBytes = Asked.Events.any() && !Continues;
+  Result.Resumable = Asked.Events.any() && Continues;
+}
+
 // Failure guarded against: an endpoint dies or falls silent in the middle of a
 // stream, and the caller takes the part for the whole, or waits until it gives
 // up. Only whole events are passed on; a stream that breaks, or is silent for
@@ -273,8 +281,7 @@
                         BootClock::now() < Asked.AnswerBy;
       if (Fell)
         Result.Why = Reason::EndpointCut;
-      Result.CallerSawBytes =
-          Asked.Events.any() && (!MayMove || Asked.Events.lastId().empty());
+      markDelivered(Asked, MayMove, Result);
       co_return Result;
     }
     auto &Part = std::get<std::optional<std::string>>(Next);
@@ -296,8 +303,7 @@
   if (!Asked.Events.whole()) {
     AttemptResult Result =
         failed(RunState::MayHaveRun, Reason::EndpointCut, Start);
-    Result.CallerSawBytes =
-        Asked.Events.any() && (!MayMove || Asked.Events.lastId().empty());
+    markDelivered(Asked, MayMove, Result);
     co_return Result;
   }
   if (!Call.begun()) {
--- a/packages/process/src/coltsfoottrail/fleethost/host.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/host.cpp
@@ -239,11 +239,13 @@
 void FleetHost::shareRetries(std::size_t Hosts, TimePoint Now) {
   const RetryBound Bound{Settings.Bounds.RetryRatio,
                          Settings.Bounds.RetrySlack};
-  for (const auto &[Service, Names] : View.pools())
+  for (const auto &[Service, Names] : View.pools()) {
+    double Recent = 0.0;
     for (const std::string &Name : Names)
-      Routing.setRetryBurst(
-          Name, retriesSaved(Bound, double(Hosts), double(Names.size()),
-                             Relay.recentRequests(Name, Now)));
+      Recent += Relay.recentRequests(Name, Now);
+    for (const std::string &Name : Names)
+      Routing.setRetryBurst(Name, retriesSaved(Bound, double(Hosts), Recent));
+  }
 }
 
 /// What holds over all entry hosts is shared among those that there are.
--- a/packages/process/src/coltsfoottrail/fleethost/relay.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/relay.hpp
@@ -147,6 +147,8 @@
                                 const PoolMix &Mix) const;
   [[nodiscard]] ConnectionUse connectionUse(const Work &Asked) const;
   [[nodiscard]] static bool mayDemote(const Work &Asked, const Verdict &Final);
+  static void markDelivered(const Work &Asked, bool MayMove,
+                            AttemptResult &Result);
   static void recordRefusal(Work &Asked, const RefusalBasis &Basis);
   [[nodiscard]] Awaitable<void> route(Exchange &Call, Work &Asked);
   [[nodiscard]] Awaitable<AttemptResult> attempt(Exchange &Call, Work &Asked,
--- a/packages/process/src/coltsfoottrail/fleethost/view.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/view.cpp
@@ -251,8 +251,10 @@
     return Out;
   Out.Table.Version = version();
   for (const auto &[Service, Names] : pools())
-    for (const std::string &Name : Names)
+    for (const std::string &Name : Names) {
       Out.Table.Pools[Name].Name = Name;
+      Out.Table.Pools[Name].RetryGroup = Service.Text;
+    }
   addPaces(Out);
   for (const auto &[Name, Known] : Catalogue.all())
     addEndpoint(Known, Out);
--- a/packages/process/src/coltsfoottrail/server/relay.cpp
+++ b/packages/process/src/coltsfoottrail/server/relay.cpp
@@ -500,6 +500,7 @@
     if (const auto *const Failure = std::get_if<CallFailure>(&Next)) {
       AttemptResult Result = failed(*Failure, Start);
       Result.CallerSawBytes = !Progress.Events.resumable();
+      Result.Resumable = Progress.Events.resumable();
       Result.FirstByte = FirstByte - Start;
       co_return Result;
     }
@@ -512,6 +513,7 @@
     AttemptResult Result =
         failed(RunState::MayHaveRun, Reason::EndpointCut, Start);
     Result.CallerSawBytes = !Progress.Events.resumable();
+    Result.Resumable = Progress.Events.resumable();
     co_return Result;
   }
   co_await Call.end();
--- a/packages/process/src/coltsfoottrail/server/router.cpp
+++ b/packages/process/src/coltsfoottrail/server/router.cpp
@@ -219,10 +219,21 @@
       continue;
     DispatcherOptions Limits = Options.Dispatch;
     Limits.Seed = hashText(Name, hashText(Options.Self.Text));
+    if (!Wanted.RetryGroup.empty())
+      Limits.RetryTokens = retryTokens(Wanted.RetryGroup);
     Home = std::make_shared<Place::Shard>(Name, std::move(Limits));
   }
 }
 
+std::shared_ptr<SharedTokens>
+Router::retryTokens(const std::string &RetryGroup) {
+  std::shared_ptr<SharedTokens> &Tokens = RetryTokens[RetryGroup];
+  if (!Tokens)
+    Tokens =
+        std::make_shared<SharedTokens>(Options.Dispatch.Retries.Budget.Burst);
+  return Tokens;
+}
+
 void Router::setRoutes(const RouteTable &Routes,
                        const std::map<std::string, std::uint32_t> &Shares,
                        std::size_t JoinedHosts) {
--- a/packages/process/src/coltsfoottrail/server/router.hpp
+++ b/packages/process/src/coltsfoottrail/server/router.hpp
@@ -114,7 +114,8 @@
   /// @brief Takes what the other entry hosts have at all endpoints.
   void shareLoads(std::span<const EndpointLoad> Others);
 
-  /// @brief Sets how many retries a pool saves up at most.
+  /// @brief Sets how many retries a pool, and those that share its bound, save
+  /// up at most.
   void setRetryBurst(std::string_view PoolName, double Most);
 
   /// @brief Takes a load report of an endpoint.
@@ -140,6 +141,8 @@
 
 private:
   void openShards(const RouteTable &Routes);
+  [[nodiscard]] std::shared_ptr<SharedTokens>
+  retryTokens(const std::string &RetryGroup);
   void tellWaiting(Place::Shard &Home);
   [[nodiscard]] std::shared_ptr<Place::Shard> find(std::string_view Name) const;
   [[nodiscard]] std::vector<std::shared_ptr<Place::Shard>> all() const;
@@ -147,6 +150,7 @@
   RouterOptions Options;
   mutable std::mutex Lock;
   std::map<std::string, std::shared_ptr<Place::Shard>, std::less<>> Shards;
+  std::map<std::string, std::shared_ptr<SharedTokens>> RetryTokens;
 };
 
 } // namespace coltsfoottrail
--- a/packages/request/src/coltsfoottrail/dispatch/dispatcher.cpp
+++ b/packages/request/src/coltsfoottrail/dispatch/dispatcher.cpp
@@ -66,7 +66,8 @@
 Dispatcher::Dispatcher(DispatcherOptions Limits)
     : Options(std::move(Limits)), Draw(Options.Seed),
       Choice(Options.Self, Options.Policy, Draw()), Queue(queueLimits(Options)),
-      Budget(Options.Retries.Budget), Crashes(Options.Crashes) {}
+      Budget(Options.Retries.Budget, Options.RetryTokens),
+      Crashes(Options.Crashes) {}
 
 void Dispatcher::configure(const Pool &Wanted, TimePoint Now, Commands &Out) {
   Choice.configure(Wanted);
@@ -350,6 +351,7 @@
   Asked.State = laterOf(Asked.State, Result.State);
   Asked.LastWhy = Result.Why;
   Asked.FailedWhen = Now;
+  Asked.Resumable = Asked.Resumable || Result.Resumable;
   if (Crashes.standing(Asked.Item.Fingerprint, Now) == Standing::Quarantined)
     refuse(Which, notRun(Reason::Quarantined), RetryStop::Quarantined, Out);
   else if (!mayRetry(Asked.Item, Result))
@@ -386,8 +388,11 @@
 void Dispatcher::waitForBudget(Ticket Which, TimePoint Now, Commands &Out) {
   Request &Asked = *Requests.find(Which);
   Held.remove(Which);
-  if (Asked.BudgetWaits++ < Options.Retries.MaxBudgetWaits &&
-      !holdForRetry(Which, Now))
+  // No truthful refusal is left for a stream that its caller has part of.
+  const bool MayWait =
+      Asked.Resumable || Asked.BudgetWaits < Options.Retries.MaxBudgetWaits;
+  ++Asked.BudgetWaits;
+  if (MayWait && !holdForRetry(Which, Now))
     return;
   ++Counts.BudgetExhausted;
   refuse(Which, notRun(Asked.LastWhy, UnknownRetryAfter), RetryStop::BudgetUsed,
--- a/packages/request/src/coltsfoottrail/dispatch/dispatcher.hpp
+++ b/packages/request/src/coltsfoottrail/dispatch/dispatcher.hpp
@@ -13,6 +13,7 @@
 #include "coltsfoottrail/retries/retry.hpp"
 #include "coltsfoottrail/route/table.hpp"
 
+#include <memory>
 #include <optional>
 #include <span>
 #include <string_view>
@@ -37,6 +38,8 @@
   /// How endpoints are chosen; the estimated wait unless for comparisons.
   ChoicePolicy Policy;
   RetryLimits Retries;
+  /// Retries that the pools of a service share; the pool's own when null.
+  std::shared_ptr<SharedTokens> RetryTokens;
   QuarantineLimits Crashes;
   /// Times the mean time of service that must be left when a request starts
   /// after a wait; less, and many run to their deadline for nothing.
@@ -201,6 +204,8 @@
     std::uint32_t BudgetWaits = 0;
     /// The answer of its attempt has begun.
     bool Begun = false;
+    /// Its caller has part of a stream.
+    bool Resumable = false;
     /// Counted by the queue as in progress.
     bool InProgress = false;
     bool Suspect = false;
--- a/packages/request/src/coltsfoottrail/dispatch/types.hpp
+++ b/packages/request/src/coltsfoottrail/dispatch/types.hpp
@@ -63,6 +63,8 @@
   bool Answered = false;
   /// Part of an answer has gone to the caller: nothing may be sent again.
   bool CallerSawBytes = false;
+  /// Part of a stream has gone to the caller, and it can go on elsewhere.
+  bool Resumable = false;
   /// The connection broke while the endpoint had the request, as it does when
   /// the request crashes it.
   bool ConnectionLost = false;
--- a/packages/request/src/coltsfoottrail/retries/budget.cpp
+++ b/packages/request/src/coltsfoottrail/retries/budget.cpp
@@ -1,6 +1,7 @@
 #include "coltsfoottrail/retries/budget.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace coltsfoottrail {
 
@@ -13,26 +14,51 @@
   Held = std::min(Limit, Held);
 }
 
+void SharedTokens::earn(double Count) {
+  const std::lock_guard Hold(Lock);
+  Tokens.earn(Count);
+}
+
+void SharedTokens::limit(double Most) {
+  const std::lock_guard Hold(Lock);
+  Tokens.limit(Most);
+}
+
+bool SharedTokens::any() const {
+  const std::lock_guard Hold(Lock);
+  return Tokens.any();
+}
+
+bool SharedTokens::take() {
+  const std::lock_guard Hold(Lock);
+  if (!Tokens.any())
+    return false;
+  Tokens.spend();
+  return true;
+}
+
 void RetryBudget::setBurst(double Most) {
   Limits.Burst = Most;
-  All.limit(Most);
+  All->limit(Most);
   for (TokenBucket &Each : DataCentres)
     Each.limit(Most);
 }
 
-RetryBudget::RetryBudget(BudgetLimits Wanted)
-    : Limits(Wanted), All(Wanted.Burst) {}
+RetryBudget::RetryBudget(BudgetLimits Wanted,
+                         std::shared_ptr<SharedTokens> Shared)
+    : Limits(Wanted),
+      All(Shared ? std::move(Shared)
+                 : std::make_shared<SharedTokens>(Wanted.Burst)) {}
 
 void RetryBudget::firstSend(std::size_t DataCentre) {
-  All.earn(Limits.Ratio);
+  All->earn(Limits.Ratio);
   of(DataCentre).earn(Limits.DataCentreRatio);
 }
 
 bool RetryBudget::take(std::size_t DataCentre) {
   TokenBucket &There = of(DataCentre);
-  if (!All.any() || !There.any())
+  if (!There.any() || !All->take())
     return false;
-  All.spend();
   There.spend();
   return true;
 }
--- a/packages/request/src/coltsfoottrail/retries/budget.hpp
+++ b/packages/request/src/coltsfoottrail/retries/budget.hpp
@@ -6,6 +6,8 @@
 #include "coltsfoottrail/retries/fwd.hpp"
 
 #include <cstddef>
+#include <memory>
+#include <mutex>
 #include <vector>
 
 namespace coltsfoottrail {
@@ -40,6 +42,26 @@
   double Held;
 };
 
+/// @brief A bucket that several budgets draw on. Thread-safe.
+class SharedTokens {
+public:
+  /// @brief Makes a full bucket.
+  explicit SharedTokens(double Most) noexcept : Tokens(Most) {}
+
+  /// @copydoc TokenBucket::earn
+  void earn(double Count);
+  /// @copydoc TokenBucket::limit
+  void limit(double Most);
+  /// @copydoc TokenBucket::any
+  [[nodiscard]] bool any() const;
+  /// @brief Takes a token if there is one.
+  [[nodiscard]] bool take();
+
+private:
+  mutable std::mutex Lock;
+  TokenBucket Tokens;
+};
+
 /// @brief Budget of retries in all and for each data centre that they go to.
 ///
 /// Failure guarded against: a data centre is lost, every request to it is sent
@@ -50,7 +72,11 @@
 class RetryBudget {
 public:
   /// @brief Makes a budget.
-  explicit RetryBudget(BudgetLimits Wanted);
+  /// @param Wanted Its limits.
+  /// @param Shared What it draws on together with the budgets of other pools;
+  /// its own when null.
+  explicit RetryBudget(BudgetLimits Wanted,
+                       std::shared_ptr<SharedTokens> Shared = nullptr);
 
   /// @brief Sets how many retries are saved up at most. Where many entry hosts
   /// share a bound on retries, each saves up its part of it.
@@ -61,7 +87,7 @@
   void firstSend(std::size_t DataCentre);
 
   /// @brief Tells whether a retry may go anywhere at all.
-  [[nodiscard]] bool any() const noexcept { return All.any(); }
+  [[nodiscard]] bool any() const { return All->any(); }
 
   /// @brief Takes a retry out of the budget.
   /// @param DataCentre Number of the data centre that it goes to.
@@ -72,7 +98,7 @@
   [[nodiscard]] TokenBucket &of(std::size_t DataCentre);
 
   BudgetLimits Limits;
-  TokenBucket All;
+  std::shared_ptr<SharedTokens> All;
   std::vector<TokenBucket> DataCentres;
 };
 
--- a/packages/request/src/coltsfoottrail/retries/fwd.hpp
+++ b/packages/request/src/coltsfoottrail/retries/fwd.hpp
@@ -9,6 +9,7 @@
 struct BudgetLimits;
 class RetryBudget;
 class TokenBucket;
+class SharedTokens;
 
 } // namespace coltsfoottrail
 
--- a/packages/request/src/coltsfoottrail/retries/share.hpp
+++ b/packages/request/src/coltsfoottrail/retries/share.hpp
@@ -48,19 +48,14 @@
   TimePoint CountedAt{};
 };
 
-/// @brief Retries that one entry host may save up for one pool. Thread-safe.
-///
-/// Load answered: a group is lost and its streams go on elsewhere, two or three
-/// from one host and none from the next. Of a slack shared among 71 hosts each
-/// holds one retry, the second stream waits 0.8 s for the budget and is cut:
-/// 154 of 18,000 on a day. What the host's own requests leave of the ratio is
-/// saved up beside its part of the slack.
+/// @brief Retries that one entry host may save up for a service, over all of
+/// its pools: its part of the slack, and what its own requests leave of the
+/// ratio. Thread-safe.
 /// @param Hosts Entry hosts that share the bound; above zero.
-/// @param Pools Pools of the service; above zero.
-/// @param OwnRequests This host's requests of the pool in the last window.
+/// @param OwnRequests This host's requests of the service in the last window.
 [[nodiscard]] inline double retriesSaved(const RetryBound &Bound, double Hosts,
-                                         double Pools, double OwnRequests) {
-  return Bound.Slack * RetrySlackUsed / (Hosts * Pools) +
+                                         double OwnRequests) {
+  return Bound.Slack * RetrySlackUsed / Hosts +
          Bound.Ratio * RetryRatioSaved * OwnRequests;
 }
 
--- a/packages/request/test/coltsfoottrail/dispatch/dispatcher.cpp
+++ b/packages/request/test/coltsfoottrail/dispatch/dispatcher.cpp
@@ -214,6 +214,37 @@
   EXPECT_EQ(Test.Decides.waiting(), 0U);
 }
 
+// Guards against cutting a stream for want of the budget of retries while it
+// has seconds left.
+TEST(Dispatcher, ResumableStreamWaitsForTheBudgetWhileItHasTime) {
+  DispatcherOptions Limits;
+  Limits.Retries.Budget.Burst = 1.0;
+  Limits.Retries.Budget.Ratio = 1.0;
+  Limits.Retries.Budget.DataCentreRatio = 1.0;
+  DispatchHarness Pool(Limits);
+  Pool.configure(testPool(4), 8);
+  const auto Cut = [&](Ticket Which) {
+    AttemptResult Result;
+    Result.State = RunState::MayHaveRun;
+    Result.Why = Reason::EndpointCut;
+    Result.Resumable = true;
+    Pool.finish(Which, Result);
+  };
+  WorkItem Item = DispatchHarness::item();
+  Item.Repeatable = true;
+  const Ticket First = Pool.submit(Item, seconds(8));
+  const Ticket Second = Pool.submit(Item, seconds(8));
+  Cut(First);
+  Pool.pass(milliseconds(100));
+  EXPECT_FALSE(Pool.at(First).empty());
+  Cut(Second);
+  Pool.pass(seconds(3));
+  EXPECT_FALSE(Pool.refusal(Second));
+  (void)Pool.submit(Item, seconds(8));
+  Pool.pass(seconds(1));
+  EXPECT_FALSE(Pool.at(Second).empty());
+}
+
 // Endpoint after endpoint dies by one request that its caller sends again. Its
 // companions are answered.
 TEST(Dispatcher, RequestThatCrashesTwoEndpointsIsRefused) {
--- a/packages/request/test/coltsfoottrail/retries/share.cpp
+++ b/packages/request/test/coltsfoottrail/retries/share.cpp
@@ -4,6 +4,7 @@
 #include "coltsfoottrail/retries/budget.hpp"
 
 #include <gtest/gtest.h>
+#include <memory>
 #include <vector>
 
 namespace coltsfoottrail {
@@ -28,8 +29,8 @@
   void request(std::size_t Host, TimePoint Now) {
     Budgets[Host].firstSend(0);
     Recent[Host].add(Now);
-    Budgets[Host].setBurst(retriesSaved(Bound, double(Budgets.size()), 1.0,
-                                        Recent[Host].value(Now)));
+    Budgets[Host].setBurst(
+        retriesSaved(Bound, double(Budgets.size()), Recent[Host].value(Now)));
   }
 
   /// Ten seconds of requests spread at random; in the last of them each wants
@@ -94,6 +95,86 @@
   EXPECT_LE(Denied * 50, Asked);
 }
 
+/// A large fleet with two pools of one service; groups close one after the
+/// other, each with streams of many hosts.
+struct LargeFleet {
+  static constexpr std::size_t Count = 295;
+  static constexpr std::size_t Pools = 2;
+  static constexpr std::size_t StreamsOfAGroup = 40;
+
+  LargeFleet() {
+    BudgetLimits Limits;
+    Limits.Ratio = Bound.Ratio * RetryRatioEarned;
+    Limits.DataCentreRatio = 1.0;
+    Limits.Burst = Bound.Slack * RetrySlackUsed / double(Count);
+    for (std::size_t Host = 0; Host < Count; ++Host) {
+      const auto Tokens = std::make_shared<SharedTokens>(Limits.Burst);
+      for (std::size_t Pool = 0; Pool < Pools; ++Pool)
+        Budgets.emplace_back(Limits, Tokens);
+    }
+  }
+
+  RetryBudget &budget(std::size_t Host, std::size_t Pool) {
+    return Budgets[Host * Pools + Pool];
+  }
+  void request(std::size_t Host, std::size_t Pool, TimePoint Now) {
+    budget(Host, Pool).firstSend(0);
+    Recent[Host].add(Now);
+    budget(Host, Pool)
+        .setBurst(retriesSaved(Bound, double(Count), Recent[Host].value(Now)));
+  }
+
+  RetryBound Bound{0.2, 696.0};
+  std::vector<RetryBudget> Budgets;
+  std::vector<RecentCount> Recent{Count};
+};
+
+// Guards against cutting the second stream of a host that lost two with a
+// group, while the fleet has hundreds of retries to spare.
+TEST(RetryShare, LargeFleetMovesTheStreamsOfGroupsThatClose) {
+  LargeFleet Fleet;
+  Random Draw(5);
+  std::size_t Denied = 0;
+  std::size_t Asked = 0;
+  constexpr int Steps = 24'000;
+  for (int Step = 0; Step < Steps; ++Step) {
+    const TimePoint Now = Start + milliseconds(Step * 20'000 / Steps);
+    Fleet.request(Draw.below(LargeFleet::Count), Draw.below(2), Now);
+    const bool Closes = Step >= Steps / 2 && Step % 1'200 == 0;
+    const std::size_t Pool = Draw.below(2);
+    for (std::size_t Each = 0; Closes && Each < LargeFleet::StreamsOfAGroup;
+         ++Each) {
+      ++Asked;
+      Denied +=
+          Fleet.budget(Draw.below(LargeFleet::Count), Pool).take(0) ? 0 : 1;
+    }
+  }
+  EXPECT_GE(Asked, 400U);
+  EXPECT_LE(Denied * 200, Asked);
+}
+
+// Guards against more retries than the platform allows a service, whichever of
+// its pools they are for.
+TEST(RetryShare, PoolsOfAServiceKeepItsBoundTogether) {
+  LargeFleet Fleet;
+  Random Draw(9);
+  double Sent = 0;
+  double Granted = 0;
+  constexpr int Steps = 24'000;
+  for (int Step = 0; Step < Steps; ++Step) {
+    const TimePoint Now = Start + milliseconds(Step * 20'000 / Steps);
+    const std::size_t Host = Draw.below(LargeFleet::Count);
+    Fleet.request(Host, Draw.below(2), Now);
+    if (Step < Steps / 2)
+      continue;
+    Sent += 1;
+    for (std::size_t Pool = 0; Pool < LargeFleet::Pools; ++Pool)
+      for (int Each = 0; Each < 3; ++Each)
+        Granted += Fleet.budget(Host, Pool).take(0) ? 1 : 0;
+  }
+  EXPECT_LE(Granted, Fleet.Bound.Ratio * Sent + Fleet.Bound.Slack);
+}
+
 TEST(RecentCount, ForgetsWithTime) {
   RecentCount Seen;
   for (int Index = 0; Index < 100; ++Index)
--- a/packages/version/src/coltsfoottrail/route/table.hpp
+++ b/packages/version/src/coltsfoottrail/route/table.hpp
@@ -48,6 +48,9 @@
   std::vector<EndpointSpec> Endpoints;
   /// Pace of its engines, where one is declared.
   EnginePace Pace;
+  /// Pools of the same group share the bound on retries; empty for a bound of
+  /// its own.
+  std::string RetryGroup;
   /// For services: paths whose calls may be repeated.
   std::vector<std::string> RepeatablePaths;
 };
