Take the closing of a living leader for no crash

Cause: every connection that breaks with a request at an endpoint counted as a crash of the endpoint. Two groups that close as planned make two crashes, and the prompts that were at both are held back on all hosts.

Fix: a process that has crashed publishes nothing. A record of the same life that leads no more proves that the leader closed and lives: what was lost there, or is lost there later, is no crash, and other hosts are told so. Crashes that are dismissed are no longer told to others.

The same elsewhere: retries.cpp does not look at the quarantine. In the project's own interface a released group is emptied first; a member's death still makes suspects of what its group ran, as the design says.

Tests: QuarantineTest.ClosingOfALivingEndpointIsNoCrash (there is no such call before; the loss counted), CrashBesideAClosingStillCounts, FleetView.LeaderThatClosesAndLivesIsTold.

--- a/packages/process/src/coltsfoottrail/fleethost/feeds.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/feeds.cpp
@@ -56,6 +56,7 @@
       View.take(Which, Page, Whole, AskedAt, Now);
   share(Which, Page, Effects, Whole, AskedAt);
   refreshRoutes();
+  reportClosedLeaders();
   Desk.lookNow();
 }
 
@@ -223,6 +224,12 @@
       View.take(Which, Page, Update.Snapshot, AsOf, Now);
   share(Which, Page, Effects, Update.Snapshot, AsOf);
   refreshRoutes();
+  reportClosedLeaders();
+}
+
+void FleetHost::reportClosedLeaders() {
+  for (const FleetView::ClosedLeader &Each : View.takeClosed())
+    Routing.observeClosed(Each.Pool, Each.Key);
 }
 
 void FleetHost::readFailed(Feed Which) {
--- a/packages/process/src/coltsfoottrail/fleethost/host.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/host.hpp
@@ -88,6 +88,7 @@
     return Which == Feed::Operators ? Operators : Endpoints;
   }
   void refreshRoutes();
+  void reportClosedLeaders();
   void shareBounds(TimePoint Now);
   void shareReads(std::size_t Hosts, TimePoint Now);
   void shareRetries(std::size_t Hosts, TimePoint Now);
--- a/packages/process/src/coltsfoottrail/fleethost/view.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/view.cpp
@@ -132,17 +132,30 @@
       Change);
 }
 
+// A process that has crashed publishes nothing: a record of the same life that
+// leads no more was written by a leader that closed and lives.
+void FleetView::recordClosing(const EndpointRecord &Before,
+                              const EndpointRecord &Now) {
+  const std::string Key = endpointKey(Before);
+  const bool Leads = Now.leads() && endpointKey(Now) == Key;
+  if (Before.leads() && !Before.Loaded.empty() && !Leads &&
+      Before.Born == Now.Born)
+    Closed.push_back({poolName(Before.Service, Before.Loaded.back()), Key});
+}
+
 bool FleetView::publish(EndpointRecord Record, TimePoint Now) {
   const EndpointName Name = Record.Name;
-  const auto Key = [&] {
-    const KnownEndpoint *const Known = Catalogue.find(Name);
-    return Known == nullptr ? std::string() : endpointKey(Known->Record);
-  };
-  const std::string Before = Key();
-  const bool Changed = Catalogue.publish(std::move(Record), Now);
-  if (Changed && Key() != Before)
+  const KnownEndpoint *const Known = Catalogue.find(Name);
+  const std::optional<EndpointRecord> Before =
+      Known == nullptr ? std::nullopt : std::optional(Known->Record);
+  if (!Catalogue.publish(std::move(Record), Now))
+    return false;
+  const EndpointRecord &After = Catalogue.find(Name)->Record;
+  if (!Before || endpointKey(*Before) != endpointKey(After))
     Changes += Shunned.erase(Name);
-  return Changed;
+  if (Before)
+    recordClosing(*Before, After);
+  return true;
 }
 
 // Failure guarded against: the store is read again from an earlier point, or a
--- a/packages/process/src/coltsfoottrail/fleethost/view.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/view.hpp
@@ -14,6 +14,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace coltsfoottrail {
@@ -71,6 +72,17 @@
   [[nodiscard]] bool mayBeCold(const KnownEndpoint &Known) const {
     return Known.Cold || Returned.contains(Known.Record.DataCentre);
   }
+  /// @brief A leader that closed its group while its process lives on.
+  struct ClosedLeader {
+    std::string Pool;
+    /// Its key while it led.
+    std::string Key;
+  };
+  /// @brief Hands out the leaders that closed since the last call.
+  [[nodiscard]] std::vector<ClosedLeader> takeClosed() {
+    return std::exchange(Closed, {});
+  }
+
   /// @brief Does what time alone brings.
   void advance(TimePoint Now);
 
@@ -137,6 +149,7 @@
 private:
   bool apply(ConfigPublished Change);
   bool publish(EndpointRecord Record, TimePoint Now);
+  void recordClosing(const EndpointRecord &Before, const EndpointRecord &Now);
   [[nodiscard]] RoutingEffect effectOf(FleetChange &Change, bool Whole,
                                        TimePoint Now);
   [[nodiscard]] bool isRoutable(const EndpointName &Which) const;
@@ -163,6 +176,7 @@
   TimePoint EndpointsAsOf{};
   std::uint64_t Changes = 0;
   std::map<EndpointName, TimePoint> Shunned;
+  std::vector<ClosedLeader> Closed;
   /// When the endpoints' feed was last read.
   std::optional<TimePoint> EndpointsReadAt;
 };
--- a/packages/process/src/coltsfoottrail/server/router.cpp
+++ b/packages/process/src/coltsfoottrail/server/router.cpp
@@ -373,6 +373,15 @@
   Home->Decides.observeNotice(Told, BootClock::now());
 }
 
+void Router::observeClosed(std::string_view PoolName,
+                           std::string_view EndpointKey) {
+  const std::shared_ptr<Place::Shard> Home = find(PoolName);
+  if (!Home)
+    return;
+  const std::lock_guard Hold(Home->Lock);
+  Home->Decides.observeClosed(EndpointKey, BootClock::now());
+}
+
 std::vector<std::pair<std::string, QuarantineNotice>> Router::noticesOut() {
   std::vector<std::pair<std::string, QuarantineNotice>> Out;
   for (const auto &Home : all()) {
--- a/packages/process/src/coltsfoottrail/server/router.hpp
+++ b/packages/process/src/coltsfoottrail/server/router.hpp
@@ -102,6 +102,10 @@
   /// @param PoolName The pool that they are about.
   void observeNotice(std::string_view PoolName, const QuarantineNotice &Told);
 
+  /// @brief Notes that an endpoint of a pool stopped serving under a key and
+  /// lives on.
+  void observeClosed(std::string_view PoolName, std::string_view EndpointKey);
+
   /// @brief Notices for peers that have come up since the last call.
   [[nodiscard]] std::vector<std::pair<std::string, QuarantineNotice>>
   noticesOut();
--- a/packages/process/test/coltsfoottrail/fleethost/view.cpp
+++ b/packages/process/test/coltsfoottrail/fleethost/view.cpp
@@ -190,6 +190,29 @@
   EXPECT_EQ(endpointsOf(View), 0U);
 }
 
+// Guards against blaming requests for streams that a closing leader broke.
+TEST(FleetView, LeaderThatClosesAndLivesIsTold) {
+  FleetView View = sound();
+  const auto Publish = [&](EndpointRecord Record) {
+    View.take(Feed::Endpoints, page(EndpointPublished{std::move(Record)}),
+              false, Start, Start);
+    return View.takeClosed();
+  };
+  EndpointRecord Record = leader();
+  EXPECT_TRUE(Publish(Record).empty());
+  Record.Seat->Phase = SeatPhase::Ready;
+  const auto Closed = Publish(Record);
+  ASSERT_EQ(Closed.size(), 1U);
+  EXPECT_EQ(Closed.front().Pool, "model/draft/m");
+  EXPECT_EQ(Closed.front().Key, FleetView::endpointKey(leader()));
+  EXPECT_TRUE(Publish(Record).empty());
+  EXPECT_TRUE(Publish(leader()).empty());
+  Record = leader();
+  ++Record.Born;
+  Record.Seat.reset();
+  EXPECT_TRUE(Publish(Record).empty());
+}
+
 TEST(FleetView, ShunnedEndpointGetsNoShareForAWhile) {
   FleetView View = sound();
   View.shun(EndpointName("head"), FleetView::SilenceSpan, Start);
--- a/packages/request/src/coltsfoottrail/dispatch/dispatcher.cpp
+++ b/packages/request/src/coltsfoottrail/dispatch/dispatcher.cpp
@@ -444,6 +444,10 @@
     Choice.observeCache(*Which, Change, Now);
 }
 
+void Dispatcher::observeClosed(std::string_view EndpointKey, TimePoint Now) {
+  Crashes.closed(EndpointKey, Now);
+}
+
 std::vector<QuarantineNotice> Dispatcher::noticesOut(TimePoint Now) {
   return Crashes.noticesOut(Now);
 }
--- a/packages/request/src/coltsfoottrail/dispatch/dispatcher.hpp
+++ b/packages/request/src/coltsfoottrail/dispatch/dispatcher.hpp
@@ -161,6 +161,10 @@
   void observeCache(std::string_view EndpointKey, const CacheChange &Change,
                     TimePoint Now);
 
+  /// @brief Notes that an endpoint stopped serving under a key and lives on;
+  /// streams that break there do not speak against their requests.
+  void observeClosed(std::string_view EndpointKey, TimePoint Now);
+
   /// @brief Hands out what the dispatchers of this pool on the other entry
   /// hosts should be told by observeNotice(). Call it after finished() and
   /// observe().
--- a/packages/request/src/coltsfoottrail/quarantine/quarantine.cpp
+++ b/packages/request/src/coltsfoottrail/quarantine/quarantine.cpp
@@ -98,8 +98,14 @@
     if (SameRun && std::chrono::abs(At - Last->At) < Limits.CrashWindow)
       return Entry->second;
   }
-  const CrashId Which = Crashes.insert(
-      Crash{std::string(EndpointKey), DataCentre, Run, At, {}, {}, false});
+  const CrashId Which =
+      Crashes.insert(Crash{std::string(EndpointKey),
+                           DataCentre,
+                           Run,
+                           At,
+                           {},
+                           {},
+                           Closed.contains(std::string(EndpointKey))});
   Entry->second = Which;
   Order.push_back(Which);
   return Which;
@@ -165,6 +171,9 @@
 void Quarantine::expire(TimePoint Now) {
   while (!Expiries.empty() && Expiries.begin()->first.first <= Now)
     forget(Expiries.begin()->second);
+  std::erase_if(Closed, [&](const auto &Entry) {
+    return Entry.second + Limits.ClosedLife <= Now;
+  });
   const Duration Life = std::max(Limits.BlamedLife, Limits.SuspectLife);
   while (!Order.empty() && (Order.size() >= Limits.MaxCrashes ||
                             Crashes.find(Order.front())->At + Life <= Now)) {
@@ -193,6 +202,14 @@
   note(ClearNotice{Fingerprint});
 }
 
+void Quarantine::closed(std::string_view EndpointKey, TimePoint Now) {
+  expire(Now);
+  if (Closed.size() < Limits.MaxCrashes)
+    Closed.insert_or_assign(std::string(EndpointKey), Now);
+  if (dismiss(EndpointKey))
+    note(DismissNotice{std::string(EndpointKey)});
+}
+
 /// Takes a request out of the crashes that it was present at.
 void Quarantine::clear(std::uint64_t Fingerprint) {
   for (const CrashId Which : Suspects.at(Fingerprint).Crashes)
@@ -239,6 +256,8 @@
   std::vector<QuarantineNotice> Out;
   for (const CrashId Which : Order) {
     Crash &Each = *Crashes.find(Which);
+    if (Each.Dismissed)
+      Each.Untold.clear();
     if (Each.Untold.empty())
       continue;
     Out.emplace_back(CrashNotice{Each.EndpointKey, Each.DataCentre, Each.Run,
--- a/packages/request/src/coltsfoottrail/quarantine/quarantine.hpp
+++ b/packages/request/src/coltsfoottrail/quarantine/quarantine.hpp
@@ -36,6 +36,8 @@
   Duration BlamedLife = seconds(600);
   /// How long requests are refused that were at the same two crashes together.
   Duration UnsureLife = seconds(30);
+  /// How long after an endpoint closed its connections may still break.
+  Duration ClosedLife = seconds(60);
   /// Endpoints of one data centre lost within MassWindow that make it an outage
   /// of the data centre, unless one request was at most of them.
   std::size_t MassLosses = 3;
@@ -83,6 +85,10 @@
   void answered(std::string_view EndpointKey, std::uint64_t Fingerprint,
                 TimePoint SentAt, TimePoint Now);
 
+  /// @brief Notes that an endpoint stopped serving under a key and lives on, as
+  /// when its group is closed. What is lost there is no crash, now or later.
+  void closed(std::string_view EndpointKey, TimePoint Now);
+
   /// @brief Takes what another entry host tells.
   void observe(const QuarantineNotice &Told, TimePoint Now);
 
@@ -132,6 +138,8 @@
   /// By age.
   std::deque<CrashId> Order;
   std::unordered_map<std::string, CrashId> LastOf;
+  /// Endpoints that closed, and when.
+  std::unordered_map<std::string, TimePoint> Closed;
   std::unordered_map<std::uint64_t, Suspect> Suspects;
   /// Suspects by expiry, then by order.
   std::map<std::pair<TimePoint, std::uint64_t>, std::uint64_t> Expiries;
--- a/packages/request/test/coltsfoottrail/quarantine/quarantine.cpp
+++ b/packages/request/test/coltsfoottrail/quarantine/quarantine.cpp
@@ -36,6 +36,33 @@
   EXPECT_EQ(of(1), Standing::Clear);
 }
 
+// Guards against taking planned closings of groups for crashes: the streams of
+// two closed groups would be refused.
+TEST_F(QuarantineTest, ClosingOfALivingEndpointIsNoCrash) {
+  crash("a", {7});
+  Known.closed("a", Now);
+  EXPECT_EQ(of(7), Standing::Clear);
+  Now += milliseconds(700);
+  Known.closed("b", Now);
+  crash("b", {7, 8});
+  EXPECT_EQ(of(7), Standing::Clear);
+  EXPECT_EQ(of(8), Standing::Clear);
+  const auto Notices = Known.noticesOut(Now);
+  Quarantine Other{QuarantineLimits{}};
+  for (const QuarantineNotice &Each : Notices)
+    Other.observe(Each, Now);
+  EXPECT_EQ(Other.standing(7, Now), Standing::Clear);
+}
+
+// Guards against forgiving an endpoint that crashes after others closed.
+TEST_F(QuarantineTest, CrashBesideAClosingStillCounts) {
+  Known.closed("a", Now);
+  crash("b", {7});
+  Now += seconds(5);
+  crash("c", {7});
+  EXPECT_EQ(of(7), Standing::Quarantined);
+}
+
 // The connections of one crash break one by one, some seconds apart.
 TEST_F(QuarantineTest, LossesOfOneCrashCountOnce) {
   crash("a", {7});
