Pass notices of crashes on above 32 entry hosts

What callers saw: none reported; found while looking for the same fault as the removal of live hosts. Notices of requests that crash endpoints are broadcast to connected peers. Above 32 hosts these are the few neighbours, so a request that has crashed two endpoints was refused there and sent on by all other hosts: it could crash two endpoints more for each of them.

Fix: a host passes on a notice that is news to it while not all hosts are neighbours; what it knows already ends there.

Test: SparseMesh.NoticesReachAllHostsByTheirNeighbours floods 100 hosts through the real neighbour choice. observe() could not tell before whether a notice was news, and nothing was passed on: by that rule only the neighbours of the first host would be reached.

--- a/packages/process/src/coltsfoottrail/server/process.cpp
+++ b/packages/process/src/coltsfoottrail/server/process.cpp
@@ -9,6 +9,7 @@
 #include "coltsfoottrail/server/noticewire.hpp"
 #include "coltsfoottrail/server/refusal.hpp"
 
+#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <charconv>
 #include <random>
@@ -358,7 +359,9 @@
 void EntryHostProcess::takeNotice(const HostName &From, const Json &Message) {
   try {
     const PoolNotice Told = readNotice(Message);
-    Routing.observeNotice(Told.PoolName, Told.What);
+    // Broadcasts reach neighbours only: hosts pass on what is news to them.
+    if (Routing.observeNotice(Told.PoolName, Told.What) && !AllAreNeighbours)
+      Peers.broadcast(Channel::Notices, Message);
   } catch (const InputError &Problem) {
     logEvent(Event::InternalError, {{"peer", From}, {"why", Problem.what()}});
   }
@@ -417,7 +420,11 @@
   if (PeersChange == Now.EntryHostsChange)
     return;
   PeersChange = Now.EntryHostsChange;
-  Peers.setPeers(meshPeers(Options.Host, Now));
+  const std::vector<MeshPeer> All = meshPeers(Options.Host, Now);
+  AllAreNeighbours =
+      std::all_of(All.begin(), All.end(),
+                  [](const MeshPeer &Each) { return Each.Neighbour; });
+  Peers.setPeers(All);
 }
 
 void EntryHostProcess::refreshUsable() {
--- a/packages/process/src/coltsfoottrail/server/process.hpp
+++ b/packages/process/src/coltsfoottrail/server/process.hpp
@@ -140,6 +140,7 @@
   std::uint64_t SlowTicks = 0;
   /// The change of the entry hosts that the mesh goes by.
   std::optional<Offset> PeersChange;
+  bool AllAreNeighbours = true;
   mutable std::mutex UsableLock;
   std::shared_ptr<const UsableEndpoints> Usable;
   std::function<void()> Ended;
--- a/packages/process/src/coltsfoottrail/server/router.cpp
+++ b/packages/process/src/coltsfoottrail/server/router.cpp
@@ -364,13 +364,13 @@
   }
 }
 
-void Router::observeNotice(std::string_view PoolName,
+bool Router::observeNotice(std::string_view PoolName,
                            const QuarantineNotice &Told) {
   const std::shared_ptr<Place::Shard> Home = find(PoolName);
   if (!Home)
-    return;
+    return false;
   const std::lock_guard Hold(Home->Lock);
-  Home->Decides.observeNotice(Told, BootClock::now());
+  return Home->Decides.observeNotice(Told, BootClock::now());
 }
 
 void Router::observeClosed(std::string_view PoolName,
--- a/packages/process/src/coltsfoottrail/server/router.hpp
+++ b/packages/process/src/coltsfoottrail/server/router.hpp
@@ -100,7 +100,8 @@
 
   /// @brief Takes notices from peers about requests that crash endpoints.
   /// @param PoolName The pool that they are about.
-  void observeNotice(std::string_view PoolName, const QuarantineNotice &Told);
+  /// @return Whether it was news here.
+  bool observeNotice(std::string_view PoolName, const QuarantineNotice &Told);
 
   /// @brief Notes that an endpoint of a pool stopped serving under a key and
   /// lives on.
--- a/packages/process/test/coltsfoottrail/server/sparsemesh.cpp
+++ b/packages/process/test/coltsfoottrail/server/sparsemesh.cpp
@@ -1,6 +1,11 @@
 #include "sparsemesh.hpp"
 
+#include "coltsfoottrail/mesh/neighbours.hpp"
+#include "coltsfoottrail/quarantine/quarantine.hpp"
+
+#include <deque>
 #include <gtest/gtest.h>
+#include <span>
 
 namespace coltsfoottrail::testing {
 namespace {
@@ -34,5 +39,33 @@
   EXPECT_LT(Fleet.mostLinks(), 50U);
 }
 
+// Guards against notices of crashes that reach only the neighbours of a host.
+TEST(SparseMesh, NoticesReachAllHostsByTheirNeighbours) {
+  constexpr std::size_t Count = 100;
+  constexpr std::uint64_t Fingerprint = 7;
+  const TimePoint Now{seconds(1'000)};
+  std::vector<MeshMember> Members;
+  std::vector<Quarantine> Known(Count, Quarantine{QuarantineLimits{}});
+  std::map<HostName, std::size_t> Places;
+  for (std::size_t Index = 0; Index < Count; ++Index) {
+    Members.push_back({HostName(SparseMesh::nameOf(Index)),
+                       DataCentreName("dc-" + std::to_string(Index % 3))});
+    Places[Members.back().Host] = Index;
+  }
+  Known[0].lost("a", DataCentreName("dc-0"), 1, std::span(&Fingerprint, 1),
+                Now);
+  const QuarantineNotice Told = Known[0].noticesOut(Now).front();
+  std::deque<std::size_t> Next{0};
+  while (!Next.empty()) {
+    const HostName &Self = Members[Next.front()].Host;
+    Next.pop_front();
+    for (const HostName &Peer : chooseNeighbours(Self, Members))
+      if (Known[Places.at(Peer)].observe(Told, Now))
+        Next.push_back(Places.at(Peer));
+  }
+  for (const Quarantine &Each : Known)
+    EXPECT_EQ(Each.standing(Fingerprint, Now), Standing::Suspect);
+}
+
 } // namespace
 } // namespace coltsfoottrail::testing
--- a/packages/request/src/coltsfoottrail/dispatch/dispatcher.cpp
+++ b/packages/request/src/coltsfoottrail/dispatch/dispatcher.cpp
@@ -452,8 +452,8 @@
   return Crashes.noticesOut(Now);
 }
 
-void Dispatcher::observeNotice(const QuarantineNotice &Told, TimePoint Now) {
-  Crashes.observe(Told, Now);
+bool Dispatcher::observeNotice(const QuarantineNotice &Told, TimePoint Now) {
+  return Crashes.observe(Told, Now);
 }
 
 void Dispatcher::advance(TimePoint Now, Commands &Out) {
--- a/packages/request/src/coltsfoottrail/dispatch/dispatcher.hpp
+++ b/packages/request/src/coltsfoottrail/dispatch/dispatcher.hpp
@@ -171,7 +171,8 @@
   [[nodiscard]] std::vector<QuarantineNotice> noticesOut(TimePoint Now);
 
   /// @brief Takes what a dispatcher of this pool on another entry host told.
-  void observeNotice(const QuarantineNotice &Told, TimePoint Now);
+  /// @return Whether it was news here.
+  bool observeNotice(const QuarantineNotice &Told, TimePoint Now);
 
   /// @brief Does what time alone brings: refuses what can no longer make its
   /// deadline, sends again what was held back, tries ejected endpoints.
--- a/packages/request/src/coltsfoottrail/quarantine/quarantine.cpp
+++ b/packages/request/src/coltsfoottrail/quarantine/quarantine.cpp
@@ -228,22 +228,33 @@
   return Changed;
 }
 
-void Quarantine::observe(const QuarantineNotice &Told, TimePoint Now) {
+bool Quarantine::observe(const QuarantineNotice &Told, TimePoint Now) {
   expire(Now);
-  if (const auto *const Crashed = std::get_if<CrashNotice>(&Told)) {
-    const CrashId Which = crashOf(Crashed->EndpointKey, Crashed->DataCentre,
-                                  Crashed->Run, Now - Crashed->Age);
-    for (const std::uint64_t Fingerprint : Crashed->Fingerprints)
-      if (Crashes.find(Which)->Present.insert(Fingerprint).second)
-        add(Which, Fingerprint);
-    judgeMass(Which);
-  } else if (const auto *const None = std::get_if<DismissNotice>(&Told)) {
-    dismiss(None->EndpointKey);
-  } else {
-    const std::uint64_t Fingerprint = std::get<ClearNotice>(Told).Fingerprint;
-    if (standing(Fingerprint, Now) == Standing::Suspect)
-      clear(Fingerprint);
-  }
+  return std::visit([&](const auto &Kind) { return take(Kind, Now); }, Told);
+}
+
+bool Quarantine::take(const CrashNotice &Told, TimePoint Now) {
+  const CrashId Which =
+      crashOf(Told.EndpointKey, Told.DataCentre, Told.Run, Now - Told.Age);
+  bool New = false;
+  for (const std::uint64_t Fingerprint : Told.Fingerprints)
+    if (Crashes.find(Which)->Present.insert(Fingerprint).second) {
+      add(Which, Fingerprint);
+      New = true;
+    }
+  judgeMass(Which);
+  return New;
+}
+
+bool Quarantine::take(const DismissNotice &Told, TimePoint /*Now*/) {
+  return dismiss(Told.EndpointKey);
+}
+
+bool Quarantine::take(const ClearNotice &Told, TimePoint Now) {
+  if (standing(Told.Fingerprint, Now) != Standing::Suspect)
+    return false;
+  clear(Told.Fingerprint);
+  return true;
 }
 
 void Quarantine::note(QuarantineNotice Told) {
--- a/packages/request/src/coltsfoottrail/quarantine/quarantine.hpp
+++ b/packages/request/src/coltsfoottrail/quarantine/quarantine.hpp
@@ -90,7 +90,8 @@
   void closed(std::string_view EndpointKey, TimePoint Now);
 
   /// @brief Takes what another entry host tells.
-  void observe(const QuarantineNotice &Told, TimePoint Now);
+  /// @return Whether it was news here.
+  bool observe(const QuarantineNotice &Told, TimePoint Now);
 
   /// @brief Hands out what the other entry hosts should be told.
   [[nodiscard]] std::vector<QuarantineNotice> noticesOut(TimePoint Now);
@@ -125,6 +126,9 @@
   liveCrashes(const Suspect &Known) const;
   [[nodiscard]] static bool aloneAt(std::span<const Crash *const> All);
   [[nodiscard]] static bool anyAtMost(std::span<Crash *const> All);
+  bool take(const CrashNotice &Told, TimePoint Now);
+  bool take(const DismissNotice &Told, TimePoint Now);
+  bool take(const ClearNotice &Told, TimePoint Now);
   void judgeMass(CrashId Which);
   bool dismiss(std::string_view EndpointKey);
   void add(CrashId Which, std::uint64_t Fingerprint);
