Log when a host loses and regains the proof of its configuration

Leaning, not shown: after eight seconds of failures own reads of 62 hosts pause up to 1.9 s, a read under way hangs up to 1.5 s more, and what an upstream relays from a reading older than the cover is not used.

--- a/packages/process/src/coltsfoottrail/fleethost/feeds.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/feeds.cpp
@@ -250,6 +250,26 @@
       ReadFor ? std::min(Pause, LongestFailurePause) : milliseconds(0);
   Operators.pauseAfterFailure(Shortest);
   Endpoints.pauseAfterFailure(Shortest);
+  OwnPause = Shortest;
+}
+
+void FleetHost::logConfigProof(TimePoint Now) {
+  const bool Proved = View.routesFresh(Now);
+  if (!View.config() || Proved == std::exchange(ConfigProved, Proved))
+    return;
+  const auto Since = [Now](TimePoint At) {
+    return std::chrono::duration_cast<milliseconds>(Now - At).count();
+  };
+  const auto Age =
+      std::chrono::duration_cast<milliseconds>(View.configAge(Now)).count();
+  logEvent(Proved ? Event::ConfigFresh : Event::ConfigStale,
+           {{"version", View.config()->version()},
+            {"age_ms", Age},
+            {"store_answers", StoreAnswers},
+            {"own_pause_ms", OwnPause.count()},
+            {"upstream_heard", Link.hearsUpstream(Now)},
+            {"relayed_ms", Since(RelayedAt)},
+            {"coordinates", Desk.held()}});
 }
 
 } // namespace coltsfoottrail
--- a/packages/process/src/coltsfoottrail/fleethost/host.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/host.cpp
@@ -334,6 +334,7 @@
     settleMoves(BootClock::now());
     View.advance(BootClock::now());
     refreshRoutes();
+    logConfigProof(BootClock::now());
     if (Desk.held() && !View.knowsAllEndpoints())
       readAllEndpoints();
     shareBounds(BootClock::now());
--- a/packages/process/src/coltsfoottrail/fleethost/host.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/host.hpp
@@ -89,6 +89,7 @@
   }
   void refreshRoutes();
   void reportClosedLeaders();
+  void logConfigProof(TimePoint Now);
   void shareBounds(TimePoint Now);
   void shareReads(std::size_t Hosts, TimePoint Now);
   void shareRetries(std::size_t Hosts, TimePoint Now);
@@ -124,6 +125,8 @@
   std::uint64_t RoutedVersion = 0;
   /// Entry hosts among which bounds are shared; zero before any was heard of.
   std::size_t SharedAmong = 0;
+  bool ConfigProved = false;
+  milliseconds OwnPause{0};
   TimePoint ShareDue{};
   std::uint64_t LoggedConfig = 0;
   /// Version whose limits on callers are in force.
--- a/packages/process/src/coltsfoottrail/logging/event.cpp
+++ b/packages/process/src/coltsfoottrail/logging/event.cpp
@@ -142,6 +142,11 @@
      "The settings were read again on a signal."},
     {Event::EntryUnreadable, LogLevel::Warn, "entry-unreadable",
      "An entry of the store cannot be read and is passed over."},
+    {Event::ConfigStale, LogLevel::Warn, "config-stale",
+     "This host has no proof of the configuration that is young enough for "
+     "public routes."},
+    {Event::ConfigFresh, LogLevel::Info, "config-fresh",
+     "The configuration is proved again."},
     {Event::SpansDropped, LogLevel::Warn, "spans-dropped",
      "Spans were dropped because the trace file is slow."},
     {Event::InternalError, LogLevel::Error, "internal-error",
--- a/packages/process/src/coltsfoottrail/logging/event.hpp
+++ b/packages/process/src/coltsfoottrail/logging/event.hpp
@@ -78,6 +78,8 @@
   Drained = 1533,
   Reloaded = 1534,
   EntryUnreadable = 1535,
+  ConfigStale = 1536,
+  ConfigFresh = 1537,
   SpansDropped = 1601,
   InternalError = 1901,
 };
