--- a/packages/connection/src/coltsfoottrail/mesh/mesh.cpp
+++ b/packages/connection/src/coltsfoottrail/mesh/mesh.cpp
@@ -91,8 +91,8 @@
   [[nodiscard]] bool hold(const HostName &To, Channel Which,
                           const internal::Encoded &Bytes);
   void dropUnexpected(TimePoint Now);
-  void closeUnused(TimePoint Now, std::vector<PeerEvent> &Out);
-  void drop(internal::Outbox &Waiting);
+  void closeUnused(TimePoint Now, std::vector<PeerEvent> &Events);
+  void drop(internal::Outbox &Queue);
   [[nodiscard]] bool push(Link &To, Channel Which,
                           const internal::Encoded &Bytes);
   [[nodiscard]] bool enqueue(internal::Outbox &Into, Channel Which,
@@ -337,34 +337,34 @@
 /// Drops what waits for hosts that could not be reached.
 void Mesh::State::dropUnexpected(TimePoint Now) {
   const std::unique_lock Lock(ActiveMutex);
-  for (auto Each = Pending.begin(); Each != Pending.end();) {
-    if (Table.expects(Each->first, Now)) {
-      ++Each;
+  for (auto Entry = Pending.begin(); Entry != Pending.end();) {
+    if (Table.expects(Entry->first, Now)) {
+      ++Entry;
       continue;
     }
-    drop(Each->second);
-    Each = Pending.erase(Each);
+    drop(Entry->second);
+    Entry = Pending.erase(Entry);
   }
 }
 
-void Mesh::State::closeUnused(TimePoint Now, std::vector<PeerEvent> &Out) {
+void Mesh::State::closeUnused(TimePoint Now, std::vector<PeerEvent> &Events) {
   std::vector<LinkId> Unused;
   {
     const std::shared_lock Lock(ActiveMutex);
-    for (const auto &[Host, Each] : Active)
-      if (Table.isUnused(Host, Each->lastUsed(), Now))
-        Unused.push_back(Each->id());
+    for (const auto &[Host, Current] : Active)
+      if (Table.isUnused(Host, Current->lastUsed(), Now))
+        Unused.push_back(Current->id());
   }
-  for (const LinkId Each : Unused) {
-    Table.release(Each);
-    cutLink(Each, "no messages for it", Out);
+  for (const LinkId Id : Unused) {
+    Table.release(Id);
+    cutLink(Id, "no messages for it", Events);
   }
 }
 
-void Mesh::State::drop(internal::Outbox &Waiting) {
-  const auto Lost = Waiting.close();
+void Mesh::State::drop(internal::Outbox &Queue) {
+  const auto Dropped = Queue.close();
   for (std::size_t Index = 0; Index < ChannelCount; ++Index)
-    Counters[Index].Dropped += Lost[Index];
+    Counters[Index].Dropped += Dropped[Index];
 }
 
 void Mesh::State::cutLink(LinkId Which, const std::string &Why,
--- a/packages/connection/src/coltsfoottrail/mesh/table.cpp
+++ b/packages/connection/src/coltsfoottrail/mesh/table.cpp
@@ -201,9 +201,9 @@
 }
 
 void PeerTable::release(LinkId Link) {
-  for (auto &[Host, Its] : Hosts)
-    if (Its.Link && Its.Link->Link == Link)
-      Its.Link.reset();
+  for (auto &[Host, Peer] : Hosts)
+    if (Peer.Link && Peer.Link->Link == Link)
+      Peer.Link.reset();
 }
 
 void PeerTable::dialFailed(const DialTarget &Which,
@@ -229,31 +229,34 @@
 bool PeerTable::demand(const HostName &Host, TimePoint Now) {
   if (targetOf(Host) == nullptr)
     return false;
-  Target &Its = Targets.at(Hosts.at(Host).At);
-  if (!Its.Neighbour) {
-    if (Its.Failures == 0 && Its.WantedUntil <= Now)
-      Its.Next = Now;
-    Its.WantedUntil = Now + Policy.DemandLife;
+  Target &Peer = Targets.at(Hosts.at(Host).At);
+  if (!Peer.Neighbour) {
+    if (Peer.Failures == 0 && Peer.WantedUntil <= Now)
+      Peer.Next = Now;
+    Peer.WantedUntil = Now + Policy.DemandLife;
   }
   return expects(Host, Now);
 }
 
 bool PeerTable::expects(const HostName &Host, TimePoint Now) const {
-  const Target *const Its = targetOf(Host);
-  return Its != nullptr && (Its->Busy || (Its->Next <= Now && !Its->IsSelf));
+  const Target *const Peer = targetOf(Host);
+  return Peer != nullptr &&
+         (Peer->Busy || (Peer->Next <= Now && !Peer->IsSelf));
 }
 
 bool PeerTable::isUnused(const HostName &Host, TimePoint LastUsed,
                          TimePoint Now) const {
-  const Target *const Its = targetOf(Host);
-  if (Its == nullptr || Its->Neighbour || Its->FromSeed)
+  if (Now - LastUsed < Policy.UnusedAfter)
+    return false;
+  const Target *const Peer = targetOf(Host);
+  if (Peer == nullptr || Peer->Neighbour || Peer->FromSeed)
     return false;
   const auto &Link = Hosts.at(Host).Link;
-  return Link && Link->DialledByUs && Now - LastUsed >= Policy.UnusedAfter;
+  return Link && Link->DialledByUs;
 }
 
-bool PeerTable::isWanted(const Target &Its, TimePoint Now) {
-  return Its.FromSeed || Its.Neighbour || Its.WantedUntil > Now;
+bool PeerTable::isWanted(const Target &Peer, TimePoint Now) {
+  return Peer.FromSeed || Peer.Neighbour || Peer.WantedUntil > Now;
 }
 
 std::vector<DialTarget> PeerTable::due(TimePoint Now) {
--- a/packages/connection/src/coltsfoottrail/mesh/table.hpp
+++ b/packages/connection/src/coltsfoottrail/mesh/table.hpp
@@ -171,7 +171,7 @@
   void forgetOldHosts();
   [[nodiscard]] bool connected(const HostName &Host) const;
   [[nodiscard]] static bool isSpareable(const Known &Its);
-  [[nodiscard]] static bool isWanted(const Target &Its, TimePoint Now);
+  [[nodiscard]] static bool isWanted(const Target &Peer, TimePoint Now);
   [[nodiscard]] const Target *targetOf(const HostName &Host) const;
 
   HostName Self;
--- a/packages/process/src/coltsfoottrail/fleethost/feeds.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/feeds.cpp
@@ -228,8 +228,8 @@
 }
 
 void FleetHost::reportClosedLeaders() {
-  for (const FleetView::ClosedLeader &Each : View.takeClosed())
-    Routing.observeClosed(Each.Pool, Each.Key);
+  for (const FleetView::ClosedLeader &Leader : View.takeClosed())
+    Routing.observeClosed(Leader.Pool, Leader.Key);
 }
 
 void FleetHost::readFailed(Feed Which) {
--- a/packages/process/src/coltsfoottrail/server/meshpeers.cpp
+++ b/packages/process/src/coltsfoottrail/server/meshpeers.cpp
@@ -11,16 +11,17 @@
   for (const auto &[Name, Host] : Now.EntryHosts)
     All.push_back({Name, Host.Joined.DataCentre});
   const std::vector<HostName> Neighbours = chooseNeighbours(Self, All);
-  std::vector<MeshPeer> Out;
+  std::vector<MeshPeer> Peers;
   for (const auto &[Name, Host] : Now.EntryHosts) {
     if (Name == Self)
       continue;
-    const EntryHostJoined &Peer = Host.Joined;
-    const bool Near =
+    const EntryHostJoined &Joined = Host.Joined;
+    const bool IsNear =
         std::binary_search(Neighbours.begin(), Neighbours.end(), Name);
-    Out.push_back({Name, Peer.Run, Peer.Address, Peer.MeshPort, Near});
+    Peers.push_back(
+        {Name, Joined.Run, Joined.Address, Joined.MeshPort, IsNear});
   }
-  return Out;
+  return Peers;
 }
 
 } // namespace coltsfoottrail
--- a/packages/process/src/coltsfoottrail/server/process.cpp
+++ b/packages/process/src/coltsfoottrail/server/process.cpp
@@ -423,7 +423,7 @@
   const std::vector<MeshPeer> All = meshPeers(Options.Host, Now);
   AllAreNeighbours =
       std::all_of(All.begin(), All.end(),
-                  [](const MeshPeer &Each) { return Each.Neighbour; });
+                  [](const MeshPeer &Peer) { return Peer.Neighbour; });
   Peers.setPeers(All);
 }
 
--- a/packages/process/test/coltsfoottrail/server/sparsemesh.cpp
+++ b/packages/process/test/coltsfoottrail/server/sparsemesh.cpp
@@ -54,17 +54,17 @@
   }
   Known[0].lost("a", DataCentreName("dc-0"), 1, std::span(&Fingerprint, 1),
                 Now);
-  const QuarantineNotice Told = Known[0].noticesOut(Now).front();
+  const QuarantineNotice Notice = Known[0].noticesOut(Now).front();
   std::deque<std::size_t> Next{0};
   while (!Next.empty()) {
     const HostName &Self = Members[Next.front()].Host;
     Next.pop_front();
     for (const HostName &Peer : chooseNeighbours(Self, Members))
-      if (Known[Places.at(Peer)].observe(Told, Now))
+      if (Known[Places.at(Peer)].observe(Notice, Now))
         Next.push_back(Places.at(Peer));
   }
-  for (const Quarantine &Each : Known)
-    EXPECT_EQ(Each.standing(Fingerprint, Now), Standing::Suspect);
+  for (const Quarantine &Host : Known)
+    EXPECT_EQ(Host.standing(Fingerprint, Now), Standing::Suspect);
 }
 
 } // namespace
--- a/packages/process/test/coltsfoottrail/server/sparsemesh.hpp
+++ b/packages/process/test/coltsfoottrail/server/sparsemesh.hpp
@@ -45,25 +45,25 @@
     for (const TimePoint End = Now + Span; Now < End;) {
       Now += Step;
       deliver();
-      for (const auto &Each : Hosts)
-        if (Each->Up)
-          advance(*Each);
+      for (const auto &Member : Hosts)
+        if (Member->Up)
+          advance(*Member);
     }
   }
 
   [[nodiscard]] std::set<std::string> members() const {
-    std::set<std::string> Out;
+    std::set<std::string> Names;
     for (const auto &[Name, Known] : Agreed.EntryHosts)
-      Out.insert(Name.Text);
-    return Out;
+      Names.insert(Name.Text);
+    return Names;
   }
   [[nodiscard]] static std::string nameOf(std::size_t Index) {
     return "entry-" + std::to_string(Index);
   }
   [[nodiscard]] std::size_t mostLinks() const {
     std::size_t Most = 0;
-    for (const auto &Each : Hosts)
-      Most = std::max(Most, Each->Links.size());
+    for (const auto &Member : Hosts)
+      Most = std::max(Most, Member->Links.size());
     return Most;
   }
 
@@ -109,16 +109,16 @@
   }
 
   void advance(Host &At) {
-    MembershipCommands Out;
+    MembershipCommands Commands;
     if (At.SeenChange != Agreed.EntryHostsChange) {
       At.SeenChange = Agreed.EntryHostsChange;
-      At.Part->state(Agreed, Now, Out);
+      At.Part->state(Agreed, Now, Commands);
       for (const internal::LinkId Cut :
            At.Table->setPeers(meshPeers(At.Name, Agreed), Now))
         cut(At, Cut);
     }
-    At.Part->advance(Now, Out);
-    perform(At, Out);
+    At.Part->advance(Now, Commands);
+    perform(At, Commands);
     closeUnused(At);
     for (const internal::DialTarget &Target : At.Table->due(Now))
       dial(At, Target);
@@ -128,10 +128,10 @@
   }
 
   void perform(Host &At, const MembershipCommands &Due) {
-    for (const MembershipCommand &Each : Due)
-      if (const auto *const Sent = std::get_if<MembershipSend>(&Each))
+    for (const MembershipCommand &Command : Due)
+      if (const auto *const Sent = std::get_if<MembershipSend>(&Command))
         send(At, *Sent);
-      else if (const auto *const Made = std::get_if<MembershipAppend>(&Each))
+      else if (const auto *const Made = std::get_if<MembershipAppend>(&Command))
         append(Made->What);
   }
 
@@ -146,15 +146,15 @@
   }
 
   void deliver() {
-    for (Envelope &Each : std::exchange(Network, {})) {
-      Host &To = host(Each.To);
-      const auto Link = To.Links.find(Each.From);
+    for (Envelope &Sent : std::exchange(Network, {})) {
+      Host &To = host(Sent.To);
+      const auto Link = To.Links.find(Sent.From);
       if (!To.Up || Link == To.Links.end())
         continue;
       Link->second.LastUsed = Now;
-      MembershipCommands Out;
-      To.Part->received(Each.From, Each.What, Now, Out);
-      perform(To, Out);
+      MembershipCommands Commands;
+      To.Part->received(Sent.From, Sent.What, Now, Commands);
+      perform(To, Commands);
     }
   }
 
@@ -175,9 +175,9 @@
 
   void dial(Host &From, const internal::DialTarget &Target) {
     Host *To = nullptr;
-    for (const auto &Each : Hosts)
-      if (Each->Address == Target.Address && Each->Up)
-        To = Each.get();
+    for (const auto &Member : Hosts)
+      if (Member->Address == Target.Address && Member->Up)
+        To = Member.get();
     if (To == nullptr)
       return From.Table->dialFailed(Target, std::nullopt, Now);
     const internal::LinkId Link{++LastLink, 1};
@@ -194,20 +194,20 @@
   void connect(Host &At, const Host &Other, internal::LinkId Link,
                bool Dialled) {
     At.Links[Other.Name] = {Link, Dialled, Now};
-    for (MembershipMessage &Each : std::exchange(At.Pending[Other.Name], {}))
-      Network.push_back({At.Name, Other.Name, std::move(Each)});
+    for (MembershipMessage &Held : std::exchange(At.Pending[Other.Name], {}))
+      Network.push_back({At.Name, Other.Name, std::move(Held)});
     At.Pending.erase(Other.Name);
   }
 
   void disconnect(Host &At, const HostName &With) {
     Host &Other = host(With);
-    for (auto *const Each : {&At, &Other}) {
-      const HostName &Peer = Each == &At ? With : At.Name;
-      const auto Found = Each->Links.find(Peer);
-      if (Found == Each->Links.end())
+    for (auto *const End : {&At, &Other}) {
+      const HostName &Peer = End == &At ? With : At.Name;
+      const auto Found = End->Links.find(Peer);
+      if (Found == End->Links.end())
         continue;
-      (void)Each->Table->lost(Found->second.Link, Now);
-      Each->Links.erase(Found);
+      (void)End->Table->lost(Found->second.Link, Now);
+      End->Links.erase(Found);
     }
   }
 
@@ -226,8 +226,9 @@
   }
 
   [[nodiscard]] Host &host(const HostName &Name) {
-    return **std::find_if(Hosts.begin(), Hosts.end(),
-                          [&](const auto &Each) { return Each->Name == Name; });
+    return **std::find_if(Hosts.begin(), Hosts.end(), [&](const auto &Member) {
+      return Member->Name == Name;
+    });
   }
 
   TimePoint Now{seconds(1'000)};
--- a/packages/request/src/coltsfoottrail/claims/owner.cpp
+++ b/packages/request/src/coltsfoottrail/claims/owner.cpp
@@ -1,6 +1,7 @@
 #include "coltsfoottrail/claims/owner.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <limits>
 #include <utility>
 
@@ -268,22 +269,20 @@
 /// Decides the asks that a read was started for.
 void ClaimOwner::decideContended(std::uint64_t Token, ClaimTime Time,
                                  ClaimCommands &Out) {
-  std::vector<ContendedAsk> Due;
-  const auto Later = std::stable_partition(
+  const auto FirstDue = std::stable_partition(
       Contended.begin(), Contended.end(),
-      [Token](const ContendedAsk &Each) { return Each.FromToken > Token; });
-  Due.assign(std::make_move_iterator(Later),
-             std::make_move_iterator(Contended.end()));
-  Contended.erase(Later, Contended.end());
-  for (ContendedAsk &Each : Due) {
-    if (std::optional<ClaimDecision> Decision =
-            decide(Each.Message, Time.Now)) {
-      answer(Each.From, Each.Message, *std::move(Decision), Out);
+      [Token](const ContendedAsk &Ask) { return Ask.FromToken > Token; });
+  std::vector<ContendedAsk> Due(std::make_move_iterator(FirstDue),
+                                std::make_move_iterator(Contended.end()));
+  Contended.erase(FirstDue, Contended.end());
+  for (ContendedAsk &Ask : Due) {
+    if (std::optional<ClaimDecision> Decision = decide(Ask.Message, Time.Now)) {
+      answer(Ask.From, Ask.Message, *std::move(Decision), Out);
       continue;
     }
-    Each.Message.Budget = std::chrono::duration_cast<milliseconds>(
-        std::max(Duration::zero(), Each.Until - Time.Now));
-    ask(Each.From, Each.Message, Time, Out);
+    Ask.Message.Budget = std::chrono::duration_cast<milliseconds>(
+        std::max(Duration::zero(), Ask.Until - Time.Now));
+    ask(Ask.From, Ask.Message, Time, Out);
   }
 }
 
--- a/packages/request/src/coltsfoottrail/quarantine/quarantine.cpp
+++ b/packages/request/src/coltsfoottrail/quarantine/quarantine.cpp
@@ -228,32 +228,33 @@
   return Changed;
 }
 
-bool Quarantine::observe(const QuarantineNotice &Told, TimePoint Now) {
+bool Quarantine::observe(const QuarantineNotice &Notice, TimePoint Now) {
   expire(Now);
-  return std::visit([&](const auto &Kind) { return take(Kind, Now); }, Told);
+  return std::visit([&](const auto &Kind) { return ingest(Kind, Now); },
+                    Notice);
 }
 
-bool Quarantine::take(const CrashNotice &Told, TimePoint Now) {
-  const CrashId Which =
-      crashOf(Told.EndpointKey, Told.DataCentre, Told.Run, Now - Told.Age);
-  bool New = false;
-  for (const std::uint64_t Fingerprint : Told.Fingerprints)
-    if (Crashes.find(Which)->Present.insert(Fingerprint).second) {
-      add(Which, Fingerprint);
-      New = true;
+bool Quarantine::ingest(const CrashNotice &Notice, TimePoint Now) {
+  const CrashId Seen = crashOf(Notice.EndpointKey, Notice.DataCentre,
+                               Notice.Run, Now - Notice.Age);
+  bool IsNews = false;
+  for (const std::uint64_t Fingerprint : Notice.Fingerprints)
+    if (Crashes.find(Seen)->Present.insert(Fingerprint).second) {
+      add(Seen, Fingerprint);
+      IsNews = true;
     }
-  judgeMass(Which);
-  return New;
+  judgeMass(Seen);
+  return IsNews;
 }
 
-bool Quarantine::take(const DismissNotice &Told, TimePoint /*Now*/) {
-  return dismiss(Told.EndpointKey);
+bool Quarantine::ingest(const DismissNotice &Notice, TimePoint /*Now*/) {
+  return dismiss(Notice.EndpointKey);
 }
 
-bool Quarantine::take(const ClearNotice &Told, TimePoint Now) {
-  if (standing(Told.Fingerprint, Now) != Standing::Suspect)
+bool Quarantine::ingest(const ClearNotice &Notice, TimePoint Now) {
+  if (standing(Notice.Fingerprint, Now) != Standing::Suspect)
     return false;
-  clear(Told.Fingerprint);
+  clear(Notice.Fingerprint);
   return true;
 }
 
--- a/packages/request/src/coltsfoottrail/quarantine/quarantine.hpp
+++ b/packages/request/src/coltsfoottrail/quarantine/quarantine.hpp
@@ -91,7 +91,7 @@
 
   /// @brief Takes what another entry host tells.
   /// @return Whether it was news here.
-  bool observe(const QuarantineNotice &Told, TimePoint Now);
+  bool observe(const QuarantineNotice &Notice, TimePoint Now);
 
   /// @brief Hands out what the other entry hosts should be told.
   [[nodiscard]] std::vector<QuarantineNotice> noticesOut(TimePoint Now);
@@ -126,9 +126,9 @@
   liveCrashes(const Suspect &Known) const;
   [[nodiscard]] static bool aloneAt(std::span<const Crash *const> All);
   [[nodiscard]] static bool anyAtMost(std::span<Crash *const> All);
-  bool take(const CrashNotice &Told, TimePoint Now);
-  bool take(const DismissNotice &Told, TimePoint Now);
-  bool take(const ClearNotice &Told, TimePoint Now);
+  bool ingest(const CrashNotice &Notice, TimePoint Now);
+  bool ingest(const DismissNotice &Notice, TimePoint Now);
+  bool ingest(const ClearNotice &Notice, TimePoint Now);
   void judgeMass(CrashId Which);
   bool dismiss(std::string_view EndpointKey);
   void add(CrashId Which, std::uint64_t Fingerprint);
