Keep members of a closed group until no order to open it can arrive

Cause: an order to open that got no answer is repeated after 0.9 s. The repetition opens the group, its record clears OpenPending, a member is lost, the group is closed and retired at once. The first copy, carried out up to 12 s later, opens it again; a retired epoch is not looked at any more, and its leader and members are given to other groups. The same happens when a successor closes a group that its predecessor ordered to open.

Change: a group knows whether an order to open it may still be carried out: it has no outcome yet, or ended unknown less than 12 s ago, or the group was adopted less than 12 s ago. Then the leader of a closed group that has lost a member leaves it before its members are free; a late order to open meets no seat. It costs one order and one record, after such orders only.

Ruled out: Candidacy and the lease (one coordinator throughout), the store's outages (none in the play), staging orders. Sending the expected number of orders with each order would need a report from the engine before each.

--- a/packages/version/src/coltsfoottrail/assembly/assembler.cpp
+++ b/packages/version/src/coltsfoottrail/assembly/assembler.cpp
@@ -131,6 +131,7 @@
       Group.JoinBy =
           std::max(Group.JoinBy, Context.Now + Context.loadTime(Served));
     Group.OpenPending = true;
+    Group.OpenMayArriveUntil = Context.Now + Times.LatestExecution;
     Group.Adopted = true;
     addEvent(GroupFate::Adopted, Group, {}, "from the records");
     Groups.emplace(Epoch, std::move(Group));
@@ -158,7 +159,15 @@
                    Pending.erase(Entry);
                    LockedUntil[Endpoint] = Now + Times.ExclusionTime;
                  },
-                 [&](const OpenSeat &) {},
+                 [&](const OpenSeat &Open) {
+                   const auto Entry = Groups.find(Open.Epoch);
+                   if (Entry == Groups.end())
+                     return;
+                   GroupState &Group = Entry->second;
+                   Group.OpensInFlight -= Group.OpensInFlight > 0 ? 1 : 0;
+                   if (Outcome == OrderOutcome::Unknown)
+                     Group.OpenMayArriveUntil = Now + Times.LatestExecution;
+                 },
                  [&](const CloseSeat &) {},
                  [&](const LeaveSeat &) {},
                  [&](const StageModel &) {
--- a/packages/version/src/coltsfoottrail/assembly/assembler.hpp
+++ b/packages/version/src/coltsfoottrail/assembly/assembler.hpp
@@ -43,6 +43,9 @@
   Duration ProbeTimeout = milliseconds(600);
   /// How long an engine that did not join in time is excluded from new groups.
   Duration ExclusionTime = seconds(6);
+  /// An order that was not answered may be carried out up to this much later,
+  /// after newer orders.
+  Duration LatestExecution = seconds(12);
 };
 
 /// @brief Inputs of the assembly.
@@ -115,7 +118,8 @@
 /// under this group, epoch and member list;
 /// - a member takes a seat elsewhere only after its leader was seen closed,
 /// broken, restarted or in another group, or after its own record showed that
-/// it has left;
+/// it has left, and only if no order that is still to be carried out can undo
+/// that;
 /// - a group that a predecessor formed and did not open is formed anew: a join
 /// that the predecessor ordered may still be carried out, and its epoch is
 /// above that of the group;
@@ -187,6 +191,10 @@
     /// effect yet.
     bool OpenPending = false;
     bool WasOpen = false;
+    /// Orders to open that have no outcome yet.
+    std::uint32_t OpensInFlight = 0;
+    /// An order to open that was not answered may be carried out until then.
+    TimePoint OpenMayArriveUntil{};
     /// Formed by a previous coordinator.
     bool Adopted = false;
     std::optional<TimePoint> CloseOrdered;
@@ -245,6 +253,9 @@
                                       const SeatState &Leader, bool Evict);
   [[nodiscard]] bool isEveryMemberReady(const PlanContext &Context,
                                         const GroupState &Group) const;
+  /// Whether an order to open a group may still be carried out.
+  [[nodiscard]] static bool mayBeOpened(const PlanContext &Context,
+                                        const GroupState &Group);
   void orderOpen(PlanContext &Context, GroupState &Group);
   void orderClose(PlanContext &Context, GroupState &Group, bool Evict);
   void orderLeave(PlanContext &Context, GroupState &Group,
--- a/packages/version/src/coltsfoottrail/assembly/repair.cpp
+++ b/packages/version/src/coltsfoottrail/assembly/repair.cpp
@@ -209,13 +209,14 @@
     retire(Group, "a member was lost before the group was ready");
     return true;
   case SeatPhase::Ready:
-    if (!Group.OpenPending) {
+    if (!Group.OpenPending && !mayBeOpened(Context, Group)) {
       retire(Group, "closed after the loss of a member");
       return true;
     }
-    // Failure guarded against: the leader is opening, or the order to open
-    // arrives late, while its record still says that it is closed, and its
-    // members would take seats in another group beside one that serves. Once
+    // Failure guarded against: the leader is opening, or an order to open
+    // arrives late, while its record says that it is closed, and its members
+    // would take seats in another group beside one that serves. The late order
+    // may be the first copy of one whose repetition has opened the group. Once
     // the leader has left the group, it can no longer open it.
     dismissLeader(Context, Group);
     return false;
@@ -243,11 +244,17 @@
                      });
 }
 
+bool Assembler::mayBeOpened(const PlanContext &Context,
+                            const GroupState &Group) {
+  return Group.OpensInFlight > 0 || Context.Now < Group.OpenMayArriveUntil;
+}
+
 void Assembler::orderOpen(PlanContext &Context, GroupState &Group) {
   if (Group.OpenOrdered && Context.Now < *Group.OpenOrdered + Times.OrderRetry)
     return;
   Group.OpenOrdered = Context.Now;
   Group.OpenPending = true;
+  ++Group.OpensInFlight;
   const KnownEndpoint &Leader =
       *Context.View.Endpoints.find(Group.Members.front().Name);
   Context.order(Leader, OpenSeat{Group.Name, Group.Epoch});
--- a/packages/version/test/coltsfoottrail/assembly/engines.hpp
+++ b/packages/version/test/coltsfoottrail/assembly/engines.hpp
@@ -8,12 +8,22 @@
 #include "coltsfoottrail/core/overloaded.hpp"
 
 #include <algorithm>
+#include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
 namespace coltsfoottrail::test {
 
+/// @brief What becomes of an order on its way.
+struct OrderFate {
+  /// Whether its outcome reaches the assembler; Unknown otherwise.
+  bool Answered = true;
+  /// When it is carried out: at once, later, or never if not set.
+  std::optional<Duration> After = Duration{0};
+};
+
 /// @brief Engines whose records follow the orders that they get, at once or
 /// when the test says so. Checks the invariants of the assembler at each order.
 class FakeEngines {
@@ -52,20 +62,62 @@
   /// Removes an engine together with its record.
   void removeEngine(const EndpointName &Name) {
     Records.erase(Name);
+    Opening.erase(Name);
+    Catalogue.remove(Name, Now);
+  }
+
+  /// Starts an engine again under its name: it knows nothing of before.
+  void restart(const EndpointName &Name) {
+    EndpointRecord &Engine = Records.at(Name);
+    ++Engine.StartedAtMs;
+    Engine.Sequence = 0;
+    Engine.Seat.reset();
+    Engine.Loaded.clear();
+    Opening.erase(Name);
+    SeenEpochs.erase(Name);
+    note(Name.Text + " restarts");
+    publish(Name);
+  }
+
+  /// Removes the record of an engine that is alive; it publishes none until the
+  /// test says so.
+  void cutOff(const EndpointName &Name) {
+    CutOffFromStore.insert(Name);
+    std::erase_if(RecordsInFlight,
+                  [&](const auto &Entry) { return Entry.second.Name == Name; });
     Catalogue.remove(Name, Now);
+    note(Name.Text + " is cut off");
+  }
+
+  /// Publishes the record of an engine that was cut off.
+  void reconnect(const EndpointName &Name) {
+    CutOffFromStore.erase(Name);
+    publish(Name);
+  }
+
+  /// Replaces the coordinator by one that knows the catalogue alone.
+  void replaceCoordinator() {
+    GroupAssembler = Assembler(AssemblyTimes{});
+    GroupAssembler.begin(Now);
+    ++Fence;
+    note("another coordinator, fence " + std::to_string(Fence));
   }
 
   void publish(const EndpointName &Name) {
     ++Records.at(Name).Sequence;
     if (CutOffFromStore.contains(Name))
       return;
-    Catalogue.publish(Records.at(Name), Now);
+    if (RecordDelay)
+      RecordsInFlight.emplace(Now + RecordDelay(), Records.at(Name));
+    else
+      Catalogue.publish(Records.at(Name), Now);
   }
 
   /// Simulates an outage of the store during which the driver does not run.
   void failStore(Duration Span) {
     for (const auto &[Name, Record] : Records)
       CutOffFromStore.insert(Name);
+    RecordsInFlight.clear();
     Now += Span;
   }
 
@@ -106,9 +158,20 @@
                             Fence,     TrafficStarted, MaxOrders};
     const std::vector<SeatCommand> Orders = GroupAssembler.plan(View, Now);
     for (const SeatCommand &Command : Orders) {
-      const OrderOutcome Outcome = execute(Command);
+      const OrderFate Fate = FateOf ? FateOf(Command) : OrderFate{};
+      OrderOutcome Outcome = OrderOutcome::Unknown;
+      if (Fate.After == Duration{0})
+        Outcome = execute(Command);
+      else if (Fate.After)
+        InFlight.emplace(Now + *Fate.After, Command);
+      if (!Fate.Answered)
+        Outcome = OrderOutcome::Unknown;
       GroupAssembler.recordOutcome(Command.To, Command.Order, Outcome, Now);
+      note(Command, Fate);
     }
+    for (const GroupEvent &Event : GroupAssembler.takeEvents())
+      note("group " + std::to_string(Event.Epoch) + ": " +
+           std::string(Event.Why));
     for (const MemberProbe &Probe : GroupAssembler.takeProbes())
       GroupAssembler.recordProbeResult(Probe.Name, Records.contains(Probe.Name),
                                        Now);
@@ -120,12 +183,52 @@
   void run(Duration Span) {
     for (const TimePoint End = Now + Span; Now < End;
          Now += milliseconds(100)) {
+      deliver();
+      breakStalled();
       step();
       if (!Slow)
         finishAll();
     }
   }
 
+  /// Carries out the orders that arrive late.
+  void deliver() {
+    while (!InFlight.empty() && InFlight.begin()->first <= Now) {
+      const SeatCommand Command = InFlight.begin()->second;
+      InFlight.erase(InFlight.begin());
+      note("late:");
+      note(Command, {});
+      (void)execute(Command);
+    }
+    while (!RecordsInFlight.empty() && RecordsInFlight.begin()->first <= Now) {
+      const EndpointRecord &Record = RecordsInFlight.begin()->second;
+      if (Records.contains(Record.Name) &&
+          !CutOffFromStore.contains(Record.Name))
+        Catalogue.publish(Record, Now);
+      RecordsInFlight.erase(RecordsInFlight.begin());
+    }
+  }
+
+  /// Breaks leaders a while after they have lost a member, even if it is back.
+  void breakStalled() {
+    if (!StallTime)
+      return;
+    for (auto &[Name, Record] : Records) {
+      if (!Record.isServingLeader()) {
+        StalledSince.erase(Name);
+        continue;
+      }
+      if (membersOf(Name).size() < sizeOf(Record))
+        StalledSince.try_emplace(Name, Now);
+      const auto Entry = StalledSince.find(Name);
+      if (Entry == StalledSince.end() || Now - Entry->second < *StallTime)
+        continue;
+      StalledSince.erase(Entry);
+      Record.Seat->Phase = SeatPhase::Broken;
+      publish(Name);
+    }
+  }
+
   /// Completes the load of an endpoint.
   void finishLoad(const EndpointName &Name) {
     Records.at(Name).Seat->Phase = SeatPhase::Ready;
@@ -135,8 +238,10 @@
   /// Whether an endpoint would accept a join order that reaches it now.
   [[nodiscard]] bool acceptsJoin(const EndpointName &Name,
                                  const JoinSeat &Join) const {
-    const auto &Seat = Records.at(Name).Seat;
-    return !Seat || Join.Epoch > Seat->Epoch;
+    const auto Seen = SeenEpochs.find(Name);
+    return Seen == SeenEpochs.end() || Join.Epoch > Seen->second.Epoch ||
+           (Join.Epoch == Seen->second.Epoch &&
+            Join.Members == Seen->second.Members);
   }
 
   void finishAll() {
@@ -180,6 +285,26 @@
   std::set<EndpointName> CutOffFromStore;
   /// Endpoints that carry out no order.
   std::set<EndpointName> IgnoringOrders;
+  /// What becomes of each order; all arrive and are answered if not set.
+  std::function<OrderFate(const SeatCommand &)> FateOf;
+  /// How long a record takes to reach the coordinator; none if not set.
+  std::function<Duration()> RecordDelay;
+  /// Records that have yet to reach it, by the time of that.
+  std::multimap<TimePoint, EndpointRecord> RecordsInFlight;
+  /// How long a leader serves without all its members; for ever if not set.
+  std::optional<Duration> StallTime;
+  /// When leaders that serve were first seen to lack a member.
+  std::map<EndpointName, TimePoint> StalledSince;
+  /// Whether to keep a history for the trace.
+  bool Traces = false;
+  /// Orders, fates of groups and losses of engines, oldest first.
+  std::vector<std::string> History;
+  /// What led to the first join of a member whose leader was open or opening.
+  std::string Trace;
+  /// Orders that are carried out late, by the time of that.
+  std::multimap<TimePoint, SeatCommand> InFlight;
+  /// The join with the highest epoch that each engine has accepted in its life.
+  std::map<EndpointName, JoinSeat> SeenEpochs;
   Assembler GroupAssembler{AssemblyTimes{}};
   TimePoint Now{seconds(1000)};
   std::uint64_t Fence = 1;
@@ -197,40 +322,76 @@
     if (Entry == Records.end() || IgnoringOrders.contains(Command.To))
       return OrderOutcome::Unknown;
     EndpointRecord &Engine = Entry->second;
-    std::visit(
-        Overloaded{
-            [&](const JoinSeat &Join) { join(Engine, Join); },
-            [&](const OpenSeat &Open) {
-              std::size_t Ready = 0;
-              for (const auto &[Name, Record] : Records)
-                Ready += Record.Seat && Record.Seat->Epoch == Open.Epoch &&
-                         Record.Seat->Phase == SeatPhase::Ready;
-              OpenedPartial += Ready == sizeOf(Engine) ? 0 : 1;
-              Opening.insert(Engine.Name);
-            },
-            [&](const CloseSeat &) {
-              Opening.erase(Engine.Name);
-              if (Engine.Seat)
-                Engine.Seat->Phase = SeatPhase::Ready;
-            },
-            [&](const LeaveSeat &) {
-              Opening.erase(Engine.Name);
-              Engine.Seat.reset();
-            },
-            [&](const StageModel &Stage) { Engine.Staged = {Stage.Model}; },
-        },
-        Command.Order);
-    publish(Engine.Name);
+    const OrderOutcome Outcome =
+        std::visit(Overloaded{
+                       [&](const JoinSeat &Join) { return join(Engine, Join); },
+                       [&](const OpenSeat &Open) { return open(Engine, Open); },
+                       [&](const CloseSeat &Close) {
+                         if (!isSeatedIn(Engine, Close))
+                           return OrderOutcome::Unfit;
+                         Opening.erase(Engine.Name);
+                         if (Engine.Seat->Phase == SeatPhase::Open)
+                           Engine.Seat->Phase = SeatPhase::Ready;
+                         return OrderOutcome::Taken;
+                       },
+                       [&](const LeaveSeat &Leave) {
+                         if (!isSeatedIn(Engine, Leave))
+                           return OrderOutcome::Unfit;
+                         Opening.erase(Engine.Name);
+                         Engine.Seat.reset();
+                         return OrderOutcome::Taken;
+                       },
+                       [&](const StageModel &Stage) {
+                         Engine.Staged = {Stage.Model};
+                         return OrderOutcome::Taken;
+                       },
+                   },
+                   Command.Order);
+    if (Outcome == OrderOutcome::Taken)
+      publish(Engine.Name);
+    return Outcome;
+  }
+
+  /// Whether an order names the group in which an engine is seated.
+  template <typename GroupOrder>
+  [[nodiscard]] static bool isSeatedIn(const EndpointRecord &Engine,
+                                       const GroupOrder &Order) {
+    return Engine.Seat && Engine.Seat->Group == Order.Group &&
+           Engine.Seat->Epoch == Order.Epoch;
+  }
+
+  /// A leader that is ready opens without a look at the other members.
+  OrderOutcome open(EndpointRecord &Engine, const OpenSeat &Open) {
+    if (!isSeatedIn(Engine, Open) || Engine.Seat->Rank != 0)
+      return OrderOutcome::Unfit;
+    if (Engine.Seat->Phase == SeatPhase::Open || Opening.contains(Engine.Name))
+      return OrderOutcome::Taken;
+    if (Engine.Seat->Phase != SeatPhase::Ready)
+      return OrderOutcome::Unfit;
+    std::size_t Ready = 0;
+    for (const auto &[Name, Record] : Records)
+      Ready += Record.Seat && Record.Seat->Epoch == Open.Epoch &&
+               Record.Seat->Phase == SeatPhase::Ready;
+    OpenedPartial += Ready == sizeOf(Engine) ? 0 : 1;
+    Opening.insert(Engine.Name);
     return OrderOutcome::Taken;
   }
 
-  void join(EndpointRecord &Engine, const JoinSeat &Join) {
+  OrderOutcome join(EndpointRecord &Engine, const JoinSeat &Join) {
+    if (!acceptsJoin(Engine.Name, Join))
+      return OrderOutcome::Fenced;
+    if (isSeatedIn(Engine, Join))
+      return OrderOutcome::Taken;
+    SeenEpochs[Engine.Name] = Join;
     if (Engine.Seat)
       for (const auto &[Name, Record] : Records)
         if (Record.Seat && Record.Seat->Epoch == Engine.Seat->Epoch &&
             Record.Seat->Rank == 0 &&
-            (Record.isServingLeader() || Opening.contains(Name)))
+            (Record.isServingLeader() || Opening.contains(Name))) {
           ++JoinedWhileOpen;
+          recordTrace(Engine, Join, Record);
+        }
+    Opening.erase(Engine.Name);
     GroupSeat Seat;
     Seat.Group = Join.Group;
     Seat.Epoch = Join.Epoch;
@@ -240,6 +401,53 @@
     Engine.Seat = Seat;
     Engine.Loaded = {Join.Model};
     Engine.Staged = {Join.Model};
+    return OrderOutcome::Taken;
+  }
+
+  void note(const std::string &Text) {
+    if (Traces)
+      History.push_back(std::to_string(std::chrono::duration_cast<milliseconds>(
+                                           Now.time_since_epoch())
+                                           .count()) +
+                        " " + Text);
+  }
+
+  void note(const SeatCommand &Command, const OrderFate &Fate) {
+    const auto Text =
+        std::visit(Overloaded{
+                       [](const JoinSeat &Order) {
+                         return "join " + std::to_string(Order.Epoch);
+                       },
+                       [](const OpenSeat &Order) {
+                         return "open " + std::to_string(Order.Epoch);
+                       },
+                       [](const CloseSeat &Order) {
+                         return "close " + std::to_string(Order.Epoch);
+                       },
+                       [](const LeaveSeat &Order) {
+                         return "leave " + std::to_string(Order.Epoch);
+                       },
+                       [](const StageModel &) { return std::string("stage"); },
+                   },
+                   Command.Order);
+    note(Command.To.Text + " " + Text + (Fate.Answered ? "" : " no answer") +
+         (Fate.After == Duration{0} ? ""
+          : Fate.After              ? ", late"
+                                    : ", lost"));
+  }
+
+  void recordTrace(const EndpointRecord &Engine, const JoinSeat &Join,
+                   const EndpointRecord &Leader) {
+    if (!Trace.empty())
+      return;
+    Trace = Engine.Name.Text + " joins " + std::to_string(Join.Epoch) +
+            " while " + Leader.Name.Text + " serves " +
+            std::to_string(Leader.Seat->Epoch);
+    for (const std::string &Line : History)
+      if (Line.find(std::to_string(Leader.Seat->Epoch)) != std::string::npos ||
+          Line.find(Engine.Name.Text + " ") != std::string::npos ||
+          Line.find(Leader.Name.Text + " ") != std::string::npos)
+        Trace += "\n" + Line;
   }
 
   [[nodiscard]] std::size_t sizeOf(const EndpointRecord &Engine) const {
--- /dev/null
+++ b/packages/version/test/coltsfoottrail/assembly/lateorders.cpp
@@ -0,0 +1,84 @@
+// Tests of the assembler with orders that are lost or carried out late, and
+// with records that are old.
+#include "coltsfoottrail/assembly/assembler.hpp"
+
+#include "engines.hpp"
+
+#include <gtest/gtest.h>
+
+namespace coltsfoottrail::test {
+
+namespace {
+
+constexpr Duration SettlingTime = seconds(2);
+
+/// Adds a domain to a fleet that serves the large model alone.
+void addLargeDomain(FakeEngines &Fleet, int Count) {
+  Fleet.Service.Engine->Models.resize(1);
+  Fleet.addDomain("north", "n0", Count);
+}
+
+/// Adds an engine with the weights of the large model on its host.
+void addSpare(FakeEngines &Fleet, const std::string &Name) {
+  Fleet.add(Name, "north", "n0");
+  Fleet.Records.at(EndpointName(Name)).Staged = {ModelName("big")};
+  Fleet.publish(EndpointName(Name));
+}
+
+/// Returns a member of the only group that serves, other than its leader.
+EndpointName someMember(const FakeEngines &Fleet) {
+  return Fleet.membersOf(Fleet.leaders().front()).back();
+}
+
+// Guards against an engine that serves two groups at once. An order to open is
+// not answered, its repetition opens the group, and the group is closed because
+// it lost a member. Then the first order is carried out: the group serves
+// again, and its engines are given to another one.
+TEST(LateOrders, OpenOvertakenByItsRepetitionAndAClose) {
+  FakeEngines Fleet;
+  int Opens = 0;
+  Fleet.FateOf = [&](const SeatCommand &Command) -> OrderFate {
+    if (std::holds_alternative<OpenSeat>(Command.Order) && ++Opens == 1)
+      return {false, seconds(6)};
+    return {};
+  };
+  addLargeDomain(Fleet, 4);
+  Fleet.run(seconds(3));
+  ASSERT_EQ(Fleet.leaders().size(), 1U);
+  Fleet.TrafficStarted = true;
+  Fleet.removeEngine(someMember(Fleet));
+  Fleet.run(seconds(6));
+  EXPECT_EQ(Fleet.leaders().size(), 0U) << "a member is missing";
+  addSpare(Fleet, "n0-late");
+  Fleet.run(SettlingTime);
+  EXPECT_EQ(Fleet.leaders().size(), 1U);
+  EXPECT_EQ(Fleet.OpenedPartial, 0);
+  EXPECT_EQ(Fleet.JoinedWhileOpen, 0);
+}
+
+// As above, with a successor that finds the group open and closes it.
+TEST(LateOrders, OpenOfAPredecessorAfterTheCloseOfItsSuccessor) {
+  FakeEngines Fleet;
+  int Opens = 0;
+  Fleet.FateOf = [&](const SeatCommand &Command) -> OrderFate {
+    if (std::holds_alternative<OpenSeat>(Command.Order) && ++Opens == 1)
+      return {false, seconds(6)};
+    return {};
+  };
+  addLargeDomain(Fleet, 4);
+  Fleet.run(seconds(3));
+  ASSERT_EQ(Fleet.leaders().size(), 1U);
+  Fleet.TrafficStarted = true;
+  Fleet.replaceCoordinator();
+  Fleet.removeEngine(someMember(Fleet));
+  Fleet.run(seconds(6));
+  addSpare(Fleet, "n0-late");
+  Fleet.run(SettlingTime);
+  EXPECT_EQ(Fleet.leaders().size(), 1U);
+  EXPECT_EQ(Fleet.OpenedPartial, 0);
+  EXPECT_EQ(Fleet.JoinedWhileOpen, 0);
+}
+
+} // namespace
+
+} // namespace coltsfoottrail::test
