Wait for a leader's record after an outage before its members are taken

Cause: removals are deferred for 2.5 s after the store's return. A leader that has not published itself since is then known by its last record, which a successor may have from before the group. By that record the leader has left, or was joining while a member was lost; the group is retired, and its members are given away while the leader serves.

Evidence: the two tests fail on the code before with JoinedWhileOpen 1, expected 0.

Change: while the record of a leader may be from before the outage and does not show the group open or closing, nothing is concluded from it: at most 2.5 s after an outage, and only for leaders that have not published themselves.

Ruled out: what is known of a leader whose record is gone or that does not answer probes; that is handled before and does not wait.

--- a/packages/version/src/coltsfoottrail/assembly/repair.cpp
+++ b/packages/version/src/coltsfoottrail/assembly/repair.cpp
@@ -90,6 +90,15 @@
   if (LeaderEndpoint == nullptr || isDead(*LeaderEndpoint))
     return handleLeaderLoss(Context, Group);
   const std::optional<SeatState> Seat = seatOf(*LeaderEndpoint);
+  const bool Serves =
+      Seat && Seat->Epoch == Group.Epoch &&
+      (Seat->Phase == SeatPhase::Open || Seat->Phase == SeatPhase::Closing);
+  // Failure guarded against: a leader has not published itself again after an
+  // outage of the store, and its last record is from before the group was
+  // opened or even formed. Its members would be taken from a group that serves.
+  if (!Serves &&
+      Context.View.Endpoints.mayBeStale(*LeaderEndpoint, Context.Now))
+    return false;
   if (LeaderEndpoint->Record.StartedAtMs != Leader.StartedAtMs || !Seat ||
       Seat->Epoch != Group.Epoch) {
     retire(Group, "the leader has left the group");
--- a/packages/version/test/coltsfoottrail/assembly/lateorders.cpp
+++ b/packages/version/test/coltsfoottrail/assembly/lateorders.cpp
@@ -79,6 +79,70 @@
   EXPECT_EQ(Fleet.JoinedWhileOpen, 0);
 }
 
+// Guards against an engine that serves two groups at once. A group was formed
+// and opened while the successor was cut off from the store. The records lapse
+// in an outage, and on the return of the store its members publish themselves
+// before its leader, of which the successor has kept a record from before the
+// group. By that record the leader has left.
+TEST(LateOrders, SuccessorKeepsARecordOfALeaderFromBeforeItsGroup) {
+  FakeEngines Fleet;
+  addLargeDomain(Fleet, 5);
+  const EndpointCatalogue Before = Fleet.Catalogue;
+  Fleet.run(SettlingTime);
+  ASSERT_EQ(Fleet.leaders().size(), 1U);
+  const std::vector<EndpointName> Leaders = Fleet.leaders();
+  Fleet.TrafficStarted = true;
+  Fleet.failStore(seconds(6));
+  Fleet.Catalogue = Before;
+  Fleet.restoreStore();
+  Fleet.Catalogue.retain({}, Fleet.Now);
+  Fleet.replaceCoordinator();
+  std::vector<EndpointName> Others;
+  for (const auto &[Name, Record] : Fleet.Records)
+    if (Name != Leaders.front())
+      Others.push_back(Name);
+  for (const EndpointName &Name : Others)
+    Fleet.publish(Name);
+  Fleet.run(seconds(1));
+  Fleet.publish(Leaders.front());
+  Fleet.run(SettlingTime);
+  EXPECT_EQ(Fleet.leaders(), Leaders) << "the group is sound";
+  EXPECT_EQ(Fleet.JoinedWhileOpen, 0);
+}
+
+// As above; the record shows that the leader was joining, and a member was lost
+// in the outage.
+TEST(LateOrders, SuccessorKeepsARecordOfALeaderFromBeforeItOpened) {
+  FakeEngines Fleet;
+  Fleet.Slow = true;
+  addLargeDomain(Fleet, 6);
+  Fleet.run(SettlingTime);
+  const EndpointCatalogue Before = Fleet.Catalogue;
+  Fleet.Slow = false;
+  Fleet.run(SettlingTime);
+  ASSERT_EQ(Fleet.leaders().size(), 1U);
+  const std::vector<EndpointName> Leaders = Fleet.leaders();
+  Fleet.TrafficStarted = true;
+  const EndpointName Lost = someMember(Fleet);
+  Fleet.failStore(seconds(6));
+  Fleet.Catalogue = Before;
+  Fleet.restoreStore();
+  Fleet.Catalogue.retain({}, Fleet.Now);
+  Fleet.replaceCoordinator();
+  Fleet.restart(Lost);
+  std::vector<EndpointName> Others;
+  for (const auto &[Name, Record] : Fleet.Records)
+    if (Name != Leaders.front())
+      Others.push_back(Name);
+  for (const EndpointName &Name : Others)
+    Fleet.publish(Name);
+  Fleet.run(seconds(1));
+  Fleet.publish(Leaders.front());
+  Fleet.run(seconds(4));
+  EXPECT_EQ(Fleet.JoinedWhileOpen, 0);
+  EXPECT_EQ(Fleet.OpenedPartial, 0);
+}
+
 } // namespace
 
 } // namespace coltsfoottrail::test
