Use an engine again whose join was lost and is repeated by nobody

Cause: an ordered join stays pending until the engine's record shows a seat of that epoch. Joins of a group are repeated while the group is being formed; the join of a spare, or of a group that was given up, is not. If it was lost, the engine counts as taken for ever.

The two tests fail on the code before: 0 leaders, expected 1.

A late copy meets a higher epoch and is refused.

--- a/packages/version/src/coltsfoottrail/assembly/assembler.cpp
+++ b/packages/version/src/coltsfoottrail/assembly/assembler.cpp
@@ -73,7 +73,13 @@
         Endpoint->Record.StartedAtMs != Entry.second.StartedAtMs)
       return true;
     const auto &Seat = Endpoint->Record.Seat;
-    return Seat && Seat->Epoch >= Entry.second.Epoch;
+    if (Seat && Seat->Epoch >= Entry.second.Epoch)
+      return true;
+    // Failure guarded against: a join that nobody repeats, of a spare or of a
+    // group that was given up, is lost, and its engine is never used again. The
+    // next join has a higher epoch, so a late copy of this one is refused.
+    return !Groups.contains(Entry.second.Epoch) &&
+           Context.Now >= Entry.second.OrderedAt + Times.JoinSlack;
   });
   const auto IsExpired = [&](const auto &Entry) {
     return Entry.second <= Context.Now;
--- a/packages/version/test/coltsfoottrail/assembly/lateorders.cpp
+++ b/packages/version/test/coltsfoottrail/assembly/lateorders.cpp
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr Duration SettlingTime = seconds(2);
+/// An order without an answer may be carried out up to this much later.
+constexpr Duration LatestOrder = seconds(12);
 
 /// Adds a domain to a fleet that serves the large model alone.
 void addLargeDomain(FakeEngines &Fleet, int Count) {
@@ -143,6 +145,48 @@
   EXPECT_EQ(Fleet.OpenedPartial, 0);
 }
 
+// Guards against an engine that no group gets any more: the order that should
+// have made a spare load its model was lost.
+TEST(LateOrders, SpareWhoseJoinWasLostIsUsed) {
+  FakeEngines Fleet;
+  addLargeDomain(Fleet, 4);
+  Fleet.run(SettlingTime);
+  ASSERT_EQ(Fleet.leaders().size(), 1U);
+  Fleet.TrafficStarted = true;
+  Fleet.FateOf = [&](const SeatCommand &Command) -> OrderFate {
+    return Command.To == EndpointName("n0-spare")
+               ? OrderFate{false, std::nullopt}
+               : OrderFate{};
+  };
+  addSpare(Fleet, "n0-spare");
+  Fleet.run(SettlingTime);
+  Fleet.FateOf = nullptr;
+  Fleet.run(LatestOrder);
+  Fleet.removeEngine(someMember(Fleet));
+  Fleet.run(seconds(4));
+  EXPECT_EQ(Fleet.leaders().size(), 1U);
+}
+
+// As above: the order to join a group that was given up was lost.
+TEST(LateOrders, MemberWhoseJoinWasLostIsUsedWhenItsGroupIsGivenUp) {
+  FakeEngines Fleet;
+  Fleet.FateOf = [&](const SeatCommand &Command) -> OrderFate {
+    return Command.To == EndpointName("n0-3") ? OrderFate{false, std::nullopt}
+                                              : OrderFate{};
+  };
+  addLargeDomain(Fleet, 4);
+  Fleet.run(SettlingTime);
+  Fleet.TrafficStarted = true;
+  ASSERT_EQ(Fleet.leaders().size(), 0U);
+  Fleet.removeEngine(EndpointName("n0-0"));
+  Fleet.FateOf = nullptr;
+  Fleet.run(seconds(1));
+  addSpare(Fleet, "n0-spare");
+  Fleet.setWeights(EndpointName("n0-3"), ModelName("big"));
+  Fleet.run(LatestOrder);
+  EXPECT_EQ(Fleet.leaders().size(), 1U);
+}
+
 } // namespace
 
 } // namespace coltsfoottrail::test
