Keep a sound group whose members are back later than its leader

What callers saw: streams cut off after an outage of the store.

Cause: a successor adopts a group by the record of its leader. Members whose records are not back yet have no name in it and count as lost, so a group that serves is closed at once, and its streams are evicted. The places were not filled later either.

--- a/packages/version/src/coltsfoottrail/assembly/assembler.cpp
+++ b/packages/version/src/coltsfoottrail/assembly/assembler.cpp
@@ -105,7 +105,8 @@
   }
 }
 
-/// Takes over groups that the records show and that this term did not form.
+/// Takes over groups that the records show and that this term did not form, and
+/// members of such groups whose records appear later.
 void Assembler::adoptGroups(const PlanContext &Context) {
   std::map<GroupEpoch, GroupState> NewGroups;
   for (const auto &[Name, Endpoint] : Context.View.Endpoints.all()) {
@@ -114,14 +115,21 @@
         isStandby(*Record.Seat))
       continue;
     const GroupSeat &Seat = *Record.Seat;
-    if (Groups.contains(Seat.Epoch) || Retired.contains(Seat.Epoch))
+    const GroupMember Member{Name, Record.StartedAtMs, Record.Address};
+    if (const auto Known = Groups.find(Seat.Epoch); Known != Groups.end()) {
+      std::vector<GroupMember> &Members = Known->second.Members;
+      if (Seat.Rank < Members.size() && Members[Seat.Rank].Name.empty())
+        Members[Seat.Rank] = Member;
+      continue;
+    }
+    if (Retired.contains(Seat.Epoch))
       continue;
     GroupState &Group = NewGroups[Seat.Epoch];
     Group.Name = Seat.Group;
     Group.Epoch = Seat.Epoch;
     if (Group.Members.size() <= Seat.Rank)
       Group.Members.resize(Seat.Rank + 1);
-    Group.Members[Seat.Rank] = {Name, Record.StartedAtMs, Record.Address};
+    Group.Members[Seat.Rank] = Member;
     if (const auto NameParts = parseGroupName(Seat.Group)) {
       Group.Model = NameParts->Model;
       Group.Members.front().Name = NameParts->Leader;
--- a/packages/version/src/coltsfoottrail/assembly/repair.cpp
+++ b/packages/version/src/coltsfoottrail/assembly/repair.cpp
@@ -53,8 +53,10 @@
     ProbeStates.erase(Member.Name);
     return holdsSeat(Context, Member, Epoch);
   }
+  // Members of an adopted group that have not published themselves since an
+  // outage of the store are not known yet.
   if (Member.Name.empty() || Member.Address.Port == 0)
-    return false;
+    return Context.View.Endpoints.isSettling(Context.Now);
   const auto [Entry, IsNew] =
       ProbeStates.try_emplace(Member.Name, ProbeState{Context.Now});
   ProbeState &Probe = Entry->second;
--- a/packages/version/test/coltsfoottrail/assembly/lateorders.cpp
+++ b/packages/version/test/coltsfoottrail/assembly/lateorders.cpp
@@ -145,6 +145,39 @@
   EXPECT_EQ(Fleet.OpenedPartial, 0);
 }
 
+// Guards against streams that are cut off after an outage. A successor reads
+// the record of a leader that serves before those of its members are back, and
+// would close the group for want of members.
+TEST(LateOrders, SuccessorReadsALeaderBeforeItsMembers) {
+  for (const bool KeepsOldRecords : {false, true}) {
+    FakeEngines Fleet;
+    addLargeDomain(Fleet, 4);
+    const EndpointCatalogue Before =
+        KeepsOldRecords ? Fleet.Catalogue : EndpointCatalogue{};
+    Fleet.run(SettlingTime);
+    ASSERT_EQ(Fleet.leaders().size(), 1U);
+    const EndpointName Leader = Fleet.leaders().front();
+    const GroupEpoch Epoch = Fleet.epochOf(Leader);
+    Fleet.TrafficStarted = true;
+    Fleet.failStore(seconds(6));
+    Fleet.Catalogue = Before;
+    Fleet.restoreStore();
+    Fleet.Catalogue.retain({}, Fleet.Now);
+    Fleet.replaceCoordinator();
+    Fleet.publish(Leader);
+    int Closes = 0;
+    Fleet.FateOf = [&](const SeatCommand &Command) -> OrderFate {
+      Closes += std::holds_alternative<CloseSeat>(Command.Order) ? 1 : 0;
+      return {};
+    };
+    Fleet.run(seconds(1));
+    Fleet.publishAll();
+    Fleet.run(SettlingTime);
+    EXPECT_EQ(Closes, 0) << "old records kept: " << KeepsOldRecords;
+    EXPECT_EQ(Fleet.epochOf(Leader), Epoch);
+  }
+}
+
 // Guards against an engine that no group gets any more: the order that should
 // have made a spare load its model was lost.
 TEST(LateOrders, SpareWhoseJoinWasLostIsUsed) {
