Count each host once when hosts take each other for the coordinator

Cause: the coordinator restarts while the store is away, or several change places. Hosts that take each other for the coordinator report to each other, each adds the other's sum to its own, and the count of hosts grows with every exchange; hosts keep the largest count for 30 s. The pause after a failed read (20 ms for each host) and the retries that each host may spend are divided by it.

The test fails with sums over all reporters as before: 62 and 60 hosts counted of 3, load 140 of 7.

Change: a host that is not the coordinator passes up its own loads and those of hosts that report to it as their relay. Hosts that report to it because they take it for the coordinator still get its sums, but are not passed on.

Ruled out: load of the machine alone (entries clean at load 110); the planned handover of the lease and two overlapping coordinators (no retry denied).

--- a/packages/process/src/coltsfoottrail/dissemination/link.cpp
+++ b/packages/process/src/coltsfoottrail/dissemination/link.cpp
@@ -185,8 +185,7 @@
   Report Result = Hooks.MakeReport();
   Result.Host = HostName(Self);
   Node.recordOwn(std::move(Result.Loads), Now);
-  Result.Loads = Node.subtreeLoads(Now);
-  Result.Hosts = Node.subtreeHosts(Now);
+  Node.addSubtree(Result, Now);
   Result.ToRelay = CurrentUpstream.hasRelay();
   Result.FailedRelay = CurrentUpstream.failedRelay(Now);
   return Result;
@@ -256,7 +255,7 @@
   const TimePoint Now = BootClock::now();
   CurrentUpstream.becomeCoordinator();
   Report RootReport = ownReport(Now);
-  recordHosts(RootReport.Hosts, Now);
+  recordHosts(Node.subtreeHosts(Now), Now);
   CoordinatorHeardAt = Now;
   Response Answer;
   Answer.Coordinates = true;
--- a/packages/process/src/coltsfoottrail/dissemination/node.cpp
+++ b/packages/process/src/coltsfoottrail/dissemination/node.cpp
@@ -76,7 +76,18 @@
 
 void TreeNode::recordReport(const Report &Received, TimePoint Now) {
   SubtreeLoads.advance(Now);
-  SubtreeLoads.report(Received.Host, Received.Loads, Now, Received.Hosts);
+  SubtreeLoads.report(Received.Host, Received.Loads, Now, Received.Hosts,
+                      Received.ToRelay ? LoadAggregator::Scope::Relayed
+                                       : LoadAggregator::Scope::All);
+}
+
+// Failure guarded against: the store is away, the coordinator has restarted,
+// and two hosts that take each other for the coordinator count each other's
+// hosts with every exchange. What is divided by the number of hosts, such as
+// reads of a store that fails, then stops for seconds after the store is back.
+void TreeNode::addSubtree(Report &OwnReport, TimePoint Now) const {
+  OwnReport.Loads = SubtreeLoads.total(Now, LoadAggregator::Scope::Relayed);
+  OwnReport.Hosts = SubtreeLoads.hosts(Now, LoadAggregator::Scope::Relayed);
 }
 
 void TreeNode::forgetReporters() {
--- a/packages/process/src/coltsfoottrail/dissemination/node.hpp
+++ b/packages/process/src/coltsfoottrail/dissemination/node.hpp
@@ -65,6 +65,9 @@
   [[nodiscard]] std::size_t subtreeHosts(TimePoint Now) const {
     return SubtreeLoads.hosts(Now);
   }
+  /// @brief Adds to a report of this host what it represents: the hosts that
+  /// report to it as their relay, and itself.
+  void addSubtree(Report &OwnReport, TimePoint Now) const;
   /// @brief Loads of all hosts except this one.
   [[nodiscard]] std::vector<EndpointLoad> otherLoads(TimePoint Now) const {
     return loadsExcept(Self, Now);
--- a/packages/process/test/coltsfoottrail/dissemination/node.cpp
+++ b/packages/process/test/coltsfoottrail/dissemination/node.cpp
@@ -265,13 +265,13 @@
   Relay.recordOwn({{7, {2, 0, 0, 0}}}, Start);
   Report Leaf;
   Leaf.Host = HostName("leaf");
+  Leaf.ToRelay = true;
   Leaf.Loads = {{7, {4, 0, 0, 0}}};
   Relay.recordReport(Leaf, Start);
 
   Report UpReport;
   UpReport.Host = HostName("relay");
-  UpReport.Loads = Relay.subtreeLoads(Start);
-  UpReport.Hosts = Relay.subtreeHosts(Start);
+  Relay.addSubtree(UpReport, Start);
   EXPECT_EQ(UpReport.Hosts, 2U);
   Root.recordReport(UpReport, Start);
   EXPECT_EQ(loadAt(Root.otherLoads(Start), 7).Running, 6U);
@@ -284,6 +284,36 @@
   EXPECT_EQ(loadAt(Relay.makeResponse(Leaf, Start).Loads, 7).Running, 3U);
 }
 
+// Guards against hosts that are counted again with each exchange: two hosts
+// that take each other for the coordinator report to each other, and a third
+// one to one of them.
+TEST(TreeNode, HostsThatReportToEachOtherCountEachHostOnce) {
+  TreeNode Left{HostName("left")};
+  TreeNode Right{HostName("right")};
+  Report Leaf;
+  Leaf.Host = HostName("leaf");
+  Leaf.ToRelay = true;
+  Leaf.Loads = {{7, {4, 0, 0, 0}}};
+  for (TimePoint Now = Start; Now < Start + seconds(2);
+       Now += milliseconds(100)) {
+    Left.recordOwn({{7, {1, 0, 0, 0}}}, Now);
+    Right.recordOwn({{7, {2, 0, 0, 0}}}, Now);
+    Left.recordReport(Leaf, Now);
+    Report FromLeft;
+    FromLeft.Host = HostName("left");
+    Left.addSubtree(FromLeft, Now);
+    Right.recordReport(FromLeft, Now);
+    Report FromRight;
+    FromRight.Host = HostName("right");
+    Right.addSubtree(FromRight, Now);
+    Left.recordReport(FromRight, Now);
+  }
+  const TimePoint End = Start + milliseconds(1'900);
+  EXPECT_EQ(Left.subtreeHosts(End), 3U);
+  EXPECT_EQ(Right.subtreeHosts(End), 3U);
+  EXPECT_EQ(loadAt(Right.subtreeLoads(End), 7).Running, 7U);
+}
+
 // Guards against a former coordinator that keeps reporting loads of hosts that
 // now report to its successor.
 TEST(TreeNode, FormerCoordinatorReportsOnlyItself) {
--- a/packages/process/test/coltsfoottrail/dissemination/simulation.hpp
+++ b/packages/process/test/coltsfoottrail/dissemination/simulation.hpp
@@ -281,8 +281,8 @@
     Message.DataCentre = Member.DataCentre;
     Message.CanRelay = Member.IsStrong;
     Message.FailedRelay = Member.CurrentUpstream->failedRelay(Now);
-    Message.Loads = Member.Node->subtreeLoads(Now);
-    Message.Hosts = Member.Node->subtreeHosts(Now);
+    Message.ToRelay = Member.CurrentUpstream->hasRelay();
+    Member.Node->addSubtree(Message, Now);
     for (const Feed FeedId : {Feed::Operators, Feed::Endpoints})
       if (Member.Next.contains(FeedId))
         Message.Next[FeedId] = Member.Next[FeedId];
--- a/packages/request/src/coltsfoottrail/loadshare/board.cpp
+++ b/packages/request/src/coltsfoottrail/loadshare/board.cpp
@@ -23,11 +23,11 @@
 
 void LoadAggregator::report(const HostName &Host,
                             std::vector<EndpointLoad> Loads, TimePoint Now,
-                            std::size_t HostCount) {
+                            std::size_t HostCount, Scope ReporterScope) {
   Entry &Report = Entries[Host];
   subtract(Report.Loads);
   add(Loads);
-  Report = Entry{std::move(Loads), HostCount, Now};
+  Report = Entry{std::move(Loads), HostCount, Now, ReporterScope};
 }
 
 void LoadAggregator::forget(const HostName &Host) {
@@ -38,11 +38,12 @@
   Entries.erase(Position);
 }
 
-std::vector<EndpointLoad>
-LoadAggregator::sumExcept(const HostName *ExcludedHost, TimePoint Now) const {
+std::vector<EndpointLoad> LoadAggregator::sum(const HostName *ExcludedHost,
+                                              Scope Included,
+                                              TimePoint Now) const {
   std::map<std::uint64_t, RequestLoad> Excluded;
   for (const auto &[Host, Report] : Entries) {
-    if (isCurrent(Report, Now) &&
+    if (isCurrent(Report, Now) && isIn(Included, Report) &&
         (ExcludedHost == nullptr || Host != *ExcludedHost))
       continue;
     for (const EndpointLoad &Item : Report.Loads)
@@ -61,19 +62,21 @@
   return Result;
 }
 
-std::vector<EndpointLoad> LoadAggregator::total(TimePoint Now) const {
-  return sumExcept(nullptr, Now);
+std::vector<EndpointLoad> LoadAggregator::total(TimePoint Now,
+                                                Scope Included) const {
+  return sum(nullptr, Included, Now);
 }
 
 std::vector<EndpointLoad> LoadAggregator::others(const HostName &ExcludedHost,
                                                  TimePoint Now) const {
-  return sumExcept(&ExcludedHost, Now);
+  return sum(&ExcludedHost, Scope::All, Now);
 }
 
-std::size_t LoadAggregator::hosts(TimePoint Now) const {
+std::size_t LoadAggregator::hosts(TimePoint Now, Scope Included) const {
   std::size_t Count = 0;
   for (const auto &[Host, Report] : Entries)
-    Count += isCurrent(Report, Now) ? Report.HostCount : 0;
+    if (isCurrent(Report, Now) && isIn(Included, Report))
+      Count += Report.HostCount;
   return Count;
 }
 
--- a/packages/request/src/coltsfoottrail/loadshare/board.hpp
+++ b/packages/request/src/coltsfoottrail/loadshare/board.hpp
@@ -21,6 +21,13 @@
 /// independent of the number of reporters.
 class LoadAggregator {
 public:
+  /// @brief Which reporters a sum includes.
+  enum class Scope : std::uint8_t {
+    All,
+    /// Those that report to this host as their relay, and this host.
+    Relayed
+  };
+
   /// A reporter that has not reported for this long is no longer counted: it is
   /// gone or frozen, and its requests end. Several times the report interval.
   static constexpr Duration ReportLife = milliseconds(1'000);
@@ -29,20 +36,24 @@
   /// @param Host Identifies one run of a host.
   /// @param Loads Requests at endpoints.
   /// @param HostCount Number of hosts that the loads represent.
+  /// @param ReporterScope Relayed for reporters that a relayed sum includes.
   void report(const HostName &Host, std::vector<EndpointLoad> Loads,
-              TimePoint Now, std::size_t HostCount = 1);
+              TimePoint Now, std::size_t HostCount = 1,
+              Scope ReporterScope = Scope::Relayed);
 
   /// @brief Removes a reporter that reports to another aggregator from now on.
   void forget(const HostName &Host);
 
-  /// @brief Sums over all reporters.
-  [[nodiscard]] std::vector<EndpointLoad> total(TimePoint Now) const;
+  /// @brief Sums over the reporters of a scope.
+  [[nodiscard]] std::vector<EndpointLoad>
+  total(TimePoint Now, Scope Included = Scope::All) const;
   /// @brief Sums over all reporters but one.
   [[nodiscard]] std::vector<EndpointLoad> others(const HostName &ExcludedHost,
                                                  TimePoint Now) const;
 
-  /// @brief Number of hosts that the current reports represent.
-  [[nodiscard]] std::size_t hosts(TimePoint Now) const;
+  /// @brief Number of hosts that the current reports of a scope represent.
+  [[nodiscard]] std::size_t hosts(TimePoint Now,
+                                  Scope Included = Scope::All) const;
   /// @brief Number of current reporters.
   [[nodiscard]] std::size_t reporters(TimePoint Now) const;
 
@@ -54,16 +65,20 @@
     std::vector<EndpointLoad> Loads;
     std::size_t HostCount = 1;
     TimePoint ReportedAt;
+    Scope ReporterScope = Scope::Relayed;
   };
 
   [[nodiscard]] static bool isCurrent(const Entry &Report,
                                       TimePoint Now) noexcept {
     return Now - Report.ReportedAt < ReportLife;
   }
+  [[nodiscard]] static bool isIn(Scope Included, const Entry &Report) noexcept {
+    return Included == Scope::All || Report.ReporterScope == Scope::Relayed;
+  }
   void add(std::span<const EndpointLoad> Loads);
   void subtract(std::span<const EndpointLoad> Loads);
   [[nodiscard]] std::vector<EndpointLoad>
-  sumExcept(const HostName *ExcludedHost, TimePoint Now) const;
+  sum(const HostName *ExcludedHost, Scope Included, TimePoint Now) const;
 
   std::map<HostName, Entry> Entries;
   std::map<std::uint64_t, RequestLoad> Sums;
