Log the group, its epoch and the time of each order to an engine

Needed to name the cause of a member in two groups: the lines of an order (1522) and of a group's fate (1523) could not be matched by epoch, and nothing said how long an order had gone without an answer. The trace of that fault was made with these fields and a line for each change of a seat, which stays out: every candidate for the lease would write it, several thousand lines at a fleet's start.

--- a/packages/process/src/coltsfoottrail/fleethost/groupcoordinator.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/groupcoordinator.cpp
@@ -39,6 +39,15 @@
                     Order);
 }
 
+std::string_view groupOf(const SeatOrder &Order) {
+  return std::visit(
+      Overloaded{
+          [](const StageModel &) { return std::string_view(); },
+          [](const auto &Seat) { return std::string_view(Seat.Group); },
+      },
+      Order);
+}
+
 std::string_view outcomeName(OrderOutcome Outcome) {
   switch (Outcome) {
   case OrderOutcome::Taken:
@@ -230,14 +239,19 @@
                                           std::uint64_t Fence) {
   const EndpointName Target = Command.To;
   const SeatOrder Order = Command.Order;
+  const TimePoint SentAt = BootClock::now();
   const OrderOutcome Outcome =
       co_await Engines.order(Command.Address, Target, Order, Fence);
+  const auto Took =
+      std::chrono::duration_cast<milliseconds>(BootClock::now() - SentAt);
   --OrdersInFlight;
   logEvent(Event::SeatOrdered, {{"order", orderName(Order)},
                                 {"endpoint", Target},
+                                {"group", groupOf(Order)},
                                 {"epoch", epochOf(Order)},
                                 {"fence", Fence},
-                                {"outcome", outcomeName(Outcome)}});
+                                {"outcome", outcomeName(Outcome)},
+                                {"took_ms", Took.count()}});
   for (auto &[Name, ServiceAssembler] : Assemblers)
     if (Fence == Term.fence())
       ServiceAssembler.recordOutcome(Target, Order, Outcome, BootClock::now());
@@ -252,6 +266,7 @@
     for (const GroupEvent &Note : ServiceAssembler.takeEvents())
       logEvent(Event::GroupChanged, {{"fate", fateName(Note.Fate)},
                                      {"group", Note.Group},
+                                     {"epoch", Note.Epoch},
                                      {"model", Note.Model},
                                      {"endpoint", Note.Cause},
                                      {"why", Note.Why}});
