Exclude an engine only for a late join of the group that it leaves

Cause: a join that got no answer was remembered by engine.

Evidence: the test fails on the code before with "answered: false".

Change: what is remembered names the epoch of the join. The outcomes of joins and of orders to open have functions of their own.

--- a/packages/version/src/coltsfoottrail/assembly/assembler.cpp
+++ b/packages/version/src/coltsfoottrail/assembly/assembler.cpp
@@ -159,47 +159,55 @@
 void Assembler::recordOutcome(const EndpointName &Endpoint,
                               const SeatOrder &Order, OrderOutcome Outcome,
                               TimePoint Now) {
-  std::visit(Overloaded{
-                 [&](const JoinSeat &Join) {
-                   const auto Entry = Pending.find(Endpoint);
-                   if (Entry == Pending.end() ||
-                       Entry->second.Epoch != Join.Epoch)
-                     return;
-                   if (Outcome == OrderOutcome::Taken) {
-                     Entry->second.Answered = true;
-                     return;
-                   }
-                   if (Outcome == OrderOutcome::Unknown) {
-                     LateJoins[Endpoint] = {Entry->second.StartedAtMs,
-                                            Now + Times.LatestExecution};
-                     return;
-                   }
-                   Pacer.finish(Endpoint);
-                   if (Outcome == OrderOutcome::NotSent)
-                     return;
-                   Pending.erase(Entry);
-                   LockedUntil[Endpoint] = Now + Times.ExclusionTime;
-                 },
-                 [&](const OpenSeat &Open) {
-                   const auto Entry = Groups.find(Open.Epoch);
-                   if (Entry == Groups.end())
-                     return;
-                   GroupState &Group = Entry->second;
-                   Group.OpensInFlight -= Group.OpensInFlight > 0 ? 1 : 0;
-                   if (Outcome == OrderOutcome::Unknown)
-                     Group.OpenMayArriveUntil = Now + Times.LatestExecution;
-                 },
-                 [&](const CloseSeat &) {},
-                 [&](const LeaveSeat &) {},
-                 [&](const StageModel &) {
-                   // Unfit means that it is loading already, on an order of a
-                   // previous coordinator.
-                   if (Outcome == OrderOutcome::NotSent ||
-                       Outcome == OrderOutcome::WrongEndpoint)
-                     Pacer.finish(Endpoint);
-                 },
-             },
-             Order);
+  std::visit(
+      Overloaded{
+          [&](const JoinSeat &Join) {
+            recordJoin(Endpoint, Join.Epoch, Outcome, Now);
+          },
+          [&](const OpenSeat &Open) { recordOpen(Open.Epoch, Outcome, Now); },
+          [&](const CloseSeat &) {},
+          [&](const LeaveSeat &) {},
+          [&](const StageModel &) {
+            // Unfit means that it is loading already, on an order of a
+            // previous coordinator.
+            if (Outcome == OrderOutcome::NotSent ||
+                Outcome == OrderOutcome::WrongEndpoint)
+              Pacer.finish(Endpoint);
+          },
+      },
+      Order);
+}
+
+void Assembler::recordJoin(const EndpointName &Endpoint, GroupEpoch Epoch,
+                           OrderOutcome Outcome, TimePoint Now) {
+  const auto Entry = Pending.find(Endpoint);
+  if (Entry == Pending.end() || Entry->second.Epoch != Epoch)
+    return;
+  if (Outcome == OrderOutcome::Taken) {
+    Entry->second.Answered = true;
+    return;
+  }
+  if (Outcome == OrderOutcome::Unknown) {
+    LateJoins[Endpoint] = {Epoch, Entry->second.StartedAtMs,
+                           Now + Times.LatestExecution};
+    return;
+  }
+  Pacer.finish(Endpoint);
+  if (Outcome == OrderOutcome::NotSent)
+    return;
+  Pending.erase(Entry);
+  LockedUntil[Endpoint] = Now + Times.ExclusionTime;
+}
+
+void Assembler::recordOpen(GroupEpoch Epoch, OrderOutcome Outcome,
+                           TimePoint Now) {
+  const auto Entry = Groups.find(Epoch);
+  if (Entry == Groups.end())
+    return;
+  GroupState &Group = Entry->second;
+  Group.OpensInFlight -= Group.OpensInFlight > 0 ? 1 : 0;
+  if (Outcome == OrderOutcome::Unknown)
+    Group.OpenMayArriveUntil = Now + Times.LatestExecution;
 }
 
 void Assembler::declareDead(const KnownEndpoint &Endpoint, TimePoint Now) {
--- a/packages/version/src/coltsfoottrail/assembly/assembler.hpp
+++ b/packages/version/src/coltsfoottrail/assembly/assembler.hpp
@@ -210,6 +210,7 @@
   };
   /// A join that was not answered and may still be carried out.
   struct LateJoin {
+    GroupEpoch Epoch = 0;
     std::uint64_t StartedAtMs = 0;
     TimePoint Until;
   };
@@ -247,6 +248,9 @@
   };
   struct PlanContext;
 
+  void recordJoin(const EndpointName &Endpoint, GroupEpoch Epoch,
+                  OrderOutcome Outcome, TimePoint Now);
+  void recordOpen(GroupEpoch Epoch, OrderOutcome Outcome, TimePoint Now);
   [[nodiscard]] bool isFleetSettled(const AssemblyView &View, TimePoint Now);
   void dropCompleted(const PlanContext &Context);
   void adoptGroups(const PlanContext &Context);
@@ -262,8 +266,9 @@
   /// again by late orders.
   [[nodiscard]] bool mayLeaderReturn(const PlanContext &Context,
                                      const GroupState &Group) const;
-  /// Until when a late join may seat an endpoint again.
-  [[nodiscard]] TimePoint lateJoinUntil(const KnownEndpoint &Endpoint) const;
+  /// Until when a late join may seat an endpoint in a group again.
+  [[nodiscard]] TimePoint lateJoinUntil(const KnownEndpoint &Endpoint,
+                                        const GroupState &Group) const;
   /// Whether an order to open a group may still be carried out.
   [[nodiscard]] static bool mayBeOpened(const PlanContext &Context,
                                         const GroupState &Group);
--- a/packages/version/src/coltsfoottrail/assembly/repair.cpp
+++ b/packages/version/src/coltsfoottrail/assembly/repair.cpp
@@ -308,14 +308,15 @@
   const KnownEndpoint &Endpoint = *Context.View.Endpoints.find(Name);
   Context.order(Endpoint, LeaveSeat{Group.Name, Group.Epoch});
   Group.LeaveOrdered = Context.Now;
-  const TimePoint Until = lateJoinUntil(Endpoint);
+  const TimePoint Until = lateJoinUntil(Endpoint, Group);
   if (Name != Group.Members.front().Name && Until > Context.Now)
     LockedUntil[Name] = Until;
 }
 
-TimePoint Assembler::lateJoinUntil(const KnownEndpoint &Endpoint) const {
+TimePoint Assembler::lateJoinUntil(const KnownEndpoint &Endpoint,
+                                   const GroupState &Group) const {
   const auto Entry = LateJoins.find(Endpoint.Record.Name);
-  return Entry != LateJoins.end() &&
+  return Entry != LateJoins.end() && Entry->second.Epoch == Group.Epoch &&
                  Entry->second.StartedAtMs == Endpoint.Record.StartedAtMs
              ? Entry->second.Until
              : TimePoint{};
@@ -329,7 +330,8 @@
   const KnownEndpoint &Leader =
       *Context.View.Endpoints.find(Group.Members.front().Name);
   return Leader.Record.StartedAtMs == Group.Members.front().StartedAtMs &&
-         lateJoinUntil(Leader) > Context.Now && mayBeOpened(Context, Group);
+         lateJoinUntil(Leader, Group) > Context.Now &&
+         mayBeOpened(Context, Group);
 }
 
 void Assembler::dismissLeader(PlanContext &Context, GroupState &Group) {
--- a/packages/version/test/coltsfoottrail/assembly/lateorders.cpp
+++ b/packages/version/test/coltsfoottrail/assembly/lateorders.cpp
@@ -284,6 +284,41 @@
   EXPECT_EQ(Fleet.leaders().size(), 1U);
 }
 
+// Guards against an engine that is left out of groups for no reason: a join of
+// an earlier group was not answered, but the engine has since taken a seat with
+// a higher epoch, so that it refuses a late copy.
+TEST(LateOrders, UnansweredJoinOfAnEarlierGroupExcludesNobody) {
+  for (const bool IsAnswered : {true, false}) {
+    FakeEngines Fleet;
+    int Joins = 0;
+    Fleet.FateOf = [&](const SeatCommand &Command) -> OrderFate {
+      if (isGroupJoin(Command) && Command.To == EndpointName("n0-1") &&
+          ++Joins == 1)
+        return {IsAnswered, Duration{0}};
+      return {};
+    };
+    addLargeDomain(Fleet, 4);
+    Fleet.run(seconds(2));
+    ASSERT_EQ(Fleet.leaders().size(), 1U);
+    Fleet.TrafficStarted = true;
+    const GroupEpoch First = Fleet.epochOf(EndpointName("n0-1"));
+    Fleet.removeEngine(EndpointName("n0-3"));
+    addSpare(Fleet, "n0-spare");
+    Fleet.run(seconds(2));
+    ASSERT_EQ(Fleet.leaders().size(), 1U);
+    ASSERT_GT(Fleet.epochOf(EndpointName("n0-1")), First);
+    const EndpointName Leader = Fleet.leaders().front();
+    ASSERT_NE(Leader, EndpointName("n0-1"));
+    Fleet.cutOff(Leader);
+    addSpare(Fleet, "n0-late");
+    Fleet.run(seconds(4));
+    const auto Leaders = Fleet.leaders();
+    EXPECT_TRUE(std::any_of(Leaders.begin(), Leaders.end(),
+                            [&](const auto &Name) { return Name != Leader; }))
+        << "answered: " << IsAnswered;
+  }
+}
+
 } // namespace
 
 } // namespace coltsfoottrail::test
