Tell orders to open groups of two services apart

Cause: each outcome is told to the assemblers of all services, whose groups may have the same epoch. The outcome of an order to open one was taken for that of another.

Evidence: the test fails on the code before with "same epoch: true", Leaves 1, expected 0.

Change: an outcome counts only if it is of the group's leader.

--- a/packages/version/src/coltsfoottrail/assembly/assembler.cpp
+++ b/packages/version/src/coltsfoottrail/assembly/assembler.cpp
@@ -159,23 +159,24 @@
 void Assembler::recordOutcome(const EndpointName &Endpoint,
                               const SeatOrder &Order, OrderOutcome Outcome,
                               TimePoint Now) {
-  std::visit(
-      Overloaded{
-          [&](const JoinSeat &Join) {
-            recordJoin(Endpoint, Join.Epoch, Outcome, Now);
-          },
-          [&](const OpenSeat &Open) { recordOpen(Open.Epoch, Outcome, Now); },
-          [&](const CloseSeat &) {},
-          [&](const LeaveSeat &) {},
-          [&](const StageModel &) {
-            // Unfit means that it is loading already, on an order of a
-            // previous coordinator.
-            if (Outcome == OrderOutcome::NotSent ||
-                Outcome == OrderOutcome::WrongEndpoint)
-              Pacer.finish(Endpoint);
-          },
-      },
-      Order);
+  std::visit(Overloaded{
+                 [&](const JoinSeat &Join) {
+                   recordJoin(Endpoint, Join.Epoch, Outcome, Now);
+                 },
+                 [&](const OpenSeat &Open) {
+                   recordOpen(Endpoint, Open.Epoch, Outcome, Now);
+                 },
+                 [&](const CloseSeat &) {},
+                 [&](const LeaveSeat &) {},
+                 [&](const StageModel &) {
+                   // Unfit means that it is loading already, on an order of a
+                   // previous coordinator.
+                   if (Outcome == OrderOutcome::NotSent ||
+                       Outcome == OrderOutcome::WrongEndpoint)
+                     Pacer.finish(Endpoint);
+                 },
+             },
+             Order);
 }
 
 void Assembler::recordJoin(const EndpointName &Endpoint, GroupEpoch Epoch,
@@ -199,10 +200,11 @@
   LockedUntil[Endpoint] = Now + Times.ExclusionTime;
 }
 
-void Assembler::recordOpen(GroupEpoch Epoch, OrderOutcome Outcome,
-                           TimePoint Now) {
+// Groups of several services may have the same epoch.
+void Assembler::recordOpen(const EndpointName &Endpoint, GroupEpoch Epoch,
+                           OrderOutcome Outcome, TimePoint Now) {
   const auto Entry = Groups.find(Epoch);
-  if (Entry == Groups.end())
+  if (Entry == Groups.end() || Entry->second.Members.front().Name != Endpoint)
     return;
   GroupState &Group = Entry->second;
   Group.OpensInFlight -= Group.OpensInFlight > 0 ? 1 : 0;
--- a/packages/version/src/coltsfoottrail/assembly/assembler.hpp
+++ b/packages/version/src/coltsfoottrail/assembly/assembler.hpp
@@ -250,7 +250,8 @@
 
   void recordJoin(const EndpointName &Endpoint, GroupEpoch Epoch,
                   OrderOutcome Outcome, TimePoint Now);
-  void recordOpen(GroupEpoch Epoch, OrderOutcome Outcome, TimePoint Now);
+  void recordOpen(const EndpointName &Endpoint, GroupEpoch Epoch,
+                  OrderOutcome Outcome, TimePoint Now);
   [[nodiscard]] bool isFleetSettled(const AssemblyView &View, TimePoint Now);
   void dropCompleted(const PlanContext &Context);
   void adoptGroups(const PlanContext &Context);
--- a/packages/version/test/coltsfoottrail/assembly/lateorders.cpp
+++ b/packages/version/test/coltsfoottrail/assembly/lateorders.cpp
@@ -319,6 +319,32 @@
   }
 }
 
+// Guards against groups of two services that have the same epoch: an order to
+// open one of them was not answered, and the other is taken for one that may
+// still be opened.
+TEST(LateOrders, OutcomeOfAnOpenOfAnotherService) {
+  for (const bool SharesEpoch : {false, true}) {
+    FakeEngines Fleet;
+    addLargeDomain(Fleet, 4);
+    Fleet.run(seconds(3));
+    ASSERT_EQ(Fleet.leaders().size(), 1U);
+    Fleet.TrafficStarted = true;
+    int Leaves = 0;
+    Fleet.FateOf = [&](const SeatCommand &Command) -> OrderFate {
+      Leaves += std::holds_alternative<LeaveSeat>(Command.Order) ? 1 : 0;
+      return {};
+    };
+    const GroupEpoch Epoch = Fleet.epochOf(Fleet.leaders().front());
+    Fleet.GroupAssembler.recordOutcome(
+        EndpointName("engine-of-another-service"),
+        OpenSeat{"group-of-another-service", Epoch + (SharesEpoch ? 0 : 1)},
+        OrderOutcome::Unknown, Fleet.Now);
+    Fleet.removeEngine(someMember(Fleet));
+    Fleet.run(SettlingTime);
+    EXPECT_EQ(Leaves, 0) << "same epoch: " << SharesEpoch;
+  }
+}
+
 } // namespace
 
 } // namespace coltsfoottrail::test
