Open a group after an outage only by records from after it

Cause: a member was ready before an outage of the store and restarted in it; the others became ready meanwhile and publish themselves first. By the old record all are ready, and a group without one of its members is opened.

Evidence: the test fails on the code before, OpenedPartial 1, expected 0, with records that lapse and without.

--- a/packages/version/src/coltsfoottrail/assembly/repair.cpp
+++ b/packages/version/src/coltsfoottrail/assembly/repair.cpp
@@ -256,18 +256,21 @@
   return false;
 }
 
+// A record from before an outage of the store does not show that a member has
+// not restarted since.
 bool Assembler::isEveryMemberReady(const PlanContext &Context,
                                    const GroupState &Group) const {
-  return std::all_of(Group.Members.begin(), Group.Members.end(),
-                     [&](const GroupMember &Member) {
-                       const KnownEndpoint *const Endpoint =
-                           Context.View.Endpoints.find(Member.Name);
-                       return Endpoint != nullptr &&
-                              !Pending.contains(Member.Name) &&
-                              Endpoint->Record.Seat &&
-                              Endpoint->Record.Seat->Epoch == Group.Epoch &&
-                              Endpoint->Record.Seat->Phase == SeatPhase::Ready;
-                     });
+  return std::all_of(
+      Group.Members.begin(), Group.Members.end(),
+      [&](const GroupMember &Member) {
+        const KnownEndpoint *const Endpoint =
+            Context.View.Endpoints.find(Member.Name);
+        return Endpoint != nullptr &&
+               !Context.View.Endpoints.mayBeStale(*Endpoint, Context.Now) &&
+               !Pending.contains(Member.Name) && Endpoint->Record.Seat &&
+               Endpoint->Record.Seat->Epoch == Group.Epoch &&
+               Endpoint->Record.Seat->Phase == SeatPhase::Ready;
+      });
 }
 
 bool Assembler::mayBeOpened(const PlanContext &Context,
--- a/packages/version/test/coltsfoottrail/assembly/lateorders.cpp
+++ b/packages/version/test/coltsfoottrail/assembly/lateorders.cpp
@@ -345,6 +345,38 @@
   }
 }
 
+// Guards against a group that is opened without one of its members: it was
+// ready before an outage and has restarted in it, and the others, ready since,
+// publish themselves before it.
+TEST(LateOrders, MemberWhoseRecordOfBeforeAnOutageShowsItReady) {
+  for (const bool Lapses : {true, false}) {
+    FakeEngines Fleet;
+    Fleet.Slow = true;
+    addLargeDomain(Fleet, 4);
+    Fleet.run(seconds(2));
+    const EndpointName Early("n0-3");
+    ASSERT_TRUE(Fleet.Records.at(Early).Seat);
+    Fleet.finishLoad(Early);
+    Fleet.run(milliseconds(500));
+    Fleet.TrafficStarted = true;
+    Fleet.failStore(seconds(3));
+    Fleet.finishAll();
+    Fleet.restart(Early);
+    Fleet.restoreStore();
+    if (Lapses)
+      Fleet.Catalogue.retain({}, Fleet.Now);
+    Fleet.run(milliseconds(100));
+    for (const EndpointName &Name : Fleet.endpointsIn("n0"))
+      if (Name != Early)
+        Fleet.publish(Name);
+    Fleet.run(milliseconds(500));
+    Fleet.publish(Early);
+    Fleet.Slow = false;
+    Fleet.run(SettlingTime);
+    EXPECT_EQ(Fleet.OpenedPartial, 0) << "records lapse: " << Lapses;
+  }
+}
+
 } // namespace
 
 } // namespace coltsfoottrail::test
