Tell only reporters below a relay of the loads outside its subtree

Loads that grow would make endpoints look full, and requests be refused.

Cause: two hosts that take each other for the coordinator add what the other one answered to what they answer it, so loads grow with each exchange although each report counts each host once.

Evidence: the two tests fail on the code before.

Change: a response to a host that does not report to this one as its relay leaves out the loads that this host was told of. This host itself adds them to the loads of the hosts below it only, since the others are among them.

--- a/packages/process/src/coltsfoottrail/dissemination/node.cpp
+++ b/packages/process/src/coltsfoottrail/dissemination/node.cpp
@@ -122,17 +122,31 @@
                      HasValues);
 }
 
+std::vector<EndpointLoad> TreeNode::otherLoads(TimePoint Now) const {
+  return loadsExcept(Self, Now);
+}
+
+// Failure guarded against: two hosts that take each other for the coordinator
+// each pass on what the other one answered, and loads are added again with each
+// exchange. Only hosts that report to this one as their relay are told of loads
+// outside its subtree.
+std::vector<EndpointLoad> TreeNode::loadsFor(const Report &Received,
+                                             TimePoint Now) const {
+  return Received.ToRelay ? loadsExcept(Received.Host, Now)
+                          : SubtreeLoads.others(Received.Host, Now);
+}
+
 std::vector<EndpointLoad> TreeNode::loadsExcept(const HostName &Host,
                                                 TimePoint Now) const {
-  std::vector<EndpointLoad> Result = SubtreeLoads.others(Host, Now);
   if (Now - OutsideAt >= LoadAggregator::ReportLife || OutsideLoads.empty())
-    return Result;
+    return SubtreeLoads.others(Host, Now);
+  const std::vector<EndpointLoad> Below =
+      SubtreeLoads.others(Host, Now, LoadAggregator::Scope::Relayed);
   std::map<std::uint64_t, RequestLoad> Sums;
-  for (const std::vector<EndpointLoad> *const Loads :
-       {&std::as_const(Result), &OutsideLoads})
+  for (const std::vector<EndpointLoad> *const Loads : {&Below, &OutsideLoads})
     for (const EndpointLoad &Item : *Loads)
       Sums[Item.Endpoint] += Item.Load;
-  Result.clear();
+  std::vector<EndpointLoad> Result;
   for (const auto &[Endpoint, Load] : Sums)
     Result.push_back({Endpoint, Load});
   return Result;
@@ -141,7 +155,7 @@
 Response TreeNode::makeResponse(const Report &Received, TimePoint Now) const {
   Response Result;
   Result.Hosts = SubtreeLoads.hosts(Now);
-  Result.Loads = loadsExcept(Received.Host, Now);
+  Result.Loads = loadsFor(Received, Now);
   const auto MakeUpdate = [&](Feed FeedId, bool Snapshot) {
     const SharedFeed &Shared = feed(FeedId);
     FeedUpdate Update;
--- a/packages/process/src/coltsfoottrail/dissemination/node.hpp
+++ b/packages/process/src/coltsfoottrail/dissemination/node.hpp
@@ -69,9 +69,7 @@
   /// report to it as their relay, and itself.
   void addSubtree(Report &OwnReport, TimePoint Now) const;
   /// @brief Loads of all hosts except this one.
-  [[nodiscard]] std::vector<EndpointLoad> otherLoads(TimePoint Now) const {
-    return loadsExcept(Self, Now);
-  }
+  [[nodiscard]] std::vector<EndpointLoad> otherLoads(TimePoint Now) const;
   /// @brief Number of hosts that report to this one.
   [[nodiscard]] std::size_t reporters(TimePoint Now) const;
 
@@ -96,6 +94,8 @@
   [[nodiscard]] const SharedFeed &feed(Feed FeedId) const {
     return Feeds[static_cast<std::size_t>(FeedId)];
   }
+  [[nodiscard]] std::vector<EndpointLoad> loadsFor(const Report &Received,
+                                                   TimePoint Now) const;
   [[nodiscard]] std::vector<EndpointLoad> loadsExcept(const HostName &Host,
                                                       TimePoint Now) const;
 
--- a/packages/process/test/coltsfoottrail/dissemination/node.cpp
+++ b/packages/process/test/coltsfoottrail/dissemination/node.cpp
@@ -314,6 +314,52 @@
   EXPECT_EQ(loadAt(Right.subtreeLoads(End), 7).Running, 7U);
 }
 
+// Guards against loads that are added again with each exchange: two hosts that
+// take each other for the coordinator pass on what the other one answered.
+TEST(TreeNode, HostsThatReportToEachOtherCountEachLoadOnceInTheirResponses) {
+  TreeNode Left{HostName("left")};
+  TreeNode Right{HostName("right")};
+  for (TimePoint Now = Start; Now < Start + seconds(2);
+       Now += milliseconds(100)) {
+    Left.recordOwn({{7, {1, 0, 0, 0}}}, Now);
+    Right.recordOwn({{7, {2, 0, 0, 0}}}, Now);
+    Report FromLeft;
+    FromLeft.Host = HostName("left");
+    Left.addSubtree(FromLeft, Now);
+    Right.recordReport(FromLeft, Now);
+    Left.recordOutside(Right.makeResponse(FromLeft, Now).Loads, Now);
+    Report FromRight;
+    FromRight.Host = HostName("right");
+    Right.addSubtree(FromRight, Now);
+    Left.recordReport(FromRight, Now);
+    Right.recordOutside(Left.makeResponse(FromRight, Now).Loads, Now);
+  }
+  const TimePoint End = Start + milliseconds(1'900);
+  EXPECT_EQ(loadAt(Left.otherLoads(End), 7).Running, 2U);
+  EXPECT_EQ(loadAt(Right.otherLoads(End), 7).Running, 1U);
+}
+
+// As above, with reports that neither of them records, since each knows another
+// coordinator.
+TEST(TreeNode, MisdirectedReportsAreAnsweredWithEachLoadOnce) {
+  TreeNode Left{HostName("left")};
+  TreeNode Right{HostName("right")};
+  for (TimePoint Now = Start; Now < Start + seconds(2);
+       Now += milliseconds(100)) {
+    Left.recordOwn({{7, {1, 0, 0, 0}}}, Now);
+    Right.recordOwn({{7, {2, 0, 0, 0}}}, Now);
+    Report FromLeft;
+    FromLeft.Host = HostName("left");
+    Left.recordOutside(Right.makeResponse(FromLeft, Now).Loads, Now);
+    Report FromRight;
+    FromRight.Host = HostName("right");
+    Right.recordOutside(Left.makeResponse(FromRight, Now).Loads, Now);
+  }
+  const TimePoint End = Start + milliseconds(1'900);
+  EXPECT_EQ(loadAt(Left.otherLoads(End), 7).Running, 2U);
+  EXPECT_EQ(loadAt(Right.otherLoads(End), 7).Running, 1U);
+}
+
 // Guards against a former coordinator that keeps reporting loads of hosts that
 // now report to its successor.
 TEST(TreeNode, FormerCoordinatorReportsOnlyItself) {
--- a/packages/request/src/coltsfoottrail/loadshare/board.cpp
+++ b/packages/request/src/coltsfoottrail/loadshare/board.cpp
@@ -68,8 +68,9 @@
 }
 
 std::vector<EndpointLoad> LoadAggregator::others(const HostName &ExcludedHost,
-                                                 TimePoint Now) const {
-  return sum(&ExcludedHost, Scope::All, Now);
+                                                 TimePoint Now,
+                                                 Scope Included) const {
+  return sum(&ExcludedHost, Included, Now);
 }
 
 std::size_t LoadAggregator::hosts(TimePoint Now, Scope Included) const {
--- a/packages/request/src/coltsfoottrail/loadshare/board.hpp
+++ b/packages/request/src/coltsfoottrail/loadshare/board.hpp
@@ -47,9 +47,10 @@
   /// @brief Sums over the reporters of a scope.
   [[nodiscard]] std::vector<EndpointLoad>
   total(TimePoint Now, Scope Included = Scope::All) const;
-  /// @brief Sums over all reporters but one.
-  [[nodiscard]] std::vector<EndpointLoad> others(const HostName &ExcludedHost,
-                                                 TimePoint Now) const;
+  /// @brief Sums over the reporters of a scope but one.
+  [[nodiscard]] std::vector<EndpointLoad>
+  others(const HostName &ExcludedHost, TimePoint Now,
+         Scope Included = Scope::All) const;
 
   /// @brief Number of hosts that the current reports of a scope represent.
   [[nodiscard]] std::size_t hosts(TimePoint Now,
