End the pause after a failed read when the upstream relays

Callers of a new route got 404, and hosts served an old configuration, for seconds after the store was back: the pause after a failed read grows with the number of hosts (up to 8 s), and neither what the upstream relays (acceptChanges) nor its word that it cannot relay newer records (markBehind, endDeferral) ended it. If the upstream then fell silent, the host waited for the rest of the pause.

Relayed changes whose postponement has not passed now end the pause; the next read follows at the end of that postponement. markBehind ends it (once until a read succeeds, as before), and endDeferral too, but only one pause until a read succeeds: an upstream repeats the word with each response, and while the store is away each of them would otherwise cause a read. A host that retries eagerly has no such limit, since its pauses are short.

After: process_fleethost_test 50 passed (one run), process_dissemination_test 60 passed (one run).

Left: a read that fails after a relayed update has arrived during it still begins its pause; the next relayed update ends it.

--- a/packages/process/src/coltsfoottrail/fleethost/follower.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/follower.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <utility>
 
 namespace coltsfoottrail {
 
@@ -25,8 +26,10 @@
     const Duration Remaining = RequestedAt + pauseAfter(End) - BootClock::now();
     if (Remaining <= Duration::zero())
       continue;
+    PausesAfterFailure = End == ReadEnd::Failed;
     Pause.expires_after(Remaining);
     co_await (Pause.async_wait(boost::asio::use_awaitable) || untilWoken());
+    PausesAfterFailure = false;
   }
 }
 
@@ -55,6 +58,9 @@
       boost::asio::redirect_error(boost::asio::use_awaitable, Cancelled));
 }
 
+// Failure guarded against: the store is back for the upstream, which relays
+// once and falls silent, while this host waits for seconds since its own last
+// read failed.
 void FeedFollower::acceptChanges(Offset NextOffset, TimePoint Until) {
   if (!Next || NextOffset < *Next)
     return;
@@ -62,6 +68,8 @@
   SkipLongPoll = true;
   NextRetryPause = Times.RetryPause;
   DeferredUntil = std::max(DeferredUntil, Until);
+  if (PausesAfterFailure && isDeferred())
+    readNow();
 }
 
 void FeedFollower::acceptSnapshot(Offset NextOffset, TimePoint Until) {
@@ -72,10 +80,12 @@
   readNow();
 }
 
-// Must not cancel a read in progress: an upstream that cannot relay the newest
-// values says so with each response.
+// Must not cancel a read in progress, nor end each pause after a failed read:
+// an upstream that cannot relay the newest values says so with each response.
 void FeedFollower::endDeferral() {
-  if (DeferredUntil <= BootClock::now())
+  const bool EndsPause =
+      PausesAfterFailure && (Eager || !std::exchange(EndedPause, true));
+  if (!isDeferred() && !EndsPause)
     return;
   DeferredUntil = TimePoint{};
   readNow();
@@ -88,7 +98,7 @@
 }
 
 void FeedFollower::markBehind() {
-  if (Behind || DeferredUntil <= BootClock::now())
+  if (Behind || (!isDeferred() && !PausesAfterFailure))
     return;
   Behind = true;
   DeferredUntil = TimePoint{};
@@ -97,7 +107,7 @@
 
 Awaitable<void> FeedFollower::untilDeferralEnds() {
   boost::asio::steady_timer Pause(co_await boost::asio::this_coro::executor);
-  while (BootClock::now() < DeferredUntil) {
+  while (isDeferred()) {
     Pause.expires_after(DeferredUntil - BootClock::now());
     co_await (Pause.async_wait(boost::asio::use_awaitable) || untilWoken());
   }
@@ -131,6 +141,7 @@
     co_return ReadEnd::Failed;
   }
   Behind = false;
+  EndedPause = false;
   FeedPage &Page = std::get<FeedPage>(Answer);
   // Failure guarded against: later records were relayed to this host while it
   // read; applying the older page now would remove an endpoint that left and
--- a/packages/process/src/coltsfoottrail/fleethost/follower.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/follower.hpp
@@ -62,7 +62,7 @@
   }
 
   /// @brief Accepts changes that another host read and relayed: this host does
-  /// not read before the given time.
+  /// not read before the given time, nor wait any longer once it has passed.
   /// @param NextOffset Where to continue reading.
   void acceptChanges(Offset NextOffset, TimePoint Until);
 
@@ -84,14 +84,16 @@
   /// @brief Postpones reads until a time, unless readNow() is called: another
   /// host may relay the feed first.
   void defer(TimePoint Until) noexcept { DeferredUntil = Until; }
-  /// @brief Ends a postponement. A read in progress continues.
+  /// @brief Ends a postponement, or a pause after a failed read; unless
+  /// setEagerRetry() is in effect, only one such pause until a read succeeds. A
+  /// read in progress continues.
   void endDeferral();
   /// @brief Reads the newest values again, immediately.
   void restart();
 
   /// @brief Records that another host has newer records that it cannot relay:
-  /// what it relayed before no longer postpones reads, and the feed is read at
-  /// once.
+  /// neither what it relayed before nor a pause after a failed read postpones
+  /// reads any longer, and the feed is read at once.
   void markBehind();
   /// @brief Whether markBehind() was called and the feed has not been read
   /// since.
@@ -129,6 +131,9 @@
   [[nodiscard]] Duration pauseAfter(ReadEnd Result);
   [[nodiscard]] Awaitable<void> untilWoken();
   [[nodiscard]] Awaitable<void> untilDeferralEnds();
+  [[nodiscard]] bool isDeferred() const noexcept {
+    return BootClock::now() < DeferredUntil;
+  }
 
   FleetStore &Store;
   Feed FollowedFeed;
@@ -142,6 +147,10 @@
   TimePoint DeferredUntil{};
   bool Behind = false;
   bool Eager = false;
+  bool PausesAfterFailure = false;
+  /// Whether endDeferral() has ended such a pause since the last read that
+  /// succeeded.
+  bool EndedPause = false;
   milliseconds NextRetryPause{0};
   milliseconds MinFailurePause{0};
   /// The next read must not be held back by the store, because the known
--- a/packages/process/test/coltsfoottrail/fleethost/follower.cpp
+++ b/packages/process/test/coltsfoottrail/fleethost/follower.cpp
@@ -250,6 +250,64 @@
   EXPECT_EQ(ReadOffsets, std::vector<Offset>{9});
 }
 
+// Guards against a host without proof of its configuration for the whole pause
+// after a failed read: the store is back for its upstream, which relays and
+// then falls silent. What was relayed shows that the store answers.
+TEST_F(Follower, RelayedRecordsEndThePauseAfterAFailedRead) {
+  EXPECT_CALL(Store, newest).WillOnce([] { return page(3, 3); });
+  EXPECT_CALL(Store, read)
+      .WillOnce([] { return refused(); })
+      .WillOnce([] { return page(6, 6); })
+      .WillRepeatedly([] { return unanswered(); });
+  Times.Spacing = milliseconds(1);
+  Times.RetryPause = milliseconds(1);
+  follow();
+  Reader->setMinFailurePause(seconds(60));
+  Context.run_for(milliseconds(50));
+  ASSERT_EQ(Failures, 1);
+  Reader->acceptChanges(4, BootClock::now() + milliseconds(50));
+  Context.run_for(milliseconds(200));
+  EXPECT_EQ(ReadOffsets, (std::vector<Offset>{3, 6}));
+}
+
+// Guards against a host that serves an old configuration for the whole pause
+// after a failed read, although its upstream has read a newer one that is too
+// large to relay.
+TEST_F(Follower, HostThatFellBehindDoesNotWaitForThePauseAfterAFailedRead) {
+  EXPECT_CALL(Store, newest).WillOnce([] { return page(3, 3); });
+  EXPECT_CALL(Store, read)
+      .WillOnce([] { return refused(); })
+      .WillOnce([] { return page(4, 4); })
+      .WillRepeatedly([] { return unanswered(); });
+  Times.Spacing = milliseconds(1);
+  Times.RetryPause = milliseconds(1);
+  follow();
+  Reader->setMinFailurePause(seconds(60));
+  Context.run_for(milliseconds(50));
+  ASSERT_EQ(Failures, 1);
+  Reader->markBehind();
+  Context.run_for(milliseconds(200));
+  EXPECT_EQ(ReadOffsets, (std::vector<Offset>{3, 4}));
+}
+
+// Guards against the same for a host that has no values yet, or none since its
+// records were deleted.
+TEST_F(Follower, EndedDeferralDoesNotWaitForThePauseAfterAFailedRead) {
+  EXPECT_CALL(Store, newest)
+      .WillOnce([] { return refused(); })
+      .WillRepeatedly([] { return page(4, 4); });
+  EXPECT_CALL(Store, read).WillRepeatedly([] { return unanswered(); });
+  Times.Spacing = milliseconds(1);
+  Times.RetryPause = milliseconds(1);
+  follow();
+  Reader->setMinFailurePause(seconds(60));
+  Context.run_for(milliseconds(50));
+  ASSERT_EQ(Failures, 1);
+  Reader->endDeferral();
+  Context.run_for(milliseconds(200));
+  EXPECT_EQ(ReadOffsets, std::vector<Offset>{4});
+}
+
 } // namespace
 
 } // namespace coltsfoottrail
