Read both feeds at once when a host gains the lease

The host that gained the lease no longer used what others relayed, but its own reads of the operators' feed stayed postponed by the last relayed update; the endpoints' feed was read at once only if no postponement was in effect.

Gaining the lease now ends the postponement of both feeds, and the pause after a failed read, before the endpoints are read. A read in progress continues: it returns as soon as there is a change.

--- a/packages/process/src/coltsfoottrail/fleethost/feeds.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/feeds.cpp
@@ -62,6 +62,14 @@
   Coordinator.planNow();
 }
 
+// Failure guarded against: a host gains the coordinator lease, no longer uses
+// what others relay, and still waits for the time until which they postponed
+// its reads. No host has a recent configuration meanwhile.
+void FleetHost::endDeferrals() {
+  Operators.endDeferral();
+  Endpoints.endDeferral();
+}
+
 // A coordinator also needs the endpoints that routing does not need, in order
 // to form groups.
 void FleetHost::readAllEndpoints() {
--- a/packages/process/src/coltsfoottrail/fleethost/host.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/host.cpp
@@ -211,10 +211,12 @@
         reportUnusable(Endpoint, AtFault);
       });
   Coordinator.onDuty([this](bool Holds) {
-    if (Holds)
-      readAllEndpoints();
     Operators.setEagerRetry(Holds);
     Endpoints.setEagerRetry(Holds);
+    if (Holds) {
+      endDeferrals();
+      readAllEndpoints();
+    }
     Endpoints.setSpacing(Holds ? CoordinatorSpacing : followerSpacing());
   });
   Coordinator.onOrders([this] {
--- a/packages/process/src/coltsfoottrail/fleethost/host.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/host.hpp
@@ -75,6 +75,7 @@
                  std::span<const RoutingEffect> Effects, bool IsSnapshot,
                  TimePoint AsOf);
   void deferOwnReads();
+  void endDeferrals();
   void readAllEndpoints();
   [[nodiscard]] TreeLinkHooks linkHooks();
   [[nodiscard]] Report ownReport() const;
--- a/packages/process/test/coltsfoottrail/fleethost/feeds.cpp
+++ b/packages/process/test/coltsfoottrail/fleethost/feeds.cpp
@@ -352,6 +352,23 @@
   EXPECT_EQ(statusOf("/v4/"), 503U);
 }
 
+class FeedsOfACandidate : public FeedsOfAHost {
+protected:
+  FeedsOfACandidate() : FeedsOfAHost(1.0) {}
+};
+
+// Guards against a fleet without recent configuration although the store
+// answers: a host gains the coordinator lease, no longer uses what is relayed,
+// and still waits for the time until which the last relayed update postponed
+// its reads.
+TEST_F(FeedsOfACandidate, HostThatGainsTheLeaseReadsTheOperatorsFeedAtOnce) {
+  start();
+  Store.GrantsLease = true;
+  Store.Version = 4;
+  ASSERT_TRUE(within(seconds(2), [&] { return metric("drives_groups") == 1; }));
+  EXPECT_TRUE(within(Bound / 4, [&] { return metric("config_version") == 4; }));
+}
+
 } // namespace
 
 } // namespace coltsfoottrail
