Take deleted records for an answer of the store

A host whose records are deleted (410) paused as after a failed read, for up to 8 s on a large fleet, before it asked for the newest values: its callers were served by an old configuration although the store had answered.

Such a read is now an end of its own: it is followed by the usual short retry pause, which doubles up to its limit while it is repeated, without the minimum that grows with the number of hosts. The store counts as answering from then on (StoreRegained, candidacy, the read of the other feed, the view's bound for a store that answers without pages that reach the end).

No test covers the host's reaction to the hook.

For callers: a configuration older than its bound is no longer trusted once the store has answered 410, as with any other answer, until the newest values are read.

--- a/packages/process/src/coltsfoottrail/fleethost/feeds.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/feeds.cpp
@@ -43,15 +43,20 @@
 
 } // namespace
 
+void FleetHost::recordAnswer(Feed FeedId, TimePoint RequestedAt) {
+  View.recordAnswer(RequestedAt);
+  if (std::exchange(StoreAnswers, true))
+    return;
+  logEvent(Event::StoreRegained);
+  Coordinator.recordStore(true, BootClock::now());
+  follower(FeedId == Feed::Operators ? Feed::Endpoints : Feed::Operators)
+      .readNow();
+  Coordinator.renewNow();
+}
+
 void FleetHost::ingestPage(Feed FeedId, FeedPage Page, bool IsSnapshot,
                            TimePoint RequestedAt) {
-  if (!std::exchange(StoreAnswers, true)) {
-    logEvent(Event::StoreRegained);
-    Coordinator.recordStore(true, BootClock::now());
-    follower(FeedId == Feed::Operators ? Feed::Endpoints : Feed::Operators)
-        .readNow();
-    Coordinator.renewNow();
-  }
+  recordAnswer(FeedId, RequestedAt);
   const TimePoint Now = BootClock::now();
   logFeedChanges(Page, View, RequestedAt, Now);
   const std::vector<RoutingEffect> Effects =
--- a/packages/process/src/coltsfoottrail/fleethost/follower.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/follower.cpp
@@ -45,7 +45,8 @@
     NextRetryPause = Times.RetryPause;
   const milliseconds Pause = std::max(NextRetryPause, Times.RetryPause);
   NextRetryPause = std::min(2 * Pause, Times.LongestRetryPause);
-  return Eager ? Pause : std::max(Pause, MinFailurePause);
+  return Eager || Result == ReadEnd::Expired ? Pause
+                                             : std::max(Pause, MinFailurePause);
 }
 
 // Failure guarded against: a host loses and regains its connection to the
@@ -134,10 +135,12 @@
     co_return ReadEnd::More;
   SkipLongPoll = std::holds_alternative<StoreFailure>(Answer);
   if (const auto *const Failure = std::get_if<StoreFailure>(&Answer)) {
-    if (*Failure == StoreFailure::Expired)
+    if (*Failure == StoreFailure::Expired) {
       Next.reset();
-    else
-      Hooks.OnFailure(*Failure);
+      Hooks.OnExpired(RequestedAt);
+      co_return ReadEnd::Expired;
+    }
+    Hooks.OnFailure(*Failure);
     co_return ReadEnd::Failed;
   }
   Behind = false;
--- a/packages/process/src/coltsfoottrail/fleethost/follower.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/follower.hpp
@@ -20,8 +20,8 @@
   /// Minimum interval between the starts of two reads; each call to the store
   /// is billed.
   milliseconds Spacing{0};
-  /// Pause after a failed read. It doubles with each further failure, up to
-  /// LongestRetryPause.
+  /// Pause after a failed read, or one whose records are deleted. It doubles
+  /// with each further one, up to LongestRetryPause.
   milliseconds RetryPause{200};
   milliseconds LongestRetryPause{1'600};
 };
@@ -33,6 +33,9 @@
   std::function<void(FeedPage, bool, TimePoint)> OnPage;
   /// Called when a read failed.
   std::function<void(StoreFailure)> OnFailure;
+  /// Called when the store answered that the records are deleted. Receives when
+  /// the read was requested.
+  std::function<void(TimePoint)> OnExpired = [](TimePoint) {};
 };
 
 /// @brief Reads a feed continuously: first the newest values, then the changes,
@@ -122,6 +125,8 @@
   /// Result of one read.
   enum class ReadEnd : std::uint8_t {
     Failed,
+    /// The records are deleted.
+    Expired,
     /// The store has more records than it returned.
     More,
     UpToDate
--- a/packages/process/src/coltsfoottrail/fleethost/host.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/host.cpp
@@ -159,14 +159,20 @@
                    ingestPage(Feed::Operators, std::move(Page), IsSnapshot,
                               RequestedAt);
                  },
-                 [this](StoreFailure) { readFailed(Feed::Operators); }}),
+                 [this](StoreFailure) { readFailed(Feed::Operators); },
+                 [this](TimePoint RequestedAt) {
+                   recordAnswer(Feed::Operators, RequestedAt);
+                 }}),
       Endpoints(Links.Store, Feed::Endpoints,
                 endpointFollowTimes(followerSpacing()),
                 {[this](FeedPage Page, bool IsSnapshot, TimePoint RequestedAt) {
                    ingestPage(Feed::Endpoints, std::move(Page), IsSnapshot,
                               RequestedAt);
                  },
-                 [this](StoreFailure) { readFailed(Feed::Endpoints); }}),
+                 [this](StoreFailure) { readFailed(Feed::Endpoints); },
+                 [this](TimePoint RequestedAt) {
+                   recordAnswer(Feed::Endpoints, RequestedAt);
+                 }}),
       Link(Pool, Settings.Peers, Member, Links.Store, linkHooks()) {
   Front.emplace(Pool, Settings.Callers.Address, Settings.Callers.Port,
                 ServerLimits{}, frontHooks());
--- a/packages/process/src/coltsfoottrail/fleethost/view.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/view.cpp
@@ -38,7 +38,7 @@
                                              bool IsSnapshot,
                                              TimePoint RequestedAt,
                                              TimePoint Now) {
-  StoreAnsweredAsOf = std::max(StoreAnsweredAsOf, RequestedAt);
+  recordAnswer(RequestedAt);
   if (FeedId == Feed::Endpoints)
     recordRead(Now);
   if (IsSnapshot && FeedId == Feed::Endpoints)
--- a/packages/process/src/coltsfoottrail/fleethost/view.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/view.hpp
@@ -9,6 +9,7 @@
 #include "coltsfoottrail/fleethost/settings.hpp"
 #include "coltsfoottrail/route/table.hpp"
 
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <optional>
@@ -53,6 +54,11 @@
   /// @return The effect of each change on routing.
   std::vector<RoutingEffect> ingest(Feed FeedId, FeedPage Page, bool IsSnapshot,
                                     TimePoint RequestedAt, TimePoint Now);
+  /// @brief Records an answer of the store that holds no page.
+  /// @param RequestedAt When the request left this host.
+  void recordAnswer(TimePoint RequestedAt) noexcept {
+    StoreAnsweredAsOf = std::max(StoreAnsweredAsOf, RequestedAt);
+  }
   /// How long an endpoint with stalled streams gets no new requests. By then
   /// the coordinator has probed its members and closed it, or it is healthy.
   static constexpr Duration SilentSuspension = milliseconds(2'000);
--- a/packages/process/test/coltsfoottrail/fleethost/follower.cpp
+++ b/packages/process/test/coltsfoottrail/fleethost/follower.cpp
@@ -250,6 +250,26 @@
   EXPECT_EQ(ReadOffsets, std::vector<Offset>{9});
 }
 
+Awaitable<FeedAnswer> expired() { co_return StoreFailure::Expired; }
+
+// Guards against a host that serves an old configuration for seconds because it
+// takes deleted records for a store that is away: the store has answered, and
+// the newest values must not wait as after a failure.
+TEST_F(Follower, DeletedRecordsAreNoFailureOfTheStore) {
+  EXPECT_CALL(Store, newest)
+      .WillOnce([] { return page(5, 5); })
+      .WillRepeatedly([] { return page(9, 9); });
+  EXPECT_CALL(Store, read)
+      .WillOnce([] { return expired(); })
+      .WillRepeatedly([] { return unanswered(); });
+  Times.Spacing = milliseconds(1);
+  Times.RetryPause = milliseconds(1);
+  follow();
+  Reader->setMinFailurePause(seconds(60));
+  Context.run_for(milliseconds(200));
+  EXPECT_EQ(ReadOffsets, (std::vector<Offset>{5, 9}));
+}
+
 // Guards against a host without proof of its configuration for the whole pause
 // after a failed read: the store is back for its upstream, which relays and
 // then falls silent. What was relayed shows that the store answers.
--- a/packages/process/test/coltsfoottrail/fleethost/view.cpp
+++ b/packages/process/test/coltsfoottrail/fleethost/view.cpp
@@ -89,6 +89,16 @@
   EXPECT_TRUE(View.credentialsFresh(Later));
 }
 
+// Guards against the same while the store answers only that the records are
+// deleted.
+TEST(FleetView, DeletedRecordsAreAnAnswerOfTheStore) {
+  FleetView View = readyView();
+  const TimePoint Later = Start + milliseconds(1'900);
+  EXPECT_TRUE(View.credentialsFresh(Later));
+  View.recordAnswer(Later);
+  EXPECT_FALSE(View.credentialsFresh(Later));
+}
+
 FeedPage projected(FleetChange Change) {
   FeedPage Result = page(std::move(Change));
   Result.Projected = true;
