Refuse newest values that are older than what was read

A host whose records were deleted accepted any newest values that its upstream relayed, also from an older reading: it relayed them as recent (false proof for other hosts) and sent requests to a data centre that had been drained meanwhile.

Its own newest values are accepted at any offset, because the store's history may change.

As a second line, TreeNode gives newest values the age of their own reading, and FleetView returns no data centre to service because of newest values that are older both by offset and by the time of the request than what it had.

Left: the trial test RecordsKnownBeforeOlderNewestValuesAreRelayed stays out. It feeds TreeNode older newest values of the same time, which a host no longer does; no guard found there makes it pass without losing the log.

For callers: a host whose upstream has read less than it had, while its own reads fail, has no proof until the upstream has caught up.

--- a/packages/process/src/coltsfoottrail/dissemination/node.cpp
+++ b/packages/process/src/coltsfoottrail/dissemination/node.cpp
@@ -60,8 +60,10 @@
     Shared.FullLog.advanceTo(Page.Next);
   // A page that does not reach the end of the feed does not show that the log
   // is current.
+  // Newest values replace what the log had, and are no more recent than their
+  // own reading.
   if (Page.Next >= Page.End)
-    Shared.AsOf = std::max(Shared.AsOf, AsOf);
+    Shared.AsOf = IsSnapshot ? AsOf : std::max(Shared.AsOf, AsOf);
 }
 
 void TreeNode::recordOwn(std::vector<EndpointLoad> Loads, TimePoint Now) {
--- a/packages/process/src/coltsfoottrail/fleethost/feeds.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/feeds.cpp
@@ -226,7 +226,7 @@
   if (Update.Snapshot == From.has_value())
     return;
   if (From ? !Follower.canAcceptChanges(*From, Update.Next)
-           : Follower.next().has_value())
+           : !Follower.canAcceptSnapshot(Update.Next))
     return;
   const TimePoint AsOf = SentAt - Update.Staleness;
   const TimePoint CoveredUntil =
--- a/packages/process/src/coltsfoottrail/fleethost/follower.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/follower.cpp
@@ -74,7 +74,7 @@
 }
 
 void FeedFollower::acceptSnapshot(Offset NextOffset, TimePoint Until) {
-  if (Next)
+  if (!canAcceptSnapshot(NextOffset))
     return;
   Next = NextOffset;
   DeferredUntil = Until;
@@ -92,8 +92,16 @@
   readNow();
 }
 
-void FeedFollower::restart() {
+// Failure guarded against: records are deleted, this host accepts newest values
+// from an older reading, relays them as recent, and sends requests to a data
+// centre that was drained meanwhile.
+void FeedFollower::forgetNext() {
+  KnownBefore = Next.value_or(KnownBefore);
   Next.reset();
+}
+
+void FeedFollower::restart() {
+  forgetNext();
   DeferredUntil = TimePoint{};
   readNow();
 }
@@ -136,7 +144,7 @@
   SkipLongPoll = std::holds_alternative<StoreFailure>(Answer);
   if (const auto *const Failure = std::get_if<StoreFailure>(&Answer)) {
     if (*Failure == StoreFailure::Expired) {
-      Next.reset();
+      forgetNext();
       Hooks.OnExpired(RequestedAt);
       co_return ReadEnd::Expired;
     }
--- a/packages/process/src/coltsfoottrail/fleethost/follower.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/follower.hpp
@@ -79,9 +79,16 @@
     return Next && From <= *Next && NextOffset >= *Next;
   }
 
+  /// @brief Whether relayed newest values are lacking here and not behind what
+  /// was known here before.
+  /// @param NextOffset Offset behind the newest values.
+  [[nodiscard]] bool canAcceptSnapshot(Offset NextOffset) const noexcept {
+    return !Next && NextOffset >= KnownBefore;
+  }
+
   /// @brief Accepts the newest values that another host relayed: reading
-  /// continues behind them, and not before the given time. Ignored if this host
-  /// has read the feed already.
+  /// continues behind them, and not before the given time. Ignored unless
+  /// canAcceptSnapshot().
   void acceptSnapshot(Offset NextOffset, TimePoint Until);
 
   /// @brief Postpones reads until a time, unless readNow() is called: another
@@ -136,6 +143,7 @@
   [[nodiscard]] Duration pauseAfter(ReadEnd Result);
   [[nodiscard]] Awaitable<void> untilWoken();
   [[nodiscard]] Awaitable<void> untilDeferralEnds();
+  void forgetNext();
   [[nodiscard]] bool isDeferred() const noexcept {
     return BootClock::now() < DeferredUntil;
   }
@@ -149,6 +157,8 @@
   std::uint64_t WakeCount = 0;
   /// Offset of the next read; empty before the newest values are known.
   std::optional<Offset> Next;
+  /// The last offset before the newest values had to be read again.
+  Offset KnownBefore = 0;
   TimePoint DeferredUntil{};
   bool Behind = false;
   bool Eager = false;
--- a/packages/process/src/coltsfoottrail/fleethost/view.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/view.cpp
@@ -43,13 +43,16 @@
     recordRead(Now);
   if (IsSnapshot && FeedId == Feed::Endpoints)
     retainEndpoints(Page, Now);
-  if (IsSnapshot && FeedId == Feed::Operators)
+  const bool IsOlder = Page.Next < OperatorsNext && RequestedAt < ConfigAsOf;
+  if (IsSnapshot && FeedId == Feed::Operators && !IsOlder)
     retainDrains(Page, Now);
   std::vector<RoutingEffect> Effects;
   Effects.reserve(Page.Changes.size());
   for (FleetChange &Change : Page.Changes)
     Effects.push_back(effectOf(Change, IsSnapshot, Now));
   if (FeedId == Feed::Operators) {
+    if (!IsOlder)
+      OperatorsNext = Page.Next;
     // Failure guarded against: an overloaded store returns the feed in parts,
     // this host stays some versions behind although each part is answered, and
     // it refuses valid requests because of routes and credentials that were
--- a/packages/process/src/coltsfoottrail/fleethost/view.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/view.hpp
@@ -177,6 +177,8 @@
   /// endpoints count as cold.
   std::map<DataCentreName, TimePoint> RecentlyReturned;
   TimePoint ConfigAsOf{};
+  /// Offset behind the operators' records that were applied.
+  Offset OperatorsNext = 0;
   /// When the last request that the store answered was sent, whether or not the
   /// response reached the end of a feed.
   TimePoint StoreAnsweredAsOf{};
--- a/packages/process/test/coltsfoottrail/dissemination/node.cpp
+++ b/packages/process/test/coltsfoottrail/dissemination/node.cpp
@@ -308,6 +308,18 @@
   EXPECT_TRUE(Node.otherLoads(Start + LoadAggregator::ReportLife).empty());
 }
 
+// Guards against a relay that proves an old configuration current: it has gone
+// back to newest values from an older reading, and their age must be told.
+TEST(TreeNode, OlderNewestValuesAreNotAsRecentAsWhatWasKnownBefore) {
+  TreeNode Node = node();
+  ingest(Node, page(0, 9), RoutingEffect::Set, Start + seconds(2), true);
+  ingest(Node, page(0, 7), RoutingEffect::Set, Start, true);
+  const Response Answer = Node.makeResponse(newReporter(), Start + seconds(3));
+  ASSERT_TRUE(Answer.Feeds.contains(Feed::Endpoints));
+  EXPECT_EQ(Answer.Feeds.at(Feed::Endpoints).Next, 7U);
+  EXPECT_EQ(Answer.Feeds.at(Feed::Endpoints).Staleness, seconds(3));
+}
+
 TEST(DisseminationMessages, SurviveEncoding) {
   Report Original = report("host-1", 12);
   Original.DataCentre = DataCentreName("north");
--- a/packages/process/test/coltsfoottrail/fleethost/feeds.cpp
+++ b/packages/process/test/coltsfoottrail/fleethost/feeds.cpp
@@ -325,6 +325,24 @@
   EXPECT_EQ(metric("config_version"), 4U);
 }
 
+// Guards against a host that relays an old configuration as a recent one, and
+// sends requests to a drained data centre: its records are deleted, and it goes
+// back to the older newest values that its upstream relays.
+TEST_F(FeedsOfAHost, OlderNewestValuesDoNotReplaceWhatWasRead) {
+  start();
+  relay(0, milliseconds(0));
+  Store.Reads = Mode::Deleted;
+  ASSERT_TRUE(within(seconds(4), [&] { return Store.Expired >= 1; }));
+  const int RelayedBefore = Relayed;
+  relay(2, Bound / 4);
+  ASSERT_TRUE(within(seconds(1), [&] { return Relayed > RelayedBefore + 2; }));
+  const Response Answer = askAsReporter();
+  const auto Update = Answer.Feeds.find(Feed::Operators);
+  EXPECT_TRUE(Update == Answer.Feeds.end() || Update->second.Next >= 3)
+      << "next " << Update->second.Next << " staleness "
+      << Update->second.Staleness.count();
+}
+
 // Guards against a weak host that stays without proof after it has woken: what
 // is relayed from a recent reading is used at once, although own reads hang.
 TEST_F(FeedsOfAHost, RecentReadingIsUsedWhileOwnReadsHang) {
--- a/packages/process/test/coltsfoottrail/fleethost/follower.cpp
+++ b/packages/process/test/coltsfoottrail/fleethost/follower.cpp
@@ -328,6 +328,25 @@
   EXPECT_EQ(ReadOffsets, std::vector<Offset>{4});
 }
 
+// Guards against a data centre that gets requests although it was drained, and
+// against records left out of what this host relays: its records are deleted,
+// and it goes back to older values that a host with an older reading relays.
+TEST_F(Follower, RelayedSnapshotIsNotOlderThanWhatWasRead) {
+  EXPECT_CALL(Store, newest)
+      .WillOnce([] { return page(9, 9); })
+      .WillRepeatedly([] { return unanswered(); });
+  EXPECT_CALL(Store, read)
+      .WillOnce([] { return expired(); })
+      .WillRepeatedly([] { return unanswered(); });
+  Times.Spacing = milliseconds(1);
+  Times.RetryPause = milliseconds(1);
+  follow();
+  Context.run_for(milliseconds(50));
+  ASSERT_FALSE(Reader->next());
+  Reader->acceptSnapshot(7, BootClock::now() + seconds(60));
+  EXPECT_FALSE(Reader->next());
+}
+
 } // namespace
 
 } // namespace coltsfoottrail
--- a/packages/process/test/coltsfoottrail/fleethost/view.cpp
+++ b/packages/process/test/coltsfoottrail/fleethost/view.cpp
@@ -249,6 +249,21 @@
   EXPECT_EQ(View.routes().Shares.begin()->second, 26U);
 }
 
+// Guards against requests to a drained data centre: newest values from an older
+// reading do not hold its drain.
+TEST(FleetView, OlderNewestValuesDoNotReturnADataCentre) {
+  FleetView View = readyView();
+  FeedPage Known = page(DataCentreDrained{DataCentreName("north")});
+  Known.Next = Known.End = 9;
+  View.ingest(Feed::Operators, Known, false, Start + seconds(1),
+              Start + seconds(1));
+  ASSERT_TRUE(View.drained().contains(DataCentreName("north")));
+  FeedPage Older = page(ConfigPublished{config(5)});
+  Older.Next = Older.End = 7;
+  View.ingest(Feed::Operators, Older, true, Start, Start + seconds(2));
+  EXPECT_TRUE(View.drained().contains(DataCentreName("north")));
+}
+
 TEST(ResponseMetadata,
      OnlyARefusalThatBlamesAnotherEngineProvesAnEndpointUnusable) {
   const EngineAddress Target{"10.0.0.1", 80};
