Choose ports for the feeds test that no outgoing connection takes

One run of process_fleethost_test failed in the fixture's constructor with "bind: Address already in use": a port that the system had assigned was released after the probe and could go to an outgoing connection before the host opened it. The ports are now drawn below the range for outgoing connections (32768 to 60999 on this machine). No check changes.

--- a/packages/process/test/coltsfoottrail/fleethost/feeds.cpp
+++ b/packages/process/test/coltsfoottrail/fleethost/feeds.cpp
@@ -8,7 +8,7 @@
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <gtest/gtest.h>
-#include <mutex>
+#include <random>
 #include <thread>
 
 namespace coltsfoottrail {
@@ -21,11 +21,22 @@
 /// or more.
 constexpr std::uint64_t ManyHosts = 400;
 
+/// A port that is free, below those that the system assigns to outgoing
+/// connections, which could take it before it is used.
 std::uint16_t freePort() {
-  boost::asio::io_context Context;
-  boost::asio::ip::tcp::acceptor Probe(
-      Context, {boost::asio::ip::make_address(Loopback), 0});
-  return Probe.local_endpoint().port();
+  constexpr unsigned First = 20'000;
+  constexpr unsigned Count = 10'000;
+  static unsigned Drawn = std::random_device()();
+  while (true) {
+    const auto Port = static_cast<std::uint16_t>(First + Drawn++ % Count);
+    boost::asio::io_context Context;
+    boost::asio::ip::tcp::acceptor Probe(Context);
+    boost::system::error_code Taken;
+    Probe.open(boost::asio::ip::tcp::v4());
+    Probe.bind({boost::asio::ip::make_address(Loopback), Port}, Taken);
+    if (!Taken)
+      return Port;
+  }
 }
 
 /// A configuration with a route that only its version has.
