Use newer operators' records whatever the age of the reading

A host served an old configuration although its upstream relayed a newer one: the update was dropped if the reading behind it was too old to replace own reads, for instance right after a change of upstream.

Newer changes of the operators' feed are now applied and relayed at any age. Only the postponement of own reads depends on the age; the view and other hosts get the time of the reading as it is, so such an update proves nothing that it did not prove before. It does not end a pause after a failed read either.

Such an update may arrive during an own read. The page of that read was dropped then, with its proof. For the operators' feed it now loses the records that are known already and is used from there on, if it goes at least as far as what is known. Records and Changes are aligned one to one in decodeRecords, decodeNewest and decodeUpdate (read in the code); a page in which their numbers differ is dropped as before, and so are pages of newest values and of the endpoints' feed.

--- a/packages/process/src/coltsfoottrail/fleethost/feeds.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/feeds.cpp
@@ -213,6 +213,10 @@
   return Result;
 }
 
+// Failure guarded against: a host serves an old configuration although a newer
+// one was relayed to it, because the reading behind it is old. Its age only
+// decides whether it postpones own reads.
+//
 // The store was read at most Staleness before the response left, and the
 // response left after this host's report: what it relays is at least as recent
 // as SentAt - Staleness, measured by this host's clock alone.
@@ -233,7 +237,9 @@
       AsOf + (FeedId == Feed::Operators ? operatorsCover(Settings.Bounds)
                                         : followerSpacing());
   const TimePoint Now = BootClock::now();
-  if (CoveredUntil <= Now)
+  const bool HasNewer =
+      FeedId == Feed::Operators && From && Update.Next > *Follower.next();
+  if (CoveredUntil <= Now && !HasNewer)
     return;
   if (FeedId == Feed::Endpoints)
     EndpointsRelayedAt = Now;
--- a/packages/process/src/coltsfoottrail/fleethost/follower.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/follower.cpp
@@ -122,6 +122,25 @@
   }
 }
 
+// Failures guarded against: later records were relayed to this host while it
+// read; applying the older page now would remove an endpoint that left and came
+// back. Or old records are relayed during each own read, and what was read is
+// never used as proof of the configuration.
+bool FeedFollower::dropKnown(FeedPage &Page, std::optional<Offset> From) const {
+  if (FollowedFeed != Feed::Operators || !From || !Next || Page.Next < *Next ||
+      Page.Records.size() != Page.Changes.size())
+    return false;
+  const auto FirstNew =
+      std::ranges::find_if(Page.Records, [this](const FeedRecord &Record) {
+        return Record.Position >= *Next;
+      });
+  const auto Known = FirstNew - Page.Records.begin();
+  Page.Records.erase(Page.Records.begin(), FirstNew);
+  Page.Changes.erase(Page.Changes.begin(), Page.Changes.begin() + Known);
+  Page.From = *Next;
+  return true;
+}
+
 // Failure guarded against: after an outage there is more to read than one
 // response holds. Reading at the usual interval, the host would lag by seconds
 // and send requests to endpoints that have long announced their departure.
@@ -154,10 +173,7 @@
   Behind = false;
   EndedPause = false;
   FeedPage &Page = std::get<FeedPage>(Answer);
-  // Failure guarded against: later records were relayed to this host while it
-  // read; applying the older page now would remove an endpoint that left and
-  // came back.
-  if (Next != From)
+  if (Next != From && !dropKnown(Page, From))
     co_return ReadEnd::UpToDate;
   Next = Page.Next;
   const bool More = Page.Next < Page.End;
--- a/packages/process/src/coltsfoottrail/fleethost/follower.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/follower.hpp
@@ -144,6 +144,10 @@
   [[nodiscard]] Awaitable<void> untilWoken();
   [[nodiscard]] Awaitable<void> untilDeferralEnds();
   void forgetNext();
+  /// Removes records that were relayed while the page was read from an offset;
+  /// false if what remains cannot be used.
+  [[nodiscard]] bool dropKnown(FeedPage &Page,
+                               std::optional<Offset> From) const;
   [[nodiscard]] bool isDeferred() const noexcept {
     return BootClock::now() < DeferredUntil;
   }
--- a/packages/process/test/coltsfoottrail/fleethost/feeds.cpp
+++ b/packages/process/test/coltsfoottrail/fleethost/feeds.cpp
@@ -320,6 +320,17 @@
   }
 };
 
+// Guards against a host that serves an old configuration although a newer one
+// was relayed to it: the upstream is new to it, and has itself read nothing for
+// longer than a reading replaces own reads.
+TEST_F(FeedsOfAHost, NewerConfigurationOfAnOldReadingIsUsed) {
+  start();
+  Store.Reads = Mode::Hangs;
+  relay(4, Bound * 3 / 4);
+  EXPECT_TRUE(within(milliseconds(1'000),
+                     [&] { return metric("config_version") == 4; }));
+}
+
 // Guards against callers of a new route that get 404: a read failed before the
 // store was back, the upstream relayed once and fell silent, and the host waits
 // for the end of the pause after its failed read.
--- a/packages/process/test/coltsfoottrail/fleethost/follower.cpp
+++ b/packages/process/test/coltsfoottrail/fleethost/follower.cpp
@@ -250,6 +250,50 @@
   EXPECT_EQ(ReadOffsets, std::vector<Offset>{9});
 }
 
+/// A page of two records that takes longer than the next response.
+Awaitable<FeedAnswer> delayedRecords() {
+  boost::asio::steady_timer Timer(co_await boost::asio::this_coro::executor,
+                                  milliseconds(60));
+  co_await Timer.async_wait(boost::asio::use_awaitable);
+  FeedPage Result;
+  Result.From = 3;
+  Result.Next = Result.End = 5;
+  Result.Changes = {DataCentreDrained{DataCentreName("known")},
+                    DataCentreDrained{DataCentreName("new")}};
+  Result.Records = {{3, "known", "a"}, {4, "new", "b"}};
+  co_return Result;
+}
+
+// Guards against a host that never proves its configuration: each own read is
+// overtaken by a relayed record, and what the read brought is thrown away. The
+// records that are known already must not be applied again.
+TEST_F(Follower, OwnReadOfOperatorsIsUsedThoughItsBeginningWasRelayed) {
+  EXPECT_CALL(Store, newest).WillOnce([] { return page(3, 3); });
+  EXPECT_CALL(Store, read)
+      .WillOnce([] { return delayedRecords(); })
+      .WillRepeatedly([] { return unanswered(); });
+  Times.Spacing = milliseconds(1);
+  std::vector<FeedPage> Pages;
+  Reader.emplace(Store, Feed::Operators, Times,
+                 FollowHooks{[&Pages](FeedPage Page, bool, TimePoint) {
+                               Pages.push_back(std::move(Page));
+                             },
+                             [this](StoreFailure) { ++Failures; }});
+  boost::asio::co_spawn(Context, Reader->run(), boost::asio::detached);
+  Context.run_for(milliseconds(20));
+  ASSERT_EQ(Pages.size(), 1U);
+  Reader->acceptChanges(4, BootClock::now() - milliseconds(1));
+  Context.run_for(milliseconds(200));
+  ASSERT_EQ(Pages.size(), 2U);
+  EXPECT_EQ(Pages[1].From, 4U);
+  EXPECT_EQ(Pages[1].Next, 5U);
+  ASSERT_EQ(Pages[1].Records.size(), 1U);
+  EXPECT_EQ(Pages[1].Records[0].Position, 4U);
+  ASSERT_EQ(Pages[1].Changes.size(), 1U);
+  EXPECT_EQ(std::get<DataCentreDrained>(Pages[1].Changes[0]).DataCentre,
+            DataCentreName("new"));
+}
+
 Awaitable<FeedAnswer> expired() { co_return StoreFailure::Expired; }
 
 // Guards against a host that serves an old configuration for seconds because it
