Leave a useless upstream while the own last read failed

A host whose own last read had failed kept an upstream that still answered but relayed nothing recent, for the whole pause after the failed read (up to 8 s), and had no proof of its configuration meanwhile.

An upstream that has relayed no endpoints for 1 s is now left also if it has heard of a valid lease: the store answers the lease's holder. A host that leaves for that reason ends the postponement of its reads and the pause after its failed read (one pause until a read succeeds).

Cost: at the beginning of an outage a host may read each feed once more, and ask once for the lease's holder, if a lease is still heard of 1 s after the last relayed endpoints. Not measured.

--- a/packages/process/src/coltsfoottrail/fleethost/feeds.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/feeds.cpp
@@ -18,8 +18,8 @@
 constexpr double OperatorsCoverFraction = 0.55;
 constexpr milliseconds MaxOperatorsCover{2'400};
 /// An upstream that has relayed no endpoints for this long, although the store
-/// answers this host's own reads, is abandoned. The pause doubles up to
-/// MaxAbandonPause while that changes nothing.
+/// answers this host's own reads or the coordinator, is abandoned. The pause
+/// doubles up to MaxAbandonPause while that changes nothing.
 constexpr milliseconds UselessUpstreamAfter{1'000};
 constexpr milliseconds MaxAbandonPause{8'000};
 /// How long a host that is no candidate for the coordinator lease waits for an
@@ -67,9 +67,10 @@
   Coordinator.planNow();
 }
 
-// Failure guarded against: a host gains the coordinator lease, no longer uses
-// what others relay, and still waits for the time until which they postponed
-// its reads. No host has a recent configuration meanwhile.
+// Failure guarded against: a host gains the coordinator lease, or its upstream
+// relays nothing recent, and it still waits for the time until which others
+// postponed its reads. It has no recent configuration meanwhile, and the hosts
+// below it have none either.
 void FleetHost::endDeferrals() {
   Operators.endDeferral();
   Endpoints.endDeferral();
@@ -166,7 +167,7 @@
   }
   for (const Feed FeedId : Answer.Truncated)
     readTruncated(FeedId, SentReport);
-  watchUpstream(BootClock::now());
+  watchUpstream(BootClock::now(), Answer.LeaseHeard);
 }
 
 /// Handles an update that the upstream cannot relay because it no longer has
@@ -182,10 +183,12 @@
 }
 
 // A coordinator that is cut off from the store still answers reports but relays
-// nothing to hosts that have more recent records than it has.
-void FleetHost::watchUpstream(TimePoint Now) {
-  const bool Useless =
-      StoreAnswers && Now - EndpointsRelayedAt > UselessUpstreamAfter;
+// nothing to hosts that have more recent records than it has. A valid lease
+// shows that the store answers its holder, although this host's own last read
+// failed: it then reads again itself.
+void FleetHost::watchUpstream(TimePoint Now, bool LeaseHeard) {
+  const bool Useless = (StoreAnswers || LeaseHeard) &&
+                       Now - EndpointsRelayedAt > UselessUpstreamAfter;
   if (!Useless) {
     AbandonPause = UselessUpstreamAfter;
     return;
@@ -193,6 +196,8 @@
   if (Now < NextAbandonAt)
     return;
   Link.abandonUpstream();
+  if (!StoreAnswers)
+    endDeferrals();
   NextAbandonAt = Now + AbandonPause;
   AbandonPause = std::min(2 * AbandonPause, MaxAbandonPause);
 }
--- a/packages/process/src/coltsfoottrail/fleethost/host.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/host.hpp
@@ -87,7 +87,7 @@
   [[nodiscard]] FeedPage decodeUpdate(Feed FeedId, std::optional<Offset> From,
                                       const FeedUpdate &Update) const;
   void readTruncated(Feed FeedId, const Report &SentReport);
-  void watchUpstream(TimePoint Now);
+  void watchUpstream(TimePoint Now, bool LeaseHeard);
   [[nodiscard]] FeedFollower &follower(Feed FeedId) {
     return FeedId == Feed::Operators ? Operators : Endpoints;
   }
--- a/packages/process/test/coltsfoottrail/fleethost/feeds.cpp
+++ b/packages/process/test/coltsfoottrail/fleethost/feeds.cpp
@@ -347,6 +347,17 @@
   EXPECT_EQ(metric("config_version"), 4U);
 }
 
+// Guards against a host without proof of its configuration for seconds: its
+// upstream still answers but relays nothing recent, and is not left as long as
+// the host's own last read failed.
+TEST_F(FeedsOfAHost, UpstreamWithoutReadingsDoesNotProlongThePause) {
+  start();
+  failOneRead();
+  relay(3, seconds(10));
+  Store.Version = 4;
+  EXPECT_TRUE(within(Bound, [&] { return metric("config_version") == 4; }));
+}
+
 // Guards against a host that relays an old configuration as a recent one, and
 // sends requests to a drained data centre: its records are deleted, and it goes
 // back to the older newest values that its upstream relays.
