Require a failed read to trust a configuration beyond its bound

A host answered private routes and 404s by a configuration older than its bound (up to 4.3 s after its last proof) without any sign that the store was away: an upstream that had fallen silent, or a postponed read, was enough. Callers of a new route got 404 late. A stable core's bounds are longer only while the store is away.

Beyond Bounds.Configuration - ConfigurationMargin (L), credentialsFresh now takes a read of either feed that this host sent within the last L and that failed, or that is overdue: no answer 350 ms after the store's long poll ended. 4.3 s remains the outer bound. OnFailure gets the time at which the read was sent.

During a true outage, in s after the last relayed proof (worked out; ResponseTimeout 0.7, evidence at once if refused): bound 2: L 1.8; first own read 1.10, overdue 1.45, failed 1.80 bound 3: L 2.8; first own read 1.65, overdue 2.00, failed 2.35 bound 4: L 3.8; first own read 2.20, overdue 2.55, failed 2.90 A host that reads by long polls (0.3, 0.45, 0.6) and whose next read is sent 1.0 at most after the last proof of bound 2 is overdue at 1.65. The overdue check adds one tick (50 ms). The pause after failed reads of the operators' feed is at most L - 0.7 (1.1, 2.1, 3.1) while credentials may still be trusted; it was up to 8 s on a large fleet. This costs up to two more operators' reads per host in the first 4.3 s of an outage at a bound of 2 s (worked out, not measured).

ConfigurationIsTrustedWhileTheStoreIsAway, and the tests StarvedConfigurationIsNotTrustedBeyondItsBound, DeletedRecordsAreAnAnswerOfTheStore and CredentialsAreStaleBeforeTheBoundEnds, expected trust beyond the bound because the store was away, without anything in the test that said so; they now record the failed read. Their checks are unchanged. New: ConfigurationBeyondItsBoundIsNotTrustedWithoutAFailedRead and FeedsInAnOutage (400 hosts, bound 2 s, store refuses or hangs: 404 for an unknown path at every poll until 4.0 s, then 503).

For callers: between L and 4.3 s a host that cannot show that the store is away answers 503 (not run) and is unready, where it answered by its old configuration before.

--- a/packages/process/src/coltsfoottrail/fleethost/feeds.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/feeds.cpp
@@ -35,6 +35,14 @@
 constexpr milliseconds FailedReadEvery{20};
 constexpr milliseconds MaxFailurePause{8'000};
 
+/// Part of the time between two failed reads in which the second one fails or
+/// is overdue.
+constexpr milliseconds EvidenceMargin{700};
+
+milliseconds evidencePause(Duration Within) {
+  return std::chrono::duration_cast<milliseconds>(Within) - EvidenceMargin;
+}
+
 milliseconds operatorsCover(const FleetBounds &Bounds) {
   const auto Cover = std::chrono::duration_cast<milliseconds>(
       Bounds.Configuration * OperatorsCoverFraction);
@@ -266,7 +274,14 @@
     Routing.observeClosed(Leader.Pool, Leader.Key);
 }
 
-void FleetHost::readFailed(Feed FeedId) {
+void FleetHost::recordOverdue(TimePoint Now) {
+  for (const FeedFollower *const Follower : {&Operators, &Endpoints})
+    if (const auto RequestedAt = Follower->overdueSince(Now))
+      View.recordNoAnswer(*RequestedAt);
+}
+
+void FleetHost::readFailed(Feed FeedId, TimePoint RequestedAt) {
+  View.recordNoAnswer(RequestedAt);
   Coordinator.recordStore(false, BootClock::now());
   if (std::exchange(StoreAnswers, false))
     logEvent(Event::StoreLost,
@@ -275,7 +290,8 @@
 
 // Limits the reads of all hosts together while the store is unavailable: a host
 // whose upstream answers retries rarely, because the upstream reads for it and
-// relays as soon as the store is back.
+// relays as soon as the store is back. As long as a configuration beyond its
+// bound may still be trusted, failed reads must show that the store is away.
 void FleetHost::limitFailedReads(std::size_t Hosts, TimePoint Now) {
   const bool HasUpstream = Link.hearsUpstream(Now);
   const double Spread = 0.5 + Draw.fraction();
@@ -283,7 +299,9 @@
       FailedReadEvery * double(Hosts) * Spread);
   const milliseconds MinPause =
       HasUpstream ? std::min(Pause, MaxFailurePause) : milliseconds(0);
-  Operators.setMinFailurePause(MinPause);
+  const auto Within = View.failedReadsWithin(Now);
+  Operators.setMinFailurePause(
+      Within ? std::min(MinPause, evidencePause(*Within)) : MinPause);
   Endpoints.setMinFailurePause(MinPause);
   FailedReadPause = MinPause;
 }
--- a/packages/process/src/coltsfoottrail/fleethost/follower.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/follower.cpp
@@ -11,19 +11,28 @@
 
 using namespace boost::asio::experimental::awaitable_operators;
 
+namespace {
+
+/// The store usually answers within this time after it has held a read back.
+constexpr milliseconds UsualResponseTime{350};
+
+} // namespace
+
 Awaitable<void> FeedFollower::run() {
   const auto Executor = co_await boost::asio::this_coro::executor;
   boost::asio::steady_timer Pause(Executor);
   WakeTimer.emplace(Executor, boost::asio::steady_timer::time_point::max());
   while (true) {
     co_await untilDeferralEnds();
-    const TimePoint RequestedAt = BootClock::now();
+    const TimePoint StartedAt = BootClock::now();
     const auto Finished = co_await (readOnce() || untilWoken());
+    RequestedAt.reset();
+    AnswerDueAt.reset();
     const ReadEnd End =
         Finished.index() == 0 ? std::get<0>(Finished) : ReadEnd::More;
     if (End == ReadEnd::More)
       continue;
-    const Duration Remaining = RequestedAt + pauseAfter(End) - BootClock::now();
+    const Duration Remaining = StartedAt + pauseAfter(End) - BootClock::now();
     if (Remaining <= Duration::zero())
       continue;
     PausesAfterFailure = End == ReadEnd::Failed;
@@ -145,16 +154,19 @@
 // response holds. Reading at the usual interval, the host would lag by seconds
 // and send requests to endpoints that have long announced their departure.
 Awaitable<FeedFollower::ReadEnd> FeedFollower::readOnce() {
-  const TimePoint RequestedAt = BootClock::now();
+  const TimePoint SentAt = BootClock::now();
   const std::uint64_t WakeCountBefore = WakeCount;
   const std::optional<Offset> From = Next;
   const bool IsSnapshot = !From;
+  const milliseconds Wait =
+      IsSnapshot || SkipLongPoll ? milliseconds(0) : Times.Wait;
+  RequestedAt = SentAt;
+  AnswerDueAt = SentAt + Wait + UsualResponseTime;
   std::variant<FeedPage, StoreFailure> Answer = StoreFailure::NotDone;
   if (IsSnapshot)
     Answer = co_await Store.newest(FollowedFeed);
   else
-    Answer = co_await Store.read(FollowedFeed, *From,
-                                 SkipLongPoll ? milliseconds(0) : Times.Wait);
+    Answer = co_await Store.read(FollowedFeed, *From, Wait);
   // Failure guarded against: a cancelled read counts as failed, the next
   // response of the other feed cancels the read of this feed again, and this
   // feed is never read.
@@ -164,10 +176,10 @@
   if (const auto *const Failure = std::get_if<StoreFailure>(&Answer)) {
     if (*Failure == StoreFailure::Expired) {
       forgetNext();
-      Hooks.OnExpired(RequestedAt);
+      Hooks.OnExpired(SentAt);
       co_return ReadEnd::Expired;
     }
-    Hooks.OnFailure(*Failure);
+    Hooks.OnFailure(*Failure, SentAt);
     co_return ReadEnd::Failed;
   }
   Behind = false;
@@ -177,7 +189,7 @@
     co_return ReadEnd::UpToDate;
   Next = Page.Next;
   const bool More = Page.Next < Page.End;
-  Hooks.OnPage(std::move(Page), IsSnapshot, RequestedAt);
+  Hooks.OnPage(std::move(Page), IsSnapshot, SentAt);
   co_return More ? ReadEnd::More : ReadEnd::UpToDate;
 }
 
--- a/packages/process/src/coltsfoottrail/fleethost/follower.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/follower.hpp
@@ -31,8 +31,8 @@
   /// Receives a page, whether it is a snapshot of the newest values, and when
   /// it was requested.
   std::function<void(FeedPage, bool, TimePoint)> OnPage;
-  /// Called when a read failed.
-  std::function<void(StoreFailure)> OnFailure;
+  /// Called when a read failed. Receives when it was requested.
+  std::function<void(StoreFailure, TimePoint)> OnFailure;
   /// Called when the store answered that the records are deleted. Receives when
   /// the read was requested.
   std::function<void(TimePoint)> OnExpired = [](TimePoint) {};
@@ -109,6 +109,13 @@
   /// since.
   [[nodiscard]] bool isBehind() const noexcept { return Behind; }
 
+  /// @brief When the read in progress was requested, if the store takes longer
+  /// to answer than usual.
+  [[nodiscard]] std::optional<TimePoint>
+  overdueSince(TimePoint Now) const noexcept {
+    return AnswerDueAt && Now >= *AnswerDueAt ? RequestedAt : std::nullopt;
+  }
+
   /// @brief Offset of the next read; empty before the newest values are known.
   [[nodiscard]] const std::optional<Offset> &next() const noexcept {
     return Next;
@@ -159,6 +166,9 @@
   /// Never expires; cancelled to end a wait.
   std::optional<boost::asio::steady_timer> WakeTimer;
   std::uint64_t WakeCount = 0;
+  /// Set while a read is in progress.
+  std::optional<TimePoint> RequestedAt;
+  std::optional<TimePoint> AnswerDueAt;
   /// Offset of the next read; empty before the newest values are known.
   std::optional<Offset> Next;
   /// The last offset before the newest values had to be read again.
--- a/packages/process/src/coltsfoottrail/fleethost/host.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/host.cpp
@@ -159,7 +159,9 @@
                    ingestPage(Feed::Operators, std::move(Page), IsSnapshot,
                               RequestedAt);
                  },
-                 [this](StoreFailure) { readFailed(Feed::Operators); },
+                 [this](StoreFailure, TimePoint RequestedAt) {
+                   readFailed(Feed::Operators, RequestedAt);
+                 },
                  [this](TimePoint RequestedAt) {
                    recordAnswer(Feed::Operators, RequestedAt);
                  }}),
@@ -169,7 +171,9 @@
                    ingestPage(Feed::Endpoints, std::move(Page), IsSnapshot,
                               RequestedAt);
                  },
-                 [this](StoreFailure) { readFailed(Feed::Endpoints); },
+                 [this](StoreFailure, TimePoint RequestedAt) {
+                   readFailed(Feed::Endpoints, RequestedAt);
+                 },
                  [this](TimePoint RequestedAt) {
                    recordAnswer(Feed::Endpoints, RequestedAt);
                  }}),
@@ -358,6 +362,7 @@
     suspendSilent(BootClock::now());
     endFastReads(BootClock::now());
     View.advance(BootClock::now());
+    recordOverdue(BootClock::now());
     refreshRoutes();
     logConfigFreshness(BootClock::now());
     if (Coordinator.isLastHolder() && !View.knowsAllEndpoints())
--- a/packages/process/src/coltsfoottrail/fleethost/host.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/host.hpp
@@ -71,7 +71,8 @@
   void recordAnswer(Feed FeedId, TimePoint RequestedAt);
   void ingestPage(Feed FeedId, FeedPage Page, bool IsSnapshot,
                   TimePoint RequestedAt);
-  void readFailed(Feed FeedId);
+  void readFailed(Feed FeedId, TimePoint RequestedAt);
+  void recordOverdue(TimePoint Now);
   void shareFeed(Feed FeedId, const FeedPage &Page,
                  std::span<const RoutingEffect> Effects, bool IsSnapshot,
                  TimePoint AsOf);
--- a/packages/process/src/coltsfoottrail/fleethost/view.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/view.cpp
@@ -236,12 +236,21 @@
 //
 // A configuration older than its limit is tolerated only while the store does
 // not answer at all, not while it answers with pages that do not reach the end
-// of the feed.
+// of the feed. That it does not answer takes a read that this host sent within
+// that limit: silence of an upstream is no evidence.
 bool FleetView::credentialsFresh(TimePoint Now) const noexcept {
-  const bool Starved = StoreAnsweredAsOf - ConfigAsOf >=
-                       Bounds.Configuration - ConfigurationMargin;
-  return Index && !Starved &&
-         Now - ConfigAsOf < Bounds.Revocation - RevocationMargin;
+  const Duration Limit = Bounds.Configuration - ConfigurationMargin;
+  const bool Starved = StoreAnsweredAsOf - ConfigAsOf >= Limit;
+  const bool StoreIsAway = Now - NoAnswerAsOf < Limit;
+  return Index && !Starved && (routesFresh(Now) || StoreIsAway) &&
+         configAge(Now) < Bounds.Revocation - RevocationMargin;
+}
+
+std::optional<Duration>
+FleetView::failedReadsWithin(TimePoint Now) const noexcept {
+  if (!Index || configAge(Now) >= Bounds.Revocation - RevocationMargin)
+    return std::nullopt;
+  return Bounds.Configuration - ConfigurationMargin;
 }
 
 bool FleetView::routesFresh(TimePoint Now) const noexcept {
--- a/packages/process/src/coltsfoottrail/fleethost/view.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/view.hpp
@@ -59,6 +59,16 @@
   void recordAnswer(TimePoint RequestedAt) noexcept {
     StoreAnsweredAsOf = std::max(StoreAnsweredAsOf, RequestedAt);
   }
+  /// @brief Records that the store did not answer a read, or has not done so
+  /// for longer than usual.
+  /// @param RequestedAt When the request left this host.
+  void recordNoAnswer(TimePoint RequestedAt) noexcept {
+    NoAnswerAsOf = std::max(NoAnswerAsOf, RequestedAt);
+  }
+  /// @brief Longest time between two failed reads for which a configuration
+  /// beyond its bound stays trusted; empty if it is not trusted any longer.
+  [[nodiscard]] std::optional<Duration>
+  failedReadsWithin(TimePoint Now) const noexcept;
   /// How long an endpoint with stalled streams gets no new requests. By then
   /// the coordinator has probed its members and closed it, or it is healthy.
   static constexpr Duration SilentSuspension = milliseconds(2'000);
@@ -113,7 +123,8 @@
     return Drained;
   }
   /// @brief Whether credentials can be trusted: this host would know of any
-  /// withdrawal that must be in force by now.
+  /// withdrawal that must be in force by now, and its configuration is within
+  /// its bound or the store does not answer.
   [[nodiscard]] bool credentialsFresh(TimePoint Now) const noexcept;
   /// @brief Whether routes can be trusted: if there is a newer configuration
   /// that this host does not know, it need not be in force yet.
@@ -182,6 +193,8 @@
   /// When the last request that the store answered was sent, whether or not the
   /// response reached the end of a feed.
   TimePoint StoreAnsweredAsOf{};
+  /// When the last request that the store did not answer was sent.
+  TimePoint NoAnswerAsOf{};
   bool EndpointsKnown = false;
   bool KnowsAllEndpoints = false;
   TimePoint EndpointsAsOf{};
--- a/packages/process/test/coltsfoottrail/fleethost/feeds.cpp
+++ b/packages/process/test/coltsfoottrail/fleethost/feeds.cpp
@@ -403,6 +403,29 @@
   EXPECT_EQ(statusOf("/v4/"), 503U);
 }
 
+// Guards against a large fleet that refuses its callers while the store is away
+// for all: a failed read of its own shows each host that it is, and the pauses
+// after failed reads must not leave it without one while its credentials may
+// still be trusted.
+class FeedsInAnOutage : public FeedsOfAHost,
+                        public ::testing::WithParamInterface<Mode> {};
+
+TEST_P(FeedsInAnOutage, ConfigurationIsTrustedWhileTheStoreIsAway) {
+  constexpr std::uint64_t TrustedFor = 4'000;
+  start();
+  Store.Reads = GetParam();
+  relay(0, milliseconds(0));
+  std::uint64_t Age = 0;
+  while ((Age = metric("config_age_milliseconds")) < TrustedFor) {
+    ASSERT_EQ(statusOf("/none/"), 404U) << Age << " ms";
+    std::this_thread::sleep_for(milliseconds(10));
+  }
+  EXPECT_TRUE(within(seconds(1), [&] { return statusOf("/none/") == 503U; }));
+}
+
+INSTANTIATE_TEST_SUITE_P(Stores, FeedsInAnOutage,
+                         ::testing::Values(Mode::Refuses, Mode::Hangs));
+
 class FeedsOfACandidate : public FeedsOfAHost {
 protected:
   FeedsOfACandidate() : FeedsOfAHost(1.0) {}
--- a/packages/process/test/coltsfoottrail/fleethost/follower.cpp
+++ b/packages/process/test/coltsfoottrail/fleethost/follower.cpp
@@ -62,11 +62,12 @@
   }
 
   void follow() {
-    Reader.emplace(Store, Feed::Endpoints, Times,
-                   FollowHooks{[this](FeedPage Page, bool, TimePoint) {
-                                 ReadOffsets.push_back(Page.Next);
-                               },
-                               [this](StoreFailure) { ++Failures; }});
+    Reader.emplace(
+        Store, Feed::Endpoints, Times,
+        FollowHooks{[this](FeedPage Page, bool, TimePoint) {
+                      ReadOffsets.push_back(Page.Next);
+                    },
+                    [this](StoreFailure, TimePoint) { ++Failures; }});
     boost::asio::co_spawn(Context, Reader->run(), boost::asio::detached);
   }
 
@@ -177,7 +178,7 @@
                  FollowHooks{[this](FeedPage Page, bool, TimePoint) {
                                ReadOffsets.push_back(Page.Next);
                              },
-                             [this](StoreFailure) { ++Failures; }});
+                             [this](StoreFailure, TimePoint) { ++Failures; }});
   Reader->defer(BootClock::now() + seconds(60));
   boost::asio::co_spawn(Context, Reader->run(), boost::asio::detached);
   Context.run_for(milliseconds(10));
@@ -210,7 +211,7 @@
   EXPECT_CALL(Store, newest).Times(1).WillRepeatedly([] { return refused(); });
   Reader.emplace(Store, Feed::Endpoints, Times,
                  FollowHooks{[](FeedPage, bool, TimePoint) {},
-                             [this](StoreFailure) { ++Failures; }});
+                             [this](StoreFailure, TimePoint) { ++Failures; }});
   Reader->setMinFailurePause(seconds(60));
   boost::asio::co_spawn(Context, Reader->run(), boost::asio::detached);
   Context.run_for(milliseconds(60));
@@ -223,7 +224,7 @@
   EXPECT_CALL(Store, newest).WillRepeatedly([] { return refused(); });
   Reader.emplace(Store, Feed::Endpoints, Times,
                  FollowHooks{[](FeedPage, bool, TimePoint) {},
-                             [this](StoreFailure) { ++Failures; }});
+                             [this](StoreFailure, TimePoint) { ++Failures; }});
   Reader->setMinFailurePause(seconds(60));
   Reader->setEagerRetry(true);
   boost::asio::co_spawn(Context, Reader->run(), boost::asio::detached);
@@ -239,7 +240,7 @@
                  FollowHooks{[this](FeedPage Page, bool, TimePoint) {
                                ReadOffsets.push_back(Page.Next);
                              },
-                             [this](StoreFailure) { ++Failures; }});
+                             [this](StoreFailure, TimePoint) { ++Failures; }});
   Reader->defer(BootClock::now() + seconds(60));
   boost::asio::co_spawn(Context, Reader->run(), boost::asio::detached);
   Context.run_for(milliseconds(10));
@@ -278,7 +279,7 @@
                  FollowHooks{[&Pages](FeedPage Page, bool, TimePoint) {
                                Pages.push_back(std::move(Page));
                              },
-                             [this](StoreFailure) { ++Failures; }});
+                             [this](StoreFailure, TimePoint) { ++Failures; }});
   boost::asio::co_spawn(Context, Reader->run(), boost::asio::detached);
   Context.run_for(milliseconds(20));
   ASSERT_EQ(Pages.size(), 1U);
--- a/packages/process/test/coltsfoottrail/fleethost/view.cpp
+++ b/packages/process/test/coltsfoottrail/fleethost/view.cpp
@@ -82,6 +82,7 @@
   FeedPage Part = page(EndpointPublished{leader()});
   Part.Next = 5;
   Part.End = 90;
+  View.recordNoAnswer(Start + milliseconds(1'000));
   EXPECT_TRUE(View.credentialsFresh(Later));
   View.ingest(Feed::Endpoints, Part, false, Later, Later);
   EXPECT_FALSE(View.credentialsFresh(Later));
@@ -94,6 +95,7 @@
 TEST(FleetView, DeletedRecordsAreAnAnswerOfTheStore) {
   FleetView View = readyView();
   const TimePoint Later = Start + milliseconds(1'900);
+  View.recordNoAnswer(Start + milliseconds(1'000));
   EXPECT_TRUE(View.credentialsFresh(Later));
   View.recordAnswer(Later);
   EXPECT_FALSE(View.credentialsFresh(Later));
@@ -150,9 +152,23 @@
 // and no host can have obtained a newer configuration.
 TEST(FleetView, ConfigurationIsTrustedWhileTheStoreIsAway) {
   FleetView View = readyView();
+  View.recordNoAnswer(Start + milliseconds(3'000));
   EXPECT_TRUE(View.credentialsFresh(Start + milliseconds(4'200)));
 }
 
+// Guards against callers served by a configuration beyond its bound while the
+// store answers others: no read of this host shows that the store is away, or
+// the last one that does was sent too long ago.
+TEST(FleetView, ConfigurationBeyondItsBoundIsNotTrustedWithoutAFailedRead) {
+  FleetView View = readyView();
+  EXPECT_TRUE(View.credentialsFresh(Start + milliseconds(1'700)));
+  EXPECT_FALSE(View.credentialsFresh(Start + milliseconds(1'900)));
+  View.recordNoAnswer(Start + milliseconds(1'000));
+  EXPECT_TRUE(View.credentialsFresh(Start + milliseconds(1'900)));
+  EXPECT_TRUE(View.credentialsFresh(Start + milliseconds(2'700)));
+  EXPECT_FALSE(View.credentialsFresh(Start + milliseconds(2'900)));
+}
+
 // Guards against a host that is slow to read the feed after the store is back
 // and keeps serving routes that were withdrawn meanwhile.
 TEST(FleetView, RoutesAreTrustedForTheBoundOfConfigurations) {
@@ -177,6 +193,7 @@
 // proves the configuration only as of that request.
 TEST(FleetView, CredentialsAreStaleBeforeTheBoundEnds) {
   FleetView View = readyView();
+  View.recordNoAnswer(Start + seconds(4));
   EXPECT_TRUE(View.ready(Start + seconds(4)));
   EXPECT_FALSE(View.ready(Start + seconds(5)));
   View.ingest(Feed::Operators, FeedPage{}, false, Start, Start + seconds(6));
