--- a/packages/process/src/coltsfoottrail/fleethost/feeds.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/feeds.cpp
@@ -18,8 +18,8 @@
 constexpr double OperatorsCoverFraction = 0.55;
 constexpr milliseconds MaxOperatorsCover{2'400};
 /// An upstream that has relayed no endpoints for this long, although the store
-/// answers this host's own reads, is abandoned. The pause doubles up to
-/// MaxAbandonPause while that changes nothing.
+/// answers this host's own reads or the coordinator, is abandoned. The pause
+/// doubles up to MaxAbandonPause while that changes nothing.
 constexpr milliseconds UselessUpstreamAfter{1'000};
 constexpr milliseconds MaxAbandonPause{8'000};
 /// How long a host that is no candidate for the coordinator lease waits for an
@@ -35,6 +35,14 @@
 constexpr milliseconds FailedReadEvery{20};
 constexpr milliseconds MaxFailurePause{8'000};
 
+/// Part of the time between two failed reads in which the second one fails or
+/// is overdue.
+constexpr milliseconds EvidenceMargin{700};
+
+milliseconds evidencePause(Duration Within) {
+  return std::chrono::duration_cast<milliseconds>(Within) - EvidenceMargin;
+}
+
 milliseconds operatorsCover(const FleetBounds &Bounds) {
   const auto Cover = std::chrono::duration_cast<milliseconds>(
       Bounds.Configuration * OperatorsCoverFraction);
@@ -43,15 +51,20 @@
 
 } // namespace
 
+void FleetHost::recordAnswer(Feed FeedId, TimePoint RequestedAt) {
+  View.recordAnswer(RequestedAt);
+  if (std::exchange(StoreAnswers, true))
+    return;
+  logEvent(Event::StoreRegained);
+  Coordinator.recordStore(true, BootClock::now());
+  follower(FeedId == Feed::Operators ? Feed::Endpoints : Feed::Operators)
+      .readNow();
+  Coordinator.renewNow();
+}
+
 void FleetHost::ingestPage(Feed FeedId, FeedPage Page, bool IsSnapshot,
                            TimePoint RequestedAt) {
-  if (!std::exchange(StoreAnswers, true)) {
-    logEvent(Event::StoreRegained);
-    Coordinator.recordStore(true, BootClock::now());
-    follower(FeedId == Feed::Operators ? Feed::Endpoints : Feed::Operators)
-        .readNow();
-    Coordinator.renewNow();
-  }
+  recordAnswer(FeedId, RequestedAt);
   const TimePoint Now = BootClock::now();
   logFeedChanges(Page, View, RequestedAt, Now);
   const std::vector<RoutingEffect> Effects =
@@ -62,6 +75,15 @@
   Coordinator.planNow();
 }
 
+// Failure guarded against: a host gains the coordinator lease, or its upstream
+// relays nothing recent, and it still waits for the time until which others
+// postponed its reads. It has no recent configuration meanwhile, and the hosts
+// below it have none either.
+void FleetHost::endDeferrals() {
+  Operators.endDeferral();
+  Endpoints.endDeferral();
+}
+
 // A coordinator also needs the endpoints that routing does not need, in order
 // to form groups.
 void FleetHost::readAllEndpoints() {
@@ -153,7 +175,7 @@
   }
   for (const Feed FeedId : Answer.Truncated)
     readTruncated(FeedId, SentReport);
-  watchUpstream(BootClock::now());
+  watchUpstream(BootClock::now(), Answer.LeaseHeard);
 }
 
 /// Handles an update that the upstream cannot relay because it no longer has
@@ -169,10 +191,12 @@
 }
 
 // A coordinator that is cut off from the store still answers reports but relays
-// nothing to hosts that have more recent records than it has.
-void FleetHost::watchUpstream(TimePoint Now) {
-  const bool Useless =
-      StoreAnswers && Now - EndpointsRelayedAt > UselessUpstreamAfter;
+// nothing to hosts that have more recent records than it has. A valid lease
+// shows that the store answers its holder, although this host's own last read
+// failed: it then reads again itself.
+void FleetHost::watchUpstream(TimePoint Now, bool LeaseHeard) {
+  const bool Useless = (StoreAnswers || LeaseHeard) &&
+                       Now - EndpointsRelayedAt > UselessUpstreamAfter;
   if (!Useless) {
     AbandonPause = UselessUpstreamAfter;
     return;
@@ -180,6 +204,8 @@
   if (Now < NextAbandonAt)
     return;
   Link.abandonUpstream();
+  if (!StoreAnswers)
+    endDeferrals();
   NextAbandonAt = Now + AbandonPause;
   AbandonPause = std::min(2 * AbandonPause, MaxAbandonPause);
 }
@@ -200,6 +226,10 @@
   return Result;
 }
 
+// Failure guarded against: a host serves an old configuration although a newer
+// one was relayed to it, because the reading behind it is old. Its age only
+// decides whether it postpones own reads.
+//
 // The store was read at most Staleness before the response left, and the
 // response left after this host's report: what it relays is at least as recent
 // as SentAt - Staleness, measured by this host's clock alone.
@@ -213,14 +243,16 @@
   if (Update.Snapshot == From.has_value())
     return;
   if (From ? !Follower.canAcceptChanges(*From, Update.Next)
-           : Follower.next().has_value())
+           : !Follower.canAcceptSnapshot(Update.Next))
     return;
   const TimePoint AsOf = SentAt - Update.Staleness;
   const TimePoint CoveredUntil =
       AsOf + (FeedId == Feed::Operators ? operatorsCover(Settings.Bounds)
                                         : followerSpacing());
   const TimePoint Now = BootClock::now();
-  if (CoveredUntil <= Now)
+  const bool HasNewer =
+      FeedId == Feed::Operators && From && Update.Next > *Follower.next();
+  if (CoveredUntil <= Now && !HasNewer)
     return;
   if (FeedId == Feed::Endpoints)
     EndpointsRelayedAt = Now;
@@ -242,7 +274,14 @@
     Routing.observeClosed(Leader.Pool, Leader.Key);
 }
 
-void FleetHost::readFailed(Feed FeedId) {
+void FleetHost::recordOverdue(TimePoint Now) {
+  for (const FeedFollower *const Follower : {&Operators, &Endpoints})
+    if (const auto RequestedAt = Follower->overdueSince(Now))
+      View.recordNoAnswer(*RequestedAt);
+}
+
+void FleetHost::readFailed(Feed FeedId, TimePoint RequestedAt) {
+  View.recordNoAnswer(RequestedAt);
   Coordinator.recordStore(false, BootClock::now());
   if (std::exchange(StoreAnswers, false))
     logEvent(Event::StoreLost,
@@ -251,7 +290,8 @@
 
 // Limits the reads of all hosts together while the store is unavailable: a host
 // whose upstream answers retries rarely, because the upstream reads for it and
-// relays as soon as the store is back.
+// relays as soon as the store is back. As long as a configuration beyond its
+// bound may still be trusted, failed reads must show that the store is away.
 void FleetHost::limitFailedReads(std::size_t Hosts, TimePoint Now) {
   const bool HasUpstream = Link.hearsUpstream(Now);
   const double Spread = 0.5 + Draw.fraction();
@@ -259,7 +299,9 @@
       FailedReadEvery * double(Hosts) * Spread);
   const milliseconds MinPause =
       HasUpstream ? std::min(Pause, MaxFailurePause) : milliseconds(0);
-  Operators.setMinFailurePause(MinPause);
+  const auto Within = View.failedReadsWithin(Now);
+  Operators.setMinFailurePause(
+      Within ? std::min(MinPause, evidencePause(*Within)) : MinPause);
   Endpoints.setMinFailurePause(MinPause);
   FailedReadPause = MinPause;
 }
--- a/packages/process/src/coltsfoottrail/fleethost/follower.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/follower.hpp
@@ -20,8 +20,8 @@
   /// Minimum interval between the starts of two reads; each call to the store
   /// is billed.
   milliseconds Spacing{0};
-  /// Pause after a failed read. It doubles with each further failure, up to
-  /// LongestRetryPause.
+  /// Pause after a failed read, or one whose records are deleted. It doubles
+  /// with each further one, up to LongestRetryPause.
   milliseconds RetryPause{200};
   milliseconds LongestRetryPause{1'600};
 };
@@ -31,8 +31,11 @@
   /// Receives a page, whether it is a snapshot of the newest values, and when
   /// it was requested.
   std::function<void(FeedPage, bool, TimePoint)> OnPage;
-  /// Called when a read failed.
-  std::function<void(StoreFailure)> OnFailure;
+  /// Called when a read failed. Receives when it was requested.
+  std::function<void(StoreFailure, TimePoint)> OnFailure;
+  /// Called when the store answered that the records are deleted. Receives when
+  /// the read was requested.
+  std::function<void(TimePoint)> OnExpired = [](TimePoint) {};
 };
 
 /// @brief Reads a feed continuously: first the newest values, then the changes,
@@ -62,7 +65,7 @@
   }
 
   /// @brief Accepts changes that another host read and relayed: this host does
-  /// not read before the given time.
+  /// not read before the given time, nor wait any longer once it has passed.
   /// @param NextOffset Where to continue reading.
   void acceptChanges(Offset NextOffset, TimePoint Until);
 
@@ -76,27 +79,43 @@
     return Next && From <= *Next && NextOffset >= *Next;
   }
 
+  /// @brief Whether relayed newest values are lacking here and not behind what
+  /// was known here before.
+  /// @param NextOffset Offset behind the newest values.
+  [[nodiscard]] bool canAcceptSnapshot(Offset NextOffset) const noexcept {
+    return !Next && NextOffset >= KnownBefore;
+  }
+
   /// @brief Accepts the newest values that another host relayed: reading
-  /// continues behind them, and not before the given time. Ignored if this host
-  /// has read the feed already.
+  /// continues behind them, and not before the given time. Ignored unless
+  /// canAcceptSnapshot().
   void acceptSnapshot(Offset NextOffset, TimePoint Until);
 
   /// @brief Postpones reads until a time, unless readNow() is called: another
   /// host may relay the feed first.
   void defer(TimePoint Until) noexcept { DeferredUntil = Until; }
-  /// @brief Ends a postponement. A read in progress continues.
+  /// @brief Ends a postponement, or a pause after a failed read; unless
+  /// setEagerRetry() is in effect, only one such pause until a read succeeds. A
+  /// read in progress continues.
   void endDeferral();
   /// @brief Reads the newest values again, immediately.
   void restart();
 
   /// @brief Records that another host has newer records that it cannot relay:
-  /// what it relayed before no longer postpones reads, and the feed is read at
-  /// once.
+  /// neither what it relayed before nor a pause after a failed read postpones
+  /// reads any longer, and the feed is read at once.
   void markBehind();
   /// @brief Whether markBehind() was called and the feed has not been read
   /// since.
   [[nodiscard]] bool isBehind() const noexcept { return Behind; }
 
+  /// @brief When the read in progress was requested, if the store takes longer
+  /// to answer than usual.
+  [[nodiscard]] std::optional<TimePoint>
+  overdueSince(TimePoint Now) const noexcept {
+    return AnswerDueAt && Now >= *AnswerDueAt ? RequestedAt : std::nullopt;
+  }
+
   /// @brief Offset of the next read; empty before the newest values are known.
   [[nodiscard]] const std::optional<Offset> &next() const noexcept {
     return Next;
@@ -120,6 +139,8 @@
   /// Result of one read.
   enum class ReadEnd : std::uint8_t {
     Failed,
+    /// The records are deleted.
+    Expired,
     /// The store has more records than it returned.
     More,
     UpToDate
@@ -129,6 +150,14 @@
   [[nodiscard]] Duration pauseAfter(ReadEnd Result);
   [[nodiscard]] Awaitable<void> untilWoken();
   [[nodiscard]] Awaitable<void> untilDeferralEnds();
+  void forgetNext();
+  /// Removes records that were relayed while the page was read from an offset;
+  /// false if what remains cannot be used.
+  [[nodiscard]] bool dropKnown(FeedPage &Page,
+                               std::optional<Offset> From) const;
+  [[nodiscard]] bool isDeferred() const noexcept {
+    return BootClock::now() < DeferredUntil;
+  }
 
   FleetStore &Store;
   Feed FollowedFeed;
@@ -137,11 +166,20 @@
   /// Never expires; cancelled to end a wait.
   std::optional<boost::asio::steady_timer> WakeTimer;
   std::uint64_t WakeCount = 0;
+  /// Set while a read is in progress.
+  std::optional<TimePoint> RequestedAt;
+  std::optional<TimePoint> AnswerDueAt;
   /// Offset of the next read; empty before the newest values are known.
   std::optional<Offset> Next;
+  /// The last offset before the newest values had to be read again.
+  Offset KnownBefore = 0;
   TimePoint DeferredUntil{};
   bool Behind = false;
   bool Eager = false;
+  bool PausesAfterFailure = false;
+  /// Whether endDeferral() has ended such a pause since the last read that
+  /// succeeded.
+  bool EndedPause = false;
   milliseconds NextRetryPause{0};
   milliseconds MinFailurePause{0};
   /// The next read must not be held back by the store, because the known
--- a/packages/process/src/coltsfoottrail/fleethost/host.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/host.cpp
@@ -159,14 +159,24 @@
                    ingestPage(Feed::Operators, std::move(Page), IsSnapshot,
                               RequestedAt);
                  },
-                 [this](StoreFailure) { readFailed(Feed::Operators); }}),
+                 [this](StoreFailure, TimePoint RequestedAt) {
+                   readFailed(Feed::Operators, RequestedAt);
+                 },
+                 [this](TimePoint RequestedAt) {
+                   recordAnswer(Feed::Operators, RequestedAt);
+                 }}),
       Endpoints(Links.Store, Feed::Endpoints,
                 endpointFollowTimes(followerSpacing()),
                 {[this](FeedPage Page, bool IsSnapshot, TimePoint RequestedAt) {
                    ingestPage(Feed::Endpoints, std::move(Page), IsSnapshot,
                               RequestedAt);
                  },
-                 [this](StoreFailure) { readFailed(Feed::Endpoints); }}),
+                 [this](StoreFailure, TimePoint RequestedAt) {
+                   readFailed(Feed::Endpoints, RequestedAt);
+                 },
+                 [this](TimePoint RequestedAt) {
+                   recordAnswer(Feed::Endpoints, RequestedAt);
+                 }}),
       Link(Pool, Settings.Peers, Member, Links.Store, linkHooks()) {
   Front.emplace(Pool, Settings.Callers.Address, Settings.Callers.Port,
                 ServerLimits{}, frontHooks());
@@ -211,10 +221,12 @@
         reportUnusable(Endpoint, AtFault);
       });
   Coordinator.onDuty([this](bool Holds) {
-    if (Holds)
-      readAllEndpoints();
     Operators.setEagerRetry(Holds);
     Endpoints.setEagerRetry(Holds);
+    if (Holds) {
+      endDeferrals();
+      readAllEndpoints();
+    }
     Endpoints.setSpacing(Holds ? CoordinatorSpacing : followerSpacing());
   });
   Coordinator.onOrders([this] {
@@ -350,6 +362,7 @@
     suspendSilent(BootClock::now());
     endFastReads(BootClock::now());
     View.advance(BootClock::now());
+    recordOverdue(BootClock::now());
     refreshRoutes();
     logConfigFreshness(BootClock::now());
     if (Coordinator.isLastHolder() && !View.knowsAllEndpoints())
--- a/packages/process/src/coltsfoottrail/fleethost/host.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/host.hpp
@@ -68,13 +68,16 @@
   /// Interval between reads of the endpoints' feed by a host that does not
   /// coordinate.
   [[nodiscard]] milliseconds followerSpacing() const noexcept;
+  void recordAnswer(Feed FeedId, TimePoint RequestedAt);
   void ingestPage(Feed FeedId, FeedPage Page, bool IsSnapshot,
                   TimePoint RequestedAt);
-  void readFailed(Feed FeedId);
+  void readFailed(Feed FeedId, TimePoint RequestedAt);
+  void recordOverdue(TimePoint Now);
   void shareFeed(Feed FeedId, const FeedPage &Page,
                  std::span<const RoutingEffect> Effects, bool IsSnapshot,
                  TimePoint AsOf);
   void deferOwnReads();
+  void endDeferrals();
   void readAllEndpoints();
   [[nodiscard]] TreeLinkHooks linkHooks();
   [[nodiscard]] Report ownReport() const;
@@ -85,7 +88,7 @@
   [[nodiscard]] FeedPage decodeUpdate(Feed FeedId, std::optional<Offset> From,
                                       const FeedUpdate &Update) const;
   void readTruncated(Feed FeedId, const Report &SentReport);
-  void watchUpstream(TimePoint Now);
+  void watchUpstream(TimePoint Now, bool LeaseHeard);
   [[nodiscard]] FeedFollower &follower(Feed FeedId) {
     return FeedId == Feed::Operators ? Operators : Endpoints;
   }
--- a/packages/process/src/coltsfoottrail/fleethost/view.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/view.cpp
@@ -38,18 +38,21 @@
                                              bool IsSnapshot,
                                              TimePoint RequestedAt,
                                              TimePoint Now) {
-  StoreAnsweredAsOf = std::max(StoreAnsweredAsOf, RequestedAt);
+  recordAnswer(RequestedAt);
   if (FeedId == Feed::Endpoints)
     recordRead(Now);
   if (IsSnapshot && FeedId == Feed::Endpoints)
     retainEndpoints(Page, Now);
-  if (IsSnapshot && FeedId == Feed::Operators)
+  const bool IsOlder = Page.Next < OperatorsNext && RequestedAt < ConfigAsOf;
+  if (IsSnapshot && FeedId == Feed::Operators && !IsOlder)
     retainDrains(Page, Now);
   std::vector<RoutingEffect> Effects;
   Effects.reserve(Page.Changes.size());
   for (FleetChange &Change : Page.Changes)
     Effects.push_back(effectOf(Change, IsSnapshot, Now));
   if (FeedId == Feed::Operators) {
+    if (!IsOlder)
+      OperatorsNext = Page.Next;
     // Failure guarded against: an overloaded store returns the feed in parts,
     // this host stays some versions behind although each part is answered, and
     // it refuses valid requests because of routes and credentials that were
@@ -233,12 +236,21 @@
 //
 // A configuration older than its limit is tolerated only while the store does
 // not answer at all, not while it answers with pages that do not reach the end
-// of the feed.
+// of the feed. That it does not answer takes a read that this host sent within
+// that limit: silence of an upstream is no evidence.
 bool FleetView::credentialsFresh(TimePoint Now) const noexcept {
-  const bool Starved = StoreAnsweredAsOf - ConfigAsOf >=
-                       Bounds.Configuration - ConfigurationMargin;
-  return Index && !Starved &&
-         Now - ConfigAsOf < Bounds.Revocation - RevocationMargin;
+  const Duration Limit = Bounds.Configuration - ConfigurationMargin;
+  const bool Starved = StoreAnsweredAsOf - ConfigAsOf >= Limit;
+  const bool StoreIsAway = Now - NoAnswerAsOf < Limit;
+  return Index && !Starved && (routesFresh(Now) || StoreIsAway) &&
+         configAge(Now) < Bounds.Revocation - RevocationMargin;
+}
+
+std::optional<Duration>
+FleetView::failedReadsWithin(TimePoint Now) const noexcept {
+  if (!Index || configAge(Now) >= Bounds.Revocation - RevocationMargin)
+    return std::nullopt;
+  return Bounds.Configuration - ConfigurationMargin;
 }
 
 bool FleetView::routesFresh(TimePoint Now) const noexcept {
--- a/packages/process/test/coltsfoottrail/fleethost/follower.cpp
+++ b/packages/process/test/coltsfoottrail/fleethost/follower.cpp
@@ -62,11 +62,12 @@
   }
 
   void follow() {
-    Reader.emplace(Store, Feed::Endpoints, Times,
-                   FollowHooks{[this](FeedPage Page, bool, TimePoint) {
-                                 ReadOffsets.push_back(Page.Next);
-                               },
-                               [this](StoreFailure) { ++Failures; }});
+    Reader.emplace(
+        Store, Feed::Endpoints, Times,
+        FollowHooks{[this](FeedPage Page, bool, TimePoint) {
+                      ReadOffsets.push_back(Page.Next);
+                    },
+                    [this](StoreFailure, TimePoint) { ++Failures; }});
     boost::asio::co_spawn(Context, Reader->run(), boost::asio::detached);
   }
 
@@ -177,7 +178,7 @@
                  FollowHooks{[this](FeedPage Page, bool, TimePoint) {
                                ReadOffsets.push_back(Page.Next);
                              },
-                             [this](StoreFailure) { ++Failures; }});
+                             [this](StoreFailure, TimePoint) { ++Failures; }});
   Reader->defer(BootClock::now() + seconds(60));
   boost::asio::co_spawn(Context, Reader->run(), boost::asio::detached);
   Context.run_for(milliseconds(10));
@@ -210,7 +211,7 @@
   EXPECT_CALL(Store, newest).Times(1).WillRepeatedly([] { return refused(); });
   Reader.emplace(Store, Feed::Endpoints, Times,
                  FollowHooks{[](FeedPage, bool, TimePoint) {},
-                             [this](StoreFailure) { ++Failures; }});
+                             [this](StoreFailure, TimePoint) { ++Failures; }});
   Reader->setMinFailurePause(seconds(60));
   boost::asio::co_spawn(Context, Reader->run(), boost::asio::detached);
   Context.run_for(milliseconds(60));
@@ -223,7 +224,7 @@
   EXPECT_CALL(Store, newest).WillRepeatedly([] { return refused(); });
   Reader.emplace(Store, Feed::Endpoints, Times,
                  FollowHooks{[](FeedPage, bool, TimePoint) {},
-                             [this](StoreFailure) { ++Failures; }});
+                             [this](StoreFailure, TimePoint) { ++Failures; }});
   Reader->setMinFailurePause(seconds(60));
   Reader->setEagerRetry(true);
   boost::asio::co_spawn(Context, Reader->run(), boost::asio::detached);
@@ -239,7 +240,7 @@
                  FollowHooks{[this](FeedPage Page, bool, TimePoint) {
                                ReadOffsets.push_back(Page.Next);
                              },
-                             [this](StoreFailure) { ++Failures; }});
+                             [this](StoreFailure, TimePoint) { ++Failures; }});
   Reader->defer(BootClock::now() + seconds(60));
   boost::asio::co_spawn(Context, Reader->run(), boost::asio::detached);
   Context.run_for(milliseconds(10));
@@ -250,6 +251,147 @@
   EXPECT_EQ(ReadOffsets, std::vector<Offset>{9});
 }
 
+/// A page of two records that takes longer than the next response.
+Awaitable<FeedAnswer> delayedRecords() {
+  boost::asio::steady_timer Timer(co_await boost::asio::this_coro::executor,
+                                  milliseconds(60));
+  co_await Timer.async_wait(boost::asio::use_awaitable);
+  FeedPage Result;
+  Result.From = 3;
+  Result.Next = Result.End = 5;
+  Result.Changes = {DataCentreDrained{DataCentreName("known")},
+                    DataCentreDrained{DataCentreName("new")}};
+  Result.Records = {{3, "known", "a"}, {4, "new", "b"}};
+  co_return Result;
+}
+
+// Guards against a host that never proves its configuration: each own read is
+// overtaken by a relayed record, and what the read brought is thrown away. The
+// records that are known already must not be applied again.
+TEST_F(Follower, OwnReadOfOperatorsIsUsedThoughItsBeginningWasRelayed) {
+  EXPECT_CALL(Store, newest).WillOnce([] { return page(3, 3); });
+  EXPECT_CALL(Store, read)
+      .WillOnce([] { return delayedRecords(); })
+      .WillRepeatedly([] { return unanswered(); });
+  Times.Spacing = milliseconds(1);
+  std::vector<FeedPage> Pages;
+  Reader.emplace(Store, Feed::Operators, Times,
+                 FollowHooks{[&Pages](FeedPage Page, bool, TimePoint) {
+                               Pages.push_back(std::move(Page));
+                             },
+                             [this](StoreFailure, TimePoint) { ++Failures; }});
+  boost::asio::co_spawn(Context, Reader->run(), boost::asio::detached);
+  Context.run_for(milliseconds(20));
+  ASSERT_EQ(Pages.size(), 1U);
+  Reader->acceptChanges(4, BootClock::now() - milliseconds(1));
+  Context.run_for(milliseconds(200));
+  ASSERT_EQ(Pages.size(), 2U);
+  EXPECT_EQ(Pages[1].From, 4U);
+  EXPECT_EQ(Pages[1].Next, 5U);
+  ASSERT_EQ(Pages[1].Records.size(), 1U);
+  EXPECT_EQ(Pages[1].Records[0].Position, 4U);
+  ASSERT_EQ(Pages[1].Changes.size(), 1U);
+  EXPECT_EQ(std::get<DataCentreDrained>(Pages[1].Changes[0]).DataCentre,
+            DataCentreName("new"));
+}
+
+Awaitable<FeedAnswer> expired() { co_return StoreFailure::Expired; }
+
+// Guards against a host that serves an old configuration for seconds because it
+// takes deleted records for a store that is away: the store has answered, and
+// the newest values must not wait as after a failure.
+TEST_F(Follower, DeletedRecordsAreNoFailureOfTheStore) {
+  EXPECT_CALL(Store, newest)
+      .WillOnce([] { return page(5, 5); })
+      .WillRepeatedly([] { return page(9, 9); });
+  EXPECT_CALL(Store, read)
+      .WillOnce([] { return expired(); })
+      .WillRepeatedly([] { return unanswered(); });
+  Times.Spacing = milliseconds(1);
+  Times.RetryPause = milliseconds(1);
+  follow();
+  Reader->setMinFailurePause(seconds(60));
+  Context.run_for(milliseconds(200));
+  EXPECT_EQ(ReadOffsets, (std::vector<Offset>{5, 9}));
+}
+
+// Guards against a host without proof of its configuration for the whole pause
+// after a failed read: the store is back for its upstream, which relays and
+// then falls silent. What was relayed shows that the store answers.
+TEST_F(Follower, RelayedRecordsEndThePauseAfterAFailedRead) {
+  EXPECT_CALL(Store, newest).WillOnce([] { return page(3, 3); });
+  EXPECT_CALL(Store, read)
+      .WillOnce([] { return refused(); })
+      .WillOnce([] { return page(6, 6); })
+      .WillRepeatedly([] { return unanswered(); });
+  Times.Spacing = milliseconds(1);
+  Times.RetryPause = milliseconds(1);
+  follow();
+  Reader->setMinFailurePause(seconds(60));
+  Context.run_for(milliseconds(50));
+  ASSERT_EQ(Failures, 1);
+  Reader->acceptChanges(4, BootClock::now() + milliseconds(50));
+  Context.run_for(milliseconds(200));
+  EXPECT_EQ(ReadOffsets, (std::vector<Offset>{3, 6}));
+}
+
+// Guards against a host that serves an old configuration for the whole pause
+// after a failed read, although its upstream has read a newer one that is too
+// large to relay.
+TEST_F(Follower, HostThatFellBehindDoesNotWaitForThePauseAfterAFailedRead) {
+  EXPECT_CALL(Store, newest).WillOnce([] { return page(3, 3); });
+  EXPECT_CALL(Store, read)
+      .WillOnce([] { return refused(); })
+      .WillOnce([] { return page(4, 4); })
+      .WillRepeatedly([] { return unanswered(); });
+  Times.Spacing = milliseconds(1);
+  Times.RetryPause = milliseconds(1);
+  follow();
+  Reader->setMinFailurePause(seconds(60));
+  Context.run_for(milliseconds(50));
+  ASSERT_EQ(Failures, 1);
+  Reader->markBehind();
+  Context.run_for(milliseconds(200));
+  EXPECT_EQ(ReadOffsets, (std::vector<Offset>{3, 4}));
+}
+
+// Guards against the same for a host that has no values yet, or none since its
+// records were deleted.
+TEST_F(Follower, EndedDeferralDoesNotWaitForThePauseAfterAFailedRead) {
+  EXPECT_CALL(Store, newest)
+      .WillOnce([] { return refused(); })
+      .WillRepeatedly([] { return page(4, 4); });
+  EXPECT_CALL(Store, read).WillRepeatedly([] { return unanswered(); });
+  Times.Spacing = milliseconds(1);
+  Times.RetryPause = milliseconds(1);
+  follow();
+  Reader->setMinFailurePause(seconds(60));
+  Context.run_for(milliseconds(50));
+  ASSERT_EQ(Failures, 1);
+  Reader->endDeferral();
+  Context.run_for(milliseconds(200));
+  EXPECT_EQ(ReadOffsets, std::vector<Offset>{4});
+}
+
+// Guards against a data centre that gets requests although it was drained, and
+// against records left out of what this host relays: its records are deleted,
+// and it goes back to older values that a host with an older reading relays.
+TEST_F(Follower, RelayedSnapshotIsNotOlderThanWhatWasRead) {
+  EXPECT_CALL(Store, newest)
+      .WillOnce([] { return page(9, 9); })
+      .WillRepeatedly([] { return unanswered(); });
+  EXPECT_CALL(Store, read)
+      .WillOnce([] { return expired(); })
+      .WillRepeatedly([] { return unanswered(); });
+  Times.Spacing = milliseconds(1);
+  Times.RetryPause = milliseconds(1);
+  follow();
+  Context.run_for(milliseconds(50));
+  ASSERT_FALSE(Reader->next());
+  Reader->acceptSnapshot(7, BootClock::now() + seconds(60));
+  EXPECT_FALSE(Reader->next());
+}
+
 } // namespace
 
 } // namespace coltsfoottrail
