Leave attempts that cannot go on elsewhere at a silent endpoint

Change: HttpClient::abort() asks each call's policy. An attempt is given up only if the route has a run left and the stream has not begun or can be resumed (mayMove), and if the dispatcher could send it again: attempts and time are left, it is not quarantined and another endpoint is open (Dispatcher::mayResend). The endpoint gets no new requests as before. The other places that computed "a run is left" use hasRunLeft now, unchanged in meaning.

Passed: request_retries, request_dispatch, connection_http, process_fleethost.

--- a/packages/connection/src/coltsfoottrail/http/client.cpp
+++ b/packages/connection/src/coltsfoottrail/http/client.cpp
@@ -46,7 +46,9 @@
   /// unregisterCall() or the end of the connection, whichever comes first.
   using CallRegistry = std::multimap<EngineAddress, Connection *>;
   void registerCall(const std::shared_ptr<CallRegistry> &Registry,
-                    const EngineAddress &Endpoint) {
+                    const EngineAddress &Endpoint,
+                    const AbortPolicy *CallPolicy) {
+    Policy = CallPolicy;
     Calls = Registry;
     RegistryEntry = Registry->emplace(Endpoint, this);
   }
@@ -55,6 +57,10 @@
       Registry->erase(RegistryEntry);
   }
 
+  [[nodiscard]] bool mayAbort() const {
+    return Policy == nullptr || Policy->mayAbort();
+  }
+
   // Failure guarded against: the endpoint has closed the idle connection, or a
   // late response to an earlier request is buffered in it. Either makes the
   // socket readable. Such a connection is not reused, so that no request gets
@@ -77,6 +83,7 @@
 private:
   std::weak_ptr<CallRegistry> Calls;
   CallRegistry::iterator RegistryEntry;
+  const AbortPolicy *Policy = nullptr;
 };
 
 struct HttpClient::Core {
@@ -186,9 +193,14 @@
 
 std::size_t HttpClient::abort(const EngineAddress &Endpoint) {
   const auto [First, Last] = Shared->Calls->equal_range(Endpoint);
-  for (auto Entry = First; Entry != Last; ++Entry)
+  std::size_t Aborted = 0;
+  for (auto Entry = First; Entry != Last; ++Entry) {
+    if (!Entry->second->mayAbort())
+      continue;
     Entry->second->Stream.cancel();
-  return static_cast<std::size_t>(std::distance(First, Last));
+    ++Aborted;
+  }
+  return Aborted;
 }
 
 void HttpClient::closeIdle() {
@@ -238,7 +250,7 @@
       co_return CallFailure{RunState::NotRun, Reason::EndpointFailed, false};
     Link->Stream.socket().set_option(Tcp::no_delay(true), Problem);
   }
-  Link->registerCall(ClientCore->Calls, Endpoint);
+  Link->registerCall(ClientCore->Calls, Endpoint, Use.Policy);
 
   const bool HeadOnly = Request.Method == "HEAD";
   const http::request<http::string_body> Message =
--- a/packages/connection/src/coltsfoottrail/http/client.hpp
+++ b/packages/connection/src/coltsfoottrail/http/client.hpp
@@ -51,12 +51,27 @@
   Never,
 };
 
+/// @brief Decides whether HttpClient::abort() may end a call.
+class AbortPolicy {
+public:
+  AbortPolicy() = default;
+  AbortPolicy(const AbortPolicy &) = delete;
+  AbortPolicy &operator=(const AbortPolicy &) = delete;
+  [[nodiscard]] virtual bool mayAbort() const = 0;
+
+protected:
+  ~AbortPolicy() = default;
+};
+
 /// @brief How a call uses connections.
 struct ConnectionUse {
   Reuse Mode = Reuse::Allowed;
   /// Maximum number of idle connections to the endpoint that stay open for
   /// reuse after the call.
   std::size_t MaxIdleConnections = std::numeric_limits<std::size_t>::max();
+  /// Asked before the call is aborted; must outlive the call. The call may
+  /// always be aborted if null.
+  const AbortPolicy *Policy = nullptr;
 };
 /// For a call that opens its own connection and leaves no idle one open.
 inline constexpr ConnectionUse SingleUseConnection{Reuse::Never, 0};
@@ -123,8 +138,8 @@
   fetch(EngineAddress Endpoint, HttpRequest Request, TimePoint Deadline,
         ConnectionUse Use = {});
 
-  /// @brief Aborts all calls in progress to an address; each fails at its
-  /// pending or next I/O operation.
+  /// @brief Aborts the calls in progress to an address whose policy allows it;
+  /// each fails at its pending or next I/O operation.
   /// @return Number of aborted calls.
   std::size_t abort(const EngineAddress &Endpoint);
 
--- a/packages/connection/test/coltsfoottrail/http/client.cpp
+++ b/packages/connection/test/coltsfoottrail/http/client.cpp
@@ -3,7 +3,12 @@
 #include "coltsfoottrail/http/server.hpp"
 
 #include <boost/asio/co_spawn.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/use_future.hpp>
+#include <future>
 #include <gtest/gtest.h>
 
 namespace coltsfoottrail {
@@ -63,6 +68,60 @@
   EXPECT_EQ(idleConnectionsAfterCall({Reuse::Allowed, 0}), 0U);
 }
 
+class FixedPolicy final : public AbortPolicy {
+public:
+  explicit FixedPolicy(bool Allowed) : Allowed(Allowed) {}
+  [[nodiscard]] bool mayAbort() const override { return Allowed; }
+
+private:
+  bool Allowed;
+};
+
+// Guards against ending a call that must stay where it is: of three calls to an
+// address, only those whose policy allows it are aborted.
+TEST(HttpClientAbort, LeavesCallsWhosePolicyForbidsIt) {
+  IoPool Pool{1};
+  std::promise<void> ThreeCalls;
+  int Received = 0;
+  const auto RespondLate = [&](Exchange &Call) -> Awaitable<void> {
+    if (++Received == 3)
+      ThreeCalls.set_value();
+    boost::asio::steady_timer Pause(co_await boost::asio::this_coro::executor,
+                                    milliseconds(500));
+    co_await Pause.async_wait(boost::asio::use_awaitable);
+    co_await sendResponse(Call);
+  };
+  HttpServer Server(Pool, "127.0.0.1", 0, ServerLimits{},
+                    {RespondLate, {}, {}});
+  HttpClient Client(Pool.context(0), ClientOptions{});
+  const EngineAddress Endpoint{"127.0.0.1", Server.port()};
+  const FixedPolicy Kept(false);
+  const FixedPolicy Moved(true);
+  const auto Start = [&](const AbortPolicy *Policy) {
+    ConnectionUse Use;
+    Use.Policy = Policy;
+    return boost::asio::co_spawn(Pool.context(0),
+                                 Client.fetch(Endpoint, HttpRequest{},
+                                              BootClock::now() + seconds(5),
+                                              Use),
+                                 boost::asio::use_future);
+  };
+  auto KeptCall = Start(&Kept);
+  auto MovedCall = Start(&Moved);
+  auto PlainCall = Start(nullptr);
+  ThreeCalls.get_future().wait();
+  EXPECT_EQ(boost::asio::post(Pool.context(0), boost::asio::use_future([&] {
+                                return Client.abort(Endpoint);
+                              }))
+                .get(),
+            2U);
+  EXPECT_TRUE(std::holds_alternative<HttpResponse>(KeptCall.get()));
+  EXPECT_TRUE(std::holds_alternative<CallFailure>(MovedCall.get()));
+  EXPECT_TRUE(std::holds_alternative<CallFailure>(PlainCall.get()));
+  Pool.stop();
+  Client.closeIdle();
+}
+
 } // namespace
 
 } // namespace coltsfoottrail
--- a/packages/process/src/coltsfoottrail/fleethost/attempt.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/attempt.cpp
@@ -83,11 +83,37 @@
 // A request that must not run twice gets a new connection: if it were written
 // to a kept one that the endpoint is just closing, nobody could tell whether it
 // ran.
-ConnectionUse CallerProxy::connectionUse(const RequestContext &Context) const {
+ConnectionUse CallerProxy::connectionUse(const RequestContext &Context,
+                                         const AbortPolicy &Policy) const {
   return {Context.Route->repeatable() ? Reuse::Allowed : Reuse::Never,
-          idleShare(Context.Service->MaxConnections, EntryHosts)};
+          idleShare(Context.Service->MaxConnections, EntryHosts), &Policy};
 }
 
+AttemptProgress CallerProxy::attemptProgress(const RequestContext &Context) {
+  AttemptProgress Progress;
+  Progress.Repeatable = Context.Route->repeatable();
+  Progress.EarlierRuns = Context.Runs;
+  Progress.MaxRuns = Context.Route->MaxAttempts;
+  Progress.HasBegun = Context.Events.hasReleased();
+  Progress.IsResumable = !Context.Events.lastId().empty();
+  return Progress;
+}
+
+// Failure guarded against: an endpoint is quiet for a moment, and a stream that
+// no other endpoint may continue is cut although its endpoint would have
+// completed it. Only attempts that can go on elsewhere are aborted.
+class CallerProxy::MovePolicy final : public AbortPolicy {
+public:
+  explicit MovePolicy(const RequestContext &Context) : Context(Context) {}
+  [[nodiscard]] bool mayAbort() const override {
+    return mayMove(attemptProgress(Context)) &&
+           Context.RouterPlace != nullptr && Context.RouterPlace->mayResend();
+  }
+
+private:
+  const RequestContext &Context;
+};
+
 /// Counts a request in its pool's backlog from its send until its response
 /// begins.
 class CallerProxy::BacklogGuard {
@@ -145,16 +171,17 @@
                      {"send", Context.Sends},
                      {"late", Context.isLate()}},
                     Start);
-  const bool Repeatable = Context.Route->repeatable();
   HttpRequest Sent = Wire.forward(Call.request(), Marks);
   BacklogGuard QueuedGuard(Backlogs[Context.Pool], Context.isLate());
-  const bool MayMove = Repeatable && Context.Route->streams() &&
-                       Context.Runs + 1 < Context.Route->MaxAttempts;
+  const bool MayMove =
+      Context.Route->streams() && hasRunLeft(attemptProgress(Context));
   const TimePoint HeadDeadline =
       MayMove ? std::min(Context.Deadline, Start + MaxSilence)
               : Context.Deadline;
-  auto Started = co_await Client.start(Target.Address, std::move(Sent),
-                                       HeadDeadline, connectionUse(Context));
+  const MovePolicy Policy(Context);
+  auto Started =
+      co_await Client.start(Target.Address, std::move(Sent), HeadDeadline,
+                            connectionUse(Context, Policy));
   if (const auto *const Failure = std::get_if<CallFailure>(&Started)) {
     AttemptResult Result = failedAttempt(*Failure, Start);
     if (Failure->Why == Reason::EndpointTimedOut &&
@@ -246,8 +273,7 @@
     Reply.Body += *Chunk;
   }
   const bool RetryElsewhere = Reply.Status >= StatusFirstServerError &&
-                              Context.Route->repeatable() &&
-                              Context.Runs + 1 < Context.Route->MaxAttempts;
+                              hasRunLeft(attemptProgress(Context));
   if (RetryElsewhere) {
     Context.FallbackResponse = std::move(Reply);
     co_return failedAttempt(RunState::MayHaveRun, Reason::EndpointFailed,
@@ -281,8 +307,7 @@
                          HttpCall UpstreamCall, const EndpointSpec &Target,
                          TimePoint Start, BacklogGuard &QueuedGuard) {
   const TimePoint FirstByte = BootClock::now();
-  const bool MayMove = Context.Route->repeatable() &&
-                       Context.Runs + 1 < Context.Route->MaxAttempts;
+  const bool MayMove = hasRunLeft(attemptProgress(Context));
   StreamGuard Mark(Silence, Target.Host.Text);
   while (true) {
     TimePoint ReadDeadline = Context.Deadline;
--- a/packages/process/src/coltsfoottrail/fleethost/callerproxy.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/callerproxy.hpp
@@ -13,6 +13,7 @@
 #include "coltsfoottrail/http/client.hpp"
 #include "coltsfoottrail/http/server.hpp"
 #include "coltsfoottrail/logging/requestlog.hpp"
+#include "coltsfoottrail/retries/retry.hpp"
 #include "coltsfoottrail/retries/share.hpp"
 #include "coltsfoottrail/server/router.hpp"
 #include "coltsfoottrail/silence/silencewatch.hpp"
@@ -149,13 +150,16 @@
     [[nodiscard]] double freshFraction() const noexcept;
   };
   class BacklogGuard;
+  class MovePolicy;
 
   [[nodiscard]] milliseconds retryAfter(const RequestContext &Context);
   [[nodiscard]] WorkItem makeWorkItem(const HttpRequest &Request,
                                       const RequestContext &Context,
                                       const PoolBacklog &Backlog) const;
-  [[nodiscard]] ConnectionUse
-  connectionUse(const RequestContext &Context) const;
+  [[nodiscard]] ConnectionUse connectionUse(const RequestContext &Context,
+                                            const AbortPolicy &Policy) const;
+  [[nodiscard]] static AttemptProgress
+  attemptProgress(const RequestContext &Context);
   [[nodiscard]] static bool mayDemote(const RequestContext &Context,
                                       const Verdict &Final);
   static void markDelivered(const RequestContext &Context, bool MayMove,
--- a/packages/process/src/coltsfoottrail/fleethost/host.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/host.cpp
@@ -291,7 +291,7 @@
 
 // Failure guarded against: a group stalls, and its callers wait until the
 // silence limit of each stream, those whose stream has not begun even longer.
-// All requests at a silent endpoint are moved to other endpoints at once.
+// The requests at a silent endpoint that can go on elsewhere are moved at once.
 void FleetHost::suspendSilent(TimePoint Now) {
   for (const std::string &Name :
        Silence.idleFor(StallDetector::SuspectTimeout, Now)) {
--- a/packages/process/src/coltsfoottrail/server/router.cpp
+++ b/packages/process/src/coltsfoottrail/server/router.cpp
@@ -189,6 +189,12 @@
   PoolShard->PoolDispatcher.responseStarted(OwnWaiter->RequestTicket);
 }
 
+bool DispatchHandle::mayResend() const {
+  const std::lock_guard Hold(PoolShard->Lock);
+  return PoolShard->PoolDispatcher.mayResend(OwnWaiter->RequestTicket,
+                                             BootClock::now());
+}
+
 void DispatchHandle::report(const AttemptResult &Result) {
   Shard::Deliveries Decisions;
   {
--- a/packages/process/src/coltsfoottrail/server/router.hpp
+++ b/packages/process/src/coltsfoottrail/server/router.hpp
@@ -55,6 +55,10 @@
   /// @brief Reports that the response of the attempt has begun.
   void responseStarted();
 
+  /// @brief Whether the request could start at another endpoint in time if its
+  /// attempt were given up now.
+  [[nodiscard]] bool mayResend() const;
+
   /// @brief Reports the result of an attempt; unless it was answered, next()
   /// returns what to do next.
   /// @param Result The result.
--- a/packages/request/src/coltsfoottrail/dispatch/dispatcher.cpp
+++ b/packages/request/src/coltsfoottrail/dispatch/dispatcher.cpp
@@ -377,6 +377,16 @@
     refuse(Id, notRun(Result.FailureReason), *Stop, Output);
 }
 
+bool Dispatcher::mayResend(Ticket Id, TimePoint Now) const {
+  const RequestState *const Request = Requests.find(Id);
+  return Request != nullptr &&
+         Request->Attempts < Options.Retries.MaxAttempts &&
+         Now < latestStart(Request->Item, Options.RetryMargin) &&
+         Choice.usable() &&
+         CrashHistory.standing(Request->Item.Fingerprint, Now) !=
+             Standing::Quarantined;
+}
+
 // Failure guarded against: thousands of requests fail at once and are held with
 // their bodies in memory, in addition to a queue that is already full.
 bool Dispatcher::mayHold(const RequestState &Request) const {
--- a/packages/request/src/coltsfoottrail/dispatch/dispatcher.hpp
+++ b/packages/request/src/coltsfoottrail/dispatch/dispatcher.hpp
@@ -148,6 +148,12 @@
   void attemptEnded(Ticket Id, const AttemptResult &Result, TimePoint Now,
                     Commands &Output);
 
+  /// @brief Whether a request could start at another endpoint in time if its
+  /// current attempt were given up.
+  /// @param Id The request; its current endpoint has no share.
+  /// @param Now The time.
+  [[nodiscard]] bool mayResend(Ticket Id, TimePoint Now) const;
+
   /// @brief Removes a request whose caller has left, in whichever state it is.
   /// @param Id The request.
   /// @param Now The time.
--- a/packages/request/src/coltsfoottrail/retries/retry.cpp
+++ b/packages/request/src/coltsfoottrail/retries/retry.cpp
@@ -39,6 +39,14 @@
   return false;
 }
 
+bool hasRunLeft(const AttemptProgress &Progress) noexcept {
+  return Progress.Repeatable && Progress.EarlierRuns + 1 < Progress.MaxRuns;
+}
+
+bool mayMove(const AttemptProgress &Progress) noexcept {
+  return hasRunLeft(Progress) && (!Progress.HasBegun || Progress.IsResumable);
+}
+
 std::optional<Duration> retryDelay(const RetryLimits &Limits,
                                    std::uint32_t PreviousDelays,
                                    Duration TimeLeft, Random &Rng) {
--- a/packages/request/src/coltsfoottrail/retries/retry.hpp
+++ b/packages/request/src/coltsfoottrail/retries/retry.hpp
@@ -31,6 +31,31 @@
 [[nodiscard]] bool mayRetry(const WorkItem &Item,
                             const AttemptResult &Result) noexcept;
 
+/// @brief What decides whether an attempt in progress can be given up in favour
+/// of another endpoint.
+struct AttemptProgress {
+  /// Whether the request may be sent again once a byte of it may have reached
+  /// an endpoint.
+  bool Repeatable = false;
+  /// Endpoints that may have run the request before this attempt.
+  std::uint32_t EarlierRuns = 0;
+  /// Maximum number of endpoints that may run the request, including the first.
+  std::uint32_t MaxRuns = 1;
+  /// The caller has received part of the answer.
+  bool HasBegun = false;
+  /// Another endpoint can continue the answer after the part that the caller
+  /// has.
+  bool IsResumable = false;
+};
+
+/// @brief Whether a request has a run left for another endpoint if its current
+/// attempt counts as one. Has no state; thread-safe.
+[[nodiscard]] bool hasRunLeft(const AttemptProgress &Progress) noexcept;
+
+/// @brief Whether an attempt in progress may be given up in favour of another
+/// endpoint without ending the answer. Has no state; thread-safe.
+[[nodiscard]] bool mayMove(const AttemptProgress &Progress) noexcept;
+
 /// @brief Draws the delay before the next attempt: full jitter below a ceiling
 /// that doubles with each delay and is bounded by the time left.
 /// @param Limits The bounds.
--- a/packages/request/test/coltsfoottrail/dispatch/dispatcher.cpp
+++ b/packages/request/test/coltsfoottrail/dispatch/dispatcher.cpp
@@ -248,6 +248,43 @@
   EXPECT_FALSE(Pool.endpointOf(Second).empty());
 }
 
+// Guards against giving up an attempt that is not followed by another one: too
+// little time is left, the attempts are used, or no other endpoint is open.
+TEST(Dispatcher, ResendsOnlyInTimeAndWhereAnEndpointIsOpen) {
+  DispatchHarness Pool;
+  Pool.configure(testPool(2), 8);
+  Pool.answer(Pool.submit(lookup()), seconds(4));
+  const Ticket Stream = Pool.submit(lookup(), seconds(8));
+  const auto MayResend = [&] {
+    return Pool.Scheduler.mayResend(Stream, Pool.Now);
+  };
+  const auto SetShare = [&](std::string_view Endpoint, std::uint32_t Share) {
+    Pool.Scheduler.setShare(Endpoint, Share, Pool.Now, Pool.Output);
+    Pool.processCommands();
+  };
+  const std::string First = Pool.endpointOf(Stream);
+  const std::string Second = First == "e0" ? "e1" : "e0";
+  SetShare(First, 0);
+  EXPECT_TRUE(MayResend());
+  SetShare(Second, 0);
+  EXPECT_FALSE(MayResend());
+  SetShare(Second, 8);
+  EXPECT_TRUE(MayResend());
+  Pool.advanceTime(milliseconds(5'900));
+  EXPECT_TRUE(MayResend());
+  Pool.advanceTime(milliseconds(200));
+  EXPECT_FALSE(MayResend());
+
+  DispatcherOptions OneAttempt;
+  OneAttempt.Retries.MaxAttempts = 1;
+  DispatchHarness Single(OneAttempt);
+  Single.configure(testPool(2), 8);
+  const Ticket Last = Single.submit(lookup(), seconds(8));
+  EXPECT_FALSE(Single.Scheduler.mayResend(Last, Single.Now));
+  Single.answer(Last);
+  EXPECT_FALSE(Single.Scheduler.mayResend(Last, Single.Now));
+}
+
 // Guards against one request that crashes endpoint after endpoint because its
 // caller sends it again. Requests in flight beside it are answered.
 TEST(Dispatcher, RequestThatCrashesTwoEndpointsIsRefused) {
--- a/packages/request/test/coltsfoottrail/retries/retry.cpp
+++ b/packages/request/test/coltsfoottrail/retries/retry.cpp
@@ -29,6 +29,30 @@
   EXPECT_FALSE(mayRetry(Lookup, Bad));
 }
 
+AttemptProgress progress(std::uint32_t EarlierRuns, bool HasBegun,
+                         bool IsResumable) {
+  AttemptProgress Progress;
+  Progress.Repeatable = true;
+  Progress.EarlierRuns = EarlierRuns;
+  Progress.MaxRuns = 2;
+  Progress.HasBegun = HasBegun;
+  Progress.IsResumable = IsResumable;
+  return Progress;
+}
+
+// Guards against giving up an attempt that no other endpoint may continue: the
+// answer would be cut.
+TEST(MayMove, OnlyWhatAnotherEndpointMayContinue) {
+  EXPECT_TRUE(mayMove(progress(0, false, false)));
+  EXPECT_TRUE(mayMove(progress(0, true, true)));
+  EXPECT_FALSE(mayMove(progress(0, true, false)));
+  EXPECT_FALSE(mayMove(progress(1, false, false)));
+  EXPECT_FALSE(mayMove(progress(1, true, true)));
+  AttemptProgress Order = progress(0, false, false);
+  Order.Repeatable = false;
+  EXPECT_FALSE(mayMove(Order));
+}
+
 TEST(RetryDelay, JitterIsFullAndStaysInsideTheDeadline) {
   const RetryLimits Limits;
   Random Rng(3);
