Adapt the stall time-out to the pauses that this host observes

Cause: an endpoint counted as stalled after 400 ms on every site.

Change: StallDetector keeps the longest pause that data ended, of any endpoint, over 30 s in six buckets (PauseHistory). An endpoint counts as stalled after 1.5 times that, at least StallTimeout, at most twice it. A pause beyond the upper limit was a stall and is not recorded. active() and SuspectTimeout are unchanged, so members are asked as early as before.

Test changed: in LeaderWhoseStreamsAllStopIsSilent the sound leader itself paused for 400 ms and so raised the time-out. It sends after 200 ms as well now; the limits that the test checks for the stuck leader are the same.

Result: WaitsLongerAfterPausesThatEnded on the code before: silencewatch.cpp:72: Failure Value of: Detector.stalled("a", Quiet + milliseconds(569)) Actual: true Expected: false After: request_silence_test 8 of 8, process_fleethost_test 44 of 44, and EndToEnd.*Stream*, Explain.Stream* 6 of 6. A real stall is found up to 0.4 s later where pauses are long.

--- a/packages/request/src/coltsfoottrail/silence/fwd.hpp
+++ b/packages/request/src/coltsfoottrail/silence/fwd.hpp
@@ -5,6 +5,7 @@
 
 namespace coltsfoottrail {
 
+class PauseHistory;
 class StallDetector;
 
 } // namespace coltsfoottrail
--- a/packages/request/src/coltsfoottrail/silence/silencewatch.cpp
+++ b/packages/request/src/coltsfoottrail/silence/silencewatch.cpp
@@ -1,16 +1,40 @@
 #include "coltsfoottrail/silence/silencewatch.hpp"
 
+#include <algorithm>
+
 namespace coltsfoottrail {
 
+namespace {
+
+/// The time-out as a multiple of the longest recent pause.
+constexpr double PauseFactor = 1.5;
+
+} // namespace
+
 void StallDetector::streamStarted(std::string_view Endpoint, TimePoint Now) {
   EndpointStreams &State = Endpoints[std::string(Endpoint)];
-  ++State.Count;
+  if (State.Count++ == 0)
+    State.LastDataAt = Now;
+  else
+    endPause(State, Now);
+}
+
+void StallDetector::endPause(EndpointStreams &State, TimePoint Now) noexcept {
+  const Duration Pause = Now - State.LastDataAt;
+  if (Pause <= MaxStallTimeout)
+    Pauses.record(Pause, Now);
   State.LastDataAt = Now;
 }
 
+Duration StallDetector::stallTimeout(TimePoint Now) const noexcept {
+  return std::clamp(
+      std::chrono::duration_cast<Duration>(Pauses.longest(Now) * PauseFactor),
+      StallTimeout, MaxStallTimeout);
+}
+
 void StallDetector::dataReceived(std::string_view Endpoint, TimePoint Now) {
   if (const auto Entry = Endpoints.find(Endpoint); Entry != Endpoints.end())
-    Entry->second.LastDataAt = Now;
+    endPause(Entry->second, Now);
 }
 
 void StallDetector::streamEnded(std::string_view Endpoint) {
@@ -22,7 +46,7 @@
 bool StallDetector::stalled(std::string_view Endpoint, TimePoint Now) const {
   const auto Entry = Endpoints.find(Endpoint);
   return Entry != Endpoints.end() &&
-         Now - Entry->second.LastDataAt >= StallTimeout;
+         Now - Entry->second.LastDataAt >= stallTimeout(Now);
 }
 
 bool StallDetector::active(std::string_view Endpoint, TimePoint Now) const {
--- a/packages/request/src/coltsfoottrail/silence/silencewatch.hpp
+++ b/packages/request/src/coltsfoottrail/silence/silencewatch.hpp
@@ -4,6 +4,7 @@
 #define COLTSFOOTTRAIL_SILENCE_SILENCEWATCH_HPP
 
 #include "coltsfoottrail/core/time.hpp"
+#include "coltsfoottrail/silence/pausehistory.hpp"
 
 #include <map>
 #include <string>
@@ -20,14 +21,20 @@
 /// itself, seconds later, or the member's record expires, after three
 /// heartbeats. All streams of the leader stop at the same moment, whereas a
 /// busy leader sends an event every few tens of milliseconds. An endpoint that
-/// has streams in progress and sends nothing for StallTimeout therefore counts
-/// as stalled.
+/// has streams in progress and sends nothing for a while therefore counts as
+/// stalled.
+///
+/// Failure guarded against: engines or hosts that are slow pause for longer
+/// than StallTimeout, and streams of healthy endpoints are moved all the time.
+/// The time-out grows with the longest recent pause that was followed by data.
 class StallDetector {
 public:
   /// An engine sends an event every 40 to 60 ms, or every 200 ms when it
   /// processes long prompts in between. Twice that keeps false alarms rare,
-  /// each of which moves all streams of a healthy endpoint.
+  /// each of which moves streams of a healthy endpoint.
   static constexpr Duration StallTimeout = milliseconds(400);
+  /// Longest time-out; a longer pause is a stall even if data follows.
+  static constexpr Duration MaxStallTimeout = StallTimeout * 2;
   /// After this the members of the endpoint may be asked whether they are
   /// alive, which costs one message each and does not move streams.
   static constexpr Duration SuspectTimeout = milliseconds(200);
@@ -39,16 +46,20 @@
   /// @brief Records the end, for any reason, of a stream that had started.
   void streamEnded(std::string_view Endpoint);
 
+  /// @brief How long an endpoint may send nothing at present until it counts as
+  /// stalled: between StallTimeout and MaxStallTimeout.
+  [[nodiscard]] Duration stallTimeout(TimePoint Now) const noexcept;
   /// @brief Whether an endpoint has streams and none of them makes progress.
   [[nodiscard]] bool stalled(std::string_view Endpoint, TimePoint Now) const;
-  /// @brief Whether an endpoint has streams and at least one makes progress.
+  /// @brief Whether an endpoint has streams and at least one has made progress
+  /// within StallTimeout.
   [[nodiscard]] bool active(std::string_view Endpoint, TimePoint Now) const;
   /// @brief All endpoints that have streams and have sent nothing for a time.
   [[nodiscard]] std::vector<std::string> idleFor(Duration Timeout,
                                                  TimePoint Now) const;
   /// @brief All stalled endpoints.
   [[nodiscard]] std::vector<std::string> stalledEndpoints(TimePoint Now) const {
-    return idleFor(StallTimeout, Now);
+    return idleFor(stallTimeout(Now), Now);
   }
 
 private:
@@ -57,7 +68,10 @@
     TimePoint LastDataAt;
   };
 
+  void endPause(EndpointStreams &State, TimePoint Now) noexcept;
+
   std::map<std::string, EndpointStreams, std::less<>> Endpoints;
+  PauseHistory Pauses;
 };
 
 } // namespace coltsfoottrail
--- a/packages/request/test/coltsfoottrail/silence/silencewatch.cpp
+++ b/packages/request/test/coltsfoottrail/silence/silencewatch.cpp
@@ -32,6 +32,7 @@
                          Start + StallDetector::SuspectTimeout)
                 .size(),
             2U);
+  Detector.dataReceived("sound", Start + StallDetector::SuspectTimeout);
   const TimePoint Limit = Start + StallDetector::StallTimeout;
   Detector.dataReceived("sound", Limit);
   EXPECT_FALSE(Detector.stalled("stuck", Limit - milliseconds(1)));
@@ -59,6 +60,69 @@
   EXPECT_TRUE(Detector.stalledEndpoints(Start + seconds(10)).empty());
 }
 
+// Guards against moving the streams of healthy engines that pause for longer
+// than the shortest time-out: a pause was seen to end, so that one and a half
+// times as long is no stall either.
+TEST(StallDetector, WaitsLongerAfterPausesThatEnded) {
+  StallDetector Detector;
+  Detector.streamStarted("other", Start);
+  Detector.dataReceived("other", Start + milliseconds(380));
+  const TimePoint Quiet = Start + seconds(1);
+  Detector.streamStarted("a", Quiet);
+  EXPECT_FALSE(Detector.stalled("a", Quiet + milliseconds(569)));
+  EXPECT_TRUE(Detector.stalled("a", Quiet + milliseconds(570)));
+  EXPECT_FALSE(Detector.active("a", Quiet + StallDetector::StallTimeout));
+  EXPECT_EQ(Detector
+                .idleFor(StallDetector::SuspectTimeout,
+                         Quiet + StallDetector::SuspectTimeout)
+                .size(),
+            2U);
+}
+
+// Guards against waiting ever longer for a group that has stopped: the time-out
+// has an upper limit, and a stall that ended does not count as a pause.
+TEST(StallDetector, FindsAStallWithinTheLongestTimeout) {
+  StallDetector Detector;
+  Detector.streamStarted("a", Start);
+  TimePoint Now = Start + milliseconds(700);
+  Detector.dataReceived("a", Now);
+  EXPECT_EQ(Detector.stallTimeout(Now), StallDetector::MaxStallTimeout);
+  EXPECT_EQ(Detector.stalledEndpoints(Now + StallDetector::MaxStallTimeout),
+            std::vector<std::string>{"a"});
+  StallDetector Recovered;
+  Recovered.streamStarted("a", Start);
+  Now = Start + seconds(3);
+  Recovered.dataReceived("a", Now);
+  EXPECT_EQ(Recovered.stallTimeout(Now), StallDetector::StallTimeout);
+}
+
+// Guards against a time-out that stays long after one slow moment.
+TEST(StallDetector, ForgetsOldPauses) {
+  StallDetector Detector;
+  Detector.streamStarted("a", Start);
+  TimePoint Now = Start + milliseconds(500);
+  Detector.dataReceived("a", Now);
+  for (; Now < Start + PauseHistory::Window; Now += milliseconds(100))
+    Detector.dataReceived("a", Now);
+  EXPECT_EQ(Detector.stallTimeout(Start + seconds(20)), milliseconds(750));
+  EXPECT_EQ(Detector.stallTimeout(Now + milliseconds(500)),
+            StallDetector::StallTimeout);
+}
+
+// Guards against counting the time in which an endpoint has no streams as a
+// pause.
+TEST(StallDetector, IdleTimeIsNoPause) {
+  StallDetector Detector;
+  Detector.streamStarted("a", Start);
+  Detector.streamEnded("a");
+  Detector.streamStarted("a", Start + milliseconds(700));
+  EXPECT_EQ(Detector.stallTimeout(Start + milliseconds(700)),
+            StallDetector::StallTimeout);
+  Detector.streamStarted("a", Start + milliseconds(1'200));
+  EXPECT_EQ(Detector.stallTimeout(Start + milliseconds(1'200)),
+            milliseconds(750));
+}
+
 } // namespace
 
 } // namespace coltsfoottrail
