Do not count a host's own pause as its endpoints' silence

Callers saw: after a host's thread did not run for a second (a weak host, a large configuration), it took all its endpoints for silent, gave them no new requests for two seconds and refused its callers.

Cause: the tick that looks for silent endpoints runs before the data that arrived meanwhile is read.

Change: the time by which a tick is late, from 100 ms on, is taken off the silence of all endpoints (StallDetector::recordOwnPause).

--- a/packages/process/src/coltsfoottrail/fleethost/host.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/host.cpp
@@ -344,10 +344,16 @@
                                               : followerSpacing());
 }
 
+// Failure guarded against: this host decodes a large configuration or gets no
+// processor time, reads no data meanwhile, and takes its endpoints for silent.
+// The time by which a tick is late does not count as their silence.
 Awaitable<void> FleetHost::tick() {
   asio::steady_timer Pause(co_await asio::this_coro::executor);
+  TimePoint Due = BootClock::now();
   while (true) {
-    suspendSilent(BootClock::now());
+    const TimePoint Start = BootClock::now();
+    Silence.recordOwnPause(Start - Due, Start);
+    suspendSilent(Start);
     endFastReads(BootClock::now());
     View.advance(BootClock::now());
     refreshRoutes();
@@ -359,7 +365,9 @@
     Routing.advance();
     if (const std::uint64_t Dropped = Proxy.takeDroppedTrails(); Dropped > 0)
       logEvent(Event::TrailsDropped, {{"requests", Dropped}});
-    Pause.expires_after(Routing.waiting() > 0 ? BusyTick : IdleTick);
+    const milliseconds Interval = Routing.waiting() > 0 ? BusyTick : IdleTick;
+    Due = Start + Interval;
+    Pause.expires_after(Interval);
     co_await Pause.async_wait(asio::use_awaitable);
   }
 }
--- a/packages/request/src/coltsfoottrail/silence/silencewatch.cpp
+++ b/packages/request/src/coltsfoottrail/silence/silencewatch.cpp
@@ -26,6 +26,13 @@
   State.LastDataAt = Now;
 }
 
+void StallDetector::recordOwnPause(Duration Pause, TimePoint Now) noexcept {
+  if (Pause < MinOwnPause)
+    return;
+  for (auto &[Endpoint, State] : Endpoints)
+    State.LastDataAt = std::min(State.LastDataAt + Pause, Now);
+}
+
 Duration StallDetector::stallTimeout(TimePoint Now) const noexcept {
   return std::clamp(
       std::chrono::duration_cast<Duration>(Pauses.longest(Now) * PauseFactor),
--- a/packages/request/src/coltsfoottrail/silence/silencewatch.hpp
+++ b/packages/request/src/coltsfoottrail/silence/silencewatch.hpp
@@ -35,6 +35,8 @@
   static constexpr Duration StallTimeout = milliseconds(400);
   /// Longest time-out; a longer pause is a stall even if data follows.
   static constexpr Duration MaxStallTimeout = StallTimeout * 2;
+  /// Shorter delays of a busy host do not count as its own pauses.
+  static constexpr Duration MinOwnPause = milliseconds(100);
   /// After this the members of the endpoint may be asked whether they are
   /// alive, which costs one message each and does not move streams.
   static constexpr Duration SuspectTimeout = milliseconds(200);
@@ -46,6 +48,13 @@
   /// @brief Records the end, for any reason, of a stream that had started.
   void streamEnded(std::string_view Endpoint);
 
+  /// @brief Records that this host itself did not run for a time that has just
+  /// ended, so that data may have arrived that it has not read yet. The time
+  /// does not count as an endpoint's silence.
+  /// @param Pause The time; below MinOwnPause it is ignored.
+  /// @param Now The time.
+  void recordOwnPause(Duration Pause, TimePoint Now) noexcept;
+
   /// @brief How long an endpoint may send nothing at present until it counts as
   /// stalled: between StallTimeout and MaxStallTimeout.
   [[nodiscard]] Duration stallTimeout(TimePoint Now) const noexcept;
--- a/packages/request/test/coltsfoottrail/silence/silencewatch.cpp
+++ b/packages/request/test/coltsfoottrail/silence/silencewatch.cpp
@@ -109,6 +109,25 @@
             StallDetector::StallTimeout);
 }
 
+// Guards against taking a healthy endpoint for stalled because this host itself
+// did not run and has not read the data that arrived. A stall that begins
+// before or after the pause is still found.
+TEST(StallDetector, OwnPauseIsNoSilence) {
+  StallDetector Detector;
+  Detector.streamStarted("a", Start);
+  const TimePoint Awake = Start + milliseconds(550);
+  EXPECT_TRUE(Detector.stalled("a", Awake));
+  Detector.recordOwnPause(milliseconds(500), Awake);
+  EXPECT_FALSE(Detector.stalled("a", Awake + milliseconds(349)));
+  EXPECT_TRUE(Detector.stalled("a", Awake + milliseconds(350)));
+  Detector.recordOwnPause(StallDetector::MinOwnPause - milliseconds(1),
+                          Awake + milliseconds(350));
+  EXPECT_TRUE(Detector.stalled("a", Awake + milliseconds(350)));
+  Detector.recordOwnPause(seconds(5), Awake + milliseconds(350));
+  EXPECT_FALSE(Detector.stalled("a", Awake + milliseconds(749)));
+  EXPECT_TRUE(Detector.stalled("a", Awake + milliseconds(750)));
+}
+
 // Guards against counting the time in which an endpoint has no streams as a
 // pause.
 TEST(StallDetector, IdleTimeIsNoPause) {
