Log the count of hosts and the upstream with a stale configuration

Needed to name why hosts stayed without a fresh configuration after the store was back: the pause after a failed read is derived from the count of hosts, which the line did not show, and neither did it say who relayed.

--- a/packages/process/src/coltsfoottrail/dissemination/link.cpp
+++ b/packages/process/src/coltsfoottrail/dissemination/link.cpp
@@ -245,6 +245,11 @@
   return Now - HostsAt < HostCountLife ? Hosts : 0;
 }
 
+std::string TreeLink::upstreamAddress() const {
+  const std::optional<EngineAddress> &Target = CurrentUpstream.target();
+  return Target ? textOf(*Target) : std::string();
+}
+
 bool TreeLink::hearsUpstream(TimePoint Now) const noexcept {
   return Now - UpstreamHeardAt < CoordinatorLife;
 }
--- a/packages/process/src/coltsfoottrail/dissemination/link.hpp
+++ b/packages/process/src/coltsfoottrail/dissemination/link.hpp
@@ -81,6 +81,8 @@
   /// @brief Number of entry hosts in the tree as last reported; zero if
   /// unknown.
   [[nodiscard]] std::size_t hosts(TimePoint Now) const noexcept;
+  /// @brief Address of the host that this one reports to; empty if none.
+  [[nodiscard]] std::string upstreamAddress() const;
   /// @brief Whether an upstream has responded within the last second.
   [[nodiscard]] bool hearsUpstream(TimePoint Now) const noexcept;
   /// @brief Number of hosts that report to this one.
--- a/packages/process/src/coltsfoottrail/fleethost/feeds.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/feeds.cpp
@@ -320,6 +320,8 @@
             {"age_ms", Age},
             {"store_answers", StoreAnswers},
             {"own_pause_ms", FailedReadPause.count()},
+            {"entry_hosts", Link.hosts(Now)},
+            {"upstream", Link.upstreamAddress()},
             {"upstream_heard", Link.hearsUpstream(Now)},
             {"relayed_ms", MillisecondsSince(EndpointsRelayedAt)},
             {"coordinates", Coordinator.isLastHolder()}});
