Do not open a group again whose leader was told to leave

Cause: a member seems lost, and the leader is told to leave so that the members can be used; the member is back before the leader has left, and the group is opened. The order to leave, or to take a seat of its own, is carried out late and ends a group that serves.

Evidence: both tests fail on the code before: JoinedWhileOpen 1 (a join that is 5,200 ms late), Ends 1, expected 0.

Change: once its leader was told to leave, a group is not opened any more; the leader is told again until it has left.

--- a/packages/version/src/coltsfoottrail/assembly/repair.cpp
+++ b/packages/version/src/coltsfoottrail/assembly/repair.cpp
@@ -146,7 +146,8 @@
   if (AnyLost || AnyDraining)
     return handleMemberLoss(Context, Group, *Seat, AnyLost);
   if (isEveryMemberReady(Context, Group)) {
-    if (Group.Adopted && !Group.WasOpen)
+    // An order to leave that is still to be carried out would end the group.
+    if (Group.LeaveOrdered || (Group.Adopted && !Group.WasOpen))
       dismissLeader(Context, Group);
     else
       orderOpen(Context, Group);
--- a/packages/version/test/coltsfoottrail/assembly/lateorders.cpp
+++ b/packages/version/test/coltsfoottrail/assembly/lateorders.cpp
@@ -377,6 +377,73 @@
   }
 }
 
+// Guards against a leader that is taken from a group that serves. It was told
+// to leave, and to take a seat of its own, since a member seemed lost. A late
+// join seats it again when the order for that seat is no longer waited for, its
+// members are all there, and it is opened. Then that order is carried out.
+TEST(LateOrders, SeatOfItsOwnOfALeaderThatIsSeatedAgain) {
+  for (int Late = 4'000; Late <= 8'000; Late += 100) {
+    FakeEngines Fleet;
+    int Joins = 0;
+    int Opens = 0;
+    Fleet.FateOf = [&](const SeatCommand &Command) -> OrderFate {
+      const bool IsJoin = std::holds_alternative<JoinSeat>(Command.Order);
+      if (isGroupJoin(Command) && Command.To == EndpointName("n0-0") &&
+          ++Joins == 1)
+        return {false, milliseconds(Late)};
+      if (IsJoin && !isGroupJoin(Command))
+        return {false, seconds(6)};
+      if (std::holds_alternative<OpenSeat>(Command.Order) && ++Opens == 1)
+        return {false, std::nullopt};
+      return {};
+    };
+    addLargeDomain(Fleet, 4);
+    while (Opens == 0)
+      Fleet.run(milliseconds(100));
+    Fleet.TrafficStarted = true;
+    Fleet.cutOff(EndpointName("n0-3"));
+    Fleet.run(seconds(2));
+    Fleet.reconnect(EndpointName("n0-3"));
+    Fleet.run(LatestOrder);
+    EXPECT_EQ(Fleet.JoinedWhileOpen, 0) << "join late by ms: " << Late;
+  }
+}
+
+// Guards against streams that are cut off by an order of before. A leader was
+// told to leave since a member seemed lost while it may have been opening. The
+// order was not answered, the member is back, and the group is opened. Then the
+// order to leave is carried out.
+TEST(LateOrders, LeaveOfALeaderThatIsOpenedAfterAll) {
+  FakeEngines Fleet;
+  int Opens = 0;
+  int Leaves = 0;
+  Fleet.FateOf = [&](const SeatCommand &Command) -> OrderFate {
+    if (std::holds_alternative<OpenSeat>(Command.Order) && ++Opens == 1)
+      return {false, std::nullopt};
+    if (std::holds_alternative<LeaveSeat>(Command.Order) && ++Leaves == 1)
+      return {false, seconds(5)};
+    return {};
+  };
+  addLargeDomain(Fleet, 4);
+  while (Opens == 0)
+    Fleet.run(milliseconds(100));
+  Fleet.TrafficStarted = true;
+  Fleet.cutOff(EndpointName("n0-3"));
+  Fleet.run(milliseconds(300));
+  ASSERT_EQ(Leaves, 1);
+  Fleet.reconnect(EndpointName("n0-3"));
+  bool Served = false;
+  int Ends = 0;
+  for (int Steps = 0; Steps < 100; ++Steps) {
+    Fleet.run(milliseconds(100));
+    const bool Serves = !Fleet.leaders().empty();
+    Ends += Served && !Serves ? 1 : 0;
+    Served = Serves;
+  }
+  EXPECT_TRUE(Served);
+  EXPECT_EQ(Ends, 0);
+}
+
 } // namespace
 
 } // namespace coltsfoottrail::test
