Remember late joins over the terms of one host; name what repair waits for

Cause: a host whose term ends and begins again under the same fencing number forgot the joins that may still be carried out; engines would accept them.

Change: they expire by time alone. An engine that refused a seat of its own is not told again with each step, and a running exclusion is not shortened.

--- a/packages/version/src/coltsfoottrail/assembly/assembler.cpp
+++ b/packages/version/src/coltsfoottrail/assembly/assembler.cpp
@@ -30,7 +30,6 @@
   Retired.clear();
   Pending.clear();
   LockedUntil.clear();
-  LateJoins.clear();
   Staging.clear();
   ProbeStates.clear();
   PendingProbes.clear();
--- a/packages/version/src/coltsfoottrail/assembly/repair.cpp
+++ b/packages/version/src/coltsfoottrail/assembly/repair.cpp
@@ -93,22 +93,23 @@
     return handleLeaderLoss(Context, Group);
   std::optional<SeatState> Seat = seatOf(*LeaderEndpoint);
   if (Group.LeaveOrdered && mayLeaderReturn(Context, Group)) {
+    // Its recorded seat counts, not the one that it was ordered to take.
     const auto &RecordedSeat = LeaderEndpoint->Record.Seat;
     if (!RecordedSeat) {
-      if (!Pending.contains(Leader.Name))
+      if (!Pending.contains(Leader.Name) && !LockedUntil.contains(Leader.Name))
         orderStandby(Context, *LeaderEndpoint, Group.Model);
       return false;
     }
     if (RecordedSeat->Epoch == Group.Epoch)
       Seat = SeatState{RecordedSeat->Epoch, RecordedSeat->Phase};
   }
-  const bool Serves =
+  const bool InService =
       Seat && Seat->Epoch == Group.Epoch &&
       (Seat->Phase == SeatPhase::Open || Seat->Phase == SeatPhase::Closing);
   // Failure guarded against: a leader has not published itself again after an
   // outage of the store, and its last record is from before the group was
   // opened or even formed. Its members would be taken from a group that serves.
-  if (!Serves &&
+  if (!InService &&
       Context.View.Endpoints.mayBeStale(*LeaderEndpoint, Context.Now))
     return false;
   if (LeaderEndpoint->Record.StartedAtMs != Leader.StartedAtMs || !Seat ||
@@ -126,8 +127,6 @@
   }
   bool AnyLost = false;
   bool AnyDraining = false;
-  const bool InService =
-      Seat->Phase == SeatPhase::Open || Seat->Phase == SeatPhase::Closing;
   for (const GroupMember &Member : Group.Members) {
     const bool IsPresent = InService ? isPresent(Context, Member, Group.Epoch)
                                      : holdsSeat(Context, Member, Group.Epoch);
@@ -226,7 +225,8 @@
                                  const SeatState &Leader, bool Evict) {
   switch (Leader.Phase) {
   case SeatPhase::Joining:
-    // A late join has seated the leader again after it had left.
+    // A leader that was ordered to open and is joining has left meanwhile, and
+    // a late join has seated it again.
     if (Group.OpenOrdered && mayBeOpened(Context, Group)) {
       dismissLeader(Context, Group);
       return false;
@@ -313,8 +313,9 @@
   Context.order(Endpoint, LeaveSeat{Group.Name, Group.Epoch});
   Group.LeaveOrdered = Context.Now;
   const TimePoint Until = lateJoinUntil(Endpoint, Group);
+  // A leader takes a seat of its own instead.
   if (Name != Group.Members.front().Name && Until > Context.Now)
-    LockedUntil[Name] = Until;
+    LockedUntil[Name] = std::max(LockedUntil[Name], Until);
 }
 
 TimePoint Assembler::lateJoinUntil(const KnownEndpoint &Endpoint,
--- a/packages/version/test/coltsfoottrail/assembly/lateorders.cpp
+++ b/packages/version/test/coltsfoottrail/assembly/lateorders.cpp
@@ -444,6 +444,35 @@
   EXPECT_EQ(Ends, 0);
 }
 
+// Guards against joins that the same host ordered in a term before, and that
+// are forgotten as the next term begins, under the same fencing number.
+TEST(LateOrders, JoinOfATermBeforeOfTheSameHost) {
+  FakeEngines Fleet;
+  int Joins = 0;
+  Fleet.FateOf = [&](const SeatCommand &Command) -> OrderFate {
+    if (isGroupJoin(Command) && Command.To == EndpointName("n0-1")) {
+      ++Joins;
+      if (Joins == 1)
+        return {false, milliseconds(5500)};
+      if (Joins == 3)
+        return {false, seconds(2)};
+    }
+    return {};
+  };
+  addLargeDomain(Fleet, 4);
+  Fleet.run(seconds(4));
+  ASSERT_EQ(Fleet.leaders().size(), 1U);
+  Fleet.TrafficStarted = true;
+  const EndpointName Leader = Fleet.leaders().front();
+  ASSERT_NE(Leader, EndpointName("n0-1"));
+  Fleet.GroupAssembler.begin(Fleet.Now);
+  Fleet.cutOff(Leader);
+  Fleet.run(seconds(1));
+  addSpare(Fleet, "n0-late");
+  Fleet.run(LatestOrder + SettlingTime);
+  EXPECT_EQ(Fleet.JoinedWhileOpen, 0);
+}
+
 } // namespace
 
 } // namespace coltsfoottrail::test
--- a/packages/version/test/coltsfoottrail/assembly/simulation.cpp
+++ b/packages/version/test/coltsfoottrail/assembly/simulation.cpp
@@ -32,6 +32,14 @@
     }
   }
 
+  /// Ends all failures and lets the fleet recover.
+  void recover(Duration Span) {
+    Fleet.CutOffFromStore.clear();
+    Fleet.publishAll();
+    Fleet.FateOf = nullptr;
+    Fleet.run(Span);
+  }
+
   FakeEngines Fleet;
 
 private:
@@ -153,6 +161,32 @@
       << Trace;
 }
 
+// Guards against engines that no group uses any more and groups that are
+// neither served nor given up: when all failures have ended, nothing more is
+// ordered, and each engine serves or is free.
+TEST(AssemblySimulation, EveryDomainServesWhenTheFailuresHaveEnded) {
+  constexpr std::uint64_t Seeds = 200;
+  std::vector<std::uint64_t> Broken;
+  std::string Text;
+  for (std::uint64_t Seed = 1; Seed <= Seeds; ++Seed) {
+    Play Run(Seed);
+    Run.run(seconds(60));
+    Run.recover(seconds(40));
+    std::map<std::string, std::size_t> Seated;
+    for (const EndpointName &Leader : Run.Fleet.leaders()) {
+      const std::size_t Size = Run.Fleet.membersOf(Leader).size();
+      Seated[Run.Fleet.Records.at(Leader).Domain.Text] += Size;
+    }
+    // One engine less than the smallest group may be left over, and a spare.
+    if (Seated["n0"] < 6 || Seated["s0"] < 3 || !Run.Fleet.step().empty()) {
+      Broken.push_back(Seed);
+      Text += " " + std::to_string(Seed) + ":" + std::to_string(Seated["n0"]) +
+              "," + std::to_string(Seated["s0"]);
+    }
+  }
+  EXPECT_EQ(Broken.size(), 0U) << "seeds, and engines that serve:" << Text;
+}
+
 } // namespace
 
 } // namespace coltsfoottrail::test
