Mend what the review of the configuration's proofs found

A host that fell behind while its own reads failed said no longer what it knows, so nothing was relayed to it until a read succeeded. It now says so only if relayed records had postponed its reads; a pause after a failed read ends once. A configuration beyond its bound stayed trusted although the store had answered a read that was sent after the one that failed. Only reads that were sent after the last one that was answered count. Newest values come in several responses; a read of them is not overdue 350 ms after the first request. A page that ends before the feed does and moves nothing was followed by the next read at once: 97 reads in 100 ms.

--- a/packages/process/src/coltsfoottrail/fleethost/follower.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/follower.cpp
@@ -115,9 +115,13 @@
   readNow();
 }
 
+// A host that is behind reports no offset, so nothing is relayed to it until it
+// has read. While its reads fail it must not say so.
 void FeedFollower::markBehind() {
-  if (Behind || (!isDeferred() && !PausesAfterFailure))
+  if (Behind)
     return;
+  if (!isDeferred())
+    return endDeferral();
   Behind = true;
   DeferredUntil = TimePoint{};
   readNow();
@@ -161,7 +165,9 @@
   const milliseconds Wait =
       IsSnapshot || SkipLongPoll ? milliseconds(0) : Times.Wait;
   RequestedAt = SentAt;
-  AnswerDueAt = SentAt + Wait + UsualResponseTime;
+  // Newest values come in several responses.
+  if (!IsSnapshot)
+    AnswerDueAt = SentAt + Wait + UsualResponseTime;
   std::variant<FeedPage, StoreFailure> Answer = StoreFailure::NotDone;
   if (IsSnapshot)
     Answer = co_await Store.newest(FollowedFeed);
@@ -188,7 +194,8 @@
   if (Next != From && !dropKnown(Page, From))
     co_return ReadEnd::UpToDate;
   Next = Page.Next;
-  const bool More = Page.Next < Page.End;
+  // A page without progress is followed by a pause.
+  const bool More = Page.Next < Page.End && (!From || Page.Next > *From);
   Hooks.OnPage(std::move(Page), IsSnapshot, SentAt);
   co_return More ? ReadEnd::More : ReadEnd::UpToDate;
 }
--- a/packages/process/src/coltsfoottrail/fleethost/follower.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/follower.hpp
@@ -102,8 +102,8 @@
   void restart();
 
   /// @brief Records that another host has newer records that it cannot relay:
-  /// neither what it relayed before nor a pause after a failed read postpones
-  /// reads any longer, and the feed is read at once.
+  /// what it relayed before no longer postpones reads, and the feed is read at
+  /// once. A pause after a failed read ends as by endDeferral().
   void markBehind();
   /// @brief Whether markBehind() was called and the feed has not been read
   /// since.
--- a/packages/process/src/coltsfoottrail/fleethost/view.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/view.cpp
@@ -237,11 +237,13 @@
 // A configuration older than its limit is tolerated only while the store does
 // not answer at all, not while it answers with pages that do not reach the end
 // of the feed. That it does not answer takes a read that this host sent within
-// that limit: silence of an upstream is no evidence.
+// that limit and after the last one that was answered: silence of an upstream
+// is no evidence.
 bool FleetView::credentialsFresh(TimePoint Now) const noexcept {
   const Duration Limit = Bounds.Configuration - ConfigurationMargin;
   const bool Starved = StoreAnsweredAsOf - ConfigAsOf >= Limit;
-  const bool StoreIsAway = Now - NoAnswerAsOf < Limit;
+  const bool StoreIsAway =
+      NoAnswerAsOf > StoreAnsweredAsOf && Now - NoAnswerAsOf < Limit;
   return Index && !Starved && (routesFresh(Now) || StoreIsAway) &&
          configAge(Now) < Bounds.Revocation - RevocationMargin;
 }
--- a/packages/process/test/coltsfoottrail/fleethost/feeds.cpp
+++ b/packages/process/test/coltsfoottrail/fleethost/feeds.cpp
@@ -270,6 +270,9 @@
   std::atomic<milliseconds> RelayedAge = milliseconds(0);
   std::atomic<bool> UpstreamSilent = false;
   std::atomic<bool> EndpointsOnly = false;
+  /// The upstream no longer has the operators' records that the host lacks.
+  std::atomic<bool> Truncated = false;
+  std::atomic<bool> LeaseHeard = true;
   std::atomic<int> Relayed = 0;
   std::uint16_t MetricsPort = 0;
   std::uint16_t PeersPort = 0;
@@ -287,12 +290,15 @@
     Response Result;
     Result.Hosts = ManyHosts;
     Result.Hold = milliseconds(30);
-    Result.Coordinates = Result.CoordinatorHeard = Result.LeaseHeard = true;
+    Result.Coordinates = Result.CoordinatorHeard = true;
+    Result.LeaseHeard = LeaseHeard;
     const std::uint64_t Version = RelayedVersion;
     if (Version > 0) {
       Result.Feeds = feeds(Received, Version);
       ++Relayed;
     }
+    if (Truncated && Received.Next.contains(Feed::Operators))
+      Result.Truncated.insert(Feed::Operators);
     HttpResponse Reply;
     Reply.Body = encode(Result);
     co_await Call.respond(std::move(Reply));
@@ -302,7 +308,7 @@
                                    std::uint64_t Version) const {
     std::map<Feed, FeedUpdate> Result;
     for (const Feed FeedId : {Feed::Operators, Feed::Endpoints}) {
-      if (EndpointsOnly && FeedId == Feed::Operators)
+      if ((EndpointsOnly || Truncated) && FeedId == Feed::Operators)
         continue;
       FeedUpdate Update;
       Update.Snapshot = Received.Missing.contains(FeedId);
@@ -358,6 +364,22 @@
   EXPECT_TRUE(within(Bound, [&] { return metric("config_version") == 4; }));
 }
 
+// Guards against a host that gets nothing relayed for as long as its own reads
+// fail: an upstream could not relay to it after a failed read, and the host no
+// longer says to the next one what it knows.
+TEST_F(FeedsOfAHost, HostThatFellBehindWhileReadsFailUsesWhatIsRelayedLater) {
+  start();
+  relay(0, milliseconds(0));
+  Store.Reads = Mode::Refuses;
+  ASSERT_TRUE(within(seconds(4), [&] { return Store.Refused >= 2; }));
+  Truncated = true;
+  std::this_thread::sleep_for(milliseconds(300));
+  Truncated = false;
+  relay(4, milliseconds(0));
+  EXPECT_TRUE(
+      within(seconds(3), [&] { return metric("config_version") == 4; }));
+}
+
 // Guards against a host that relays an old configuration as a recent one, and
 // sends requests to a drained data centre: its records are deleted, and it goes
 // back to the older newest values that its upstream relays.
@@ -423,6 +445,20 @@
   EXPECT_TRUE(within(seconds(1), [&] { return statusOf("/none/") == 503U; }));
 }
 
+// Guards against the same where no lease is heard of any longer, as in an
+// outage of the store for all hosts: nothing ends the pauses.
+TEST_P(FeedsInAnOutage, ConfigurationIsTrustedWithoutALease) {
+  start();
+  Store.Reads = GetParam();
+  relay(0, milliseconds(0));
+  LeaseHeard = false;
+  std::uint64_t Age = 0;
+  while ((Age = metric("config_age_milliseconds")) < 4'000) {
+    ASSERT_EQ(statusOf("/none/"), 404U) << Age << " ms";
+    std::this_thread::sleep_for(milliseconds(10));
+  }
+}
+
 INSTANTIATE_TEST_SUITE_P(Stores, FeedsInAnOutage,
                          ::testing::Values(Mode::Refuses, Mode::Hangs));
 
--- a/packages/process/test/coltsfoottrail/fleethost/follower.cpp
+++ b/packages/process/test/coltsfoottrail/fleethost/follower.cpp
@@ -251,6 +251,27 @@
   EXPECT_EQ(ReadOffsets, std::vector<Offset>{9});
 }
 
+Awaitable<FeedAnswer> partWithoutRecords() {
+  boost::asio::steady_timer Timer(co_await boost::asio::this_coro::executor,
+                                  milliseconds(1));
+  co_await Timer.async_wait(boost::asio::use_awaitable);
+  co_return co_await page(5, 9);
+}
+
+// Guards against a read loop without a pause: the store has more than it
+// returns, and returns nothing.
+TEST_F(Follower, PagesWithoutProgressAreFollowedByAPause) {
+  int Reads = 0;
+  EXPECT_CALL(Store, newest).WillOnce([] { return page(5, 9); });
+  EXPECT_CALL(Store, read).WillRepeatedly([&Reads] {
+    ++Reads;
+    return partWithoutRecords();
+  });
+  follow();
+  Context.run_for(milliseconds(100));
+  EXPECT_LE(Reads, 2);
+}
+
 /// A page of two records that takes longer than the next response.
 Awaitable<FeedAnswer> delayedRecords() {
   boost::asio::steady_timer Timer(co_await boost::asio::this_coro::executor,
--- a/packages/process/test/coltsfoottrail/fleethost/view.cpp
+++ b/packages/process/test/coltsfoottrail/fleethost/view.cpp
@@ -266,6 +266,16 @@
   EXPECT_EQ(View.routes().Shares.begin()->second, 26U);
 }
 
+// Guards against serving by a configuration beyond its bound although the store
+// has answered a read that was sent after the one that failed.
+TEST(FleetView, AnswerAfterAFailedReadEndsTheTrustBeyondTheBound) {
+  FleetView View = readyView();
+  View.recordNoAnswer(Start + milliseconds(500));
+  View.recordAnswer(Start + milliseconds(1'000));
+  EXPECT_TRUE(View.credentialsFresh(Start + milliseconds(1'500)));
+  EXPECT_FALSE(View.credentialsFresh(Start + milliseconds(2'000)));
+}
+
 // Guards against requests to a drained data centre: newest values from an older
 // reading do not hold its drain.
 TEST(FleetView, OlderNewestValuesDoNotReturnADataCentre) {
