--- a/packages/process/src/coltsfoottrail/dissemination/link.cpp
+++ b/packages/process/src/coltsfoottrail/dissemination/link.cpp
@@ -185,7 +185,7 @@
   Report Result = Hooks.MakeReport();
   Result.Host = HostName(Self);
   Node.recordOwn(std::move(Result.Loads), Now);
-  Node.addSubtree(Result, Now);
+  Node.setSubtree(Result, Now);
   Result.ToRelay = CurrentUpstream.hasRelay();
   Result.FailedRelay = CurrentUpstream.failedRelay(Now);
   return Result;
--- a/packages/process/src/coltsfoottrail/dissemination/node.cpp
+++ b/packages/process/src/coltsfoottrail/dissemination/node.cpp
@@ -59,8 +59,7 @@
   if (!Page.Projected)
     Shared.FullLog.advanceTo(Page.Next);
   // A page that does not reach the end of the feed does not show that the log
-  // is current.
-  // Newest values replace what the log had, and are no more recent than their
+  // is current. Newest values replace the log and are only as recent as their
   // own reading.
   if (Page.Next >= Page.End)
     Shared.AsOf = IsSnapshot ? AsOf : std::max(Shared.AsOf, AsOf);
@@ -87,7 +86,7 @@
 // and two hosts that take each other for the coordinator count each other's
 // hosts with every exchange. What is divided by the number of hosts, such as
 // reads of a store that fails, then stops for seconds after the store is back.
-void TreeNode::addSubtree(Report &OwnReport, TimePoint Now) const {
+void TreeNode::setSubtree(Report &OwnReport, TimePoint Now) const {
   OwnReport.Loads = SubtreeLoads.total(Now, LoadAggregator::Scope::Relayed);
   OwnReport.Hosts = SubtreeLoads.hosts(Now, LoadAggregator::Scope::Relayed);
 }
--- a/packages/process/src/coltsfoottrail/dissemination/node.hpp
+++ b/packages/process/src/coltsfoottrail/dissemination/node.hpp
@@ -65,9 +65,10 @@
   [[nodiscard]] std::size_t subtreeHosts(TimePoint Now) const {
     return SubtreeLoads.hosts(Now);
   }
-  /// @brief Adds to a report of this host what it represents: the hosts that
-  /// report to it as their relay, and itself.
-  void addSubtree(Report &OwnReport, TimePoint Now) const;
+  /// @brief Sets the loads and the number of hosts that a report of this host
+  /// represents: those of the hosts that report to it as their relay, and its
+  /// own.
+  void setSubtree(Report &OwnReport, TimePoint Now) const;
   /// @brief Loads of all hosts except this one.
   [[nodiscard]] std::vector<EndpointLoad> otherLoads(TimePoint Now) const;
   /// @brief Number of hosts that report to this one.
--- a/packages/process/src/coltsfoottrail/fleethost/attempt.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/attempt.cpp
@@ -173,11 +173,11 @@
                     Start);
   HttpRequest Sent = Wire.forward(Call.request(), Marks);
   BacklogGuard QueuedGuard(Backlogs[Context.Pool], Context.isLate());
-  const bool MayMove =
+  const bool HasRunLeft =
       Context.Route->streams() && hasRunLeft(attemptProgress(Context));
   const TimePoint HeadDeadline =
-      MayMove ? std::min(Context.Deadline, Start + MaxSilence)
-              : Context.Deadline;
+      HasRunLeft ? std::min(Context.Deadline, Start + MaxSilence)
+                 : Context.Deadline;
   const MovePolicy Policy(Context);
   auto Started =
       co_await Client.start(Target.Address, std::move(Sent), HeadDeadline,
@@ -289,9 +289,9 @@
 
 /// Sets in the result of a broken stream whether it can be resumed at another
 /// endpoint.
-void CallerProxy::markDelivered(const RequestContext &Context, bool MayMove,
+void CallerProxy::markDelivered(const RequestContext &Context, bool HasRunLeft,
                                 AttemptResult &Result) {
-  const bool CanContinue = MayMove && !Context.Events.lastId().empty();
+  const bool CanContinue = HasRunLeft && !Context.Events.lastId().empty();
   Result.CallerSawBytes = Context.Events.hasReleased() && !CanContinue;
   Result.Resumable = Context.Events.hasReleased() && CanContinue;
 }
@@ -307,11 +307,11 @@
                          HttpCall UpstreamCall, const EndpointSpec &Target,
                          TimePoint Start, BacklogGuard &QueuedGuard) {
   const TimePoint FirstByte = BootClock::now();
-  const bool MayMove = hasRunLeft(attemptProgress(Context));
+  const bool HasRunLeft = hasRunLeft(attemptProgress(Context));
   StreamGuard Mark(Silence, Target.Host.Text);
   while (true) {
     TimePoint ReadDeadline = Context.Deadline;
-    if (MayMove)
+    if (HasRunLeft)
       ReadDeadline = std::min(ReadDeadline,
                               BootClock::now() + silenceLimit(*Context.Route));
     auto Next = co_await UpstreamCall.next(ReadDeadline);
@@ -321,7 +321,7 @@
                               BootClock::now() < Context.Deadline;
       if (WentSilent)
         Result.FailureReason = Reason::EndpointCut;
-      markDelivered(Context, MayMove, Result);
+      markDelivered(Context, HasRunLeft, Result);
       co_return Result;
     }
     auto &Chunk = std::get<std::optional<std::string>>(Next);
@@ -343,7 +343,7 @@
   if (!Context.Events.endsOnBoundary()) {
     AttemptResult Result =
         failedAttempt(RunState::MayHaveRun, Reason::EndpointCut, Start);
-    markDelivered(Context, MayMove, Result);
+    markDelivered(Context, HasRunLeft, Result);
     co_return Result;
   }
   if (!Call.hasBegun()) {
--- a/packages/process/src/coltsfoottrail/fleethost/callerproxy.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/callerproxy.hpp
@@ -162,7 +162,7 @@
   attemptProgress(const RequestContext &Context);
   [[nodiscard]] static bool mayDemote(const RequestContext &Context,
                                       const Verdict &Final);
-  static void markDelivered(const RequestContext &Context, bool MayMove,
+  static void markDelivered(const RequestContext &Context, bool HasRunLeft,
                             AttemptResult &Result);
   static void logRetryEnd(RequestContext &Context, const RefusalDetails &Basis);
   [[nodiscard]] Awaitable<void> route(Exchange &Call, RequestContext &Context);
--- a/packages/process/src/coltsfoottrail/fleethost/feeds.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/feeds.cpp
@@ -31,12 +31,12 @@
 constexpr milliseconds RelayedStartSpread{500};
 /// While the store fails, all hosts together attempt one read of a feed in this
 /// interval, not counting the hosts that read for others. A single host waits
-/// no longer than MaxFailurePause.
+/// no longer than MaxFailurePause, and for the operators' feed no longer than
+/// evidencePause() while its configuration may still be trusted.
 constexpr milliseconds FailedReadEvery{20};
 constexpr milliseconds MaxFailurePause{8'000};
 
-/// Part of the time between two failed reads in which the second one fails or
-/// is overdue.
+/// Within this time a read either fails or is overdue.
 constexpr milliseconds EvidenceMargin{700};
 
 milliseconds evidencePause(Duration Within) {
@@ -51,7 +51,7 @@
 
 } // namespace
 
-void FleetHost::recordAnswer(Feed FeedId, TimePoint RequestedAt) {
+void FleetHost::storeAnswered(Feed FeedId, TimePoint RequestedAt) {
   View.recordAnswer(RequestedAt);
   if (std::exchange(StoreAnswers, true))
     return;
@@ -64,7 +64,7 @@
 
 void FleetHost::ingestPage(Feed FeedId, FeedPage Page, bool IsSnapshot,
                            TimePoint RequestedAt) {
-  recordAnswer(FeedId, RequestedAt);
+  storeAnswered(FeedId, RequestedAt);
   const TimePoint Now = BootClock::now();
   logFeedChanges(Page, View, RequestedAt, Now);
   const std::vector<RoutingEffect> Effects =
--- a/packages/process/src/coltsfoottrail/fleethost/follower.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/follower.cpp
@@ -135,10 +135,10 @@
   }
 }
 
-// Failures guarded against: later records were relayed to this host while it
-// read; applying the older page now would remove an endpoint that left and came
-// back. Or old records are relayed during each own read, and what was read is
-// never used as proof of the configuration.
+// Failures guarded against: records were relayed to this host while it read,
+// and applying the older page would remove an endpoint that left and came back.
+// Or records are relayed during each own read, the page is dropped each time,
+// and the configuration is never proved.
 bool FeedFollower::dropKnown(FeedPage &Page, std::optional<Offset> From) const {
   if (FollowedFeed != Feed::Operators || !From || !Next || Page.Next < *Next ||
       Page.Records.size() != Page.Changes.size())
--- a/packages/process/src/coltsfoottrail/fleethost/host.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/host.cpp
@@ -163,7 +163,7 @@
                    readFailed(Feed::Operators, RequestedAt);
                  },
                  [this](TimePoint RequestedAt) {
-                   recordAnswer(Feed::Operators, RequestedAt);
+                   storeAnswered(Feed::Operators, RequestedAt);
                  }}),
       Endpoints(Links.Store, Feed::Endpoints,
                 endpointFollowTimes(followerSpacing()),
@@ -175,7 +175,7 @@
                    readFailed(Feed::Endpoints, RequestedAt);
                  },
                  [this](TimePoint RequestedAt) {
-                   recordAnswer(Feed::Endpoints, RequestedAt);
+                   storeAnswered(Feed::Endpoints, RequestedAt);
                  }}),
       Link(Pool, Settings.Peers, Member, Links.Store, linkHooks()) {
   Front.emplace(Pool, Settings.Callers.Address, Settings.Callers.Port,
--- a/packages/process/src/coltsfoottrail/fleethost/host.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/host.hpp
@@ -68,7 +68,7 @@
   /// Interval between reads of the endpoints' feed by a host that does not
   /// coordinate.
   [[nodiscard]] milliseconds followerSpacing() const noexcept;
-  void recordAnswer(Feed FeedId, TimePoint RequestedAt);
+  void storeAnswered(Feed FeedId, TimePoint RequestedAt);
   void ingestPage(Feed FeedId, FeedPage Page, bool IsSnapshot,
                   TimePoint RequestedAt);
   void readFailed(Feed FeedId, TimePoint RequestedAt);
--- a/packages/process/test/coltsfoottrail/dissemination/node.cpp
+++ b/packages/process/test/coltsfoottrail/dissemination/node.cpp
@@ -271,7 +271,7 @@
 
   Report UpReport;
   UpReport.Host = HostName("relay");
-  Relay.addSubtree(UpReport, Start);
+  Relay.setSubtree(UpReport, Start);
   EXPECT_EQ(UpReport.Hosts, 2U);
   Root.recordReport(UpReport, Start);
   EXPECT_EQ(loadAt(Root.otherLoads(Start), 7).Running, 6U);
@@ -301,11 +301,11 @@
     Left.recordReport(Leaf, Now);
     Report FromLeft;
     FromLeft.Host = HostName("left");
-    Left.addSubtree(FromLeft, Now);
+    Left.setSubtree(FromLeft, Now);
     Right.recordReport(FromLeft, Now);
     Report FromRight;
     FromRight.Host = HostName("right");
-    Right.addSubtree(FromRight, Now);
+    Right.setSubtree(FromRight, Now);
     Left.recordReport(FromRight, Now);
   }
   const TimePoint End = Start + milliseconds(1'900);
@@ -325,12 +325,12 @@
     Right.recordOwn({{7, {2, 0, 0, 0}}}, Now);
     Report FromLeft;
     FromLeft.Host = HostName("left");
-    Left.addSubtree(FromLeft, Now);
+    Left.setSubtree(FromLeft, Now);
     Right.recordReport(FromLeft, Now);
     Left.recordOutside(Right.makeResponse(FromLeft, Now).Loads, Now);
     Report FromRight;
     FromRight.Host = HostName("right");
-    Right.addSubtree(FromRight, Now);
+    Right.setSubtree(FromRight, Now);
     Left.recordReport(FromRight, Now);
     Right.recordOutside(Left.makeResponse(FromRight, Now).Loads, Now);
   }
--- a/packages/process/test/coltsfoottrail/dissemination/simulation.hpp
+++ b/packages/process/test/coltsfoottrail/dissemination/simulation.hpp
@@ -282,7 +282,7 @@
     Message.CanRelay = Member.IsStrong;
     Message.FailedRelay = Member.CurrentUpstream->failedRelay(Now);
     Message.ToRelay = Member.CurrentUpstream->hasRelay();
-    Member.Node->addSubtree(Message, Now);
+    Member.Node->setSubtree(Message, Now);
     for (const Feed FeedId : {Feed::Operators, Feed::Endpoints})
       if (Member.Next.contains(FeedId))
         Message.Next[FeedId] = Member.Next[FeedId];
--- a/packages/request/src/coltsfoottrail/silence/silencewatch.hpp
+++ b/packages/request/src/coltsfoottrail/silence/silencewatch.hpp
@@ -29,11 +29,12 @@
 /// The time-out grows with the longest recent pause that was followed by data.
 class StallDetector {
 public:
-  /// An engine sends an event every 40 to 60 ms, or every 200 ms when it
-  /// processes long prompts in between. Twice that keeps false alarms rare,
-  /// each of which moves streams of a healthy endpoint.
+  /// Shortest time-out. An engine sends an event every 40 to 60 ms, or every
+  /// 200 ms when it processes long prompts in between; each false alarm moves
+  /// streams of a healthy endpoint.
   static constexpr Duration StallTimeout = milliseconds(400);
-  /// Longest time-out; a longer pause is a stall even if data follows.
+  /// Longest time-out. A longer pause is a stall even if data follows, and does
+  /// not raise the time-out.
   static constexpr Duration MaxStallTimeout = StallTimeout * 2;
   /// Shorter delays of a busy host do not count as its own pauses.
   static constexpr Duration MinOwnPause = milliseconds(100);
