Count a request at the engine stand-in until its response is sent

What was seen: Faults/Matrix.HoldsWhatMustHold/none_during_drafts failed once, in a whole test run beside builds and plays (load about 14): "warm bound: engine-1 had 4 at once, bound 3".

Cause: the stand-in counted a request until its coroutine went on after the last write. Its caller may have the whole response by then and send the next request, which is counted beside the first. The count is what the check compares with the bound.

Change: the count ends before the last bytes are sent. The check and its bound stay as they are; a request is counted for as long as the engine works on it. Cancelled requests are counted as before. The stand-in is never shipped.

Ruled out by reading: shares of the bound (they are divided before they are used).

--- a/packages/standin/src/coltsfoottrail/standin/engine.cpp
+++ b/packages/standin/src/coltsfoottrail/standin/engine.cpp
@@ -111,11 +111,22 @@
   InProgressGuard(const InProgressGuard &) = delete;
   InProgressGuard &operator=(const InProgressGuard &) = delete;
   ~InProgressGuard() {
+    if (Completed)
+      return;
     const std::lock_guard Hold(Owner.Lock);
     --Owner.Status.Running;
-    if (!Completed)
-      ++Owner.Cancelled;
+    ++Owner.Cancelled;
   }
+  /// Ends the count. Called before the last bytes of the response are sent: the
+  /// caller may have them, and send the next request, before this coroutine
+  /// goes on.
+  void complete() {
+    const std::lock_guard Hold(Owner.Lock);
+    --Owner.Status.Running;
+    Completed = true;
+  }
+
+private:
   EngineStandin &Owner;
   bool Completed = false;
 };
@@ -301,15 +312,13 @@
   if (CurrentFaults.Delay.count() > 0)
     co_await pause(CurrentFaults.Delay);
   if (Request.Stream)
-    co_await streamCompletion(Call, Request);
+    co_await streamCompletion(Call, Request, Mark);
   else
-    co_await respondComplete(Call, Request);
-  Mark.Completed = true;
+    co_await respondComplete(Call, Request, Mark);
 }
 
-Awaitable<void>
-EngineStandin::streamCompletion(Exchange &Call,
-                                const CompletionRequest &Request) {
+Awaitable<void> EngineStandin::streamCompletion(
+    Exchange &Call, const CompletionRequest &Request, InProgressGuard &Mark) {
   std::uint32_t CutAfter = 0;
   {
     const std::lock_guard Hold(Lock);
@@ -321,19 +330,22 @@
     co_await Call.write(tokenEvent(Request.Chat, wordAt(Request.Hash, Index),
                                    Index + 1 == Request.Tokens));
     if (CutAfter != 0 && Index + 1 - Request.From >= CutAfter) {
+      Mark.complete();
       Call.cut();
       co_return;
     }
   }
+  Mark.complete();
   co_await Call.write("data: [DONE]\n\n");
   co_await Call.end();
 }
 
-Awaitable<void>
-EngineStandin::respondComplete(Exchange &Call,
-                               const CompletionRequest &Request) {
+Awaitable<void> EngineStandin::respondComplete(Exchange &Call,
+                                               const CompletionRequest &Request,
+                                               InProgressGuard &Mark) {
   const std::string Text = generateText(Request.Hash, Request.Tokens);
   co_await pause(Capabilities.TimePerToken * static_cast<int>(Request.Tokens));
+  Mark.complete();
   co_await Call.respond(completionResponse(Request.Chat, Text, Request.Tokens));
 }
 
--- a/packages/standin/src/coltsfoottrail/standin/engine.hpp
+++ b/packages/standin/src/coltsfoottrail/standin/engine.hpp
@@ -79,9 +79,11 @@
   [[nodiscard]] Awaitable<void> handle(Exchange &Call);
   [[nodiscard]] Awaitable<void> complete(Exchange &Call);
   [[nodiscard]] Awaitable<void>
-  streamCompletion(Exchange &Call, const CompletionRequest &Request);
+  streamCompletion(Exchange &Call, const CompletionRequest &Request,
+                   InProgressGuard &Mark);
   [[nodiscard]] Awaitable<void>
-  respondComplete(Exchange &Call, const CompletionRequest &Request);
+  respondComplete(Exchange &Call, const CompletionRequest &Request,
+                  InProgressGuard &Mark);
   [[nodiscard]] HttpResponse handleOrder(const std::string &Body);
   [[nodiscard]] HttpResponse setFaultsFrom(const std::string &Body);
   /// @return The refusal of a request that cannot be served, or nothing.
