--- a/packages/request/test/coltsfoottrail/dispatch/dispatcher.cpp
+++ b/packages/request/test/coltsfoottrail/dispatch/dispatcher.cpp
@@ -285,6 +285,65 @@
   EXPECT_FALSE(Single.Scheduler.mayResend(Last, Single.Now));
 }
 
+/// Options of an entry host of a fleet.
+DispatcherOptions fleetOptions() {
+  DispatcherOptions Result;
+  EstimatedWaitPolicy Policy;
+  Policy.FullByLoad = true;
+  Result.Policy = Policy;
+  Result.NoEndpointHold = milliseconds(250);
+  Result.NoShareHold = milliseconds(250);
+  Result.Retries.Budget = BudgetLimits{0.15, 0.2, 10.0};
+  return Result;
+}
+
+// Guards against cutting a begun stream whose leader has closed, because its
+// pool has no endpoint for some hundred milliseconds.
+TEST(Dispatcher, DISABLED_BegunStreamOutlivesAPauseWithoutEndpoints) {
+  DispatchHarness Test(fleetOptions());
+  Test.configure(testPool(1), 8);
+  const Ticket Id = Test.submit(lookup(), seconds(8));
+  Test.configure(Pool{}, 0);
+  Test.cutStream(Id);
+  Test.advanceTime(milliseconds(600));
+  EXPECT_FALSE(Test.refusal(Id));
+  Test.configure(testPool(3), 8);
+  Test.advanceTime(milliseconds(500));
+  EXPECT_NE(Test.endpointOf(Id), "");
+}
+
+// Guards against cutting a begun stream whose leader has closed, because this
+// host has no share of the other endpoints for some hundred milliseconds.
+TEST(Dispatcher, BegunStreamOutlivesAPauseWithoutShares) {
+  DispatchHarness Test(fleetOptions());
+  Test.configure(testPool(3), 8);
+  const Ticket Id = Test.submit(lookup(), seconds(8));
+  Test.configure(testPool(3), 0);
+  Test.cutStream(Id);
+  Test.advanceTime(milliseconds(600));
+  EXPECT_FALSE(Test.refusal(Id));
+  Test.configure(testPool(3), 8);
+  Test.advanceTime(milliseconds(500));
+  EXPECT_NE(Test.endpointOf(Id), "");
+}
+
+// Guards against cutting a begun stream because endpoints that are closing
+// refuse it as not run, each of which was counted as an attempt.
+TEST(Dispatcher, DISABLED_RefusalsDoNotUseUpTheAttemptsOfABegunStream) {
+  DispatchHarness Test(fleetOptions());
+  Test.configure(testPool(8), 8);
+  const Ticket Id = Test.submit(lookup(), seconds(8));
+  Test.cutStream(Id);
+  for (int Refusal = 0; Refusal < 3; ++Refusal) {
+    Test.advanceTime(milliseconds(600));
+    ASSERT_NE(Test.endpointOf(Id), "");
+    Test.fail(Id, RunState::NotRun, Reason::EndpointRefused);
+  }
+  Test.advanceTime(milliseconds(600));
+  EXPECT_FALSE(Test.refusal(Id));
+  EXPECT_NE(Test.endpointOf(Id), "");
+}
+
 // Guards against one request that crashes endpoint after endpoint because its
 // caller sends it again. Requests in flight beside it are answered.
 TEST(Dispatcher, RequestThatCrashesTwoEndpointsIsRefused) {
--- a/packages/request/test/coltsfoottrail/dispatch/harness.hpp
+++ b/packages/request/test/coltsfoottrail/dispatch/harness.hpp
@@ -79,6 +79,15 @@
     finish(Id, Result);
   }
 
+  /// Ends an attempt of a stream of which the caller has received a part.
+  void cutStream(Ticket Id) {
+    AttemptResult Result;
+    Result.State = RunState::MayHaveRun;
+    Result.FailureReason = Reason::EndpointCut;
+    Result.Resumable = true;
+    finish(Id, Result);
+  }
+
   /// Advances the clock, waking the dispatcher whenever it is due.
   void advanceTime(Duration Span) {
     const TimePoint End = Now + Span;
--- a/packages/request/test/coltsfoottrail/silence/silencewatch.cpp
+++ b/packages/request/test/coltsfoottrail/silence/silencewatch.cpp
@@ -128,6 +128,19 @@
   EXPECT_TRUE(Detector.stalled("a", Awake + milliseconds(750)));
 }
 
+// Guards against streams that nobody moves: a busy host runs late again and
+// again, reads data in between, and an endpoint that sends none stays healthy.
+TEST(StallDetector, DISABLED_SilenceBetweenOwnPausesCounts) {
+  StallDetector Detector;
+  Detector.streamStarted("a", Start);
+  TimePoint Now = Start;
+  for (int Tick = 0; Tick < 5; ++Tick) {
+    Now += milliseconds(50) + milliseconds(400);
+    Detector.recordOwnPause(milliseconds(400), Now);
+  }
+  EXPECT_TRUE(Detector.stalled("a", Now));
+}
+
 // Guards against counting the time in which an endpoint has no streams as a
 // pause.
 TEST(StallDetector, IdleTimeIsNoPause) {
