--- a/packages/version/test/coltsfoottrail/assembly/lateorders.cpp
+++ b/packages/version/test/coltsfoottrail/assembly/lateorders.cpp
@@ -33,15 +33,29 @@
   Fleet.publish(EndpointName(Name));
 }
 
+/// Plays an outage in which all records lapse. A successor takes over with the
+/// records that it had read some time before.
+void takeOverAfterAnOutage(FakeEngines &Fleet, const EndpointCatalogue &Known) {
+  Fleet.failStore(seconds(6));
+  Fleet.Catalogue = Known;
+  Fleet.restoreStore();
+  Fleet.Catalogue.retain({}, Fleet.Now);
+  Fleet.replaceCoordinator();
+}
+
+/// Publishes the records of all engines but one.
+void publishAllBut(FakeEngines &Fleet, const EndpointName &Late) {
+  for (const auto &[Name, Record] : Fleet.Records)
+    if (Name != Late)
+      Fleet.publish(Name);
+}
+
 /// Returns a member of the only group that serves, other than its leader.
 EndpointName someMember(const FakeEngines &Fleet) {
   return Fleet.membersOf(Fleet.leaders().front()).back();
 }
 
-// Guards against an engine that serves two groups at once. An order to open is
-// not answered, its repetition opens the group, and the group is closed because
-// it lost a member. Then the first order is carried out: the group serves
-// again, and its engines are given to another one.
+// Guards against a late order to open that makes a closed group serve again.
 TEST(LateOrders, OpenOvertakenByItsRepetitionAndAClose) {
   FakeEngines Fleet;
   int Opens = 0;
@@ -64,7 +78,7 @@
   EXPECT_EQ(Fleet.JoinedWhileOpen, 0);
 }
 
-// As above, with a successor that finds the group open and closes it.
+// Guards against the same with an order of the predecessor.
 TEST(LateOrders, OpenOfAPredecessorAfterTheCloseOfItsSuccessor) {
   FakeEngines Fleet;
   int Opens = 0;
@@ -87,11 +101,7 @@
   EXPECT_EQ(Fleet.JoinedWhileOpen, 0);
 }
 
-// Guards against an engine that serves two groups at once. A group was formed
-// and opened while the successor was cut off from the store. The records lapse
-// in an outage, and on the return of the store its members publish themselves
-// before its leader, of which the successor has kept a record from before the
-// group. By that record the leader has left.
+// Guards against taking the members of a leader that is late after an outage.
 TEST(LateOrders, SuccessorKeepsARecordOfALeaderFromBeforeItsGroup) {
   FakeEngines Fleet;
   addLargeDomain(Fleet, 5);
@@ -100,17 +110,8 @@
   ASSERT_EQ(Fleet.leaders().size(), 1U);
   const std::vector<EndpointName> Leaders = Fleet.leaders();
   Fleet.TrafficStarted = true;
-  Fleet.failStore(seconds(6));
-  Fleet.Catalogue = Before;
-  Fleet.restoreStore();
-  Fleet.Catalogue.retain({}, Fleet.Now);
-  Fleet.replaceCoordinator();
-  std::vector<EndpointName> Others;
-  for (const auto &[Name, Record] : Fleet.Records)
-    if (Name != Leaders.front())
-      Others.push_back(Name);
-  for (const EndpointName &Name : Others)
-    Fleet.publish(Name);
+  takeOverAfterAnOutage(Fleet, Before);
+  publishAllBut(Fleet, Leaders.front());
   Fleet.run(seconds(1));
   Fleet.publish(Leaders.front());
   Fleet.run(SettlingTime);
@@ -118,8 +119,7 @@
   EXPECT_EQ(Fleet.JoinedWhileOpen, 0);
 }
 
-// As above; the record shows that the leader was joining, and a member was lost
-// in the outage.
+// Guards against the same with a record that shows the leader joining.
 TEST(LateOrders, SuccessorKeepsARecordOfALeaderFromBeforeItOpened) {
   FakeEngines Fleet;
   Fleet.Slow = true;
@@ -132,18 +132,9 @@
   const std::vector<EndpointName> Leaders = Fleet.leaders();
   Fleet.TrafficStarted = true;
   const EndpointName Lost = someMember(Fleet);
-  Fleet.failStore(seconds(6));
-  Fleet.Catalogue = Before;
-  Fleet.restoreStore();
-  Fleet.Catalogue.retain({}, Fleet.Now);
-  Fleet.replaceCoordinator();
+  takeOverAfterAnOutage(Fleet, Before);
   Fleet.restart(Lost);
-  std::vector<EndpointName> Others;
-  for (const auto &[Name, Record] : Fleet.Records)
-    if (Name != Leaders.front())
-      Others.push_back(Name);
-  for (const EndpointName &Name : Others)
-    Fleet.publish(Name);
+  publishAllBut(Fleet, Leaders.front());
   Fleet.run(seconds(1));
   Fleet.publish(Leaders.front());
   Fleet.run(seconds(4));
@@ -151,9 +142,7 @@
   EXPECT_EQ(Fleet.OpenedPartial, 0);
 }
 
-// Guards against streams that are cut off after an outage. A successor reads
-// the record of a leader that serves before those of its members are back, and
-// would close the group for want of members.
+// Guards against closing a group whose members are late after an outage.
 TEST(LateOrders, SuccessorReadsALeaderBeforeItsMembers) {
   for (const bool KeepsOldRecords : {false, true}) {
     FakeEngines Fleet;
@@ -165,11 +154,7 @@
     const EndpointName Leader = Fleet.leaders().front();
     const GroupEpoch Epoch = Fleet.epochOf(Leader);
     Fleet.TrafficStarted = true;
-    Fleet.failStore(seconds(6));
-    Fleet.Catalogue = Before;
-    Fleet.restoreStore();
-    Fleet.Catalogue.retain({}, Fleet.Now);
-    Fleet.replaceCoordinator();
+    takeOverAfterAnOutage(Fleet, Before);
     Fleet.publish(Leader);
     int Closes = 0;
     Fleet.FateOf = [&](const SeatCommand &Command) -> OrderFate {
@@ -184,9 +169,7 @@
   }
 }
 
-// Guards against an engine that serves two groups at once. A leader has left a
-// group that it may still have been opening, and a copy of the order to join it
-// is carried out late, followed by the order to open.
+// Guards against late orders that seat and open a leader that has left.
 TEST(LateOrders, JoinAndOpenOfALeaderThatHasLeft) {
   FakeEngines Fleet;
   int Joins = 0;
@@ -212,9 +195,7 @@
   EXPECT_EQ(Fleet.JoinedWhileOpen, 0);
 }
 
-// Guards against an engine that serves two groups at once. A member has left a
-// leader that is cut off from the store and serves. A copy of the order to join
-// that leader is carried out just before the order to join another group.
+// Guards against a late join that seats a member that has left.
 TEST(LateOrders, JoinOfAMemberThatHasLeft) {
   FakeEngines Fleet;
   int Joins = 0;
@@ -242,8 +223,7 @@
   EXPECT_EQ(Fleet.JoinedWhileOpen, 0);
 }
 
-// Guards against an engine that no group gets any more: the order that should
-// have made a spare load its model was lost.
+// Guards against a spare that is never used because its join was lost.
 TEST(LateOrders, SpareWhoseJoinWasLostIsUsed) {
   FakeEngines Fleet;
   addLargeDomain(Fleet, 4);
@@ -264,7 +244,7 @@
   EXPECT_EQ(Fleet.leaders().size(), 1U);
 }
 
-// As above: the order to join a group that was given up was lost.
+// Guards against the same for a member of a group that was given up.
 TEST(LateOrders, MemberWhoseJoinWasLostIsUsedWhenItsGroupIsGivenUp) {
   FakeEngines Fleet;
   Fleet.FateOf = [&](const SeatCommand &Command) -> OrderFate {
@@ -284,9 +264,7 @@
   EXPECT_EQ(Fleet.leaders().size(), 1U);
 }
 
-// Guards against an engine that is left out of groups for no reason: a join of
-// an earlier group was not answered, but the engine has since taken a seat with
-// a higher epoch, so that it refuses a late copy.
+// Guards against excluding an engine for a late join that it would refuse.
 TEST(LateOrders, UnansweredJoinOfAnEarlierGroupExcludesNobody) {
   for (const bool IsAnswered : {true, false}) {
     FakeEngines Fleet;
@@ -319,9 +297,7 @@
   }
 }
 
-// Guards against groups of two services that have the same epoch: an order to
-// open one of them was not answered, and the other is taken for one that may
-// still be opened.
+// Guards against taking an order of another service for one of this group.
 TEST(LateOrders, OutcomeOfAnOpenOfAnotherService) {
   for (const bool SharesEpoch : {false, true}) {
     FakeEngines Fleet;
@@ -345,9 +321,7 @@
   }
 }
 
-// Guards against a group that is opened without one of its members: it was
-// ready before an outage and has restarted in it, and the others, ready since,
-// publish themselves before it.
+// Guards against opening a group with a member that restarted in an outage.
 TEST(LateOrders, MemberWhoseRecordOfBeforeAnOutageShowsItReady) {
   for (const bool Lapses : {true, false}) {
     FakeEngines Fleet;
@@ -377,10 +351,7 @@
   }
 }
 
-// Guards against a leader that is taken from a group that serves. It was told
-// to leave, and to take a seat of its own, since a member seemed lost. A late
-// join seats it again when the order for that seat is no longer waited for, its
-// members are all there, and it is opened. Then that order is carried out.
+// Guards against opening a group whose leader may yet take another seat.
 TEST(LateOrders, SeatOfItsOwnOfALeaderThatIsSeatedAgain) {
   for (int Late = 4'000; Late <= 8'000; Late += 100) {
     FakeEngines Fleet;
@@ -409,10 +380,7 @@
   }
 }
 
-// Guards against streams that are cut off by an order of before. A leader was
-// told to leave since a member seemed lost while it may have been opening. The
-// order was not answered, the member is back, and the group is opened. Then the
-// order to leave is carried out.
+// Guards against opening a group whose leader may yet be told to leave.
 TEST(LateOrders, LeaveOfALeaderThatIsOpenedAfterAll) {
   FakeEngines Fleet;
   int Opens = 0;
@@ -444,8 +412,7 @@
   EXPECT_EQ(Ends, 0);
 }
 
-// Guards against joins that the same host ordered in a term before, and that
-// are forgotten as the next term begins, under the same fencing number.
+// Guards against forgetting late joins when the same host begins a new term.
 TEST(LateOrders, JoinOfATermBeforeOfTheSameHost) {
   FakeEngines Fleet;
   int Joins = 0;
