Log which requests were at which crash, and why a crash does not count

What was missing: the lines of the incident's hosts do not tell its three hypotheses apart (each host counts for itself; evidence is dropped; the request is not recognized): none names the fingerprint of a request, a crash that was recorded, or one that was dismissed.

Change: 1311 and 1314 carry the fingerprint; 1318 crash-noticed, 1319 crash-dismissed (outage or sign of life) and 1320 suspect-cleared say what a host makes of its broken connections. A router hands its evidence to a CrashEvidenceSink that its constructor asks for, in place of a queue that one mode of the program never emptied. No decision is changed: the mesh broadcasts as before, and a host of the dissemination tree only logs.

--- a/packages/process/src/coltsfoottrail/fleethost/attempt.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/attempt.cpp
@@ -4,6 +4,7 @@
 
 #include "coltsfoottrail/admission/idleshare.hpp"
 #include "coltsfoottrail/server/attempts.hpp"
+#include "coltsfoottrail/server/evidencelog.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -169,6 +170,7 @@
                      {"config", Context.Config->version()},
                      {"left_ms", Marks.TimeLeft.count()},
                      {"send", Context.Sends},
+                     {"fingerprint", fingerprintText(Context.Fingerprint)},
                      {"late", Context.isLate()}},
                     Start);
   HttpRequest Sent = Wire.forward(Call.request(), Marks);
--- a/packages/process/src/coltsfoottrail/fleethost/callerproxy.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/callerproxy.cpp
@@ -1,6 +1,7 @@
 #include "coltsfoottrail/fleethost/callerproxy.hpp"
 
 #include "coltsfoottrail/core/hash.hpp"
+#include "coltsfoottrail/server/evidencelog.hpp"
 
 #include <algorithm>
 #include <boost/asio/this_coro.hpp>
@@ -36,6 +37,10 @@
   return std::chrono::duration_cast<milliseconds>(Span).count();
 }
 
+std::uint64_t fingerprintOf(const HttpRequest &Request, const TeamName &Team) {
+  return hashText(Request.Body, hashText(Request.Target, hashText(Team.Text)));
+}
+
 std::string secondsText(milliseconds Span) {
   char Text[32];
   std::snprintf(Text, sizeof Text, "%.3f",
@@ -81,6 +86,7 @@
                      {"verdict", Ran},
                      {"reason", ReasonText},
                      {"sends", Context.Sends},
+                     {"fingerprint", fingerprintText(Context.Fingerprint)},
                      {"last_event", Context.Events.lastId()},
                      {"pool", Context.Pool},
                      {"first_ms", toMilliseconds(Context.TimeToFirstEvent)},
@@ -251,8 +257,7 @@
     Result.QueuedAheadFraction = Backlog.freshFraction();
   Result.PromptTokens = Context.Caller.PromptTokens;
   Result.Repeatable = Context.Route->repeatable();
-  Result.Fingerprint = hashText(
-      Request.Body, hashText(Request.Target, hashText(Context.Team.Text)));
+  Result.Fingerprint = Context.Fingerprint;
   Result.Bytes = Request.Body.size();
   return Result;
 }
@@ -262,6 +267,7 @@
   if (!Backlog)
     Backlog = std::make_shared<PoolBacklog>();
   Backlog->Recent.add(Context.ArrivedAt);
+  Context.Fingerprint = fingerprintOf(Call.request(), Context.Team);
   const auto Executor = co_await boost::asio::this_coro::executor;
   std::optional<DispatchHandle> RouterPlace = Routing.submit(
       Context.Pool, makeWorkItem(Call.request(), Context, *Backlog), Executor);
--- a/packages/process/src/coltsfoottrail/fleethost/callerproxy.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/callerproxy.hpp
@@ -116,6 +116,8 @@
     }
     std::string Pool;
     const ServiceProfile *Service = nullptr;
+    /// The same for each attempt of a caller at the same request.
+    std::uint64_t Fingerprint = 0;
     /// Number of endpoints that may have run the request.
     std::uint32_t Runs = 0;
     EventStreamBuffer Events;
--- a/packages/process/src/coltsfoottrail/fleethost/host.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/host.hpp
@@ -12,6 +12,7 @@
 #include "coltsfoottrail/fleethost/follower.hpp"
 #include "coltsfoottrail/fleethost/groupcoordinator.hpp"
 #include "coltsfoottrail/fleethost/settings.hpp"
+#include "coltsfoottrail/fleethost/treeevidence.hpp"
 #include "coltsfoottrail/fleethost/view.hpp"
 
 #include <boost/asio/steady_timer.hpp>
@@ -114,6 +115,7 @@
   FleetLinks Platform;
   FleetView View;
   Random Draw;
+  TreeEvidence Evidence;
   Router Routing;
   HttpClient Client;
   StallDetector Silence;
--- /dev/null
+++ b/packages/process/src/coltsfoottrail/server/evidencelog.cpp
@@ -0,0 +1,77 @@
+#include "coltsfoottrail/server/evidencelog.hpp"
+
+#include "coltsfoottrail/core/overloaded.hpp"
+#include "coltsfoottrail/logging/log.hpp"
+
+#include <array>
+#include <charconv>
+
+namespace coltsfoottrail {
+
+namespace {
+
+constexpr std::size_t MaxHexDigits = 16;
+/// Fingerprints in one line; a value is truncated at 512 bytes.
+constexpr std::size_t MaxLoggedFingerprints = 30;
+
+std::string fingerprintList(const std::vector<std::uint64_t> &Fingerprints) {
+  std::string Text;
+  for (std::size_t Index = 0;
+       Index < std::min(Fingerprints.size(), MaxLoggedFingerprints); ++Index) {
+    Text += Index > 0 ? "," : "";
+    Text += fingerprintText(Fingerprints[Index]);
+  }
+  return Text;
+}
+
+std::int64_t toMilliseconds(Duration Span) {
+  return std::chrono::duration_cast<milliseconds>(Span).count();
+}
+
+} // namespace
+
+std::string fingerprintText(std::uint64_t Fingerprint) {
+  std::array<char, MaxHexDigits> Digits{};
+  const auto End = std::to_chars(Digits.data(), Digits.data() + Digits.size(),
+                                 Fingerprint, 16);
+  return {Digits.data(), End.ptr};
+}
+
+void logNotice(std::string_view PoolName, const QuarantineNotice &Notice,
+               std::string_view Source) {
+  std::visit(
+      Overloaded{
+          [&](const CrashNotice &Crash) {
+            logEvent(Event::CrashNoticed,
+                     {{"pool", PoolName},
+                      {"endpoint", Crash.EndpointKey},
+                      {"run", Crash.Run},
+                      {"age_ms", toMilliseconds(Crash.Age)},
+                      {"source", Source},
+                      {"requests", Crash.Fingerprints.size()},
+                      {"fingerprints", fingerprintList(Crash.Fingerprints)}});
+          },
+          [&](const DismissNotice &Dismissal) {
+            logEvent(Event::CrashDismissed,
+                     {{"pool", PoolName},
+                      {"endpoint", Dismissal.EndpointKey},
+                      {"why", "sign-of-life"},
+                      {"source", Source}});
+          },
+          [&](const ClearNotice &Clearance) {
+            logEvent(Event::SuspectCleared,
+                     {{"pool", PoolName},
+                      {"fingerprint", fingerprintText(Clearance.Fingerprint)},
+                      {"source", Source}});
+          }},
+      Notice);
+}
+
+void logOutageLoss(std::string_view PoolName, std::string_view EndpointKey) {
+  logEvent(Event::CrashDismissed, {{"pool", PoolName},
+                                   {"endpoint", EndpointKey},
+                                   {"why", "outage"},
+                                   {"source", "self"}});
+}
+
+} // namespace coltsfoottrail
--- /dev/null
+++ b/packages/process/src/coltsfoottrail/server/evidencelog.hpp
@@ -0,0 +1,29 @@
+/// @file
+/// Log lines about requests that crash endpoints.
+#ifndef COLTSFOOTTRAIL_SERVER_EVIDENCELOG_HPP
+#define COLTSFOOTTRAIL_SERVER_EVIDENCELOG_HPP
+
+#include "coltsfoottrail/quarantine/notice.hpp"
+
+#include <string>
+#include <string_view>
+
+namespace coltsfoottrail {
+
+/// @brief Text of a fingerprint as it stands in log lines. Thread-safe.
+[[nodiscard]] std::string fingerprintText(std::uint64_t Fingerprint);
+
+/// @brief Logs a notice about requests that crash endpoints. Thread-safe.
+/// @param PoolName The pool that it concerns.
+/// @param Notice The notice.
+/// @param Source The host that the notice is from; "self" for this host.
+void logNotice(std::string_view PoolName, const QuarantineNotice &Notice,
+               std::string_view Source);
+
+/// @brief Logs that the loss of an endpoint was attributed to an outage of its
+/// data centre. Thread-safe.
+void logOutageLoss(std::string_view PoolName, std::string_view EndpointKey);
+
+} // namespace coltsfoottrail
+
+#endif
--- /dev/null
+++ b/packages/process/src/coltsfoottrail/server/meshevidence.cpp
@@ -0,0 +1,22 @@
+#include "coltsfoottrail/server/meshevidence.hpp"
+
+#include "coltsfoottrail/server/evidencelog.hpp"
+#include "coltsfoottrail/server/noticewire.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace coltsfoottrail {
+
+void MeshEvidence::publish(std::string_view PoolName,
+                           const QuarantineNotice &Notice) {
+  logNotice(PoolName, Notice, "self");
+  Peers.broadcast(Channel::Notices,
+                  writeNotice(PoolNotice{std::string(PoolName), Notice}));
+}
+
+void MeshEvidence::recordOutageLoss(std::string_view PoolName,
+                                    const std::string &EndpointKey) {
+  logOutageLoss(PoolName, EndpointKey);
+}
+
+} // namespace coltsfoottrail
--- a/packages/process/src/coltsfoottrail/server/process.cpp
+++ b/packages/process/src/coltsfoottrail/server/process.cpp
@@ -117,14 +117,17 @@
             send(To, Channel::Sightings, std::move(Beat));
           },
           [](const HostName &, const EngineReport &) {}),
-      Routing([this] {
-        RouterOptions Limits = routerOptions(Options);
-        Limits.OnDemandChanged = [this](std::string_view Pool,
-                                        std::size_t Waiting) {
-          Members->setPoolDemand(Pool, static_cast<std::uint32_t>(Waiting));
-        };
-        return Limits;
-      }()),
+      Evidence(Peers),
+      Routing(
+          [this] {
+            RouterOptions Limits = routerOptions(Options);
+            Limits.OnDemandChanged = [this](std::string_view Pool,
+                                            std::size_t Waiting) {
+              Members->setPoolDemand(Pool, static_cast<std::uint32_t>(Waiting));
+            };
+            return Limits;
+          }(),
+          Evidence),
       Spans(Options.Telemetry.TraceFile, Options.Host, Run),
       CallerRelay(
           Threads, Routing, Claims,
@@ -528,15 +531,9 @@
   Routing.observe(Load);
 }
 
-void EntryHostProcess::sendNotices() {
-  for (const auto &[Pool, Notice] : Routing.takeNotices())
-    Peers.broadcast(Channel::Notices, writeNotice(PoolNotice{Pool, Notice}));
-}
-
 void EntryHostProcess::tick() {
   Routing.advance();
   Members->tick();
-  sendNotices();
   TickTimer.expires_after(TickInterval);
   TickTimer.async_wait([this](const boost::system::error_code &Problem) {
     if (!Problem)
--- a/packages/process/src/coltsfoottrail/server/process.hpp
+++ b/packages/process/src/coltsfoottrail/server/process.hpp
@@ -10,6 +10,7 @@
 #include "coltsfoottrail/server/claimdriver.hpp"
 #include "coltsfoottrail/server/groupdriver.hpp"
 #include "coltsfoottrail/server/membershipdriver.hpp"
+#include "coltsfoottrail/server/meshevidence.hpp"
 #include "coltsfoottrail/server/operatorapi.hpp"
 #include "coltsfoottrail/server/relay.hpp"
 #include "coltsfoottrail/settings/settings.hpp"
@@ -108,7 +109,6 @@
   void applyRoutes();
   void pollLoad();
   void recordLoad(const std::string &Key, const EngineReport &Report);
-  void sendNotices();
   void tick();
   void tickSlow();
   void setUpMetrics();
@@ -126,6 +126,7 @@
   AgreedStream Agreed;
   ClaimDriver Claims;
   GroupDriver Groups;
+  MeshEvidence Evidence;
   Router Routing;
   SpanFactory Spans;
   Relay CallerRelay;
--- a/packages/process/src/coltsfoottrail/server/router.cpp
+++ b/packages/process/src/coltsfoottrail/server/router.cpp
@@ -211,7 +211,8 @@
   Shard::deliver(std::move(Decisions), OwnWaiter.get());
 }
 
-Router::Router(RouterOptions Limits) : Options(std::move(Limits)) {}
+Router::Router(RouterOptions Limits, CrashEvidenceSink &Evidence)
+    : Options(std::move(Limits)), Evidence(Evidence) {}
 
 Router::~Router() = default;
 
@@ -406,15 +407,20 @@
   PoolShard->PoolDispatcher.observeClosed(EndpointKey, BootClock::now());
 }
 
-std::vector<std::pair<std::string, QuarantineNotice>> Router::takeNotices() {
-  std::vector<std::pair<std::string, QuarantineNotice>> Notices;
+void Router::publishEvidence() {
   for (const auto &PoolShard : allShards()) {
-    const std::lock_guard Hold(PoolShard->Lock);
-    for (QuarantineNotice &Notice :
-         PoolShard->PoolDispatcher.takeNotices(BootClock::now()))
-      Notices.emplace_back(PoolShard->Name, std::move(Notice));
+    std::vector<QuarantineNotice> Notices;
+    std::vector<std::string> OutageLosses;
+    {
+      const std::lock_guard Hold(PoolShard->Lock);
+      Notices = PoolShard->PoolDispatcher.takeNotices(BootClock::now());
+      OutageLosses = PoolShard->PoolDispatcher.takeOutageLosses();
+    }
+    for (const QuarantineNotice &Notice : Notices)
+      Evidence.publish(PoolShard->Name, Notice);
+    for (const std::string &EndpointKey : OutageLosses)
+      Evidence.recordOutageLoss(PoolShard->Name, EndpointKey);
   }
-  return Notices;
 }
 
 void Router::advance() {
@@ -434,6 +440,7 @@
     }
     DispatchHandle::Shard::deliver(std::move(Decisions), nullptr);
   }
+  publishEvidence();
 }
 
 std::size_t Router::waiting() const {
--- a/packages/process/src/coltsfoottrail/server/router.hpp
+++ b/packages/process/src/coltsfoottrail/server/router.hpp
@@ -7,6 +7,7 @@
 #include "coltsfoottrail/dispatch/dispatcher.hpp"
 #include "coltsfoottrail/http/fwd.hpp"
 #include "coltsfoottrail/route/table.hpp"
+#include "coltsfoottrail/server/evidence.hpp"
 #include "coltsfoottrail/server/fwd.hpp"
 
 #include <functional>
@@ -91,7 +92,9 @@
 public:
   /// @brief Creates a router without routes.
   /// @param Limits Options of the router.
-  explicit Router(RouterOptions Limits);
+  /// @param Evidence Receives the evidence about requests that crash endpoints;
+  /// must outlive the router.
+  Router(RouterOptions Limits, CrashEvidenceSink &Evidence);
   Router(const Router &) = delete;
   Router &operator=(const Router &) = delete;
   ~Router();
@@ -114,11 +117,6 @@
   /// without having crashed.
   void observeClosed(std::string_view PoolName, std::string_view EndpointKey);
 
-  /// @brief Returns and clears the notices for peers that arose since the last
-  /// call.
-  [[nodiscard]] std::vector<std::pair<std::string, QuarantineNotice>>
-  takeNotices();
-
   /// @brief Sets this host's share of endpoints' bounds.
   void setShares(const std::map<std::string, std::uint32_t> &Shares);
 
@@ -147,7 +145,8 @@
   /// several times a second.
   void repeatDemand();
 
-  /// @brief Runs due timers of all dispatchers; called every few milliseconds.
+  /// @brief Runs due timers of all dispatchers and passes on their evidence
+  /// about requests that crash endpoints; called every few milliseconds.
   void advance();
 
   /// @brief Number of requests that wait in all pools.
@@ -155,6 +154,7 @@
 
 private:
   void openShards(const RouteTable &Routes);
+  void publishEvidence();
   [[nodiscard]] std::shared_ptr<SharedTokenBucket>
   retryTokens(const std::string &RetryGroup);
   void notifyDemand(DispatchHandle::Shard &PoolShard);
@@ -164,6 +164,7 @@
   allShards() const;
 
   RouterOptions Options;
+  CrashEvidenceSink &Evidence;
   mutable std::mutex Lock;
   std::map<std::string, std::shared_ptr<DispatchHandle::Shard>, std::less<>>
       Shards;
--- a/packages/request/src/coltsfoottrail/dispatch/dispatcher.hpp
+++ b/packages/request/src/coltsfoottrail/dispatch/dispatcher.hpp
@@ -180,6 +180,10 @@
   /// the other entry hosts, to be passed to observeNotice() there. Call it
   /// after attemptEnded() and observe().
   [[nodiscard]] std::vector<QuarantineNotice> takeNotices(TimePoint Now);
+  /// @copydoc Quarantine::takeOutageLosses
+  [[nodiscard]] std::vector<std::string> takeOutageLosses() {
+    return CrashHistory.takeOutageLosses();
+  }
 
   /// @brief Processes a notice from a dispatcher of this pool on another entry
   /// host.
--- a/packages/request/src/coltsfoottrail/quarantine/quarantine.cpp
+++ b/packages/request/src/coltsfoottrail/quarantine/quarantine.cpp
@@ -137,7 +137,9 @@
   if (DismissedCount < Limits.OutageLosses && anyInMajority(Simultaneous))
     return;
   for (Crash *const Record : Simultaneous)
-    Record->Dismissed = true;
+    if (!std::exchange(Record->Dismissed, true) &&
+        OutageLosses.size() < Limits.MaxCrashes)
+      OutageLosses.push_back(Record->EndpointKey);
 }
 
 /// Whether some request was in flight at more than half of the crashes.
--- a/packages/request/src/coltsfoottrail/quarantine/quarantine.hpp
+++ b/packages/request/src/coltsfoottrail/quarantine/quarantine.hpp
@@ -104,6 +104,12 @@
   /// @brief Removes and returns the notices for the other entry hosts.
   [[nodiscard]] std::vector<QuarantineNotice> takeNotices(TimePoint Now);
 
+  /// @brief Removes and returns the endpoints whose losses were attributed to
+  /// an outage of their data centre since the last call.
+  [[nodiscard]] std::vector<std::string> takeOutageLosses() {
+    return std::exchange(OutageLosses, {});
+  }
+
   /// @brief Number of recorded requests.
   [[nodiscard]] std::size_t size() const noexcept { return Suspects.size(); }
 
@@ -158,6 +164,7 @@
   std::map<std::pair<TimePoint, std::uint64_t>, std::uint64_t> Expiries;
   std::uint64_t NextOrder = 0;
   std::deque<QuarantineNotice> Outgoing;
+  std::vector<std::string> OutageLosses;
 };
 
 } // namespace coltsfoottrail
