Pass notices about requests that crash endpoints through the tree

What callers saw: a request that crashes each endpoint that runs it ended 14 to 16 engines of a fleet of seven hosts, two under each host, with every stream on them.

Cause: the dispatcher's notices (crash, dismissal, clearance) were an output that the mesh of the own interface took and nobody took in the fleet mode: each host counted its own crashes only.

Change: reports and responses of the dissemination tree carry notices. Each host keeps those that it made or received on a NoticeBoard, once by origin and number, and sends each neighbour what that one has not read; a new upstream or a host that has just started gets the whole board. A notice is 64 fingerprints at most, a message 32 notices, the board 512. Ages travel, not times. Hosts of the release before pass the fields over. A host that does not know a pool yet keeps its notices until it does.

Why it works: what a host decides from is now the same on all hosts, within the pace of the reports (30 to 240 ms a hop), with the store away as well.

Ruled out: broadcasts between all hosts, which need as many connections as pairs of hosts; records on the store, which is away when it counts.

--- a/packages/process/src/coltsfoottrail/dissemination/link.cpp
+++ b/packages/process/src/coltsfoottrail/dissemination/link.cpp
@@ -74,6 +74,19 @@
     UpdateSignal.cancel();
 }
 
+void TreeLink::publishNotice(std::string_view PoolName,
+                             const QuarantineNotice &Notice) {
+  Node.recordOwnNotice(PoolName, Notice, BootClock::now());
+  UpdateSignal.cancel();
+}
+
+void TreeLink::takeNotices(std::span<const PoolNotice> Notices) {
+  if (Notices.empty())
+    return;
+  Hooks.OnNotices(Notices);
+  UpdateSignal.cancel();
+}
+
 // Updates are collected for a while before the response is sent, because each
 // of them would otherwise wake all reporters.
 Awaitable<void> TreeLink::waitForUpdate(const Report &Received) {
@@ -98,6 +111,7 @@
 
 Awaitable<Response> TreeLink::makeResponse(const Report &Received) {
   checkSuccession();
+  takeNotices(Node.ingestNotices(Received, BootClock::now()));
   // A sender that takes this host for the coordinator reports to the real one
   // next. If its loads were counted here as well, they would be in both sums.
   const bool IsMisdirected = !Hooks.Coordinates() && !Received.ToRelay &&
@@ -188,6 +202,7 @@
   Node.setSubtree(Result, Now);
   Result.ToRelay = CurrentUpstream.hasRelay();
   Result.FailedRelay = CurrentUpstream.failedRelay(Now);
+  Node.setNotices(Result, Now);
   return Result;
 }
 
@@ -225,6 +240,7 @@
     logEvent(Event::RelayAssigned, {{"relay", *Received.Relay}});
     co_return ExchangeResult::Done;
   }
+  takeNotices(Node.ingestNotices(Message, Received, Now));
   Hold = std::clamp(Received.Hold, ShortestReportPace, LongestReportPace);
   Node.recordOutside(std::move(Received.Loads), Now);
   Received.Loads = Node.otherLoads(Now);
--- a/packages/process/src/coltsfoottrail/dissemination/link.hpp
+++ b/packages/process/src/coltsfoottrail/dissemination/link.hpp
@@ -37,6 +37,8 @@
   /// Receives a report, the response to it and the time when the report was
   /// sent. The response's loads are those of all other hosts.
   std::function<void(const Report &, Response, TimePoint)> OnResponse;
+  /// Receives notices of other hosts about requests that crash endpoints.
+  std::function<void(std::span<const PoolNotice>)> OnNotices;
   /// Called on the coordinator with an endpoint whose streams have stalled.
   std::function<void(const std::string &)> OnStalled;
 };
@@ -68,6 +70,9 @@
   /// @brief Reports immediately that an endpoint's streams have stalled.
   [[nodiscard]] Awaitable<void> reportStall(std::string Endpoint);
 
+  /// @brief Passes a notice of this host on to all others.
+  void publishNotice(std::string_view PoolName, const QuarantineNotice &Notice);
+
   /// @brief Abandons an upstream that relays nothing new: a relay is left for
   /// the coordinator, and for the coordinator the store is queried again.
   void abandonUpstream();
@@ -114,6 +119,7 @@
   [[nodiscard]] Awaitable<bool> step();
   [[nodiscard]] Report ownReport(TimePoint Now);
   void recordOwnAsRoot();
+  void takeNotices(std::span<const PoolNotice> Notices);
   void checkSuccession();
   void recordHosts(std::uint64_t Count, TimePoint Now);
 
--- a/packages/process/src/coltsfoottrail/dissemination/messages.cpp
+++ b/packages/process/src/coltsfoottrail/dissemination/messages.cpp
@@ -110,6 +110,50 @@
   return Result;
 }
 
+Json encodeNotices(const std::vector<RelayedNotice> &Notices) {
+  Json Result = Json::array();
+  for (const RelayedNotice &Notice : Notices) {
+    Json Encoded = writeNotice(Notice.Content);
+    Encoded["origin"] = Notice.Origin.Text;
+    Encoded["number"] = Notice.Number;
+    Encoded["since_ms"] =
+        std::chrono::duration_cast<milliseconds>(Notice.Age).count();
+    Result.push_back(std::move(Encoded));
+  }
+  return Result;
+}
+
+std::vector<RelayedNotice> decodeNotices(ObjectReader &Reader,
+                                         std::string_view Source) {
+  std::vector<RelayedNotice> Result;
+  if (!Reader.has("notices"))
+    return Result;
+  for (const Json &Item : Reader.raw("notices")) {
+    ObjectReader Notice(Item, Source, "/notices", UnknownKeys::Ignore);
+    RelayedNotice Decoded;
+    Decoded.Origin = HostName(Notice.text("origin"));
+    Decoded.Number = Notice.number("number");
+    Decoded.Age = milliseconds(Notice.number("since_ms", 0, MostMilliseconds));
+    Decoded.Content = readNotice(Item);
+    Result.push_back(std::move(Decoded));
+  }
+  return Result;
+}
+
+void encodeCursor(Json &Message, std::string_view Key,
+                  const NoticeCursor &Cursor) {
+  if (!Cursor.Board.empty())
+    Message[std::string(Key)] = {{"board", Cursor.Board.Text},
+                                 {"next", Cursor.Next}};
+}
+
+NoticeCursor decodeCursor(ObjectReader &Reader, std::string_view Key) {
+  if (!Reader.has(Key))
+    return {};
+  ObjectReader Cursor = Reader.object(Key);
+  return {HostName(Cursor.text("board")), Cursor.number("next")};
+}
+
 std::optional<std::string> optionalText(ObjectReader &Reader,
                                         std::string_view Key) {
   if (!Reader.has(Key))
@@ -133,6 +177,9 @@
                  {"next", std::move(Next)},
                  {"missing", encodeFeeds(Message.Missing)},
                  {"stalled", Message.Stalled}};
+  encodeCursor(Result, "read_notices", Message.ReadNotices);
+  if (!Message.Notices.empty())
+    Result["notices"] = encodeNotices(Message.Notices);
   if (Message.FailedRelay)
     Result["failed_relay"] = *Message.FailedRelay;
   return encodeCbor(Result);
@@ -150,6 +197,9 @@
                  {"loads", encodeLoads(Message.Loads)},
                  {"feeds", std::move(Feeds)},
                  {"truncated", encodeFeeds(Message.Truncated)}};
+  encodeCursor(Result, "next_notices", Message.NextNotices);
+  if (!Message.Notices.empty())
+    Result["notices"] = encodeNotices(Message.Notices);
   if (Message.Coordinator)
     Result["coordinator"] = *Message.Coordinator;
   if (Message.Relay)
@@ -175,6 +225,8 @@
       Result.Next[FeedId] = Next.number(feedName(FeedId));
   Result.Missing = decodeFeeds(Reader.texts("missing"));
   Result.Stalled = Reader.texts("stalled");
+  Result.Notices = decodeNotices(Reader, ReportSource);
+  Result.ReadNotices = decodeCursor(Reader, "read_notices");
   return Result;
 }
 
@@ -195,6 +247,8 @@
     if (Feeds.has(feedName(FeedId)))
       Result.Feeds[FeedId] = decodeUpdate(Feeds.object(feedName(FeedId)));
   Result.Truncated = decodeFeeds(Reader.texts("truncated"));
+  Result.Notices = decodeNotices(Reader, ResponseSource);
+  Result.NextNotices = decodeCursor(Reader, "next_notices");
   return Result;
 }
 
--- a/packages/process/src/coltsfoottrail/dissemination/messages.hpp
+++ b/packages/process/src/coltsfoottrail/dissemination/messages.hpp
@@ -4,6 +4,7 @@
 #define COLTSFOOTTRAIL_DISSEMINATION_MESSAGES_HPP
 
 #include "coltsfoottrail/boundary/store.hpp"
+#include "coltsfoottrail/dissemination/noticeboard.hpp"
 #include "coltsfoottrail/loadshare/loads.hpp"
 
 #include <map>
@@ -41,6 +42,12 @@
   std::set<Feed> Missing;
   /// Endpoints whose streams have all stalled.
   std::vector<std::string> Stalled;
+  /// Notices that the receiver may not have yet.
+  std::vector<RelayedNotice> Notices;
+  /// Where the sender continues to read the receiver's notices.
+  NoticeCursor ReadNotices;
+  /// Position behind Notices on the sender's board; not sent.
+  std::uint64_t NoticesEnd = 0;
 };
 
 /// @brief A record as read from the store, and its offset.
@@ -90,6 +97,11 @@
   /// Feeds for which the sender no longer has the records that the reporter
   /// lacks.
   std::set<Feed> Truncated;
+  /// Notices that the reporter may not have yet.
+  std::vector<RelayedNotice> Notices;
+  /// Where the reporter continues to read the sender's notices; its board is
+  /// empty if the sender does not pass on notices.
+  NoticeCursor NextNotices;
 };
 
 /// @brief Encodes a message as CBOR. Thread-safe.
--- a/packages/process/src/coltsfoottrail/dissemination/node.cpp
+++ b/packages/process/src/coltsfoottrail/dissemination/node.cpp
@@ -96,6 +96,34 @@
   std::swap(SubtreeLoads, OwnLoads);
 }
 
+void TreeNode::setNotices(Report &OwnReport, TimePoint Now) const {
+  NoticePage Page = Board.since(SentToUpstream, ReadFromUpstream.Board, Now);
+  OwnReport.Notices = std::move(Page.Notices);
+  OwnReport.NoticesEnd = Page.Next;
+  OwnReport.ReadNotices = ReadFromUpstream;
+}
+
+std::vector<PoolNotice> TreeNode::ingestNotices(const Report &Received,
+                                                TimePoint Now) {
+  return Board.add(Received.Notices, Received.Host, Now);
+}
+
+// A new upstream gets all notices of the board: it may be a host that has just
+// started, and the former one may have ended before it passed them on.
+std::vector<PoolNotice> TreeNode::ingestNotices(const Report &SentReport,
+                                                const Response &Answer,
+                                                TimePoint Now) {
+  const bool IsNewUpstream = !Answer.NextNotices.Board.empty() &&
+                             Answer.NextNotices.Board != ReadFromUpstream.Board;
+  if (IsNewUpstream)
+    SentToUpstream = 0;
+  else
+    SentToUpstream = std::max(SentToUpstream, SentReport.NoticesEnd);
+  if (!Answer.NextNotices.Board.empty())
+    ReadFromUpstream = Answer.NextNotices;
+  return Board.add(Answer.Notices, Answer.NextNotices.Board, Now);
+}
+
 std::optional<HostName> TreeNode::assignRelay(const Report &Received,
                                               TimePoint Now) {
   const auto Relay = Assignments.assign(Received, SubtreeLoads.hosts(Now), Now);
@@ -118,7 +146,8 @@
     const FeedLog &Log = feed(FeedId).RoutingLog;
     return Log.hasSnapshot() || Log.isTooLarge();
   };
-  return std::any_of(Received.Next.begin(), Received.Next.end(), HasChanges) ||
+  return Board.hasSince(noticePosition(Received), Received.Host) ||
+         std::any_of(Received.Next.begin(), Received.Next.end(), HasChanges) ||
          std::any_of(Received.Missing.begin(), Received.Missing.end(),
                      HasValues);
 }
@@ -157,6 +186,9 @@
   Response Result;
   Result.Hosts = SubtreeLoads.hosts(Now);
   Result.Loads = loadsFor(Received, Now);
+  NoticePage Page = Board.since(noticePosition(Received), Received.Host, Now);
+  Result.Notices = std::move(Page.Notices);
+  Result.NextNotices = {Self, Page.Next};
   const auto MakeUpdate = [&](Feed FeedId, bool Snapshot) {
     const SharedFeed &Shared = feed(FeedId);
     FeedUpdate Update;
--- a/packages/process/src/coltsfoottrail/dissemination/node.hpp
+++ b/packages/process/src/coltsfoottrail/dissemination/node.hpp
@@ -25,7 +25,7 @@
 public:
   /// @brief Creates an empty node.
   /// @param HostRun Name of this host's run.
-  explicit TreeNode(HostName HostRun) : Self(std::move(HostRun)) {}
+  explicit TreeNode(HostName HostRun) : Self(std::move(HostRun)), Board(Self) {}
 
   /// @brief Adds a page of a feed that was read from the store or relayed.
   /// @param FeedId The feed.
@@ -51,7 +51,27 @@
   [[nodiscard]] std::optional<HostName> assignRelay(const Report &Received,
                                                     TimePoint Now);
 
-  /// @brief Whether this host has records that a reporter lacks.
+  /// @brief Adds a notice of this host.
+  /// @copydetails NoticeBoard::addOwn
+  void recordOwnNotice(std::string_view PoolName,
+                       const QuarantineNotice &Notice, TimePoint Now) {
+    Board.addOwn(PoolName, Notice, Now);
+  }
+  /// @brief Adds to a report of this host the notices that its upstream lacks.
+  void setNotices(Report &OwnReport, TimePoint Now) const;
+  /// @brief Adds the notices of a report.
+  /// @return Those that are new to this host.
+  [[nodiscard]] std::vector<PoolNotice> ingestNotices(const Report &Received,
+                                                      TimePoint Now);
+  /// @brief Adds the notices of a response and records how far this host and
+  /// its upstream have read each other's.
+  /// @param SentReport The report that was answered.
+  /// @return Those that are new to this host.
+  [[nodiscard]] std::vector<PoolNotice> ingestNotices(const Report &SentReport,
+                                                      const Response &Answer,
+                                                      TimePoint Now);
+
+  /// @brief Whether this host has records or notices that a reporter lacks.
   [[nodiscard]] bool hasUpdate(const Report &Received) const;
   /// @brief Builds the response to a report, with feeds and loads.
   [[nodiscard]] Response makeResponse(const Report &Received,
@@ -95,6 +115,11 @@
   [[nodiscard]] const SharedFeed &feed(Feed FeedId) const {
     return Feeds[static_cast<std::size_t>(FeedId)];
   }
+  /// Where a reporter continues to read this host's notices.
+  [[nodiscard]] std::uint64_t
+  noticePosition(const Report &Received) const noexcept {
+    return Received.ReadNotices.Board == Self ? Received.ReadNotices.Next : 0;
+  }
   [[nodiscard]] std::vector<EndpointLoad> loadsFor(const Report &Received,
                                                    TimePoint Now) const;
   [[nodiscard]] std::vector<EndpointLoad> loadsExcept(const HostName &Host,
@@ -106,6 +131,11 @@
   std::vector<EndpointLoad> OutsideLoads;
   TimePoint OutsideAt{};
   RelayAssignment Assignments;
+  NoticeBoard Board;
+  /// How far this host has read its upstream's notices.
+  NoticeCursor ReadFromUpstream;
+  /// Position on the own board up to which the upstream has the notices.
+  std::uint64_t SentToUpstream = 0;
 };
 
 } // namespace coltsfoottrail
--- /dev/null
+++ b/packages/process/src/coltsfoottrail/dissemination/noticeboard.cpp
@@ -0,0 +1,112 @@
+#include "coltsfoottrail/dissemination/noticeboard.hpp"
+
+#include <algorithm>
+#include <variant>
+
+namespace coltsfoottrail {
+
+namespace {
+
+/// Ids that are remembered, those of notices that left the board included.
+constexpr std::size_t MaxKnown = 8 * NoticeBoard::MaxNotices;
+
+Duration crashAge(const QuarantineNotice &Notice) {
+  const auto *const Crash = std::get_if<CrashNotice>(&Notice);
+  return Crash == nullptr ? Duration::zero() : Crash->Age;
+}
+
+/// Splits a crash with many requests, so that each notice has a bounded size.
+std::vector<QuarantineNotice> split(const QuarantineNotice &Notice) {
+  const auto *const Crash = std::get_if<CrashNotice>(&Notice);
+  if (Crash == nullptr ||
+      Crash->Fingerprints.size() <= NoticeBoard::MaxFingerprints)
+    return {Notice};
+  std::vector<QuarantineNotice> Parts;
+  std::span<const std::uint64_t> Rest(Crash->Fingerprints);
+  while (!Rest.empty()) {
+    const auto Taken =
+        Rest.first(std::min(Rest.size(), NoticeBoard::MaxFingerprints));
+    Rest = Rest.subspan(Taken.size());
+    CrashNotice Part = *Crash;
+    Part.Fingerprints.assign(Taken.begin(), Taken.end());
+    Parts.emplace_back(std::move(Part));
+  }
+  return Parts;
+}
+
+} // namespace
+
+void NoticeBoard::addOwn(std::string_view PoolName,
+                         const QuarantineNotice &Notice, TimePoint Now) {
+  for (QuarantineNotice &Part : split(Notice)) {
+    RelayedNotice Added;
+    Added.Origin = Self;
+    Added.Number = NextNumber++;
+    Added.Content = {std::string(PoolName), std::move(Part)};
+    (void)insert(std::move(Added), Self, Now);
+  }
+}
+
+std::vector<PoolNotice>
+NoticeBoard::add(std::span<const RelayedNotice> Received, const HostName &From,
+                 TimePoint Now) {
+  std::vector<PoolNotice> New;
+  for (const RelayedNotice &Notice : Received)
+    if (Notice.Age < NoticeLife && insert(Notice, From, Now))
+      New.push_back(Notice.Content);
+  return New;
+}
+
+bool NoticeBoard::insert(RelayedNotice Notice, HostName From, TimePoint Now) {
+  NoticeId Id{Notice.Origin, Notice.Number};
+  if (!Known.insert(Id).second)
+    return false;
+  KnownOrder.push_back(std::move(Id));
+  if (KnownOrder.size() > MaxKnown) {
+    Known.erase(KnownOrder.front());
+    KnownOrder.pop_front();
+  }
+  const TimePoint AroseAt = Now - Notice.Age;
+  const TimePoint CrashedAt = Now - crashAge(Notice.Content.Notice);
+  Entries.push_back({std::move(Notice), AroseAt, CrashedAt, std::move(From)});
+  while (Entries.size() > MaxNotices ||
+         Entries.front().AroseAt + NoticeLife <= Now) {
+    Entries.pop_front();
+    ++First;
+  }
+  return true;
+}
+
+std::size_t NoticeBoard::indexOf(std::uint64_t Position) const noexcept {
+  return Position <= First
+             ? 0
+             : std::min<std::size_t>(Position - First, Entries.size());
+}
+
+bool NoticeBoard::hasSince(std::uint64_t Next, const HostName &Reader) const {
+  return std::any_of(
+      Entries.begin() + static_cast<std::ptrdiff_t>(indexOf(Next)),
+      Entries.end(),
+      [&](const Entry &Candidate) { return Candidate.From != Reader; });
+}
+
+NoticePage NoticeBoard::since(std::uint64_t Next, const HostName &Reader,
+                              TimePoint Now) const {
+  NoticePage Page;
+  std::size_t Index = indexOf(Next);
+  for (; Index < Entries.size() && Page.Notices.size() < MaxPageNotices;
+       ++Index) {
+    const Entry &Candidate = Entries[Index];
+    if (Candidate.From == Reader || Candidate.AroseAt + NoticeLife <= Now)
+      continue;
+    RelayedNotice Sent = Candidate.Notice;
+    Sent.Age = Now - Candidate.AroseAt;
+    if (auto *const Crash = std::get_if<CrashNotice>(&Sent.Content.Notice))
+      Crash->Age = Now - Candidate.CrashedAt;
+    Page.Notices.push_back(std::move(Sent));
+  }
+  Page.Next = First + Index;
+  return Page;
+}
+
+} // namespace coltsfoottrail
--- /dev/null
+++ b/packages/process/src/coltsfoottrail/dissemination/noticeboard.hpp
@@ -0,0 +1,110 @@
+/// @file
+/// Notices about requests that crash endpoints, on their way through the
+/// dissemination tree.
+#ifndef COLTSFOOTTRAIL_DISSEMINATION_NOTICEBOARD_HPP
+#define COLTSFOOTTRAIL_DISSEMINATION_NOTICEBOARD_HPP
+
+#include "coltsfoottrail/dissemination/noticewire.hpp"
+
+#include <deque>
+#include <set>
+#include <span>
+#include <utility>
+#include <vector>
+
+namespace coltsfoottrail {
+
+/// @brief A notice as hosts pass it on.
+struct RelayedNotice {
+  /// Run of the host that the notice arose at, and its number there.
+  HostName Origin;
+  std::uint64_t Number = 0;
+  /// Time since the notice arose, when it was sent. The age of a crash is
+  /// brought up to date as well.
+  Duration Age{};
+  PoolNotice Content;
+};
+
+/// @brief How far a host has read another host's board.
+struct NoticeCursor {
+  /// Run of the host whose board it is; empty if none was read.
+  HostName Board;
+  std::uint64_t Next = 0;
+};
+
+/// @brief Some notices of a board, and where reading continues.
+struct NoticePage {
+  std::vector<RelayedNotice> Notices;
+  std::uint64_t Next = 0;
+};
+
+/// @brief The notices that a host has made or received, in order of arrival. A
+/// notice is kept once, by whatever way it comes. Pure; not thread-safe; times
+/// must not go back.
+class NoticeBoard {
+public:
+  /// Notices in one message, at most.
+  static constexpr std::size_t MaxPageNotices = 32;
+  /// Fingerprints in one notice, at most; longer ones are split.
+  static constexpr std::size_t MaxFingerprints = 64;
+  /// Notices kept, at most.
+  static constexpr std::size_t MaxNotices = 512;
+  /// How long a notice is passed on to hosts that do not have it, such as one
+  /// that has just started.
+  static constexpr Duration NoticeLife = seconds(600);
+
+  /// @brief Creates an empty board.
+  /// @param HostRun Name of this host's run.
+  explicit NoticeBoard(HostName HostRun) : Self(std::move(HostRun)) {}
+
+  /// @brief Adds a notice of this host.
+  void addOwn(std::string_view PoolName, const QuarantineNotice &Notice,
+              TimePoint Now);
+  /// @brief Adds notices from another host.
+  /// @param From Run of the host that sent them.
+  /// @return Those that are new to this host.
+  std::vector<PoolNotice> add(std::span<const RelayedNotice> Received,
+                              const HostName &From, TimePoint Now);
+
+  /// @brief Whether there is a notice for a host that has read up to a
+  /// position.
+  [[nodiscard]] bool hasSince(std::uint64_t Next, const HostName &Reader) const;
+  /// @brief The next notices for a host, without those that it sent itself.
+  /// @param Next Where the host continues to read.
+  /// @param Reader Run of that host.
+  [[nodiscard]] NoticePage since(std::uint64_t Next, const HostName &Reader,
+                                 TimePoint Now) const;
+
+  /// @brief Run of the host that the board belongs to.
+  [[nodiscard]] const HostName &owner() const noexcept { return Self; }
+  /// @brief Number of notices on the board.
+  [[nodiscard]] std::size_t size() const noexcept { return Entries.size(); }
+
+private:
+  using NoticeId = std::pair<HostName, std::uint64_t>;
+
+  struct Entry {
+    RelayedNotice Notice;
+    TimePoint AroseAt;
+    /// When the endpoint crashed, for a crash.
+    TimePoint CrashedAt;
+    HostName From;
+  };
+
+  bool insert(RelayedNotice Notice, HostName From, TimePoint Now);
+  [[nodiscard]] std::size_t indexOf(std::uint64_t Position) const noexcept;
+
+  HostName Self;
+  std::uint64_t NextNumber = 0;
+  /// Position of the first entry.
+  std::uint64_t First = 0;
+  std::deque<Entry> Entries;
+  /// Ids of recent notices, those that left the board included, so that they
+  /// are not added again.
+  std::set<NoticeId> Known;
+  std::deque<NoticeId> KnownOrder;
+};
+
+} // namespace coltsfoottrail
+
+#endif
--- a/packages/process/src/coltsfoottrail/server/noticewire.cpp
+++ b/packages/process/src/coltsfoottrail/dissemination/noticewire.cpp
@@ -1,4 +1,4 @@
-#include "coltsfoottrail/server/noticewire.hpp"
+#include "coltsfoottrail/dissemination/noticewire.hpp"
 
 #include "coltsfoottrail/core/overloaded.hpp"
 #include "coltsfoottrail/json/reader.hpp"
--- a/packages/process/src/coltsfoottrail/server/noticewire.hpp
+++ b/packages/process/src/coltsfoottrail/dissemination/noticewire.hpp
@@ -1,7 +1,7 @@
 /// @file
 /// CBOR encoding of notices about requests that crash endpoints.
-#ifndef COLTSFOOTTRAIL_SERVER_NOTICEWIRE_HPP
-#define COLTSFOOTTRAIL_SERVER_NOTICEWIRE_HPP
+#ifndef COLTSFOOTTRAIL_DISSEMINATION_NOTICEWIRE_HPP
+#define COLTSFOOTTRAIL_DISSEMINATION_NOTICEWIRE_HPP
 
 #include "coltsfoottrail/json/fwd.hpp"
 #include "coltsfoottrail/quarantine/notice.hpp"
--- a/packages/process/src/coltsfoottrail/fleethost/feeds.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/feeds.cpp
@@ -4,6 +4,7 @@
 
 #include "coltsfoottrail/fleethost/changelog.hpp"
 #include "coltsfoottrail/logging/log.hpp"
+#include "coltsfoottrail/server/evidencelog.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -135,6 +136,11 @@
                              TimePoint SentAt) {
     applyResponse(SentReport, std::move(Answer), SentAt);
   };
+  Result.OnNotices = [this](std::span<const PoolNotice> Notices) {
+    for (const auto &[PoolName, Notice] : Notices)
+      if (Routing.observeNotice(PoolName, Notice))
+        logNotice(PoolName, Notice, "peer");
+  };
   Result.OnStalled = [this](const std::string &Endpoint) {
     Coordinator.probeMembers(Endpoint, Threads.context(0).get_executor());
   };
--- a/packages/process/src/coltsfoottrail/fleethost/host.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/host.cpp
@@ -144,7 +144,7 @@
 FleetHost::FleetHost(FleetSettings InitialSettings, IoPool &Pool,
                      FleetLinks Links)
     : Settings(std::move(InitialSettings)), Threads(Pool), Platform(Links),
-      View(Settings.Bounds), Draw(hashText(Settings.Host.Text)),
+      View(Settings.Bounds), Draw(hashText(Settings.Host.Text)), Evidence(Link),
       Routing(RouterOptions{Settings.Host, dispatcherOptions(Settings), {}},
               Evidence),
       Client(Pool.context(0), clientOptions()),
--- a/packages/process/src/coltsfoottrail/server/meshevidence.cpp
+++ b/packages/process/src/coltsfoottrail/server/meshevidence.cpp
@@ -1,7 +1,7 @@
 #include "coltsfoottrail/server/meshevidence.hpp"
 
+#include "coltsfoottrail/dissemination/noticewire.hpp"
 #include "coltsfoottrail/server/evidencelog.hpp"
-#include "coltsfoottrail/server/noticewire.hpp"
 
 #include <nlohmann/json.hpp>
 
--- a/packages/process/src/coltsfoottrail/server/process.cpp
+++ b/packages/process/src/coltsfoottrail/server/process.cpp
@@ -2,11 +2,11 @@
 
 #include "coltsfoottrail/claims/codec.hpp"
 #include "coltsfoottrail/core/hash.hpp"
+#include "coltsfoottrail/dissemination/noticewire.hpp"
 #include "coltsfoottrail/intents/describe.hpp"
 #include "coltsfoottrail/json/reader.hpp"
 #include "coltsfoottrail/logging/log.hpp"
 #include "coltsfoottrail/server/meshpeers.hpp"
-#include "coltsfoottrail/server/noticewire.hpp"
 #include "coltsfoottrail/server/refusal.hpp"
 
 #include <algorithm>
--- a/packages/process/src/coltsfoottrail/server/router.cpp
+++ b/packages/process/src/coltsfoottrail/server/router.cpp
@@ -21,6 +21,7 @@
 
 /// A pool counts as in use for this time after a request to it.
 constexpr seconds InUsePeriod{5};
+constexpr std::size_t MaxEarlyNotices = 512;
 constexpr std::size_t NotReported = std::numeric_limits<std::size_t>::max();
 
 } // namespace
@@ -243,9 +244,27 @@
       Limits.RetryTokens = retryTokens(Wanted.RetryGroup);
     PoolShard =
         std::make_shared<DispatchHandle::Shard>(Name, std::move(Limits));
+    observeEarlyNotices(*PoolShard);
   }
 }
 
+// Failure guarded against: a host that has just started receives the notices of
+// the others before it knows the pool, and then has to see a request crash
+// endpoints of its own.
+void Router::observeEarlyNotices(DispatchHandle::Shard &Opened) {
+  const TimePoint Now = BootClock::now();
+  for (EarlyNotice &Early : EarlyNotices) {
+    if (Early.PoolName != Opened.Name)
+      continue;
+    if (auto *const Crash = std::get_if<CrashNotice>(&Early.Notice))
+      Crash->Age += Now - Early.ArrivedAt;
+    Opened.PoolDispatcher.observeNotice(Early.Notice, Now);
+  }
+  std::erase_if(EarlyNotices, [&](const EarlyNotice &Early) {
+    return Early.PoolName == Opened.Name;
+  });
+}
+
 std::shared_ptr<SharedTokenBucket>
 Router::retryTokens(const std::string &RetryGroup) {
   std::shared_ptr<SharedTokenBucket> &Tokens = RetryTokens[RetryGroup];
@@ -392,10 +411,16 @@
 bool Router::observeNotice(std::string_view PoolName,
                            const QuarantineNotice &Notice) {
   const std::shared_ptr<DispatchHandle::Shard> PoolShard = findShard(PoolName);
-  if (!PoolShard)
-    return false;
+  const TimePoint Now = BootClock::now();
+  if (!PoolShard) {
+    const std::lock_guard Hold(Lock);
+    EarlyNotices.push_back({std::string(PoolName), Notice, Now});
+    if (EarlyNotices.size() > MaxEarlyNotices)
+      EarlyNotices.pop_front();
+    return true;
+  }
   const std::lock_guard Hold(PoolShard->Lock);
-  return PoolShard->PoolDispatcher.observeNotice(Notice, BootClock::now());
+  return PoolShard->PoolDispatcher.observeNotice(Notice, Now);
 }
 
 void Router::observeClosed(std::string_view PoolName,
--- a/packages/process/src/coltsfoottrail/server/router.hpp
+++ b/packages/process/src/coltsfoottrail/server/router.hpp
@@ -10,6 +10,7 @@
 #include "coltsfoottrail/server/evidence.hpp"
 #include "coltsfoottrail/server/fwd.hpp"
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -108,7 +109,8 @@
                  const std::map<std::string, std::uint32_t> &Shares,
                  std::size_t JoinedHosts);
 
-  /// @brief Handles a peer's notice about requests that crash endpoints.
+  /// @brief Handles a peer's notice about requests that crash endpoints. A host
+  /// that has just started keeps it until it knows the pool.
   /// @param PoolName The pool that the notice concerns.
   /// @return Whether the notice was new to this host.
   bool observeNotice(std::string_view PoolName, const QuarantineNotice &Notice);
@@ -153,7 +155,14 @@
   [[nodiscard]] std::size_t waiting() const;
 
 private:
+  struct EarlyNotice {
+    std::string PoolName;
+    QuarantineNotice Notice;
+    TimePoint ArrivedAt;
+  };
+
   void openShards(const RouteTable &Routes);
+  void observeEarlyNotices(DispatchHandle::Shard &Opened);
   void publishEvidence();
   [[nodiscard]] std::shared_ptr<SharedTokenBucket>
   retryTokens(const std::string &RetryGroup);
@@ -169,6 +178,8 @@
   std::map<std::string, std::shared_ptr<DispatchHandle::Shard>, std::less<>>
       Shards;
   std::map<std::string, std::shared_ptr<SharedTokenBucket>> RetryTokens;
+  /// Notices that concern pools without a shard, by arrival.
+  std::deque<EarlyNotice> EarlyNotices;
 };
 
 } // namespace coltsfoottrail
--- /dev/null
+++ b/packages/process/test/coltsfoottrail/dissemination/noticeboard.cpp
@@ -0,0 +1,119 @@
+#include "coltsfoottrail/dissemination/messages.hpp"
+
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+namespace coltsfoottrail::test {
+
+namespace {
+
+constexpr TimePoint Start{seconds(1'000)};
+
+CrashNotice crashOf(const std::string &EndpointKey,
+                    std::vector<std::uint64_t> Fingerprints,
+                    Duration Age = Duration::zero()) {
+  return {EndpointKey, DataCentreName("dc-0"), 0, Age, std::move(Fingerprints)};
+}
+
+class NoticeBoardTest : public testing::Test {
+protected:
+  const HostName A{"host-a"};
+  const HostName B{"host-b"};
+  const HostName C{"host-c"};
+  NoticeBoard First{A};
+  NoticeBoard Second{B};
+};
+
+// Guards against notices that circulate for ever among hosts that take each
+// other for the coordinator.
+TEST_F(NoticeBoardTest, KeepsANoticeOnceByWhateverWay) {
+  First.addOwn("p", crashOf("e", {7}), Start);
+  const NoticePage Page = First.since(0, B, Start);
+  ASSERT_EQ(Page.Notices.size(), 1U);
+  EXPECT_EQ(Second.add(Page.Notices, A, Start).size(), 1U);
+  EXPECT_TRUE(Second.add(Page.Notices, C, Start).empty());
+  EXPECT_FALSE(Second.hasSince(0, A)) << "it came from there";
+  EXPECT_TRUE(Second.hasSince(0, C));
+  EXPECT_TRUE(First.add(Second.since(0, C, Start).Notices, B, Start).empty());
+}
+
+// Guards against a crash that seems recent to a host that learns of it late.
+TEST_F(NoticeBoardTest, AgesGrowAtEachHost) {
+  First.addOwn("p", crashOf("e", {7}, seconds(1)), Start);
+  Second.add(First.since(0, B, Start + seconds(2)).Notices, A,
+             Start + seconds(2));
+  const NoticePage Page = Second.since(0, C, Start + seconds(5));
+  ASSERT_EQ(Page.Notices.size(), 1U);
+  EXPECT_EQ(std::get<CrashNotice>(Page.Notices[0].Content.Notice).Age,
+            seconds(6));
+  EXPECT_EQ(Page.Notices[0].Age, seconds(5));
+}
+
+// Guards against messages without a bound when endpoints crash with many
+// requests.
+TEST_F(NoticeBoardTest, PagesAreBounded) {
+  std::vector<std::uint64_t> Many(1'000);
+  for (std::uint64_t Index = 0; Index < Many.size(); ++Index)
+    Many[Index] = Index + 1;
+  for (int Index = 0; Index < 100; ++Index)
+    First.addOwn("p", crashOf("e" + std::to_string(Index), Many), Start);
+  EXPECT_EQ(First.size(), NoticeBoard::MaxNotices);
+  std::size_t Count = 0;
+  for (std::uint64_t Next = 0; First.hasSince(Next, B);) {
+    const NoticePage Page = First.since(Next, B, Start);
+    EXPECT_LE(Page.Notices.size(), NoticeBoard::MaxPageNotices);
+    for (const RelayedNotice &Notice : Page.Notices)
+      EXPECT_LE(
+          std::get<CrashNotice>(Notice.Content.Notice).Fingerprints.size(),
+          NoticeBoard::MaxFingerprints);
+    Count += Page.Notices.size();
+    Next = Page.Next;
+  }
+  EXPECT_EQ(Count, NoticeBoard::MaxNotices);
+}
+
+TEST_F(NoticeBoardTest, OldNoticesAreNotPassedOn) {
+  First.addOwn("p", crashOf("e", {7}), Start);
+  const NoticePage Page =
+      First.since(0, B, Start + NoticeBoard::NoticeLife + seconds(1));
+  EXPECT_TRUE(Page.Notices.empty());
+}
+
+TEST_F(NoticeBoardTest, MessagesCarryNotices) {
+  First.addOwn("p", crashOf("e", {7, 8}), Start);
+  First.addOwn("p", DismissNotice{"e"}, Start);
+  First.addOwn("q", ClearNotice{9}, Start);
+  Report Sent;
+  Sent.Host = A;
+  Sent.DataCentre = DataCentreName("dc-0");
+  Sent.Notices = First.since(0, B, Start + milliseconds(20)).Notices;
+  Sent.ReadNotices = {B, 4};
+  const Report Received = decodeReport(encode(Sent));
+  ASSERT_EQ(Received.Notices.size(), 3U);
+  EXPECT_EQ(Received.Notices[0].Origin, A);
+  EXPECT_EQ(Received.Notices[0].Age, milliseconds(20));
+  const auto &Crash = std::get<CrashNotice>(Received.Notices[0].Content.Notice);
+  EXPECT_EQ(Crash.Fingerprints, (std::vector<std::uint64_t>{7, 8}));
+  EXPECT_EQ(Crash.Age, milliseconds(20));
+  EXPECT_EQ(Received.Notices[2].Content.PoolName, "q");
+  EXPECT_EQ(Received.ReadNotices.Board, B);
+  EXPECT_EQ(Received.ReadNotices.Next, 4U);
+}
+
+// Guards against refusing the messages of hosts that run another release.
+TEST_F(NoticeBoardTest, MessagesWithoutNoticesAreAccepted) {
+  Report Sent;
+  Sent.Host = A;
+  Sent.DataCentre = DataCentreName("dc-0");
+  Sent.ReadNotices = {B, 4};
+  nlohmann::json Old = nlohmann::json::from_cbor(encode(Sent));
+  ASSERT_EQ(Old.erase("read_notices"), 1U);
+  const std::vector<std::uint8_t> Bytes = nlohmann::json::to_cbor(Old);
+  const Report Received = decodeReport(std::string(Bytes.begin(), Bytes.end()));
+  EXPECT_TRUE(Received.Notices.empty());
+  EXPECT_TRUE(Received.ReadNotices.Board.empty());
+}
+
+} // namespace
+
+} // namespace coltsfoottrail::test
--- a/packages/process/test/coltsfoottrail/dissemination/simulation.cpp
+++ b/packages/process/test/coltsfoottrail/dissemination/simulation.cpp
@@ -172,6 +172,64 @@
   EXPECT_LE(Fleet->takeMaxBytes(), Span * MostBytesPerSecond);
 }
 
+/// A request may reach endpoints only this long after its third crash, a bound
+/// of the platform.
+constexpr Duration RetryWindow = seconds(3);
+
+// Guards against hosts that each learn of a crash only from connections of
+// their own.
+TEST_P(Dissemination, CrashReachesAllHosts) {
+  settle();
+  Fleet->crashEndpoint(Shape.Hosts - 1, "a");
+  Fleet->crashEndpoint(0, "b");
+  Fleet->run(RetryWindow / 2);
+  EXPECT_EQ(Fleet->knowCrash("a"), Fleet->running());
+  EXPECT_EQ(Fleet->knowCrash("b"), Fleet->running());
+}
+
+// Guards against notices that need the store, or that end with a relay.
+TEST_P(RelayedDissemination, CrashReachesAllHostsWhenRelaysFail) {
+  settle();
+  Fleet->setStoreDown(true);
+  Fleet->run(seconds(1));
+  const std::vector<std::size_t> Relays = Fleet->relays();
+  ASSERT_FALSE(Relays.empty());
+  Fleet->freeze(Relays.front(), true);
+  Fleet->crashEndpoint(Shape.Hosts - 1, "a");
+  Fleet->run(RetryWindow);
+  EXPECT_EQ(Fleet->knowCrash("a"), Fleet->running());
+  Fleet->freeze(Relays.front(), false);
+  Fleet->run(RetryWindow);
+  EXPECT_EQ(Fleet->knowCrash("a"), Fleet->running());
+}
+
+// Guards against notices that are lost with the coordinator, and against a host
+// that starts later and does not know which requests to refuse.
+TEST_P(CoordinationMoves, CrashIsKnownAfterRestarts) {
+  settle();
+  Fleet->crashEndpoint(Shape.Hosts - 1, "a");
+  Fleet->run(milliseconds(100));
+  const std::size_t Former = *Fleet->coordinator();
+  Fleet->kill(Former);
+  Fleet->run(seconds(4));
+  EXPECT_EQ(Fleet->knowCrash("a"), Fleet->running());
+  Fleet->restart(Former);
+  Fleet->run(seconds(4));
+  EXPECT_EQ(Fleet->knowCrash("a"), Fleet->running());
+}
+
+// Guards against notices that fill the links when many endpoints crash at once.
+TEST_P(Dissemination, ManyCrashesSendBoundedMessages) {
+  settle();
+  constexpr std::size_t Span = 3;
+  constexpr std::size_t MostBytesPerSecond = 6'000'000;
+  for (std::size_t Endpoint = 0; Endpoint < 300; ++Endpoint)
+    Fleet->crashEndpoint(Endpoint % Shape.Hosts, "e" + std::to_string(Endpoint),
+                         30);
+  Fleet->run(seconds(Span));
+  EXPECT_LE(Fleet->takeMaxBytes(), Span * MostBytesPerSecond);
+}
+
 INSTANTIATE_TEST_SUITE_P(Fleets, Dissemination,
                          ::testing::Values(30U, 300U, 1'000U));
 INSTANTIATE_TEST_SUITE_P(Fleets, CoordinationMoves,
--- a/packages/process/test/coltsfoottrail/dissemination/simulation.hpp
+++ b/packages/process/test/coltsfoottrail/dissemination/simulation.hpp
@@ -72,6 +72,7 @@
     Member.Waiting.clear();
     Member.Sent.reset();
     Member.Next = {};
+    Member.Crashes.clear();
     Member.Version = 0;
     Member.AsOf = {};
     Member.ReadAt = Now + (Member.IsStrong ? Duration{} : MaxRelayedAge / 2);
@@ -103,6 +104,23 @@
       Endpoints.push_back(Index % OneIn == 0);
   }
   void setStoreDown(bool Enabled) { StoreDown = Enabled; }
+  /// A host sees an endpoint crash with some requests in flight.
+  void crashEndpoint(std::size_t Index, const std::string &EndpointKey,
+                     std::size_t RequestCount = 1) {
+    CrashNotice Notice{EndpointKey, Fleet[Index]->DataCentre, 0, {}, {}};
+    for (std::size_t Request = 1; Request <= RequestCount; ++Request)
+      Notice.Fingerprints.push_back(Request);
+    Fleet[Index]->Crashes.insert(EndpointKey);
+    Fleet[Index]->Node->recordOwnNotice("model/m", Notice, Now);
+  }
+  /// Number of running hosts that know of the crash of an endpoint.
+  [[nodiscard]] std::size_t knowCrash(const std::string &EndpointKey) const {
+    return static_cast<std::size_t>(
+        std::count_if(Fleet.begin(), Fleet.end(), [&](const auto &Member) {
+          return Member->Alive && !Member->Frozen &&
+                 Member->Crashes.contains(EndpointKey);
+        }));
+  }
 
   [[nodiscard]] std::optional<std::size_t> coordinator() const {
     return Coordinator;
@@ -188,6 +206,8 @@
     TimePoint ReadAt{};
     TimePoint ReportAt{};
     std::size_t BytesSent = 0;
+    /// Endpoints whose crash it knows of.
+    std::set<std::string> Crashes;
     /// Whether the store answered this host's last read.
     bool StoreAnswers = true;
   };
@@ -283,6 +303,7 @@
     Message.FailedRelay = Member.CurrentUpstream->failedRelay(Now);
     Message.ToRelay = Member.CurrentUpstream->hasRelay();
     Member.Node->setSubtree(Message, Now);
+    Member.Node->setNotices(Message, Now);
     for (const Feed FeedId : {Feed::Operators, Feed::Endpoints})
       if (Member.Next.contains(FeedId))
         Message.Next[FeedId] = Member.Next[FeedId];
@@ -309,6 +330,7 @@
     Host &Member = *Fleet[Index];
     (void)Member.CurrentUpstream->recordReporter(Pending.Message.Host, Now);
     Member.Node->recordReport(Pending.Message, Now);
+    take(Member, Member.Node->ingestNotices(Pending.Message, Now));
     Response Answer;
     std::optional<HostName> Assigned;
     if (Coordinator == Index)
@@ -335,6 +357,12 @@
     return true;
   }
 
+  static void take(Host &Member, const std::vector<PoolNotice> &Notices) {
+    for (const PoolNotice &Received : Notices)
+      if (const auto *const Crash = std::get_if<CrashNotice>(&Received.Notice))
+        Member.Crashes.insert(Crash->EndpointKey);
+  }
+
   void receive(std::size_t Index, const Response &Answer) {
     Host &Member = *Fleet[Index];
     if (!Member.Sent)
@@ -345,6 +373,7 @@
     if (Member.CurrentUpstream->applyResponse(Answer, Sent.ByRelay))
       return;
     Member.Node->recordOutside(Answer.Loads, Now);
+    take(Member, Member.Node->ingestNotices(Sent.Message, Answer, Now));
     bool HasUsefulUpdate = false;
     for (const auto &[FeedId, Update] : Answer.Feeds) {
       const TimePoint AsOf = Sent.SentAt - Update.Staleness;
