Tell requests that return to crash endpoints from an outage

What callers saw: five requests that crash each endpoint that runs them, at once, ended 24 to 27 endpoints each within 12 s, on three hosts as on seven, and went on for as long as they came.

Cause: three endpoints of a data centre lost within 2 s pass for its outage, and their crashes count against nobody. Several such requests produce three losses every 2 s, none with a request that was at more than half of them.

The shared notices do not mend it: notices of dismissed crashes were not sent. SeveralRecurrentRequestsAreNotTakenForAnOutage and CrashesInOutagesAreKnownToOtherHosts show it on one quarantine.

Change: a crash that passes for an outage keeps its requests and is told to the other hosts. A request that was in flight at three or more crashes which lie further apart than an outage takes is suspected for all of them.

Why it works: an outage takes endpoints with whatever they had; a harmless request that moves meets the outage while it lasts and then ends. What crashes endpoints returns. What the rule for outages guards against is kept: its tests are unchanged, and RequestThatMovesDuringAnOutageIsNotBlamed adds the request that is at four losses of one outage.

Ruled out: switching the rule for outages off.

--- a/packages/request/src/coltsfoottrail/quarantine/quarantine.cpp
+++ b/packages/request/src/coltsfoottrail/quarantine/quarantine.cpp
@@ -20,7 +20,7 @@
   const auto Entry = Suspects.find(Fingerprint);
   if (Entry == Suspects.end() || Entry->second.Expires <= Now)
     return Standing::Clear;
-  const std::vector<const Crash *> CrashList = liveCrashes(Entry->second);
+  const std::vector<const Crash *> CrashList = countedCrashes(Entry->second);
   if (CrashList.empty())
     return Standing::Clear;
   if (CrashList.size() < CrashesToQuarantine)
@@ -31,15 +31,30 @@
                                                  : Standing::Suspect;
 }
 
+// Failure guarded against: several requests that crash endpoints come at once,
+// and their crashes pass for an outage of the data centre again and again.
+// Harmless requests do not return to endpoints for longer than an outage takes.
 std::vector<const Quarantine::Crash *>
-Quarantine::liveCrashes(const Suspect &Entry) const {
-  std::vector<const Crash *> Live;
+Quarantine::countedCrashes(const Suspect &Entry) const {
+  std::vector<const Crash *> Counted;
   for (const CrashId Id : Entry.Crashes) {
     const Crash *const Record = Crashes.find(Id);
-    if (Record != nullptr && !Record->Dismissed)
-      Live.push_back(Record);
+    if (Record != nullptr && Record->Dismissed != Dismissal::Alive)
+      Counted.push_back(Record);
   }
-  return Live;
+  if (!isRecurrent(Counted))
+    std::erase_if(Counted, [](const Crash *Record) {
+      return Record->Dismissed == Dismissal::Outage;
+    });
+  return Counted;
+}
+
+bool Quarantine::isRecurrent(std::span<const Crash *const> CrashList) const {
+  if (CrashList.size() < Limits.RecurrentCrashes)
+    return false;
+  const auto [First, Last] = std::ranges::minmax(
+      CrashList, {}, [](const Crash *Record) { return Record->Time; });
+  return Last->Time - First->Time > Limits.OutageWindow;
 }
 
 /// Whether exactly one request was in flight at all of the crashes.
@@ -102,14 +117,15 @@
     if (SameRun && std::chrono::abs(Time - Last->Time) < Limits.CrashWindow)
       return Entry->second;
   }
-  const CrashId Id =
-      Crashes.insert(Crash{std::string(EndpointKey),
-                           DataCentre,
-                           Run,
-                           Time,
-                           {},
-                           {},
-                           Closed.contains(std::string(EndpointKey))});
+  const CrashId Id = Crashes.insert(
+      Crash{std::string(EndpointKey),
+            DataCentre,
+            Run,
+            Time,
+            {},
+            {},
+            Closed.contains(std::string(EndpointKey)) ? Dismissal::Alive
+                                                      : Dismissal::None});
   Entry->second = Id;
   Order.push_back(Id);
   return Id;
@@ -121,7 +137,7 @@
 // unless one request was in flight at more than half of them.
 void Quarantine::dismissIfOutage(CrashId Id) {
   Crash &Newest = *Crashes.find(Id);
-  if (Newest.Dismissed)
+  if (Newest.Dismissed != Dismissal::None)
     return;
   std::vector<Crash *> Simultaneous;
   for (const CrashId OtherId : Order) {
@@ -133,13 +149,18 @@
   if (Simultaneous.size() < Limits.OutageLosses)
     return;
   const auto DismissedCount = static_cast<std::size_t>(
-      std::ranges::count(Simultaneous, true, &Crash::Dismissed));
+      std::ranges::count_if(Simultaneous, [](const Crash *Record) {
+        return Record->Dismissed != Dismissal::None;
+      }));
   if (DismissedCount < Limits.OutageLosses && anyInMajority(Simultaneous))
     return;
-  for (Crash *const Record : Simultaneous)
-    if (!std::exchange(Record->Dismissed, true) &&
-        OutageLosses.size() < Limits.MaxCrashes)
+  for (Crash *const Record : Simultaneous) {
+    if (Record->Dismissed != Dismissal::None)
+      continue;
+    Record->Dismissed = Dismissal::Outage;
+    if (OutageLosses.size() < Limits.MaxCrashes)
       OutageLosses.push_back(Record->EndpointKey);
+  }
 }
 
 /// Whether some request was in flight at more than half of the crashes.
@@ -158,7 +179,7 @@
     Expiries.erase({Entry.Expires, Entry.Order});
   Entry.Crashes.push_back(Id);
   const TimePoint Time = Crashes.find(Id)->Time;
-  const bool Blamed = liveCrashes(Entry).size() >= CrashesToQuarantine;
+  const bool Blamed = countedCrashes(Entry).size() >= CrashesToQuarantine;
   Entry.Expires =
       Time + (Blamed ? Limits.BlamedLifetime : Limits.SuspectLifetime);
   Entry.Order = NextOrder++;
@@ -233,9 +254,7 @@
   if (Entry == LastCrashes.end())
     return false;
   Crash &Last = *Crashes.find(Entry->second);
-  const bool Changed = !Last.Dismissed;
-  Last.Dismissed = true;
-  return Changed;
+  return std::exchange(Last.Dismissed, Dismissal::Alive) != Dismissal::Alive;
 }
 
 bool Quarantine::observe(const QuarantineNotice &Notice, TimePoint Now) {
@@ -278,7 +297,7 @@
   std::vector<QuarantineNotice> Notices;
   for (const CrashId Id : Order) {
     Crash &Record = *Crashes.find(Id);
-    if (Record.Dismissed)
+    if (Record.Dismissed == Dismissal::Alive)
       Record.Unannounced.clear();
     if (Record.Unannounced.empty())
       continue;
--- a/packages/request/src/coltsfoottrail/quarantine/quarantine.hpp
+++ b/packages/request/src/coltsfoottrail/quarantine/quarantine.hpp
@@ -46,6 +46,9 @@
   /// at more than half of them.
   std::size_t OutageLosses = 3;
   Duration OutageWindow = seconds(2);
+  /// A request that was in flight at this many crashes that lie further apart
+  /// than OutageWindow is suspected for all of them, outages included.
+  std::size_t RecurrentCrashes = 3;
   std::size_t MaxFingerprints = 4096;
   std::size_t MaxCrashes = 512;
   std::size_t MaxNotices = 256;
@@ -114,6 +117,14 @@
   [[nodiscard]] std::size_t size() const noexcept { return Suspects.size(); }
 
 private:
+  /// Why a crash does not count against the requests that were in flight.
+  enum class Dismissal : std::uint8_t {
+    None,
+    /// The endpoint was lost in an outage of its data centre.
+    Outage,
+    /// The endpoint has not crashed.
+    Alive
+  };
   struct Crash {
     std::string EndpointKey;
     DataCentreName DataCentre;
@@ -123,8 +134,7 @@
     std::unordered_set<std::uint64_t> InFlight;
     /// Those of them that have not been sent to the other entry hosts.
     std::vector<std::uint64_t> Unannounced;
-    /// The endpoint did not crash, or was lost in an outage of its data centre.
-    bool Dismissed = false;
+    Dismissal Dismissed = Dismissal::None;
   };
   struct Suspect {
     std::vector<CrashId> Crashes;
@@ -137,7 +147,8 @@
                                        Incarnation Run, TimePoint Time);
   [[nodiscard]] const Crash *lastCrash(std::string_view EndpointKey) const;
   [[nodiscard]] std::vector<const Crash *>
-  liveCrashes(const Suspect &Entry) const;
+  countedCrashes(const Suspect &Entry) const;
+  [[nodiscard]] bool isRecurrent(std::span<const Crash *const> CrashList) const;
   [[nodiscard]] static bool
   isOnlyOneAtAll(std::span<const Crash *const> CrashList);
   [[nodiscard]] static bool anyInMajority(std::span<Crash *const> CrashList);
--- a/packages/request/test/coltsfoottrail/quarantine/quarantine.cpp
+++ b/packages/request/test/coltsfoottrail/quarantine/quarantine.cpp
@@ -167,6 +167,48 @@
   EXPECT_EQ(standingOf(1), Standing::Suspect);
 }
 
+// Guards against taking the crashes of several such requests for one outage
+// after another: each of them returns, other requests do not.
+TEST_F(QuarantineTest, SeveralRecurrentRequestsAreNotTakenForAnOutage) {
+  std::uint64_t Harmless = 100;
+  for (int Round = 0; Round < 3; ++Round) {
+    for (const std::uint64_t Bad : {1, 2, 3, 4, 5})
+      crash("e" + std::to_string(10 * Round + int(Bad)), {Bad, ++Harmless});
+    Now += milliseconds(1'500);
+  }
+  for (const std::uint64_t Bad : {1, 2, 3, 4, 5})
+    EXPECT_EQ(standingOf(Bad), Standing::Quarantined);
+  for (; Harmless > 100; --Harmless)
+    EXPECT_EQ(standingOf(Harmless), Standing::Clear);
+}
+
+// Guards against hosts that each saw a part of such crashes and kept it to
+// themselves because it passed for an outage.
+TEST_F(QuarantineTest, CrashesInOutagesAreKnownToOtherHosts) {
+  Quarantine Other{QuarantineLimits{}};
+  for (int Round = 0; Round < 3; ++Round) {
+    for (const std::uint64_t Bad : {1, 2, 3})
+      crash("e" + std::to_string(10 * Round + int(Bad)), {Bad});
+    Now += milliseconds(1'500);
+  }
+  for (const QuarantineNotice &Notice : Subject.takeNotices(Now))
+    Other.observe(Notice, Now);
+  for (const std::uint64_t Bad : {1, 2, 3})
+    EXPECT_EQ(Other.standing(Bad, Now), Standing::Quarantined);
+}
+
+// Guards against refusing harmless requests that move from one lost endpoint to
+// another while an outage lasts.
+TEST_F(QuarantineTest, RequestThatMovesDuringAnOutageIsNotBlamed) {
+  for (int Loss = 0; Loss < 4; ++Loss) {
+    crash("a" + std::to_string(Loss), {7, std::uint64_t(20 + Loss)});
+    crash("b" + std::to_string(Loss), {std::uint64_t(30 + Loss)});
+    crash("c" + std::to_string(Loss), {std::uint64_t(40 + Loss)});
+    Now += milliseconds(400);
+  }
+  EXPECT_EQ(standingOf(7), Standing::Clear);
+}
+
 TEST_F(QuarantineTest, EndpointThatGoesOnAnsweringHasNotCrashed) {
   crash("a", {7});
   Subject.requestAnswered("a", 8, Start - seconds(1), Now + milliseconds(100));
