Refuse no request for a crash that another one may have caused

Cause: two crashes at which a request was in flight were enough to refuse it: for 600 s when it was the only one at both, and for 30 s when it was not. A stream that is moved from a crash meets the next one easily, and a host does not know yet what the others had in flight there. With notices shared, the refusal would hold on all hosts.

Change: requests that cannot be told apart after two crashes are sent again, apart from each other, and refused only from the fourth crash on. Two crashes blame a request only if it was the only one in flight at one of them, or is the only one left when the others have been answered; three if it was the only one at all. A host of the dissemination tree waits for the third. A whole answer clears a request whatever its standing.

--- a/packages/process/src/coltsfoottrail/fleethost/host.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/host.cpp
@@ -76,6 +76,10 @@
 /// being opened serves after 0.3 s.
 constexpr milliseconds NoEndpointHold{250};
 
+/// The platform allows three crashes. Two would blame requests for the crashes
+/// of two others until the other hosts have told what was in flight there.
+constexpr std::size_t CrashesToBlame = 3;
+
 DispatcherOptions dispatcherOptions(const FleetSettings &Settings) {
   DispatcherOptions Result;
   Result.LocalDataCentre = Settings.DataCentre;
@@ -90,6 +94,7 @@
   Result.Policy = Policy;
   Result.Retries.Budget.Ratio = Settings.Bounds.RetryRatio * RetryRatioEarned;
   Result.Retries.Budget.DataCentreRatio = Settings.Bounds.RetryRatio;
+  Result.CrashLimits.CrashesToBlame = CrashesToBlame;
   return Result;
 }
 
--- a/packages/request/src/coltsfoottrail/quarantine/quarantine.cpp
+++ b/packages/request/src/coltsfoottrail/quarantine/quarantine.cpp
@@ -11,8 +11,8 @@
 constexpr Duration AnswerTransitTime = milliseconds(200);
 /// Longest time from a crash to the load report that shows the restart.
 constexpr Duration RestartReportDelay = seconds(120);
-/// Number of crashes after which a request is quarantined.
-constexpr std::size_t CrashesToQuarantine = 2;
+/// Number of crashes that are too few to tell one cause from two.
+constexpr std::size_t AmbiguousCrashes = 2;
 
 } // namespace
 
@@ -23,12 +23,29 @@
   const std::vector<const Crash *> CrashList = countedCrashes(Entry->second);
   if (CrashList.empty())
     return Standing::Clear;
-  if (CrashList.size() < CrashesToQuarantine)
+  const bool Blamed = isBlamed(CrashList);
+  if (!Blamed && CrashList.size() < Limits.MaxUnsureCrashes)
     return Standing::Suspect;
+  const TimePoint Newest =
+      std::ranges::max(CrashList, {}, [](const Crash *Record) {
+        return Record->Time;
+      })->Time;
   const Duration Lifetime =
-      isOnlyOneAtAll(CrashList) ? Limits.BlamedLifetime : Limits.UnsureLifetime;
-  return Now < CrashList.back()->Time + Lifetime ? Standing::Quarantined
-                                                 : Standing::Suspect;
+      Blamed ? Limits.BlamedLifetime : Limits.UnsureLifetime;
+  return Now < Newest + Lifetime ? Standing::Quarantined : Standing::Suspect;
+}
+
+// Failure guarded against: a harmless request is moved from an endpoint that
+// one request has crashed to one that another request crashes. It is the only
+// one at both crashes and would be refused for what the others did.
+bool Quarantine::isBlamed(std::span<const Crash *const> CrashList) const {
+  if (CrashList.size() < Limits.CrashesToBlame || !isOnlyOneAtAll(CrashList))
+    return false;
+  const auto IsAlone = [](const Crash *Record) {
+    return Record->InFlight.size() == 1;
+  };
+  return CrashList.size() > AmbiguousCrashes ||
+         std::ranges::any_of(CrashList, IsAlone);
 }
 
 // Failure guarded against: several requests that crash endpoints come at once,
@@ -179,7 +196,7 @@
     Expiries.erase({Entry.Expires, Entry.Order});
   Entry.Crashes.push_back(Id);
   const TimePoint Time = Crashes.find(Id)->Time;
-  const bool Blamed = countedCrashes(Entry).size() >= CrashesToQuarantine;
+  const bool Blamed = countedCrashes(Entry).size() >= Limits.CrashesToBlame;
   Entry.Expires =
       Time + (Blamed ? Limits.BlamedLifetime : Limits.SuspectLifetime);
   Entry.Order = NextOrder++;
@@ -227,7 +244,7 @@
   if (Last != nullptr && SentAt < Last->Time &&
       Last->Time + AnswerTransitTime < Now && dismiss(EndpointKey))
     addNotice(DismissNotice{std::string(EndpointKey)});
-  if (standing(Fingerprint, Now) != Standing::Suspect)
+  if (standing(Fingerprint, Now) == Standing::Clear)
     return;
   clear(Fingerprint);
   addNotice(ClearNotice{Fingerprint});
@@ -281,7 +298,7 @@
 }
 
 bool Quarantine::ingest(const ClearNotice &Notice, TimePoint Now) {
-  if (standing(Notice.Fingerprint, Now) != Standing::Suspect)
+  if (standing(Notice.Fingerprint, Now) == Standing::Clear)
     return false;
   clear(Notice.Fingerprint);
   return true;
--- a/packages/request/src/coltsfoottrail/quarantine/quarantine.hpp
+++ b/packages/request/src/coltsfoottrail/quarantine/quarantine.hpp
@@ -35,9 +35,15 @@
   /// How long a request is refused that is the only one in flight at both of
   /// two crashes.
   Duration BlamedLifetime = seconds(600);
-  /// How long requests are refused when several were in flight at the same two
-  /// crashes.
+  /// Number of crashes after which a request is refused that is the only one in
+  /// flight at all of them.
+  std::size_t CrashesToBlame = 2;
+  /// How long requests are refused when several were in flight at the same
+  /// MaxUnsureCrashes.
   Duration UnsureLifetime = seconds(30);
+  /// Number of crashes up to which requests that cannot be told apart are sent
+  /// again, apart from each other.
+  std::size_t MaxUnsureCrashes = 4;
   /// How long after an endpoint was closed its broken connections are not
   /// counted as a crash.
   Duration ClosedLifetime = seconds(60);
@@ -56,11 +62,13 @@
 
 /// @brief Records which requests were in flight at which crashes.
 ///
-/// A request is refused after it was in flight at two different crashes. If
-/// others were in flight at the same two, all of them are refused for a short
-/// time only. An answer clears a suspect. The evidence is sent to the other
-/// entry hosts as notices. Does no I/O and reads no clock. Not thread-safe:
-/// guarded by the lock of its shard. Times must not go back.
+/// A request is refused after it was in flight at several different crashes, if
+/// no other request was at all of them. After two crashes it must also have
+/// been the only one in flight at one of them: a harmless request may have been
+/// moved from one crash to another that have different causes. An answer clears
+/// a request, and leaves fewer that the crash can be blamed on. The evidence is
+/// sent to the other entry hosts as notices. Does no I/O and reads no clock.
+/// Not thread-safe: guarded by the lock of its shard. Times must not go back.
 class Quarantine {
 public:
   /// @brief Makes an empty quarantine.
@@ -149,6 +157,7 @@
   [[nodiscard]] std::vector<const Crash *>
   countedCrashes(const Suspect &Entry) const;
   [[nodiscard]] bool isRecurrent(std::span<const Crash *const> CrashList) const;
+  [[nodiscard]] bool isBlamed(std::span<const Crash *const> CrashList) const;
   [[nodiscard]] static bool
   isOnlyOneAtAll(std::span<const Crash *const> CrashList);
   [[nodiscard]] static bool anyInMajority(std::span<Crash *const> CrashList);
