Count no crash whose dismissal arrives before its notice

Found by looking for the same cause elsewhere: on the tree, a dismissal and the crash that it is about come from different hosts by ways of different length. A dismissal that came first found no crash and was dropped; the crash then counted against harmless requests on that host.

Change: a dismissal of an unknown crash records it as dismissed; the notices of that crash are added to the record.

DismissalMayOvertakeTheCrash fails without the change (standing Suspect).

--- a/packages/request/src/coltsfoottrail/quarantine/quarantine.cpp
+++ b/packages/request/src/coltsfoottrail/quarantine/quarantine.cpp
@@ -293,7 +293,12 @@
   return Changed;
 }
 
-bool Quarantine::ingest(const DismissNotice &Notice, TimePoint /*Now*/) {
+// Failure guarded against: a dismissal comes by a shorter way than the crash
+// that it is about, finds none, and the crash counts afterwards. The crash is
+// recorded as dismissed, and its notices are added to that record.
+bool Quarantine::ingest(const DismissNotice &Notice, TimePoint Now) {
+  if (lastCrash(Notice.EndpointKey) == nullptr)
+    (void)findOrAddCrash(Notice.EndpointKey, DataCentreName(), 0, Now);
   return dismiss(Notice.EndpointKey);
 }
 
--- a/packages/request/test/coltsfoottrail/quarantine/quarantine.cpp
+++ b/packages/request/test/coltsfoottrail/quarantine/quarantine.cpp
@@ -218,6 +218,18 @@
   EXPECT_EQ(standingOf(8), Standing::Suspect);
 }
 
+// Guards against counting a crash whose dismissal came first, by another way.
+TEST_F(QuarantineTest, DismissalMayOvertakeTheCrash) {
+  Quarantine Other{QuarantineLimits{}};
+  Other.endpointLost("a", DataCentreName("dc-0"), 1,
+                     std::vector<std::uint64_t>{7}, Now);
+  EXPECT_TRUE(Subject.observe(DismissNotice{"a"}, Now + milliseconds(50)));
+  for (const QuarantineNotice &Notice : Other.takeNotices(Now))
+    Subject.observe(Notice, Now + milliseconds(80));
+  Now += milliseconds(100);
+  EXPECT_EQ(standingOf(7), Standing::Clear);
+}
+
 // Guards against suspecting the requests in flight at an outage of a data
 // centre.
 TEST_F(QuarantineTest, OutageOfADataCentreBlamesNobody) {
