Answer hosts of earlier releases at their usual pace

A host of the release before does not say how far it has read the notices of its upstream, so that it would seem to lack all of them: each of its reports would be answered at once, with up to 32 notices, for ten minutes after a crash.

Change: a report says by its cursor that the sender reads notices; others get none and wait as before. NoticeBoardTest.MessagesWithoutNoticesAreAccepted covers it.

--- a/packages/process/src/coltsfoottrail/dissemination/messages.cpp
+++ b/packages/process/src/coltsfoottrail/dissemination/messages.cpp
@@ -140,18 +140,18 @@
   return Result;
 }
 
-void encodeCursor(Json &Message, std::string_view Key,
-                  const NoticeCursor &Cursor) {
+Json encodeCursor(const NoticeCursor &Cursor) {
+  Json Result = {{"next", Cursor.Next}};
   if (!Cursor.Board.empty())
-    Message[std::string(Key)] = {{"board", Cursor.Board.Text},
-                                 {"next", Cursor.Next}};
+    Result["board"] = Cursor.Board.Text;
+  return Result;
 }
 
 NoticeCursor decodeCursor(ObjectReader &Reader, std::string_view Key) {
   if (!Reader.has(Key))
     return {};
   ObjectReader Cursor = Reader.object(Key);
-  return {HostName(Cursor.text("board")), Cursor.number("next")};
+  return {HostName(Cursor.textOr("board", "")), Cursor.number("next")};
 }
 
 std::optional<std::string> optionalText(ObjectReader &Reader,
@@ -177,7 +177,7 @@
                  {"next", std::move(Next)},
                  {"missing", encodeFeeds(Message.Missing)},
                  {"stalled", Message.Stalled}};
-  encodeCursor(Result, "read_notices", Message.ReadNotices);
+  Result["read_notices"] = encodeCursor(Message.ReadNotices);
   if (!Message.Notices.empty())
     Result["notices"] = encodeNotices(Message.Notices);
   if (Message.FailedRelay)
@@ -197,7 +197,7 @@
                  {"loads", encodeLoads(Message.Loads)},
                  {"feeds", std::move(Feeds)},
                  {"truncated", encodeFeeds(Message.Truncated)}};
-  encodeCursor(Result, "next_notices", Message.NextNotices);
+  Result["next_notices"] = encodeCursor(Message.NextNotices);
   if (!Message.Notices.empty())
     Result["notices"] = encodeNotices(Message.Notices);
   if (Message.Coordinator)
@@ -226,6 +226,7 @@
   Result.Missing = decodeFeeds(Reader.texts("missing"));
   Result.Stalled = Reader.texts("stalled");
   Result.Notices = decodeNotices(Reader, ReportSource);
+  Result.ReadsNotices = Reader.has("read_notices");
   Result.ReadNotices = decodeCursor(Reader, "read_notices");
   return Result;
 }
--- a/packages/process/src/coltsfoottrail/dissemination/messages.hpp
+++ b/packages/process/src/coltsfoottrail/dissemination/messages.hpp
@@ -44,6 +44,8 @@
   std::vector<std::string> Stalled;
   /// Notices that the receiver may not have yet.
   std::vector<RelayedNotice> Notices;
+  /// Whether the sender reads notices; hosts of earlier releases do not.
+  bool ReadsNotices = true;
   /// Where the sender continues to read the receiver's notices.
   NoticeCursor ReadNotices;
   /// Position behind Notices on the sender's board; not sent.
--- a/packages/process/src/coltsfoottrail/dissemination/node.cpp
+++ b/packages/process/src/coltsfoottrail/dissemination/node.cpp
@@ -146,7 +146,10 @@
     const FeedLog &Log = feed(FeedId).RoutingLog;
     return Log.hasSnapshot() || Log.isTooLarge();
   };
-  return Board.hasSince(noticePosition(Received), Received.Host) ||
+  const bool HasNotices =
+      Received.ReadsNotices &&
+      Board.hasSince(noticePosition(Received), Received.Host);
+  return HasNotices ||
          std::any_of(Received.Next.begin(), Received.Next.end(), HasChanges) ||
          std::any_of(Received.Missing.begin(), Received.Missing.end(),
                      HasValues);
@@ -186,9 +189,11 @@
   Response Result;
   Result.Hosts = SubtreeLoads.hosts(Now);
   Result.Loads = loadsFor(Received, Now);
-  NoticePage Page = Board.since(noticePosition(Received), Received.Host, Now);
-  Result.Notices = std::move(Page.Notices);
-  Result.NextNotices = {Self, Page.Next};
+  if (Received.ReadsNotices) {
+    NoticePage Page = Board.since(noticePosition(Received), Received.Host, Now);
+    Result.Notices = std::move(Page.Notices);
+    Result.NextNotices = {Self, Page.Next};
+  }
   const auto MakeUpdate = [&](Feed FeedId, bool Snapshot) {
     const SharedFeed &Shared = feed(FeedId);
     FeedUpdate Update;
--- a/packages/process/test/coltsfoottrail/dissemination/noticeboard.cpp
+++ b/packages/process/test/coltsfoottrail/dissemination/noticeboard.cpp
@@ -1,4 +1,5 @@
 #include "coltsfoottrail/dissemination/messages.hpp"
+#include "coltsfoottrail/dissemination/node.hpp"
 
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
@@ -100,7 +101,8 @@
   EXPECT_EQ(Received.ReadNotices.Next, 4U);
 }
 
-// Guards against refusing the messages of hosts that run another release.
+// Guards against refusing the messages of hosts that run an earlier release,
+// and against answering them at once because they seem to lack notices.
 TEST_F(NoticeBoardTest, MessagesWithoutNoticesAreAccepted) {
   Report Sent;
   Sent.Host = A;
@@ -112,6 +114,11 @@
   const Report Received = decodeReport(std::string(Bytes.begin(), Bytes.end()));
   EXPECT_TRUE(Received.Notices.empty());
   EXPECT_TRUE(Received.ReadNotices.Board.empty());
+  TreeNode Upstream(C);
+  Upstream.recordOwnNotice("p", crashOf("e", {7}), Start);
+  EXPECT_TRUE(Upstream.hasUpdate(Sent));
+  EXPECT_FALSE(Upstream.hasUpdate(Received));
+  EXPECT_TRUE(Upstream.makeResponse(Received, Start).Notices.empty());
 }
 
 } // namespace
