Do not pass on notices of a pool that a host does not know

Found on reading the change: a host that has just started keeps the notices of pools that it does not know, and reported each as new. In the own interface, where not all hosts are neighbours, hosts pass on what is new to them, so two such hosts would have sent a notice to each other without end.

Change: a notice of an unknown pool is kept and not reported as new. Lines about peers' notices are limited to 64 a second: a crash comes with a notice from each host that had requests there.

Router.KeepsTheNoticesOfAPoolThatItDoesNotKnowYet fails without the change (the first notice is reported as new).

--- a/packages/process/src/coltsfoottrail/fleethost/feeds.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/feeds.cpp
@@ -138,7 +138,8 @@
   };
   Result.OnNotices = [this](std::span<const PoolNotice> Notices) {
     for (const auto &[PoolName, Notice] : Notices)
-      if (Routing.observeNotice(PoolName, Notice))
+      if (Routing.observeNotice(PoolName, Notice) &&
+          PeerNoticeLog.admit(Event::CrashNoticed, BootClock::now()))
         logNotice(PoolName, Notice, "peer");
   };
   Result.OnStalled = [this](const std::string &Endpoint) {
--- a/packages/process/src/coltsfoottrail/fleethost/host.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/host.hpp
@@ -14,6 +14,7 @@
 #include "coltsfoottrail/fleethost/settings.hpp"
 #include "coltsfoottrail/fleethost/treeevidence.hpp"
 #include "coltsfoottrail/fleethost/view.hpp"
+#include "coltsfoottrail/logging/log.hpp"
 
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
@@ -64,6 +65,9 @@
   }
 
 private:
+  /// Per second.
+  static constexpr std::uint32_t MaxPeerNoticesLogged = 64;
+
   void startFollowing();
   [[nodiscard]] DutyRole dutyRole() const noexcept;
   /// Interval between reads of the endpoints' feed by a host that does not
@@ -115,6 +119,8 @@
   FleetLinks Platform;
   FleetView View;
   Random Draw;
+  /// A crash comes with a notice from each host that had requests there.
+  EventSampler PeerNoticeLog{MaxPeerNoticesLogged, seconds(1)};
   TreeEvidence Evidence;
   Router Routing;
   HttpClient Client;
--- a/packages/process/src/coltsfoottrail/server/router.cpp
+++ b/packages/process/src/coltsfoottrail/server/router.cpp
@@ -417,7 +417,7 @@
     EarlyNotices.push_back({std::string(PoolName), Notice, Now});
     if (EarlyNotices.size() > MaxEarlyNotices)
       EarlyNotices.pop_front();
-    return true;
+    return false;
   }
   const std::lock_guard Hold(PoolShard->Lock);
   return PoolShard->PoolDispatcher.observeNotice(Notice, Now);
--- a/packages/process/src/coltsfoottrail/server/router.hpp
+++ b/packages/process/src/coltsfoottrail/server/router.hpp
@@ -112,7 +112,9 @@
   /// @brief Handles a peer's notice about requests that crash endpoints. A host
   /// that has just started keeps it until it knows the pool.
   /// @param PoolName The pool that the notice concerns.
-  /// @return Whether the notice was new to this host.
+  /// @return Whether the notice changed what this host knows of the pool. False
+  /// while the pool is unknown: hosts that pass on what is new to them would
+  /// send such a notice to each other without end.
   bool observeNotice(std::string_view PoolName, const QuarantineNotice &Notice);
 
   /// @brief Records that an endpoint of a pool stopped serving under a key
