Do not blame a request for connections that break at once

Change: a host of a fleet does not suspect a request whose connection breaks within 5 ms of its sending with no response, which is less than one step of an engine. What runs on an endpoint and crashes it takes longer.

Ruled out: leaving out what was sent after the first loss of an endpoint. One broken connection to an endpoint that lives would then hide its next crash.

Dispatcher.ConnectionThatBreaksAtOnceIsNoEvidence fails without the change.

--- a/packages/process/src/coltsfoottrail/fleethost/host.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/host.cpp
@@ -79,6 +79,8 @@
 /// The platform allows three crashes. Two would blame requests for the crashes
 /// of two others until the other hosts have told what was in flight there.
 constexpr std::size_t CrashesToBlame = 3;
+/// Less than one step of an engine.
+constexpr milliseconds MinTimeInFlight{5};
 
 DispatcherOptions dispatcherOptions(const FleetSettings &Settings) {
   DispatcherOptions Result;
@@ -95,6 +97,7 @@
   Result.Retries.Budget.Ratio = Settings.Bounds.RetryRatio * RetryRatioEarned;
   Result.Retries.Budget.DataCentreRatio = Settings.Bounds.RetryRatio;
   Result.CrashLimits.CrashesToBlame = CrashesToBlame;
+  Result.CrashLimits.MinTimeInFlight = MinTimeInFlight;
   return Result;
 }
 
--- a/packages/request/src/coltsfoottrail/dispatch/dispatcher.cpp
+++ b/packages/request/src/coltsfoottrail/dispatch/dispatcher.cpp
@@ -347,6 +347,14 @@
   Choice.ended(*Request.LastFailedEndpoint, Ended, Now);
 }
 
+// Failure guarded against: a request is sent on kept connections to endpoints
+// that have crashed before, and is blamed for their crashes.
+bool Dispatcher::mayHaveBegun(const RequestState &Request,
+                              TimePoint Now) const {
+  return Request.ResponseStarted ||
+         Now - Request.SentAt >= Options.CrashLimits.MinTimeInFlight;
+}
+
 void Dispatcher::recordCrashEvidence(const RequestState &Request,
                                      const AttemptResult &Result,
                                      TimePoint Now) {
@@ -354,7 +362,7 @@
   const std::uint64_t Fingerprint = Request.Item.Fingerprint;
   if (Result.Answered)
     CrashHistory.requestAnswered(Spec.Key, Fingerprint, Request.SentAt, Now);
-  else if (Result.ConnectionLost)
+  else if (Result.ConnectionLost && mayHaveBegun(Request, Now))
     CrashHistory.endpointLost(Spec.Key, Spec.DataCentre, Request.SentRun,
                               std::span(&Fingerprint, 1), Now);
 }
--- a/packages/request/src/coltsfoottrail/dispatch/dispatcher.hpp
+++ b/packages/request/src/coltsfoottrail/dispatch/dispatcher.hpp
@@ -288,6 +288,8 @@
                      Commands &Output);
   void endAttempt(RequestState &Request, const AttemptResult &Result,
                   TimePoint Now);
+  [[nodiscard]] bool mayHaveBegun(const RequestState &Request,
+                                  TimePoint Now) const;
   void recordCrashEvidence(const RequestState &Request,
                            const AttemptResult &Result, TimePoint Now);
   void recordRestart(CandidateId Id, Incarnation OldRun, TimePoint Now);
--- a/packages/request/src/coltsfoottrail/quarantine/quarantine.hpp
+++ b/packages/request/src/coltsfoottrail/quarantine/quarantine.hpp
@@ -30,6 +30,9 @@
 struct QuarantineLimits {
   /// Losses at one endpoint within this time count as one crash.
   Duration CrashWindow = seconds(10);
+  /// A request whose connection breaks sooner after it was sent, with no
+  /// response, is not suspected: the endpoint was gone before.
+  Duration MinTimeInFlight = Duration::zero();
   /// How long a request remains suspected.
   Duration SuspectLifetime = seconds(300);
   /// How long a request is refused that is the only one in flight at both of
--- a/packages/request/test/coltsfoottrail/dispatch/dispatcher.cpp
+++ b/packages/request/test/coltsfoottrail/dispatch/dispatcher.cpp
@@ -375,6 +375,22 @@
   EXPECT_EQ(Other.refusal(Other.submit(lookup(1))), std::nullopt);
 }
 
+// Guards against blaming a harmless request that was sent to endpoints which
+// had crashed before: the connections that were kept to them break at once.
+TEST(Dispatcher, ConnectionThatBreaksAtOnceIsNoEvidence) {
+  DispatcherOptions Options = fleetOptions();
+  Options.CrashLimits.MinTimeInFlight = milliseconds(5);
+  DispatchHarness Test(Options);
+  Test.configure(testPool(5), 4);
+  for (int Loss = 0; Loss < 3; ++Loss)
+    Test.crash(Test.submit(lookup(1), seconds(8)));
+  EXPECT_EQ(Test.Scheduler.suspects(), 0U);
+  const Ticket InFlight = Test.submit(lookup(2), seconds(8));
+  Test.advanceTime(milliseconds(10));
+  Test.crash(InFlight);
+  EXPECT_EQ(Test.Scheduler.suspects(), 1U);
+}
+
 TEST(Dispatcher, NewRunInALoadReportIsACrashForWhatWasInFlight) {
   DispatchHarness Test;
   Test.configure(testPool(1), 4);
