--- a/packages/process/src/coltsfoottrail/dissemination/noticeboard.hpp
+++ b/packages/process/src/coltsfoottrail/dissemination/noticeboard.hpp
@@ -75,8 +75,6 @@
   [[nodiscard]] NoticePage since(std::uint64_t Next, const HostName &Reader,
                                  TimePoint Now) const;
 
-  /// @brief Run of the host that the board belongs to.
-  [[nodiscard]] const HostName &owner() const noexcept { return Self; }
   /// @brief Number of notices on the board.
   [[nodiscard]] std::size_t size() const noexcept { return Entries.size(); }
 
