Hold a stream that has begun while its pool has no endpoint

What callers saw: a stream ends in the middle of its answer (LOST) when its pool has had no endpoint for 250 ms, with seconds left, although the groups of its model are back before its deadline.

Cause: when the hold of a pool without endpoints ends, every waiting request is refused. That is right for requests of which nothing has been delivered: their callers hear "not run" and when to return. A stream that its caller has part of can only be cut.

Change: such streams stay held until their latest start. All others are refused as before, also those that begin to wait after the hold has ended; nextWake() no longer names a hold deadline that has been acted upon.

Shown by Dispatcher.BegunStreamOutlivesAPauseWithoutEndpoints, listed as failing before, now enabled with its check unchanged, and Dispatcher.PauseWithoutEndpointsEndsOtherRequests (failed before: the begun stream was cut). Both modes use the dispatcher.

--- a/packages/request/src/coltsfoottrail/dispatch/dispatcher.cpp
+++ b/packages/request/src/coltsfoottrail/dispatch/dispatcher.cpp
@@ -423,6 +423,7 @@
   if (!mayHold(Request))
     return RetryStop::QueueFull;
   ++Request.Delays;
+  EndedHold.reset();
   Held.holdUntil(Id, Request.Item.Bytes, Now + *Delay);
   return std::nullopt;
 }
@@ -505,8 +506,10 @@
   Choice.advance(Now);
   pump(Now, Output);
   refuseUnmeetable(Now, Output);
-  if (holdExpired(Now))
-    refuseAllWaiting(noCapacityVerdict(), Output);
+  if (holdExpired(Now)) {
+    refuseWaiting(noCapacityVerdict(), Output);
+    EndedHold = holdDeadline();
+  }
 }
 
 std::optional<TimePoint> Dispatcher::nextWake() const {
@@ -521,7 +524,8 @@
   Consider(Held.earliest());
   Consider(Choice.nextChange());
   Consider(ShedCheckAt);
-  Consider(holdDeadline());
+  if (holdDeadline() != EndedHold)
+    Consider(holdDeadline());
   return Earliest;
 }
 
@@ -648,9 +652,10 @@
   const RequestState &Request = *Requests.find(Id);
   const TimePoint Until = waitsForCache(Request, Now) ? *Request.CacheWaitUntil
                                                       : latestStart(Request);
-  if (mayHold(Request))
+  if (mayHold(Request)) {
+    EndedHold.reset();
     Held.holdReady(Id, Request.Item.Bytes, Until);
-  else
+  } else
     refuse(Id, notRun(Reason::Overloaded, UnknownRetryAfter),
            retryStop(Request, RetryStop::QueueFull), Output);
 }
@@ -690,8 +695,14 @@
   }
 }
 
-void Dispatcher::refuseAllWaiting(const Verdict &Refusal, Commands &Output) {
-  std::vector<Ticket> Removed = Held.all();
+// Failure guarded against: a pool has no endpoint while its groups form anew,
+// and streams that their callers have part of are cut with seconds left. They
+// cannot be refused as not run and are held as long as there is time.
+void Dispatcher::refuseWaiting(const Verdict &Refusal, Commands &Output) {
+  std::vector<Ticket> Removed;
+  for (const Ticket Id : Held.all())
+    if (!Requests.find(Id)->Resumable)
+      Removed.push_back(Id);
   for (const Ticket Id : Removed)
     Held.remove(Id);
   for (const Ticket Id : Queue.all()) {
--- a/packages/request/src/coltsfoottrail/dispatch/dispatcher.hpp
+++ b/packages/request/src/coltsfoottrail/dispatch/dispatcher.hpp
@@ -300,7 +300,7 @@
   void updateQueueSlots();
   void trackCapacity(TimePoint Now);
   void refuseUnmeetable(TimePoint Now, Commands &Output);
-  void refuseAllWaiting(const Verdict &Refusal, Commands &Output);
+  void refuseWaiting(const Verdict &Refusal, Commands &Output);
   void refuse(Ticket Id, Verdict Refusal, RetryStop Stop, Commands &Output);
   [[nodiscard]] static RetryStop retryStop(const RequestState &Request,
                                            RetryStop StopIfTried) noexcept;
@@ -318,6 +318,9 @@
   double ExpectedSlots = 0.0;
   /// Since when no endpoint has been usable.
   std::optional<TimePoint> UnusableSince;
+  /// The hold deadline at which waiting requests were last refused; none if
+  /// others have begun to wait since.
+  std::optional<TimePoint> EndedHold;
   /// Since when at least one request has been waiting without interruption.
   std::optional<TimePoint> WaitingSince;
   /// When the queue is next checked for requests that can no longer meet their
--- a/packages/request/test/coltsfoottrail/dispatch/dispatcher.cpp
+++ b/packages/request/test/coltsfoottrail/dispatch/dispatcher.cpp
@@ -299,7 +299,7 @@
 
 // Guards against cutting a begun stream whose leader has closed, because its
 // pool has no endpoint for some hundred milliseconds.
-TEST(Dispatcher, DISABLED_BegunStreamOutlivesAPauseWithoutEndpoints) {
+TEST(Dispatcher, BegunStreamOutlivesAPauseWithoutEndpoints) {
   DispatchHarness Test(fleetOptions());
   Test.configure(testPool(1), 8);
   const Ticket Id = Test.submit(lookup(), seconds(8));
@@ -312,6 +312,25 @@
   EXPECT_NE(Test.endpointOf(Id), "");
 }
 
+// Guards against holding requests that have not begun, or a begun stream beyond
+// its time, while the pool has no endpoint.
+TEST(Dispatcher, PauseWithoutEndpointsEndsOtherRequests) {
+  DispatchHarness Test(fleetOptions());
+  Test.configure(testPool(1), 8);
+  const Ticket Begun = Test.submit(lookup(), seconds(3));
+  const Ticket Waiting = Test.submit(lookup(), seconds(3));
+  Test.configure(Pool{}, 0);
+  Test.cutStream(Begun);
+  Test.fail(Waiting, RunState::NotRun, Reason::EndpointRefused);
+  Test.advanceTime(milliseconds(300));
+  EXPECT_TRUE(Test.refusal(Waiting));
+  EXPECT_FALSE(Test.refusal(Begun));
+  EXPECT_TRUE(Test.refusal(Test.submit(lookup(), seconds(3))));
+  EXPECT_FALSE(Test.refusal(Begun));
+  Test.advanceTime(seconds(3));
+  EXPECT_TRUE(Test.refusal(Begun));
+}
+
 // Guards against cutting a begun stream whose leader has closed, because this
 // host has no share of the other endpoints for some hundred milliseconds.
 TEST(Dispatcher, BegunStreamOutlivesAPauseWithoutShares) {
