Hold a stream that has begun beside a full queue

Cause: a failed attempt is held for its retry only within the limits on waiting requests and their memory. They guard against many requests that fail at once; one of which nothing has been delivered is refused as not run, but a stream that its caller has part of can only be cut.

Change: the limits do not apply to streams that have begun. Their number is bounded by the open connections, and their bodies are kept for a resend in any case.

Shown by Dispatcher.BegunStreamIsHeldBesideAFullQueue (failed before).

--- a/packages/request/src/coltsfoottrail/dispatch/dispatcher.cpp
+++ b/packages/request/src/coltsfoottrail/dispatch/dispatcher.cpp
@@ -405,8 +405,11 @@
 }
 
 // Failure guarded against: thousands of requests fail at once and are held with
-// their bodies in memory, in addition to a queue that is already full.
+// their bodies in memory, in addition to a queue that is already full. A stream
+// that its caller has part of can only be held or cut.
 bool Dispatcher::mayHold(const RequestState &Request) const {
+  if (Request.Resumable)
+    return true;
   return Held.size() < Options.MaxWaiting &&
          Held.bytes() + Request.Item.Bytes <= Options.MaxWaitingBytes;
 }
--- a/packages/request/test/coltsfoottrail/dispatch/dispatcher.cpp
+++ b/packages/request/test/coltsfoottrail/dispatch/dispatcher.cpp
@@ -331,6 +331,22 @@
   EXPECT_TRUE(Test.refusal(Begun));
 }
 
+// Guards against cutting a begun stream because other requests fill the place
+// for those that wait.
+TEST(Dispatcher, BegunStreamIsHeldBesideAFullQueue) {
+  DispatcherOptions Options = fleetOptions();
+  Options.MaxWaiting = 1;
+  DispatchHarness Test(Options);
+  Test.configure(testPool(3), 8);
+  const Ticket Other = Test.submit(lookup(), seconds(8));
+  const Ticket Begun = Test.submit(lookup(), seconds(8));
+  Test.fail(Other, RunState::NotRun, Reason::EndpointRefused);
+  Test.cutStream(Begun);
+  EXPECT_FALSE(Test.refusal(Begun));
+  Test.advanceTime(milliseconds(600));
+  EXPECT_NE(Test.endpointOf(Begun), "");
+}
+
 // Guards against cutting a begun stream whose leader has closed, because this
 // host has no share of the other endpoints for some hundred milliseconds.
 TEST(Dispatcher, BegunStreamOutlivesAPauseWithoutShares) {
