--- a/packages/version/src/coltsfoottrail/assembly/assembler.cpp
+++ b/packages/version/src/coltsfoottrail/assembly/assembler.cpp
@@ -13,6 +13,14 @@
 
 namespace {
 
+/// Whether any endpoint shows the effect of an order.
+bool anyOrdered(const EndpointCatalogue &Catalogue) {
+  const auto &Endpoints = Catalogue.all();
+  return std::any_of(Endpoints.begin(), Endpoints.end(), [](const auto &Entry) {
+    return Entry.second.Record.Seat || !Entry.second.Record.Staged.empty();
+  });
+}
+
 /// Whether any endpoint has a seat: then orders of a previous coordinator may
 /// be in progress.
 bool anySeat(const AssemblyView &View) {
@@ -36,6 +44,7 @@
   Statuses.clear();
   PendingStatusReads.clear();
   Joins.forgetOutcomes(Now);
+  FollowsPredecessor.reset();
   PlanFrom = Now + Times.TakeOverPause;
   TermStartedAt = Now;
   FleetSize = 0;
@@ -54,6 +63,8 @@
                                          TimePoint Now) {
   if (!View.Service.Engine || (Now < PlanFrom && anySeat(View)))
     return {};
+  if (!FollowsPredecessor && !View.Endpoints.all().empty())
+    FollowsPredecessor = anyOrdered(View.Endpoints);
   PlanContext Context{View, *View.Service.Engine, Now, {}};
   Pacer.setLimits(Context.Engine.LoadsPerSecond,
                   Context.Engine.MaxConcurrentLoads);
--- a/packages/version/src/coltsfoottrail/assembly/assembler.hpp
+++ b/packages/version/src/coltsfoottrail/assembly/assembler.hpp
@@ -72,9 +72,9 @@
   /// Whether requests have begun to arrive: from then on loads are slow and
   /// their limits apply.
   bool TrafficStarted = false;
-  /// Limit on the orders of one call; no group or load is started beyond it.
-  /// Sending an order takes the host a millisecond, and a fleet that starts
-  /// needs thousands.
+  /// Limit on the orders, and on the reads of statuses, of one call; no group
+  /// or load is started beyond it. Sending an order takes the host a
+  /// millisecond, and a fleet that starts needs thousands.
   std::size_t MaxOrders = std::numeric_limits<std::size_t>::max();
 };
 
@@ -391,6 +391,9 @@
   /// Endpoints that may not take a seat, and until when.
   std::map<EndpointName, TimePoint> LockedUntil;
   OutstandingJoins Joins;
+  /// Whether a predecessor had given orders, judged by the first records of the
+  /// term.
+  std::optional<bool> FollowsPredecessor;
   std::map<EndpointName, StatusState> Statuses;
   std::vector<MemberProbe> PendingStatusReads;
   std::map<EndpointName, DeadMark> DeadEndpoints;
--- a/packages/version/src/coltsfoottrail/assembly/joins.cpp
+++ b/packages/version/src/coltsfoottrail/assembly/joins.cpp
@@ -28,10 +28,11 @@
                                  const KnownEndpoint &Endpoint) const {
   if (Endpoint.Record.Seat)
     return false;
-  // An engine that has been in a group may have left it by order of a
+  // An engine whose host has weights may have left a group by order of a
   // predecessor, whose joins are not known.
-  const bool MayHaveLeft = Context.Now < TermStartedAt + Times.latestEffect() &&
-                           !Endpoint.Record.Loaded.empty();
+  const bool MayHaveLeft = FollowsPredecessor.value_or(true) &&
+                           Context.Now < TermStartedAt + Times.latestEffect() &&
+                           !Endpoint.Record.Staged.empty();
   return MayHaveLeft || Joins.mayReturn(Endpoint.Record, Context.Now);
 }
 
@@ -42,6 +43,8 @@
     return Endpoint == nullptr || !mayBeSeatedAgain(Context, *Endpoint);
   });
   for (const auto &[Name, Endpoint] : Context.View.Endpoints.all()) {
+    if (PendingStatusReads.size() >= Context.View.MaxOrders)
+      return;
     if (Endpoint.Record.Service != Context.View.Service.Name ||
         Pending.contains(Name) || isDead(Endpoint) ||
         isJoinSafe(Context, Endpoint))
