--- a/packages/version/src/coltsfoottrail/assembly/assembler.hpp
+++ b/packages/version/src/coltsfoottrail/assembly/assembler.hpp
@@ -294,7 +294,7 @@
   /// again by late orders.
   [[nodiscard]] bool mayLeaderReturn(const PlanContext &Context,
                                      const GroupState &Group) const;
-  /// Whether a late join may seat an engine without a seat in a group that
+  /// Whether an engine has no seat and a late join may seat it in a group that
   /// serves.
   [[nodiscard]] bool mayBeSeatedAgain(const PlanContext &Context,
                                       const KnownEndpoint &Endpoint) const;
@@ -317,8 +317,10 @@
   void orderClose(PlanContext &Context, GroupState &Group, bool Evict);
   void orderLeave(PlanContext &Context, GroupState &Group,
                   const EndpointName &Name);
+  /// Orders the first copy of a join. Precondition: isJoinSafe().
   void beginJoin(PlanContext &Context, const KnownEndpoint &Engine,
                  JoinSeat Join);
+  /// Orders a copy of a join.
   void orderJoin(PlanContext &Context, const KnownEndpoint &Engine,
                  JoinSeat Join);
   void dismissLeader(PlanContext &Context, GroupState &Group);
--- a/packages/version/src/coltsfoottrail/assembly/joins.cpp
+++ b/packages/version/src/coltsfoottrail/assembly/joins.cpp
@@ -5,7 +5,7 @@
 
 namespace coltsfoottrail {
 
-/// Orders a join that no order before has named.
+/// Orders the first copy of a join.
 void Assembler::beginJoin(PlanContext &Context, const KnownEndpoint &Engine,
                           JoinSeat Join) {
   if (mayBeSeatedAgain(Context, Engine))
