Log and measure which endpoints a host reaches

A host that has lost its links to the endpoints writes that attempts failed, one by one. Whether an endpoint is gone or the host is cut off, since when, and when it ended could be told only by comparing the logs of all hosts.

Connections to endpoints are now opened by a Dialer, which records what each attempt says of its endpoint. ReachabilityTracker, without I/O or clock, decides from that whether the host is cut off: several endpoints fail and hardly any other has been heard from since. Endpoints that fail are probed, two at a time, so that the end is seen without traffic. How requests are sent does not change.

Tests: connection_reach_test (9).

--- a/apps/coltsfoottraild/fleetmain.cpp
+++ b/apps/coltsfoottraild/fleetmain.cpp
@@ -1,5 +1,6 @@
 #include "fleetmain.hpp"
 
+#include "coltsfoottrail/core/hash.hpp"
 #include "coltsfoottrail/fleethost/host.hpp"
 #include "coltsfoottrail/json/reader.hpp"
 #include "coltsfoottrail/logging/log.hpp"
@@ -83,9 +84,11 @@
   IoPool Pool(1);
   PlatformStore Store(Pool.context(0),
                       {Config.Store.Address, Config.Store.Port});
-  PlatformEngines Engines(Pool.context(0));
+  TcpConnector Network;
+  Dialer Endpoints(Network, hashText(Config.Host.Text));
+  PlatformEngines Engines(Pool.context(0), Endpoints);
   const PlatformWire Wire;
-  FleetHost Host(Config, Pool, {Store, Engines, Wire});
+  FleetHost Host(Config, Pool, {Store, Engines, Wire, Endpoints});
   logEvent(Event::Started, {{"host", Config.Host},
                             {"data_centre", Config.DataCentre},
                             {"caller_port", Host.callerPort()},
--- a/packages/connection/src/coltsfoottrail/http/client.cpp
+++ b/packages/connection/src/coltsfoottrail/http/client.cpp
@@ -1,5 +1,7 @@
 #include "coltsfoottrail/http/client.hpp"
 
+#include "coltsfoottrail/reach/dialer.hpp"
+
 #include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -89,8 +91,8 @@
 struct HttpClient::Core {
   using ConnectionPtr = std::unique_ptr<HttpCall::Connection>;
 
-  Core(asio::io_context &IoContext, ClientOptions Limits)
-      : Context(IoContext), Options(Limits) {}
+  Core(asio::io_context &IoContext, ClientOptions Limits, Dialer *Endpoints)
+      : Context(IoContext), Options(Limits), Dial(Endpoints) {}
 
   [[nodiscard]] ConnectionPtr takeIdle(const EngineAddress &Endpoint) {
     const auto Found = Idle.find(Endpoint);
@@ -107,6 +109,34 @@
     return nullptr;
   }
 
+  /// @return Whether the connection is open.
+  [[nodiscard]] Awaitable<bool> connect(HttpCall::Connection &Link,
+                                        const EngineAddress &Endpoint,
+                                        TimePoint Deadline) {
+    const auto MaxTime =
+        std::min(std::chrono::ceil<milliseconds>(timeUntil(Deadline)),
+                 Options.ConnectTimeout);
+    if (Dial == nullptr) {
+      TcpConnector Network;
+      const ErrorCode Problem =
+          co_await Network.connect(Link.Stream, Endpoint, MaxTime);
+      co_return !Problem;
+    }
+    const std::optional<DialedConnection> Dialed =
+        co_await Dial->dial(Link.Stream, Endpoint, MaxTime);
+    co_return Dialed.has_value();
+  }
+
+  void recordData(const EngineAddress &Endpoint) const {
+    if (Dial != nullptr)
+      Dial->reach().recordData(Endpoint, BootClock::now());
+  }
+  /// Records a connection that was given up while a response was due.
+  void recordSilence(const EngineAddress &Endpoint) const {
+    if (Dial != nullptr)
+      Dial->reach().recordSilence(Endpoint, BootClock::now());
+  }
+
   void release(const EngineAddress &Endpoint, ConnectionPtr Connection,
                std::size_t MaxIdleConnections) {
     Connection->unregisterCall();
@@ -127,6 +157,7 @@
 
   asio::io_context &Context;
   ClientOptions Options;
+  Dialer *Dial;
   std::map<EngineAddress, std::deque<ConnectionPtr>> Idle;
   std::size_t IdleCount = 0;
   std::shared_ptr<HttpCall::Connection::CallRegistry> Calls =
@@ -166,8 +197,11 @@
         asio::redirect_error(asio::use_awaitable, Problem));
     if (Problem == http::error::need_buffer)
       Problem = {};
+    const auto Owner = Call.Owner.lock();
     if (Problem) {
       const bool TimedOut = Problem == beast::error::timeout;
+      if (Owner && !isConnectionLost(Problem))
+        Owner->recordSilence(Call.Endpoint);
       co_return CallFailure{RunState::MayHaveRun,
                             TimedOut ? Reason::EndpointTimedOut
                                      : Reason::EndpointCut,
@@ -175,6 +209,8 @@
     }
     const std::size_t Bytes = Call.Part.size() - Body.size;
     if (Bytes > 0) {
+      if (Owner)
+        Owner->recordData(Call.Endpoint);
       Call.Part.resize(Bytes);
       co_return std::move(Call.Part);
     }
@@ -186,8 +222,9 @@
   co_return std::optional<std::string>{};
 }
 
-HttpClient::HttpClient(asio::io_context &Context, ClientOptions Limits)
-    : Shared(std::make_shared<Core>(Context, Limits)) {}
+HttpClient::HttpClient(asio::io_context &Context, ClientOptions Limits,
+                       Dialer *Endpoints)
+    : Shared(std::make_shared<Core>(Context, Limits, Endpoints)) {}
 
 HttpClient::~HttpClient() = default;
 
@@ -238,17 +275,9 @@
   ErrorCode Problem;
   if (!Link) {
     Link = std::make_unique<HttpCall::Connection>(ClientCore->Context);
-    const auto Address = asio::ip::make_address(Endpoint.Address, Problem);
-    if (Problem)
-      co_return CallFailure{RunState::NotRun, Reason::EndpointFailed, false};
-    Link->Stream.expires_after(std::min<std::chrono::steady_clock::duration>(
-        timeUntil(Deadline), ClientCore->Options.ConnectTimeout));
-    co_await Link->Stream.async_connect(
-        Tcp::endpoint(Address, Endpoint.Port),
-        asio::redirect_error(asio::use_awaitable, Problem));
-    if (Problem)
+    const bool IsOpen = co_await ClientCore->connect(*Link, Endpoint, Deadline);
+    if (!IsOpen)
       co_return CallFailure{RunState::NotRun, Reason::EndpointFailed, false};
-    Link->Stream.socket().set_option(Tcp::no_delay(true), Problem);
   }
   Link->registerCall(ClientCore->Calls, Endpoint, Use.Policy);
 
@@ -280,11 +309,14 @@
       asio::redirect_error(asio::use_awaitable, Problem));
   if (Problem) {
     const bool TimedOut = Problem == beast::error::timeout;
+    if (!isConnectionLost(Problem))
+      ClientCore->recordSilence(CallState.Endpoint);
     co_return CallFailure{RunState::MayHaveRun,
                           TimedOut ? Reason::EndpointTimedOut
                                    : Reason::EndpointFailed,
                           isConnectionLost(Problem)};
   }
+  ClientCore->recordData(CallState.Endpoint);
   CallState.Head.Status = CallState.Parser.get().result_int();
   for (const auto &Field : CallState.Parser.get())
     CallState.Head.Fields.push_back(
--- a/packages/connection/src/coltsfoottrail/http/client.hpp
+++ b/packages/connection/src/coltsfoottrail/http/client.hpp
@@ -6,6 +6,7 @@
 #include "coltsfoottrail/core/time.hpp"
 #include "coltsfoottrail/http/message.hpp"
 #include "coltsfoottrail/platform/engine.hpp"
+#include "coltsfoottrail/reach/fwd.hpp"
 #include "coltsfoottrail/verdict/verdict.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -113,7 +114,11 @@
   /// @brief Creates a client.
   /// @param Context I/O context of the thread; must outlive the client.
   /// @param Limits Limits of the client.
-  HttpClient(boost::asio::io_context &Context, ClientOptions Limits);
+  /// @param Endpoints Opens its connections and records which endpoints are
+  /// reached; must outlive the client. If null, connections are opened directly
+  /// and nothing is recorded.
+  HttpClient(boost::asio::io_context &Context, ClientOptions Limits,
+             Dialer *Endpoints = nullptr);
   HttpClient(const HttpClient &) = delete;
   HttpClient &operator=(const HttpClient &) = delete;
   ~HttpClient();
--- /dev/null
+++ b/packages/connection/test/coltsfoottrail/reach/tracker.cpp
@@ -0,0 +1,133 @@
+#include "coltsfoottrail/reach/tracker.hpp"
+
+#include <gtest/gtest.h>
+
+namespace coltsfoottrail::test {
+
+namespace {
+
+constexpr std::uint16_t FirstPort = 100;
+
+EngineAddress endpoint(int Index) {
+  return {"10.0.0.1", std::uint16_t(FirstPort + Index)};
+}
+
+class Reachability : public ::testing::Test {
+protected:
+  Reachability() {
+    std::vector<ReachableEndpoint> Known;
+    for (int Index = 0; Index < Count; ++Index)
+      Known.push_back(
+          {endpoint(Index), DataCentreName(Index % 2 == 0 ? "a" : "b")});
+    Tracker.setEndpoints(Known);
+  }
+
+  void pass(milliseconds Span) { Now += Span; }
+  void hear(int Index) { Tracker.recordData(endpoint(Index), Now); }
+  void fail(int Index) {
+    Tracker.recordDirectFailure(endpoint(Index), Now, Now);
+  }
+
+  static constexpr int Count = 12;
+  ReachabilityTracker Tracker{7};
+  TimePoint Now{seconds(100)};
+};
+
+TEST_F(Reachability, HostIsCutOffWhenItHearsNoEndpointAnyMore) {
+  for (int Index = 0; Index < Count; ++Index)
+    hear(Index);
+  pass(milliseconds(10));
+  fail(0);
+  fail(1);
+  EXPECT_FALSE(Tracker.cutOffSince());
+  fail(2);
+  EXPECT_EQ(Tracker.cutOffSince(), Now);
+}
+
+// Guards against taking the loss of some endpoints for that of this host's
+// links.
+TEST_F(Reachability, FailuresBesideHealthyEndpointsAreNoCut) {
+  fail(0);
+  pass(milliseconds(10));
+  for (int Index = 4; Index < 10; ++Index)
+    hear(Index);
+  for (int Index = 1; Index < 4; ++Index)
+    fail(Index);
+  EXPECT_FALSE(Tracker.cutOffSince());
+}
+
+// Guards against hosts that all take themselves for cut off when a service is
+// gone.
+TEST_F(Reachability, EndpointsThatNobodyReachesAreNoCut) {
+  for (int Index = 0; Index < 6; ++Index) {
+    Tracker.recordUnreachableElsewhere(endpoint(Index), Now);
+    fail(Index);
+  }
+  Tracker.advance(Now);
+  EXPECT_FALSE(Tracker.cutOffSince());
+}
+
+// Guards against flooding the only endpoint that a host still reaches.
+TEST_F(Reachability, OneEndpointInReachDoesNotEndACut) {
+  for (int Index = 0; Index < Count; ++Index)
+    fail(Index);
+  ASSERT_TRUE(Tracker.cutOffSince());
+  pass(seconds(1));
+  Tracker.recordConnected(endpoint(0), Now);
+  EXPECT_TRUE(Tracker.cutOffSince());
+}
+
+TEST_F(Reachability, CutEndsWhenMostEndpointsAreReached) {
+  for (int Index = 0; Index < Count; ++Index)
+    fail(Index);
+  pass(seconds(1));
+  for (int Index = 0; Index < 6; ++Index)
+    Tracker.recordConnected(endpoint(Index), Now);
+  EXPECT_FALSE(Tracker.cutOffSince());
+}
+
+TEST_F(Reachability, ProbesAreFewAndGoOnAtOnceAfterASuccess) {
+  for (int Index = 0; Index < Count; ++Index)
+    fail(Index);
+  const auto First = Tracker.takeProbes(Now);
+  EXPECT_EQ(First.size(), 2U);
+  EXPECT_TRUE(Tracker.takeProbes(Now).empty());
+  Tracker.recordConnected(First.front(), Now);
+  EXPECT_FALSE(Tracker.takeProbes(Now).empty());
+}
+
+// Guards against the use of open connections that a cut has silenced.
+TEST_F(Reachability, IdleConnectionsFromBeforeASilenceAreNotUsed) {
+  const TimePoint IdleSince = Now;
+  pass(milliseconds(500));
+  EXPECT_TRUE(Tracker.mayReuse(endpoint(0), IdleSince));
+  Tracker.recordSilence(endpoint(0), Now);
+  EXPECT_FALSE(Tracker.mayReuse(endpoint(0), IdleSince));
+  EXPECT_TRUE(Tracker.mayReuse(endpoint(0), Now + milliseconds(1)));
+  EXPECT_TRUE(Tracker.mayReuse(endpoint(1), IdleSince));
+}
+
+// Guards against new connections that are tried again and again because open
+// ones live on.
+TEST_F(Reachability, DataOnOpenConnectionsDoesNotMakeNewOnesPossible) {
+  fail(0);
+  pass(milliseconds(10));
+  hear(0);
+  EXPECT_EQ(Tracker.tally(Now).Unreachable, 1U);
+  EXPECT_TRUE(Tracker.mayReuse(endpoint(0), Now));
+}
+
+TEST_F(Reachability, ChangesNameTheEndpointAndForHowLong) {
+  fail(0);
+  pass(seconds(2));
+  Tracker.recordConnected(endpoint(0), Now);
+  const auto Changes = Tracker.takeChanges();
+  ASSERT_EQ(Changes.size(), 2U);
+  EXPECT_EQ(std::get<EndpointUnreachable>(Changes[0]).Endpoint, endpoint(0));
+  EXPECT_EQ(std::get<EndpointReached>(Changes[1]).UnreachableFor, seconds(2));
+  EXPECT_TRUE(Tracker.takeChanges().empty());
+}
+
+} // namespace
+
+} // namespace coltsfoottrail::test
--- a/packages/process/src/coltsfoottrail/fleethost/host.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/host.cpp
@@ -1,6 +1,7 @@
 #include "coltsfoottrail/fleethost/host.hpp"
 
 #include "coltsfoottrail/core/hash.hpp"
+#include "coltsfoottrail/fleethost/reachlog.hpp"
 #include "coltsfoottrail/logging/log.hpp"
 #include "coltsfoottrail/retries/share.hpp"
 
@@ -155,7 +156,7 @@
       View(Settings.Bounds), Draw(hashText(Settings.Host.Text)), Evidence(Link),
       Routing(RouterOptions{Settings.Host, dispatcherOptions(Settings), {}},
               Evidence),
-      Client(Pool.context(0), clientOptions()),
+      Client(Pool.context(0), clientOptions(), &Links.Endpoints),
       Proxy(View, Routing, Client, Links.Wire, Silence,
             hashText(Settings.Host.Text)),
       Member(makeMemberName(Settings)),
@@ -256,6 +257,7 @@
   if (View.version() == RoutedVersion)
     return;
   RoutedVersion = View.version();
+  refreshReach();
   const FleetRoutes NewRoutes = View.routes();
   Routing.setRoutes(NewRoutes.Table, NewRoutes.Shares, 1);
   if (!View.config() || View.config()->version() == LimitedVersion)
@@ -268,6 +270,25 @@
   malloc_trim(0);
 }
 
+void FleetHost::refreshReach() {
+  std::vector<ReachableEndpoint> Known;
+  for (const auto &[Name, Entry] : View.endpoints().all())
+    Known.push_back({Entry.Record.Address, Entry.Record.DataCentre});
+  Platform.Endpoints.reach().setEndpoints(Known);
+}
+
+/// Finds out which endpoints this host reaches, and logs changes.
+void FleetHost::trackReach(TimePoint Now) {
+  ReachabilityTracker &Reach = Platform.Endpoints.reach();
+  Reach.advance(Now);
+  for (EngineAddress &Endpoint : Reach.takeProbes(Now))
+    asio::co_spawn(Threads.context(0),
+                   Platform.Endpoints.probe(std::move(Endpoint)),
+                   asio::detached);
+  for (const ReachChange &Change : Reach.takeChanges())
+    logReachChange(Change, Now);
+}
+
 // Failure guarded against: the platform limits retries over all entry hosts,
 // and each of seventy hosts saves up ten for each pool: 1,718 retries for 6,670
 // requests in ten seconds, where 1,585 are allowed.
@@ -374,6 +395,7 @@
     const TimePoint Start = BootClock::now();
     Silence.recordOwnPause(Start - Due, Start);
     suspendSilent(Start);
+    trackReach(BootClock::now());
     endFastReads(BootClock::now());
     View.advance(BootClock::now());
     recordOverdue(BootClock::now());
@@ -441,6 +463,11 @@
   AppendLine("endpoints_draining", Tally.Draining);
   AppendLine("endpoints_cold", Tally.Cold);
   AppendLine("groups_open", Tally.Leaders);
+  const ReachTally Reached = Platform.Endpoints.reach().tally(Now);
+  AppendLine("endpoints_reached_directly", Reached.Direct);
+  AppendLine("endpoints_reached_through_hosts", Reached.Forwarded);
+  AppendLine("endpoints_not_reached", Reached.Unreachable);
+  AppendLine("cut_off", Platform.Endpoints.reach().cutOffSince() ? 1 : 0);
   RetryReport::appendTo(Text, Routing.retryTallies());
   Proxy.metrics().appendTo(Text);
   return Text;
--- a/packages/process/src/coltsfoottrail/fleethost/host.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/host.hpp
@@ -15,6 +15,7 @@
 #include "coltsfoottrail/fleethost/treeevidence.hpp"
 #include "coltsfoottrail/fleethost/view.hpp"
 #include "coltsfoottrail/logging/log.hpp"
+#include "coltsfoottrail/reach/dialer.hpp"
 #include "coltsfoottrail/server/retryreport.hpp"
 
 #include <boost/asio/steady_timer.hpp>
@@ -29,6 +30,8 @@
   FleetStore &Store;
   FleetEngines &Engines;
   const HeaderCodec &Wire;
+  /// Opens connections to endpoints.
+  Dialer &Endpoints;
 };
 
 /// @brief Connects the components of an entry host. All of its work runs on the
@@ -99,6 +102,8 @@
     return FeedId == Feed::Operators ? Operators : Endpoints;
   }
   void refreshRoutes();
+  void refreshReach();
+  void trackReach(TimePoint Now);
   void reportClosedLeaders();
   void logConfigFreshness(TimePoint Now);
   void shareLimits(TimePoint Now);
