Reach endpoints through another entry host when the own links are gone

Cause: a host knew no way to an endpoint but its own, and kept nothing of what a failed attempt had told. Each request waited a second for a connection, or 1.5 s on an open one that had gone silent, spent a retry of the bound that all hosts share, and the next one began anew.

Change: a connection to an endpoint that does not open within 150 ms is opened through another host: CONNECT to its address for peers, which opens it directly, to known endpoints only, and forwards bytes. While direct connections to an endpoint fail, the other host goes first. All decisions stay with the host that has the request: choice, deadline, attempts, bounds on retries and on cold endpoints, drains, loads. Hosts learn from the responses of the dissemination tree which others forward. A host that finds itself cut off leaves its silent connections and sends to endpoints again that it had taken for stalled.

Why it works: it does not matter whom the balancer chooses, how many hosts of a data centre are cut off, or that callers keep their connections. No byte of a request is sent before a connection is open, so no request runs twice for it. A connection through another host carries one request, so that a stop of that host waits for requests only; a response that ends with such a connection counts as incomplete, since the host between may have died.

Ruled out: to fail the readiness check alone (with more than half of a data centre cut off the balancer uses all of it, and kept connections stay); to pass requests instead of connections to another host, which would have to repeat every bound there; more retries (none of the cut hosts' attempts succeeded).

Links/PartitionedHosts.ServeAsOftenAsTheOthers failed for six of six kinds of cut; now six of six pass.

--- a/packages/connection/src/coltsfoottrail/http/client.cpp
+++ b/packages/connection/src/coltsfoottrail/http/client.cpp
@@ -81,6 +81,8 @@
   beast::tcp_stream Stream;
   beast::flat_buffer Buffer{MaxBufferBytes};
   TimePoint IdleSince{};
+  /// The entry host that forwards it; empty if it is direct.
+  std::optional<EngineAddress> Forwarder;
 
 private:
   std::weak_ptr<CallRegistry> Calls;
@@ -103,12 +105,19 @@
       ConnectionPtr Candidate = std::move(Found->second.back());
       Found->second.pop_back();
       --IdleCount;
-      if (Candidate->IdleSince > Oldest && Candidate->isReusable())
+      if (Candidate->IdleSince > Oldest && mayReuse(Endpoint, *Candidate) &&
+          Candidate->isReusable())
         return Candidate;
     }
     return nullptr;
   }
 
+  [[nodiscard]] bool mayReuse(const EngineAddress &Endpoint,
+                              const HttpCall::Connection &Candidate) const {
+    return Dial == nullptr ||
+           Dial->reach().mayReuse(Endpoint, Candidate.IdleSince);
+  }
+
   /// @return Whether the connection is open.
   [[nodiscard]] Awaitable<bool> connect(HttpCall::Connection &Link,
                                         const EngineAddress &Endpoint,
@@ -122,18 +131,22 @@
           co_await Network.connect(Link.Stream, Endpoint, MaxTime);
       co_return !Problem;
     }
-    const std::optional<DialedConnection> Dialed =
+    std::optional<DialedConnection> Dialed =
         co_await Dial->dial(Link.Stream, Endpoint, MaxTime);
+    if (Dialed)
+      Link.Forwarder = std::move(Dialed->Forwarder);
     co_return Dialed.has_value();
   }
 
-  void recordData(const EngineAddress &Endpoint) const {
-    if (Dial != nullptr)
+  void recordData(const EngineAddress &Endpoint,
+                  const HttpCall::Connection &Link) const {
+    if (Dial != nullptr && !Link.Forwarder)
       Dial->reach().recordData(Endpoint, BootClock::now());
   }
   /// Records a connection that was given up while a response was due.
-  void recordSilence(const EngineAddress &Endpoint) const {
-    if (Dial != nullptr)
+  void recordSilence(const EngineAddress &Endpoint,
+                     const HttpCall::Connection &Link) const {
+    if (Dial != nullptr && !Link.Forwarder)
       Dial->reach().recordSilence(Endpoint, BootClock::now());
   }
 
@@ -181,6 +194,10 @@
 
 const HttpResponse &HttpCall::head() const noexcept { return Current->Head; }
 
+const std::optional<EngineAddress> &HttpCall::forwarder() const noexcept {
+  return Current->Link->Forwarder;
+}
+
 Awaitable<std::variant<std::optional<std::string>, CallFailure>>
 HttpCall::next(TimePoint Deadline) {
   State &Call = *Current;
@@ -201,7 +218,7 @@
     if (Problem) {
       const bool TimedOut = Problem == beast::error::timeout;
       if (Owner && !isConnectionLost(Problem))
-        Owner->recordSilence(Call.Endpoint);
+        Owner->recordSilence(Call.Endpoint, *Call.Link);
       co_return CallFailure{RunState::MayHaveRun,
                             TimedOut ? Reason::EndpointTimedOut
                                      : Reason::EndpointCut,
@@ -210,13 +227,18 @@
     const std::size_t Bytes = Call.Part.size() - Body.size;
     if (Bytes > 0) {
       if (Owner)
-        Owner->recordData(Call.Endpoint);
+        Owner->recordData(Call.Endpoint, *Call.Link);
       Call.Part.resize(Bytes);
       co_return std::move(Call.Part);
     }
   }
+  // Failure guarded against: the host that forwards a response without a length
+  // dies, its end closes the connection, and the rest passes for complete.
+  if (Call.Link && Call.Link->Forwarder && Call.Parser.need_eof())
+    co_return CallFailure{RunState::MayHaveRun, Reason::EndpointCut, false};
   const auto Owner = Call.Owner.lock();
-  if (Owner && Call.Link && Call.Parser.get().keep_alive())
+  if (Owner && Call.Link && !Call.Link->Forwarder &&
+      Call.Parser.get().keep_alive())
     Owner->release(Call.Endpoint, std::move(Call.Link),
                    Call.MaxIdleConnections);
   co_return std::optional<std::string>{};
@@ -310,13 +332,13 @@
   if (Problem) {
     const bool TimedOut = Problem == beast::error::timeout;
     if (!isConnectionLost(Problem))
-      ClientCore->recordSilence(CallState.Endpoint);
+      ClientCore->recordSilence(CallState.Endpoint, *CallState.Link);
     co_return CallFailure{RunState::MayHaveRun,
                           TimedOut ? Reason::EndpointTimedOut
                                    : Reason::EndpointFailed,
                           isConnectionLost(Problem)};
   }
-  ClientCore->recordData(CallState.Endpoint);
+  ClientCore->recordData(CallState.Endpoint, *CallState.Link);
   CallState.Head.Status = CallState.Parser.get().result_int();
   for (const auto &Field : CallState.Parser.get())
     CallState.Head.Fields.push_back(
--- a/packages/connection/src/coltsfoottrail/http/client.hpp
+++ b/packages/connection/src/coltsfoottrail/http/client.hpp
@@ -94,6 +94,10 @@
   /// @brief Status and fields of the response.
   [[nodiscard]] const HttpResponse &head() const noexcept;
 
+  /// @brief The entry host that forwards the connection; empty if it is direct.
+  /// Precondition: the body is not complete yet.
+  [[nodiscard]] const std::optional<EngineAddress> &forwarder() const noexcept;
+
   /// @brief Waits for the next part of the body.
   /// @param Deadline Deadline of the wait.
   /// @return The part; an empty optional at the end of a complete body; or the
--- a/packages/connection/src/coltsfoottrail/http/server.cpp
+++ b/packages/connection/src/coltsfoottrail/http/server.cpp
@@ -1,5 +1,7 @@
 #include "coltsfoottrail/http/server.hpp"
 
+#include "coltsfoottrail/http/forwardbytes.hpp"
+
 #include <array>
 #include <atomic>
 #include <boost/asio/bind_cancellation_slot.hpp>
@@ -198,6 +200,18 @@
     Stream.socket().close(Ignored);
   }
 
+  Awaitable<void> tunnel(Tcp::socket Other) override {
+    ResponseStarted = true;
+    KeepAlive = false;
+    stopWatching();
+    static constexpr std::string_view Established = "HTTP/1.1 200 OK\r\n\r\n";
+    Stream.expires_after(RequestLimits.WriteTimeout);
+    co_await asio::async_write(Stream, asio::buffer(Established),
+                               asio::use_awaitable);
+    Stream.expires_never();
+    co_await forwardBytes(Stream.socket(), Other);
+  }
+
 private:
   template <class MessageType>
   void fillHead(MessageType &Message, const HttpResponse &Head) {
--- a/packages/connection/src/coltsfoottrail/http/server.hpp
+++ b/packages/connection/src/coltsfoottrail/http/server.hpp
@@ -7,6 +7,7 @@
 #include "coltsfoottrail/http/iopool.hpp"
 #include "coltsfoottrail/http/message.hpp"
 
+#include <boost/asio/ip/tcp.hpp>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -69,6 +70,13 @@
   /// @brief Closes the connection in the middle of a streamed response, so that
   /// the client detects that it is incomplete.
   virtual void cut() noexcept = 0;
+  /// @brief Responds with success and then forwards bytes between the client
+  /// and another connection until either is closed. A reset of one resets the
+  /// other. Precondition: no response has been started.
+  /// @param Other An open connection on the executor of this exchange.
+  /// @throws boost::system::system_error The client disconnected before.
+  [[nodiscard]] virtual Awaitable<void>
+  tunnel(boost::asio::ip::tcp::socket Other) = 0;
 };
 
 /// Handles a request. The coroutine is cancelled (its pending or next wait
--- a/packages/connection/src/coltsfoottrail/reach/dialer.hpp
+++ b/packages/connection/src/coltsfoottrail/reach/dialer.hpp
@@ -70,6 +70,12 @@
   /// endpoint is reached.
   [[nodiscard]] Awaitable<void> probe(EngineAddress Endpoint);
 
+  /// @brief Opens a direct connection for another entry host.
+  /// @param Stream A stream that is not connected.
+  /// @return Whether it is open.
+  [[nodiscard]] Awaitable<bool> dialForHost(boost::beast::tcp_stream &Stream,
+                                            EngineAddress Endpoint);
+
   /// @brief Which endpoints are reached.
   [[nodiscard]] ReachabilityTracker &reach() noexcept { return Reach; }
   /// @copydoc reach
@@ -81,6 +87,13 @@
   [[nodiscard]] Awaitable<bool> dialDirect(boost::beast::tcp_stream &Stream,
                                            const EngineAddress &Endpoint,
                                            milliseconds Timeout);
+  [[nodiscard]] Awaitable<bool> dialForwarded(boost::beast::tcp_stream &Stream,
+                                              const EngineAddress &Host,
+                                              const EngineAddress &Endpoint,
+                                              milliseconds Timeout);
+  [[nodiscard]] Awaitable<unsigned>
+  requestTunnel(boost::beast::tcp_stream &Stream, const EngineAddress &Endpoint,
+                milliseconds Timeout);
 
   Connector &Network;
   ReachabilityTracker Reach;
--- a/packages/connection/src/coltsfoottrail/reach/fwd.hpp
+++ b/packages/connection/src/coltsfoottrail/reach/fwd.hpp
@@ -13,6 +13,7 @@
 class ReachabilityTracker;
 class Connector;
 class Dialer;
+class ForwardingService;
 
 } // namespace coltsfoottrail
 
--- a/packages/connection/src/coltsfoottrail/reach/tracker.cpp
+++ b/packages/connection/src/coltsfoottrail/reach/tracker.cpp
@@ -7,16 +7,18 @@
 namespace {
 
 /// An entry host that was not named for this long is not asked to forward.
-constexpr Duration ForwarderLife = seconds(5);
+constexpr Duration ForwarderLife = seconds(3);
 /// How long a host that failed to forward is not asked again while others are
 /// left.
 constexpr Duration ForwarderPause = seconds(1);
 /// How long an endpoint that another host does not reach either counts as gone.
-constexpr Duration GoneLife = seconds(2);
+constexpr Duration GoneLife = seconds(1);
 /// Number of hosts that are tried for one connection.
 constexpr std::size_t MaxForwardSteps = 2;
-/// Number of endpoints that are probed at once.
+/// Number of endpoints that are probed at once, and while it is open whether
+/// this host is cut off.
 constexpr std::size_t MaxProbes = 2;
+constexpr std::size_t MaxDoubtfulProbes = 6;
 /// This host counts as cut off if at least this many endpoints fail for each
 /// one that it hears, and as reconnected if fewer fail than it hears.
 constexpr std::uint32_t FailingPerHeard = 2;
@@ -173,6 +175,18 @@
   return IdleSince > Found->second.ReuseAfter;
 }
 
+bool ReachabilityTracker::isUnreachable(const EngineAddress &Endpoint) const {
+  const auto Found = Endpoints.find(Endpoint);
+  return Found != Endpoints.end() && Found->second.FailingSince.has_value();
+}
+
+bool ReachabilityTracker::isDoubtful(TimePoint Now) const {
+  if (CutOff)
+    return true;
+  const std::uint32_t Failing = failing(Now);
+  return Failing >= MinDoubtful && Failing >= heardSince(*onset(Now));
+}
+
 bool ReachabilityTracker::reachesNothing(TimePoint Now) const {
   const auto IsAlive = [&](const auto &Entry) {
     return Now - Entry.second.HeardAt <= ForwarderLife;
@@ -214,7 +228,8 @@
 void ReachabilityTracker::advance(TimePoint Now) {
   const std::uint32_t Failing = failing(Now);
   if (!CutOff) {
-    if (Failing < MinFailing)
+    if (Failing == 0 ||
+        Failing < std::min<std::size_t>(MinFailing, Endpoints.size()))
       return;
     const TimePoint Onset = *onset(Now);
     if (Failing < FailingPerHeard * heardSince(Onset))
@@ -232,22 +247,35 @@
   CutOff.reset();
 }
 
+/// Endpoints that fail, and while this host may be at fault also those that
+/// were not heard from since.
+std::vector<EngineAddress>
+ReachabilityTracker::probeCandidates(TimePoint Now) const {
+  const std::optional<TimePoint> Onset = isDoubtful(Now) ? onset(Now) : CutOff;
+  std::vector<EngineAddress> Result;
+  for (const auto &[Address, State] : Endpoints) {
+    const bool Unheard = Onset && (!State.HeardAt || *State.HeardAt <= *Onset);
+    if (State.FailingSince || Unheard)
+      Result.push_back(Address);
+  }
+  return Result;
+}
+
 // A successful probe is followed by the next one at once, so that the endpoints
 // are reached again one after the other as soon as the links are back.
 std::vector<EngineAddress> ReachabilityTracker::takeProbes(TimePoint Now) {
   if (Now < NextProbeAt)
     return {};
-  std::vector<EngineAddress> Candidates;
-  for (const auto &[Address, State] : Endpoints)
-    if (State.FailingSince)
-      Candidates.push_back(Address);
+  std::vector<EngineAddress> Candidates = probeCandidates(Now);
   if (Candidates.empty())
     return {};
   NextProbeAt = Now + ProbeInterval;
+  const std::size_t Limit =
+      !CutOff && isDoubtful(Now) ? MaxDoubtfulProbes : MaxProbes;
   std::vector<EngineAddress> Result;
-  while (!Candidates.empty() && Result.size() < MaxProbes) {
+  while (!Candidates.empty() && Result.size() < Limit) {
     const std::size_t Index = Draw.below(Candidates.size());
-    Result.push_back(Candidates[Index]);
+    Result.push_back(std::move(Candidates[Index]));
     Candidates.erase(Candidates.begin() + static_cast<std::ptrdiff_t>(Index));
   }
   return Result;
--- a/packages/connection/src/coltsfoottrail/reach/tracker.hpp
+++ b/packages/connection/src/coltsfoottrail/reach/tracker.hpp
@@ -138,6 +138,11 @@
   [[nodiscard]] std::optional<TimePoint> cutOffSince() const noexcept {
     return CutOff;
   }
+  /// @brief Whether endpoints fail and hardly any other has been heard from
+  /// since: this host may be at fault, not the endpoints.
+  [[nodiscard]] bool isDoubtful(TimePoint Now) const;
+  /// @brief Whether new direct connections to an endpoint fail at present.
+  [[nodiscard]] bool isUnreachable(const EngineAddress &Endpoint) const;
   /// @brief Whether this host is cut off and knows no other host that forwards:
   /// no request can be served.
   [[nodiscard]] bool reachesNothing(TimePoint Now) const;
@@ -161,9 +166,12 @@
   static constexpr milliseconds ForwardTimeout{250};
   /// Interval between two direct probes while endpoints are not reached.
   static constexpr milliseconds ProbeInterval{400};
-  /// Endpoints that must fail, with none heard from, before this host counts as
-  /// cut off.
-  static constexpr std::uint32_t MinFailing = 3;
+  /// Endpoints that must fail before this host counts as cut off, unless it
+  /// knows fewer.
+  static constexpr std::uint32_t MinFailing = 6;
+  /// Endpoints that must fail before others are probed and what this host
+  /// finds unreachable is doubted.
+  static constexpr std::uint32_t MinDoubtful = 2;
 
 private:
   struct EndpointState {
@@ -191,6 +199,7 @@
   [[nodiscard]] std::optional<TimePoint> onset(TimePoint Now) const;
   [[nodiscard]] std::uint32_t heardSince(TimePoint Since) const;
   [[nodiscard]] std::uint32_t failing(TimePoint Now) const;
+  [[nodiscard]] std::vector<EngineAddress> probeCandidates(TimePoint Now) const;
   [[nodiscard]] std::vector<EngineAddress>
   chooseForwarders(const DataCentreName &Near, TimePoint Now);
 
--- a/packages/process/src/coltsfoottrail/dissemination/link.cpp
+++ b/packages/process/src/coltsfoottrail/dissemination/link.cpp
@@ -18,6 +18,7 @@
 namespace {
 
 constexpr std::string_view ReportPath = "/report";
+constexpr std::string_view ConnectMethod = "CONNECT";
 constexpr unsigned StatusOk = 200;
 constexpr unsigned StatusBadRequest = 400;
 constexpr unsigned StatusNotFound = 404;
@@ -48,7 +49,8 @@
 
 TreeLink::TreeLink(IoPool &Pool, const SocketAddress &Listen,
                    std::string Member, FleetStore &Store, TreeLinkHooks Hooks)
-    : Store(Store), Hooks(std::move(Hooks)), Self(std::move(Member)),
+    : Store(Store), Hooks(std::move(Hooks)),
+      Self(std::move(Member)), OwnAddress{Listen.Address, Listen.Port},
       Node(HostName(Self)), Client(Pool.context(0), ClientOptions{}),
       UpdateSignal(Pool.context(0), asio::steady_timer::time_point::max()),
       CurrentUpstream(Self, BootClock::now()), Hold(LongestReportPace) {
@@ -118,6 +120,7 @@
                              CurrentUpstream.coordinator();
   if (!IsMisdirected)
     Node.recordReport(Received, BootClock::now());
+  recordForwarder(Received, BootClock::now());
   Response Result;
   std::optional<HostName> AssignedRelay;
   if (Hooks.Coordinates())
@@ -130,6 +133,9 @@
     Result = Node.makeResponse(Received, BootClock::now());
   }
   const TimePoint Now = BootClock::now();
+  if (const auto Asker = addressOfMember(Received.Host.Text))
+    Result.Forwarders =
+        (Received.ToRelay ? AllForwarders : OwnForwarders).choose(*Asker, Now);
   Result.Coordinates = Hooks.Coordinates();
   Result.CoordinatorHeard =
       Result.Coordinates || Now - CoordinatorHeardAt < CoordinatorLife;
@@ -144,6 +150,21 @@
   co_return Result;
 }
 
+void TreeLink::recordForwarder(const Report &Sent, TimePoint Now) {
+  const std::optional<EngineAddress> Address = addressOfMember(Sent.Host.Text);
+  if (!Address)
+    return;
+  for (ForwarderDirectory *const Directory : {&OwnForwarders, &AllForwarders})
+    if (Sent.CanForward)
+      Directory->add({*Address, Sent.DataCentre}, Now);
+    else
+      Directory->remove(*Address);
+}
+
+void TreeLink::publishForwarders(TimePoint Now) {
+  Hooks.OnForwarders(AllForwarders.choose(OwnAddress, Now));
+}
+
 Awaitable<void> TreeLink::forwardStalls(std::vector<std::string> Stalled) {
   for (std::string &Endpoint : Stalled)
     if (Hooks.Coordinates())
@@ -154,6 +175,10 @@
 
 Awaitable<void> TreeLink::serve(Exchange &Call) {
   HttpResponse Reply;
+  if (Call.request().Method == ConnectMethod) {
+    co_await Hooks.Forward(Call);
+    co_return;
+  }
   if (Call.request().Target != ReportPath) {
     Reply.Status = StatusNotFound;
     co_await Call.respond(std::move(Reply));
@@ -198,6 +223,7 @@
   checkSuccession();
   Report Result = Hooks.MakeReport();
   Result.Host = HostName(Self);
+  recordForwarder(Result, Now);
   Node.recordOwn(std::move(Result.Loads), Now);
   Node.setSubtree(Result, Now);
   Result.ToRelay = CurrentUpstream.hasRelay();
@@ -235,6 +261,11 @@
   if (Received.LeaseHeard)
     LeaseHeardAt = Now;
   recordHosts(Received.Hosts, Now);
+  // Only what the coordinator and relays name is passed on, and only by relays:
+  // hosts that take each other for the coordinator would renew it for ever.
+  for (const Forwarder &Host : Received.Forwarders)
+    AllForwarders.add(Host, Now);
+  publishForwarders(Now);
   if (CurrentUpstream.applyResponse(Received, ByRelay)) {
     Hold = LongestReportPace;
     logEvent(Event::RelayAssigned, {{"relay", *Received.Relay}});
@@ -281,6 +312,7 @@
   Response Answer;
   Answer.Coordinates = true;
   Answer.Loads = Node.otherLoads(Now);
+  publishForwarders(Now);
   RootReport.Next.clear();
   RootReport.Missing.clear();
   Hooks.OnResponse(RootReport, std::move(Answer), Now);
--- a/packages/process/src/coltsfoottrail/dissemination/link.hpp
+++ b/packages/process/src/coltsfoottrail/dissemination/link.hpp
@@ -4,6 +4,7 @@
 #define COLTSFOOTTRAIL_DISSEMINATION_LINK_HPP
 
 #include "coltsfoottrail/boundary/store.hpp"
+#include "coltsfoottrail/dissemination/forwarders.hpp"
 #include "coltsfoottrail/dissemination/node.hpp"
 #include "coltsfoottrail/dissemination/upstream.hpp"
 #include "coltsfoottrail/http/client.hpp"
@@ -39,6 +40,10 @@
   std::function<void(const Report &, Response, TimePoint)> OnResponse;
   /// Receives notices of other hosts about requests that crash endpoints.
   std::function<void(std::span<const PoolNotice>)> OnNotices;
+  /// Receives hosts that forward connections to endpoints.
+  std::function<void(std::span<const Forwarder>)> OnForwarders;
+  /// Forwards a connection to an endpoint for another host.
+  ExchangeHandler Forward;
   /// Called on the coordinator with an endpoint whose streams have stalled.
   std::function<void(const std::string &)> OnStalled;
 };
@@ -119,6 +124,8 @@
   [[nodiscard]] Awaitable<bool> step();
   [[nodiscard]] Report ownReport(TimePoint Now);
   void recordOwnAsRoot();
+  void recordForwarder(const Report &Sent, TimePoint Now);
+  void publishForwarders(TimePoint Now);
   void takeNotices(std::span<const PoolNotice> Notices);
   void checkSuccession();
   void recordHosts(std::uint64_t Count, TimePoint Now);
@@ -126,7 +133,13 @@
   FleetStore &Store;
   TreeLinkHooks Hooks;
   std::string Self;
+  /// At which other hosts reach this one.
+  EngineAddress OwnAddress;
   TreeNode Node;
+  /// This host and those that report to it.
+  ForwarderDirectory OwnForwarders;
+  /// Those and the ones that the upstream has named.
+  ForwarderDirectory AllForwarders;
   HttpClient Client;
   /// Never expires; cancelled to wake responses that wait for an update.
   boost::asio::steady_timer UpdateSignal;
--- a/packages/process/src/coltsfoottrail/dissemination/messages.cpp
+++ b/packages/process/src/coltsfoottrail/dissemination/messages.cpp
@@ -15,6 +15,7 @@
 
 constexpr std::size_t LoadFields = 5;
 constexpr std::size_t RecordFields = 2;
+constexpr std::size_t ForwarderFields = 2;
 constexpr std::string_view ReportSource = "report of an entry host";
 constexpr std::string_view ResponseSource = "response of an entry host";
 constexpr std::array AllFeeds{Feed::Operators, Feed::Endpoints};
@@ -154,6 +155,30 @@
   return {HostName(Cursor.textOr("board", "")), Cursor.number("next")};
 }
 
+Json encodeForwarders(const std::vector<Forwarder> &Hosts) {
+  Json Result = Json::array();
+  for (const Forwarder &Host : Hosts)
+    Result.push_back({textOf(Host.Address), Host.DataCentre.Text});
+  return Result;
+}
+
+std::vector<Forwarder> decodeForwarders(ObjectReader &Reader) {
+  std::vector<Forwarder> Result;
+  if (!Reader.has("forwarders"))
+    return Result;
+  for (const Json &Row : Reader.raw("forwarders")) {
+    if (!Row.is_array() || Row.size() != ForwarderFields ||
+        !Row[0].is_string() || !Row[1].is_string())
+      Reader.refuse("forwarders",
+                    "a list of an address and a data centre each");
+    const auto Address = addressFrom(Row[0].get<std::string>());
+    if (!Address)
+      Reader.refuse("forwarders", "an address and a port");
+    Result.push_back({*Address, DataCentreName(Row[1].get<std::string>())});
+  }
+  return Result;
+}
+
 std::optional<std::string> optionalText(ObjectReader &Reader,
                                         std::string_view Key) {
   if (!Reader.has(Key))
@@ -180,6 +205,8 @@
   Result["read_notices"] = encodeCursor(Message.ReadNotices);
   if (!Message.Notices.empty())
     Result["notices"] = encodeNotices(Message.Notices);
+  if (Message.CanForward)
+    Result["can_forward"] = true;
   if (Message.FailedRelay)
     Result["failed_relay"] = *Message.FailedRelay;
   return encodeCbor(Result);
@@ -200,6 +227,8 @@
   Result["next_notices"] = encodeCursor(Message.NextNotices);
   if (!Message.Notices.empty())
     Result["notices"] = encodeNotices(Message.Notices);
+  if (!Message.Forwarders.empty())
+    Result["forwarders"] = encodeForwarders(Message.Forwarders);
   if (Message.Coordinator)
     Result["coordinator"] = *Message.Coordinator;
   if (Message.Relay)
@@ -217,6 +246,7 @@
   Result.ToRelay = Reader.flagOr("to_relay", false);
   Result.CanRelay = Reader.flagOr("can_relay", false);
   Result.WantsAll = Reader.flagOr("wants_all", false);
+  Result.CanForward = Reader.flagOr("can_forward", false);
   Result.FailedRelay = optionalText(Reader, "failed_relay");
   Result.Loads = decodeLoads(Reader, ReportSource);
   ObjectReader Next = Reader.object("next");
@@ -250,6 +280,7 @@
   Result.Truncated = decodeFeeds(Reader.texts("truncated"));
   Result.Notices = decodeNotices(Reader, ResponseSource);
   Result.NextNotices = decodeCursor(Reader, "next_notices");
+  Result.Forwarders = decodeForwarders(Reader);
   return Result;
 }
 
--- a/packages/process/src/coltsfoottrail/dissemination/messages.hpp
+++ b/packages/process/src/coltsfoottrail/dissemination/messages.hpp
@@ -6,6 +6,7 @@
 #include "coltsfoottrail/boundary/store.hpp"
 #include "coltsfoottrail/dissemination/noticeboard.hpp"
 #include "coltsfoottrail/loadshare/loads.hpp"
+#include "coltsfoottrail/reach/tracker.hpp"
 
 #include <map>
 #include <optional>
@@ -32,6 +33,8 @@
   /// Whether the sender may become the coordinator and needs all changed
   /// records.
   bool WantsAll = false;
+  /// Whether the sender forwards connections to endpoints for other hosts.
+  bool CanForward = false;
   /// Address and port of a relay that recently failed for this host.
   std::optional<std::string> FailedRelay;
   /// Requests at each endpoint.
@@ -101,6 +104,8 @@
   std::set<Feed> Truncated;
   /// Notices that the reporter may not have yet.
   std::vector<RelayedNotice> Notices;
+  /// Some of the hosts that forward connections to endpoints.
+  std::vector<Forwarder> Forwarders;
   /// Where the reporter continues to read the sender's notices; its board is
   /// empty if the sender does not pass on notices.
   NoticeCursor NextNotices;
--- a/packages/process/src/coltsfoottrail/dissemination/upstream.cpp
+++ b/packages/process/src/coltsfoottrail/dissemination/upstream.cpp
@@ -1,7 +1,6 @@
 #include "coltsfoottrail/dissemination/upstream.hpp"
 
 #include <algorithm>
-#include <charconv>
 
 namespace coltsfoottrail {
 
@@ -25,18 +24,7 @@
 } // namespace
 
 std::optional<EngineAddress> addressOfMember(std::string_view Member) {
-  const std::string_view Text = Member.substr(0, Member.find('/'));
-  const std::size_t Colon = Text.rfind(':');
-  if (Colon == std::string_view::npos)
-    return std::nullopt;
-  EngineAddress Result;
-  Result.Address = Text.substr(0, Colon);
-  const char *const End = Text.data() + Text.size();
-  const auto Parsed =
-      std::from_chars(Text.data() + Colon + 1, End, Result.Port);
-  if (Parsed.ec != std::errc{} || Parsed.ptr != End)
-    return std::nullopt;
-  return Result;
+  return addressFrom(Member.substr(0, Member.find('/')));
 }
 
 Upstream::Upstream(std::string_view Member, TimePoint Now)
--- a/packages/process/src/coltsfoottrail/fleethost/attempt.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/attempt.cpp
@@ -192,6 +192,10 @@
     co_return Result;
   }
   HttpCall UpstreamCall = std::move(std::get<HttpCall>(Started));
+  if (const auto &Forwarder = UpstreamCall.forwarder())
+    Context.Trail.add(Event::RequestForwarded,
+                      {{"endpoint", Target.Host}, {"host", textOf(*Forwarder)}},
+                      BootClock::now());
   const ResponseMetadata AnswerHeaders = Wire.readResponse(UpstreamCall.head());
   recordLoad(Target, AnswerHeaders);
   if (!AnswerHeaders.Id.empty() && AnswerHeaders.Id != Context.Caller.Id)
--- a/packages/process/src/coltsfoottrail/fleethost/feeds.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/feeds.cpp
@@ -142,6 +142,10 @@
           PeerNoticeLog.admit(Event::CrashNoticed, BootClock::now()))
         logNotice(PoolName, Notice, "peer");
   };
+  Result.OnForwarders = [this](std::span<const Forwarder> Hosts) {
+    Platform.Endpoints.reach().addForwarders(Hosts, BootClock::now());
+  };
+  Result.Forward = [this](Exchange &Call) { return Forwarding.serve(Call); };
   Result.OnStalled = [this](const std::string &Endpoint) {
     Coordinator.probeMembers(Endpoint, Threads.context(0).get_executor());
   };
@@ -153,6 +157,7 @@
   Result.DataCentre = Settings.DataCentre;
   Result.CanRelay = dutyRole() == DutyRole::Candidate;
   Result.WantsAll = Result.CanRelay;
+  Result.CanForward = Forwarding.isForwarding();
   Result.Loads = Routing.ownLoads();
   const auto Describe = [&Result](Feed FeedId, const FeedFollower &Follower) {
     if (!Follower.next() && !Result.WantsAll)
--- a/packages/process/src/coltsfoottrail/fleethost/host.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/host.cpp
@@ -154,6 +154,7 @@
                      FleetLinks Links)
     : Settings(std::move(InitialSettings)), Threads(Pool), Platform(Links),
       View(Settings.Bounds), Draw(hashText(Settings.Host.Text)), Evidence(Link),
+      Forwarding(Links.Endpoints),
       Routing(RouterOptions{Settings.Host, dispatcherOptions(Settings), {}},
               Evidence),
       Client(Pool.context(0), clientOptions(), &Links.Endpoints),
@@ -285,8 +286,31 @@
     asio::co_spawn(Threads.context(0),
                    Platform.Endpoints.probe(std::move(Endpoint)),
                    asio::detached);
-  for (const ReachChange &Change : Reach.takeChanges())
+  for (const ReachChange &Change : Reach.takeChanges()) {
     logReachChange(Change, Now);
+    handleReachChange(Change);
+  }
+}
+
+void FleetHost::handleReachChange(const ReachChange &Change) {
+  if (const auto *const Cut = std::get_if<CutOffBegan>(&Change))
+    leaveSilentConnections(*Cut);
+}
+
+// Failure guarded against: this host is cut off, and each request on an open
+// connection waits until its own time limit, while endpoints that are taken for
+// stalled get no requests although other hosts reach them.
+void FleetHost::leaveSilentConnections(const CutOffBegan &Cut) {
+  for (const auto &[Name, SuspendedAt] : SilencedAt)
+    if (SuspendedAt >= Cut.Since)
+      View.resume(Name);
+  SilencedAt.clear();
+  refreshRoutes();
+  const ReachabilityTracker &Reach = Platform.Endpoints.reach();
+  for (const auto &[Name, Entry] : View.endpoints().all())
+    if (Reach.isBehindCut(Entry.Record.Address))
+      Client.abort(Entry.Record.Address);
+  Routing.advance();
 }
 
 // Failure guarded against: the platform limits retries over all entry hosts,
@@ -352,11 +376,20 @@
     const KnownEndpoint *const Entry = View.endpoints().find(Endpoint);
     if (Entry == nullptr || View.isSuspended(Endpoint))
       continue;
-    View.suspend(Endpoint, FleetView::SilentSuspension, Now);
-    refreshRoutes();
-    const std::size_t Moved = Client.abort(Entry->Record.Address);
+    const EngineAddress Address = Entry->Record.Address;
+    if (!Platform.Endpoints.reach().cutOffSince()) {
+      View.suspend(Endpoint, FleetView::SilentSuspension, Now);
+      SilencedAt.insert_or_assign(Endpoint, Now);
+      refreshRoutes();
+      asio::co_spawn(Threads.context(0), Platform.Endpoints.probe(Address),
+                     asio::detached);
+    }
+    const std::size_t Moved = Client.abort(Address);
     logEvent(Event::EndpointSilent, {{"endpoint", Name}, {"moved", Moved}});
   }
+  std::erase_if(SilencedAt, [&](const auto &Entry) {
+    return Now - Entry.second > FleetView::SilentSuspension;
+  });
 }
 
 /// Suspends an endpoint whose group needs repair and reports it to the
@@ -467,6 +500,8 @@
   AppendLine("endpoints_reached_directly", Reached.Direct);
   AppendLine("endpoints_reached_through_hosts", Reached.Forwarded);
   AppendLine("endpoints_not_reached", Reached.Unreachable);
+  AppendLine("connections_forwarded_total", Forwarding.total());
+  AppendLine("connections_forwarded", Forwarding.open());
   AppendLine("cut_off", Platform.Endpoints.reach().cutOffSince() ? 1 : 0);
   RetryReport::appendTo(Text, Routing.retryTallies());
   Proxy.metrics().appendTo(Text);
@@ -484,6 +519,7 @@
 Awaitable<void> FleetHost::runStop(std::function<void(std::size_t)> Done) {
   const TimePoint StartedAt = BootClock::now();
   Stopping = true;
+  Forwarding.stop();
   logEvent(Event::Stopping, {{"in_progress", Front->inProgress()}});
   co_await Coordinator.leave();
   asio::steady_timer Pause(co_await asio::this_coro::executor);
@@ -492,7 +528,8 @@
   Front->stopAccepting();
   const TimePoint DrainDeadline =
       StartedAt + Settings.Bounds.StopGrace - StopMargin;
-  while (Front->inProgress() > 0 && BootClock::now() < DrainDeadline) {
+  while (Front->inProgress() + Forwarding.open() > 0 &&
+         BootClock::now() < DrainDeadline) {
     Pause.expires_after(StopPoll);
     co_await Pause.async_wait(asio::use_awaitable);
   }
--- a/packages/process/src/coltsfoottrail/fleethost/host.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/host.hpp
@@ -15,7 +15,7 @@
 #include "coltsfoottrail/fleethost/treeevidence.hpp"
 #include "coltsfoottrail/fleethost/view.hpp"
 #include "coltsfoottrail/logging/log.hpp"
-#include "coltsfoottrail/reach/dialer.hpp"
+#include "coltsfoottrail/reach/forwarding.hpp"
 #include "coltsfoottrail/server/retryreport.hpp"
 
 #include <boost/asio/steady_timer.hpp>
@@ -104,6 +104,8 @@
   void refreshRoutes();
   void refreshReach();
   void trackReach(TimePoint Now);
+  void handleReachChange(const ReachChange &Change);
+  void leaveSilentConnections(const CutOffBegan &Cut);
   void reportClosedLeaders();
   void logConfigFreshness(TimePoint Now);
   void shareLimits(TimePoint Now);
@@ -128,6 +130,7 @@
   /// A crash comes with a notice from each host that had requests there.
   EventSampler PeerNoticeLog{MaxPeerNoticesLogged, seconds(1)};
   TreeEvidence Evidence;
+  ForwardingService Forwarding;
   Router Routing;
   HttpClient Client;
   StallDetector Silence;
@@ -138,6 +141,8 @@
   GroupCoordinator Coordinator;
   FeedFollower Operators;
   FeedFollower Endpoints;
+  /// When endpoints were suspended because their streams had stalled.
+  std::map<EndpointName, TimePoint> SilencedAt;
   /// When stalled endpoints were reported to the coordinator.
   std::map<std::string, TimePoint> StallsReportedAt;
   /// Until when records with changed seats are expected.
--- a/packages/process/src/coltsfoottrail/fleethost/view.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/view.cpp
@@ -219,6 +219,10 @@
     ++Changes;
 }
 
+void FleetView::resume(const EndpointName &Name) {
+  Changes += Suspended.erase(Name);
+}
+
 void FleetView::advance(TimePoint Now) {
   Catalogue.advance(Now);
   const auto IsExpired = [&](const auto &Expiry) {
--- a/packages/process/src/coltsfoottrail/fleethost/view.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/view.hpp
@@ -79,6 +79,8 @@
   /// @brief Gives an endpoint no new requests for a while, or until its record
   /// shows that its process restarted or that its group changed.
   void suspend(const EndpointName &Name, Duration Span, TimePoint Now);
+  /// @brief Ends the suspension of an endpoint, if any.
+  void resume(const EndpointName &Name);
   /// @brief Whether an endpoint currently gets no new requests.
   [[nodiscard]] bool isSuspended(const EndpointName &Name) const {
     return Suspended.contains(Name);
--- a/packages/process/src/coltsfoottrail/logging/event.cpp
+++ b/packages/process/src/coltsfoottrail/logging/event.cpp
@@ -98,6 +98,8 @@
     {Event::RetryBudget, LogLevel::Info, "retry-budget",
      "Retries of a service that this host has earned and spent since its "
      "start."},
+    {Event::RequestForwarded, LogLevel::Info, "request-forwarded",
+     "A request's connection to its endpoint goes through another entry host."},
     {Event::EndpointLost, LogLevel::Warn, "endpoint-lost",
      "An endpoint takes no more work from this host."},
     {Event::EndpointBack, LogLevel::Info, "endpoint-back",
--- a/packages/process/src/coltsfoottrail/logging/event.hpp
+++ b/packages/process/src/coltsfoottrail/logging/event.hpp
@@ -57,6 +57,7 @@
   CrashDismissed = 1319,
   SuspectCleared = 1320,
   RetryBudget = 1321,
+  RequestForwarded = 1322,
   EndpointLost = 1401,
   EndpointBack = 1402,
   EndpointCold = 1403,
--- a/packages/version/src/coltsfoottrail/platform/engine.hpp
+++ b/packages/version/src/coltsfoottrail/platform/engine.hpp
@@ -8,6 +8,8 @@
 
 #include <functional>
 #include <optional>
+#include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -27,6 +29,9 @@
 
 /// @brief Formats an address and port; IPv6 addresses in brackets. Thread-safe.
 [[nodiscard]] std::string textOf(const EngineAddress &Address);
+/// @brief Reads what textOf() has formatted. Thread-safe.
+/// @return Empty if the text is no address and port.
+[[nodiscard]] std::optional<EngineAddress> addressFrom(std::string_view Text);
 
 /// Orders an engine to load the weights and serve as a member of a group.
 struct JoinGroup {
