Do not take groups apart for what a host that is cut off does not reach

Callers of sound groups lost their streams, and the groups stood still for four to five seconds, when the coordinator was cut off from most endpoints.

Cause: half a second after the cut it asked the members of all silent leaders, and believed a round as soon as one member of the leader answered. Some members may still be in reach, directly or through another host whose own cut it does not know yet.

Change: a round is believed only if this host does not doubt its own links: that fewer endpoints fail than it has heard from since the first failure.

--- a/packages/connection/src/coltsfoottrail/reach/tracker.cpp
+++ b/packages/connection/src/coltsfoottrail/reach/tracker.cpp
@@ -15,10 +15,12 @@
 constexpr Duration GoneLife = seconds(1);
 /// Number of hosts that are tried for one connection.
 constexpr std::size_t MaxForwardSteps = 2;
-/// Number of endpoints that are probed at once, and while it is open whether
-/// this host is cut off.
+/// Number of failing endpoints that are probed at once.
 constexpr std::size_t MaxProbes = 2;
-constexpr std::size_t MaxDoubtfulProbes = 6;
+/// The same of endpoints that were not heard from, while some fail.
+constexpr std::size_t MaxUnheardProbes = 6;
+/// An endpoint that was heard from within this time need not be probed.
+constexpr Duration RecentlyHeard = milliseconds(200);
 /// This host counts as cut off if at least this many endpoints fail for each
 /// one that it hears, and as reconnected if fewer fail than it hears.
 constexpr std::uint32_t FailingPerHeard = 2;
@@ -184,7 +186,7 @@
   if (CutOff)
     return true;
   const std::uint32_t Failing = failing(Now);
-  return Failing >= MinDoubtful && Failing >= heardSince(*onset(Now));
+  return Failing > 0 && Failing >= heardSince(*onset(Now));
 }
 
 bool ReachabilityTracker::reachesNothing(TimePoint Now) const {
@@ -247,16 +249,36 @@
   CutOff.reset();
 }
 
-/// Endpoints that fail, and while this host may be at fault also those that
-/// were not heard from since.
+void ReachabilityTracker::recordSuspicion(TimePoint Now) {
+  SuspicionAt = Now;
+  NextProbeAt = std::min(NextProbeAt, Now);
+}
+
+std::vector<EngineAddress> ReachabilityTracker::failingEndpoints() const {
+  std::vector<EngineAddress> Result;
+  for (const auto &[Address, State] : Endpoints)
+    if (State.FailingSince)
+      Result.push_back(Address);
+  return Result;
+}
+
 std::vector<EngineAddress>
-ReachabilityTracker::probeCandidates(TimePoint Now) const {
-  const std::optional<TimePoint> Onset = isDoubtful(Now) ? onset(Now) : CutOff;
+ReachabilityTracker::unheardSince(TimePoint Since) const {
   std::vector<EngineAddress> Result;
-  for (const auto &[Address, State] : Endpoints) {
-    const bool Unheard = Onset && (!State.HeardAt || *State.HeardAt <= *Onset);
-    if (State.FailingSince || Unheard)
+  for (const auto &[Address, State] : Endpoints)
+    if (!State.FailingSince && (!State.HeardAt || *State.HeardAt <= Since))
       Result.push_back(Address);
+  return Result;
+}
+
+std::vector<EngineAddress>
+ReachabilityTracker::drawSome(std::vector<EngineAddress> Candidates,
+                              std::size_t Limit) {
+  std::vector<EngineAddress> Result;
+  while (!Candidates.empty() && Result.size() < Limit) {
+    const std::size_t Index = Draw.below(Candidates.size());
+    Result.push_back(std::move(Candidates[Index]));
+    Candidates.erase(Candidates.begin() + static_cast<std::ptrdiff_t>(Index));
   }
   return Result;
 }
@@ -266,18 +288,21 @@
 std::vector<EngineAddress> ReachabilityTracker::takeProbes(TimePoint Now) {
   if (Now < NextProbeAt)
     return {};
-  std::vector<EngineAddress> Candidates = probeCandidates(Now);
-  if (Candidates.empty())
-    return {};
   NextProbeAt = Now + ProbeInterval;
-  const std::size_t Limit =
-      !CutOff && isDoubtful(Now) ? MaxDoubtfulProbes : MaxProbes;
-  std::vector<EngineAddress> Result;
-  while (!Candidates.empty() && Result.size() < Limit) {
-    const std::size_t Index = Draw.below(Candidates.size());
-    Result.push_back(std::move(Candidates[Index]));
-    Candidates.erase(Candidates.begin() + static_cast<std::ptrdiff_t>(Index));
+  std::vector<EngineAddress> Failing = failingEndpoints();
+  if (CutOff) {
+    for (EngineAddress &Unheard : unheardSince(*CutOff))
+      Failing.push_back(std::move(Unheard));
+    return drawSome(std::move(Failing), MaxProbes);
   }
+  std::vector<EngineAddress> Result = drawSome(std::move(Failing), MaxProbes);
+  std::optional<TimePoint> Since = onset(Now);
+  if (!Since && Now - SuspicionAt < ProbeInterval)
+    Since = SuspicionAt - RecentlyHeard;
+  if (Since)
+    for (EngineAddress &Unheard :
+         drawSome(unheardSince(*Since), MaxUnheardProbes))
+      Result.push_back(std::move(Unheard));
   return Result;
 }
 
--- a/packages/connection/src/coltsfoottrail/reach/tracker.hpp
+++ b/packages/connection/src/coltsfoottrail/reach/tracker.hpp
@@ -151,6 +151,9 @@
 
   /// @brief Updates whether this host is cut off.
   void advance(TimePoint Now);
+  /// @brief Records that an endpoint seems to be at fault: those that were not
+  /// heard from lately are probed, to tell its fault from one of this host.
+  void recordSuspicion(TimePoint Now);
   /// @brief Endpoints to which a direct connection should be tried now.
   [[nodiscard]] std::vector<EngineAddress> takeProbes(TimePoint Now);
   /// @brief Removes and returns what has changed since the last call.
@@ -169,9 +172,6 @@
   /// Endpoints that must fail before this host counts as cut off, unless it
   /// knows fewer.
   static constexpr std::uint32_t MinFailing = 6;
-  /// Endpoints that must fail before others are probed and what this host
-  /// finds unreachable is doubted.
-  static constexpr std::uint32_t MinDoubtful = 2;
 
 private:
   struct EndpointState {
@@ -199,7 +199,10 @@
   [[nodiscard]] std::optional<TimePoint> onset(TimePoint Now) const;
   [[nodiscard]] std::uint32_t heardSince(TimePoint Since) const;
   [[nodiscard]] std::uint32_t failing(TimePoint Now) const;
-  [[nodiscard]] std::vector<EngineAddress> probeCandidates(TimePoint Now) const;
+  [[nodiscard]] std::vector<EngineAddress> failingEndpoints() const;
+  [[nodiscard]] std::vector<EngineAddress> unheardSince(TimePoint Since) const;
+  [[nodiscard]] std::vector<EngineAddress>
+  drawSome(std::vector<EngineAddress> Candidates, std::size_t Limit);
   [[nodiscard]] std::vector<EngineAddress>
   chooseForwarders(const DataCentreName &Near, TimePoint Now);
 
@@ -208,6 +211,7 @@
   std::map<EngineAddress, ForwarderState> Forwarders;
   std::optional<TimePoint> CutOff;
   TimePoint NextProbeAt{};
+  TimePoint SuspicionAt{};
   std::vector<ReachChange> Changes;
 };
 
--- a/packages/process/src/coltsfoottrail/fleethost/groupcoordinator.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/groupcoordinator.cpp
@@ -93,10 +93,11 @@
 GroupCoordinator::GroupCoordinator(FleetStore &Store, FleetEngines &Engines,
                                    const FleetView &View,
                                    const StallDetector &Silence,
+                                   ReachabilityTracker &Reach,
                                    std::string Member, AssemblyTimes Times,
                                    Candidacy Election)
     : Store(Store), Engines(Engines), View(View), Silence(Silence),
-      Self(std::move(Member)), Times(Times), Election(Election) {}
+      Reach(Reach), Self(std::move(Member)), Times(Times), Election(Election) {}
 
 Awaitable<void> GroupCoordinator::holdDuty() {
   RenewalTimer.emplace(co_await asio::this_coro::executor);
@@ -313,6 +314,7 @@
       Round->Members.push_back(Member);
   if (Round->Members.empty())
     return;
+  Reach.recordSuspicion(Now);
   NextProbeAt[Leader] = Now + Timing.ProbeAgainAfter;
   Round->Answered.resize(Round->Members.size());
   Round->Pending = Round->Members.size();
@@ -399,11 +401,19 @@
 // link loses packets, and it takes healthy groups for broken. A member counts
 // as dead only if another member of the same leader answered in the same round,
 // or if streams of another endpoint in the leader's data centre make progress.
+// A host that is cut off may still reach one member of a group.
+bool GroupCoordinator::isCredible(const ProbeRound &Round,
+                                  TimePoint Now) const {
+  if (Reach.isDoubtful(Now))
+    return false;
+  return std::count(Round.Answered.begin(), Round.Answered.end(), true) > 0 ||
+         hasLiveNeighbour(Round, Now);
+}
+
 void GroupCoordinator::finishRound(const ProbeRound &Round) {
   const auto AnsweredCount =
       std::count(Round.Answered.begin(), Round.Answered.end(), true);
-  const bool Credible =
-      AnsweredCount > 0 || hasLiveNeighbour(Round, BootClock::now());
+  const bool Credible = isCredible(Round, BootClock::now());
   std::string Dead;
   for (std::size_t Index = 0; Index < Round.Members.size(); ++Index) {
     const KnownEndpoint *const Entry =
@@ -418,6 +428,7 @@
            {{"leader", Round.Leader},
             {"members", Round.Members.size()},
             {"answered", static_cast<std::uint64_t>(AnsweredCount)},
+            {"credible", Credible},
             {"dead", Dead}});
   planNow();
 }
--- a/packages/process/src/coltsfoottrail/fleethost/groupcoordinator.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/groupcoordinator.hpp
@@ -10,6 +10,7 @@
 #include "coltsfoottrail/fleethost/candidacy.hpp"
 #include "coltsfoottrail/fleethost/dutyterm.hpp"
 #include "coltsfoottrail/fleethost/view.hpp"
+#include "coltsfoottrail/reach/tracker.hpp"
 #include "coltsfoottrail/silence/silencewatch.hpp"
 
 #include <boost/asio/any_io_executor.hpp>
@@ -68,13 +69,15 @@
   /// @param Engines Receives orders and probes.
   /// @param View What this host knows of the fleet.
   /// @param Silence Which endpoints' streams make progress.
+  /// @param Reach Which endpoints this host reaches.
   /// @param Member Name of this run of the process; unique per run.
   /// @param Times Timing of group formation.
   /// @param Election Whether this host competes for the lease or leaves it to
   /// others.
   GroupCoordinator(FleetStore &Store, FleetEngines &Engines,
                    const FleetView &View, const StallDetector &Silence,
-                   std::string Member, AssemblyTimes Times, Candidacy Election);
+                   ReachabilityTracker &Reach, std::string Member,
+                   AssemblyTimes Times, Candidacy Election);
 
   /// @brief Requests the lease and renews it until cancelled.
   [[nodiscard]] Awaitable<void> holdDuty();
@@ -152,12 +155,14 @@
                                            MemberProbe Read);
   [[nodiscard]] Awaitable<void> probeMember(std::shared_ptr<ProbeRound> Round,
                                             std::size_t Index);
+  [[nodiscard]] bool isCredible(const ProbeRound &Round, TimePoint Now) const;
   void finishRound(const ProbeRound &Round);
 
   FleetStore &Store;
   FleetEngines &Engines;
   const FleetView &View;
   const StallDetector &Silence;
+  ReachabilityTracker &Reach;
   std::string Self;
   DutyTimes Timing;
   /// One per service that has engines.
