Blame no request for connections that broke when this host was cut off

Three such losses refuse a request.

Cause: a broken connection was evidence against the endpoint and the request, whatever else broke at the same host at the same time.

Change: when the host finds that it is cut off, the losses that it alone noticed from a second before are dismissed here and at the others. Crashes that another host has seen too still count.

QuarantineTest.LossesOfAHostThatWasCutOffAreNoCrashes fails to compile before; without the dismissal the request stays quarantined, as its first check shows.

--- a/packages/process/src/coltsfoottrail/fleethost/host.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/host.cpp
@@ -76,6 +76,8 @@
 /// How long a request is held while its pool has no endpoint: a group that is
 /// being opened serves after 0.3 s.
 constexpr milliseconds NoEndpointHold{250};
+/// Connections break up to this long before the first new one fails.
+constexpr seconds LossesBeforeCut{1};
 
 /// The platform allows three crashes. Two would blame requests for the crashes
 /// of two others until the other hosts have told what was in flight there.
@@ -310,6 +312,7 @@
   for (const auto &[Name, Entry] : View.endpoints().all())
     if (Reach.isBehindCut(Entry.Record.Address))
       Client.abort(Entry.Record.Address);
+  Routing.dismissOwnLosses(Cut.Since - LossesBeforeCut);
   Routing.advance();
 }
 
--- a/packages/process/src/coltsfoottrail/server/router.cpp
+++ b/packages/process/src/coltsfoottrail/server/router.cpp
@@ -441,6 +441,14 @@
   PoolShard->PoolDispatcher.observeClosed(EndpointKey, BootClock::now());
 }
 
+void Router::dismissOwnLosses(TimePoint Since) {
+  for (const auto &PoolShard : allShards()) {
+    const std::lock_guard Hold(PoolShard->Lock);
+    PoolShard->PoolDispatcher.dismissOwnLosses(Since);
+  }
+  publishEvidence();
+}
+
 void Router::publishEvidence() {
   for (const auto &PoolShard : allShards()) {
     std::vector<QuarantineNotice> Notices;
--- a/packages/process/src/coltsfoottrail/server/router.hpp
+++ b/packages/process/src/coltsfoottrail/server/router.hpp
@@ -121,6 +121,10 @@
   /// without having crashed.
   void observeClosed(std::string_view PoolName, std::string_view EndpointKey);
 
+  /// @brief Records that this host has been cut off from most endpoints.
+  /// @copydetails Quarantine::dismissOwnLosses
+  void dismissOwnLosses(TimePoint Since);
+
   /// @brief Sets this host's share of endpoints' bounds.
   void setShares(const std::map<std::string, std::uint32_t> &Shares);
 
--- a/packages/process/test/coltsfoottrail/fleethost/feeds.cpp
+++ b/packages/process/test/coltsfoottrail/fleethost/feeds.cpp
@@ -191,7 +191,7 @@
     Settings.Metrics = SocketAddress{Loopback, MetricsPort};
     Settings.ProcessorShare = ProcessorShare;
     Settings.Bounds.Configuration = Bound;
-    Server.emplace(Settings, Pool, FleetLinks{Store, Engines, Wire});
+    Server.emplace(Settings, Pool, FleetLinks{Store, Engines, Wire, Endpoints});
   }
   ~FeedsOfAHost() override {
     Pool.stop();
@@ -269,6 +269,8 @@
   static constexpr milliseconds Bound{2'000};
   ScriptedStore Store;
   NoEngines Engines;
+  TcpConnector Network;
+  Dialer Endpoints{Network, 1};
   PlainWire Wire;
   std::atomic<std::uint64_t> RelayedVersion = 3;
   std::atomic<milliseconds> RelayedAge = milliseconds(0);
--- a/packages/request/src/coltsfoottrail/dispatch/dispatcher.hpp
+++ b/packages/request/src/coltsfoottrail/dispatch/dispatcher.hpp
@@ -187,6 +187,11 @@
     return CrashHistory.takeOutageLosses();
   }
 
+  /// @copydoc Quarantine::dismissOwnLosses
+  void dismissOwnLosses(TimePoint Since) {
+    CrashHistory.dismissOwnLosses(Since);
+  }
+
   /// @brief Processes a notice from a dispatcher of this pool on another entry
   /// host.
   /// @return Whether it changed anything here.
--- a/packages/request/src/coltsfoottrail/quarantine/quarantine.cpp
+++ b/packages/request/src/coltsfoottrail/quarantine/quarantine.cpp
@@ -142,7 +142,8 @@
             {},
             {},
             Closed.contains(std::string(EndpointKey)) ? Dismissal::Alive
-                                                      : Dismissal::None});
+                                                      : Dismissal::None,
+            false});
   Entry->second = Id;
   Order.push_back(Id);
   return Id;
@@ -258,6 +259,19 @@
     addNotice(DismissNotice{std::string(EndpointKey)});
 }
 
+// Failure guarded against: a host loses its links to the endpoints, and all
+// hosts hold the requests that it had in flight there for the cause of crashes.
+void Quarantine::dismissOwnLosses(TimePoint Since) {
+  for (const CrashId Id : Order) {
+    Crash &Record = *Crashes.find(Id);
+    if (Record.Time < Since || Record.SeenElsewhere ||
+        Record.Dismissed == Dismissal::Alive)
+      continue;
+    Record.Dismissed = Dismissal::Alive;
+    addNotice(DismissNotice{Record.EndpointKey});
+  }
+}
+
 /// Removes a request from the crashes that it was in flight at.
 void Quarantine::clear(std::uint64_t Fingerprint) {
   for (const CrashId Id : Suspects.at(Fingerprint).Crashes)
@@ -283,6 +297,7 @@
 bool Quarantine::ingest(const CrashNotice &Notice, TimePoint Now) {
   const CrashId Id = findOrAddCrash(Notice.EndpointKey, Notice.DataCentre,
                                     Notice.Run, Now - Notice.Age);
+  Crashes.find(Id)->SeenElsewhere = true;
   bool Changed = false;
   for (const std::uint64_t Fingerprint : Notice.Fingerprints)
     if (Crashes.find(Id)->InFlight.insert(Fingerprint).second) {
--- a/packages/request/src/coltsfoottrail/quarantine/quarantine.hpp
+++ b/packages/request/src/coltsfoottrail/quarantine/quarantine.hpp
@@ -111,6 +111,10 @@
   /// do not count as a crash.
   void endpointClosed(std::string_view EndpointKey, TimePoint Now);
 
+  /// @brief Records that this host has been cut off from most endpoints: the
+  /// losses that it alone has noticed since then do not count as crashes.
+  void dismissOwnLosses(TimePoint Since);
+
   /// @brief Processes a notice from another entry host.
   /// @return Whether it changed anything here.
   bool observe(const QuarantineNotice &Notice, TimePoint Now);
@@ -133,7 +137,7 @@
     None,
     /// The endpoint was lost in an outage of its data centre.
     Outage,
-    /// The endpoint has not crashed.
+    /// The endpoint has not crashed, or only this host was cut off from it.
     Alive
   };
   struct Crash {
@@ -146,6 +150,8 @@
     /// Those of them that have not been sent to the other entry hosts.
     std::vector<std::uint64_t> Unannounced;
     Dismissal Dismissed = Dismissal::None;
+    /// Whether another host has noticed it too.
+    bool SeenElsewhere = false;
   };
   struct Suspect {
     std::vector<CrashId> Crashes;
--- a/packages/request/test/coltsfoottrail/quarantine/quarantine.cpp
+++ b/packages/request/test/coltsfoottrail/quarantine/quarantine.cpp
@@ -39,6 +39,28 @@
   EXPECT_EQ(standingOf(1), Standing::Clear);
 }
 
+// Guards against blaming requests for crashes when this host was cut off.
+TEST_F(QuarantineTest, LossesOfAHostThatWasCutOffAreNoCrashes) {
+  crash("a", {7});
+  crash("b", {7});
+  EXPECT_EQ(standingOf(7), Standing::Quarantined);
+  (void)Subject.takeNotices(Now);
+  Subject.dismissOwnLosses(Now);
+  EXPECT_EQ(standingOf(7), Standing::Clear);
+  const auto Notices = Subject.takeNotices(Now);
+  ASSERT_EQ(Notices.size(), 2U);
+  for (const QuarantineNotice &Notice : Notices)
+    EXPECT_TRUE(std::holds_alternative<DismissNotice>(Notice));
+}
+
+TEST_F(QuarantineTest, CrashesThatOtherHostsHaveSeenCountBesideACut) {
+  crash("a", {7});
+  Subject.observe(CrashNotice{"a", DataCentreName("dc-0"), 1, Duration(0), {8}},
+                  Now);
+  Subject.dismissOwnLosses(Now);
+  EXPECT_EQ(standingOf(7), Standing::Suspect);
+}
+
 // Guards against a third crash where two tell the cause: the other requests
 // that were in flight at one of them have been answered.
 TEST_F(QuarantineTest, SecondCrashBlamesTheOneThatIsLeft) {
