Refuse at once what no host can serve, and tell the balancer

With the links of all hosts gone, callers waited for two seconds and more for a refusal that was certain, and the hosts went on calling themselves ready.

Cause: readiness and admission asked for a configuration and credentials, not whether an endpoint can be reached; and a refusal of a host that is cut off bore the Retry-After of an overloaded one.

Change: while a host is cut off and knows no other that forwards, it refuses each request at once as not run and fails its readiness check. While it is cut off and others forward, refusals name the short Retry-After for what another host would serve. A host that says that it forwards nothing is not asked again before it is named again, so that a fleet that is cut off as a whole knows within a second.

--- a/packages/connection/src/coltsfoottrail/reach/dialer.cpp
+++ b/packages/connection/src/coltsfoottrail/reach/dialer.cpp
@@ -22,6 +22,7 @@
 constexpr Duration MaxOwnDelay = milliseconds(50);
 constexpr unsigned StatusOk = 200;
 constexpr unsigned StatusBadGateway = 502;
+constexpr unsigned StatusUnavailable = 503;
 constexpr std::size_t MaxTunnelHeadBytes = 4096;
 
 milliseconds timeLeft(TimePoint Deadline) {
@@ -107,6 +108,8 @@
     Reach.recordForwarded(Endpoint, Now);
   else if (Status == StatusBadGateway)
     Reach.recordUnreachableElsewhere(Endpoint, Now);
+  else if (Status == StatusUnavailable)
+    Reach.removeForwarder(Host);
   else
     Reach.recordForwarderFailure(Host, Now);
   co_return Status == StatusOk;
--- a/packages/connection/src/coltsfoottrail/reach/tracker.cpp
+++ b/packages/connection/src/coltsfoottrail/reach/tracker.cpp
@@ -8,9 +8,8 @@
 
 /// An entry host that was not named for this long is not asked to forward.
 constexpr Duration ForwarderLife = seconds(3);
-/// How long a host that failed to forward is not asked again while others are
-/// left.
-constexpr Duration ForwarderPause = seconds(1);
+/// How long a host that failed to forward is not asked again.
+constexpr Duration ForwarderPause = milliseconds(500);
 /// How long an endpoint that another host does not reach either counts as gone.
 constexpr Duration GoneLife = seconds(1);
 /// Number of hosts that are tried for one connection.
@@ -132,7 +131,7 @@
                                       TimePoint Now) {
   std::vector<std::pair<double, EngineAddress>> Ranked;
   for (const auto &[Address, State] : Forwarders) {
-    if (Now - State.HeardAt > ForwarderLife || Now < State.AvoidUntil)
+    if (!isUsable(State, Now))
       continue;
     const double Distance = State.DataCentre == Near ? 0.0 : 1.0;
     Ranked.emplace_back(Distance + Draw.fraction(), Address);
@@ -189,11 +188,15 @@
   return Failing > 0 && Failing >= heardSince(*onset(Now));
 }
 
+bool ReachabilityTracker::isUsable(const ForwarderState &State, TimePoint Now) {
+  return Now - State.HeardAt <= ForwarderLife && Now >= State.AvoidUntil;
+}
+
 bool ReachabilityTracker::reachesNothing(TimePoint Now) const {
-  const auto IsAlive = [&](const auto &Entry) {
-    return Now - Entry.second.HeardAt <= ForwarderLife;
-  };
-  return CutOff && !std::any_of(Forwarders.begin(), Forwarders.end(), IsAlive);
+  return CutOff && std::none_of(Forwarders.begin(), Forwarders.end(),
+                                [&](const auto &Entry) {
+                                  return isUsable(Entry.second, Now);
+                                });
 }
 
 bool ReachabilityTracker::isBehindCut(const EngineAddress &Endpoint) const {
--- a/packages/connection/src/coltsfoottrail/reach/tracker.hpp
+++ b/packages/connection/src/coltsfoottrail/reach/tracker.hpp
@@ -119,7 +119,10 @@
   void recordForwarded(const EngineAddress &Endpoint, TimePoint Now);
   /// @brief Records that another host does not reach an endpoint either.
   void recordUnreachableElsewhere(const EngineAddress &Endpoint, TimePoint Now);
-  /// @brief Records that another host forwards nothing at present.
+  /// @brief Records that another host says that it forwards nothing: it is not
+  /// asked again before it is added again.
+  void removeForwarder(const EngineAddress &Host) { Forwarders.erase(Host); }
+  /// @brief Records that another host did not answer.
   void recordForwarderFailure(const EngineAddress &Host, TimePoint Now);
 
   /// @brief Decides how a connection to an endpoint is opened.
@@ -143,8 +146,8 @@
   [[nodiscard]] bool isDoubtful(TimePoint Now) const;
   /// @brief Whether new direct connections to an endpoint fail at present.
   [[nodiscard]] bool isUnreachable(const EngineAddress &Endpoint) const;
-  /// @brief Whether this host is cut off and knows no other host that forwards:
-  /// no request can be served.
+  /// @brief Whether this host is cut off and knows no other host that forwards
+  /// at present: no request can be served.
   [[nodiscard]] bool reachesNothing(TimePoint Now) const;
   /// @brief Whether an endpoint was not heard from since this host was cut off.
   [[nodiscard]] bool isBehindCut(const EngineAddress &Endpoint) const;
@@ -193,6 +196,8 @@
     TimePoint AvoidUntil{};
   };
 
+  [[nodiscard]] static bool isUsable(const ForwarderState &State,
+                                     TimePoint Now);
   [[nodiscard]] static bool isGone(const EndpointState &State, TimePoint Now);
   [[nodiscard]] static bool isFailing(const EndpointState &State,
                                       TimePoint Now);
--- a/packages/process/src/coltsfoottrail/fleethost/callerproxy.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/callerproxy.cpp
@@ -127,6 +127,8 @@
   std::optional<HttpResponse> Refused = admit(Call.request(), Context);
   if (!Refused)
     Refused = choosePool(Context);
+  if (!Refused)
+    Refused = refuseUnlessReachable(Context);
   if (Refused) {
     const TimePoint Now = BootClock::now();
     Context.Ended = true;
@@ -226,6 +228,15 @@
   return std::nullopt;
 }
 
+// Failure guarded against: neither this host nor any other reaches an endpoint,
+// and callers wait for a refusal that is certain.
+std::optional<HttpResponse>
+CallerProxy::refuseUnlessReachable(const RequestContext &Context) {
+  if (!Reach.reachesNothing(BootClock::now()))
+    return std::nullopt;
+  return refusal(Context, Verdict{RunState::NotRun, Reason::NoEndpoint, {}});
+}
+
 double CallerProxy::recentRequests(const std::string &Pool,
                                    TimePoint Now) const {
   const auto It = Backlogs.find(Pool);
@@ -359,9 +370,12 @@
 // Callers that were refused together would retry together, so the delay is
 // drawn from the upper half of its range.
 milliseconds CallerProxy::retryAfter(const RequestContext &Context) {
-  if (!View.credentialsFresh(BootClock::now()) || Stopping)
+  const TimePoint Now = BootClock::now();
+  const bool IsBetterElsewhere =
+      Reach.cutOffSince() && !Reach.reachesNothing(Now);
+  if (!View.credentialsFresh(Now) || Stopping || IsBetterElsewhere)
     return ElsewhereRetryAfter;
-  const Duration TimeLeft = Context.Deadline - BootClock::now();
+  const Duration TimeLeft = Context.Deadline - Now;
   const auto MaxDelay = std::min<Duration>(
       MaxRetryAfter,
       std::chrono::duration_cast<Duration>(TimeLeft * RetryAfterFraction));
--- a/packages/process/src/coltsfoottrail/fleethost/callerproxy.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/callerproxy.hpp
@@ -13,6 +13,7 @@
 #include "coltsfoottrail/http/client.hpp"
 #include "coltsfoottrail/http/server.hpp"
 #include "coltsfoottrail/logging/requestlog.hpp"
+#include "coltsfoottrail/reach/tracker.hpp"
 #include "coltsfoottrail/retries/retry.hpp"
 #include "coltsfoottrail/retries/share.hpp"
 #include "coltsfoottrail/server/router.hpp"
@@ -44,15 +45,16 @@
 public:
   /// @brief Creates a proxy; all references must outlive it.
   /// @param View What this host knows of the fleet.
+  /// @param Reach Which endpoints this host reaches.
   /// @param Routing Queues requests and places them on endpoints.
   /// @param Client Connections to endpoints.
   /// @param Wire Reads and writes header fields.
   /// @param Silence Is notified of the progress of endpoints' streams.
   /// @param Seed Seed of the random choices of this proxy.
-  CallerProxy(const FleetView &View, Router &Routing, HttpClient &Client,
-              const HeaderCodec &Wire, StallDetector &Silence,
-              std::uint64_t Seed)
-      : View(View), Routing(Routing), Client(Client), Wire(Wire),
+  CallerProxy(const FleetView &View, const ReachabilityTracker &Reach,
+              Router &Routing, HttpClient &Client, const HeaderCodec &Wire,
+              StallDetector &Silence, std::uint64_t Seed)
+      : View(View), Reach(Reach), Routing(Routing), Client(Client), Wire(Wire),
         Silence(Silence), Draw(Seed), Gate(Draw()) {}
 
   /// @brief Sets a function to call when an endpoint's response proves that it
@@ -140,6 +142,8 @@
   [[nodiscard]] std::optional<HttpResponse> admit(const HttpRequest &Request,
                                                   RequestContext &Context);
   [[nodiscard]] std::optional<HttpResponse> choosePool(RequestContext &Context);
+  [[nodiscard]] std::optional<HttpResponse>
+  refuseUnlessReachable(const RequestContext &Context);
   /// This host's requests that wait at the endpoints of a pool, and its recent
   /// request count.
   struct PoolBacklog {
@@ -195,6 +199,7 @@
                   const ResponseMetadata &AnswerHeaders);
 
   const FleetView &View;
+  const ReachabilityTracker &Reach;
   Router &Routing;
   HttpClient &Client;
   const HeaderCodec &Wire;
--- a/packages/process/src/coltsfoottrail/fleethost/host.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/host.cpp
@@ -160,7 +160,7 @@
       Routing(RouterOptions{Settings.Host, dispatcherOptions(Settings), {}},
               Evidence),
       Client(Pool.context(0), clientOptions(), &Links.Endpoints),
-      Proxy(View, Routing, Client, Links.Wire, Silence,
+      Proxy(View, Links.Endpoints.reach(), Routing, Client, Links.Wire, Silence,
             hashText(Settings.Host.Text)),
       Member(makeMemberName(Settings)),
       Coordinator(Links.Store, Links.Engines, View, Silence,
@@ -452,7 +452,9 @@
 }
 
 Awaitable<void> FleetHost::answerReadiness(Exchange &Call) {
-  const bool Ready = !Stopping && View.ready(BootClock::now());
+  const TimePoint Now = BootClock::now();
+  const bool Ready = !Stopping && View.ready(Now) &&
+                     !Platform.Endpoints.reach().reachesNothing(Now);
   HttpResponse Reply =
       jsonResponse(Ready ? StatusOk : StatusUnavailable,
                    Ready ? R"({"ready":true})" : R"({"ready":false})");
