--- a/packages/connection/src/coltsfoottrail/reach/dialer.hpp
+++ b/packages/connection/src/coltsfoottrail/reach/dialer.hpp
@@ -56,8 +56,7 @@
   Dialer &operator=(const Dialer &) = delete;
 
   /// @brief Opens a connection.
-  /// @param Stream A stream that is not connected; replaced if an attempt to
-  /// connect it fails.
+  /// @param Stream A stream that is not connected.
   /// @param Endpoint Address of the endpoint.
   /// @param MaxTime Time limit.
   /// @return How it was opened; empty if it was not: no byte of a request can
--- a/packages/connection/src/coltsfoottrail/reach/tracker.cpp
+++ b/packages/connection/src/coltsfoottrail/reach/tracker.cpp
@@ -17,7 +17,7 @@
 /// Number of failing endpoints that are probed at once.
 constexpr std::size_t MaxProbes = 2;
 /// The same of endpoints that were not heard from, while some fail.
-constexpr std::size_t MaxUnheardProbes = 6;
+constexpr std::size_t MaxUnheardProbes = 12;
 /// An endpoint that was heard from within this time need not be probed.
 constexpr Duration RecentlyHeard = milliseconds(200);
 /// This host counts as cut off if at least this many endpoints fail for each
@@ -192,11 +192,13 @@
   return Now - State.HeardAt <= ForwarderLife && Now >= State.AvoidUntil;
 }
 
+// Failure guarded against: all endpoints of the larger service are gone, and
+// the hosts refuse the requests for another one, which they reach.
 bool ReachabilityTracker::reachesNothing(TimePoint Now) const {
-  return CutOff && std::none_of(Forwarders.begin(), Forwarders.end(),
-                                [&](const auto &Entry) {
-                                  return isUsable(Entry.second, Now);
-                                });
+  return CutOff && heardSince(*CutOff) == 0 &&
+         std::none_of(
+             Forwarders.begin(), Forwarders.end(),
+             [&](const auto &Entry) { return isUsable(Entry.second, Now); });
 }
 
 bool ReachabilityTracker::isBehindCut(const EngineAddress &Endpoint) const {
--- a/packages/connection/src/coltsfoottrail/reach/tracker.hpp
+++ b/packages/connection/src/coltsfoottrail/reach/tracker.hpp
@@ -146,8 +146,8 @@
   [[nodiscard]] bool isDoubtful(TimePoint Now) const;
   /// @brief Whether new direct connections to an endpoint fail at present.
   [[nodiscard]] bool isUnreachable(const EngineAddress &Endpoint) const;
-  /// @brief Whether this host is cut off and knows no other host that forwards
-  /// at present: no request can be served.
+  /// @brief Whether this host is cut off, has heard from no endpoint since, and
+  /// knows no other host that forwards: no request can be served.
   [[nodiscard]] bool reachesNothing(TimePoint Now) const;
   /// @brief Whether an endpoint was not heard from since this host was cut off.
   [[nodiscard]] bool isBehindCut(const EngineAddress &Endpoint) const;
--- a/packages/connection/test/coltsfoottrail/reach/tracker.cpp
+++ b/packages/connection/test/coltsfoottrail/reach/tracker.cpp
@@ -53,7 +53,7 @@
   fail(1);
   EXPECT_TRUE(Tracker.isDoubtful(Now));
   const auto Probes = Tracker.takeProbes(Now);
-  EXPECT_EQ(Probes.size(), 8U);
+  EXPECT_EQ(Probes.size(), std::size_t(Count));
   pass(milliseconds(5));
   for (const EngineAddress &Probed : Probes)
     if (Probed != endpoint(0) && Probed != endpoint(1))
@@ -194,6 +194,17 @@
   EXPECT_TRUE(Tracker.reachesNothing(Now));
 }
 
+// Guards against refusing the requests for a service that is reached when
+// another one is gone.
+TEST_F(Reachability, AHostThatHearsAnEndpointDoesNotReachNothing) {
+  for (int Index = 0; Index < Count; ++Index)
+    fail(Index);
+  pass(milliseconds(100));
+  Tracker.recordConnected(endpoint(0), Now);
+  EXPECT_TRUE(Tracker.cutOffSince());
+  EXPECT_FALSE(Tracker.reachesNothing(Now));
+}
+
 TEST_F(Reachability, ChangesNameTheEndpointAndForHowLong) {
   fail(0);
   pass(seconds(2));
