Dial endpoints out of reach briefly, and through others while they seem gone

Cause: the last step of a plan was a direct connection with all the time that was left, also to an endpoint that was known to be out of reach; an endpoint that one other host had not reached (which may be cut off itself and not know yet) was dialed only directly for a second; an endpoint heard from just after the cut began counted as in reach for as long as it lasted; and a host that ran late dropped what its failures told.

Change: direct connections to what is out of reach, or by a host that is cut off, get 150 ms; what others do not reach is tried through others all the same; being heard from counts for half a second; a host that is cut off learns from each failure.

Guarded by Reachability.AnEndpointOutOfReachIsDialedDirectlyOnlyBriefly, which fails before.

--- a/packages/connection/src/coltsfoottrail/reach/dialer.cpp
+++ b/packages/connection/src/coltsfoottrail/reach/dialer.cpp
@@ -67,7 +67,7 @@
   const TimePoint Now = BootClock::now();
   if (!Problem)
     Reach.recordConnected(Endpoint, Now);
-  else if (isEvidence(Now - StartedAt, Timeout))
+  else if (Reach.cutOffSince() || isEvidence(Now - StartedAt, Timeout))
     Reach.recordDirectFailure(Endpoint, StartedAt, Now);
   co_return !Problem;
 }
--- a/packages/connection/src/coltsfoottrail/reach/tracker.cpp
+++ b/packages/connection/src/coltsfoottrail/reach/tracker.cpp
@@ -20,6 +20,9 @@
 constexpr std::size_t MaxUnheardProbes = 12;
 /// An endpoint that was heard from within this time need not be probed.
 constexpr Duration RecentlyHeard = milliseconds(200);
+/// A host that is cut off dials an endpoint directly first if it has heard from
+/// it within this time.
+constexpr Duration HeardLately = milliseconds(500);
 /// This host counts as cut off if at least this many endpoints fail for each
 /// one that it hears, and as reconnected if fewer fail than it hears.
 constexpr std::uint32_t FailingPerHeard = 2;
@@ -149,22 +152,24 @@
 std::vector<DialStep> ReachabilityTracker::plan(const EngineAddress &Endpoint,
                                                 milliseconds MaxTime,
                                                 TimePoint Now) {
-  const DialStep LastStep{DirectDial{}, MaxTime};
+  const DialStep Direct{DirectDial{}, MaxTime};
+  const DialStep ShortDirect{DirectDial{}, std::min(DirectTimeout, MaxTime)};
   const auto Found = Endpoints.find(Endpoint);
-  if (Found == Endpoints.end() || isGone(Found->second, Now))
-    return {LastStep};
-  std::vector<DialStep> Steps;
-  const bool ForwardFirst = Found->second.FailingSince || isBehindCut(Endpoint);
-  if (!ForwardFirst)
-    Steps.push_back({DirectDial{}, std::min(DirectTimeout, MaxTime)});
+  if (Found == Endpoints.end())
+    return {Direct};
   std::vector<EngineAddress> Hosts =
       chooseForwarders(Found->second.DataCentre, Now);
   if (Hosts.empty())
-    return {LastStep};
+    return {CutOff ? ShortDirect : Direct};
+  const bool ForwardFirst =
+      isUnreachable(Endpoint) || isBehindCut(Endpoint, Now);
+  std::vector<DialStep> Steps;
+  if (!ForwardFirst)
+    Steps.push_back(ShortDirect);
   for (EngineAddress &Host : Hosts)
     Steps.push_back(
         {ForwardedDial{std::move(Host)}, std::min(ForwardTimeout, MaxTime)});
-  Steps.push_back(LastStep);
+  Steps.push_back(ForwardFirst || CutOff ? ShortDirect : Direct);
   return Steps;
 }
 
@@ -201,12 +206,15 @@
              [&](const auto &Entry) { return isUsable(Entry.second, Now); });
 }
 
-bool ReachabilityTracker::isBehindCut(const EngineAddress &Endpoint) const {
+bool ReachabilityTracker::isBehindCut(const EngineAddress &Endpoint,
+                                      TimePoint Now) const {
   if (!CutOff)
     return false;
   const auto Found = Endpoints.find(Endpoint);
-  return Found != Endpoints.end() &&
-         (!Found->second.HeardAt || *Found->second.HeardAt <= *CutOff);
+  if (Found == Endpoints.end())
+    return false;
+  const std::optional<TimePoint> &HeardAt = Found->second.HeardAt;
+  return !HeardAt || *HeardAt <= *CutOff || Now - *HeardAt > HeardLately;
 }
 
 std::optional<TimePoint> ReachabilityTracker::onset(TimePoint Now) const {
@@ -243,7 +251,7 @@
       return;
     CutOff = Onset;
     for (auto &[Address, State] : Endpoints)
-      if (isBehindCut(Address))
+      if (isBehindCut(Address, Now))
         State.ReuseAfter = Now;
     Changes.emplace_back(CutOffBegan{Onset, tally(Now)});
     return;
--- a/packages/connection/src/coltsfoottrail/reach/tracker.hpp
+++ b/packages/connection/src/coltsfoottrail/reach/tracker.hpp
@@ -149,8 +149,10 @@
   /// @brief Whether this host is cut off, has heard from no endpoint since, and
   /// knows no other host that forwards: no request can be served.
   [[nodiscard]] bool reachesNothing(TimePoint Now) const;
-  /// @brief Whether an endpoint was not heard from since this host was cut off.
-  [[nodiscard]] bool isBehindCut(const EngineAddress &Endpoint) const;
+  /// @brief Whether this host is cut off and has not heard from an endpoint
+  /// lately.
+  [[nodiscard]] bool isBehindCut(const EngineAddress &Endpoint,
+                                 TimePoint Now) const;
 
   /// @brief Updates whether this host is cut off.
   void advance(TimePoint Now);
--- a/packages/connection/test/coltsfoottrail/reach/tracker.cpp
+++ b/packages/connection/test/coltsfoottrail/reach/tracker.cpp
@@ -167,6 +167,20 @@
             ForwardedFirst);
 }
 
+// Guards against a second spent on each connection to an endpoint that is gone
+// or that only other hosts reach.
+TEST_F(Reachability, AnEndpointOutOfReachIsDialedDirectlyOnlyBriefly) {
+  const std::vector<Forwarder> Hosts{{{"10.1.0.1", 7700}, DataCentreName("a")}};
+  Tracker.addForwarders(Hosts, Now);
+  EXPECT_EQ(Tracker.plan(endpoint(0), seconds(1), Now).back().Timeout,
+            milliseconds(seconds(1)));
+  fail(0);
+  Tracker.recordUnreachableElsewhere(endpoint(0), Now);
+  const auto Steps = Tracker.plan(endpoint(0), seconds(1), Now);
+  EXPECT_TRUE(std::holds_alternative<ForwardedDial>(Steps.front().Way));
+  EXPECT_EQ(Steps.back().Timeout, ReachabilityTracker::DirectTimeout);
+}
+
 TEST_F(Reachability, HostsInTheEndpointsDataCentreForwardFirst) {
   const std::vector<Forwarder> Hosts{{{"10.1.0.1", 7700}, DataCentreName("a")},
                                      {{"10.1.0.2", 7700}, DataCentreName("b")}};
--- a/packages/process/src/coltsfoottrail/fleethost/host.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/host.cpp
@@ -308,9 +308,10 @@
       View.resume(Name);
   SilencedAt.clear();
   refreshRoutes();
+  const TimePoint Now = BootClock::now();
   const ReachabilityTracker &Reach = Platform.Endpoints.reach();
   for (const auto &[Name, Entry] : View.endpoints().all())
-    if (Reach.isBehindCut(Entry.Record.Address))
+    if (Reach.isBehindCut(Entry.Record.Address, Now))
       Client.abort(Entry.Record.Address);
   Routing.dismissOwnLosses(Cut.Since - LossesBeforeCut);
   Routing.advance();
