--- a/packages/process/src/coltsfoottrail/dissemination/link.cpp
+++ b/packages/process/src/coltsfoottrail/dissemination/link.cpp
@@ -84,7 +84,7 @@
 }
 
 void TreeLink::publishNotice(std::string_view PoolName,
-                             const QuarantineNotice &Notice) {
+                             const EndpointNotice &Notice) {
   Node.recordOwnNotice(PoolName, Notice, BootClock::now());
   wakeResponses();
 }
--- a/packages/process/src/coltsfoottrail/dissemination/link.hpp
+++ b/packages/process/src/coltsfoottrail/dissemination/link.hpp
@@ -77,7 +77,7 @@
   [[nodiscard]] Awaitable<void> reportStall(std::string Endpoint);
 
   /// @brief Passes a notice of this host on to all others.
-  void publishNotice(std::string_view PoolName, const QuarantineNotice &Notice);
+  void publishNotice(std::string_view PoolName, const EndpointNotice &Notice);
 
   /// @brief Abandons an upstream that relays nothing new: a relay is left for
   /// the coordinator, and for the coordinator the store is queried again.
--- a/packages/process/src/coltsfoottrail/dissemination/node.hpp
+++ b/packages/process/src/coltsfoottrail/dissemination/node.hpp
@@ -53,8 +53,8 @@
 
   /// @brief Adds a notice of this host.
   /// @copydetails NoticeBoard::addOwn
-  void recordOwnNotice(std::string_view PoolName,
-                       const QuarantineNotice &Notice, TimePoint Now) {
+  void recordOwnNotice(std::string_view PoolName, const EndpointNotice &Notice,
+                       TimePoint Now) {
     Board.addOwn(PoolName, Notice, Now);
   }
   /// @brief Adds to a report of this host the notices that its upstream lacks.
--- a/packages/process/src/coltsfoottrail/dissemination/noticeboard.cpp
+++ b/packages/process/src/coltsfoottrail/dissemination/noticeboard.cpp
@@ -27,11 +27,11 @@
 }
 
 /// Splits a crash with many requests, so that each notice has a bounded size.
-std::vector<QuarantineNotice> split(const QuarantineNotice &Notice) {
+std::vector<EndpointNotice> split(const EndpointNotice &Notice) {
   const auto *const Crash = std::get_if<CrashNotice>(&Notice);
   if (Crash == nullptr)
     return {Notice};
-  std::vector<QuarantineNotice> Parts;
+  std::vector<EndpointNotice> Parts;
   std::span<const std::uint64_t> Rest(Crash->Fingerprints);
   std::span<const SuspectedRequest> Suspects(Crash->Suspects);
   while (!Rest.empty() || !Suspects.empty()) {
@@ -50,8 +50,8 @@
 } // namespace
 
 void NoticeBoard::addOwn(std::string_view PoolName,
-                         const QuarantineNotice &Notice, TimePoint Now) {
-  for (QuarantineNotice &Part : split(Notice)) {
+                         const EndpointNotice &Notice, TimePoint Now) {
+  for (EndpointNotice &Part : split(Notice)) {
     RelayedNotice Added;
     Added.Origin = Self;
     Added.Number = NextNumber++;
--- a/packages/process/src/coltsfoottrail/dissemination/noticeboard.hpp
+++ b/packages/process/src/coltsfoottrail/dissemination/noticeboard.hpp
@@ -63,7 +63,7 @@
   explicit NoticeBoard(HostName HostRun) : Self(std::move(HostRun)) {}
 
   /// @brief Adds a notice of this host.
-  void addOwn(std::string_view PoolName, const QuarantineNotice &Notice,
+  void addOwn(std::string_view PoolName, const EndpointNotice &Notice,
               TimePoint Now);
   /// @brief Adds notices from another host.
   /// @param From Run of the host that sent them.
--- a/packages/process/src/coltsfoottrail/dissemination/noticewire.hpp
+++ b/packages/process/src/coltsfoottrail/dissemination/noticewire.hpp
@@ -13,7 +13,7 @@
 /// @brief A quarantine notice and the pool it concerns.
 struct PoolNotice {
   std::string PoolName;
-  QuarantineNotice Notice;
+  EndpointNotice Notice;
 };
 
 /// @brief Encodes a notice. Thread-safe.
--- a/packages/process/src/coltsfoottrail/fleethost/treeevidence.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/treeevidence.hpp
@@ -18,7 +18,7 @@
   explicit TreeEvidence(TreeLink &Tree) : Tree(Tree) {}
 
   void publish(std::string_view PoolName,
-               const QuarantineNotice &Notice) override {
+               const EndpointNotice &Notice) override {
     logNotice(PoolName, Notice, "self");
     Tree.publishNotice(PoolName, Notice);
   }
--- a/packages/process/src/coltsfoottrail/server/evidence.hpp
+++ b/packages/process/src/coltsfoottrail/server/evidence.hpp
@@ -23,7 +23,7 @@
   /// @param PoolName The pool that the notice concerns.
   /// @param Notice The notice.
   virtual void publish(std::string_view PoolName,
-                       const QuarantineNotice &Notice) = 0;
+                       const EndpointNotice &Notice) = 0;
 
   /// @brief Reports an endpoint whose loss was attributed to an outage of its
   /// data centre.
--- a/packages/process/src/coltsfoottrail/server/evidencelog.cpp
+++ b/packages/process/src/coltsfoottrail/server/evidencelog.cpp
@@ -47,7 +47,7 @@
   return Text;
 }
 
-void logNotice(std::string_view PoolName, const QuarantineNotice &Notice,
+void logNotice(std::string_view PoolName, const EndpointNotice &Notice,
                std::string_view Source) {
   std::visit(
       Overloaded{[&](const CrashNotice &Crash) {
--- a/packages/process/src/coltsfoottrail/server/evidencelog.hpp
+++ b/packages/process/src/coltsfoottrail/server/evidencelog.hpp
@@ -21,7 +21,7 @@
 /// @param PoolName The pool that it concerns.
 /// @param Notice The notice.
 /// @param Source The host that the notice is from; "self" for this host.
-void logNotice(std::string_view PoolName, const QuarantineNotice &Notice,
+void logNotice(std::string_view PoolName, const EndpointNotice &Notice,
                std::string_view Source);
 
 /// @brief Logs that the loss of an endpoint was attributed to an outage of its
--- a/packages/process/src/coltsfoottrail/server/meshevidence.cpp
+++ b/packages/process/src/coltsfoottrail/server/meshevidence.cpp
@@ -8,7 +8,7 @@
 namespace coltsfoottrail {
 
 void MeshEvidence::publish(std::string_view PoolName,
-                           const QuarantineNotice &Notice) {
+                           const EndpointNotice &Notice) {
   logNotice(PoolName, Notice, "self");
   const PoolNotice Published{std::string(PoolName), Notice};
   keep(Published);
--- a/packages/process/src/coltsfoottrail/server/meshevidence.hpp
+++ b/packages/process/src/coltsfoottrail/server/meshevidence.hpp
@@ -25,7 +25,7 @@
   void sendKept(const HostName &Host);
 
   void publish(std::string_view PoolName,
-               const QuarantineNotice &Notice) override;
+               const EndpointNotice &Notice) override;
   void recordOutageLoss(std::string_view PoolName,
                         const std::string &EndpointKey) override;
   void recordPartChange(std::string_view PoolName,
--- a/packages/process/src/coltsfoottrail/server/router.cpp
+++ b/packages/process/src/coltsfoottrail/server/router.cpp
@@ -418,7 +418,7 @@
 }
 
 bool Router::observeNotice(std::string_view PoolName,
-                           const QuarantineNotice &Notice) {
+                           const EndpointNotice &Notice) {
   const std::shared_ptr<DispatchHandle::Shard> PoolShard = findShard(PoolName);
   const TimePoint Now = BootClock::now();
   if (!PoolShard) {
@@ -455,7 +455,7 @@
 }
 
 void Router::publishEvidence(DispatchHandle::Shard &PoolShard) {
-  std::vector<QuarantineNotice> Notices;
+  std::vector<EndpointNotice> Notices;
   std::vector<std::string> OutageLosses;
   std::vector<PartChange> PartChanges;
   DispatchHandle::Shard::Deliveries Decisions;
@@ -470,7 +470,7 @@
     PartChanges = PoolShard.PoolDispatcher.takePartChanges();
   }
   DispatchHandle::Shard::deliver(std::move(Decisions), nullptr);
-  for (const QuarantineNotice &Notice : Notices)
+  for (const EndpointNotice &Notice : Notices)
     Evidence.publish(PoolShard.Name, Notice);
   for (const std::string &EndpointKey : OutageLosses)
     Evidence.recordOutageLoss(PoolShard.Name, EndpointKey);
--- a/packages/process/src/coltsfoottrail/server/router.hpp
+++ b/packages/process/src/coltsfoottrail/server/router.hpp
@@ -115,7 +115,7 @@
   /// @return Whether the notice changed what this host knows of the pool. False
   /// while the pool is unknown: hosts that pass on what is new to them would
   /// send such a notice to each other without end.
-  bool observeNotice(std::string_view PoolName, const QuarantineNotice &Notice);
+  bool observeNotice(std::string_view PoolName, const EndpointNotice &Notice);
 
   /// @brief Records that an endpoint of a pool stopped serving under a key
   /// without having crashed.
@@ -175,7 +175,7 @@
 private:
   struct EarlyNotice {
     std::string PoolName;
-    QuarantineNotice Notice;
+    EndpointNotice Notice;
     TimePoint ArrivedAt;
   };
 
--- a/packages/process/test/coltsfoottrail/server/router.cpp
+++ b/packages/process/test/coltsfoottrail/server/router.cpp
@@ -9,7 +9,7 @@
 class RecordingSink final : public CrashEvidenceSink {
 public:
   void publish(std::string_view PoolName,
-               const QuarantineNotice & /*Notice*/) override {
+               const EndpointNotice & /*Notice*/) override {
     Published.emplace_back(PoolName);
   }
   void recordOutageLoss(std::string_view /*PoolName*/,
--- a/packages/process/test/coltsfoottrail/server/sparsemesh.cpp
+++ b/packages/process/test/coltsfoottrail/server/sparsemesh.cpp
@@ -55,7 +55,7 @@
   }
   Quarantines[0].endpointLost("a", DataCentreName("dc-0"), 1,
                               std::span(&Fingerprint, 1), Now);
-  const QuarantineNotice Notice = Quarantines[0].takeNotices(Now).front();
+  const EndpointNotice Notice = Quarantines[0].takeNotices(Now).front();
   std::deque<std::size_t> Queue{0};
   while (!Queue.empty()) {
     const HostName &Self = Members[Queue.front()].Host;
--- a/packages/request/src/coltsfoottrail/dispatch/dispatcher.cpp
+++ b/packages/request/src/coltsfoottrail/dispatch/dispatcher.cpp
@@ -615,11 +615,11 @@
     }
 }
 
-std::vector<QuarantineNotice> Dispatcher::takeNotices(TimePoint Now) {
+std::vector<EndpointNotice> Dispatcher::takeNotices(TimePoint Now) {
   return CrashHistory.takeNotices(Now);
 }
 
-bool Dispatcher::observeNotice(const QuarantineNotice &Notice, TimePoint Now) {
+bool Dispatcher::observeNotice(const EndpointNotice &Notice, TimePoint Now) {
   return CrashHistory.observe(Notice, Now);
 }
 
--- a/packages/request/src/coltsfoottrail/dispatch/dispatcher.hpp
+++ b/packages/request/src/coltsfoottrail/dispatch/dispatcher.hpp
@@ -182,7 +182,7 @@
   /// @brief Removes and returns the notices for the dispatchers of this pool on
   /// the other entry hosts, to be passed to observeNotice() there. Call it
   /// after attemptEnded() and observe().
-  [[nodiscard]] std::vector<QuarantineNotice> takeNotices(TimePoint Now);
+  [[nodiscard]] std::vector<EndpointNotice> takeNotices(TimePoint Now);
   /// @brief Decides anew which parts of prompts are refused, and refuses the
   /// requests that wait with them. Call it before takeNotices().
   void reviewEvidence(TimePoint Now, Commands &Output);
@@ -209,7 +209,7 @@
   /// @brief Processes a notice from a dispatcher of this pool on another entry
   /// host.
   /// @return Whether it changed anything here.
-  bool observeNotice(const QuarantineNotice &Notice, TimePoint Now);
+  bool observeNotice(const EndpointNotice &Notice, TimePoint Now);
 
   /// @brief Performs the work that is due: refuses requests that can no longer
   /// meet their deadline, sends held requests again, tries ejected endpoints.
--- a/packages/request/src/coltsfoottrail/quarantine/fwd.hpp
+++ b/packages/request/src/coltsfoottrail/quarantine/fwd.hpp
@@ -21,8 +21,8 @@
 struct DismissNotice;
 struct ClearNotice;
 struct SoundNotice;
-/// Message between entry hosts about requests that crash endpoints.
-using QuarantineNotice =
+/// Message between entry hosts about what one of them has seen at endpoints.
+using EndpointNotice =
     std::variant<CrashNotice, DismissNotice, ClearNotice, SoundNotice>;
 
 enum class Standing : std::uint8_t;
--- a/packages/request/src/coltsfoottrail/quarantine/notice.cpp
+++ b/packages/request/src/coltsfoottrail/quarantine/notice.cpp
@@ -2,7 +2,7 @@
 
 namespace coltsfoottrail {
 
-void addAge(QuarantineNotice &Notice, Duration Elapsed) {
+void addAge(EndpointNotice &Notice, Duration Elapsed) {
   if (auto *const Crash = std::get_if<CrashNotice>(&Notice))
     Crash->Age += Elapsed;
   if (auto *const Sound = std::get_if<SoundNotice>(&Notice))
--- a/packages/request/src/coltsfoottrail/quarantine/notice.hpp
+++ b/packages/request/src/coltsfoottrail/quarantine/notice.hpp
@@ -69,7 +69,7 @@
 
 /// @brief Adds the time that a notice was kept or on its way to the ages in it.
 /// Thread-safe.
-void addAge(QuarantineNotice &Notice, Duration Elapsed);
+void addAge(EndpointNotice &Notice, Duration Elapsed);
 
 } // namespace coltsfoottrail
 
--- a/packages/request/src/coltsfoottrail/quarantine/quarantine.cpp
+++ b/packages/request/src/coltsfoottrail/quarantine/quarantine.cpp
@@ -314,7 +314,7 @@
   Parts.removeCrash(Id);
 }
 
-bool Quarantine::observe(const QuarantineNotice &Notice, TimePoint Now) {
+bool Quarantine::observe(const EndpointNotice &Notice, TimePoint Now) {
   expire(Now);
   return std::visit([&](const auto &Typed) { return ingest(Typed, Now); },
                     Notice);
@@ -359,14 +359,14 @@
   return Parts.ingest(Notice, Now);
 }
 
-void Quarantine::addNotice(QuarantineNotice Notice) {
+void Quarantine::addNotice(EndpointNotice Notice) {
   Outgoing.push_back(std::move(Notice));
   if (Outgoing.size() > Limits.MaxNotices)
     Outgoing.pop_front();
 }
 
-std::vector<QuarantineNotice> Quarantine::takeNotices(TimePoint Now) {
-  std::vector<QuarantineNotice> Notices;
+std::vector<EndpointNotice> Quarantine::takeNotices(TimePoint Now) {
+  std::vector<EndpointNotice> Notices;
   for (const CrashId Id : Order) {
     Crash &Record = *Crashes.find(Id);
     if (Record.Dismissed == Dismissal::Alive) {
--- a/packages/request/src/coltsfoottrail/quarantine/quarantine.hpp
+++ b/packages/request/src/coltsfoottrail/quarantine/quarantine.hpp
@@ -128,10 +128,10 @@
 
   /// @brief Processes a notice from another entry host.
   /// @return Whether it changed anything here.
-  bool observe(const QuarantineNotice &Notice, TimePoint Now);
+  bool observe(const EndpointNotice &Notice, TimePoint Now);
 
   /// @brief Removes and returns the notices for the other entry hosts.
-  [[nodiscard]] std::vector<QuarantineNotice> takeNotices(TimePoint Now);
+  [[nodiscard]] std::vector<EndpointNotice> takeNotices(TimePoint Now);
 
   /// @brief Removes and returns the endpoints whose losses were attributed to
   /// an outage of their data centre since the last call.
@@ -197,7 +197,7 @@
   void forget(std::uint64_t Fingerprint);
   void clear(std::uint64_t Fingerprint);
   void expire(TimePoint Now);
-  void addNotice(QuarantineNotice Notice);
+  void addNotice(EndpointNotice Notice);
 
   QuarantineLimits Limits;
   PartQuarantine Parts;
@@ -211,7 +211,7 @@
   /// Suspects by expiry, then by order.
   std::map<std::pair<TimePoint, std::uint64_t>, std::uint64_t> Expiries;
   std::uint64_t NextOrder = 0;
-  std::deque<QuarantineNotice> Outgoing;
+  std::deque<EndpointNotice> Outgoing;
   std::vector<std::string> OutageLosses;
 };
 
--- a/packages/request/test/coltsfoottrail/dispatch/dispatcher.cpp
+++ b/packages/request/test/coltsfoottrail/dispatch/dispatcher.cpp
@@ -457,7 +457,7 @@
             (Verdict{RunState::NotRun, Reason::Quarantined, std::nullopt}));
   DispatchHarness Other;
   Other.configure(testPool(5), 4);
-  for (const QuarantineNotice &Notice : Test.Scheduler.takeNotices(Test.Now))
+  for (const EndpointNotice &Notice : Test.Scheduler.takeNotices(Test.Now))
     Other.Scheduler.observeNotice(Notice, Other.Now);
   EXPECT_EQ(Other.refusal(Other.submit(lookup(666)))->Why, Reason::Quarantined);
   EXPECT_EQ(Other.refusal(Other.submit(lookup(1))), std::nullopt);
--- a/packages/request/test/coltsfoottrail/dispatch/simulation.hpp
+++ b/packages/request/test/coltsfoottrail/dispatch/simulation.hpp
@@ -293,7 +293,7 @@
       else
         refused(Index, std::get<RefuseCommand>(Entry));
     }
-    for (const QuarantineNotice &Notice : Target.Scheduler.takeNotices(Now))
+    for (const EndpointNotice &Notice : Target.Scheduler.takeNotices(Now))
       for (std::size_t Other = 0; Other < Hosts.size(); ++Other)
         if (Other != Index)
           at(Now + milliseconds(2), [this, Other, Notice] {
--- a/packages/request/test/coltsfoottrail/quarantine/partquarantine.cpp
+++ b/packages/request/test/coltsfoottrail/quarantine/partquarantine.cpp
@@ -48,7 +48,7 @@
         .has_value();
   }
   void passOnTo(Quarantine &Other) {
-    for (const QuarantineNotice &Notice : Subject.takeNotices(Now))
+    for (const EndpointNotice &Notice : Subject.takeNotices(Now))
       Other.observe(Notice, Now);
     Other.parts().review(Now);
   }
@@ -263,7 +263,7 @@
   for (int Index = 0; Index < 3; ++Index)
     crash({Bad});
   passOnTo(Other);
-  for (const QuarantineNotice &Notice : Other.takeNotices(Now))
+  for (const EndpointNotice &Notice : Other.takeNotices(Now))
     Subject.observe(Notice, Now);
   pass(seconds(1));
   EXPECT_FALSE(isRefused(Bad));
--- a/packages/request/test/coltsfoottrail/quarantine/partwaves.cpp
+++ b/packages/request/test/coltsfoottrail/quarantine/partwaves.cpp
@@ -335,11 +335,11 @@
   void poll() {
     for (std::size_t Index = 0; Index < Hosts.size(); ++Index) {
       Hosts[Index].parts().review(time());
-      for (const QuarantineNotice &Notice : Hosts[Index].takeNotices(time()))
+      for (const EndpointNotice &Notice : Hosts[Index].takeNotices(time()))
         for (std::size_t Other = 0; Other < Hosts.size(); ++Other)
           if (Other != Index)
             at(Now + Options.NoticeDelay, [this, Other, Notice] {
-              QuarantineNotice Received = Notice;
+              EndpointNotice Received = Notice;
               addAge(Received, Options.NoticeDelay);
               Hosts[Other].observe(Received, time());
             });
--- a/packages/request/test/coltsfoottrail/quarantine/quarantine.cpp
+++ b/packages/request/test/coltsfoottrail/quarantine/quarantine.cpp
@@ -49,7 +49,7 @@
   EXPECT_EQ(standingOf(7), Standing::Clear);
   const auto Notices = Subject.takeNotices(Now);
   ASSERT_EQ(Notices.size(), 2U);
-  for (const QuarantineNotice &Notice : Notices)
+  for (const EndpointNotice &Notice : Notices)
     EXPECT_TRUE(std::holds_alternative<DismissNotice>(Notice));
 }
 
@@ -112,12 +112,12 @@
   }
   EXPECT_EQ(standingOf(7), Standing::Quarantined);
   Quarantine Other{QuarantineLimits{}};
-  for (const QuarantineNotice &Notice : Subject.takeNotices(Now))
+  for (const EndpointNotice &Notice : Subject.takeNotices(Now))
     Other.observe(Notice, Now);
   Subject.requestAnswered("d", 7, Now - seconds(1), Now);
   EXPECT_EQ(standingOf(7), Standing::Clear);
   EXPECT_EQ(Other.standing(7, Now), Standing::Quarantined);
-  for (const QuarantineNotice &Notice : Subject.takeNotices(Now))
+  for (const EndpointNotice &Notice : Subject.takeNotices(Now))
     Other.observe(Notice, Now);
   EXPECT_EQ(Other.standing(7, Now), Standing::Clear);
 }
@@ -135,7 +135,7 @@
   EXPECT_EQ(standingOf(8), Standing::Clear);
   const auto Notices = Subject.takeNotices(Now);
   Quarantine Other{QuarantineLimits{}};
-  for (const QuarantineNotice &Notice : Notices)
+  for (const EndpointNotice &Notice : Notices)
     Other.observe(Notice, Now);
   EXPECT_EQ(Other.standing(7, Now), Standing::Clear);
 }
@@ -215,13 +215,13 @@
 TEST_F(QuarantineTest, OtherHostsRefuseItToo) {
   Quarantine Other{QuarantineLimits{}};
   crash("a", {7, 8});
-  for (const QuarantineNotice &Notice : Subject.takeNotices(Now))
+  for (const EndpointNotice &Notice : Subject.takeNotices(Now))
     Other.observe(Notice, Now);
   EXPECT_TRUE(Subject.takeNotices(Now).empty());
   EXPECT_EQ(Other.standing(7, Now), Standing::Suspect);
   Other.endpointLost("b", DataCentreName("dc-1"), 1,
                      std::vector<std::uint64_t>{7}, Now);
-  for (const QuarantineNotice &Notice : Other.takeNotices(Now + seconds(1)))
+  for (const EndpointNotice &Notice : Other.takeNotices(Now + seconds(1)))
     Subject.observe(Notice, Now + seconds(1));
   EXPECT_EQ(Other.standing(7, Now), Standing::Quarantined);
   EXPECT_EQ(Subject.standing(7, Now + seconds(1)), Standing::Quarantined);
@@ -233,7 +233,7 @@
   crash("a", {7});
   Other.endpointLost("a", DataCentreName("dc-0"), 1,
                      std::vector<std::uint64_t>{7, 8}, Now + milliseconds(300));
-  for (const QuarantineNotice &Notice : Other.takeNotices(Now + seconds(2)))
+  for (const EndpointNotice &Notice : Other.takeNotices(Now + seconds(2)))
     Subject.observe(Notice, Now + seconds(2));
   Now += seconds(2);
   EXPECT_EQ(standingOf(7), Standing::Suspect);
@@ -246,7 +246,7 @@
   Other.endpointLost("a", DataCentreName("dc-0"), 1,
                      std::vector<std::uint64_t>{7}, Now);
   EXPECT_TRUE(Subject.observe(DismissNotice{"a"}, Now + milliseconds(50)));
-  for (const QuarantineNotice &Notice : Other.takeNotices(Now))
+  for (const EndpointNotice &Notice : Other.takeNotices(Now))
     Subject.observe(Notice, Now + milliseconds(80));
   Now += milliseconds(100);
   EXPECT_EQ(standingOf(7), Standing::Clear);
@@ -301,7 +301,7 @@
       crash("e" + std::to_string(10 * Round + int(Bad)), {Bad});
     Now += milliseconds(1'500);
   }
-  for (const QuarantineNotice &Notice : Subject.takeNotices(Now))
+  for (const EndpointNotice &Notice : Subject.takeNotices(Now))
     Other.observe(Notice, Now);
   for (const std::uint64_t Bad : {1, 2, 3})
     EXPECT_EQ(Other.standing(Bad, Now), Standing::Quarantined);
@@ -327,7 +327,7 @@
   Subject.requestAnswered("a", 8, Start - seconds(1), Now + seconds(1));
   EXPECT_EQ(standingOf(7), Standing::Clear);
   bool Dismissed = false;
-  for (const QuarantineNotice &Notice : Subject.takeNotices(Now))
+  for (const EndpointNotice &Notice : Subject.takeNotices(Now))
     Dismissed |= std::holds_alternative<DismissNotice>(Notice);
   EXPECT_TRUE(Dismissed);
 }
