Log and count the rate limits that endpoints name

What the on-call engineer saw: endpoints that had named a limit got as many requests as before, and neither logs nor metrics said that they had named one, to which host, how long ago, or what was sent since.

Responses are now read for a limit in both modes: Server-Limit on the platform, Coltsfoottrail-Rate-Limit in the own interface. It belongs to one life of the endpoint's process (EndpointSpec::Process), so that it survives a change of configuration, group or record, and ends with a restart. 1412 and 1413 tell when it was named, changed and ended, 1414 that it cannot be read, 1415 what was sent under it; each is bounded a second. The metrics give value, age, sends and requests withheld of each limit (platform), and their number and sends (own interface). Nothing is limited yet.

A response ends a limit only if its request was sent after the limit was last heard: responses overtake each other. A limit that no host has heard of for 30 s ends too.

--- a/packages/connection/src/coltsfoottrail/boundary/wire.hpp
+++ b/packages/connection/src/coltsfoottrail/boundary/wire.hpp
@@ -8,6 +8,7 @@
 #include "coltsfoottrail/core/time.hpp"
 #include "coltsfoottrail/fleet/endpoint.hpp"
 #include "coltsfoottrail/http/message.hpp"
+#include "coltsfoottrail/http/ratelimitfield.hpp"
 
 #include <optional>
 #include <string>
@@ -71,6 +72,8 @@
     std::uint32_t Slots = 0;
   };
   std::optional<Load> ReportedLoad;
+  /// Requests per second that the endpoint takes from all entry hosts together.
+  RateLimitField RateLimit;
   /// Whether it carries the endpoint's digest.
   bool Signed = false;
   /// The endpoint is shutting down or closes this connection.
--- a/packages/process/src/coltsfoottrail/fleethost/attempt.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/attempt.cpp
@@ -201,6 +201,7 @@
   recordLoad(Target, AnswerHeaders);
   if (!AnswerHeaders.Id.empty() && AnswerHeaders.Id != Context.Caller.Id)
     co_return failedAttempt(RunState::MayHaveRun, Reason::EndpointCut, Start);
+  recordRateLimit(Target, AnswerHeaders, Start);
   if (ReportUnusable && AnswerHeaders.provesUnusable(Target.Address))
     ReportUnusable(EndpointName(Target.Host.Text), AnswerHeaders.FaultyEngine);
   if (AnswerHeaders.NotRun || AnswerHeaders.WrongEndpoint)
@@ -264,6 +265,20 @@
   Routing.observe(Report);
 }
 
+// A response of another endpoint at the address says nothing of this one, and
+// one without the request's identifier may be no response at all.
+void CallerProxy::recordRateLimit(const EndpointSpec &Endpoint,
+                                  const ResponseMetadata &AnswerHeaders,
+                                  TimePoint SentAt) {
+  const RateLimitField &Named = AnswerHeaders.RateLimit;
+  if (Named.IsInvalid && ReportInvalidRateLimit)
+    ReportInvalidRateLimit(EndpointName(Endpoint.Host.Text));
+  const bool IsUsable = !AnswerHeaders.WrongEndpoint && !Named.IsInvalid &&
+                        (Named.PerSecond || !AnswerHeaders.Id.empty());
+  if (IsUsable)
+    Routing.observeRateLimit(Endpoint, Named.PerSecond, SentAt);
+}
+
 Awaitable<AttemptResult> CallerProxy::relayWhole(Exchange &Call,
                                                  RequestContext &Context,
                                                  HttpCall UpstreamCall,
--- a/packages/process/src/coltsfoottrail/fleethost/callerproxy.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/callerproxy.hpp
@@ -65,6 +65,12 @@
     ReportUnusable = std::move(Callback);
   }
 
+  /// @brief Sets a function to call with an endpoint whose response names a
+  /// rate limit that cannot be read.
+  void onInvalidRateLimit(std::function<void(const EndpointName &)> Callback) {
+    ReportInvalidRateLimit = std::move(Callback);
+  }
+
   /// @brief Serves one request.
   /// @throws boost::system::system_error The caller has disconnected.
   [[nodiscard]] Awaitable<void> serve(Exchange &Call);
@@ -198,6 +204,8 @@
                                const EndpointSpec &Target, TimePoint Now);
   void recordLoad(const EndpointSpec &Endpoint,
                   const ResponseMetadata &AnswerHeaders);
+  void recordRateLimit(const EndpointSpec &Endpoint,
+                       const ResponseMetadata &AnswerHeaders, TimePoint SentAt);
 
   const FleetView &View;
   const ReachabilityTracker &Reach;
@@ -219,6 +227,7 @@
   static constexpr std::size_t DefaultEntryHosts = 64;
   std::size_t EntryHosts = DefaultEntryHosts;
   std::function<void(const EndpointName &, const std::string &)> ReportUnusable;
+  std::function<void(const EndpointName &)> ReportInvalidRateLimit;
   bool Stopping = false;
 };
 
--- a/packages/process/src/coltsfoottrail/fleethost/host.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/host.cpp
@@ -11,6 +11,7 @@
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <malloc.h>
+#include <random>
 #include <utility>
 
 namespace coltsfoottrail {
@@ -104,6 +105,14 @@
   return Result;
 }
 
+RouterOptions routerOptions(const FleetSettings &Settings) {
+  RouterOptions Result;
+  Result.Self = Settings.Host;
+  Result.Seed = std::random_device()();
+  Result.Dispatch = dispatcherOptions(Settings);
+  return Result;
+}
+
 ClientOptions clientOptions() {
   ClientOptions Result;
   Result.MaxIdlePerEndpoint = IdlePerEndpoint;
@@ -156,9 +165,7 @@
                      FleetLinks Links)
     : Settings(std::move(InitialSettings)), Threads(Pool), Platform(Links),
       View(Settings.Bounds), Draw(hashText(Settings.Host.Text)), Evidence(Link),
-      Forwarding(Links.Endpoints),
-      Routing(RouterOptions{Settings.Host, dispatcherOptions(Settings), {}},
-              Evidence),
+      Forwarding(Links.Endpoints), Routing(routerOptions(Settings), Evidence),
       Client(Pool.context(0), clientOptions(), &Links.Endpoints),
       Proxy(View, Links.Endpoints.reach(), Routing, Client, Links.Wire, Silence,
             hashText(Settings.Host.Text)),
@@ -236,6 +243,9 @@
       [this](const EndpointName &Endpoint, const std::string &AtFault) {
         reportUnusable(Endpoint, AtFault);
       });
+  Proxy.onInvalidRateLimit([this](const EndpointName &Endpoint) {
+    RateLimits.logInvalid(Endpoint.Text, BootClock::now());
+  });
   Coordinator.onDuty([this](bool Holds) {
     Operators.setEagerRetry(Holds);
     Endpoints.setEagerRetry(Holds);
@@ -446,6 +456,8 @@
     shareLimits(BootClock::now());
     openColdEndpoints(BootClock::now());
     Routing.advance();
+    RateLimits.logChanges(Routing.takeRateLimitChanges(), BootClock::now());
+    RateLimits.logUse(Routing.rateLimits(), BootClock::now());
     if (const std::uint64_t Dropped = Proxy.takeDroppedTrails(); Dropped > 0)
       logEvent(Event::TrailsDropped, {{"requests", Dropped}});
     const milliseconds Interval = Routing.waiting() > 0 ? BusyTick : IdleTick;
@@ -516,6 +528,7 @@
   AppendLine("connections_forwarded", Forwarding.open());
   AppendLine("cut_off", Platform.Endpoints.reach().cutOffSince() ? 1 : 0);
   RetryReport::appendTo(Text, Routing.retryTallies());
+  RateLimitReport::appendTo(Text, Routing.rateLimits());
   Proxy.metrics().appendTo(Text);
   return Text;
 }
--- a/packages/process/src/coltsfoottrail/fleethost/host.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/host.hpp
@@ -16,6 +16,7 @@
 #include "coltsfoottrail/fleethost/view.hpp"
 #include "coltsfoottrail/logging/log.hpp"
 #include "coltsfoottrail/reach/forwarding.hpp"
+#include "coltsfoottrail/server/ratelimitreport.hpp"
 #include "coltsfoottrail/server/retryreport.hpp"
 
 #include <boost/asio/steady_timer.hpp>
@@ -135,6 +136,7 @@
   HttpClient Client;
   StallDetector Silence;
   RetryReport Retries;
+  RateLimitReport RateLimits;
   CallerProxy Proxy;
   /// Name of this run of the host.
   std::string Member;
--- a/packages/process/src/coltsfoottrail/fleethost/view.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/view.cpp
@@ -20,9 +20,12 @@
 
 } // namespace
 
+std::string FleetView::processName(const EndpointRecord &Record) {
+  return Record.Name.Text + "#" + std::to_string(Record.StartedAtMs);
+}
+
 std::string FleetView::endpointKey(const EndpointRecord &Record) {
-  std::string Result =
-      Record.Name.Text + "#" + std::to_string(Record.StartedAtMs);
+  std::string Result = processName(Record);
   if (Record.Seat)
     Result += "@" + std::to_string(Record.Seat->Epoch);
   return Result;
@@ -333,6 +336,7 @@
     return;
   EndpointSpec Spec;
   Spec.Key = endpointKey(Record);
+  Spec.Process = processName(Record);
   Spec.Address = Record.Address;
   Spec.Host = HostName(Record.Name.Text);
   Spec.DataCentre = Record.DataCentre;
--- a/packages/process/src/coltsfoottrail/fleethost/view.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/view.hpp
@@ -157,6 +157,9 @@
   /// it is admitted.
   static constexpr std::uint32_t ColdShare = 1;
 
+  /// @brief Name of one run of an endpoint's process.
+  [[nodiscard]] static std::string processName(const EndpointRecord &Record);
+
   /// @brief Key of an endpoint that is unique for each run of its process and
   /// each group that it belongs to.
   [[nodiscard]] static std::string endpointKey(const EndpointRecord &Record);
--- a/packages/process/src/coltsfoottrail/server/process.cpp
+++ b/packages/process/src/coltsfoottrail/server/process.cpp
@@ -121,6 +121,7 @@
       Routing(
           [this] {
             RouterOptions Limits = routerOptions(Options);
+            Limits.Seed = Run;
             Limits.OnDemandChanged = [this](std::string_view Pool,
                                             std::size_t Waiting) {
               Members->setPoolDemand(Pool, static_cast<std::uint32_t>(Waiting));
@@ -549,6 +550,8 @@
   Routing.repeatDemand();
   Retries.log(Routing.retryTallies(), Agreed.state()->EntryHosts.size(),
               BootClock::now());
+  RateLimits.logChanges(Routing.takeRateLimitChanges(), BootClock::now());
+  RateLimits.logUse(Routing.rateLimits(), BootClock::now());
   Groups.poll();
   refreshUsableEndpoints();
   applyRoutes();
--- a/packages/process/src/coltsfoottrail/server/process.hpp
+++ b/packages/process/src/coltsfoottrail/server/process.hpp
@@ -12,6 +12,7 @@
 #include "coltsfoottrail/server/membershipdriver.hpp"
 #include "coltsfoottrail/server/meshevidence.hpp"
 #include "coltsfoottrail/server/operatorapi.hpp"
+#include "coltsfoottrail/server/ratelimitreport.hpp"
 #include "coltsfoottrail/server/relay.hpp"
 #include "coltsfoottrail/server/retryreport.hpp"
 #include "coltsfoottrail/settings/settings.hpp"
@@ -130,6 +131,7 @@
   MeshEvidence Evidence;
   Router Routing;
   RetryReport Retries;
+  RateLimitReport RateLimits;
   SpanFactory Spans;
   Relay CallerRelay;
   Metrics Registry;
--- a/packages/process/src/coltsfoottrail/server/processmetrics.cpp
+++ b/packages/process/src/coltsfoottrail/server/processmetrics.cpp
@@ -62,8 +62,14 @@
   const GaugeId Refused =
       Registry.gauge("coltsfoottrail_prompt_parts_refused",
                      "Parts of prompts refused for crashing endpoints", {});
+  const GaugeId Limited =
+      Registry.gauge("coltsfoottrail_rate_limits",
+                     "Endpoints that name a limit of their requests", {});
+  const GaugeId LimitedSends =
+      Registry.gauge("coltsfoottrail_rate_limit_sends",
+                     "Requests sent under the rate limits in force", {});
   Registry.onScrape([this, Counters, Ready, Next, Connected, InProgress,
-                     Waiting, Suspected, Refused] {
+                     Waiting, Suspected, Refused, Limited, LimitedSends] {
     for (MirroredCounter &One : *Counters)
       One.update();
     Registry.set(Ready, ready() ? 1.0 : 0.0);
@@ -74,6 +80,12 @@
     const Router::PartTally Parts = Routing.partTally();
     Registry.set(Suspected, static_cast<double>(Parts.Suspected));
     Registry.set(Refused, static_cast<double>(Parts.Refused));
+    const std::vector<RateLimitTally> Limits = Routing.rateLimits();
+    double Sends = 0.0;
+    for (const RateLimitTally &Each : Limits)
+      Sends += static_cast<double>(Each.Sends);
+    Registry.set(Limited, static_cast<double>(Limits.size()));
+    Registry.set(LimitedSends, Sends);
   });
 }
 
--- a/packages/process/src/coltsfoottrail/server/relay.cpp
+++ b/packages/process/src/coltsfoottrail/server/relay.cpp
@@ -2,6 +2,7 @@
 
 #include "coltsfoottrail/core/hash.hpp"
 #include "coltsfoottrail/core/overloaded.hpp"
+#include "coltsfoottrail/http/ratelimitfield.hpp"
 #include "coltsfoottrail/json/reader.hpp"
 #include "coltsfoottrail/server/attempts.hpp"
 #include "coltsfoottrail/server/events.hpp"
@@ -26,6 +27,8 @@
 constexpr milliseconds MaxJoinDelay{400};
 constexpr std::string_view OutcomesPrefix = "/outcomes/";
 constexpr std::string_view VerdictField = "Coltsfoottrail-Verdict";
+/// Requests per second that an endpoint takes from all entry hosts together.
+constexpr std::string_view RateLimitName = "Coltsfoottrail-Rate-Limit";
 constexpr unsigned StatusOk = 200;
 constexpr unsigned FirstErrorStatus = 500;
 constexpr unsigned StatusTooMany = 429;
@@ -446,6 +449,7 @@
     co_return failedAttempt(*Failure, Start);
   }
   HttpCall Answer = std::move(std::get<HttpCall>(Started));
+  recordRateLimit(To, Answer.head(), Start);
   const unsigned Status = Answer.head().Status;
   const bool NotRun = fieldOf(Answer.head().Fields, VerdictField) == "not-run";
   if (NotRun && Guard != nullptr)
@@ -462,6 +466,17 @@
   co_return co_await relayWhole(Call, Request, std::move(Answer), Start, Guard);
 }
 
+void Relay::recordRateLimit(const EndpointSpec &From, const HttpResponse &Head,
+                            TimePoint SentAt) {
+  const RateLimitField Named = readRateLimit(Head.Fields, RateLimitName);
+  if (!Named.IsInvalid)
+    Routing.observeRateLimit(From, Named.PerSecond, SentAt);
+  else if (const auto HeldBack =
+               Sampler.admit(Event::RateLimitInvalid, BootClock::now()))
+    logEvent(Event::RateLimitInvalid,
+             {{"endpoint", From.Key}, {"held_back", *HeldBack}});
+}
+
 Awaitable<AttemptResult> Relay::relayWhole(Exchange &Call,
                                            const CallerRequest &Request,
                                            HttpCall Answer, TimePoint Start,
--- a/packages/process/src/coltsfoottrail/server/relay.hpp
+++ b/packages/process/src/coltsfoottrail/server/relay.hpp
@@ -107,6 +107,8 @@
               TimePoint Start, StreamProgress &Progress);
   [[nodiscard]] Awaitable<void> serveOutcomeQuery(Exchange &Call);
   void logKeyInUse(const CallerRequest &Request, const ClaimInProgress &Held);
+  void recordRateLimit(const EndpointSpec &From, const HttpResponse &Head,
+                       TimePoint SentAt);
   [[nodiscard]] HttpClient &client(std::size_t Thread);
 
   Router &Routing;
--- a/packages/process/src/coltsfoottrail/server/router.cpp
+++ b/packages/process/src/coltsfoottrail/server/router.cpp
@@ -214,7 +214,8 @@
 }
 
 Router::Router(RouterOptions Limits, CrashEvidenceSink &Evidence)
-    : Options(std::move(Limits)), Evidence(Evidence) {}
+    : Options(std::move(Limits)), Evidence(Evidence),
+      RateLimits(std::make_shared<EndpointRateLimiter>(Options.Seed)) {}
 
 Router::~Router() = default;
 
@@ -240,6 +241,7 @@
     if (PoolShard)
       continue;
     DispatcherOptions Limits = Options.Dispatch;
+    Limits.RateLimits = RateLimits;
     Limits.Seed = hashText(Name, hashText(Options.Self.Text));
     Limits.RetryTokens =
         retryTokens(Wanted.RetryGroup.empty() ? Name : Wanted.RetryGroup);
@@ -350,6 +352,20 @@
   return Result;
 }
 
+void Router::observeRateLimit(const EndpointSpec &Endpoint,
+                              std::optional<double> PerSecond,
+                              TimePoint SentAt) {
+  RateLimits->observe(Endpoint.Process, PerSecond, SentAt, BootClock::now());
+}
+
+std::vector<RateLimitTally> Router::rateLimits() const {
+  return RateLimits->tallies(BootClock::now());
+}
+
+std::vector<RateLimitChange> Router::takeRateLimitChanges() {
+  return RateLimits->takeChanges();
+}
+
 void Router::observe(const LoadReport &Report) {
   for (const auto &PoolShard : allShards()) {
     DispatchHandle::Shard::Deliveries Decisions;
@@ -510,6 +526,7 @@
     }
     DispatchHandle::Shard::deliver(std::move(Decisions), nullptr);
   }
+  RateLimits->advance(BootClock::now());
   publishEvidence();
 }
 
--- a/packages/process/src/coltsfoottrail/server/router.hpp
+++ b/packages/process/src/coltsfoottrail/server/router.hpp
@@ -6,6 +6,7 @@
 
 #include "coltsfoottrail/dispatch/dispatcher.hpp"
 #include "coltsfoottrail/http/fwd.hpp"
+#include "coltsfoottrail/ratelimit/limiter.hpp"
 #include "coltsfoottrail/route/table.hpp"
 #include "coltsfoottrail/server/evidence.hpp"
 #include "coltsfoottrail/server/fwd.hpp"
@@ -80,6 +81,8 @@
 /// @brief Options of a router.
 struct RouterOptions {
   HostName Self;
+  /// Random number that differs between runs of hosts.
+  std::uint64_t Seed = 0;
   DispatcherOptions Dispatch;
   /// Called with the number of further requests for which a pool needs capacity
   /// whenever that number changes; on any thread, with no lock held. May be
@@ -141,6 +144,18 @@
   /// pool without a group has a budget of its own under the pool's name.
   [[nodiscard]] std::map<std::string, RetryTally> retryTallies() const;
 
+  /// @brief Applies what a response says of its endpoint's rate limit.
+  /// @param Endpoint The endpoint.
+  /// @param PerSecond Requests per second from all entry hosts together; empty
+  /// if the response names no limit.
+  /// @param SentAt When the request was sent.
+  void observeRateLimit(const EndpointSpec &Endpoint,
+                        std::optional<double> PerSecond, TimePoint SentAt);
+  /// @brief The rate limits in force.
+  [[nodiscard]] std::vector<RateLimitTally> rateLimits() const;
+  /// @brief Removes and returns the changes of rate limits since the last call.
+  [[nodiscard]] std::vector<RateLimitChange> takeRateLimitChanges();
+
   /// @brief Records a load report of an endpoint.
   void observe(const LoadReport &Report);
 
@@ -195,6 +210,8 @@
 
   RouterOptions Options;
   CrashEvidenceSink &Evidence;
+  /// Shared by the dispatchers of all pools.
+  std::shared_ptr<EndpointRateLimiter> RateLimits;
   mutable std::mutex Lock;
   std::map<std::string, std::shared_ptr<DispatchHandle::Shard>, std::less<>>
       Shards;
--- a/packages/request/src/coltsfoottrail/dispatch/dispatcher.cpp
+++ b/packages/request/src/coltsfoottrail/dispatch/dispatcher.cpp
@@ -332,6 +332,8 @@
   } else {
     ++Counts.Resends;
   }
+  if (Options.RateLimits)
+    Options.RateLimits->recordSend(Chosen.Spec.Process);
   Output.emplace_back(SendCommand{Id, Chosen.Spec.Key});
   Request.Hinted = Choice.sent(Target, choiceQuery(Request, Now), Now);
   updateQueueSlots();
--- a/packages/request/src/coltsfoottrail/dispatch/dispatcher.hpp
+++ b/packages/request/src/coltsfoottrail/dispatch/dispatcher.hpp
@@ -10,6 +10,7 @@
 #include "coltsfoottrail/dispatch/types.hpp"
 #include "coltsfoottrail/quarantine/quarantine.hpp"
 #include "coltsfoottrail/queues/fairqueue.hpp"
+#include "coltsfoottrail/ratelimit/limiter.hpp"
 #include "coltsfoottrail/retries/retry.hpp"
 #include "coltsfoottrail/route/table.hpp"
 
@@ -43,6 +44,8 @@
   /// Retry tokens that the pools of a service share; the pool has its own when
   /// null.
   std::shared_ptr<SharedTokenBucket> RetryTokens;
+  /// The rate limits of endpoints, which all pools share; none when null.
+  std::shared_ptr<EndpointRateLimiter> RateLimits;
   QuarantineLimits CrashLimits;
   /// Time that must be left when a request starts after a wait, as a multiple
   /// of the mean service time. With less, many requests time out after they
--- /dev/null
+++ b/packages/request/src/coltsfoottrail/ratelimit/fwd.hpp
@@ -0,0 +1,17 @@
+/// @file
+/// Forward declarations of the ratelimit module.
+#ifndef COLTSFOOTTRAIL_RATELIMIT_FWD_HPP
+#define COLTSFOOTTRAIL_RATELIMIT_FWD_HPP
+
+namespace coltsfoottrail {
+
+struct RateObservation;
+struct RateLimitNotice;
+struct RateLimitChange;
+struct RateLimitTally;
+class EndpointRateLimiter;
+class TrafficShare;
+
+} // namespace coltsfoottrail
+
+#endif
--- /dev/null
+++ b/packages/request/src/coltsfoottrail/ratelimit/limiter.cpp
@@ -0,0 +1,184 @@
+#include "coltsfoottrail/ratelimit/limiter.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace coltsfoottrail {
+
+namespace {
+
+/// A limit that differs by less than this fraction is not told or logged anew.
+constexpr double MaterialChange = 0.1;
+
+bool differsMaterially(std::optional<double> First,
+                       std::optional<double> Second) {
+  if (!First || !Second)
+    return First.has_value() != Second.has_value();
+  return std::abs(*First - *Second) >
+         MaterialChange * std::max(*First, *Second);
+}
+
+} // namespace
+
+void EndpointRateLimiter::name(Limit &Named, double PerSecond,
+                               TimePoint HeardAt) {
+  Named.PerSecond = PerSecond;
+  Named.HeardAt = std::max(Named.HeardAt, HeardAt);
+  Named.EndedAt.reset();
+  if (!std::exchange(Named.InForce, true))
+    ++Version;
+}
+
+void EndpointRateLimiter::end(Limit &Ended, TimePoint EndedAt) {
+  if (!Ended.EndedAt)
+    Ended.EndedAt = EndedAt;
+}
+
+void EndpointRateLimiter::recordChange(const std::string &Process,
+                                       const Limit &Changed,
+                                       std::optional<double> Before,
+                                       Duration Age, bool FromPeer) {
+  if (differsMaterially(Before, Changed.stated()))
+    Changes.push_back({Process, Changed.stated(), Age, FromPeer, false});
+}
+
+void EndpointRateLimiter::markUnpublished(Limit &Changed, TimePoint Now) {
+  const bool IsDue =
+      Changed.stated() && Now - Changed.ToldAt >= RefreshInterval;
+  if (IsDue || differsMaterially(Changed.stated(), Changed.ToldPerSecond))
+    Changed.IsUnpublished = true;
+}
+
+// Failure guarded against: responses overtake each other, and one that the
+// endpoint sent before it named its limit ends the limit.
+void EndpointRateLimiter::observe(const std::string &Process,
+                                  std::optional<double> PerSecond,
+                                  TimePoint SentAt, TimePoint Now) {
+  const std::lock_guard Guard(Lock);
+  auto Found = Limits.find(Process);
+  if (!PerSecond) {
+    if (Found == Limits.end() || Found->second.EndedAt ||
+        SentAt <= Found->second.HeardAt)
+      return;
+    end(Found->second, Now);
+    recordChange(Process, Found->second, Found->second.PerSecond,
+                 Duration::zero(), false);
+  } else {
+    Found = Limits.try_emplace(Process).first;
+    Limit &Named = Found->second;
+    const std::optional<double> Before =
+        Named.InForce ? Named.stated() : std::nullopt;
+    name(Named, *PerSecond, Now);
+    recordChange(Process, Named, Before, Duration::zero(), false);
+  }
+  markUnpublished(Found->second, Now);
+}
+
+bool EndpointRateLimiter::observeNotice(const RateLimitNotice &Notice,
+                                        TimePoint Now) {
+  const std::lock_guard Guard(Lock);
+  bool AnyNew = false;
+  for (const RateObservation &Observed : Notice.Observations)
+    AnyNew = apply(Observed, Now) || AnyNew;
+  return AnyNew;
+}
+
+bool EndpointRateLimiter::apply(const RateObservation &Observed,
+                                TimePoint Now) {
+  if (Observed.Observer == Observer)
+    return false;
+  const TimePoint HeardAt = Now - Observed.Age;
+  if (HeardAt + UnheardLife <= Now)
+    return false;
+  const auto [Found, IsFirst] = Limits.try_emplace(Observed.Process);
+  Limit &Known = Found->second;
+  std::uint64_t &Seen = Known.SeenNumbers[Observed.Observer];
+  if (Seen >= Observed.Number)
+    return false;
+  Seen = Observed.Number;
+  const TimePoint KnownAt =
+      std::max(Known.HeardAt, Known.EndedAt.value_or(Known.HeardAt));
+  if (!IsFirst && HeardAt <= KnownAt)
+    return true;
+  const std::optional<double> Before =
+      Known.InForce ? Known.stated() : std::nullopt;
+  if (Observed.PerSecond)
+    name(Known, *Observed.PerSecond, HeardAt);
+  else
+    end(Known, HeardAt);
+  recordChange(Observed.Process, Known, Before, Observed.Age, true);
+  Known.ToldPerSecond = Observed.PerSecond;
+  Known.ToldAt = Now;
+  Known.IsUnpublished = false;
+  return true;
+}
+
+bool EndpointRateLimiter::isLimited(std::string_view Process) const {
+  const std::lock_guard Guard(Lock);
+  const auto Found = Limits.find(Process);
+  return Found != Limits.end() && Found->second.InForce;
+}
+
+bool EndpointRateLimiter::hasLimits() const {
+  const std::lock_guard Guard(Lock);
+  return std::ranges::any_of(
+      Limits, [](const auto &Entry) { return Entry.second.InForce; });
+}
+
+void EndpointRateLimiter::advance(TimePoint Now) {
+  const std::lock_guard Guard(Lock);
+  for (auto &[Process, Each] : Limits) {
+    if (!Each.EndedAt && Now - Each.HeardAt >= UnheardLife) {
+      Changes.push_back(
+          {Process, std::nullopt, Now - Each.HeardAt, false, true});
+      end(Each, Now);
+    }
+    const bool IsLifted = Each.EndedAt && Now - *Each.EndedAt >= ReleaseTime;
+    if (IsLifted && std::exchange(Each.InForce, false))
+      ++Version;
+  }
+  std::erase_if(Limits, [&](const auto &Entry) {
+    return Entry.second.EndedAt && Now - *Entry.second.EndedAt >= UnheardLife;
+  });
+}
+
+RateLimitNotice EndpointRateLimiter::takeNotice(TimePoint Now) {
+  const std::lock_guard Guard(Lock);
+  RateLimitNotice Notice;
+  for (auto &[Process, Each] : Limits) {
+    if (!Each.IsUnpublished || Now - Each.ToldAt < MinNoticeInterval)
+      continue;
+    Each.IsUnpublished = false;
+    Each.ToldPerSecond = Each.stated();
+    Each.ToldAt = Now;
+    Notice.Observations.push_back({Process, Each.stated(),
+                                   Now - Each.EndedAt.value_or(Each.HeardAt),
+                                   Observer, NextNumber++});
+  }
+  return Notice;
+}
+
+std::vector<RateLimitChange> EndpointRateLimiter::takeChanges() {
+  const std::lock_guard Guard(Lock);
+  return std::exchange(Changes, {});
+}
+
+std::vector<RateLimitTally> EndpointRateLimiter::tallies(TimePoint Now) const {
+  const std::lock_guard Guard(Lock);
+  std::vector<RateLimitTally> Result;
+  for (const auto &[Process, Each] : Limits)
+    if (Each.InForce)
+      Result.push_back({Process, Each.PerSecond, Now - Each.HeardAt, Each.Sends,
+                        Each.Withheld});
+  return Result;
+}
+
+void EndpointRateLimiter::recordSend(std::string_view Process) {
+  const std::lock_guard Guard(Lock);
+  const auto Found = Limits.find(Process);
+  if (Found != Limits.end())
+    ++Found->second.Sends;
+}
+
+} // namespace coltsfoottrail
--- a/packages/version/src/coltsfoottrail/route/table.cpp
+++ b/packages/version/src/coltsfoottrail/route/table.cpp
@@ -47,6 +47,10 @@
     return;
   Endpoint.Key = endpointKey(Id, Source.Generation);
   Endpoint.Address = Endpoint.Members.front();
+  Endpoint.Process =
+      textOf(Endpoint.Address) + "#" +
+      (Source.MemberRuns.empty() ? Endpoint.Key
+                                 : std::to_string(Source.MemberRuns.front()));
   Endpoint.Host = Source.Spec.Members.front();
   Endpoint.DataCentre = Source.Spec.DataCentre;
   Endpoint.WarmBound = Model->WarmBound;
@@ -62,6 +66,7 @@
                           const ServiceInstance &Instance) {
   EndpointSpec Endpoint;
   Endpoint.Key = endpointKey(Service, Instance);
+  Endpoint.Process = Endpoint.Key;
   Endpoint.Address = EngineAddress{Instance.Address, Instance.Port};
   Endpoint.Host = Instance.Host;
   Endpoint.DataCentre = Instance.DataCentre;
--- a/packages/version/src/coltsfoottrail/route/table.hpp
+++ b/packages/version/src/coltsfoottrail/route/table.hpp
@@ -22,6 +22,9 @@
   /// Identical on every entry host and never reused: group and generation, or
   /// service and address.
   std::string Key;
+  /// Identifies one life of the process that answers, under whatever key; the
+  /// key where a process has only one.
+  std::string Process;
   EngineAddress Address;
   HostName Host;
   DataCentreName DataCentre;
