Keep to the rate limits that endpoints name, over all hosts

Leaders that asked for 2.8 and 2.6 requests a second got 28 and 30 in four seconds, as before.

Cause: nothing read the limit, and nothing in the dispatcher knows a rate. It bounds what is in progress; an endpoint in trouble that still answers quickly looks idle and is preferred.

Change: EndpointRateLimiter keeps, for each life of an endpoint's process, the newest limit that any host has heard, and a token bucket for this host's part of it. The chooser holds back an endpoint without a token like one without a free slot, so each way to an endpoint ends there: first sends, retries, resumed streams, requests that wait for a cached prefix, probes of ejected endpoints. The tokens are taken in Chooser::sent, for both modes. Nothing is reported as refused by the endpoint, so neither ejection nor attempts nor the retry budget count a wait for a turn.

Hosts tell each other (EndpointNotice, by the tree or the mesh, and to hosts that start), at most twice a second for an endpoint and host, and only what differs or is two seconds old. The notice board keeps the newest of each endpoint, so that crash notices keep their places. Observations bear their age, the host and a number there: none is taken twice, none goes round.

The rate is divided by the requests that each host gets for the pool. While there are limits, hosts report these with their loads, and the tree adds them up. A part grows slowly from an even one and falls at once; without the tree it is even. In the own interface the part of the credits is used, whose sum the steward keeps below the endpoint's bound.

What no endpoint can take in time is refused at once: the estimate of the wait counts a limited endpoint as the slots that its rate keeps busy, and where all are limited the next token's time counts.

The end: a later response without the field, 30 s without a sign, or another life of the process. The rate then doubles each half second for three seconds. Least rate 0.2 a second over all hosts, since nobody would learn of the end otherwise.

Why it works: the parts add up to one, so do the buckets to the limit, beyond one request saved up a host.

Weighed: an even split (a host with all callers uses a seventh of the limit); one steward for each endpoint in the fleet too (a message before each send); counting sends in the tree (every host sends within its lag).

--- a/packages/process/src/coltsfoottrail/dissemination/noticeboard.cpp
+++ b/packages/process/src/coltsfoottrail/dissemination/noticeboard.cpp
@@ -26,6 +26,19 @@
   }
 }
 
+const RateLimitNotice *ratesOf(const RelayedNotice &Notice) {
+  return std::get_if<RateLimitNotice>(&Notice.Content.Notice);
+}
+
+RateLimitNotice *ratesOf(RelayedNotice &Notice) {
+  return std::get_if<RateLimitNotice>(&Notice.Content.Notice);
+}
+
+Duration lifeOf(const RelayedNotice &Notice) {
+  return ratesOf(Notice) != nullptr ? NoticeBoard::RateNoticeLife
+                                    : NoticeBoard::NoticeLife;
+}
+
 /// Splits a crash with many requests, so that each notice has a bounded size.
 std::vector<EndpointNotice> split(const EndpointNotice &Notice) {
   const auto *const Crash = std::get_if<CrashNotice>(&Notice);
@@ -65,12 +78,14 @@
                  TimePoint Now) {
   std::vector<PoolNotice> New;
   for (const RelayedNotice &Notice : Received)
-    if (Notice.Age < NoticeLife && insert(Notice, From, Now))
+    if (Notice.Age < lifeOf(Notice) && insert(Notice, From, Now))
       New.push_back(Notice.Content);
   return New;
 }
 
 bool NoticeBoard::insert(RelayedNotice Notice, HostName From, TimePoint Now) {
+  if (ratesOf(Notice) != nullptr)
+    return insertRates(std::move(Notice), std::move(From), Now);
   NoticeId Id{Notice.Origin, Notice.Number};
   if (!Known.insert(Id).second)
     return false;
@@ -84,16 +99,83 @@
     if (Sound->Parts.empty())
       return false;
   }
+  append(std::move(Notice), std::move(From), Now);
+  return true;
+}
+
+void NoticeBoard::append(RelayedNotice Notice, HostName From, TimePoint Now) {
   const TimePoint AroseAt = Now - Notice.Age;
-  Entries.push_back({std::move(Notice), AroseAt, Now, std::move(From)});
-  while (Entries.size() > MaxNotices ||
-         Entries.front().AroseAt + NoticeLife <= Now) {
-    Entries.pop_front();
-    ++First;
-  }
+  Entries.push_back(
+      {NextPosition++, std::move(Notice), AroseAt, Now, std::move(From)});
+  removeExcess(Now);
+}
+
+void NoticeBoard::removeExcess(TimePoint Now) {
+  std::erase_if(Entries, [&](const Entry &Each) {
+    return Each.AroseAt + lifeOf(Each.Notice) <= Now;
+  });
+  const auto RateNotices =
+      std::size_t(std::ranges::count_if(Entries, [](const Entry &Each) {
+        return ratesOf(Each.Notice) != nullptr;
+      }));
+  std::size_t ExcessRates = RateNotices - std::min(RateNotices, MaxRateNotices);
+  const std::size_t Others = Entries.size() - RateNotices;
+  std::size_t ExcessOthers = Others - std::min(Others, MaxNotices);
+  if (ExcessRates + ExcessOthers == 0)
+    return;
+  std::erase_if(Entries, [&](const Entry &Each) {
+    std::size_t &Excess =
+        ratesOf(Each.Notice) != nullptr ? ExcessRates : ExcessOthers;
+    if (Excess == 0)
+      return false;
+    --Excess;
+    return true;
+  });
+}
+
+// Failure guarded against: endpoints whose limits change with each response
+// push the notices of crashes off the board. Of each endpoint the newest
+// observation is kept.
+bool NoticeBoard::insertRates(RelayedNotice Notice, HostName From,
+                              TimePoint Now) {
+  RateLimitNotice &Rates = *ratesOf(Notice);
+  const auto ObservedAt = [Now](const RateObservation &Observed) {
+    return Now - Observed.Age;
+  };
+  std::erase_if(Rates.Observations, [&](const RateObservation &Observed) {
+    return std::ranges::any_of(Entries, [&](Entry &Each) {
+      const RateLimitNotice *const Kept = ratesOf(Each.Notice);
+      return Kept != nullptr &&
+             std::ranges::any_of(
+                 Kept->Observations, [&](const RateObservation &Known) {
+                   const bool IsSame = Known.Observer == Observed.Observer &&
+                                       Known.Number >= Observed.Number;
+                   return Known.Process == Observed.Process &&
+                          (IsSame ||
+                           Each.InsertedAt - Known.Age >= ObservedAt(Observed));
+                 });
+    });
+  });
+  if (Rates.Observations.empty())
+    return false;
+  for (const RateObservation &Observed : Rates.Observations)
+    removeSuperseded(Observed);
+  append(std::move(Notice), std::move(From), Now);
   return true;
 }
 
+void NoticeBoard::removeSuperseded(const RateObservation &Newer) {
+  std::erase_if(Entries, [&](Entry &Each) {
+    RateLimitNotice *const Kept = ratesOf(Each.Notice);
+    if (Kept == nullptr)
+      return false;
+    std::erase_if(Kept->Observations, [&](const RateObservation &Known) {
+      return Known.Process == Newer.Process;
+    });
+    return Kept->Observations.empty();
+  });
+}
+
 // Failure guarded against: all hosts of a large fleet run the first part of
 // most prompts, and each crash that it was at brings a notice from every one of
 // them. One notice is enough for all crashes before its run.
@@ -128,9 +210,9 @@
 }
 
 std::size_t NoticeBoard::indexOf(std::uint64_t Position) const noexcept {
-  return Position <= First
-             ? 0
-             : std::min<std::size_t>(Position - First, Entries.size());
+  return std::size_t(
+      std::ranges::lower_bound(Entries, Position, {}, &Entry::Position) -
+      Entries.begin());
 }
 
 bool NoticeBoard::hasSince(std::uint64_t Next, const HostName &Reader) const {
@@ -147,14 +229,15 @@
   for (; Index < Entries.size() && Page.Notices.size() < MaxPageNotices;
        ++Index) {
     const Entry &Candidate = Entries[Index];
-    if (Candidate.From == Reader || Candidate.AroseAt + NoticeLife <= Now)
+    if (Candidate.From == Reader ||
+        Candidate.AroseAt + lifeOf(Candidate.Notice) <= Now)
       continue;
     RelayedNotice Sent = Candidate.Notice;
     Sent.Age = Now - Candidate.AroseAt;
     addAge(Sent.Content.Notice, Now - Candidate.InsertedAt);
     Page.Notices.push_back(std::move(Sent));
   }
-  Page.Next = First + Index;
+  Page.Next = Index < Entries.size() ? Entries[Index].Position : NextPosition;
   return Page;
 }
 
--- a/packages/process/src/coltsfoottrail/dissemination/noticeboard.hpp
+++ b/packages/process/src/coltsfoottrail/dissemination/noticeboard.hpp
@@ -5,6 +5,7 @@
 #define COLTSFOOTTRAIL_DISSEMINATION_NOTICEBOARD_HPP
 
 #include "coltsfoottrail/dissemination/noticewire.hpp"
+#include "coltsfoottrail/ratelimit/limiter.hpp"
 
 #include <deque>
 #include <map>
@@ -50,13 +51,17 @@
   static constexpr std::size_t MaxFingerprints = 64;
   /// Parts of prompts in one notice, unless one request has more.
   static constexpr std::size_t MaxParts = 64;
-  /// Notices kept, at most.
+  /// Notices kept, at most, and those about rate limits, which leave each
+  /// other's places only.
   static constexpr std::size_t MaxNotices = 512;
+  static constexpr std::size_t MaxRateNotices = 256;
   /// Parts whose runs are remembered, at most.
   static constexpr std::size_t MaxKnownRuns = 4096;
   /// How long a notice is passed on to hosts that do not have it, such as one
   /// that has just started.
   static constexpr Duration NoticeLife = seconds(600);
+  /// The same for one about rate limits.
+  static constexpr Duration RateNoticeLife = EndpointRateLimiter::UnheardLife;
 
   /// @brief Creates an empty board.
   /// @param HostRun Name of this host's run.
@@ -87,6 +92,7 @@
   using NoticeId = std::pair<HostName, std::uint64_t>;
 
   struct Entry {
+    std::uint64_t Position = 0;
     RelayedNotice Notice;
     TimePoint AroseAt;
     TimePoint InsertedAt;
@@ -99,12 +105,17 @@
   [[nodiscard]] bool hasCrashBetween(const std::string &PoolName,
                                      TimePoint From, TimePoint To) const;
   bool insert(RelayedNotice Notice, HostName From, TimePoint Now);
+  bool insertRates(RelayedNotice Notice, HostName From, TimePoint Now);
+  void removeSuperseded(const RateObservation &Newer);
+  void append(RelayedNotice Notice, HostName From, TimePoint Now);
+  void removeExcess(TimePoint Now);
   [[nodiscard]] std::size_t indexOf(std::uint64_t Position) const noexcept;
 
   HostName Self;
   std::uint64_t NextNumber = 0;
-  /// Position of the first entry.
-  std::uint64_t First = 0;
+  /// Position of the next entry.
+  std::uint64_t NextPosition = 0;
+  /// By position.
   std::deque<Entry> Entries;
   /// By pool and part, when the latest run began that is on the board.
   std::map<std::pair<std::string, PromptPartId>, TimePoint> KnownRuns;
--- a/packages/process/src/coltsfoottrail/dissemination/noticewire.cpp
+++ b/packages/process/src/coltsfoottrail/dissemination/noticewire.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <limits>
 
 namespace coltsfoottrail {
@@ -55,6 +56,45 @@
   return Notice;
 }
 
+double readRate(ObjectReader &Reader) {
+  const Json &Value = Reader.raw("per_second");
+  if (!Value.is_number() || !std::isfinite(Value.get<double>()) ||
+      Value.get<double>() < 0.0)
+    Reader.refuse("per_second", "a number of requests");
+  return Value.get<double>();
+}
+
+RateLimitNotice readRates(ObjectReader &Reader) {
+  RateLimitNotice Notice;
+  Reader.eachObject("rate_limits", [&](ObjectReader &Each) {
+    RateObservation Observed;
+    Observed.Process = Each.text("process");
+    if (Each.has("per_second"))
+      Observed.PerSecond = readRate(Each);
+    Observed.Age = Duration(
+        static_cast<Duration::rep>(Each.number("age_ns", 0, LongestAge)));
+    Observed.Observer = Each.number("observer");
+    Observed.Number = Each.number("number");
+    Notice.Observations.push_back(std::move(Observed));
+  });
+  return Notice;
+}
+
+/// Hosts of earlier releases take it for the clearance of no request.
+Json writeRates(const RateLimitNotice &Rates) {
+  Json Encoded{{"fingerprint", 0}, {"rate_limits", Json::array()}};
+  for (const RateObservation &Observed : Rates.Observations) {
+    Json Entry{{"process", Observed.Process},
+               {"age_ns", Observed.Age.count()},
+               {"observer", Observed.Observer},
+               {"number", Observed.Number}};
+    if (Observed.PerSecond)
+      Entry["per_second"] = *Observed.PerSecond;
+    Encoded["rate_limits"].push_back(std::move(Entry));
+  }
+  return Encoded;
+}
+
 Json writeSuspects(const std::vector<SuspectedRequest> &Suspects) {
   Json Encoded = Json::array();
   for (const SuspectedRequest &Request : Suspects)
@@ -76,27 +116,28 @@
 } // namespace
 
 Json writeNotice(const PoolNotice &Notification) {
-  Json Encoded =
-      std::visit(Overloaded{
-                     [](const CrashNotice &Crash) {
-                       return Json{{"endpoint", Crash.EndpointKey},
-                                   {"data_centre", Crash.DataCentre.Text},
-                                   {"run", Crash.Run},
-                                   {"age_ns", Crash.Age.count()},
-                                   {"fingerprints", Crash.Fingerprints},
-                                   {"suspects", writeSuspects(Crash.Suspects)},
-                                   {"host_run", Crash.History.Host},
-                                   {"recent_requests", Crash.History.Requests}};
-                     },
-                     [](const DismissNotice &Dismiss) {
-                       return Json{{"endpoint", Dismiss.EndpointKey}};
-                     },
-                     [](const ClearNotice &Clear) {
-                       return Json{{"fingerprint", Clear.Fingerprint}};
-                     },
-                     [](const SoundNotice &Sound) { return writeSound(Sound); },
-                 },
-                 Notification.Notice);
+  Json Encoded = std::visit(
+      Overloaded{
+          [](const CrashNotice &Crash) {
+            return Json{{"endpoint", Crash.EndpointKey},
+                        {"data_centre", Crash.DataCentre.Text},
+                        {"run", Crash.Run},
+                        {"age_ns", Crash.Age.count()},
+                        {"fingerprints", Crash.Fingerprints},
+                        {"suspects", writeSuspects(Crash.Suspects)},
+                        {"host_run", Crash.History.Host},
+                        {"recent_requests", Crash.History.Requests}};
+          },
+          [](const DismissNotice &Dismiss) {
+            return Json{{"endpoint", Dismiss.EndpointKey}};
+          },
+          [](const ClearNotice &Clear) {
+            return Json{{"fingerprint", Clear.Fingerprint}};
+          },
+          [](const SoundNotice &Sound) { return writeSound(Sound); },
+          [](const RateLimitNotice &Rates) { return writeRates(Rates); },
+      },
+      Notification.Notice);
   Encoded["kind"] = Kinds.at(std::min(Notification.Notice.index(), ClearKind));
   Encoded["pool"] = Notification.PoolName;
   return Encoded;
@@ -116,6 +157,8 @@
   default:
     if (Reader.has("sound"))
       Decoded.Notice = readSound(Reader);
+    else if (Reader.has("rate_limits"))
+      Decoded.Notice = readRates(Reader);
     else
       Decoded.Notice = ClearNotice{Reader.number("fingerprint")};
     break;
--- a/packages/process/src/coltsfoottrail/fleethost/feeds.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/feeds.cpp
@@ -159,6 +159,8 @@
   Result.WantsAll = Result.CanRelay;
   Result.CanForward = Forwarding.isForwarding();
   Result.Loads = Routing.ownLoads();
+  for (const EndpointLoad &Traffic : Routing.poolTraffic())
+    Result.Loads.push_back(Traffic);
   const auto Describe = [&Result](Feed FeedId, const FeedFollower &Follower) {
     if (!Follower.next() && !Result.WantsAll)
       Result.Missing.insert(FeedId);
--- a/packages/process/src/coltsfoottrail/fleethost/host.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/host.cpp
@@ -93,6 +93,7 @@
   Result.MaxWaitingBytes = MaxWaitingBodyBytes;
   Result.NoEndpointHold = NoEndpointHold;
   Result.NoShareHold = NoEndpointHold;
+  Result.RateDivision = SplitByTraffic{};
   EstimatedWaitPolicy Policy;
   Policy.HintSets = HintSets;
   Policy.UseRing = false;
@@ -357,6 +358,7 @@
   if (Hosts > 0)
     LastEntryHosts = Hosts;
   Proxy.setEntryHosts(LastEntryHosts);
+  Routing.setEntryHosts(LastEntryHosts);
   limitRetries(LastEntryHosts, Now);
   Retries.log(Routing.retryTallies(), LastEntryHosts, Now);
 }
--- a/packages/process/src/coltsfoottrail/server/evidencelog.cpp
+++ b/packages/process/src/coltsfoottrail/server/evidencelog.cpp
@@ -82,7 +82,9 @@
                    logEvent(Event::PartsCleared, {{"pool", PoolName},
                                                   {"parts", idList(Parts)},
                                                   {"source", Source}});
-                 }},
+                 },
+                 // RateLimitReport logs them.
+                 [](const RateLimitNotice &) {}},
       Notice);
 }
 
--- a/packages/process/src/coltsfoottrail/server/evidencelog.hpp
+++ b/packages/process/src/coltsfoottrail/server/evidencelog.hpp
@@ -17,7 +17,8 @@
 /// leaves out what would be truncated. Thread-safe.
 [[nodiscard]] std::string idList(std::span<const std::uint64_t> Ids);
 
-/// @brief Logs a notice about requests that crash endpoints. Thread-safe.
+/// @brief Logs a notice about requests that crash endpoints; one about rate
+/// limits is not logged. Thread-safe.
 /// @param PoolName The pool that it concerns.
 /// @param Notice The notice.
 /// @param Source The host that the notice is from; "self" for this host.
--- a/packages/process/src/coltsfoottrail/server/router.cpp
+++ b/packages/process/src/coltsfoottrail/server/router.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/system/system_error.hpp>
+#include <cmath>
 #include <limits>
 #include <utility>
 
@@ -19,6 +20,11 @@
 
 namespace {
 
+/// Pool name of notices that concern no single pool.
+constexpr std::string_view AllPools = "*";
+/// Counts that stand for one request per second in the traffic of a pool.
+constexpr double TrafficUnits = 100.0;
+
 /// A pool counts as in use for this time after a request to it.
 constexpr seconds InUsePeriod{5};
 constexpr std::size_t MaxEarlyNotices = 512;
@@ -321,12 +327,43 @@
   return Loads;
 }
 
+// Only while there are rate limits, so that nothing is sent otherwise.
+std::vector<EndpointLoad> Router::poolTraffic() const {
+  std::vector<EndpointLoad> Traffic;
+  if (!RateLimits->hasLimits())
+    return Traffic;
+  const TimePoint Now = BootClock::now();
+  for (const auto &PoolShard : allShards()) {
+    const std::lock_guard Hold(PoolShard->Lock);
+    const double Own = PoolShard->PoolDispatcher.traffic().own(Now);
+    EndpointLoad Entry;
+    Entry.Endpoint = hashText(PoolShard->Name);
+    Entry.Load.Fresh = std::uint32_t(std::lround(Own * TrafficUnits));
+    if (Entry.Load.Fresh > 0)
+      Traffic.push_back(Entry);
+  }
+  return Traffic;
+}
+
+void Router::setEntryHosts(std::size_t Count) {
+  for (const auto &PoolShard : allShards()) {
+    const std::lock_guard Hold(PoolShard->Lock);
+    PoolShard->PoolDispatcher.traffic().setHosts(Count);
+  }
+}
+
 void Router::setRemoteLoads(std::span<const EndpointLoad> Others) {
   for (const auto &PoolShard : allShards()) {
+    const auto Traffic = std::ranges::find(Others, hashText(PoolShard->Name),
+                                           &EndpointLoad::Endpoint);
+    const double PerSecond =
+        Traffic == Others.end() ? 0.0 : Traffic->Load.Fresh / TrafficUnits;
     DispatchHandle::Shard::Deliveries Decisions;
     {
       const std::lock_guard Hold(PoolShard->Lock);
       Commands Issued;
+      PoolShard->PoolDispatcher.traffic().setOthers(PerSecond,
+                                                    BootClock::now());
       PoolShard->PoolDispatcher.setRemoteLoads(Others, BootClock::now(),
                                                Issued);
       Decisions = PoolShard->translate(Issued);
@@ -435,6 +472,8 @@
 
 bool Router::observeNotice(std::string_view PoolName,
                            const EndpointNotice &Notice) {
+  if (const auto *const Rates = std::get_if<RateLimitNotice>(&Notice))
+    return RateLimits->observeNotice(*Rates, BootClock::now());
   const std::shared_ptr<DispatchHandle::Shard> PoolShard = findShard(PoolName);
   const TimePoint Now = BootClock::now();
   if (!PoolShard) {
@@ -468,6 +507,9 @@
 void Router::publishEvidence() {
   for (const auto &PoolShard : allShards())
     publishEvidence(*PoolShard);
+  RateLimitNotice Rates = RateLimits->takeNotice(BootClock::now());
+  if (!Rates.Observations.empty())
+    Evidence.publish(AllPools, std::move(Rates));
 }
 
 void Router::publishEvidence(DispatchHandle::Shard &PoolShard) {
--- a/packages/process/src/coltsfoottrail/server/router.hpp
+++ b/packages/process/src/coltsfoottrail/server/router.hpp
@@ -133,7 +133,14 @@
 
   /// @brief Requests of this host at each endpoint that has any.
   [[nodiscard]] std::vector<EndpointLoad> ownLoads() const;
-  /// @brief Sets the load that the other entry hosts put on all endpoints.
+  /// @brief Rate of the requests that this host gets for each pool, in a form
+  /// that adds up over the hosts like their loads; empty without rate limits.
+  [[nodiscard]] std::vector<EndpointLoad> poolTraffic() const;
+  /// @brief Sets the number of entry hosts that share rate limits; zero if it
+  /// is not known.
+  void setEntryHosts(std::size_t Count);
+  /// @brief Sets the load that the other entry hosts put on all endpoints, and
+  /// the rates that poolTraffic() returns there.
   void setRemoteLoads(std::span<const EndpointLoad> Others);
 
   /// @brief Sets the allowance of the retry budget of a pool and of the pools
--- a/packages/request/src/coltsfoottrail/choice/candidate.hpp
+++ b/packages/request/src/coltsfoottrail/choice/candidate.hpp
@@ -8,11 +8,13 @@
 #include "coltsfoottrail/choice/load.hpp"
 #include "coltsfoottrail/route/table.hpp"
 
+#include <optional>
+
 namespace coltsfoottrail {
 
 /// The list of a CandidateTable that an endpoint is in.
 enum class Listing : std::uint8_t {
-  /// Has no free slot or must not be chosen.
+  /// Has no free slot, is held by its rate limit, or must not be chosen.
   None,
   /// Has a free slot, in the data centre of this entry host.
   Near,
@@ -42,6 +44,13 @@
   /// event.
   std::uint32_t HintEpoch = 1;
   std::uint64_t CacheSequence = 0;
+  /// This host's part of the rate limit that the endpoint has named, in
+  /// requests per second; empty without a limit.
+  std::optional<double> SendRate;
+  /// The part of the limit, from zero to one.
+  double RateShare = 0.0;
+  /// When the limit allows the next request; empty if it allows one now.
+  std::optional<TimePoint> HeldUntil;
   // Maintained by the CandidateTable.
   std::uint32_t CountedSlots = 0;
   std::uint32_t CountedFree = 0;
--- a/packages/request/src/coltsfoottrail/choice/candidates.cpp
+++ b/packages/request/src/coltsfoottrail/choice/candidates.cpp
@@ -78,7 +78,8 @@
 }
 
 Listing CandidateTable::listingOf(const Candidate &Endpoint) {
-  if (!Endpoint.Current || Endpoint.Load.own() >= Endpoint.Share)
+  if (!Endpoint.Current || Endpoint.Load.own() >= Endpoint.Share ||
+      Endpoint.HeldUntil)
     return Listing::None;
   switch (Endpoint.Condition.state()) {
   case Health::State::Ejected:
--- a/packages/request/src/coltsfoottrail/choice/chooser.cpp
+++ b/packages/request/src/coltsfoottrail/choice/chooser.cpp
@@ -60,6 +60,7 @@
 
 void Chooser::configure(const Pool &NewPool) {
   Pace = NewPool.Pace;
+  RateLimitsVersion.reset();
   for (const CandidateId Id : Table.configure(NewPool)) {
     Ejections.release(Table, Id);
     Table.drop(Id);
@@ -89,13 +90,93 @@
          !Table.listed(Listing::Probe).empty();
 }
 
+// A limited endpoint uses as many slots as its rate keeps busy.
 Throughput Chooser::throughput() const noexcept {
-  return Throughput{static_cast<double>(Table.slots()), Service.mean()};
+  double Slots = static_cast<double>(Table.slots());
+  for (const CandidateId Id : RateLimited) {
+    const Candidate *const Endpoint = Table.find(Id);
+    if (Endpoint == nullptr || !Endpoint->SendRate || Service.mean() <= 0.0)
+      continue;
+    const double Busy = *Endpoint->SendRate * Service.mean();
+    Slots -= std::max(0.0, double(Endpoint->CountedSlots) - Busy);
+  }
+  return Throughput{std::max(Slots, 0.0), Service.mean()};
+}
+
+void Chooser::findRateLimited() {
+  RateLimitsVersion = RateLimits->version();
+  RateLimited.clear();
+  for (const CandidateId Id : Table.all()) {
+    Candidate &Endpoint = *Table.find(Id);
+    if (RateLimits->isLimited(Endpoint.Spec.Process)) {
+      RateLimited.push_back(Id);
+    } else if (std::exchange(Endpoint.SendRate, std::nullopt)) {
+      Endpoint.HeldUntil.reset();
+      Table.relist(Id);
+    }
+  }
+}
+
+void Chooser::updateRateLimits(std::optional<double> Share, TimePoint Now) {
+  if (!RateLimits)
+    return;
+  if (RateLimitsVersion != RateLimits->version())
+    findRateLimited();
+  for (const CandidateId Id : RateLimited) {
+    Candidate &Endpoint = *Table.find(Id);
+    Endpoint.RateShare =
+        Share.value_or(double(Endpoint.Share) / double(Endpoint.Bound));
+    applyRateLimit(Id, Now);
+  }
+}
+
+void Chooser::applyRateLimit(CandidateId Id, TimePoint Now) {
+  Candidate &Endpoint = *Table.find(Id);
+  const std::optional<RatePermit> Permit =
+      RateLimits->permit(Endpoint.Spec.Process, Endpoint.RateShare, Now);
+  Endpoint.SendRate.reset();
+  Endpoint.HeldUntil.reset();
+  if (Permit) {
+    Endpoint.SendRate = Permit->PerSecond;
+    if (Permit->NextAt > Now)
+      Endpoint.HeldUntil = Permit->NextAt;
+  }
+  Table.relist(Id);
+}
+
+bool Chooser::allRateLimited() const noexcept {
+  const auto Limited = std::ranges::count_if(RateLimited, [&](CandidateId Id) {
+    return Table.find(Id)->CountedSlots > 0;
+  });
+  return Limited > 0 && std::uint64_t(Limited) == Table.usable();
+}
+
+std::optional<TimePoint> Chooser::earliestPermit() const noexcept {
+  if (!allRateLimited())
+    return std::nullopt;
+  std::optional<TimePoint> Earliest;
+  for (const CandidateId Id : RateLimited) {
+    const Candidate &Endpoint = *Table.find(Id);
+    if (Endpoint.CountedSlots == 0)
+      continue;
+    if (!Endpoint.HeldUntil)
+      return std::nullopt;
+    if (!Earliest || *Endpoint.HeldUntil < *Earliest)
+      Earliest = Endpoint.HeldUntil;
+  }
+  return Earliest;
+}
+
+void Chooser::countWithheld() const {
+  for (const CandidateId Id : RateLimited)
+    if (Table.find(Id)->HeldUntil)
+      RateLimits->recordWithheld(Table.find(Id)->Spec.Process);
 }
 
 std::optional<CandidateId> Chooser::choose(const ChoiceQuery &Query,
                                            TimePoint Now) {
   advance(Now);
+  countWithheld();
   return std::visit(
       [&](const auto &Settings) { return pick(Settings, Query, Now); }, Policy);
 }
@@ -379,7 +460,12 @@
   Endpoint.Load.sent(Query.Late, Now, Query.PromptTokens);
   Endpoint.Suspects += Query.Suspect ? 1U : 0U;
   ++OwnTotal;
-  Table.relist(Id);
+  if (RateLimits)
+    RateLimits->recordSend(Endpoint.Spec.Process);
+  if (Endpoint.SendRate)
+    applyRateLimit(Id, Now);
+  else
+    Table.relist(Id);
   if (Query.PrefixHash == 0)
     return false;
   return std::ranges::any_of(
@@ -503,7 +589,13 @@
 void Chooser::advance(TimePoint Now) { Ejections.advance(Table, Now); }
 
 std::optional<TimePoint> Chooser::nextChange() const {
-  return Ejections.nextChange();
+  std::optional<TimePoint> Earliest = Ejections.nextChange();
+  for (const CandidateId Id : RateLimited) {
+    const std::optional<TimePoint> HeldUntil = Table.find(Id)->HeldUntil;
+    if (HeldUntil && (!Earliest || *HeldUntil < *Earliest))
+      Earliest = HeldUntil;
+  }
+  return Earliest;
 }
 
 bool Chooser::observe(CandidateId Id, const LoadReport &Report, TimePoint Now) {
--- a/packages/request/src/coltsfoottrail/choice/chooser.hpp
+++ b/packages/request/src/coltsfoottrail/choice/chooser.hpp
@@ -8,7 +8,9 @@
 #include "coltsfoottrail/choice/ring.hpp"
 #include "coltsfoottrail/dispatch/types.hpp"
 #include "coltsfoottrail/queues/fairqueue.hpp"
+#include "coltsfoottrail/ratelimit/limiter.hpp"
 
+#include <memory>
 #include <optional>
 #include <span>
 #include <string_view>
@@ -136,6 +138,23 @@
   /// @brief Applies an event of an endpoint's prefix cache.
   void observeCache(CandidateId Id, const CacheChange &Change, TimePoint Now);
 
+  /// @brief Sets the rate limits of the endpoints, which others may share.
+  void limitRates(std::shared_ptr<EndpointRateLimiter> Limits) {
+    RateLimits = std::move(Limits);
+  }
+  /// @brief Makes endpoints available, or not, as their rate limits allow. To
+  /// be called before a choice.
+  /// @param Share This host's part of each limit; if empty, its part of an
+  /// endpoint's limit is that of the endpoint's concurrency limit.
+  /// @param Now The time.
+  void updateRateLimits(std::optional<double> Share, TimePoint Now);
+  /// @brief Whether each endpoint with a share that is not ejected has a rate
+  /// limit, and there is one.
+  [[nodiscard]] bool allRateLimited() const noexcept;
+  /// @brief When a rate limit first allows a request; empty if an endpoint has
+  /// no limit, or allows one now.
+  [[nodiscard]] std::optional<TimePoint> earliestPermit() const noexcept;
+
   /// @brief Makes endpoints whose ejection has ended available for probes.
   void advance(TimePoint Now);
   /// @brief Time of the next call to advance() that has an effect.
@@ -238,8 +257,16 @@
                                  std::uint64_t PrefixHash, TimePoint Now) const;
   void addHint(CandidateId Id, std::uint64_t PrefixHash, Duration Life,
                TimePoint Now);
+  void findRateLimited();
+  void applyRateLimit(CandidateId Id, TimePoint Now);
+  void countWithheld() const;
 
   ChoicePolicy Policy;
+  std::shared_ptr<EndpointRateLimiter> RateLimits;
+  /// EndpointRateLimiter::version() for which RateLimited was found; empty if
+  /// it has to be found anew.
+  std::optional<std::uint64_t> RateLimitsVersion;
+  std::vector<CandidateId> RateLimited;
   EnginePace Pace;
   Random Rng;
   CandidateTable Table;
--- a/packages/request/src/coltsfoottrail/dispatch/dispatcher.cpp
+++ b/packages/request/src/coltsfoottrail/dispatch/dispatcher.cpp
@@ -1,6 +1,7 @@
 #include "coltsfoottrail/dispatch/dispatcher.hpp"
 
 #include "coltsfoottrail/core/hash.hpp"
+#include "coltsfoottrail/core/overloaded.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -80,7 +81,9 @@
       Choice(Options.LocalDataCentre, Options.Policy, Rng()),
       Queue(queueLimits(Options)),
       Budget(Options.Retries.Budget, Options.RetryTokens),
-      CrashHistory(Options.CrashLimits, Rng()) {}
+      CrashHistory(Options.CrashLimits, Rng()) {
+  Choice.limitRates(Options.RateLimits);
+}
 
 void Dispatcher::configure(const Pool &Config, TimePoint Now,
                            Commands &Output) {
@@ -110,6 +113,7 @@
   Request.Item = std::move(Item);
   Request.Team = Team;
   Request.Attempts = Request.Item.EarlierSends;
+  Traffic.recordRequest(Now);
   const Ticket Id = Requests.insert(std::move(Request));
   trackCapacity(Now);
   if (const auto Refusal = immediateRefusal(*Requests.find(Id), Now)) {
@@ -174,15 +178,18 @@
                                                     TimePoint Now) const {
   const WorkItem &Item = Request.Item;
   const Throughput Speed = expectedThroughput(Now);
-  const Duration Wait =
+  Duration Wait =
       Speed.known()
           ? Queue.estimatedWait(Request.Team, Item.Urgency, Item.Cost, Speed)
           : Duration::zero();
+  const std::optional<TimePoint> Permit = Choice.earliestPermit();
+  if (Permit)
+    Wait = std::max(Wait, *Permit - Now);
   if (const std::optional<Reason> QueueRefusal =
           Queue.refusal(Request.Team, Item.Bytes))
     return notRun(*QueueRefusal,
                   Speed.known() ? retryAfter(Wait) : UnknownRetryAfter);
-  if (Speed.known() && Now + Wait > latestStart(Request))
+  if ((Speed.known() || Permit) && Now + Wait > latestStart(Request))
     return notRun(Reason::DeadlineTooShort, retryAfter(Wait));
   return std::nullopt;
 }
@@ -210,6 +217,8 @@
 // refused by an estimate that is based on no slots at all.
 Throughput Dispatcher::expectedThroughput(TimePoint Now) const {
   Throughput Expected = Choice.throughput();
+  if (Choice.allRateLimited())
+    return Expected;
   if (!WaitingSince || Now < *WaitingSince + Options.ShareGrace)
     Expected.Slots = std::max(Expected.Slots, ExpectedSlots);
   return Expected;
@@ -332,8 +341,6 @@
   } else {
     ++Counts.Resends;
   }
-  if (Options.RateLimits)
-    Options.RateLimits->recordSend(Chosen.Spec.Process);
   Output.emplace_back(SendCommand{Id, Chosen.Spec.Key});
   Request.Hinted = Choice.sent(Target, choiceQuery(Request, Now), Now);
   updateQueueSlots();
@@ -496,6 +503,9 @@
       retryDelay(Options.Retries, Request.Delays, TimeLeft, Rng);
   if (!Delay)
     return RetryStop::NoTime;
+  const std::optional<TimePoint> Permit = Choice.earliestPermit();
+  if (Permit && *Permit > latestStart(Request) && !Request.Resumable)
+    return RetryStop::NoTime;
   if (!mayHold(Request))
     return RetryStop::QueueFull;
   ++Request.Delays;
@@ -780,7 +790,20 @@
            retryStop(Request, RetryStop::QueueFull), Output);
 }
 
+/// This host's part of the rate limits; empty if each endpoint has its own.
+std::optional<double> Dispatcher::rateShare(TimePoint Now) {
+  return std::visit(
+      Overloaded{[&](const SplitByTraffic &) {
+                   return std::optional(Traffic.value(Now));
+                 },
+                 [](const SplitByCredits &) -> std::optional<double> {
+                   return std::nullopt;
+                 }},
+      Options.RateDivision);
+}
+
 void Dispatcher::trackCapacity(TimePoint Now) {
+  Choice.updateRateLimits(rateShare(Now), Now);
   if (Choice.usable())
     UnusableSince.reset();
   else if (!UnusableSince)
--- a/packages/request/src/coltsfoottrail/loadshare/loads.hpp
+++ b/packages/request/src/coltsfoottrail/loadshare/loads.hpp
@@ -40,9 +40,10 @@
                                        const RequestLoad &) = default;
 };
 
-/// @brief Load of one endpoint.
+/// @brief Load of one endpoint, or the traffic of a pool.
 struct EndpointLoad {
-  /// Hash of the endpoint's key, which differs by run and group membership.
+  /// Hash of the endpoint's key, which differs by run and group membership, or
+  /// of the pool's name.
   std::uint64_t Endpoint = 0;
   RequestLoad Load;
 };
--- a/packages/request/src/coltsfoottrail/quarantine/fwd.hpp
+++ b/packages/request/src/coltsfoottrail/quarantine/fwd.hpp
@@ -4,6 +4,7 @@
 #define COLTSFOOTTRAIL_QUARANTINE_FWD_HPP
 
 #include "coltsfoottrail/core/fwd.hpp"
+#include "coltsfoottrail/ratelimit/fwd.hpp"
 
 #include <cstdint>
 #include <variant>
@@ -22,8 +23,8 @@
 struct ClearNotice;
 struct SoundNotice;
 /// Message between entry hosts about what one of them has seen at endpoints.
-using EndpointNotice =
-    std::variant<CrashNotice, DismissNotice, ClearNotice, SoundNotice>;
+using EndpointNotice = std::variant<CrashNotice, DismissNotice, ClearNotice,
+                                    SoundNotice, RateLimitNotice>;
 
 enum class Standing : std::uint8_t;
 struct QuarantineLimits;
--- a/packages/request/src/coltsfoottrail/quarantine/notice.cpp
+++ b/packages/request/src/coltsfoottrail/quarantine/notice.cpp
@@ -8,6 +8,9 @@
   if (auto *const Sound = std::get_if<SoundNotice>(&Notice))
     for (SoundPart &Entry : Sound->Parts)
       Entry.Age += Elapsed;
+  if (auto *const Rates = std::get_if<RateLimitNotice>(&Notice))
+    for (RateObservation &Entry : Rates->Observations)
+      Entry.Age += Elapsed;
 }
 
 } // namespace coltsfoottrail
--- a/packages/request/src/coltsfoottrail/quarantine/notice.hpp
+++ b/packages/request/src/coltsfoottrail/quarantine/notice.hpp
@@ -6,6 +6,7 @@
 #include "coltsfoottrail/core/name.hpp"
 #include "coltsfoottrail/core/time.hpp"
 #include "coltsfoottrail/quarantine/fwd.hpp"
+#include "coltsfoottrail/ratelimit/notice.hpp"
 
 #include <string>
 #include <vector>
--- a/packages/request/src/coltsfoottrail/quarantine/quarantine.hpp
+++ b/packages/request/src/coltsfoottrail/quarantine/quarantine.hpp
@@ -190,6 +190,10 @@
   bool ingest(const DismissNotice &Notice, TimePoint Now);
   bool ingest(const ClearNotice &Notice, TimePoint Now);
   bool ingest(const SoundNotice &Notice, TimePoint Now);
+  /// Concerns no crash.
+  static bool ingest(const RateLimitNotice & /*Notice*/, TimePoint /*Now*/) {
+    return false;
+  }
   void dismissIfOutage(CrashId Id);
   bool dismiss(std::string_view EndpointKey);
   void markAlive(CrashId Id);
--- a/packages/request/src/coltsfoottrail/ratelimit/fwd.hpp
+++ b/packages/request/src/coltsfoottrail/ratelimit/fwd.hpp
@@ -9,6 +9,7 @@
 struct RateLimitNotice;
 struct RateLimitChange;
 struct RateLimitTally;
+struct RatePermit;
 class EndpointRateLimiter;
 class TrafficShare;
 
--- a/packages/request/src/coltsfoottrail/ratelimit/limiter.cpp
+++ b/packages/request/src/coltsfoottrail/ratelimit/limiter.cpp
@@ -10,6 +10,9 @@
 
 /// A limit that differs by less than this fraction is not told or logged anew.
 constexpr double MaterialChange = 0.1;
+/// Least part of a rate, so that waits stay finite.
+constexpr double MinShare = 1e-6;
+constexpr double MaxWaitSeconds = 3600.0;
 
 bool differsMaterially(std::optional<double> First,
                        std::optional<double> Second) {
@@ -21,13 +24,26 @@
 
 } // namespace
 
+double EndpointRateLimiter::Limit::usedPerSecond(TimePoint Now) const {
+  const double Least = std::max(PerSecond, ProbesPerSecond);
+  if (!EndedAt)
+    return Least;
+  return Least * std::exp2(std::chrono::duration<double>(Now - *EndedAt) /
+                           std::chrono::duration<double>(ReleaseDoubling));
+}
+
+// Failure guarded against: hosts that hear of a limit at the same moment each
+// send a first request at once. Each begins with a random part of one.
 void EndpointRateLimiter::name(Limit &Named, double PerSecond,
-                               TimePoint HeardAt) {
+                               TimePoint HeardAt, TimePoint Now) {
   Named.PerSecond = PerSecond;
   Named.HeardAt = std::max(Named.HeardAt, HeardAt);
   Named.EndedAt.reset();
-  if (!std::exchange(Named.InForce, true))
-    ++Version;
+  if (std::exchange(Named.InForce, true))
+    return;
+  Named.Tokens = Rng.fraction();
+  Named.RefilledAt = Now;
+  ++Version;
 }
 
 void EndpointRateLimiter::end(Limit &Ended, TimePoint EndedAt) {
@@ -69,7 +85,7 @@
     Limit &Named = Found->second;
     const std::optional<double> Before =
         Named.InForce ? Named.stated() : std::nullopt;
-    name(Named, *PerSecond, Now);
+    name(Named, *PerSecond, Now, Now);
     recordChange(Process, Named, Before, Duration::zero(), false);
   }
   markUnpublished(Found->second, Now);
@@ -104,7 +120,7 @@
   const std::optional<double> Before =
       Known.InForce ? Known.stated() : std::nullopt;
   if (Observed.PerSecond)
-    name(Known, *Observed.PerSecond, HeardAt);
+    name(Known, *Observed.PerSecond, HeardAt, Now);
   else
     end(Known, HeardAt);
   recordChange(Observed.Process, Known, Before, Observed.Age, true);
@@ -174,11 +190,41 @@
   return Result;
 }
 
+std::optional<RatePermit> EndpointRateLimiter::permit(std::string_view Process,
+                                                      double Share,
+                                                      TimePoint Now) {
+  const std::lock_guard Guard(Lock);
+  const auto Found = Limits.find(Process);
+  if (Found == Limits.end() || !Found->second.InForce)
+    return std::nullopt;
+  Limit &Each = Found->second;
+  const double PerSecond =
+      Each.usedPerSecond(Now) * std::clamp(Share, MinShare, 1.0);
+  const std::chrono::duration<double> Elapsed =
+      std::max(Now - Each.RefilledAt, Duration::zero());
+  const std::chrono::duration<double> SavedTime = MaxSavedTime;
+  const double MostSaved = std::max(1.0, PerSecond * SavedTime.count());
+  Each.Tokens = std::min(MostSaved, Each.Tokens + PerSecond * Elapsed.count());
+  Each.RefilledAt = std::max(Each.RefilledAt, Now);
+  const std::chrono::duration<double> Wait(
+      std::min((1.0 - Each.Tokens) / PerSecond, MaxWaitSeconds));
+  return RatePermit{PerSecond, Now + std::chrono::ceil<Duration>(Wait)};
+}
+
 void EndpointRateLimiter::recordSend(std::string_view Process) {
+  const std::lock_guard Guard(Lock);
+  const auto Found = Limits.find(Process);
+  if (Found == Limits.end())
+    return;
+  ++Found->second.Sends;
+  Found->second.Tokens = std::max(Found->second.Tokens - 1.0, -1.0);
+}
+
+void EndpointRateLimiter::recordWithheld(std::string_view Process) {
   const std::lock_guard Guard(Lock);
   const auto Found = Limits.find(Process);
   if (Found != Limits.end())
-    ++Found->second.Sends;
+    ++Found->second.Withheld;
 }
 
 } // namespace coltsfoottrail
--- a/packages/request/src/coltsfoottrail/ratelimit/limiter.hpp
+++ b/packages/request/src/coltsfoottrail/ratelimit/limiter.hpp
@@ -41,6 +41,15 @@
   std::uint64_t Withheld = 0;
 };
 
+/// @brief Whether this entry host may send a request to a limited endpoint.
+struct RatePermit {
+  /// This host's part of the rate, in requests per second.
+  double PerSecond = 0.0;
+  /// When the next request may be sent; not later than now if one may be sent
+  /// now.
+  TimePoint NextAt{};
+};
+
 /// @brief Keeps the requests that this entry host sends to endpoints within its
 /// part of the rates that the endpoints have named. Shared by the dispatchers
 /// of all pools, since the leader of one group may belong to another pool next.
@@ -91,6 +100,20 @@
   /// @brief Whether any endpoint has a limit.
   [[nodiscard]] bool hasLimits() const;
 
+  /// @brief When this host may send its next request to an endpoint.
+  /// @param Process The endpoint.
+  /// @param Share This host's part of the rate; the parts of all hosts add up
+  /// to one at most.
+  /// @param Now The time.
+  /// @return Nothing if the endpoint has no limit.
+  [[nodiscard]] std::optional<RatePermit> permit(std::string_view Process,
+                                                 double Share, TimePoint Now);
+  /// @brief Counts a request to an endpoint, whether it has a limit or not.
+  void recordSend(std::string_view Process);
+  /// @brief Counts a request that would have been sent to an endpoint but for
+  /// its limit.
+  void recordWithheld(std::string_view Process);
+
   /// @brief Ends limits whose time is up.
   void advance(TimePoint Now);
   /// @brief Removes and returns what the other hosts have to be told.
@@ -100,9 +123,6 @@
   /// @brief The limits in force.
   [[nodiscard]] std::vector<RateLimitTally> tallies(TimePoint Now) const;
 
-  /// @brief Counts a request to an endpoint, whether it has a limit or not.
-  void recordSend(std::string_view Process);
-
 private:
   struct Limit {
     double PerSecond = 0.0;
@@ -121,7 +141,12 @@
     std::map<std::uint64_t, std::uint64_t> SeenNumbers;
     std::uint64_t Sends = 0;
     std::uint64_t Withheld = 0;
+    /// Requests that this host may send at RefilledAt.
+    double Tokens = 0.0;
+    TimePoint RefilledAt{};
 
+    /// Requests per second from all hosts that are sent.
+    [[nodiscard]] double usedPerSecond(TimePoint Now) const;
     /// What the newest response said.
     [[nodiscard]] std::optional<double> stated() const noexcept {
       return EndedAt ? std::nullopt : std::optional(PerSecond);
@@ -129,7 +154,7 @@
   };
 
   bool apply(const RateObservation &Observed, TimePoint Now);
-  void name(Limit &Named, double PerSecond, TimePoint HeardAt);
+  void name(Limit &Named, double PerSecond, TimePoint HeardAt, TimePoint Now);
   static void end(Limit &Ended, TimePoint EndedAt);
   void recordChange(const std::string &Process, const Limit &Changed,
                     std::optional<double> Before, Duration Age, bool FromPeer);
