Divide rate limits among many hosts by what each earns over time

Cause: a host that gets a request now and then earned, for the time since the one before, the part that it has at that moment, which is its highest.

Change: the part is summed up over time (RateShare::Earned) and tokens follow the sum; three quarters of a limit are used, since a short window of many hosts sees up to twice the mean. Requests that can only be late are demoted, not refused. Without limits nothing is learned of the others' traffic, which would be taken for none.

--- a/packages/process/src/coltsfoottrail/fleethost/host.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/host.cpp
@@ -93,7 +93,6 @@
   Result.MaxWaitingBytes = MaxWaitingBodyBytes;
   Result.NoEndpointHold = NoEndpointHold;
   Result.NoShareHold = NoEndpointHold;
-  Result.RateDivision = SplitByTraffic{};
   EstimatedWaitPolicy Policy;
   Policy.HintSets = HintSets;
   Policy.UseRing = false;
--- a/packages/process/src/coltsfoottrail/server/process.cpp
+++ b/packages/process/src/coltsfoottrail/server/process.cpp
@@ -484,6 +484,7 @@
   AppliedKeys = std::move(Keys);
   AppliedVersion = Filtered.Version;
   Routing.setRoutes(Filtered, Shares, Agreed.state()->EntryHosts.size());
+  Routing.setEntryHosts(Agreed.state()->EntryHosts.size());
 }
 
 // Guards against stale decisions: between the dispatcher's decision and this
--- a/packages/process/src/coltsfoottrail/server/router.cpp
+++ b/packages/process/src/coltsfoottrail/server/router.cpp
@@ -353,6 +353,7 @@
 }
 
 void Router::setRemoteLoads(std::span<const EndpointLoad> Others) {
+  const bool HasLimits = RateLimits->hasLimits();
   for (const auto &PoolShard : allShards()) {
     const auto Traffic = std::ranges::find(Others, hashText(PoolShard->Name),
                                            &EndpointLoad::Endpoint);
@@ -362,8 +363,9 @@
     {
       const std::lock_guard Hold(PoolShard->Lock);
       Commands Issued;
-      PoolShard->PoolDispatcher.traffic().setOthers(PerSecond,
-                                                    BootClock::now());
+      if (HasLimits)
+        PoolShard->PoolDispatcher.traffic().setOthers(PerSecond,
+                                                      BootClock::now());
       PoolShard->PoolDispatcher.setRemoteLoads(Others, BootClock::now(),
                                                Issued);
       Decisions = PoolShard->translate(Issued);
--- a/packages/process/test/coltsfoottrail/dissemination/noticeboard.cpp
+++ b/packages/process/test/coltsfoottrail/dissemination/noticeboard.cpp
@@ -50,6 +50,54 @@
   EXPECT_EQ(Page.Notices[0].Age, seconds(5));
 }
 
+RateLimitNotice rateOf(const std::string &Process, double PerSecond,
+                       std::uint64_t Number) {
+  return {{{Process, PerSecond, Duration::zero(), 77, Number}}};
+}
+
+// Guards against crash notices that limits which change often push off the
+// board.
+TEST_F(NoticeBoardTest, KeepsOfEachEndpointTheNewestRateLimit) {
+  First.addOwn("p", crashOf("e", {7}), Start);
+  TimePoint Now = Start;
+  for (std::uint64_t Number = 1; Number <= 2'000; ++Number) {
+    Now += milliseconds(10);
+    First.addOwn("*", rateOf("e" + std::to_string(Number % 3), 2.0, Number),
+                 Now);
+  }
+  EXPECT_EQ(First.size(), 4U);
+  const NoticePage Page = First.since(0, B, Now);
+  ASSERT_EQ(Page.Notices.size(), 4U);
+  EXPECT_TRUE(
+      std::holds_alternative<CrashNotice>(Page.Notices[0].Content.Notice));
+  EXPECT_TRUE(First.since(Page.Next, B, Now).Notices.empty());
+  EXPECT_EQ(First.since(0, B, Now + NoticeBoard::RateNoticeLife).Notices.size(),
+            1U);
+}
+
+// Guards against rate limits that circulate for ever among hosts.
+TEST_F(NoticeBoardTest, KeepsARateLimitOnceByWhateverWay) {
+  First.addOwn("*", rateOf("e", 2.0, 1), Start);
+  const NoticePage Page = First.since(0, B, Start);
+  EXPECT_EQ(Second.add(Page.Notices, A, Start).size(), 1U);
+  EXPECT_TRUE(Second.add(Page.Notices, C, Start).empty());
+  EXPECT_TRUE(First.add(Second.since(0, C, Start).Notices, B, Start).empty());
+}
+
+TEST(NoticeWire, RateLimitsComeBackAsSent) {
+  RateLimitNotice Sent = rateOf("i-1#5", 2.25, 9);
+  Sent.Observations.push_back({"i-2#6", std::nullopt, milliseconds(3), 8, 1});
+  const PoolNotice Read = readNotice(writeNotice({"*", Sent}));
+  const auto &Rates = std::get<RateLimitNotice>(Read.Notice).Observations;
+  ASSERT_EQ(Rates.size(), 2U);
+  EXPECT_EQ(Rates[0].Process, "i-1#5");
+  EXPECT_EQ(Rates[0].PerSecond, 2.25);
+  EXPECT_EQ(Rates[0].Observer, 77U);
+  EXPECT_EQ(Rates[0].Number, 9U);
+  EXPECT_FALSE(Rates[1].PerSecond);
+  EXPECT_EQ(Rates[1].Age, milliseconds(3));
+}
+
 // Guards against messages without a bound when endpoints crash with many
 // requests.
 TEST_F(NoticeBoardTest, PagesAreBounded) {
--- a/packages/request/src/coltsfoottrail/choice/candidate.hpp
+++ b/packages/request/src/coltsfoottrail/choice/candidate.hpp
@@ -47,8 +47,6 @@
   /// This host's part of the rate limit that the endpoint has named, in
   /// requests per second; empty without a limit.
   std::optional<double> SendRate;
-  /// The part of the limit, from zero to one.
-  double RateShare = 0.0;
   /// When the limit allows the next request; empty if it allows one now.
   std::optional<TimePoint> HeldUntil;
   // Maintained by the CandidateTable.
--- a/packages/request/src/coltsfoottrail/choice/chooser.cpp
+++ b/packages/request/src/coltsfoottrail/choice/chooser.cpp
@@ -61,6 +61,7 @@
 void Chooser::configure(const Pool &NewPool) {
   Pace = NewPool.Pace;
   RateLimitsVersion.reset();
+  RateLimited.clear();
   for (const CandidateId Id : Table.configure(NewPool)) {
     Ejections.release(Table, Id);
     Table.drop(Id);
@@ -117,23 +118,20 @@
   }
 }
 
-void Chooser::updateRateLimits(std::optional<double> Share, TimePoint Now) {
+void Chooser::updateRateLimits(const RateShare &Share, TimePoint Now) {
   if (!RateLimits)
     return;
+  LimitShare = Share;
   if (RateLimitsVersion != RateLimits->version())
     findRateLimited();
-  for (const CandidateId Id : RateLimited) {
-    Candidate &Endpoint = *Table.find(Id);
-    Endpoint.RateShare =
-        Share.value_or(double(Endpoint.Share) / double(Endpoint.Bound));
+  for (const CandidateId Id : RateLimited)
     applyRateLimit(Id, Now);
-  }
 }
 
 void Chooser::applyRateLimit(CandidateId Id, TimePoint Now) {
   Candidate &Endpoint = *Table.find(Id);
   const std::optional<RatePermit> Permit =
-      RateLimits->permit(Endpoint.Spec.Process, Endpoint.RateShare, Now);
+      RateLimits->permit(Endpoint.Spec.Process, LimitShare, Now);
   Endpoint.SendRate.reset();
   Endpoint.HeldUntil.reset();
   if (Permit) {
--- a/packages/request/src/coltsfoottrail/choice/chooser.hpp
+++ b/packages/request/src/coltsfoottrail/choice/chooser.hpp
@@ -144,10 +144,9 @@
   }
   /// @brief Makes endpoints available, or not, as their rate limits allow. To
   /// be called before a choice.
-  /// @param Share This host's part of each limit; if empty, its part of an
-  /// endpoint's limit is that of the endpoint's concurrency limit.
+  /// @param Share This host's part of each limit.
   /// @param Now The time.
-  void updateRateLimits(std::optional<double> Share, TimePoint Now);
+  void updateRateLimits(const RateShare &Share, TimePoint Now);
   /// @brief Whether each endpoint with a share that is not ejected has a rate
   /// limit, and there is one.
   [[nodiscard]] bool allRateLimited() const noexcept;
@@ -267,6 +266,7 @@
   /// it has to be found anew.
   std::optional<std::uint64_t> RateLimitsVersion;
   std::vector<CandidateId> RateLimited;
+  RateShare LimitShare;
   EnginePace Pace;
   Random Rng;
   CandidateTable Table;
--- a/packages/request/src/coltsfoottrail/dispatch/dispatcher.cpp
+++ b/packages/request/src/coltsfoottrail/dispatch/dispatcher.cpp
@@ -1,7 +1,6 @@
 #include "coltsfoottrail/dispatch/dispatcher.hpp"
 
 #include "coltsfoottrail/core/hash.hpp"
-#include "coltsfoottrail/core/overloaded.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -189,9 +188,13 @@
           Queue.refusal(Request.Team, Item.Bytes))
     return notRun(*QueueRefusal,
                   Speed.known() ? retryAfter(Wait) : UnknownRetryAfter);
-  if ((Speed.known() || Permit) && Now + Wait > latestStart(Request))
-    return notRun(Reason::DeadlineTooShort, retryAfter(Wait));
-  return std::nullopt;
+  if ((!Speed.known() && !Permit) || Now + Wait <= latestStart(Request))
+    return std::nullopt;
+  // It may still be of use after the others.
+  const bool IsOnlyLate =
+      Permit && Now + Wait <= latestStart(Item, Options.ServiceMargin);
+  return notRun(IsOnlyLate ? Reason::Overloaded : Reason::DeadlineTooShort,
+                retryAfter(Wait));
 }
 
 Duration Dispatcher::expectedService(const WorkItem &Item) const {
@@ -790,20 +793,8 @@
            retryStop(Request, RetryStop::QueueFull), Output);
 }
 
-/// This host's part of the rate limits; empty if each endpoint has its own.
-std::optional<double> Dispatcher::rateShare(TimePoint Now) {
-  return std::visit(
-      Overloaded{[&](const SplitByTraffic &) {
-                   return std::optional(Traffic.value(Now));
-                 },
-                 [](const SplitByCredits &) -> std::optional<double> {
-                   return std::nullopt;
-                 }},
-      Options.RateDivision);
-}
-
 void Dispatcher::trackCapacity(TimePoint Now) {
-  Choice.updateRateLimits(rateShare(Now), Now);
+  Choice.updateRateLimits(Traffic.value(Now), Now);
   if (Choice.usable())
     UnusableSince.reset();
   else if (!UnusableSince)
--- a/packages/request/src/coltsfoottrail/dispatch/dispatcher.hpp
+++ b/packages/request/src/coltsfoottrail/dispatch/dispatcher.hpp
@@ -19,19 +19,10 @@
 #include <optional>
 #include <span>
 #include <string_view>
-#include <variant>
 #include <vector>
 
 namespace coltsfoottrail {
 
-/// An endpoint's rate limit is divided like its concurrency limit, of which
-/// this host's share is set.
-struct SplitByCredits {};
-/// It is divided by the requests for the pool that each entry host gets.
-struct SplitByTraffic {};
-/// How the rate limits of endpoints are divided among the entry hosts.
-using RateSplit = std::variant<SplitByCredits, SplitByTraffic>;
-
 /// @brief Configuration of one dispatcher.
 struct DispatcherOptions {
   /// Data centre of this entry host.
@@ -56,7 +47,6 @@
   std::shared_ptr<SharedTokenBucket> RetryTokens;
   /// The rate limits of endpoints, which all pools share; none when null.
   std::shared_ptr<EndpointRateLimiter> RateLimits;
-  RateSplit RateDivision;
   QuarantineLimits CrashLimits;
   /// Time that must be left when a request starts after a wait, as a multiple
   /// of the mean service time. With less, many requests time out after they
@@ -134,7 +124,7 @@
   }
 
   /// @brief This host's part of the pool's requests, by which rate limits are
-  /// divided if the options say so.
+  /// divided.
   [[nodiscard]] TrafficShare &traffic() noexcept { return Traffic; }
 
   /// @brief Accepts a request. Adds at most one command for it to Output;
@@ -310,7 +300,6 @@
                                       double Margin) const;
   [[nodiscard]] TimePoint latestStart(const RequestState &Request) const;
   [[nodiscard]] Throughput expectedThroughput(TimePoint Now) const;
-  [[nodiscard]] std::optional<double> rateShare(TimePoint Now);
   [[nodiscard]] std::optional<TimePoint> holdDeadline() const;
   [[nodiscard]] bool holdExpired(TimePoint Now) const;
   [[nodiscard]] Verdict noCapacityVerdict() const;
--- a/packages/request/src/coltsfoottrail/ratelimit/fwd.hpp
+++ b/packages/request/src/coltsfoottrail/ratelimit/fwd.hpp
@@ -10,6 +10,7 @@
 struct RateLimitChange;
 struct RateLimitTally;
 struct RatePermit;
+struct RateShare;
 class EndpointRateLimiter;
 class TrafficShare;
 
--- a/packages/request/src/coltsfoottrail/ratelimit/limiter.cpp
+++ b/packages/request/src/coltsfoottrail/ratelimit/limiter.cpp
@@ -25,7 +25,7 @@
 } // namespace
 
 double EndpointRateLimiter::Limit::usedPerSecond(TimePoint Now) const {
-  const double Least = std::max(PerSecond, ProbesPerSecond);
+  const double Least = std::max(PerSecond * UsedFraction, ProbesPerSecond);
   if (!EndedAt)
     return Least;
   return Least * std::exp2(std::chrono::duration<double>(Now - *EndedAt) /
@@ -43,6 +43,7 @@
     return;
   Named.Tokens = Rng.fraction();
   Named.RefilledAt = Now;
+  Named.EarnedShare.reset();
   ++Version;
 }
 
@@ -191,20 +192,25 @@
 }
 
 std::optional<RatePermit> EndpointRateLimiter::permit(std::string_view Process,
-                                                      double Share,
+                                                      const RateShare &Share,
                                                       TimePoint Now) {
   const std::lock_guard Guard(Lock);
   const auto Found = Limits.find(Process);
   if (Found == Limits.end() || !Found->second.InForce)
     return std::nullopt;
   Limit &Each = Found->second;
-  const double PerSecond =
-      Each.usedPerSecond(Now) * std::clamp(Share, MinShare, 1.0);
+  const double Rate = Each.usedPerSecond(Now);
+  const double PerSecond = Rate * std::clamp(Share.Part, MinShare, 1.0);
   const std::chrono::duration<double> Elapsed =
       std::max(Now - Each.RefilledAt, Duration::zero());
+  // The shares of two pools differ; a process changes pools rarely.
+  const double Earned =
+      std::clamp(Share.Earned - Each.EarnedShare.value_or(Share.Earned), 0.0,
+                 Elapsed.count());
   const std::chrono::duration<double> SavedTime = MaxSavedTime;
   const double MostSaved = std::max(1.0, PerSecond * SavedTime.count());
-  Each.Tokens = std::min(MostSaved, Each.Tokens + PerSecond * Elapsed.count());
+  Each.Tokens = std::min(MostSaved, Each.Tokens + Rate * Earned);
+  Each.EarnedShare = Share.Earned;
   Each.RefilledAt = std::max(Each.RefilledAt, Now);
   const std::chrono::duration<double> Wait(
       std::min((1.0 - Each.Tokens) / PerSecond, MaxWaitSeconds));
--- a/packages/request/src/coltsfoottrail/ratelimit/limiter.hpp
+++ b/packages/request/src/coltsfoottrail/ratelimit/limiter.hpp
@@ -5,6 +5,7 @@
 
 #include "coltsfoottrail/core/random.hpp"
 #include "coltsfoottrail/ratelimit/notice.hpp"
+#include "coltsfoottrail/ratelimit/trafficshare.hpp"
 
 #include <atomic>
 #include <map>
@@ -62,6 +63,9 @@
 /// gradually: all hosts would otherwise send there at once.
 class EndpointRateLimiter {
 public:
+  /// Fraction of a limit that is used. With many hosts, a window of a few
+  /// seconds sees up to twice the mean.
+  static constexpr double UsedFraction = 0.75;
   /// Least rate that is used, over all hosts: without a request now and then
   /// nobody learns that the limit is over.
   static constexpr double ProbesPerSecond = 0.2;
@@ -106,8 +110,8 @@
   /// to one at most.
   /// @param Now The time.
   /// @return Nothing if the endpoint has no limit.
-  [[nodiscard]] std::optional<RatePermit> permit(std::string_view Process,
-                                                 double Share, TimePoint Now);
+  [[nodiscard]] std::optional<RatePermit>
+  permit(std::string_view Process, const RateShare &Share, TimePoint Now);
   /// @brief Counts a request to an endpoint, whether it has a limit or not.
   void recordSend(std::string_view Process);
   /// @brief Counts a request that would have been sent to an endpoint but for
@@ -144,6 +148,8 @@
     /// Requests that this host may send at RefilledAt.
     double Tokens = 0.0;
     TimePoint RefilledAt{};
+    /// RateShare::Earned at that time; empty before the first query.
+    std::optional<double> EarnedShare;
 
     /// Requests per second from all hosts that are sent.
     [[nodiscard]] double usedPerSecond(TimePoint Now) const;
--- a/packages/request/src/coltsfoottrail/ratelimit/trafficshare.hpp
+++ b/packages/request/src/coltsfoottrail/ratelimit/trafficshare.hpp
@@ -11,6 +11,14 @@
 
 namespace coltsfoottrail {
 
+/// @brief A part of a rate, at present and over time.
+struct RateShare {
+  /// Above zero and at most one.
+  double Part = 1.0;
+  /// Sum of the part over the time so far, in seconds; only differences count.
+  double Earned = 0.0;
+};
+
 /// @brief Estimates which part of a pool's requests arrives at this entry host,
 /// by which a rate over all hosts is divided. Pure; not thread-safe; times must
 /// not go back.
@@ -41,18 +49,20 @@
 
   /// @brief Requests per second that this host gets.
   [[nodiscard]] double own(TimePoint Now) const;
-  /// @brief The part of this host, above zero and at most one.
-  [[nodiscard]] double value(TimePoint Now);
+  /// @brief The part of this host.
+  [[nodiscard]] RateShare value(TimePoint Now);
 
 private:
+  [[nodiscard]] bool knowsOthers(TimePoint Now) const noexcept;
   [[nodiscard]] double target(TimePoint Now) const;
+  [[nodiscard]] double meanTarget(TimePoint Now) const;
 
   std::size_t Hosts = UnknownHosts;
   double OwnPerSecond = 0.0;
   TimePoint OwnAt{};
   double OthersPerSecond = 0.0;
   std::optional<TimePoint> OthersAt;
-  double Current = 0.0;
+  RateShare Current{0.0, 0.0};
   TimePoint CurrentAt{};
 };
 
