Give up responses without end

What callers saw: an endpoint that answers without end fills the memory of its host and ends every stream there; its own callers wait until their deadlines.

Cause: whole bodies were collected up to 64 MB each; bytes that complete no event were kept, and counted as a sign of life; a body of which there is always more never met its deadline; interim responses (1xx) were taken for the response. Class: a bound on each read where the sum has none.

Change, in both modes: at most eight interim responses; a body is read until its deadline and no longer; 8 MB for a collected body, 32 MB for all (ResponseBuffer); 256 KB for an event; 1 MB for reports, 16 MB for others that are fetched. Only events with data are progress; comments wait for the next event with data, so that a stream of comments alone can start anew elsewhere. Who gives up closes the connection and logs the bytes (1326). The time in which this host did not read is not the endpoint's.

Ruled out: forwarding hosts keep 16 KB a direction, and a slow caller holds back the reads (read, not run).

--- a/packages/connection/src/coltsfoottrail/adapter/engines.cpp
+++ b/packages/connection/src/coltsfoottrail/adapter/engines.cpp
@@ -197,7 +197,7 @@
 }
 
 HttpEngines::HttpEngines(boost::asio::io_context &IoContext)
-    : Context(IoContext), Client(IoContext, ClientOptions{}) {}
+    : Context(IoContext), Client(IoContext, smallResponses()) {}
 
 void HttpEngines::order(const EngineAddress &Engine, const EngineOrder &Order,
                         milliseconds Timeout, OrderHandler Done) {
--- a/packages/connection/src/coltsfoottrail/adapter/log.cpp
+++ b/packages/connection/src/coltsfoottrail/adapter/log.cpp
@@ -98,7 +98,7 @@
 } // namespace
 
 HttpLog::HttpLog(boost::asio::io_context &IoContext, EngineAddress Address)
-    : Context(IoContext), Client(IoContext, ClientOptions{}),
+    : Context(IoContext), Client(IoContext, largeResponses()),
       Service(std::move(Address)) {}
 
 void HttpLog::append(const StreamName &Stream, std::vector<std::byte> Payload,
--- a/packages/connection/src/coltsfoottrail/http/blocking.cpp
+++ b/packages/connection/src/coltsfoottrail/http/blocking.cpp
@@ -36,7 +36,7 @@
                       milliseconds Timeout,
                       const std::function<void(std::string_view)> &OnPart) {
   boost::asio::io_context Context(1);
-  HttpClient Client(Context, ClientOptions{});
+  HttpClient Client(Context, largeResponses());
   Result Outcome = CallFailure{};
   std::exception_ptr Problem;
   const TimePoint Deadline = BootClock::now() + Timeout;
--- a/packages/connection/src/coltsfoottrail/http/client.cpp
+++ b/packages/connection/src/coltsfoottrail/http/client.cpp
@@ -24,6 +24,8 @@
 
 constexpr std::size_t MaxPartBytes = std::size_t{16} << 10U;
 constexpr std::size_t MaxBufferBytes = std::size_t{64} << 10U;
+/// Lower ones are of interim responses.
+constexpr unsigned FirstFinalStatus = 200;
 
 std::chrono::steady_clock::duration timeUntil(TimePoint Deadline) {
   return std::max(Deadline - BootClock::now(), Duration::zero());
@@ -182,7 +184,7 @@
   EngineAddress Endpoint;
   std::size_t MaxIdleConnections = 0;
   std::unique_ptr<Connection> Link;
-  http::response_parser<http::buffer_body> Parser;
+  std::optional<http::response_parser<http::buffer_body>> Parser;
   HttpResponse Head;
   std::string Part;
 };
@@ -201,16 +203,19 @@
 Awaitable<std::variant<std::optional<std::string>, CallFailure>>
 HttpCall::next(TimePoint Deadline) {
   State &Call = *Current;
-  while (!Call.Parser.is_done()) {
+  if (!Call.Parser->is_done() && BootClock::now() >= Deadline)
+    co_return CallFailure{RunState::MayHaveRun, Reason::EndpointTimedOut,
+                          false};
+  while (!Call.Parser->is_done()) {
     Call.Part.resize(MaxPartBytes);
-    auto &Body = Call.Parser.get().body();
+    auto &Body = Call.Parser->get().body();
     Body.data = Call.Part.data();
     Body.size = Call.Part.size();
     Body.more = true;
     Call.Link->Stream.expires_after(timeUntil(Deadline));
     ErrorCode Problem;
     co_await http::async_read_some(
-        Call.Link->Stream, Call.Link->Buffer, Call.Parser,
+        Call.Link->Stream, Call.Link->Buffer, *Call.Parser,
         asio::redirect_error(asio::use_awaitable, Problem));
     if (Problem == http::error::need_buffer)
       Problem = {};
@@ -234,11 +239,11 @@
   }
   // Failure guarded against: the host that forwards a response without a length
   // dies, its end closes the connection, and the rest passes for complete.
-  if (Call.Link && Call.Link->Forwarder && Call.Parser.need_eof())
+  if (Call.Link && Call.Link->Forwarder && Call.Parser->need_eof())
     co_return CallFailure{RunState::MayHaveRun, Reason::EndpointCut, false};
   const auto Owner = Call.Owner.lock();
   if (Owner && Call.Link && !Call.Link->Forwarder &&
-      Call.Parser.get().keep_alive())
+      Call.Parser->get().keep_alive())
     Owner->release(Call.Endpoint, std::move(Call.Link),
                    Call.MaxIdleConnections);
   co_return std::optional<std::string>{};
@@ -323,12 +328,21 @@
   CallState.Endpoint = std::move(Endpoint);
   CallState.MaxIdleConnections = Use.MaxIdleConnections;
   CallState.Link = std::move(Link);
-  CallState.Parser.header_limit(ClientCore->Options.MaxHeaderBytes);
-  CallState.Parser.body_limit(ClientCore->Options.MaxBodyBytes);
-  CallState.Parser.skip(HeadOnly);
-  co_await http::async_read_header(
-      CallState.Link->Stream, CallState.Link->Buffer, CallState.Parser,
-      asio::redirect_error(asio::use_awaitable, Problem));
+  for (std::uint32_t Interim = 0;; ++Interim) {
+    CallState.Parser.emplace();
+    CallState.Parser->header_limit(ClientCore->Options.MaxHeaderBytes);
+    CallState.Parser->body_limit(ClientCore->Options.MaxBodyBytes);
+    CallState.Parser->skip(HeadOnly);
+    co_await http::async_read_header(
+        CallState.Link->Stream, CallState.Link->Buffer, *CallState.Parser,
+        asio::redirect_error(asio::use_awaitable, Problem));
+    if (Problem || CallState.Parser->get().result_int() >= FirstFinalStatus)
+      break;
+    if (Interim == ClientCore->Options.MaxInterimResponses)
+      Problem = http::error::header_limit;
+    if (Problem)
+      break;
+  }
   if (Problem) {
     const bool TimedOut = Problem == beast::error::timeout;
     if (!isConnectionLost(Problem))
@@ -339,8 +353,8 @@
                           isConnectionLost(Problem)};
   }
   ClientCore->recordData(CallState.Endpoint, *CallState.Link);
-  CallState.Head.Status = CallState.Parser.get().result_int();
-  for (const auto &Field : CallState.Parser.get())
+  CallState.Head.Status = CallState.Parser->get().result_int();
+  for (const auto &Field : CallState.Parser->get())
     CallState.Head.Fields.push_back(
         {std::string(Field.name_string()), std::string(Field.value())});
   co_return Call;
@@ -354,6 +368,7 @@
   if (const auto *const Failed = std::get_if<CallFailure>(&Started))
     co_return *Failed;
   HttpCall &Call = std::get<HttpCall>(Started);
+  const std::uint64_t MaxBytes = Shared->Options.MaxFetchedBytes;
   HttpResponse Response = Call.head();
   while (true) {
     auto Next = co_await Call.next(Deadline);
@@ -362,6 +377,9 @@
     auto &Part = std::get<std::optional<std::string>>(Next);
     if (!Part)
       co_return Response;
+    if (Response.Body.size() + Part->size() > MaxBytes)
+      co_return CallFailure{RunState::MayHaveRun, Reason::EndpointFailed,
+                            false};
     Response.Body += *Part;
   }
 }
--- a/packages/connection/src/coltsfoottrail/http/client.hpp
+++ b/packages/connection/src/coltsfoottrail/http/client.hpp
@@ -41,8 +41,25 @@
   milliseconds MaxIdle{15'000};
   std::uint32_t MaxHeaderBytes = 16U << 10U;
   std::uint64_t MaxBodyBytes = std::uint64_t{64} << 20U;
+  /// The same for fetch(), which collects the body in memory.
+  std::uint64_t MaxFetchedBytes = std::uint64_t{16} << 20U;
+  /// Interim responses (1xx) that may precede a response.
+  std::uint32_t MaxInterimResponses = 8;
 };
 
+/// @brief Options for responses of a few kilobytes, such as engines' reports.
+[[nodiscard]] inline ClientOptions smallResponses() {
+  ClientOptions Result;
+  Result.MaxBodyBytes = std::uint64_t{1} << 20U;
+  return Result;
+}
+/// @brief Options for the platform's own services, whose pages may be large.
+[[nodiscard]] inline ClientOptions largeResponses() {
+  ClientOptions Result;
+  Result.MaxFetchedBytes = Result.MaxBodyBytes;
+  return Result;
+}
+
 /// Whether a call may use the connection of an earlier one.
 enum class Reuse : std::uint8_t {
   Allowed,
@@ -99,7 +116,8 @@
   [[nodiscard]] const std::optional<EngineAddress> &forwarder() const noexcept;
 
   /// @brief Waits for the next part of the body.
-  /// @param Deadline Deadline of the wait.
+  /// @param Deadline Deadline of the wait; fails after it even if there are
+  /// bytes, since there may always be more.
   /// @return The part; an empty optional at the end of a complete body; or the
   /// failure.
   [[nodiscard]] Awaitable<std::variant<std::optional<std::string>, CallFailure>>
--- a/packages/process/src/coltsfoottrail/fleethost/attempt.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/attempt.cpp
@@ -215,7 +215,17 @@
   if (Context.Route->streams() && isSuccess(Status))
     co_return co_await relayStream(Call, Context, std::move(UpstreamCall),
                                    Target, Start, QueuedGuard);
-  co_return co_await relayWhole(Call, Context, std::move(UpstreamCall), Start);
+  co_return co_await relayWhole(Call, Context, std::move(UpstreamCall), Target,
+                                Start);
+}
+
+void CallerProxy::logUnbounded(RequestContext &Context,
+                               const EndpointSpec &Target, std::size_t Bytes,
+                               std::string_view Why) {
+  Context.Trail.markNotable();
+  Context.Trail.add(Event::ResponseUnbounded,
+                    {{"endpoint", Target.Host}, {"bytes", Bytes}, {"why", Why}},
+                    BootClock::now());
 }
 
 namespace {
@@ -282,9 +292,11 @@
 Awaitable<AttemptResult> CallerProxy::relayWhole(Exchange &Call,
                                                  RequestContext &Context,
                                                  HttpCall UpstreamCall,
+                                                 const EndpointSpec &Target,
                                                  TimePoint Start) {
   const TimePoint FirstByte = BootClock::now();
   HttpResponse Reply = Wire.responseHead(UpstreamCall.head());
+  ResponseBuffer Body(Memory);
   while (true) {
     auto Next = co_await UpstreamCall.next(Context.Deadline);
     if (const auto *const Failure = std::get_if<CallFailure>(&Next))
@@ -292,8 +304,13 @@
     auto &Chunk = std::get<std::optional<std::string>>(Next);
     if (!Chunk)
       break;
-    Reply.Body += *Chunk;
+    if (!Body.append(*Chunk)) {
+      logUnbounded(Context, Target, Body.size() + Chunk->size(), "body");
+      co_return failedAttempt(RunState::MayHaveRun, Reason::EndpointFailed,
+                              Start);
+    }
   }
+  Reply.Body = Body.take();
   const bool RetryElsewhere = Reply.Status >= StatusFirstServerError &&
                               hasRunLeft(attemptProgress(Context));
   if (RetryElsewhere) {
@@ -320,8 +337,10 @@
 
 // Failure guarded against: an endpoint dies or falls silent in the middle of a
 // stream, and the caller takes the partial response for a complete one or waits
-// until it gives up. Only complete events are forwarded. A stream that breaks,
-// or is silent for several times the gap that counts as on time, is resumed at
+// until it gives up. Only complete events are forwarded, and only those with
+// data are progress: bytes may come without end that complete none. A stream
+// that breaks, or makes no progress for several times the gap that counts as on
+// time, is resumed at
 // another endpoint after the last complete event. A stream that cannot be
 // resumed is cut in a way that the caller can detect.
 Awaitable<AttemptResult>
@@ -331,11 +350,16 @@
   const TimePoint FirstByte = BootClock::now();
   const bool HasRunLeft = hasRunLeft(attemptProgress(Context));
   StreamGuard Mark(Silence, Target.Host.Text);
+  TimePoint ProgressAt = FirstByte;
+  bool HasProgressed = false;
   while (true) {
+    // The time in which this host did not read is not the endpoint's.
+    if (std::exchange(HasProgressed, false))
+      ProgressAt = BootClock::now();
     TimePoint ReadDeadline = Context.Deadline;
     if (HasRunLeft)
-      ReadDeadline = std::min(ReadDeadline,
-                              BootClock::now() + silenceLimit(*Context.Route));
+      ReadDeadline =
+          std::min(ReadDeadline, ProgressAt + silenceLimit(*Context.Route));
     auto Next = co_await UpstreamCall.next(ReadDeadline);
     if (const auto *const Failure = std::get_if<CallFailure>(&Next)) {
       AttemptResult Result = failedAttempt(*Failure, Start);
@@ -349,12 +373,20 @@
     auto &Chunk = std::get<std::optional<std::string>>(Next);
     if (!Chunk)
       break;
-    Mark.heard();
-    QueuedGuard.begun();
-    Context.RouterPlace->responseProgressed();
     const std::string_view Events = Context.Events.append(*Chunk);
+    if (Context.Events.isOverlong()) {
+      logUnbounded(Context, Target, Context.Events.pendingBytes(), "event");
+      AttemptResult Result =
+          failedAttempt(RunState::MayHaveRun, Reason::EndpointFailed, Start);
+      markDelivered(Context, HasRunLeft, Result);
+      co_return Result;
+    }
     if (Events.empty())
       continue;
+    HasProgressed = true;
+    Mark.heard();
+    QueuedGuard.begun();
+    Context.RouterPlace->responseProgressed();
     if (!Call.hasBegun()) {
       HttpResponse Head = Wire.responseHead(UpstreamCall.head());
       co_await Call.begin(std::move(Head));
@@ -372,6 +404,8 @@
     HttpResponse Head = Wire.responseHead(UpstreamCall.head());
     co_await Call.begin(std::move(Head));
   }
+  if (const std::string Rest = Context.Events.takeRest(); !Rest.empty())
+    co_await Call.write(Rest);
   recordEnd(Context, "answered", StatusOk, {});
   co_await Call.end();
   co_return answeredAttempt(Start, FirstByte);
--- a/packages/process/src/coltsfoottrail/fleethost/callerproxy.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/callerproxy.hpp
@@ -11,6 +11,7 @@
 #include "coltsfoottrail/fleethost/proxymetrics.hpp"
 #include "coltsfoottrail/fleethost/view.hpp"
 #include "coltsfoottrail/http/client.hpp"
+#include "coltsfoottrail/http/responsebuffer.hpp"
 #include "coltsfoottrail/http/server.hpp"
 #include "coltsfoottrail/logging/requestlog.hpp"
 #include "coltsfoottrail/reach/tracker.hpp"
@@ -180,10 +181,11 @@
   [[nodiscard]] Awaitable<void> route(Exchange &Call, RequestContext &Context);
   [[nodiscard]] Awaitable<AttemptResult>
   attempt(Exchange &Call, RequestContext &Context, const EndpointSpec &Target);
-  [[nodiscard]] Awaitable<AttemptResult> relayWhole(Exchange &Call,
-                                                    RequestContext &Context,
-                                                    HttpCall Answer,
-                                                    TimePoint Start);
+  [[nodiscard]] Awaitable<AttemptResult>
+  relayWhole(Exchange &Call, RequestContext &Context, HttpCall Answer,
+             const EndpointSpec &Target, TimePoint Start);
+  static void logUnbounded(RequestContext &Context, const EndpointSpec &Target,
+                           std::size_t Bytes, std::string_view Why);
   [[nodiscard]] Awaitable<AttemptResult>
   relayStream(Exchange &Call, RequestContext &Context, HttpCall UpstreamCall,
               const EndpointSpec &Target, TimePoint Start,
@@ -216,6 +218,7 @@
   Random Draw;
   ColdRateLimiter Gate;
   CallerProxyCounts Counts;
+  ResponseMemory Memory;
   ProxyMetrics Metrics;
   /// Shared with the coroutines, which may end after this object.
   std::shared_ptr<RequestLogBudget> Budget =
--- a/packages/process/src/coltsfoottrail/fleethost/eventstreambuffer.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/eventstreambuffer.cpp
@@ -18,12 +18,18 @@
   return std::max(LfEnd, CrLfEnd);
 }
 
+bool hasData(std::string_view Events) noexcept {
+  constexpr std::string_view DataField = "data:";
+  return Events.starts_with(DataField) ||
+         Events.find("\ndata:") != std::string_view::npos;
+}
+
 } // namespace
 
 std::string_view EventStreamBuffer::append(std::string_view Chunk) {
   Pending += Chunk;
   const std::size_t Length = completeLength(Pending);
-  if (Length == 0)
+  if (!hasData(std::string_view(Pending).substr(0, Length)))
     return {};
   CompleteEvents.assign(Pending, 0, Length);
   Pending.erase(0, Length);
@@ -31,6 +37,10 @@
   return CompleteEvents;
 }
 
+bool EventStreamBuffer::endsOnBoundary() const noexcept {
+  return completeLength(Pending) == Pending.size();
+}
+
 void EventStreamBuffer::recordLastId(std::string_view Events) {
   HasReleased = true;
   while (!Events.empty()) {
--- a/packages/process/src/coltsfoottrail/logging/event.cpp
+++ b/packages/process/src/coltsfoottrail/logging/event.cpp
@@ -106,6 +106,8 @@
      "Requests with a part of a prompt are no longer refused."},
     {Event::PartsCleared, LogLevel::Info, "parts-cleared",
      "Parts of prompts that were in flight at crashes were run since."},
+    {Event::ResponseUnbounded, LogLevel::Warn, "response-unbounded",
+     "A response was given up because it took too much memory."},
     {Event::EndpointLost, LogLevel::Warn, "endpoint-lost",
      "An endpoint takes no more work from this host."},
     {Event::EndpointBack, LogLevel::Info, "endpoint-back",
--- a/packages/process/src/coltsfoottrail/logging/event.hpp
+++ b/packages/process/src/coltsfoottrail/logging/event.hpp
@@ -61,6 +61,7 @@
   PartRefused = 1323,
   PartReleased = 1324,
   PartsCleared = 1325,
+  ResponseUnbounded = 1326,
   EndpointLost = 1401,
   EndpointBack = 1402,
   EndpointCold = 1403,
--- a/packages/process/src/coltsfoottrail/server/events.hpp
+++ b/packages/process/src/coltsfoottrail/server/events.hpp
@@ -26,6 +26,13 @@
   /// @return Complete events to pass on; valid until the next call.
   [[nodiscard]] std::string_view take(std::string_view Part);
 
+  /// Bytes of one event, at most.
+  static constexpr std::size_t MaxEventBytes = std::size_t{256} << 10U;
+  /// @brief Whether the incomplete event is longer than an event may be.
+  [[nodiscard]] bool isOverlong() const noexcept {
+    return Pending.size() > MaxEventBytes;
+  }
+
   /// @brief Discards the incomplete event at the end of a broken stream.
   void dropPartial() { Pending.clear(); }
 
--- a/packages/process/src/coltsfoottrail/server/relay.cpp
+++ b/packages/process/src/coltsfoottrail/server/relay.cpp
@@ -461,9 +461,10 @@
     co_return failedAttempt(RunState::MayHaveRun, Reason::EndpointFailed,
                             Start);
   if (Request.IsStreaming && Status == StatusOk)
-    co_return co_await relayStream(Call, Request, std::move(Answer), Start,
+    co_return co_await relayStream(Call, Request, To, std::move(Answer), Start,
                                    Progress);
-  co_return co_await relayWhole(Call, Request, std::move(Answer), Start, Guard);
+  co_return co_await relayWhole(Call, Request, To, std::move(Answer), Start,
+                                Guard);
 }
 
 void Relay::recordRateLimit(const EndpointSpec &From, const HttpResponse &Head,
@@ -477,14 +478,26 @@
              {{"endpoint", From.Key}, {"held_back", *HeldBack}});
 }
 
+void Relay::logUnbounded(const EndpointSpec &From, std::size_t Bytes,
+                         std::string_view Why) {
+  if (const auto HeldBack =
+          Sampler.admit(Event::ResponseUnbounded, BootClock::now()))
+    logEvent(Event::ResponseUnbounded, {{"endpoint", From.Key},
+                                        {"bytes", Bytes},
+                                        {"why", Why},
+                                        {"held_back", *HeldBack}});
+}
+
 Awaitable<AttemptResult> Relay::relayWhole(Exchange &Call,
                                            const CallerRequest &Request,
+                                           const EndpointSpec &To,
                                            HttpCall Answer, TimePoint Start,
                                            ClaimGuard *Guard) {
   const TimePoint FirstByte = BootClock::now();
   HttpResponse Response;
   Response.Status = Answer.head().Status;
   Response.Fields = answerFields(Answer.head());
+  ResponseBuffer Body(Memory);
   while (true) {
     auto Next = co_await Answer.next(Request.AnswerDeadline);
     if (const auto *const Failure = std::get_if<CallFailure>(&Next))
@@ -492,8 +505,13 @@
     auto &Part = std::get<std::optional<std::string>>(Next);
     if (!Part)
       break;
-    Response.Body += *Part;
+    if (!Body.append(*Part)) {
+      logUnbounded(To, Body.size() + Part->size(), "body");
+      co_return failedAttempt(RunState::MayHaveRun, Reason::EndpointFailed,
+                              Start);
+    }
   }
+  Response.Body = Body.take();
   const bool NotRun = fieldOf(Answer.head().Fields, VerdictField) == "not-run";
   if (Guard != nullptr && !NotRun) {
     StoredOutcome Outcome;
@@ -515,6 +533,7 @@
 // at the next token, or the connection is visibly cut.
 Awaitable<AttemptResult> Relay::relayStream(Exchange &Call,
                                             const CallerRequest &Request,
+                                            const EndpointSpec &To,
                                             HttpCall Answer, TimePoint Start,
                                             StreamProgress &Progress) {
   const TimePoint FirstByte = BootClock::now();
@@ -535,8 +554,19 @@
     auto &Part = std::get<std::optional<std::string>>(Next);
     if (!Part)
       break;
+    const std::string_view Events = Progress.Events.take(*Part);
+    if (Progress.Events.isOverlong()) {
+      logUnbounded(To, EventSplitter::MaxEventBytes, "event");
+      AttemptResult Result =
+          failedAttempt(RunState::MayHaveRun, Reason::EndpointFailed, Start);
+      Result.CallerSawBytes = !Progress.Events.resumable();
+      Result.Resumable = Progress.Events.resumable();
+      co_return Result;
+    }
+    if (Events.empty())
+      continue;
     Progress.RouterPlace->responseProgressed();
-    co_await Call.write(Progress.Events.take(*Part));
+    co_await Call.write(Events);
   }
   if (!Progress.Events.sawEnd()) {
     AttemptResult Result =
--- a/packages/process/src/coltsfoottrail/server/relay.hpp
+++ b/packages/process/src/coltsfoottrail/server/relay.hpp
@@ -5,6 +5,7 @@
 #define COLTSFOOTTRAIL_SERVER_RELAY_HPP
 
 #include "coltsfoottrail/http/client.hpp"
+#include "coltsfoottrail/http/responsebuffer.hpp"
 #include "coltsfoottrail/http/server.hpp"
 #include "coltsfoottrail/logging/log.hpp"
 #include "coltsfoottrail/server/callerrequest.hpp"
@@ -100,11 +101,15 @@
   attempt(Exchange &Call, const CallerRequest &Request, const EndpointSpec &To,
           StreamProgress &Progress, ClaimGuard *Guard);
   [[nodiscard]] Awaitable<AttemptResult>
-  relayWhole(Exchange &Call, const CallerRequest &Request, HttpCall Answer,
-             TimePoint Start, ClaimGuard *Guard);
+  relayWhole(Exchange &Call, const CallerRequest &Request,
+             const EndpointSpec &To, HttpCall Answer, TimePoint Start,
+             ClaimGuard *Guard);
+  void logUnbounded(const EndpointSpec &From, std::size_t Bytes,
+                    std::string_view Why);
   [[nodiscard]] Awaitable<AttemptResult>
-  relayStream(Exchange &Call, const CallerRequest &Request, HttpCall Answer,
-              TimePoint Start, StreamProgress &Progress);
+  relayStream(Exchange &Call, const CallerRequest &Request,
+              const EndpointSpec &To, HttpCall Answer, TimePoint Start,
+              StreamProgress &Progress);
   [[nodiscard]] Awaitable<void> serveOutcomeQuery(Exchange &Call);
   void logKeyInUse(const CallerRequest &Request, const ClaimInProgress &Held);
   void recordRateLimit(const EndpointSpec &From, const HttpResponse &Head,
@@ -121,6 +126,7 @@
   RouteTablePtr Routes;
   std::atomic<bool> Stopping{false};
   RelayCounters Counts;
+  ResponseMemory Memory;
   EventSampler Sampler{MaxLogLinesPerSecond, seconds(1)};
 };
 
--- a/packages/process/test/coltsfoottrail/server/answers.cpp
+++ b/packages/process/test/coltsfoottrail/server/answers.cpp
@@ -72,10 +72,16 @@
       Out = jsonResponse(200, R"({"run":1})");
     else
       ++Calls;
-    co_await Call.respond(std::move(Out));
+    if (EndlessBytes.empty() || Call.request().Target == "/report")
+      co_return co_await Call.respond(std::move(Out));
+    co_await Call.begin(std::move(Out));
+    while (true)
+      co_await Call.write(EndlessBytes);
   }
 
   HttpResponse ServiceResponse;
+  /// Body of responses without end; empty for the usual ones.
+  std::string EndlessBytes;
   std::atomic<unsigned> Calls{0};
   HttpServer Endpoint;
 };
@@ -107,5 +113,45 @@
   EXPECT_EQ(fieldOf(Response.Fields, "X-Park"), "7");
 }
 
+// Guards against a response without end that is collected in memory until the
+// deadline of its request.
+TEST_F(ServiceResponses, WithoutEndAreGivenUp) {
+  EndlessBytes = std::string(16U << 10U, 'x');
+  const TimePoint Begin = BootClock::now();
+  const HttpResponse Response =
+      call(Hosts[0]->callerPort(), orderRequest("", "a"));
+  EXPECT_EQ(Response.Status, 502U) << Response.Body.substr(0, 200);
+  EXPECT_EQ(fieldOf(Response.Fields, "Coltsfoottrail-Verdict"), "may-have-run");
+  EXPECT_LT(BootClock::now() - Begin, seconds(5));
+}
+
+// Guards against sending an endpoint that names a rate limit as much as before,
+// and against callers that wait for a refusal which is certain.
+TEST_F(ServiceResponses, RateLimitIsKept) {
+  ServiceResponse = jsonResponse(200, "{}");
+  ServiceResponse.Fields.push_back({"Coltsfoottrail-Rate-Limit", "4"});
+  EXPECT_EQ(call(Hosts[0]->callerPort(), orderRequest("", "a")).Status, 200U);
+  Calls = 0;
+  constexpr seconds Length{4};
+  unsigned Refused = 0;
+  const TimePoint Begin = BootClock::now();
+  while (BootClock::now() - Begin < Length) {
+    HttpRequest Sent = orderRequest("", "a");
+    Sent.Fields.push_back({"Coltsfoottrail-Deadline-Ms", "200"});
+    const TimePoint SentAt = BootClock::now();
+    const HttpResponse Response = call(Hosts[0]->callerPort(), std::move(Sent));
+    Refused += Response.Status == 503 ? 1U : 0U;
+    EXPECT_LT(BootClock::now() - SentAt, milliseconds(400));
+    std::this_thread::sleep_for(milliseconds(10));
+  }
+  EXPECT_LE(Calls, 4U * Length.count() * 3U / 2U + 5U);
+  EXPECT_GE(Calls, Length.count());
+  EXPECT_GT(Refused, 0U);
+  ServiceResponse.Fields.clear();
+  EXPECT_TRUE(eventually([&] {
+    return call(Hosts[0]->callerPort(), orderRequest("", "a")).Status == 200;
+  }));
+}
+
 } // namespace
 } // namespace coltsfoottrail::testing
--- a/packages/process/test/coltsfoottrail/server/drafts.cpp
+++ b/packages/process/test/coltsfoottrail/server/drafts.cpp
@@ -84,6 +84,19 @@
   EXPECT_GT(Hosts[0]->counters().Resumed, 0U);
 }
 
+// Guards against bytes that complete no event and fill the memory: the stream
+// goes on at the other engine.
+TEST_F(Completions, StreamThatEndsNoEventIsResumed) {
+  EngineFaults Endless;
+  Endless.EndlessBytes = std::string(16U << 10U, 'x');
+  Engines.front()->setFaults(Endless);
+  for (int Count = 0; Count < 4; ++Count) {
+    const TimePoint Begin = BootClock::now();
+    EXPECT_TRUE(stream(0, "closure notice", 40).IsComplete);
+    EXPECT_LT(BootClock::now() - Begin, seconds(8));
+  }
+}
+
 // Guards against exceeding a team's max_in_flight: with a limit of one, a
 // second request of the team waits although endpoints have capacity.
 TEST_F(Completions, TeamsLimitIsKept) {
--- a/packages/standin/src/coltsfoottrail/standin/engine.cpp
+++ b/packages/standin/src/coltsfoottrail/standin/engine.cpp
@@ -320,11 +320,15 @@
 Awaitable<void> EngineStandin::streamCompletion(
     Exchange &Call, const CompletionRequest &Request, InProgressGuard &Mark) {
   std::uint32_t CutAfter = 0;
+  std::string Endless;
   {
     const std::lock_guard Hold(Lock);
     CutAfter = Faults.CutAfterTokens;
+    Endless = Faults.EndlessBytes;
   }
   co_await Call.begin(streamResponseHead());
+  while (!Endless.empty())
+    co_await Call.write(Endless);
   for (std::uint64_t Index = Request.From; Index < Request.Tokens; ++Index) {
     co_await pause(Capabilities.TimePerToken);
     co_await Call.write(tokenEvent(Request.Chat, wordAt(Request.Hash, Index),
--- a/packages/standin/src/coltsfoottrail/standin/engine.hpp
+++ b/packages/standin/src/coltsfoottrail/standin/engine.hpp
@@ -33,6 +33,9 @@
   std::string CrashOn;
   /// Number of tokens after which streams are cut; zero for never.
   std::uint32_t CutAfterTokens = 0;
+  /// Bytes that streams send again and again from their first token on, until
+  /// the connection is closed; empty for none.
+  std::string EndlessBytes = {};
   /// Delay before the first token.
   milliseconds Delay{0};
 };
