--- a/packages/request/src/coltsfoottrail/ratelimit/limiter.cpp
+++ b/packages/request/src/coltsfoottrail/ratelimit/limiter.cpp
@@ -34,8 +34,8 @@
 
 // Failure guarded against: hosts that hear of a limit at the same moment each
 // send a first request at once. Each begins with a random part of one.
-void EndpointRateLimiter::name(Limit &Named, double PerSecond,
-                               TimePoint HeardAt, TimePoint Now) {
+void EndpointRateLimiter::recordNamed(Limit &Named, double PerSecond,
+                                      TimePoint HeardAt, TimePoint Now) {
   Named.PerSecond = PerSecond;
   Named.HeardAt = std::max(Named.HeardAt, HeardAt);
   Named.EndedAt.reset();
@@ -47,7 +47,7 @@
   ++Version;
 }
 
-void EndpointRateLimiter::end(Limit &Ended, TimePoint EndedAt) {
+void EndpointRateLimiter::recordEnded(Limit &Ended, TimePoint EndedAt) {
   if (!Ended.EndedAt)
     Ended.EndedAt = EndedAt;
 }
@@ -78,7 +78,7 @@
     if (Found == Limits.end() || Found->second.EndedAt ||
         SentAt <= Found->second.HeardAt)
       return;
-    end(Found->second, Now);
+    recordEnded(Found->second, Now);
     recordChange(Process, Found->second, Found->second.PerSecond,
                  Duration::zero(), false);
   } else {
@@ -86,7 +86,7 @@
     Limit &Named = Found->second;
     const std::optional<double> Before =
         Named.InForce ? Named.stated() : std::nullopt;
-    name(Named, *PerSecond, Now, Now);
+    recordNamed(Named, *PerSecond, Now, Now);
     recordChange(Process, Named, Before, Duration::zero(), false);
   }
   markUnpublished(Found->second, Now);
@@ -121,9 +121,9 @@
   const std::optional<double> Before =
       Known.InForce ? Known.stated() : std::nullopt;
   if (Observed.PerSecond)
-    name(Known, *Observed.PerSecond, HeardAt, Now);
+    recordNamed(Known, *Observed.PerSecond, HeardAt, Now);
   else
-    end(Known, HeardAt);
+    recordEnded(Known, HeardAt);
   recordChange(Observed.Process, Known, Before, Observed.Age, true);
   Known.ToldPerSecond = Observed.PerSecond;
   Known.ToldAt = Now;
@@ -149,7 +149,7 @@
     if (!Each.EndedAt && Now - Each.HeardAt >= UnheardLife) {
       Changes.push_back(
           {Process, std::nullopt, Now - Each.HeardAt, false, true});
-      end(Each, Now);
+      recordEnded(Each, Now);
     }
     const bool IsLifted = Each.EndedAt && Now - *Each.EndedAt >= ReleaseTime;
     if (IsLifted && std::exchange(Each.InForce, false))
--- a/packages/request/src/coltsfoottrail/ratelimit/limiter.hpp
+++ b/packages/request/src/coltsfoottrail/ratelimit/limiter.hpp
@@ -160,8 +160,9 @@
   };
 
   bool apply(const RateObservation &Observed, TimePoint Now);
-  void name(Limit &Named, double PerSecond, TimePoint HeardAt, TimePoint Now);
-  static void end(Limit &Ended, TimePoint EndedAt);
+  void recordNamed(Limit &Named, double PerSecond, TimePoint HeardAt,
+                   TimePoint Now);
+  static void recordEnded(Limit &Ended, TimePoint EndedAt);
   void recordChange(const std::string &Process, const Limit &Changed,
                     std::optional<double> Before, Duration Age, bool FromPeer);
   static void markUnpublished(Limit &Changed, TimePoint Now);
