--- a/packages/request/src/coltsfoottrail/ratelimit/limiter.hpp
+++ b/packages/request/src/coltsfoottrail/ratelimit/limiter.hpp
@@ -25,7 +25,7 @@
   Duration Age{};
   /// Whether another entry host got that response.
   bool FromPeer = false;
-  /// It ended because no host has heard of it for long.
+  /// It expired: no response has named it for UnheardLife.
   bool IsUnheard = false;
 };
 
@@ -59,8 +59,8 @@
 ///
 /// A limit belongs to one life of the endpoint's process. It holds from the
 /// response that names it until a response to a later request names none, or
-/// until no host has heard of it for UnheardLife. After that it is lifted
-/// gradually: all hosts would otherwise send there at once.
+/// until no response to any host has named it for UnheardLife. Then it is
+/// raised gradually: all hosts would otherwise send there at once.
 class EndpointRateLimiter {
 public:
   /// Fraction of a limit that is used. With many hosts, a window of a few
@@ -71,8 +71,8 @@
   static constexpr double ProbesPerSecond = 0.2;
   /// How long a limit that no response names or revokes lasts.
   static constexpr Duration UnheardLife = seconds(30);
-  /// How long a limit takes to be lifted, and how soon the rate doubles
-  /// meanwhile.
+  /// How long a limit that has ended is still raised, and how soon the rate
+  /// doubles meanwhile.
   static constexpr Duration ReleaseTime = seconds(3);
   static constexpr Duration ReleaseDoubling = milliseconds(500);
   /// Least time between two notices about an endpoint, and the time after which
@@ -133,8 +133,8 @@
     /// When the newest response arrived that named it, on any host.
     TimePoint HeardAt{};
     std::optional<TimePoint> EndedAt;
-    /// False once it has been lifted. It is kept for a while, so that an older
-    /// observation of another host does not bring it back.
+    /// False once the release has ended. It is kept for a while, so that an
+    /// older observation of another host does not bring it back.
     bool InForce = false;
     /// Whether this host has an observation that the others have not.
     bool IsUnpublished = false;
