Types for demand, the division of engines, and ranks

What callers saw: on two deployments with uneven demand the division of the engines among the models stays at the shares of the configuration, and a request's priority is read and used by nobody.

Change: interfaces only, without effect. The demand of a pool by rank and data centre (demand), what the division of a service's engines depends on and its result (division), the assembler's view of it, the rank of a request, and the settings that switch the division on.

Why: several parts are built beside each other on these types.

Measured: nothing; syntax of the changed sources checked, no test run.

--- a/packages/process/src/coltsfoottrail/fleethost/callerproxy.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/callerproxy.cpp
@@ -1,6 +1,7 @@
 #include "coltsfoottrail/fleethost/callerproxy.hpp"
 
 #include "coltsfoottrail/core/hash.hpp"
+#include "coltsfoottrail/fleet/rank.hpp"
 #include "coltsfoottrail/server/evidencelog.hpp"
 
 #include <algorithm>
@@ -177,6 +178,7 @@
   if (Context.Route->Public && Context.Config->hasTeams() &&
       !View.routesFresh(Context.ArrivedAt))
     return refusal(Context, StaleVerdict);
+  Context.Rank = rankOf(*Context.Route, nullptr);
   if (!Context.Route->Public && Context.Config->hasTeams()) {
     if (!View.credentialsFresh(Context.ArrivedAt))
       return refusal(Context, StaleVerdict);
@@ -186,6 +188,7 @@
       return jsonResponse(StatusUnauthenticated,
                           R"({"error":"unknown-credential"})");
     Context.Team = Team->Name;
+    Context.Rank = rankOf(*Context.Route, Team);
   }
   milliseconds CallerTimeout = Context.Route->Timeout;
   if (Context.Caller.Timeout)
@@ -255,6 +258,7 @@
                                    const PoolBacklog &Backlog) const {
   WorkItem Result;
   Result.Team = Context.Team;
+  Result.Rank = Context.Rank;
   RequestTiming Case;
   Case.Status = Context.Freshness;
   Case.Streams = Context.Route->streams();
--- a/packages/process/src/coltsfoottrail/fleethost/callerproxy.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/callerproxy.hpp
@@ -115,6 +115,8 @@
     RouteIndexPtr Config;
     const RouteSpec *Route = nullptr;
     TeamName Team;
+    /// See rankOf().
+    std::uint32_t Rank = 0;
     TimePoint ArrivedAt;
     TimePoint Deadline;
     Timeliness Freshness = Timeliness::Fresh;
--- a/packages/process/src/coltsfoottrail/fleethost/settings.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/settings.cpp
@@ -16,6 +16,7 @@
 constexpr double HighestRatio = 100.0;
 constexpr double MostCores = 1024.0;
 constexpr double MostSlack = 1'000'000.0;
+constexpr std::uint64_t MostGroups = 1'000'000;
 
 SocketAddress socketAddress(ObjectReader &Reader, std::string_view Key) {
   const std::string Text = Reader.text(Key);
@@ -56,6 +57,30 @@
   return Result;
 }
 
+ModelLimits readModelLimits(ObjectReader Reader) {
+  ModelLimits Result;
+  Result.MinGroups = static_cast<std::uint32_t>(
+      Reader.numberOr("min", Result.MinGroups, 0, MostGroups));
+  Result.MaxGroups = static_cast<std::uint32_t>(
+      Reader.numberOr("max", MostGroups, 1, MostGroups));
+  if (Result.MinGroups > Result.MaxGroups)
+    Reader.refuse("min", "a number that is not above max");
+  return Result;
+}
+
+EngineSettings readEngines(ObjectReader Reader) {
+  EngineSettings Result;
+  Result.FollowDemand = Reader.flagOr("follow_demand", false);
+  Result.StageAhead = Reader.flagOr("stage_ahead", false);
+  Result.HoldDivision = Reader.flagOr("hold_division", false);
+  if (!Reader.has("groups"))
+    return Result;
+  ObjectReader Groups = Reader.object("groups");
+  for (const auto &[Model, Limits] : Reader.raw("groups").items())
+    Result.Limits[ModelName(Model)] = readModelLimits(Groups.object(Model));
+  return Result;
+}
+
 } // namespace
 
 FleetSettings readFleetSettings(const std::filesystem::path &File) {
@@ -80,6 +105,8 @@
     Result.Metrics = socketAddress(Reader, "metrics");
   if (Reader.has("bounds"))
     Result.Bounds = readBounds(Reader.object("bounds"));
+  if (Reader.has("engines"))
+    Result.Engines = readEngines(Reader.object("engines"));
   return Result;
 }
 
--- a/packages/process/src/coltsfoottrail/fleethost/settings.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/settings.hpp
@@ -6,9 +6,11 @@
 
 #include "coltsfoottrail/core/name.hpp"
 #include "coltsfoottrail/core/time.hpp"
+#include "coltsfoottrail/division/types.hpp"
 #include "coltsfoottrail/settings/settings.hpp"
 
 #include <filesystem>
+#include <map>
 #include <optional>
 
 namespace coltsfoottrail {
@@ -36,6 +38,20 @@
   double RetrySlack = 130.0;
 };
 
+/// @brief How the engines of a service are divided among its models.
+struct EngineSettings {
+  /// Whether the division follows the demand rather than the shares of the
+  /// configuration.
+  bool FollowDemand = false;
+  /// Whether engines hold the weights of a second model beside the one that
+  /// they serve.
+  bool StageAhead = false;
+  /// Whether the division stays as it is.
+  bool HoldDivision = false;
+  /// Bounds of the groups of a model; none if a model is missing.
+  std::map<ModelName, ModelLimits> Limits;
+};
+
 /// @brief All settings of an entry host, validated.
 struct FleetSettings {
   HostName Host;
@@ -52,6 +68,7 @@
   /// Share of a processor core that this host may use; 1 is a whole core.
   double ProcessorShare = 1.0;
   FleetBounds Bounds;
+  EngineSettings Engines;
 };
 
 /// @brief Reads and validates a settings file. Unknown keys are ignored because
--- a/packages/request/src/coltsfoottrail/dispatch/types.hpp
+++ b/packages/request/src/coltsfoottrail/dispatch/types.hpp
@@ -25,6 +25,9 @@
 struct WorkItem {
   TeamName Team;
   Priority Urgency = Priority::Normal;
+  /// Precedence over the requests of all teams when there are too few slots;
+  /// zero is the most urgent.
+  std::uint32_t Rank = 0;
   TimePoint Deadline;
   /// Latest start of the first attempt; after this the request is refused,
   /// since it would take a slot without being of use. Does not bound retries.
--- a/packages/version/src/coltsfoottrail/assembly/assembler.hpp
+++ b/packages/version/src/coltsfoottrail/assembly/assembler.hpp
@@ -7,6 +7,7 @@
 #include "coltsfoottrail/assembly/layout.hpp"
 #include "coltsfoottrail/assembly/loadpacer.hpp"
 #include "coltsfoottrail/assembly/outstandingjoins.hpp"
+#include "coltsfoottrail/division/types.hpp"
 #include "coltsfoottrail/fleet/catalogue.hpp"
 #include "coltsfoottrail/fleet/config.hpp"
 #include "coltsfoottrail/fleet/order.hpp"
@@ -76,6 +77,14 @@
   /// or load is started beyond it. Sending an order takes the host a
   /// millisecond, and a fleet that starts needs thousands.
   std::size_t MaxOrders = std::numeric_limits<std::size_t>::max();
+  /// Which part of the engines each model is to have; the shares of the
+  /// configuration if null.
+  const EngineTargets *Targets = nullptr;
+  /// Whether groups may be closed so that their engines serve a model that
+  /// lacks groups. Needs Targets.
+  bool ConvertsGroups = false;
+  /// Whether engines that serve one model hold the weights of another.
+  bool StagesAhead = false;
 };
 
 /// @brief An order to be sent to an engine.
