--- a/packages/process/test/coltsfoottrail/fleethost/settings.cpp
+++ b/packages/process/test/coltsfoottrail/fleethost/settings.cpp
@@ -46,6 +46,47 @@
   }
 }
 
+std::string withEngines(const std::string &Engines) {
+  std::string Text = FullSettings;
+  return Text.insert(Text.rfind('}'), ",\"engines\":" + Engines);
+}
+
+TEST(FleetSettings, KeepsTheSharesOfTheConfigurationByDefault) {
+  const FleetSettings Settings =
+      readFleetSettings(writeSettingsFile(FullSettings));
+  EXPECT_FALSE(Settings.Engines.FollowDemand);
+  EXPECT_FALSE(Settings.Engines.StageAhead);
+  EXPECT_FALSE(Settings.Engines.HoldDivision);
+  EXPECT_TRUE(Settings.Engines.Limits.empty());
+}
+
+TEST(FleetSettings, ReadsHowEnginesAreDivided) {
+  const EngineSettings Engines =
+      readFleetSettings(writeSettingsFile(withEngines(
+                            R"({"follow_demand":true,"stage_ahead":true,
+                                "hold_division":true,
+                                "groups":{"big":{"min":2,"max":5},
+                                          "small":{"min":1}}})")))
+          .Engines;
+  EXPECT_TRUE(Engines.FollowDemand);
+  EXPECT_TRUE(Engines.StageAhead);
+  EXPECT_TRUE(Engines.HoldDivision);
+  ASSERT_EQ(Engines.Limits.size(), 2U);
+  EXPECT_EQ(Engines.Limits.at(ModelName("big")).MinGroups, 2U);
+  EXPECT_EQ(Engines.Limits.at(ModelName("big")).MaxGroups, 5U);
+  EXPECT_EQ(Engines.Limits.at(ModelName("small")).MinGroups, 1U);
+}
+
+TEST(FleetSettings, RefusesMoreGroupsAtLeastThanAtMost) {
+  try {
+    (void)readFleetSettings(writeSettingsFile(
+        withEngines(R"({"groups":{"big":{"min":3,"max":2}}})")));
+    FAIL();
+  } catch (const InputError &Problem) {
+    EXPECT_EQ(Problem.pointer(), "/engines/groups/big/min");
+  }
+}
+
 } // namespace
 
 } // namespace coltsfoottrail
