Divide a service's engines among its models by the work offered

Callers of one model saw their requests late for the whole of a burst while another model had groups to spare: the division was the share that the configuration gives at the start, whatever callers asked for.

capacity turns a model's offered tokens into groups, by the declared speed of an engine and a utilisation above which the first event is late. allocation divides engines: what each model needs, then equal headroom; by rank, with a floor, where not all work fits. offeredload leaves out what the work of all models has in common, so that a wave of all moves nothing. EngineDivision adds the rule for when a change is worth making, and an account of why the division stays or moves.

Nothing uses it yet.

--- a/packages/version/src/coltsfoottrail/division/fwd.hpp
+++ b/packages/version/src/coltsfoottrail/division/fwd.hpp
@@ -5,11 +5,15 @@
 
 namespace coltsfoottrail {
 
+struct DivisionInput;
+struct DivisionTimes;
+struct EngineClaim;
+struct ModelAccount;
 struct ModelDemand;
 struct ModelLimits;
 struct ModelTarget;
-struct DivisionInput;
 class EngineDivision;
+class OfferedLoad;
 
 } // namespace coltsfoottrail
 
--- a/packages/version/src/coltsfoottrail/division/types.hpp
+++ b/packages/version/src/coltsfoottrail/division/types.hpp
@@ -44,15 +44,19 @@
   /// Whether the sums are recent and include all entry hosts. Otherwise the
   /// division stays as it is.
   bool IsCurrent = false;
+  /// Bounds by model; none for a model without an entry.
   const std::map<ModelName, ModelLimits> &Limits;
+  /// Whether operators keep the division as it is.
+  bool IsHeld = false;
 };
 
 /// @brief The part of the engines that a model is to have.
 struct ModelTarget {
-  /// Fraction of the usable engines; the fractions of all models add up to one.
+  /// Fraction of the usable engines; the fractions of all models add up to one,
+  /// or to less if each model has its maximum number of groups.
   double Share = 0.0;
   /// Groups that serve the offered work in time; not set while the demand is
-  /// not known.
+  /// not known. May exceed what the engines can form.
   std::optional<double> NeededGroups;
 };
 
--- /dev/null
+++ b/packages/version/test/coltsfoottrail/division/division.cpp
@@ -0,0 +1,439 @@
+#include "coltsfoottrail/division/division.hpp"
+
+#include "coltsfoottrail/division/capacity.hpp"
+
+#include <array>
+#include <cmath>
+#include <functional>
+#include <gtest/gtest.h>
+#include <numbers>
+#include <random>
+
+namespace coltsfoottrail {
+
+namespace {
+
+const ModelName Big("big");
+const ModelName Small("small");
+constexpr double BigSize = 12.0;
+constexpr double SmallSize = 6.0;
+constexpr double AllEngines = 216.0;
+constexpr double BigShare = 2.0 / 3.0;
+constexpr TimePoint Start{seconds(100)};
+constexpr Duration Step = milliseconds(500);
+/// Loading weights takes at least this long; a decision is to take no more than
+/// a third of it.
+constexpr Duration LoadTime = seconds(12);
+constexpr Duration MaxDecisionTime = LoadTime / 3;
+
+/// Groups that callers of each model need, and the conditions around them.
+struct Moment {
+  double Big = 0.0;
+  double Small = 0.0;
+  double Engines = AllEngines;
+  bool IsCurrent = true;
+  bool IsHeld = false;
+  std::uint32_t BigRank = 0;
+  std::uint32_t SmallRank = 0;
+};
+
+/// A change of the targets.
+struct TargetChange {
+  Duration At;
+  double BigEngines = 0.0;
+};
+
+double inSeconds(Duration Span) {
+  return std::chrono::duration<double>(Span).count();
+}
+
+/// An engine on which a token of an answer occupies a group for a millisecond.
+EngineProfile makeEngine() {
+  EngineProfile Engine;
+  Engine.Slots = 20;
+  Engine.StepMs = 20.0;
+  Engine.PromptTokensPerSecond = 10'000.0;
+  Engine.Models = {{Big, std::uint32_t(BigSize), 1.0, BigShare, seconds(16),
+                    milliseconds(1600)},
+                   {Small, std::uint32_t(SmallSize), 1.0, 1.0 - BigShare,
+                    seconds(12), milliseconds(1100)}};
+  return Engine;
+}
+
+ModelDemand demandOf(double Groups, std::uint32_t Rank) {
+  constexpr double TokensPerGroup = 1'000.0;
+  return {0.0, Groups * MaxUtilisation * TokensPerGroup, Rank};
+}
+
+/// A division that is updated as time passes.
+class Trial {
+public:
+  void run(Duration Span, const std::function<Moment(double)> &At) {
+    for (const Duration End = Elapsed + Span; Elapsed < End; Elapsed += Step)
+      update(At(inSeconds(Elapsed)));
+  }
+  void run(Duration Span, const Moment &Constant) {
+    run(Span, [&](double) { return Constant; });
+  }
+  void update(const Moment &Now) {
+    const std::map<ModelName, ModelDemand> Demand{
+        {Big, demandOf(Now.Big, Now.BigRank)},
+        {Small, demandOf(Now.Small, Now.SmallRank)}};
+    Targets = Division.update(
+        {Engine, Now.Engines, Demand, Now.IsCurrent, Limits, Now.IsHeld},
+        Start + Elapsed);
+    if (std::abs(share(Big) - LastShare) > 1e-9)
+      Changes.push_back({Elapsed, share(Big) * AllEngines});
+    LastShare = share(Big);
+  }
+  void restartDivision() { Division = EngineDivision(); }
+
+  [[nodiscard]] double share(const ModelName &Model) const {
+    return Targets.at(Model).Share;
+  }
+  [[nodiscard]] double groups(const ModelName &Model,
+                              double Engines = AllEngines) const {
+    return share(Model) * Engines / (Model == Big ? BigSize : SmallSize);
+  }
+  [[nodiscard]] DivisionOutcome outcome() const {
+    return Division.account().at(Big).Outcome;
+  }
+  /// Shortest time between a change and one that goes back; the longest
+  /// duration if there is none.
+  [[nodiscard]] Duration shortestReturn() const {
+    Duration Shortest = Duration::max();
+    double Previous = BigShare * AllEngines;
+    std::map<bool, Duration> LastAt;
+    for (const TargetChange &Each : Changes) {
+      const bool IsRise = Each.BigEngines > Previous;
+      if (const auto It = LastAt.find(!IsRise); It != LastAt.end())
+        Shortest = std::min(Shortest, Each.At - It->second);
+      LastAt[IsRise] = Each.At;
+      Previous = Each.BigEngines;
+    }
+    return Shortest;
+  }
+
+  EngineProfile Engine = makeEngine();
+  std::map<ModelName, ModelLimits> Limits;
+  EngineDivision Division;
+  EngineTargets Targets;
+  std::vector<TargetChange> Changes;
+  Duration Elapsed{};
+
+private:
+  double LastShare = BigShare;
+};
+
+/// Work in proportion to the shares of the configuration, which fits.
+constexpr Moment Even{.Big = 10.0, .Small = 10.0};
+
+TEST(EngineDivision, StartsWithTheSharesOfTheConfiguration) {
+  Trial Test;
+  Test.run(seconds(2), {.Big = 4.0, .Small = 20.0});
+  EXPECT_DOUBLE_EQ(Test.share(Big), BigShare);
+  EXPECT_EQ(Test.outcome(), DivisionOutcome::Starting);
+  EXPECT_FALSE(Test.Division.followsDemand());
+  EXPECT_FALSE(Test.Targets.at(Big).NeededGroups);
+  Test.run(seconds(2), {.Big = 4.0, .Small = 20.0});
+  EXPECT_TRUE(Test.Division.followsDemand());
+  EXPECT_NEAR(Test.share(Big), 48.0 / 168.0, 1e-6);
+  EXPECT_NEAR(*Test.Targets.at(Small).NeededGroups, 20.0, 1e-6);
+}
+
+TEST(EngineDivision, EvenWorkChangesNothing) {
+  Trial Test;
+  Test.run(seconds(60), Even);
+  EXPECT_TRUE(Test.Changes.empty());
+  EXPECT_EQ(Test.outcome(), DivisionOutcome::WithinHysteresis);
+  EXPECT_NEAR(*Test.Division.account().at(Big).OfferedGroups, 8.0, 1e-9);
+}
+
+TEST(EngineDivision, StepGetsItsGroupsWhileWeightsWouldLoad) {
+  Trial Test;
+  Test.run(seconds(20), Even);
+  const Moment After{.Big = 8.0, .Small = 20.0};
+  Test.run(MaxDecisionTime, After);
+  EXPECT_GE(Test.groups(Small), 18.0);
+  EXPECT_GE(Test.groups(Big), 8.0);
+  Test.run(seconds(60), After);
+  // Within one group of what all callers need.
+  EXPECT_GT(Test.groups(Small), 19.0);
+  EXPECT_GE(Test.groups(Big), 8.0 - 1e-6);
+  EXPECT_LE(Test.Changes.size(), 3);
+  EXPECT_EQ(Test.shortestReturn(), Duration::max());
+}
+
+// Guards against groups that are closed and formed again with each wave: the
+// wave passes before weights are loaded.
+TEST(EngineDivision, WaveOfAllModelsChangesNothing) {
+  constexpr double Swing = 0.55;
+  constexpr double Period = 13.0;
+  for (int Case = 0; Case < 12; ++Case) {
+    const double Level = std::array{7.0, 10.0, 11.5}.at(Case % 3);
+    const double Delay = Period * (Case / 3) / 4.0;
+    Trial Test;
+    std::mt19937 Random(7);
+    std::uniform_real_distribution<double> Noise(0.95, 1.05);
+    Test.run(seconds(130), [&](double Seconds) {
+      const double Factor = 1.0 + Swing * std::sin(2.0 * std::numbers::pi *
+                                                   (Seconds + Delay) / Period);
+      return Moment{.Big = Level * Factor * Noise(Random),
+                    .Small = Level * Factor * Noise(Random),
+                    .SmallRank = 1};
+    });
+    EXPECT_TRUE(Test.Changes.empty()) << Level << " " << Delay;
+  }
+}
+
+// Guards against a model that lacks a third of its groups for the whole of a
+// burst while another has groups to spare.
+TEST(EngineDivision, BurstGetsGroupsBeforeItIsOver) {
+  struct Burst {
+    double Factor;
+    Duration Span;
+  };
+  for (const auto &[Factor, Span] :
+       {Burst{1.6, milliseconds(3'500)}, Burst{2.6, seconds(6)}}) {
+    Trial Test;
+    const Moment Base{.Big = 11.25, .Small = 6.0, .SmallRank = 1};
+    Test.run(seconds(30), Base);
+    const std::size_t Before = Test.Changes.size();
+    const double BaseGroups = Test.groups(Big);
+    Moment High = Base;
+    High.Big *= Factor;
+    // A warm join takes up to 1.6 s, so that the decision has to come in the
+    // time before.
+    Test.run(Span - milliseconds(1'600), High);
+    EXPECT_GT(Test.groups(Big), BaseGroups + 1.0) << Factor;
+    EXPECT_GE(Test.groups(Small), 1.0);
+    Test.run(milliseconds(1'600), High);
+    Test.run(seconds(60), Base);
+    EXPECT_GE(Test.groups(Big), Base.Big);
+    EXPECT_GE(Test.groups(Small), Base.Small);
+    // Up to two steps up and two down.
+    EXPECT_LE(Test.Changes.size() - Before, 4) << Factor;
+    EXPECT_GE(Test.shortestReturn(), DivisionTimes{}.MinStay);
+  }
+}
+
+TEST(EngineDivision, GroupsReturnSoonAfterABurst) {
+  Trial Test;
+  const Moment Base{.Big = 11.25, .Small = 10.0, .SmallRank = 1};
+  Test.run(seconds(30), Base);
+  Test.run(seconds(4), {.Big = 18.0, .Small = 10.0, .SmallRank = 1});
+  EXPECT_LT(Test.groups(Small), 9.0);
+  Test.run(LoadTime, Base);
+  EXPECT_GE(Test.groups(Small), 9.0);
+}
+
+TEST(EngineDivision, LostDomainChangesNothingWhileTheWorkFits) {
+  Trial Test;
+  Test.run(seconds(30), {.Big = 9.0, .Small = 9.0});
+  Test.run(seconds(20), {.Big = 9.0, .Small = 9.0, .Engines = 189.0});
+  Test.run(seconds(30), {.Big = 9.0, .Small = 9.0});
+  EXPECT_TRUE(Test.Changes.empty());
+}
+
+TEST(EngineDivision, LostDomainLeavesTheUrgentModelWhatItNeeds) {
+  Trial Test;
+  const Moment Base{.Big = 11.5, .Small = 11.5, .SmallRank = 1};
+  Test.run(seconds(30), Base);
+  Moment Lost = Base;
+  Lost.Engines = AllEngines - 27.0;
+  Test.run(MaxDecisionTime, Lost);
+  EXPECT_GE(Test.groups(Big, Lost.Engines), 11.0);
+  EXPECT_GE(Test.groups(Small, Lost.Engines), 1.0);
+  Test.run(seconds(20), Lost);
+  Test.run(seconds(60), Base);
+  EXPECT_NEAR(Test.share(Big), BigShare, 0.05);
+  EXPECT_LE(Test.Changes.size(), 2);
+  EXPECT_GE(Test.shortestReturn(), DivisionTimes{}.MinStay);
+}
+
+TEST(EngineDivision, EnginesLostInPairsChangeNothing) {
+  Trial Test;
+  // Pairs die every three seconds and serve again after their load.
+  constexpr double OutAtOnce = 2.0 * 15.0 / 3.0;
+  for (const double Level : {9.0, 10.0, 11.0})
+    Test.run(seconds(60), [&](double Seconds) {
+      const double Lost = 2.0 * std::fmod(std::floor(Seconds / 3.0), 3.0);
+      return Moment{.Big = Level,
+                    .Small = Level,
+                    .Engines = AllEngines - OutAtOnce - Lost,
+                    .SmallRank = 1};
+    });
+  EXPECT_TRUE(Test.Changes.empty());
+}
+
+TEST(EngineDivision, FloodOfALessUrgentModelTakesOnlyWhatIsLeft) {
+  Trial Test;
+  Test.run(seconds(30), {.Big = 9.0, .Small = 9.0, .SmallRank = 1});
+  Test.run(seconds(30), {.Big = 9.0, .Small = 400.0, .SmallRank = 1});
+  EXPECT_GE(Test.groups(Big), 9.0 - 1e-6);
+  Test.run(seconds(60), {.Big = 9.0, .Small = 9.0, .SmallRank = 1});
+  EXPECT_GE(Test.groups(Small), 9.0);
+  EXPECT_GE(Test.groups(Big), 9.0);
+  EXPECT_LE(Test.Changes.size(), 4);
+}
+
+TEST(EngineDivision, FloodOfTheMoreUrgentModelLeavesTheFloor) {
+  Trial Test;
+  Test.Limits[Small].MinGroups = 4;
+  Test.run(seconds(30), {.Big = 9.0, .Small = 9.0, .SmallRank = 1});
+  Test.run(seconds(30), {.Big = 400.0, .Small = 9.0, .SmallRank = 1});
+  EXPECT_NEAR(Test.groups(Small), 4.0, 1e-6);
+}
+
+TEST(EngineDivision, FloodOfTheSameRankLeavesAnotherModelASubstantialPart) {
+  Trial Test;
+  Test.run(seconds(30), {.Big = 9.0, .Small = 9.0});
+  Test.run(seconds(30), {.Big = 9.0, .Small = 400.0});
+  EXPECT_GE(Test.groups(Big), 9.0 / 2.0);
+}
+
+TEST(EngineDivision, ModelWithoutCallersForAMomentKeepsItsShare) {
+  Trial Test;
+  Test.run(seconds(30), Even);
+  Test.run(seconds(3), {.Big = 10.0, .Small = 0.0});
+  Test.run(seconds(30), Even);
+  EXPECT_TRUE(Test.Changes.empty());
+}
+
+TEST(EngineDivision, ModelWithoutCallersForLongLeavesItsEnginesToOthers) {
+  Trial Test;
+  Test.run(seconds(30), Even);
+  Test.run(LoadTime, {.Big = 10.0, .Small = 0.0});
+  EXPECT_GE(Test.groups(Small), 9.0);
+  Test.run(seconds(90), {.Big = 10.0, .Small = 0.0});
+  EXPECT_LT(Test.groups(Small), 6.0);
+  EXPECT_GE(Test.groups(Small), 1.0 - 1e-6);
+}
+
+TEST(EngineDivision, NothingMovesWithoutCurrentSums) {
+  Trial Test;
+  Test.run(seconds(30), Even);
+  Test.run(seconds(30), {.Big = 2.0, .Small = 30.0, .IsCurrent = false});
+  EXPECT_TRUE(Test.Changes.empty());
+  EXPECT_EQ(Test.outcome(), DivisionOutcome::NotCurrent);
+  EXPECT_FALSE(Test.Targets.at(Big).NeededGroups);
+  EXPECT_FALSE(Test.Division.account().at(Big).OfferedGroups);
+}
+
+// Guards against a change on one good sum among many that are incomplete.
+TEST(EngineDivision, MissingSumsStartTheDelayAnew) {
+  Trial Test;
+  Test.run(seconds(30), Even);
+  bool IsCurrent = false;
+  Test.run(seconds(30), [&](double) {
+    IsCurrent = !IsCurrent;
+    return Moment{.Big = 8.0, .Small = 18.0, .IsCurrent = IsCurrent};
+  });
+  EXPECT_TRUE(Test.Changes.empty());
+}
+
+// Guards against a coordinator that takes the crest of a wave, or a burst at
+// its start, for a lasting shortage.
+TEST(EngineDivision, ShortageAtTheStartIsNoReasonToMove) {
+  Trial Test;
+  const Moment Short{.Big = 15.0, .Small = 15.0, .SmallRank = 1};
+  Test.run(LoadTime, Short);
+  EXPECT_TRUE(Test.Changes.empty());
+  EXPECT_EQ(Test.outcome(), DivisionOutcome::Starting);
+  Test.run(LoadAverages{}.LevelTime, Short);
+  EXPECT_GE(Test.groups(Big), 15.0 - 1e-6);
+}
+
+TEST(EngineDivision, StartsOnlyOnceSumsStayCurrent) {
+  Trial Test;
+  Test.run(seconds(2), {.Big = 4.0, .Small = 20.0});
+  Test.run(seconds(1), {.Big = 4.0, .Small = 20.0, .IsCurrent = false});
+  Test.run(seconds(2), {.Big = 4.0, .Small = 20.0});
+  EXPECT_FALSE(Test.Division.followsDemand());
+}
+
+TEST(EngineDivision, UnknownSpeedKeepsTheConfiguration) {
+  Trial Test;
+  Test.Engine.PromptTokensPerSecond = 0.0;
+  Test.run(seconds(30), {.Big = 4.0, .Small = 20.0});
+  EXPECT_TRUE(Test.Changes.empty());
+  EXPECT_EQ(Test.outcome(), DivisionOutcome::NotCurrent);
+}
+
+TEST(EngineDivision, NoUsableEngineChangesNothing) {
+  Trial Test;
+  Test.run(seconds(30), Even);
+  Test.run(seconds(10), {.Big = 4.0, .Small = 20.0, .Engines = 0.0});
+  EXPECT_TRUE(Test.Changes.empty());
+}
+
+// Guards against a new coordinator that forms the groups of the configuration
+// and then those of its predecessor again.
+TEST(EngineDivision, NewCoordinatorComesToTheDivisionOfItsPredecessor) {
+  Trial Test;
+  const Moment Skewed{.Big = 6.0, .Small = 18.0};
+  Test.run(seconds(40), Skewed);
+  const double Predecessor = Test.share(Big);
+  Test.restartDivision();
+  Test.update(Skewed);
+  EXPECT_FALSE(Test.Division.followsDemand());
+  while (!Test.Division.followsDemand()) {
+    Test.Elapsed += Step;
+    ASSERT_LE(Test.Elapsed, seconds(40) + DivisionTimes{}.KnownAfter);
+    Test.update(Skewed);
+  }
+  EXPECT_NEAR(Test.share(Big), Predecessor, 0.01);
+}
+
+TEST(EngineDivision, HeldDivisionStays) {
+  Trial Test;
+  Test.run(seconds(30), Even);
+  Test.run(seconds(30), {.Big = 4.0, .Small = 24.0, .IsHeld = true});
+  EXPECT_TRUE(Test.Changes.empty());
+  EXPECT_EQ(Test.outcome(), DivisionOutcome::Held);
+  Test.run(MaxDecisionTime, {.Big = 4.0, .Small = 24.0});
+  EXPECT_GE(Test.groups(Small), 24.0);
+}
+
+TEST(EngineDivision, MinimumAndMaximumOfOperatorsHold) {
+  Trial Test;
+  Test.Limits[Big].MinGroups = 10;
+  Test.Limits[Small].MaxGroups = 14;
+  Test.run(seconds(30), {.Big = 2.0, .Small = 30.0, .BigRank = 1});
+  EXPECT_GE(Test.groups(Big), 10.0 - 1e-6);
+  EXPECT_LE(Test.groups(Small), 14.0 + 1e-6);
+  Test.Limits[Small].MaxGroups = 8;
+  Test.run(MaxDecisionTime, {.Big = 2.0, .Small = 30.0, .BigRank = 1});
+  EXPECT_LE(Test.groups(Small), 8.0 + 1e-6);
+}
+
+TEST(EngineDivision, LastingShortageIsServedByRank) {
+  Trial Test;
+  Test.run(seconds(60), {.Big = 15.0, .Small = 15.0, .BigRank = 1});
+  EXPECT_GE(Test.groups(Small), 15.0 - 1e-6);
+  EXPECT_NEAR(Test.groups(Big), (AllEngines - 15.0 * SmallSize) / BigSize,
+              1e-6);
+}
+
+TEST(EngineDivision, NewSharesOfTheConfigurationStartAnew) {
+  Trial Test;
+  Test.run(seconds(30), {.Big = 4.0, .Small = 20.0});
+  Test.Engine.Models[0].Share = 0.5;
+  Test.Engine.Models[1].Share = 0.5;
+  Test.update({.Big = 4.0, .Small = 20.0});
+  EXPECT_EQ(Test.share(Big), 0.5);
+  EXPECT_FALSE(Test.Division.followsDemand());
+}
+
+TEST(EngineDivision, OutcomesHaveTexts) {
+  EXPECT_EQ(outcomeText(DivisionOutcome::Starting), "starting");
+  EXPECT_EQ(outcomeText(DivisionOutcome::NotCurrent), "not-current");
+  EXPECT_EQ(outcomeText(DivisionOutcome::Held), "held");
+  EXPECT_EQ(outcomeText(DivisionOutcome::WithinHysteresis),
+            "within-hysteresis");
+  EXPECT_EQ(outcomeText(DivisionOutcome::Moved), "moved");
+}
+
+} // namespace
+
+} // namespace coltsfoottrail
