Convert groups to models that lack groups, and stage second models

With targets, the assembler closes groups for a model that lacks one, keeps the survivors of large groups for another large group, and stages a second model at engines that serve. Without targets every decision is unchanged: the digests of twelve plays are those of the assembler before.

Tests: version_assembly_test.

--- a/packages/process/src/coltsfoottrail/fleethost/groupcoordinator.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/groupcoordinator.cpp
@@ -74,6 +74,14 @@
   return "unknown";
 }
 
+std::string countsText(const std::map<ModelName, std::uint32_t> &Counts) {
+  std::string Text;
+  for (const auto &[Model, Count] : Counts)
+    Text +=
+        (Text.empty() ? "" : ",") + Model.Text + ":" + std::to_string(Count);
+  return Text;
+}
+
 std::string_view fateName(GroupFate Fate) {
   switch (Fate) {
   case GroupFate::Formed:
@@ -83,9 +91,17 @@
   case GroupFate::Lost:
     return "lost";
   case GroupFate::Retired:
+    return "retired";
+  case GroupFate::ConversionBegun:
+    return "conversion-begun";
+  case GroupFate::ConversionFinished:
+    return "conversion-finished";
+  case GroupFate::ConversionGivenUp:
+    return "conversion-given-up";
+  case GroupFate::ConversionNotBegun:
     break;
   }
-  return "retired";
+  return "conversion-not-begun";
 }
 
 } // namespace
@@ -232,18 +248,16 @@
   if (Now < SummaryDue)
     return;
   for (const DomainSummary &Summary : ServiceAssembler.summary(Snapshot, Now)) {
-    std::string FreeByModel;
-    for (const auto &[Model, Count] : Summary.FreeByModel)
-      FreeByModel += (FreeByModel.empty() ? "" : ",") + Model.Text + ":" +
-                     std::to_string(Count);
-    logEvent(Event::DomainState, {{"data_centre", Summary.DataCentre},
-                                  {"domain", Summary.Domain},
-                                  {"open", Summary.Open},
-                                  {"other_seats", Summary.OtherSeats},
-                                  {"free", Summary.Free},
-                                  {"free_with", FreeByModel},
-                                  {"loading", Summary.Loading},
-                                  {"locked", Summary.Locked}});
+    logEvent(Event::DomainState,
+             {{"data_centre", Summary.DataCentre},
+              {"domain", Summary.Domain},
+              {"open", Summary.Open},
+              {"other_seats", Summary.OtherSeats},
+              {"free", Summary.Free},
+              {"free_with", countsText(Summary.FreeByModel)},
+              {"second_models", countsText(Summary.SecondByModel)},
+              {"loading", Summary.Loading},
+              {"locked", Summary.Locked}});
   }
 }
 
@@ -282,6 +296,7 @@
                                      {"epoch", Note.Epoch},
                                      {"model", Note.Model},
                                      {"endpoint", Note.Cause},
+                                     {"for_model", Note.Receiver},
                                      {"why", Note.Why}});
 }
 
--- a/packages/version/src/coltsfoottrail/assembly/assembler.cpp
+++ b/packages/version/src/coltsfoottrail/assembly/assembler.cpp
@@ -39,6 +39,11 @@
   Pending.clear();
   LockedUntil.clear();
   Staging.clear();
+  StagingAhead.clear();
+  Conversions.clear();
+  ConversionsEndedAt.clear();
+  KeptSince.clear();
+  Obstacles.clear();
   ProbeStates.clear();
   PendingProbes.clear();
   Statuses.clear();
@@ -73,6 +78,7 @@
   adoptGroups(Context);
   readStatuses(Context);
   advanceGroups(Context);
+  advanceConversions(Context);
   if (isFleetSettled(View, Now))
     formGroups(Context);
   return std::move(Context.Commands);
@@ -265,7 +271,10 @@
     DomainSummary &Summary = Summaries[{Record.DataCentre, Record.Domain}];
     Summary.DataCentre = Record.DataCentre;
     Summary.Domain = Record.Domain;
-    if (Pacer.isLoading(Name))
+    for (const ModelName &Model : Record.Staged)
+      if (!Record.Loaded.empty() && !contains(Record.Loaded, Model))
+        ++Summary.SecondByModel[Model];
+    if (isLoading(Name))
       ++Summary.Loading;
     else if (isFree(Context, Endpoint)) {
       ++Summary.Free;
--- a/packages/version/src/coltsfoottrail/assembly/assembler.hpp
+++ b/packages/version/src/coltsfoottrail/assembly/assembler.hpp
@@ -4,9 +4,11 @@
 #ifndef COLTSFOOTTRAIL_ASSEMBLY_ASSEMBLER_HPP
 #define COLTSFOOTTRAIL_ASSEMBLY_ASSEMBLER_HPP
 
+#include "coltsfoottrail/assembly/conversion.hpp"
 #include "coltsfoottrail/assembly/layout.hpp"
 #include "coltsfoottrail/assembly/loadpacer.hpp"
 #include "coltsfoottrail/assembly/outstandingjoins.hpp"
+#include "coltsfoottrail/assembly/stagingplan.hpp"
 #include "coltsfoottrail/division/types.hpp"
 #include "coltsfoottrail/fleet/catalogue.hpp"
 #include "coltsfoottrail/fleet/config.hpp"
@@ -54,6 +56,13 @@
   /// Interval between two reads of an engine's status, which lags by some
   /// hundred milliseconds.
   Duration StatusReadInterval = milliseconds(300);
+  /// A conversion whose group has not been formed within this is given up.
+  Duration ConversionTimeout = seconds(8);
+  /// Pause after the end of a conversion before the next one in its domain.
+  Duration ConversionPause = seconds(6);
+  /// How long the survivors of a large group are kept for another one: the time
+  /// of a load and a margin.
+  Duration MaxReservation = seconds(24);
 
   /// @brief How long after its answer was given up an order may still have an
   /// effect that no record shows yet. Thread-safe.
@@ -102,7 +111,20 @@
 };
 
 /// Kind of a group event.
-enum class GroupFate : std::uint8_t { Formed, Adopted, Lost, Retired };
+enum class GroupFate : std::uint8_t {
+  Formed,
+  Adopted,
+  Lost,
+  Retired,
+  /// It is closed so that its engines serve another model.
+  ConversionBegun,
+  /// It serves, formed of engines of closed groups.
+  ConversionFinished,
+  /// No group of the other model was formed in time.
+  ConversionGivenUp,
+  /// No group is closed although a model lacks groups; it has no group.
+  ConversionNotBegun
+};
 
 /// @brief A change of a group, for the log.
 struct GroupEvent {
@@ -113,6 +135,8 @@
   /// The endpoint that caused the event; may be empty.
   EndpointName Cause;
   std::string_view Why;
+  /// Of a conversion: the model that is to get the engines.
+  ModelName Receiver{};
 };
 
 /// @brief Counts of the endpoints of one fabric domain by state.
@@ -125,6 +149,9 @@
   /// Endpoints that could take a seat, in total and by staged model.
   std::uint32_t Free = 0;
   std::map<ModelName, std::uint32_t> FreeByModel;
+  /// Endpoints whose host holds the weights of a model beside the model that
+  /// they serve or last served, by staged model.
+  std::map<ModelName, std::uint32_t> SecondByModel;
   /// Endpoints that load weights, and endpoints that may not take a seat yet.
   std::uint32_t Loading = 0;
   std::uint32_t Locked = 0;
@@ -147,6 +174,8 @@
 /// - a group that a predecessor formed and did not open is formed anew: a join
 /// that the predecessor ordered may still be carried out, and its epoch is
 /// above that of the group;
+/// - a group that gives its engines to another model is closed like one that
+/// has lost a member, but finishes its requests;
 /// - an epoch is used once, and epochs grow with the fencing number, so that an
 /// order that is carried out late meets a higher epoch and is refused.
 class Assembler {
@@ -234,6 +263,8 @@
     bool CloseEvicts = false;
     std::optional<TimePoint> LeaveOrdered;
     bool LossReported = false;
+    /// It is being closed so that its engines serve another model.
+    bool Converts = false;
   };
   struct PendingJoin {
     GroupEpoch Epoch = 0;
@@ -276,6 +307,20 @@
     std::map<ModelName, std::size_t> Groups;
     /// At most one per model.
     std::vector<Candidate> Candidates;
+    /// The only model of which a group may be formed.
+    std::optional<ModelName> ReservedFor;
+    /// Free engines that can join a group of this model without a load form no
+    /// other group.
+    std::optional<ModelName> KeptFor;
+  };
+  /// A conversion in progress.
+  struct Conversion {
+    ModelName Model;
+    std::set<GroupEpoch> Closing;
+    std::uint32_t Engines = 0;
+    TimePoint BegunAt;
+    /// Epoch of the group that was formed of the engines.
+    std::optional<GroupEpoch> Formed;
   };
   /// Properties of the service's endpoints as a whole.
   struct Fleet {
@@ -371,6 +416,50 @@
                                                      const Fleet &Totals) const;
   [[nodiscard]] bool isFree(const PlanContext &Context,
                             const KnownEndpoint &Endpoint) const;
+  /// Ends the conversions whose group serves, is lost, or was not formed in
+  /// time.
+  void advanceConversions(const PlanContext &Context);
+  void endConversion(const PlanContext &Context, const DomainKey &Domain,
+                     const Conversion &Ended, GroupFate Fate,
+                     std::string_view Reason);
+  /// Closes a group so that its engines serve another model.
+  /// @return Whether the group has ended.
+  [[nodiscard]] bool closeForConversion(PlanContext &Context, GroupState &Group,
+                                        const SeatState &Leader);
+  void recordConverted(const Candidate &Chosen, GroupEpoch Epoch);
+  /// Decides for which models the free engines of the domains are reserved.
+  void reserveForConversions(const PlanContext &Context, const Fleet &Totals,
+                             std::map<DomainKey, DomainState> &Domains);
+  void keepForLargeGroups(const PlanContext &Context, const Fleet &Totals,
+                          std::map<DomainKey, DomainState> &Domains);
+  /// Engines of a domain that hold a model, are loading it, or are free and
+  /// without weights.
+  [[nodiscard]] std::size_t potentialMembers(const PlanContext &Context,
+                                             const DomainKey &Domain,
+                                             const ModelName &Model) const;
+  void beginConversions(PlanContext &Context, const Fleet &Totals);
+  void beginConversion(PlanContext &Context, const DomainKey &Domain,
+                       const PlannedConversion &Planned);
+  [[nodiscard]] std::map<DomainKey, ConversionDomain>
+  conversionDomains(const PlanContext &Context) const;
+  /// Whether a group can be closed and its members be used elsewhere at once.
+  [[nodiscard]] bool isDonor(const PlanContext &Context,
+                             const GroupState &Group) const;
+  /// Groups by model that serve or are being formed, with those for which other
+  /// groups are closing.
+  [[nodiscard]] CountByModel lastingGroups(const PlanContext &Context) const;
+  /// @return Whether the weights of a model are at hand: the engine can join a
+  /// group of it without a load from the shared store.
+  [[nodiscard]] static bool holds(const EndpointRecord &Record,
+                                  const ModelName &Model);
+  void stageAhead(PlanContext &Context,
+                  const std::map<ModelName, double> &Deficits);
+  [[nodiscard]] bool isWarm(const PlanContext &Context,
+                            const KnownEndpoint &Endpoint) const;
+  /// Whether an engine is loading weights that its next group needs.
+  [[nodiscard]] bool isLoading(const EndpointName &Endpoint) const {
+    return Pacer.isLoading(Endpoint) && !StagingAhead.contains(Endpoint);
+  }
   [[nodiscard]] bool holdsSeat(const PlanContext &Context,
                                const GroupMember &Member,
                                GroupEpoch Epoch) const;
@@ -412,6 +501,14 @@
   std::vector<MemberProbe> PendingProbes;
   /// Models whose weights endpoints were ordered to load.
   std::map<EndpointName, ModelName> Staging;
+  /// Those of them that can serve another model meanwhile.
+  std::set<EndpointName> StagingAhead;
+  std::map<DomainKey, Conversion> Conversions;
+  std::map<DomainKey, TimePoint> ConversionsEndedAt;
+  /// Since when the free engines of a domain are kept for a large group.
+  std::map<DomainKey, TimePoint> KeptSince;
+  /// Reasons that were reported for not beginning a conversion.
+  std::map<ModelName, ConversionObstacle> Obstacles;
   std::vector<GroupEvent> Events;
 };
 
--- a/packages/version/src/coltsfoottrail/assembly/formation.cpp
+++ b/packages/version/src/coltsfoottrail/assembly/formation.cpp
@@ -41,7 +41,7 @@
       Context.View.Drained.contains(Record.DataCentre))
     return false;
   if (Pending.contains(Record.Name) || LockedUntil.contains(Record.Name) ||
-      isDead(Endpoint) || Pacer.isLoading(Record.Name) ||
+      isDead(Endpoint) || isLoading(Record.Name) ||
       !isJoinSafe(Context, Endpoint))
     return false;
   return !Record.Seat || isStandby(*Record.Seat) ||
@@ -101,7 +101,8 @@
   for (const ServedModel &Model : Context.Engine.Models) {
     // Where models mix, large groups are formed first, and the fraction left
     // over from the last incomplete one goes to the small groups.
-    const double WantedGroups = Totals.Usable * Model.Share / Model.Size;
+    const double WantedGroups =
+        Totals.Usable * Context.share(Model) / Model.Size;
     const double WantedCount =
         std::max(1.0, Totals.MixesModels ? std::floor(WantedGroups)
                                          : std::ceil(WantedGroups));
@@ -133,11 +134,19 @@
                           const DomainState &Domain) {
   std::vector<Candidate> Candidates;
   for (const ServedModel &Model : Context.Engine.Models) {
+    if (Domain.ReservedFor && *Domain.ReservedFor != Model.Name)
+      continue;
     const std::size_t Spares =
         sparesKept(Domain.Groups, Context.Engine.Models, Model);
     if (Domain.Free.size() < Model.Size + Spares)
       continue;
     Candidate Option{&Model, Domain.Free};
+    if (Domain.KeptFor && *Domain.KeptFor != Model.Name)
+      std::erase_if(Option.Members, [&](const KnownEndpoint *Member) {
+        return holds(Member->Record, *Domain.KeptFor);
+      });
+    if (Option.Members.size() < Model.Size)
+      continue;
     std::stable_sort(Option.Members.begin(), Option.Members.end(),
                      [&](const auto *Left, const auto *Right) {
                        return joinCost(Left->Record, Model.Name) <
@@ -183,9 +192,10 @@
 
 void Assembler::formGroups(PlanContext &Context) {
   std::map<DomainKey, DomainState> Domains = freeDomains(Context);
-  if (Domains.empty())
+  if (Domains.empty() && Context.View.Targets == nullptr)
     return;
   const Fleet Totals = measureFleet(Context);
+  reserveForConversions(Context, Totals, Domains);
   for (auto &[Key, Domain] : Domains)
     Domain.Candidates = findCandidates(Context, Domain);
   while (Context.Commands.size() < Context.View.MaxOrders) {
@@ -202,10 +212,17 @@
                        Endpoint) != Chosen.Members.end();
     });
     ++Domain.Groups[Chosen.Model->Name];
+    Domain.ReservedFor.reset();
+    if (Domain.KeptFor == Chosen.Model->Name)
+      Domain.KeptFor.reset();
     Domain.Candidates = findCandidates(Context, Domain);
   }
   if (Context.Commands.size() < Context.View.MaxOrders)
     stageSpares(Context, Domains, deficits(Context, Totals));
+  if (Context.Commands.size() < Context.View.MaxOrders)
+    beginConversions(Context, Totals);
+  if (Context.Commands.size() < Context.View.MaxOrders)
+    stageAhead(Context, deficits(Context, Totals));
 }
 
 void Assembler::startGroup(PlanContext &Context, const Candidate &Chosen) {
@@ -231,6 +248,7 @@
   }
   addEvent(GroupFate::Formed, Group, Names.front(),
            Chosen.LoadCount > 0 ? "with loads" : "without loads");
+  recordConverted(Chosen, Group.Epoch);
   Groups.emplace(Group.Epoch, std::move(Group));
 }
 
@@ -240,6 +258,9 @@
   std::erase_if(Staging, [&](const auto &Entry) {
     return !Pacer.isLoading(Entry.first);
   });
+  std::erase_if(StagingAhead, [&](const EndpointName &Name) {
+    return !Staging.contains(Name);
+  });
   std::vector<PlannedLoad> Planned;
   for (const auto &[Name, Domain] : Domains)
     for (PlannedLoad &Load : planLoads(idleDomain(Context, Name, Domain),
@@ -268,6 +289,9 @@
   if (Record.Staged.empty() || Pacer.isLoading(Record.Name) ||
       Pending.contains(Record.Name))
     return;
+  // A spare with a second model is of use for either.
+  if (Context.stagesAhead() && !Record.Loaded.empty())
+    return;
   const ModelName &Model = Record.Staged.back();
   const bool IsOrdered =
       Record.Seat && Record.Seat->Group == standbyName(Model, Record);
@@ -300,6 +324,10 @@
     IdleEngine Engine{Endpoint->Record.Name, std::nullopt};
     if (!Endpoint->Record.Staged.empty())
       Engine.StagedModel = Endpoint->Record.Staged.back();
+    if (State.KeptFor && holds(Endpoint->Record, *State.KeptFor))
+      Engine.StagedModel = *State.KeptFor;
+    else if (Context.stagesAhead() && !Endpoint->Record.Loaded.empty())
+      Engine.StagedModel = Endpoint->Record.Loaded.back();
     Idle.Engines.push_back(std::move(Engine));
   }
   return Idle;
@@ -308,6 +336,9 @@
 bool Assembler::orderStaging(PlanContext &Context,
                              const KnownEndpoint &Endpoint,
                              const ServedModel &Model) {
+  if (Context.stagesAhead() && (Staging.contains(Endpoint.Record.Name) ||
+                                holds(Endpoint.Record, Model.Name)))
+    return false;
   if (!Pacer.admits(1, Context.View.TrafficStarted, Context.Now))
     return false;
   Pacer.start(Endpoint.Record.Name, Context.loadTime(Model), Context.Now);
@@ -324,6 +355,7 @@
         const KnownEndpoint *const Endpoint =
             Context.View.Endpoints.find(Entry.first);
         return Entry.second == Model && Endpoint != nullptr &&
+               !StagingAhead.contains(Entry.first) &&
                Endpoint->Record.DataCentre == Domain.first &&
                Endpoint->Record.Domain == Domain.second;
       }));
--- a/packages/version/src/coltsfoottrail/assembly/pass.hpp
+++ b/packages/version/src/coltsfoottrail/assembly/pass.hpp
@@ -44,6 +44,22 @@
         return &Model;
     return nullptr;
   }
+  /// Whether groups may be closed for models that lack groups.
+  [[nodiscard]] bool converts() const noexcept {
+    return View.Targets != nullptr && View.ConvertsGroups;
+  }
+  /// Whether engines that serve one model hold the weights of another.
+  [[nodiscard]] bool stagesAhead() const noexcept {
+    return View.Targets != nullptr && View.StagesAhead;
+  }
+  /// Part of the engines that a model is to have.
+  [[nodiscard]] double share(const ServedModel &Model) const {
+    if (View.Targets != nullptr)
+      if (const auto Target = View.Targets->find(Model.Name);
+          Target != View.Targets->end())
+        return Target->second.Share;
+    return Model.Share;
+  }
   void order(const KnownEndpoint &Endpoint, SeatOrder Order) {
     Commands.push_back(
         {Endpoint.Record.Name, Endpoint.Record.Address, std::move(Order)});
--- a/packages/version/src/coltsfoottrail/assembly/repair.cpp
+++ b/packages/version/src/coltsfoottrail/assembly/repair.cpp
@@ -147,6 +147,8 @@
   }
   if (AnyLost || AnyDraining)
     return handleMemberLoss(Context, Group, *Seat, AnyLost);
+  if (Group.Converts)
+    return closeForConversion(Context, Group, *Seat);
   if (isEveryMemberReady(Context, Group)) {
     // An order to leave that is still to be carried out would end the group.
     if (Group.LeaveOrdered || (Group.Adopted && !Group.WasOpen))
--- a/packages/version/test/coltsfoottrail/assembly/engines.hpp
+++ b/packages/version/test/coltsfoottrail/assembly/engines.hpp
@@ -63,6 +63,8 @@
   void removeEngine(const EndpointName &Name) {
     Records.erase(Name);
     Opening.erase(Name);
+    Work.erase(Name);
+    Stagings.erase(Name);
     Catalogue.remove(Name, Now);
   }
 
@@ -77,6 +79,8 @@
     Engine.Seat.reset();
     Engine.Loaded.clear();
     Opening.erase(Name);
+    Work.erase(Name);
+    Stagings.erase(Name);
     SeenEpochs.erase(Name);
     AcceptedOrders.erase(Name);
     note(Name.Text + " restarts");
@@ -168,8 +172,11 @@
 
   /// Runs one step of the assembler and carries out its orders.
   std::vector<SeatCommand> step() {
-    const AssemblyView View{Catalogue, Service,        Drained,
-                            Fence,     TrafficStarted, MaxOrders};
+    AssemblyView View{Catalogue, Service,        Drained,
+                      Fence,     TrafficStarted, MaxOrders};
+    View.Targets = Targets ? &*Targets : nullptr;
+    View.ConvertsGroups = ConvertsGroups;
+    View.StagesAhead = StagesAhead;
     const std::vector<SeatCommand> Orders = GroupAssembler.plan(View, Now);
     for (const SeatCommand &Command : Orders) {
       const OrderFate Fate = FateOf ? FateOf(Command) : OrderFate{};
@@ -183,9 +190,11 @@
       GroupAssembler.recordOutcome(Command.To, Command.Order, Outcome, Now);
       note(Command, Fate);
     }
-    for (const GroupEvent &Event : GroupAssembler.takeEvents())
+    for (const GroupEvent &Event : GroupAssembler.takeEvents()) {
       note("group " + std::to_string(Event.Epoch) + ": " +
            std::string(Event.Why));
+      ++Fates[Event.Fate];
+    }
     for (const MemberProbe &Read : GroupAssembler.takeStatusReads())
       GroupAssembler.recordStatus(Read.Name, statusOf(Read.Name));
     for (const MemberProbe &Probe : GroupAssembler.takeProbes())
@@ -203,7 +212,9 @@
       breakStalled();
       takeStatuses();
       step();
-      if (!Slow)
+      if (RealTimes)
+        finishDue();
+      else if (!Slow)
         finishAll();
     }
   }
@@ -285,6 +296,55 @@
     }
   }
 
+  /// Completes what is due, with RealTimes set.
+  void finishDue() {
+    for (auto Entry = Stagings.begin(); Entry != Stagings.end();) {
+      if (Entry->second.Until > Now) {
+        ++Entry;
+        continue;
+      }
+      Records.at(Entry->first).Staged = {Entry->second.Model};
+      publish(Entry->first);
+      Entry = Stagings.erase(Entry);
+    }
+    for (auto Entry = Work.begin(); Entry != Work.end();) {
+      if (Entry->second.Until > Now) {
+        ++Entry;
+        continue;
+      }
+      EndpointRecord &Engine = Records.at(Entry->first);
+      if (Entry->second.Loads)
+        Engine.Staged = Engine.Loaded;
+      const bool Opens = Opening.erase(Engine.Name) > 0;
+      if (Engine.Seat)
+        Engine.Seat->Phase = Opens ? SeatPhase::Open : SeatPhase::Ready;
+      publish(Engine.Name);
+      Entry = Work.erase(Entry);
+    }
+  }
+
+  /// The largest number of loads that began in any span of time.
+  [[nodiscard]] std::size_t mostLoadsIn(Duration Span) const {
+    std::size_t Most = 0;
+    for (auto First = LoadsBegun.begin(); First != LoadsBegun.end(); ++First)
+      Most = std::max(Most, std::size_t(std::count_if(
+                                First, LoadsBegun.end(), [&](TimePoint Begun) {
+                                  return Begun - *First < Span;
+                                })));
+    return Most;
+  }
+
+  /// Number of complete groups of a model that serve.
+  [[nodiscard]] std::size_t serving(const std::string &Model) const {
+    const std::vector<EndpointName> Leaders = leaders();
+    return std::size_t(std::count_if(
+        Leaders.begin(), Leaders.end(), [&](const EndpointName &Leader) {
+          const EndpointRecord &Record = Records.at(Leader);
+          return Record.Loaded.back() == ModelName(Model) &&
+                 membersOf(Leader).size() == sizeOf(Record);
+        }));
+  }
+
   [[nodiscard]] std::vector<EndpointName> leaders() const {
     std::vector<EndpointName> Names;
     for (const auto &[Name, Record] : Records)
@@ -346,6 +406,30 @@
   std::uint64_t Fence = 1;
   bool TrafficStarted = false;
   bool Slow = false;
+  /// Whether joins, stagings, openings and closings take their time.
+  bool RealTimes = false;
+  /// How long a leader that is closed finishes its requests, with RealTimes.
+  std::function<Duration()> DrainTime;
+  std::optional<EngineTargets> Targets;
+  bool ConvertsGroups = false;
+  bool StagesAhead = false;
+  /// A join, opening or closing that an engine is busy with.
+  struct SeatWork {
+    TimePoint Until;
+    bool Loads = false;
+  };
+  std::map<EndpointName, SeatWork> Work;
+  struct StagingWork {
+    ModelName Model;
+    TimePoint Until;
+  };
+  std::map<EndpointName, StagingWork> Stagings;
+  /// Loads from the shared store that began after the first request.
+  std::vector<TimePoint> LoadsBegun;
+  /// Number of them that a join needed.
+  int JoinsWithLoad = 0;
+  /// Number of group events by fate.
+  std::map<GroupFate, int> Fates;
   std::size_t MaxOrders = 1'000'000;
   /// Number of joins of a member whose leader was open or opening.
   int JoinedWhileOpen = 0;
@@ -365,9 +449,11 @@
                        [&](const CloseSeat &Close) {
                          if (!isSeatedIn(Engine, Close))
                            return OrderOutcome::Unfit;
-                         Opening.erase(Engine.Name);
-                         if (Engine.Seat->Phase == SeatPhase::Open)
-                           Engine.Seat->Phase = SeatPhase::Ready;
+                         if (RealTimes && Engine.Seat->Rank != 0)
+                           return OrderOutcome::Unfit;
+                         if (Opening.erase(Engine.Name) > 0)
+                           Work.erase(Engine.Name);
+                         close(Engine, Close);
                          ++AcceptedOrders[Engine.Name];
                          return OrderOutcome::Taken;
                        },
@@ -375,11 +461,14 @@
                          if (!isSeatedIn(Engine, Leave))
                            return OrderOutcome::Unfit;
                          Opening.erase(Engine.Name);
+                         Work.erase(Engine.Name);
                          Engine.Seat.reset();
                          ++AcceptedOrders[Engine.Name];
                          return OrderOutcome::Taken;
                        },
                        [&](const StageModel &Stage) {
+                         if (RealTimes)
+                           return stage(Engine, Stage);
                          Engine.Staged = {Stage.Model};
                          ++AcceptedOrders[Engine.Name];
                          return OrderOutcome::Taken;
@@ -399,6 +488,60 @@
            Engine.Seat->Epoch == Order.Epoch;
   }
 
+  void close(EndpointRecord &Engine, const CloseSeat &Close) {
+    if (Engine.Seat->Phase != SeatPhase::Open &&
+        Engine.Seat->Phase != SeatPhase::Closing)
+      return;
+    const bool Drains = RealTimes && DrainTime && !Close.Evict;
+    if (Drains && Engine.Seat->Phase == SeatPhase::Open)
+      Work[Engine.Name] = {Now + DrainTime()};
+    else if (!Drains)
+      Work.erase(Engine.Name);
+    Engine.Seat->Phase = Drains ? SeatPhase::Closing : SeatPhase::Ready;
+  }
+
+  OrderOutcome stage(EndpointRecord &Engine, const StageModel &Stage) {
+    if (Stagings.contains(Engine.Name))
+      return OrderOutcome::Unfit;
+    if (std::find(Engine.Staged.begin(), Engine.Staged.end(), Stage.Model) ==
+        Engine.Staged.end())
+      Stagings[Engine.Name] = {Stage.Model, Now + beginLoad(Stage.Model)};
+    ++AcceptedOrders[Engine.Name];
+    return OrderOutcome::Taken;
+  }
+
+  [[nodiscard]] const ServedModel &modelOf(const ModelName &Name) const {
+    return *std::find_if(
+        Service.Engine->Models.begin(), Service.Engine->Models.end(),
+        [&](const ServedModel &Model) { return Model.Name == Name; });
+  }
+
+  /// @return How long the load takes.
+  Duration beginLoad(const ModelName &Model) {
+    constexpr int StartupSpeedup = 10;
+    const Duration LoadTime = modelOf(Model).LoadTime;
+    if (!TrafficStarted)
+      return LoadTime / StartupSpeedup;
+    LoadsBegun.push_back(Now);
+    return LoadTime;
+  }
+
+  /// Begins a join and returns what the engine is busy with.
+  SeatWork beginJoin(const EndpointRecord &Engine, const ModelName &Model) {
+    const auto Contains = [&](const std::vector<ModelName> &Models) {
+      return std::find(Models.begin(), Models.end(), Model) != Models.end();
+    };
+    if (Contains(Engine.Loaded))
+      return {Now + milliseconds(200)};
+    const auto Staging = Stagings.find(Engine.Name);
+    const bool IsUnderWay = Staging != Stagings.end();
+    const TimePoint From = IsUnderWay ? Staging->second.Until : Now;
+    if (IsUnderWay ? Staging->second.Model == Model : Contains(Engine.Staged))
+      return {From + modelOf(Model).WarmTime};
+    JoinsWithLoad += TrafficStarted ? 1 : 0;
+    return {From + beginLoad(Model), true};
+  }
+
   /// A leader that is ready opens without a look at the other members.
   OrderOutcome open(EndpointRecord &Engine, const OpenSeat &Open) {
     if (!isSeatedIn(Engine, Open) || Engine.Seat->Rank != 0)
@@ -413,6 +556,8 @@
                Record.Seat->Phase == SeatPhase::Ready;
     OpenedPartial += Ready == sizeOf(Engine) ? 0 : 1;
     Opening.insert(Engine.Name);
+    if (RealTimes)
+      Work[Engine.Name] = {Now + Service.Engine->OpenTime};
     ++AcceptedOrders[Engine.Name];
     return OrderOutcome::Taken;
   }
@@ -431,7 +576,9 @@
       for (const auto &[Name, Record] : Records)
         if (Record.Seat && Record.Seat->Epoch == Engine.Seat->Epoch &&
             Record.Seat->Rank == 0 &&
-            (Record.isServingLeader() || Opening.contains(Name))) {
+            (Record.isServingLeader() ||
+             Record.Seat->Phase == SeatPhase::Closing ||
+             Opening.contains(Name))) {
           ++JoinedWhileOpen;
           recordTrace(Engine, Join, Record);
         }
@@ -443,8 +590,11 @@
         std::find(Join.Members.begin(), Join.Members.end(), Engine.Name);
     Seat.Rank = static_cast<std::uint32_t>(Position - Join.Members.begin());
     Engine.Seat = Seat;
+    if (RealTimes)
+      Work[Engine.Name] = beginJoin(Engine, Join.Model);
+    else
+      Engine.Staged = {Join.Model};
     Engine.Loaded = {Join.Model};
-    Engine.Staged = {Join.Model};
     return OrderOutcome::Taken;
   }
 
--- a/packages/version/test/coltsfoottrail/assembly/simulation.cpp
+++ b/packages/version/test/coltsfoottrail/assembly/simulation.cpp
@@ -218,6 +218,36 @@
   EXPECT_EQ(Broken.size(), 0U) << "seeds, and engines that serve:" << Text;
 }
 
+/// Digest (FNV-1a) of all orders, fates and events of a play.
+std::uint64_t digest(const std::vector<std::string> &History) {
+  std::uint64_t Hash = 0xcbf29ce484222325U;
+  for (const std::string &Line : History)
+    for (const char Character : Line + "\n") {
+      Hash ^= static_cast<unsigned char>(Character);
+      Hash *= 0x100000001b3U;
+    }
+  return Hash;
+}
+
+// Guards against conversion or staging ahead that changes decisions of services
+// without targets.
+TEST(AssemblySimulation, WithoutTargetsDecisionsAreUnchanged) {
+  // Digests of the plays of seeds 1 to 12 by an assembler without conversion.
+  const std::vector<std::uint64_t> Expected = {
+      7789865360217597551U, 15321467177021936884U, 16676954493376633950U,
+      2430728816694545968U, 13240022165040216775U, 7954243396154160322U,
+      4668604636425889192U, 16752356308900938631U, 14125374029205573432U,
+      7813832510835920186U, 8721603569891382445U,  5534564661009653932U};
+  for (std::uint64_t Seed = 1; Seed <= Expected.size(); ++Seed)
+    for (const bool FlagsSet : {false, true}) {
+      Play Run(Seed);
+      Run.Fleet.ConvertsGroups = Run.Fleet.StagesAhead = FlagsSet;
+      Run.run(seconds(60));
+      EXPECT_EQ(digest(Run.Fleet.History), Expected[Seed - 1])
+          << "seed " << Seed << ", flags without targets: " << FlagsSet;
+    }
+}
+
 } // namespace
 
 } // namespace coltsfoottrail::test
