Give the models of the most urgent callers more headroom, and sooner

Change: a model with callers of the most urgent rank has one and a half times the headroom of others; uneven headroom counts after four seconds and from 7.5% of the engines; a model that lacks half a group is short.

Why it works: the engines are there before the burst. With one rank nothing changes in proportion: the wave of 13 s still causes no change.

Tests: the wave with two ranks now may change the division up to three times in the first three periods, while the headroom is set up, and not at all later; the check that nothing changes at all stands for one rank.

--- a/packages/version/src/coltsfoottrail/division/division.cpp
+++ b/packages/version/src/coltsfoottrail/division/division.cpp
@@ -34,6 +34,17 @@
   return Claim;
 }
 
+/// @return The most urgent rank, if models differ in theirs.
+std::optional<std::uint32_t> urgentRank(const DivisionInput &Input) {
+  std::optional<std::uint32_t> Lowest;
+  bool Differs = false;
+  for (const auto &[Model, Demand] : Input.Demand) {
+    Differs = Differs || (Lowest && Demand.Rank != *Lowest);
+    Lowest = std::min(Lowest.value_or(Demand.Rank), Demand.Rank);
+  }
+  return Differs ? Lowest : std::nullopt;
+}
+
 double totalNeed(const std::vector<EngineClaim> &Claims) {
   return std::accumulate(
       Claims.begin(), Claims.end(), 0.0,
@@ -126,12 +137,15 @@
 
 std::vector<EngineClaim> EngineDivision::claims(const DivisionInput &Input,
                                                 TimePoint Now) const {
+  const std::optional<std::uint32_t> Urgent = urgentRank(Input);
   std::vector<EngineClaim> Claims;
   for (const ServedModel &Model : Input.Engine.Models) {
     EngineClaim Claim = claimOf(Input, Model);
     Claim.Needed = neededGroups(Load.adjusted(Model.Name)) * Model.Size;
     Claim.Expected = std::max(
         Claim.Needed, neededGroups(Load.longTerm(Model.Name)) * Model.Size);
+    if (Claim.Rank == Urgent)
+      Claim.Expected *= Times.UrgentHeadroom;
     if (!isLevelKnown(Now))
       Claim.Rank = 0;
     Claims.push_back(Claim);
@@ -171,8 +185,6 @@
                         const std::vector<EngineClaim> &Claims,
                         const std::vector<double> &Engines) const {
   const double OneGroup = smallestGroup(Input.Engine);
-  const double Substantial =
-      std::max(OneGroup, Times.ShortageFraction * Input.UsableEngines);
   double Moved = 0.0;
   bool IsShort = false;
   for (std::size_t Index = 0; Index < Claims.size(); ++Index) {
@@ -181,6 +193,8 @@
     const double Present = Shares.at(Model.Name) * Input.UsableEngines;
     const double Gain = Engines[Index] - Present;
     const double HalfGroup = Model.Size / 2.0;
+    const double Substantial =
+        std::max(HalfGroup, Times.ShortageFraction * Input.UsableEngines);
     Moved += std::max(0.0, Gain);
     IsShort = IsShort || (Gain >= Substantial && Present < Claim.Needed) ||
               (Gain >= HalfGroup && Present <= Claim.Min - HalfGroup) ||
--- a/packages/version/src/coltsfoottrail/division/division.hpp
+++ b/packages/version/src/coltsfoottrail/division/division.hpp
@@ -25,17 +25,20 @@
   /// How long a model must lack engines that it would get.
   Duration ShortageDelay = milliseconds(1'000);
   /// How long headroom must be uneven while no model lacks engines.
-  Duration ImbalanceDelay = seconds(10);
+  Duration ImbalanceDelay = seconds(4);
   /// Minimum time between two changes.
   Duration MinInterval = seconds(2);
   /// Minimum time between a change of a model's share and one back: a warm
   /// join each way and time to serve in between.
   Duration MinStay = seconds(6);
-  /// Least part of the engines that a change must move, in addition to one
-  /// group of the model with the smallest groups: if a model lacks engines, and
-  /// if headroom is uneven.
-  double ShortageFraction = 0.025;
-  double ImbalanceFraction = 0.1;
+  /// Least part of the engines that a change must move if a model lacks
+  /// engines, in addition to half a group of that model; and if headroom is
+  /// uneven, in addition to one group of the model with the smallest groups.
+  double ShortageFraction = 0.0125;
+  double ImbalanceFraction = 0.075;
+  /// Headroom of models with callers of the most urgent rank, relative to that
+  /// of others: the urgent cannot wait until engines have changed over.
+  double UrgentHeadroom = 1.5;
 };
 
 /// What became of the division in an update.
@@ -78,12 +81,12 @@
 /// engines are lost so that not all work can be served in time. It does not
 /// answer what is shorter, nor work that rises and falls for all models alike.
 ///
-/// A change is taken if it moves at least one group of the model with the
-/// smallest groups, and ShortageFraction of the engines to a model that has
-/// fewer than it needs (ShortageDelay), or ImbalanceFraction to one that has
-/// less headroom than others (ImbalanceDelay); or if a model has half a group
-/// less or more than its limits allow (ShortageDelay). The first change only
-/// needs the size: the groups may be those of an earlier coordinator.
+/// A change is taken if it moves half a group and ShortageFraction of the
+/// engines to a model that has fewer than it needs (ShortageDelay); or one
+/// group of the model with the smallest groups and ImbalanceFraction to a model
+/// that has less headroom than others (ImbalanceDelay); or if a model has half
+/// a group less or more than its limits allow (ShortageDelay). The first change
+/// only needs the size: the groups may be those of an earlier coordinator.
 class EngineDivision {
 public:
   /// @brief Starts with the shares of the configuration.
