--- a/packages/version/src/coltsfoottrail/assembly/assembler.hpp
+++ b/packages/version/src/coltsfoottrail/assembly/assembler.hpp
@@ -454,6 +454,7 @@
                                   const ModelName &Model);
   void stageAhead(PlanContext &Context,
                   const std::map<ModelName, double> &Deficits);
+  [[nodiscard]] bool mayPredecessorLoad(const PlanContext &Context) const;
   [[nodiscard]] bool isWarm(const PlanContext &Context,
                             const KnownEndpoint &Endpoint) const;
   /// Whether an engine is loading weights that its next group needs.
--- a/packages/version/src/coltsfoottrail/assembly/rebalance.cpp
+++ b/packages/version/src/coltsfoottrail/assembly/rebalance.cpp
@@ -320,9 +320,21 @@
          !isLoading(Record.Name);
 }
 
+// Loads that a predecessor ordered are not known, and use the limits of the
+// store.
+bool Assembler::mayPredecessorLoad(const PlanContext &Context) const {
+  if (!FollowsPredecessor.value_or(true) || !Context.View.TrafficStarted)
+    return false;
+  return std::any_of(Context.Engine.Models.begin(), Context.Engine.Models.end(),
+                     [&](const ServedModel &Model) {
+                       return Context.Now <
+                              TermStartedAt + Context.loadTime(Model);
+                     });
+}
+
 void Assembler::stageAhead(PlanContext &Context,
                            const std::map<ModelName, double> &Deficits) {
-  if (!Context.stagesAhead())
+  if (!Context.stagesAhead() || mayPredecessorLoad(Context))
     return;
   using SeatedEngine = std::pair<GroupEpoch, WarmEngine>;
   std::map<DomainKey, std::vector<SeatedEngine>> Seated;
--- a/packages/version/test/coltsfoottrail/assembly/engines.hpp
+++ b/packages/version/test/coltsfoottrail/assembly/engines.hpp
@@ -212,13 +212,18 @@
       breakStalled();
       takeStatuses();
       step();
-      if (RealTimes)
-        finishDue();
-      else if (!Slow)
-        finishAll();
+      finishWork();
     }
   }
 
+  /// Completes loads and openings, unless Slow is set.
+  void finishWork() {
+    if (RealTimes)
+      finishDue();
+    else if (!Slow)
+      finishAll();
+  }
+
   /// Takes the statuses that the engines report from now on.
   void takeStatuses() {
     if (Now < StatusesTakenAt + ReportLag)
@@ -271,6 +276,7 @@
   /// Completes the load of an endpoint.
   void finishLoad(const EndpointName &Name) {
     Records.at(Name).Seat->Phase = SeatPhase::Ready;
+    ReadyOnce[epochOf(Name)].insert(Name);
     publish(Name);
   }
 
@@ -287,6 +293,7 @@
     for (auto &[Name, Record] : Records) {
       if (Record.Seat && Record.Seat->Phase == SeatPhase::Joining) {
         Record.Seat->Phase = SeatPhase::Ready;
+        ReadyOnce[Record.Seat->Epoch].insert(Name);
         publish(Name);
       }
       if (Opening.erase(Name) > 0 && Record.Seat) {
@@ -318,6 +325,8 @@
       const bool Opens = Opening.erase(Engine.Name) > 0;
       if (Engine.Seat)
         Engine.Seat->Phase = Opens ? SeatPhase::Open : SeatPhase::Ready;
+      if (Engine.Seat && !Opens)
+        ReadyOnce[Engine.Seat->Epoch].insert(Engine.Name);
       publish(Engine.Name);
       Entry = Work.erase(Entry);
     }
@@ -435,6 +444,10 @@
   int JoinedWhileOpen = 0;
   /// Number of openings of a group whose members were not all ready.
   int OpenedPartial = 0;
+  /// Number of openings of a group one of whose members has never been ready.
+  int OpenedUnready = 0;
+  /// Members that have been ready, by epoch.
+  std::map<GroupEpoch, std::set<EndpointName>> ReadyOnce;
 
 private:
   OrderOutcome execute(const SeatCommand &Command) {
@@ -555,6 +568,7 @@
       Ready += Record.Seat && Record.Seat->Epoch == Open.Epoch &&
                Record.Seat->Phase == SeatPhase::Ready;
     OpenedPartial += Ready == sizeOf(Engine) ? 0 : 1;
+    OpenedUnready += ReadyOnce[Open.Epoch].size() == sizeOf(Engine) ? 0 : 1;
     Opening.insert(Engine.Name);
     if (RealTimes)
       Work[Engine.Name] = {Now + Service.Engine->OpenTime};
--- a/packages/version/test/coltsfoottrail/assembly/rebalance.cpp
+++ b/packages/version/test/coltsfoottrail/assembly/rebalance.cpp
@@ -147,48 +147,166 @@
   }
 }
 
-/// Pairs of engines of one domain die, and a pair of empty ones is added.
-void losePairs(TimedFleet &Fleet, std::uint64_t Seed, Duration Span) {
-  std::mt19937_64 Draw(Seed);
-  int Added = 0;
-  for (const TimePoint End = Fleet.Now + Span; Fleet.Now < End;) {
-    for (int Lost = 0; Lost < 2; ++Lost) {
-      auto Entry = Fleet.Records.begin();
-      std::advance(Entry, std::ptrdiff_t(Draw() % Fleet.Records.size()));
-      const EndpointRecord Record = Entry->second;
-      Fleet.removeEngine(Record.Name);
-      Fleet.add(Record.Domain.Text + "-new" + std::to_string(++Added),
-                Record.DataCentre.Text, Record.Domain.Text);
-    }
-    Fleet.run(seconds(3));
-  }
-}
-
 void addDomains(TimedFleet &Fleet) {
   for (int Domain = 0; Domain < 9; ++Domain)
     Fleet.addDomain("dc" + std::to_string(Domain % 3),
                     "d" + std::to_string(Domain), 18);
 }
 
-// Guards against small groups that use up what large groups leave, until no
-// domain has room for a large group.
-TEST(Conversion, LargeGroupsSurviveTheLossOfPairs) {
-  for (std::uint64_t Seed = 1; Seed <= 10; ++Seed) {
+/// Which engines die in pairs, and where empty ones are added.
+enum class LossKind { AnyTwo, TwoOfADomain, ReplacedElsewhere };
+
+std::string_view nameOf(LossKind Kind) {
+  switch (Kind) {
+  case LossKind::AnyTwo:
+    return "any two";
+  case LossKind::TwoOfADomain:
+    return "two of a domain";
+  case LossKind::ReplacedElsewhere:
+    break;
+  }
+  return "any two, replaced elsewhere";
+}
+
+/// @brief Plays the loss of pairs of engines, and measures for each loss of a
+/// large group how long its domain has fewer than before.
+class PairLosses {
+public:
+  PairLosses(TimedFleet &Engines, std::uint64_t Seed, LossKind LostTogether)
+      : Fleet(Engines), Draw(Seed), Kind(LostTogether), Served(largeGroups()) {}
+
+  /// Engines die in pairs every three seconds, and empty ones are added.
+  void run(Duration Span) {
+    constexpr int StepsOfAPair = 30;
+    const TimePoint End = Fleet.Now + Span;
+    for (int Step = 0; Fleet.Now < End; ++Step) {
+      if (Step % StepsOfAPair == 0)
+        losePair();
+      Fleet.run(milliseconds(100));
+      measure();
+    }
+    for (const auto &[Domain, Since] : LostAt)
+      Times.push_back(Fleet.Now - Since);
+  }
+
+  /// Times until large groups served again, or until the end of the play.
+  std::vector<Duration> Times;
+
+private:
+  [[nodiscard]] std::map<FabricDomainName, int> largeGroups() const {
+    std::map<FabricDomainName, int> Counts;
+    for (const EndpointName &Leader : Fleet.leaders()) {
+      const EndpointRecord &Record = Fleet.Records.at(Leader);
+      if (Record.Loaded.back() == ModelName("big") &&
+          Fleet.membersOf(Leader).size() == LargeSize)
+        ++Counts[Record.Domain];
+    }
+    return Counts;
+  }
+
+  void losePair() {
+    FabricDomainName Domain;
+    for (int Lost = 0; Lost < 2; ++Lost) {
+      std::vector<EndpointRecord> Choice;
+      for (const auto &[Name, Record] : Fleet.Records)
+        if (Lost == 0 || Kind != LossKind::TwoOfADomain ||
+            Record.Domain == Domain)
+          Choice.push_back(Record);
+      const EndpointRecord &Record = Choice[Draw() % Choice.size()];
+      Domain = Record.Domain;
+      const EndpointRecord Place = Kind == LossKind::ReplacedElsewhere
+                                       ? Choice[Draw() % Choice.size()]
+                                       : Record;
+      Fleet.removeEngine(Record.Name);
+      Fleet.add(Place.Domain.Text + "-new" + std::to_string(++Added),
+                Place.DataCentre.Text, Place.Domain.Text);
+    }
+  }
+
+  void measure() {
+    const std::map<FabricDomainName, int> Now = largeGroups();
+    for (const auto &[Domain, Count] : Served) {
+      const auto Entry = Now.find(Domain);
+      const bool IsWhole = Entry != Now.end() && Entry->second >= Count;
+      if (!IsWhole) {
+        LostAt.try_emplace(Domain, Fleet.Now);
+        continue;
+      }
+      if (const auto Lost = LostAt.find(Domain); Lost != LostAt.end()) {
+        Times.push_back(Fleet.Now - Lost->second);
+        LostAt.erase(Lost);
+      }
+    }
+  }
+
+  static constexpr std::size_t LargeSize = 8;
+  TimedFleet &Fleet;
+  std::mt19937_64 Draw;
+  LossKind Kind;
+  std::map<FabricDomainName, int> Served;
+  std::map<FabricDomainName, TimePoint> LostAt;
+  int Added = 0;
+};
+
+/// Large groups that serve at the end of the plays, and times until they served
+/// again after a loss.
+struct LossResult {
+  std::size_t Fewest = 100;
+  /// When the groups lost last have had their time to serve again.
+  std::size_t FewestLater = 100;
+  std::vector<Duration> Times;
+
+  /// @param Fraction Part of the times that are no longer.
+  [[nodiscard]] Duration quantile(double Fraction) {
+    std::sort(Times.begin(), Times.end());
+    const auto Last = double(Times.size() - 1);
+    return Times.empty() ? Duration{0} : Times[std::size_t(Last * Fraction)];
+  }
+};
+
+LossResult playLosses(LossKind Kind, bool Rebalances) {
+  constexpr std::uint64_t Seeds = 10;
+  LossResult Result;
+  for (std::uint64_t Seed = 1; Seed <= Seeds; ++Seed) {
     TimedFleet Fleet({8, 2});
+    Fleet.ConvertsGroups = Fleet.StagesAhead = Rebalances;
     addDomains(Fleet);
     Fleet.start();
-    const std::size_t Before = Fleet.serving("big");
-    const std::size_t SmallBefore = Fleet.serving("small");
-    losePairs(Fleet, Seed, seconds(34));
-    std::cout << "seed " << Seed << ": " << Before << "," << SmallBefore
-              << " -> " << Fleet.serving("big") << "," << Fleet.serving("small")
-              << " begun " << Fleet.begun() << " finished "
-              << Fleet.Fates[GroupFate::ConversionFinished] << " given up "
-              << Fleet.Fates[GroupFate::ConversionGivenUp] << " loads "
-              << Fleet.LoadsBegun.size() << "\n";
-    EXPECT_GE(Fleet.serving("big"), 8U) << "seed " << Seed;
+    PairLosses Losses(Fleet, Seed, Kind);
+    Losses.run(seconds(34));
+    Result.Fewest = std::min(Result.Fewest, Fleet.serving("big"));
+    Fleet.run(MaxRebalanceTime);
+    Result.FewestLater = std::min(Result.FewestLater, Fleet.serving("big"));
+    Result.Times.insert(Result.Times.end(), Losses.Times.begin(),
+                        Losses.Times.end());
     Fleet.expectRulesKept();
   }
+  return Result;
+}
+
+// Guards against small groups that use up what large groups leave, until no
+// domain has room for a large group, and against streams that wait for a load.
+TEST(Conversion, LargeGroupsSurviveTheLossOfPairs) {
+  for (const LossKind Kind :
+       {LossKind::AnyTwo, LossKind::TwoOfADomain, LossKind::ReplacedElsewhere})
+    for (const bool Rebalances : {false, true}) {
+      LossResult Result = playLosses(Kind, Rebalances);
+      std::cout << nameOf(Kind) << ", rebalances: " << Rebalances
+                << ": fewest large groups " << Result.Fewest << ", later "
+                << Result.FewestLater << ", losses " << Result.Times.size()
+                << ", s until served again: median "
+                << inSeconds(Result.quantile(0.5)) << ", 0.9 "
+                << inSeconds(Result.quantile(0.9)) << ", longest "
+                << inSeconds(Result.quantile(1.0)) << "\n";
+      if (!Rebalances)
+        continue;
+      // Where engines are replaced elsewhere, a group lost last may be about to
+      // serve again.
+      EXPECT_GE(Kind == LossKind::ReplacedElsewhere ? Result.FewestLater
+                                                    : Result.Fewest,
+                8U);
+      EXPECT_LE(Result.quantile(0.9), MaxRebalanceTime);
+    }
 }
 
 /// A fleet of one model that is about to convert two of its groups.
--- a/packages/version/test/coltsfoottrail/assembly/simulation.cpp
+++ b/packages/version/test/coltsfoottrail/assembly/simulation.cpp
@@ -25,8 +25,21 @@
     };
   }
 
+  Play(const Play &) = delete;
+  Play &operator=(const Play &) = delete;
+
+  /// Sets targets that change in the play; engines take their time.
+  void useTargets() {
+    ChangesTargets = true;
+    Fleet.RealTimes = true;
+    Fleet.ConvertsGroups = true;
+    Fleet.StagesAhead = true;
+    Fleet.DrainTime = [this] { return milliseconds(pick(1, 40) * 100); };
+    setShare(50);
+  }
+
   void run(Duration Span) {
-    Fleet.run(seconds(3));
+    Fleet.run(seconds(ChangesTargets ? 12 : 3));
     Fleet.TrafficStarted = true;
     for (const TimePoint End = Fleet.Now + Span; Fleet.Now < End;) {
       if (chance(8))
@@ -44,6 +57,14 @@
     Fleet.run(Span);
   }
 
+  /// Sets the part of the engines that the large model is to have.
+  void setShare(int Percent) {
+    const double Large = Percent / 100.0;
+    Fleet.Targets =
+        EngineTargets{{ModelName("big"), {Large, std::nullopt}},
+                      {ModelName("small"), {1.0 - Large, std::nullopt}}};
+  }
+
   FakeEngines Fleet;
 
 private:
@@ -73,7 +94,8 @@
 
   void disturb() {
     const EndpointName Engine = someEngine();
-    switch (pick(0, 7)) {
+    constexpr int Kinds = 8;
+    switch (pick(0, ChangesTargets ? Kinds : Kinds - 1)) {
     case 0:
     case 1: {
       const std::string Domain = Fleet.Records.at(Engine).Domain.Text;
@@ -99,6 +121,9 @@
           Fleet.publish(Back);
       }
       return;
+    case Kinds:
+      setShare(pick(1, 9) * 10);
+      return;
     default:
       if (chance(50)) {
         Fleet.replaceCoordinator();
@@ -120,7 +145,7 @@
       Fleet.failStore(milliseconds(100));
       Fleet.deliver();
       Fleet.breakStalled();
-      Fleet.finishAll();
+      Fleet.finishWork();
     }
     if (Replaced)
       Fleet.Catalogue = Before;
@@ -146,6 +171,7 @@
   /// a seed plays.
   std::mt19937_64 StatusDraw;
   int Added = 0;
+  bool ChangesTargets = false;
 };
 
 /// Plays consecutive seeds and expects that no engine joins a group while the
@@ -218,6 +244,53 @@
   EXPECT_EQ(Broken.size(), 0U) << "seeds, and engines that serve:" << Text;
 }
 
+constexpr std::uint64_t TargetSeeds = 300;
+
+// Guards against an engine that serves two groups at once, a group that serves
+// before its members are ready, and loads beyond the store's limit, while
+// targets change, groups are converted, and orders are late or lost.
+TEST(AssemblySimulation, ConversionsKeepTheRulesOfGroups) {
+  int Begun = 0;
+  int Finished = 0;
+  for (std::uint64_t Seed = 1; Seed <= TargetSeeds; ++Seed) {
+    Play Run(Seed);
+    Run.useTargets();
+    Run.run(seconds(60));
+    EXPECT_EQ(Run.Fleet.JoinedWhileOpen, 0) << "seed " << Seed << "\n"
+                                            << Run.Fleet.Trace;
+    EXPECT_EQ(Run.Fleet.OpenedUnready, 0) << "seed " << Seed;
+    EXPECT_LE(Run.Fleet.mostLoadsIn(LoadPacer::Window), 22U + 3U)
+        << "seed " << Seed;
+    Begun += Run.Fleet.Fates[GroupFate::ConversionBegun];
+    Finished += Run.Fleet.Fates[GroupFate::ConversionFinished];
+  }
+  std::cout << "conversions begun " << Begun << ", finished " << Finished
+            << "\n";
+  EXPECT_GT(Finished, 0);
+}
+
+// Guards against groups that stay closed and engines that no group uses: when
+// all failures have ended, nothing more is ordered, and each engine serves or
+// is free.
+TEST(AssemblySimulation, ConversionsEndWhenTheFailuresHaveEnded) {
+  std::string Text;
+  for (std::uint64_t Seed = 1; Seed <= TargetSeeds; ++Seed) {
+    Play Run(Seed);
+    Run.useTargets();
+    Run.run(seconds(60));
+    Run.setShare(50);
+    Run.recover(seconds(120));
+    std::map<std::string, std::size_t> Seated;
+    for (const EndpointName &Leader : Run.Fleet.leaders())
+      Seated[Run.Fleet.Records.at(Leader).Domain.Text] +=
+          Run.Fleet.membersOf(Leader).size();
+    if (Seated["n0"] < 6 || Seated["s0"] < 3 || !Run.Fleet.step().empty())
+      Text += " " + std::to_string(Seed) + ":" + std::to_string(Seated["n0"]) +
+              "," + std::to_string(Seated["s0"]);
+  }
+  EXPECT_EQ(Text, "") << "seeds, and engines that serve";
+}
+
 /// Digest (FNV-1a) of all orders, fates and events of a play.
 std::uint64_t digest(const std::vector<std::string> &History) {
   std::uint64_t Hash = 0xcbf29ce484222325U;
