Sum the demand of all entry hosts at the coordinator

DemandMeter measures the requests of one host by pool, rank and data centre; DemandAggregator sums what hosts report. A report carries the demand of its subtree at most every 500 ms, and only of hosts that follow the demand. A host that leaves its relay sends none to another host until the relay has dropped what it had, so that it does not count twice; one that the coordinator assigns to a relay sends it there at once.

The table of reporters that LoadAggregator kept is now ReporterTable, which both aggregators use.

CallerProxy records into the meter where the settings let the division follow the demand. Otherwise nothing is recorded and reports have the bytes that they had.

--- a/packages/connection/src/coltsfoottrail/boundary/wire.hpp
+++ b/packages/connection/src/coltsfoottrail/boundary/wire.hpp
@@ -39,6 +39,9 @@
   std::uint32_t MaxAnswerTokens = 0;
   /// The caller's estimate of the number of tokens in the response.
   std::optional<std::uint32_t> ExpectedTokens;
+  /// Number of tokens that the response is expected to have: the caller's
+  /// estimate if it is possible, otherwise the maximum.
+  std::uint32_t AnswerTokens = 0;
   /// Identifier of the last event of an interrupted stream that the caller has;
   /// empty when it resumes none.
   std::string LastEventId;
--- a/packages/process/src/coltsfoottrail/dissemination/link.cpp
+++ b/packages/process/src/coltsfoottrail/dissemination/link.cpp
@@ -246,10 +246,11 @@
   Request.Method = "POST";
   Request.Target = ReportPath;
   Request.Fields = {{"Content-Type", "application/cbor"}};
-  Request.Body = encode(Message);
   const TimePoint SentAt = BootClock::now();
-  const auto Outcome = co_await Client.fetch(
-      std::move(Target), std::move(Request), SentAt + Hold + ExchangeSlack);
+  Node.setDemand(Message, Target, SentAt);
+  Request.Body = encode(Message);
+  const auto Outcome = co_await Client.fetch(Target, std::move(Request),
+                                             SentAt + Hold + ExchangeSlack);
   const auto *const Reply = std::get_if<HttpResponse>(&Outcome);
   if (Reply == nullptr || Reply->Status != StatusOk)
     co_return ExchangeResult::Failed;
@@ -274,6 +275,7 @@
     AllForwarders.add(Host, Now);
   publishForwarders(Now);
   if (CurrentUpstream.applyResponse(Received, ByRelay)) {
+    Node.recordAssignment(Target);
     Hold = LongestReportPace;
     logEvent(Event::RelayAssigned, {{"relay", *Received.Relay}});
     co_return ExchangeResult::Done;
--- a/packages/process/src/coltsfoottrail/dissemination/link.hpp
+++ b/packages/process/src/coltsfoottrail/dissemination/link.hpp
@@ -16,6 +16,8 @@
 #include <optional>
 #include <span>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace coltsfoottrail {
 
@@ -79,6 +81,16 @@
   /// @brief Passes a notice of this host on to all others.
   void publishNotice(std::string_view PoolName, const EndpointNotice &Notice);
 
+  /// @brief Sets this host's own demand. Hosts that never call it send none for
+  /// themselves.
+  void recordOwnDemand(std::vector<DemandRow> Rows) {
+    Node.recordOwnDemand(std::move(Rows), BootClock::now());
+  }
+  /// @copydoc TreeNode::demand
+  [[nodiscard]] DemandSum demand(TimePoint Now) const {
+    return Node.demand(Now);
+  }
+
   /// @brief Abandons an upstream that relays nothing new: a relay is left for
   /// the coordinator, and for the coordinator the store is queried again.
   void abandonUpstream();
--- a/packages/process/src/coltsfoottrail/dissemination/messages.cpp
+++ b/packages/process/src/coltsfoottrail/dissemination/messages.cpp
@@ -1,5 +1,6 @@
 #include "coltsfoottrail/dissemination/messages.hpp"
 
+#include "coltsfoottrail/dissemination/demandwire.hpp"
 #include "coltsfoottrail/json/cbor.hpp"
 #include "coltsfoottrail/json/reader.hpp"
 
@@ -205,6 +206,8 @@
   Result["read_notices"] = encodeCursor(Message.ReadNotices);
   if (!Message.Notices.empty())
     Result["notices"] = encodeNotices(Message.Notices);
+  if (Message.Demand)
+    Result["demand"] = writeDemand(*Message.Demand);
   if (Message.CanForward)
     Result["can_forward"] = true;
   if (Message.FailedRelay)
@@ -249,6 +252,8 @@
   Result.CanForward = Reader.flagOr("can_forward", false);
   Result.FailedRelay = optionalText(Reader, "failed_relay");
   Result.Loads = decodeLoads(Reader, ReportSource);
+  if (Reader.has("demand"))
+    Result.Demand = readDemand(Reader.raw("demand"), ReportSource);
   ObjectReader Next = Reader.object("next");
   for (const Feed FeedId : AllFeeds)
     if (Next.has(feedName(FeedId)))
--- a/packages/process/src/coltsfoottrail/dissemination/messages.hpp
+++ b/packages/process/src/coltsfoottrail/dissemination/messages.hpp
@@ -4,6 +4,7 @@
 #define COLTSFOOTTRAIL_DISSEMINATION_MESSAGES_HPP
 
 #include "coltsfoottrail/boundary/store.hpp"
+#include "coltsfoottrail/demand/rates.hpp"
 #include "coltsfoottrail/dissemination/noticeboard.hpp"
 #include "coltsfoottrail/loadshare/loads.hpp"
 #include "coltsfoottrail/reach/tracker.hpp"
@@ -39,6 +40,9 @@
   std::optional<std::string> FailedRelay;
   /// Requests at each endpoint.
   std::vector<EndpointLoad> Loads;
+  /// Demand of the hosts whose loads are included; empty unless it is due.
+  /// Hosts of earlier releases neither send nor read it.
+  std::optional<DemandSum> Demand;
   /// Offset at which the sender would continue reading each feed.
   std::map<Feed, Offset> Next;
   /// Feeds of which the sender has no values yet.
--- a/packages/process/src/coltsfoottrail/dissemination/node.cpp
+++ b/packages/process/src/coltsfoottrail/dissemination/node.cpp
@@ -18,6 +18,10 @@
   return Result;
 }
 
+ReporterScope scopeOf(const Report &Received) {
+  return Received.ToRelay ? ReporterScope::Relayed : ReporterScope::All;
+}
+
 } // namespace
 
 void TreeNode::ingest(Feed FeedId, const FeedPage &Page,
@@ -75,11 +79,18 @@
   OutsideAt = Now;
 }
 
+void TreeNode::recordOwnDemand(std::vector<DemandRow> Rows, TimePoint Now) {
+  Demand.advance(Now);
+  Demand.report(Self, {std::move(Rows), 1, Duration::zero()}, Now);
+}
+
 void TreeNode::recordReport(const Report &Received, TimePoint Now) {
   SubtreeLoads.advance(Now);
   SubtreeLoads.report(Received.Host, Received.Loads, Now, Received.Hosts,
-                      Received.ToRelay ? LoadAggregator::Scope::Relayed
-                                       : LoadAggregator::Scope::All);
+                      scopeOf(Received));
+  Demand.advance(Now);
+  if (Received.Demand)
+    Demand.report(Received.Host, *Received.Demand, Now, scopeOf(Received));
 }
 
 // Failure guarded against: the store is away, the coordinator has restarted,
@@ -91,9 +102,38 @@
   OwnReport.Hosts = SubtreeLoads.hosts(Now, LoadAggregator::Scope::Relayed);
 }
 
+void TreeNode::recordAssignment(const EngineAddress &Coordinator) {
+  if (LastDemand && LastDemand->Receiver == Coordinator)
+    LastDemand.reset();
+}
+
 void TreeNode::forgetReporters() {
   LoadAggregator OwnLoads;
   std::swap(SubtreeLoads, OwnLoads);
+  Demand = DemandAggregator();
+}
+
+// Failure guarded against: a host leaves its relay, which goes on to report the
+// demand that it had from this host, and the coordinator counts it twice. The
+// next receiver gets none until the former relay has dropped it.
+bool TreeNode::isDemandDue(const EngineAddress &Receiver, TimePoint Now) const {
+  if (!LastDemand)
+    return true;
+  const Duration Elapsed = Now - LastDemand->SentAt;
+  if (Receiver == LastDemand->Receiver)
+    return Elapsed >= DemandInterval;
+  return !LastDemand->ToRelay || Elapsed >= DemandAggregator::ReportLife;
+}
+
+void TreeNode::setDemand(Report &OwnReport, const EngineAddress &Receiver,
+                         TimePoint Now) {
+  if (!isDemandDue(Receiver, Now))
+    return;
+  DemandSum Sum = Demand.total(Now, ReporterScope::Relayed);
+  if (Sum.Hosts == 0)
+    return;
+  OwnReport.Demand = std::move(Sum);
+  LastDemand = DemandDelivery{Receiver, OwnReport.ToRelay, Now};
 }
 
 void TreeNode::setNotices(Report &OwnReport, TimePoint Now) const {
@@ -127,8 +167,10 @@
 std::optional<HostName> TreeNode::assignRelay(const Report &Received,
                                               TimePoint Now) {
   const auto Relay = Assignments.assign(Received, SubtreeLoads.hosts(Now), Now);
-  if (Relay)
+  if (Relay) {
     SubtreeLoads.forget(Received.Host);
+    Demand.forget(Received.Host);
+  }
   return Relay;
 }
 
--- a/packages/process/src/coltsfoottrail/dissemination/node.hpp
+++ b/packages/process/src/coltsfoottrail/dissemination/node.hpp
@@ -3,10 +3,12 @@
 #ifndef COLTSFOOTTRAIL_DISSEMINATION_NODE_HPP
 #define COLTSFOOTTRAIL_DISSEMINATION_NODE_HPP
 
+#include "coltsfoottrail/demand/aggregator.hpp"
 #include "coltsfoottrail/dissemination/assignment.hpp"
 #include "coltsfoottrail/dissemination/feedlog.hpp"
 #include "coltsfoottrail/dissemination/messages.hpp"
 #include "coltsfoottrail/loadshare/board.hpp"
+#include "coltsfoottrail/platform/engine.hpp"
 
 #include <array>
 #include <span>
@@ -23,6 +25,9 @@
 /// the store itself and uses the endpoints' own load reports.
 class TreeNode {
 public:
+  /// Minimum interval between two reports of the demand to the same host.
+  static constexpr Duration DemandInterval = milliseconds(500);
+
   /// @brief Creates an empty node.
   /// @param HostRun Name of this host's run.
   explicit TreeNode(HostName HostRun) : Self(std::move(HostRun)), Board(Self) {}
@@ -41,6 +46,8 @@
   void recordOwn(std::vector<EndpointLoad> Loads, TimePoint Now);
   /// @brief Sets the loads of the hosts outside this host's subtree.
   void recordOutside(std::vector<EndpointLoad> Loads, TimePoint Now);
+  /// @brief Sets this host's own demand.
+  void recordOwnDemand(std::vector<DemandRow> Rows, TimePoint Now);
   /// @brief Records a report.
   void recordReport(const Report &Received, TimePoint Now);
   /// @brief Removes all reporters, because this host is no longer the
@@ -89,6 +96,20 @@
   /// represents: those of the hosts that report to it as their relay, and its
   /// own.
   void setSubtree(Report &OwnReport, TimePoint Now) const;
+  /// @brief Adds to a report of this host the demand of the hosts that it
+  /// represents, if it is due and any of them records demand. Precondition: the
+  /// report is sent.
+  /// @param Receiver Address of the host that the report is sent to.
+  void setDemand(Report &OwnReport, const EngineAddress &Receiver,
+                 TimePoint Now);
+  /// @brief Records that a host has assigned this one to a relay and therefore
+  /// no longer counts its demand.
+  void recordAssignment(const EngineAddress &Coordinator);
+  /// @brief Demand of this host and of all that report to it: on the
+  /// coordinator, of all hosts that record demand.
+  [[nodiscard]] DemandSum demand(TimePoint Now) const {
+    return Demand.total(Now);
+  }
   /// @brief Loads of all hosts except this one.
   [[nodiscard]] std::vector<EndpointLoad> otherLoads(TimePoint Now) const;
   /// @brief Number of hosts that report to this one.
@@ -125,11 +146,23 @@
   [[nodiscard]] std::vector<EndpointLoad> loadsExcept(const HostName &Host,
                                                       TimePoint Now) const;
 
+  /// When and to whom demand was last sent.
+  struct DemandDelivery {
+    EngineAddress Receiver;
+    bool ToRelay = false;
+    TimePoint SentAt;
+  };
+
+  [[nodiscard]] bool isDemandDue(const EngineAddress &Receiver,
+                                 TimePoint Now) const;
+
   HostName Self;
   std::array<SharedFeed, 2> Feeds;
   LoadAggregator SubtreeLoads;
   std::vector<EndpointLoad> OutsideLoads;
   TimePoint OutsideAt{};
+  DemandAggregator Demand;
+  std::optional<DemandDelivery> LastDemand;
   RelayAssignment Assignments;
   NoticeBoard Board;
   /// How far this host has read its upstream's notices.
--- a/packages/process/src/coltsfoottrail/fleethost/attempt.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/attempt.cpp
@@ -162,7 +162,7 @@
   }
   ++Counts.Sends;
   if (++Context.Sends == 1)
-    Metrics.recordWait(Context.Route->Policy, Start - Context.ArrivedAt);
+    measureAdmitted(Context, Start - Context.ArrivedAt);
   Context.Trail.add(Event::RequestPlaced,
                     {{"pool", Context.Pool},
                      {"endpoint", Target.Host},
--- a/packages/process/src/coltsfoottrail/fleethost/callerproxy.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/callerproxy.cpp
@@ -106,6 +106,32 @@
       Outcome, ReasonText, BootClock::now() - Context.ArrivedAt);
 }
 
+void CallerProxy::measureOffered(const RequestContext &Context) {
+  if (Demand != nullptr)
+    Demand->recordOffered(Context.PoolHash, Context.Rank,
+                          Context.Caller.PromptTokens,
+                          Context.Caller.AnswerTokens, BootClock::now());
+}
+
+void CallerProxy::measureAdmitted(const RequestContext &Context,
+                                  Duration Wait) {
+  Metrics.recordWait(Context.Route->Policy, Wait);
+  if (Demand != nullptr)
+    Demand->recordAdmitted(Context.PoolHash, Context.Rank, Wait,
+                           BootClock::now());
+}
+
+// A request that is refused before its pool is chosen was not offered to any.
+void CallerProxy::measureRefused(const RequestContext &Context) {
+  if (Demand != nullptr && !Context.Pool.empty())
+    Demand->recordRefused(Context.PoolHash, Context.Rank, BootClock::now());
+}
+
+void CallerProxy::measureDemoted(const RequestContext &Context) {
+  if (Demand != nullptr)
+    Demand->recordDemoted(Context.PoolHash, Context.Rank, BootClock::now());
+}
+
 void CallerProxy::logFailure(RequestContext &Context,
                              const EndpointSpec &Target,
                              const AttemptResult &Result) {
@@ -130,8 +156,10 @@
   std::optional<HttpResponse> Refused = admit(Call.request(), Context);
   if (!Refused)
     Refused = choosePool(Context);
-  if (!Refused)
+  if (!Refused) {
+    measureOffered(Context);
     Refused = refuseUnlessReachable(Context);
+  }
   if (Refused) {
     const TimePoint Now = BootClock::now();
     Context.Ended = true;
@@ -230,6 +258,7 @@
   }
   Context.Service = Service;
   Context.Pool = FleetView::poolName(Service->Name, Model);
+  Context.PoolHash = hashText(Context.Pool);
   return std::nullopt;
 }
 
@@ -299,6 +328,7 @@
         co_return;
       }
       Context.Freshness = Timeliness::Demoted;
+      measureDemoted(Context);
       Context.Trail.add(Event::RequestDemoted,
                         {{"pool", Context.Pool}, {"sends", Context.Sends}},
                         BootClock::now());
@@ -399,10 +429,12 @@
 HttpResponse CallerProxy::refusal(const RequestContext &Context,
                                   const Verdict &Final) {
   const bool NotRun = Final.State == RunState::NotRun;
-  if (NotRun)
+  if (NotRun) {
     ++Counts.RefusedNotRun;
-  else
+    measureRefused(Context);
+  } else {
     ++Counts.FailedMayHaveRun;
+  }
   unsigned Status = StatusUnavailable;
   if (!NotRun)
     Status = Final.Why == Reason::EndpointTimedOut ||
--- a/packages/process/src/coltsfoottrail/fleethost/callerproxy.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/callerproxy.hpp
@@ -6,6 +6,7 @@
 #include "coltsfoottrail/admission/coldratelimiter.hpp"
 #include "coltsfoottrail/boundary/wire.hpp"
 #include "coltsfoottrail/core/random.hpp"
+#include "coltsfoottrail/demand/meter.hpp"
 #include "coltsfoottrail/dispatch/terms.hpp"
 #include "coltsfoottrail/fleethost/eventstreambuffer.hpp"
 #include "coltsfoottrail/fleethost/proxymetrics.hpp"
@@ -72,6 +73,10 @@
     ReportInvalidRateLimit = std::move(Callback);
   }
 
+  /// @brief Records the demand of requests from now on.
+  /// @param Meter Must outlive this object.
+  void recordDemand(DemandMeter &Meter) noexcept { Demand = &Meter; }
+
   /// @brief Serves one request.
   /// @throws boost::system::system_error The caller has disconnected.
   [[nodiscard]] Awaitable<void> serve(Exchange &Call);
@@ -125,6 +130,8 @@
       return Freshness != Timeliness::Fresh;
     }
     std::string Pool;
+    /// Hash of the pool's name.
+    std::uint64_t PoolHash = 0;
     const ServiceProfile *Service = nullptr;
     /// The same for each attempt of a caller at the same request.
     std::uint64_t Fingerprint = 0;
@@ -202,6 +209,10 @@
   void measureEnd(const RequestContext &Context, std::string_view Outcome,
                   std::string_view ReasonText);
   void measureEvent(RequestContext &Context);
+  void measureOffered(const RequestContext &Context);
+  void measureAdmitted(const RequestContext &Context, Duration Wait);
+  void measureRefused(const RequestContext &Context);
+  void measureDemoted(const RequestContext &Context);
   void logFailure(RequestContext &Context, const EndpointSpec &Target,
                   const AttemptResult &Result);
   [[nodiscard]] bool admitCold(const RequestContext &Context,
@@ -222,6 +233,8 @@
   CallerProxyCounts Counts;
   ResponseMemory Memory;
   ProxyMetrics Metrics;
+  /// Null if demand is not recorded.
+  DemandMeter *Demand = nullptr;
   /// Shared with the coroutines, which may end after this object.
   std::shared_ptr<RequestLogBudget> Budget =
       std::make_shared<RequestLogBudget>(RequestLogLimits{});
--- a/packages/process/src/coltsfoottrail/fleethost/groupcoordinator.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/groupcoordinator.hpp
@@ -7,6 +7,7 @@
 #include "coltsfoottrail/assembly/assembler.hpp"
 #include "coltsfoottrail/boundary/engines.hpp"
 #include "coltsfoottrail/boundary/store.hpp"
+#include "coltsfoottrail/demand/rates.hpp"
 #include "coltsfoottrail/fleethost/candidacy.hpp"
 #include "coltsfoottrail/fleethost/dutyterm.hpp"
 #include "coltsfoottrail/fleethost/view.hpp"
@@ -130,6 +131,10 @@
   void onDuty(std::function<void(bool)> Callback) {
     OnDutyChange = std::move(Callback);
   }
+  /// @brief Sets the source of the demand over all entry hosts.
+  void onDemand(std::function<DemandSum(TimePoint)> Source) {
+    DemandSource = std::move(Source);
+  }
 
 private:
   struct ProbeRound;
@@ -181,6 +186,8 @@
   std::map<std::string, TimePoint> NextProbeAt;
   std::function<void(bool)> OnDutyChange;
   std::function<void()> OnSeatOrders;
+  /// Empty if demand is not followed.
+  std::function<DemandSum(TimePoint)> DemandSource;
   std::optional<boost::asio::any_io_executor> Executor;
   /// Timer of the pause before the next renewal.
   std::optional<boost::asio::steady_timer> RenewalTimer;
--- a/packages/process/src/coltsfoottrail/fleethost/host.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/host.cpp
@@ -1,6 +1,7 @@
 #include "coltsfoottrail/fleethost/host.hpp"
 
 #include "coltsfoottrail/core/hash.hpp"
+#include "coltsfoottrail/fleethost/demandmetrics.hpp"
 #include "coltsfoottrail/fleethost/reachlog.hpp"
 #include "coltsfoottrail/logging/log.hpp"
 #include "coltsfoottrail/retries/share.hpp"
@@ -74,6 +75,8 @@
 /// How often the limits that are divided by the number of hosts and requests
 /// are recalculated.
 constexpr milliseconds ShareEvery{500};
+/// How often this host's own demand is renewed.
+constexpr milliseconds OwnDemandEvery{100};
 /// How long a request is held while its pool has no endpoint: a group that is
 /// being opened serves after 0.3 s.
 constexpr milliseconds NoEndpointHold{250};
@@ -259,6 +262,8 @@
     SeatChangesUntil = BootClock::now() + SeatChangeTime;
     Endpoints.setSpacing(SeatChangeSpacing);
   });
+  if (Settings.Engines.FollowDemand)
+    followDemand();
   deferOwnReads();
   asio::io_context &Context = Threads.context(0);
   asio::co_spawn(Context, Operators.run(), asio::detached);
@@ -362,6 +367,28 @@
   Retries.log(Routing.retryTallies(), LastEntryHosts, Now);
 }
 
+void FleetHost::followDemand() {
+  Demand.emplace(hashText(Settings.DataCentre.Text));
+  Proxy.recordDemand(*Demand);
+  Coordinator.onDemand([this](TimePoint Now) { return Link.demand(Now); });
+}
+
+void FleetHost::shareDemand(TimePoint Now) {
+  if (!Demand || Now < NextDemandAt)
+    return;
+  NextDemandAt = Now + OwnDemandEvery;
+  Demand->advance(Now);
+  Link.recordOwnDemand(Demand->rows(Now));
+}
+
+std::map<std::uint64_t, std::string> FleetHost::poolNames() const {
+  std::map<std::uint64_t, std::string> Result;
+  for (const auto &[Service, Names] : View.pools())
+    for (const std::string &Name : Names)
+      Result.emplace(hashText(Name), Name);
+  return Result;
+}
+
 /// Makes cold endpoints whose turn has come available to the router.
 void FleetHost::openColdEndpoints(TimePoint Now) {
   std::map<std::string, std::uint32_t> Open;
@@ -455,6 +482,7 @@
     if (Coordinator.isLastHolder() && !View.knowsAllEndpoints())
       readAllEndpoints();
     shareLimits(BootClock::now());
+    shareDemand(BootClock::now());
     openColdEndpoints(BootClock::now());
     Routing.advance();
     RateLimits.logChanges(Routing.takeRateLimitChanges(), BootClock::now());
@@ -530,6 +558,8 @@
   AppendLine("cut_off", Platform.Endpoints.reach().cutOffSince() ? 1 : 0);
   RetryReport::appendTo(Text, Routing.retryTallies());
   RateLimitReport::appendTo(Text, Routing.rateLimits());
+  if (Demand)
+    appendDemandMetrics(Text, Demand->rows(Now), poolNames());
   Proxy.metrics().appendTo(Text);
   return Text;
 }
--- a/packages/process/src/coltsfoottrail/fleethost/host.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/host.hpp
@@ -7,6 +7,7 @@
 #include "coltsfoottrail/boundary/store.hpp"
 #include "coltsfoottrail/boundary/wire.hpp"
 #include "coltsfoottrail/core/random.hpp"
+#include "coltsfoottrail/demand/meter.hpp"
 #include "coltsfoottrail/dissemination/link.hpp"
 #include "coltsfoottrail/fleethost/callerproxy.hpp"
 #include "coltsfoottrail/fleethost/follower.hpp"
@@ -21,7 +22,9 @@
 
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
+#include <map>
 #include <optional>
+#include <string>
 
 namespace coltsfoottrail {
 
@@ -112,6 +115,9 @@
   void shareLimits(TimePoint Now);
   void limitFailedReads(std::size_t Hosts, TimePoint Now);
   void limitRetries(std::size_t Hosts, TimePoint Now);
+  void followDemand();
+  void shareDemand(TimePoint Now);
+  [[nodiscard]] std::map<std::uint64_t, std::string> poolNames() const;
   void openColdEndpoints(TimePoint Now);
   void suspendSilent(TimePoint Now);
   void reportUnusable(const EndpointName &Endpoint, const std::string &AtFault);
@@ -137,6 +143,8 @@
   StallDetector Silence;
   RetryReport Retries;
   RateLimitReport RateLimits;
+  /// Empty unless the division follows the demand.
+  std::optional<DemandMeter> Demand;
   CallerProxy Proxy;
   /// Name of this run of the host.
   std::string Member;
@@ -156,6 +164,7 @@
   bool ConfigWasFresh = false;
   milliseconds FailedReadPause{0};
   TimePoint NextShareAt{};
+  TimePoint NextDemandAt{};
   std::uint64_t LoggedConfig = 0;
   /// Configuration version whose limits on callers are applied.
   std::uint64_t LimitedVersion = 0;
--- a/packages/process/test/coltsfoottrail/dissemination/node.cpp
+++ b/packages/process/test/coltsfoottrail/dissemination/node.cpp
@@ -360,6 +360,138 @@
   EXPECT_EQ(loadAt(Right.otherLoads(End), 7).Running, 1U);
 }
 
+std::vector<DemandRow> demandOf(double Offered) {
+  DemandRates Rates;
+  Rates.Offered = Offered;
+  return {{{7, 9, 0}, Rates}};
+}
+
+const EngineAddress Upstream{"10.0.0.1", 7};
+const EngineAddress OtherUpstream{"10.0.0.2", 7};
+
+/// Demand that a node's report to an upstream carries.
+std::optional<DemandSum> demandSent(TreeNode &Node,
+                                    const EngineAddress &Receiver, bool ToRelay,
+                                    TimePoint Now) {
+  Report Sent;
+  Sent.ToRelay = ToRelay;
+  Node.setDemand(Sent, Receiver, Now);
+  return Sent.Demand;
+}
+
+Report demandReport(const char *Host, double Offered, bool ToRelay) {
+  Report Result;
+  Result.Host = HostName(Host);
+  Result.ToRelay = ToRelay;
+  Result.Demand = DemandSum{demandOf(Offered), 1, {}};
+  return Result;
+}
+
+// Hosts that do not follow the demand send what they sent before.
+TEST(TreeNode, WithoutDemandReportsAreAsBefore) {
+  TreeNode Node = node();
+  Node.recordOwn({{7, {1, 0, 0, 0}}}, Start);
+  Report Plain;
+  Plain.Host = HostName("self");
+  Node.setSubtree(Plain, Start);
+  const std::string Before = encode(Plain);
+  Node.setDemand(Plain, Upstream, Start);
+  EXPECT_EQ(encode(Plain), Before);
+}
+
+TEST(TreeNode, DemandIsSentAtIntervals) {
+  TreeNode Node = node();
+  Node.recordOwnDemand(demandOf(2.0), Start);
+  EXPECT_TRUE(demandSent(Node, Upstream, false, Start));
+  const TimePoint Due = Start + TreeNode::DemandInterval;
+  EXPECT_FALSE(demandSent(Node, Upstream, false, Due - milliseconds(1)));
+  EXPECT_TRUE(demandSent(Node, Upstream, false, Due));
+}
+
+TEST(TreeNode, RelayReportsTheDemandBelowIt) {
+  TreeNode Node = node();
+  Node.recordOwnDemand(demandOf(2.0), Start);
+  Node.recordReport(demandReport("a", 3.0, true), Start);
+  Node.recordReport(demandReport("b", 4.0, false), Start);
+  const auto Sent = demandSent(Node, Upstream, false, Start);
+  ASSERT_TRUE(Sent);
+  EXPECT_EQ(Sent->Hosts, 2U);
+  EXPECT_EQ(Sent->Rows.front().Rates.Offered, 5.0);
+  EXPECT_EQ(Node.demand(Start).Rows.front().Rates.Offered, 9.0);
+}
+
+// Guards against a new coordinator that waits for demand until its reporters'
+// next interval.
+TEST(TreeNode, NewCoordinatorIsToldTheDemandAtOnce) {
+  TreeNode Node = node();
+  Node.recordOwnDemand(demandOf(2.0), Start);
+  EXPECT_TRUE(demandSent(Node, Upstream, false, Start));
+  EXPECT_TRUE(demandSent(Node, OtherUpstream, false, Start + milliseconds(1)));
+}
+
+// Guards against demand that a former relay still reports and that the next
+// upstream reports as well.
+TEST(TreeNode, DemandIsNotSentTwiceAfterARelay) {
+  TreeNode Node = node();
+  Node.recordOwnDemand(demandOf(2.0), Start);
+  EXPECT_TRUE(demandSent(Node, Upstream, true, Start));
+  const TimePoint Dropped = Start + DemandAggregator::ReportLife;
+  Node.recordOwnDemand(demandOf(2.0), Dropped - milliseconds(1));
+  EXPECT_FALSE(
+      demandSent(Node, OtherUpstream, false, Dropped - milliseconds(1)));
+  EXPECT_TRUE(demandSent(Node, OtherUpstream, false, Dropped));
+}
+
+// Guards against a reporter that counts at the coordinator and at the relay
+// that it was assigned to.
+TEST(TreeNode, AssignedReporterIsNoLongerInTheDemand) {
+  TreeNode Node = node();
+  Node.recordOwn({}, Start);
+  Node.recordOwnDemand(demandOf(1.0), Start);
+  std::size_t Assigned = 0;
+  constexpr std::size_t Hosts = 2 * RelayAssignment::MostReporters;
+  for (std::size_t Index = 0; Index < Hosts; ++Index) {
+    const std::string Name = std::to_string(Index) + ":1/x";
+    Report Received = demandReport(Name.c_str(), 1.0, false);
+    Received.CanRelay = true;
+    Node.recordReport(Received, Start);
+    Assigned += Node.assignRelay(Received, Start) ? 1 : 0;
+  }
+  EXPECT_GT(Assigned, 0U);
+  EXPECT_EQ(Node.demand(Start).Hosts, Hosts + 1 - Assigned);
+}
+
+// Guards against demand that grows with each exchange of two hosts that take
+// each other for the coordinator.
+TEST(TreeNode, DemandOfTwoCoordinatorsCountsOnce) {
+  TreeNode Left{HostName("left")};
+  TreeNode Right{HostName("right")};
+  TimePoint Now = Start;
+  for (; Now < Start + seconds(10); Now += milliseconds(100)) {
+    Left.recordOwnDemand(demandOf(1.0), Now);
+    Right.recordOwnDemand(demandOf(2.0), Now);
+    Report FromLeft;
+    FromLeft.Host = HostName("left");
+    Left.setDemand(FromLeft, OtherUpstream, Now);
+    Right.recordReport(FromLeft, Now);
+    Report FromRight;
+    FromRight.Host = HostName("right");
+    Right.setDemand(FromRight, Upstream, Now);
+    Left.recordReport(FromRight, Now);
+    ASSERT_EQ(Left.demand(Now).Rows.front().Rates.Offered, 3.0);
+    ASSERT_EQ(Right.demand(Now).Rows.front().Rates.Offered, 3.0);
+    ASSERT_EQ(Left.demand(Now).Hosts, 2U);
+  }
+}
+
+TEST(TreeNode, FormerCoordinatorForgetsTheDemandOfOthers) {
+  TreeNode Node = node();
+  Node.recordReport(demandReport("leaf", 4.0, false), Start);
+  Node.forgetReporters();
+  Node.recordOwnDemand(demandOf(1.0), Start);
+  EXPECT_EQ(Node.demand(Start).Hosts, 1U);
+}
+
 // Guards against a former coordinator that keeps reporting loads of hosts that
 // now report to its successor.
 TEST(TreeNode, FormerCoordinatorReportsOnlyItself) {
--- a/packages/process/test/coltsfoottrail/dissemination/simulation.hpp
+++ b/packages/process/test/coltsfoottrail/dissemination/simulation.hpp
@@ -3,6 +3,7 @@
 #ifndef COLTSFOOTTRAIL_TEST_DISSEMINATION_SIMULATION_HPP
 #define COLTSFOOTTRAIL_TEST_DISSEMINATION_SIMULATION_HPP
 
+#include "coltsfoottrail/core/hash.hpp"
 #include "coltsfoottrail/core/random.hpp"
 #include "coltsfoottrail/dissemination/node.hpp"
 #include "coltsfoottrail/dissemination/pace.hpp"
@@ -15,6 +16,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace coltsfoottrail::test {
@@ -29,6 +31,7 @@
   std::uint64_t Seed = 1;
   /// One report in this many is lost.
   std::uint64_t LostOneIn = 200;
+  bool FollowsDemand = false;
 };
 
 /// @brief Simulates the fleet, its store and the network between the hosts. The
@@ -77,6 +80,7 @@
     Member.AsOf = {};
     Member.ReadAt = Now + (Member.IsStrong ? Duration{} : MaxRelayedAge / 2);
     Member.ReportAt = Now + milliseconds(Draw.below(20));
+    Member.DemandAt = Now + milliseconds(Draw.below(100));
     ByAddress[textOf(*addressOfMember(Name))] = Index;
   }
 
@@ -113,6 +117,50 @@
     Fleet[Index]->Crashes.insert(EndpointKey);
     Fleet[Index]->Node->recordOwnNotice("model/m", Notice, Now);
   }
+  /// Multiplies the demand at all hosts from now on.
+  void setDemandFactor(double Factor) { DemandFactor = Factor; }
+  /// Demand as the coordinator knows it.
+  [[nodiscard]] DemandSum demand() const {
+    return Fleet[*Coordinator]->Node->demand(Now);
+  }
+  /// Requests per second that are offered to a host.
+  [[nodiscard]] double offeredTo(std::size_t Index) const {
+    return offered(ownDemand(Index));
+  }
+  /// Requests per second that are offered to the running hosts.
+  [[nodiscard]] double trueOffered() const {
+    double Result = 0.0;
+    for (std::size_t Index = 0; Index < Fleet.size(); ++Index)
+      if (isRunning(Index))
+        Result += offeredTo(Index);
+    return Result;
+  }
+  [[nodiscard]] static double offered(const std::vector<DemandRow> &Rows) {
+    double Result = 0.0;
+    for (const DemandRow &Row : Rows)
+      Result += Row.Rates.Offered;
+    return Result;
+  }
+  /// Number of hosts that a host reports for, itself among them.
+  [[nodiscard]] std::size_t subtreeHosts(std::size_t Index) const {
+    Report Result;
+    Fleet[Index]->Node->setSubtree(Result, Now);
+    return Result.Hosts;
+  }
+  /// Size of the largest demand in a report since the last call.
+  std::size_t takeMaxDemandSize() { return std::exchange(MaxDemandSize, 0); }
+  /// Bytes of demand that all hosts have sent since the last call, and that the
+  /// host that was sent most has been sent.
+  std::pair<std::size_t, std::size_t> takeDemandBytes() {
+    std::size_t Total = 0;
+    std::size_t Max = 0;
+    for (const auto &Member : Fleet) {
+      const std::size_t Bytes = std::exchange(Member->DemandBytes, 0);
+      Total += Bytes;
+      Max = std::max(Max, Bytes);
+    }
+    return {Total, Max};
+  }
   /// Number of running hosts that know of the crash of an endpoint.
   [[nodiscard]] std::size_t knowCrash(const std::string &EndpointKey) const {
     return static_cast<std::size_t>(
@@ -189,6 +237,7 @@
     Report Message;
     TimePoint SentAt;
     bool ByRelay;
+    EngineAddress Receiver;
   };
   struct Host {
     HostName Name;
@@ -206,6 +255,9 @@
     TimePoint ReadAt{};
     TimePoint ReportAt{};
     std::size_t BytesSent = 0;
+    TimePoint DemandAt{};
+    /// Bytes of demand that it has been sent.
+    std::size_t DemandBytes = 0;
     /// Endpoints whose crash it knows of.
     std::set<std::string> Crashes;
     /// Whether the store answered this host's last read.
@@ -220,6 +272,40 @@
   [[nodiscard]] static std::vector<EndpointLoad> ownLoads(std::size_t Index) {
     return {{Index % Leaders, {1, 0, 0, 0}}};
   }
+  static constexpr std::uint64_t DemandPools = 2;
+  static constexpr std::uint32_t DemandRanks = 3;
+  static constexpr Duration OwnDemandEvery = milliseconds(100);
+
+  [[nodiscard]] std::vector<DemandRow> ownDemand(std::size_t Index) const {
+    std::vector<DemandRow> Result;
+    const std::uint64_t DataCentre = hashText(Fleet[Index]->DataCentre.Text);
+    for (std::uint64_t Pool = 0; Pool < DemandPools; ++Pool)
+      for (std::uint32_t Rank = 0; Rank < DemandRanks; ++Rank) {
+        const double PerSecond = DemandFactor * (0.25 + double(Index % 8));
+        Result.push_back(
+            {{hashText(std::to_string(Pool)), DataCentre, Rank},
+             {PerSecond, PerSecond * 0.75, PerSecond * 0.125, PerSecond * 0.125,
+              PerSecond * 1'500.0, PerSecond * 80.0, PerSecond * 0.25}});
+      }
+    return Result;
+  }
+  void recordDemand(std::size_t Index) {
+    Host &Member = *Fleet[Index];
+    if (!Shape.FollowsDemand || Now < Member.DemandAt)
+      return;
+    Member.DemandAt = Now + OwnDemandEvery;
+    Member.Node->recordOwnDemand(ownDemand(Index), Now);
+  }
+  void countDemand(Host &Receiver, const Report &Message) {
+    if (!Message.Demand)
+      return;
+    Report Plain = Message;
+    Plain.Demand.reset();
+    const std::size_t Size = encode(Message).size() - encode(Plain).size();
+    MaxDemandSize = std::max(MaxDemandSize, Size);
+    Receiver.DemandBytes += Size;
+  }
+
   template <typename Payload>
   void countBytes(Host &Sender, const Payload &Sent) {
     if (++Messages % EncodedOneIn == 0)
@@ -238,6 +324,7 @@
     for (std::size_t Index = 0; Index < Fleet.size(); ++Index) {
       if (!isRunning(Index))
         continue;
+      recordDemand(Index);
       if (Coordinator == Index)
         coordinate(Index);
       else
@@ -309,7 +396,10 @@
         Message.Next[FeedId] = Member.Next[FeedId];
       else
         Message.Missing.insert(FeedId);
-    Member.Sent = Outstanding{Message, Now, Member.CurrentUpstream->hasRelay()};
+    Member.Node->setDemand(Message, *Member.CurrentUpstream->target(), Now);
+    countDemand(*Fleet[Target], Message);
+    Member.Sent = Outstanding{Message, Now, Member.CurrentUpstream->hasRelay(),
+                              *Member.CurrentUpstream->target()};
     countBytes(Member, Message);
     if (reaches(Index, Target) && Draw.below(Shape.LostOneIn) != 0)
       Fleet[Target]->Waiting.push_back({Index, std::move(Message), Now});
@@ -370,8 +460,10 @@
     const Outstanding Sent = std::move(*Member.Sent);
     Member.Sent.reset();
     Member.ReportAt = Now + Tick;
-    if (Member.CurrentUpstream->applyResponse(Answer, Sent.ByRelay))
+    if (Member.CurrentUpstream->applyResponse(Answer, Sent.ByRelay)) {
+      Member.Node->recordAssignment(Sent.Receiver);
       return;
+    }
     Member.Node->recordOutside(Answer.Loads, Now);
     take(Member, Member.Node->ingestNotices(Sent.Message, Answer, Now));
     bool HasUsefulUpdate = false;
@@ -480,6 +572,8 @@
   std::size_t Violations = 0;
   std::uint64_t Runs = 0;
   std::size_t Messages = 0;
+  double DemandFactor = 1.0;
+  std::size_t MaxDemandSize = 0;
 };
 
 } // namespace coltsfoottrail::test
--- a/packages/request/src/coltsfoottrail/demand/rates.hpp
+++ b/packages/request/src/coltsfoottrail/demand/rates.hpp
@@ -22,8 +22,11 @@
   /// Zero is the most urgent.
   std::uint32_t Rank = 0;
 
+  // The linter reports on the body that the compiler makes.
+  // NOLINTBEGIN(readability-identifier-naming,modernize-use-nullptr)
   [[nodiscard]] friend auto operator<=>(const DemandKey &,
                                         const DemandKey &) = default;
+  // NOLINTEND(readability-identifier-naming,modernize-use-nullptr)
 };
 
 /// @brief Rates of requests, each averaged over the recent past.
--- a/packages/request/src/coltsfoottrail/loadshare/board.cpp
+++ b/packages/request/src/coltsfoottrail/loadshare/board.cpp
@@ -1,6 +1,5 @@
 #include "coltsfoottrail/loadshare/board.hpp"
 
-#include <algorithm>
 #include <utility>
 
 namespace coltsfoottrail {
@@ -24,29 +23,29 @@
 void LoadAggregator::report(const HostName &Host,
                             std::vector<EndpointLoad> Loads, TimePoint Now,
                             std::size_t HostCount, Scope ReporterScope) {
-  Entry &Report = Entries[Host];
-  subtract(Report.Loads);
+  if (const auto *const Former = Reports.find(Host))
+    subtract(Former->Reported);
   add(Loads);
-  Report = Entry{std::move(Loads), HostCount, Now, ReporterScope};
+  Reports.set(Host, {std::move(Loads), HostCount, Now, ReporterScope});
 }
 
 void LoadAggregator::forget(const HostName &Host) {
-  const auto Position = Entries.find(Host);
-  if (Position == Entries.end())
+  const auto *const Former = Reports.find(Host);
+  if (Former == nullptr)
     return;
-  subtract(Position->second.Loads);
-  Entries.erase(Position);
+  subtract(Former->Reported);
+  Reports.erase(Host);
 }
 
 std::vector<EndpointLoad> LoadAggregator::sum(const HostName *ExcludedHost,
                                               Scope Included,
                                               TimePoint Now) const {
   std::map<std::uint64_t, RequestLoad> Excluded;
-  for (const auto &[Host, Report] : Entries) {
-    if (isCurrent(Report, Now) && isIn(Included, Report) &&
+  for (const auto &[Host, Report] : Reports.all()) {
+    if (Reports.isIncluded(Report, Included, Now) &&
         (ExcludedHost == nullptr || Host != *ExcludedHost))
       continue;
-    for (const EndpointLoad &Item : Report.Loads)
+    for (const EndpointLoad &Item : Report.Reported)
       Excluded[Item.Endpoint] += Item.Load;
   }
   std::vector<EndpointLoad> Result;
@@ -73,28 +72,9 @@
   return sum(&ExcludedHost, Included, Now);
 }
 
-std::size_t LoadAggregator::hosts(TimePoint Now, Scope Included) const {
-  std::size_t Count = 0;
-  for (const auto &[Host, Report] : Entries)
-    if (isCurrent(Report, Now) && isIn(Included, Report))
-      Count += Report.HostCount;
-  return Count;
-}
-
-std::size_t LoadAggregator::reporters(TimePoint Now) const {
-  return static_cast<std::size_t>(
-      std::count_if(Entries.begin(), Entries.end(), [&](const auto &HostEntry) {
-        return isCurrent(HostEntry.second, Now);
-      }));
-}
-
 void LoadAggregator::advance(TimePoint Now) {
-  std::erase_if(Entries, [&](const auto &HostEntry) {
-    if (isCurrent(HostEntry.second, Now))
-      return false;
-    subtract(HostEntry.second.Loads);
-    return true;
-  });
+  Reports.eraseExpired(
+      Now, [this](const auto &Report) { subtract(Report.Reported); });
 }
 
 } // namespace coltsfoottrail
--- a/packages/request/src/coltsfoottrail/loadshare/board.hpp
+++ b/packages/request/src/coltsfoottrail/loadshare/board.hpp
@@ -6,6 +6,7 @@
 #include "coltsfoottrail/core/name.hpp"
 #include "coltsfoottrail/core/time.hpp"
 #include "coltsfoottrail/loadshare/loads.hpp"
+#include "coltsfoottrail/loadshare/reporters.hpp"
 
 #include <map>
 #include <span>
@@ -21,12 +22,7 @@
 /// independent of the number of reporters.
 class LoadAggregator {
 public:
-  /// @brief Which reporters a sum includes.
-  enum class Scope : std::uint8_t {
-    All,
-    /// Those that report to this host as their relay, and this host.
-    Relayed
-  };
+  using Scope = ReporterScope;
 
   /// A reporter that has not reported for this long is no longer counted: it is
   /// gone or frozen, and its requests end. Several times the report interval.
@@ -54,34 +50,24 @@
 
   /// @brief Number of hosts that the current reports of a scope represent.
   [[nodiscard]] std::size_t hosts(TimePoint Now,
-                                  Scope Included = Scope::All) const;
+                                  Scope Included = Scope::All) const {
+    return Reports.hosts(Now, Included);
+  }
   /// @brief Number of current reporters.
-  [[nodiscard]] std::size_t reporters(TimePoint Now) const;
+  [[nodiscard]] std::size_t reporters(TimePoint Now) const {
+    return Reports.reporters(Now);
+  }
 
   /// @brief Removes reporters whose last report is older than ReportLife.
   void advance(TimePoint Now);
 
 private:
-  struct Entry {
-    std::vector<EndpointLoad> Loads;
-    std::size_t HostCount = 1;
-    TimePoint ReportedAt;
-    Scope ReporterScope = Scope::Relayed;
-  };
-
-  [[nodiscard]] static bool isCurrent(const Entry &Report,
-                                      TimePoint Now) noexcept {
-    return Now - Report.ReportedAt < ReportLife;
-  }
-  [[nodiscard]] static bool isIn(Scope Included, const Entry &Report) noexcept {
-    return Included == Scope::All || Report.ReporterScope == Scope::Relayed;
-  }
   void add(std::span<const EndpointLoad> Loads);
   void subtract(std::span<const EndpointLoad> Loads);
   [[nodiscard]] std::vector<EndpointLoad>
   sum(const HostName *ExcludedHost, Scope Included, TimePoint Now) const;
 
-  std::map<HostName, Entry> Entries;
+  ReporterTable<std::vector<EndpointLoad>> Reports{ReportLife};
   std::map<std::uint64_t, RequestLoad> Sums;
 };
 
