Move engines only for a lack that chance does not explain

With needs that differ by a tenth from second to second, as those of uneven arrivals do, the targets changed three to seven times a minute near full load, most of them there and back. Cause: an average that falls slowly made a short peak look like a lasting lack, and a small lack had to last no longer than a large one.

A lack now has to show in an average that falls as fast as it rises, and has to last the longer the smaller it is, with the square. The average that falls slowly still counts for the model that would lose engines.

Ruled out: a longer average for all, which answers a burst of some seconds too late.

--- a/packages/version/src/coltsfoottrail/division/division.cpp
+++ b/packages/version/src/coltsfoottrail/division/division.cpp
@@ -34,6 +34,15 @@
   return Claim;
 }
 
+/// Whether a model has too few or too many engines for its bounds and would be
+/// brought nearer to them.
+/// @param Margin Engines by which a bound may be missed.
+bool isOutsideBounds(const EngineClaim &Claim, double Margin, double Present,
+                     double Gain) {
+  return (Gain >= Margin && Present <= Claim.Min - Margin) ||
+         (-Gain >= Margin && Present >= Claim.Max + Margin);
+}
+
 double totalNeed(const std::vector<EngineClaim> &Claims) {
   return std::accumulate(
       Claims.begin(), Claims.end(), 0.0,
@@ -115,7 +124,7 @@
   if (Input.IsHeld)
     return DivisionOutcome::Held;
   const Change Proposed = proposal(Input, Now);
-  const bool IsDue = hasLasted(Proposed, Now);
+  const bool IsDue = hasLasted(Proposed, Input.UsableEngines, Now);
   const bool Moves = IsFirst ? Proposed.Reason != Cause::None
                              : IsDue && !isTooSoon(Input, Proposed, Now);
   if (!Moves)
@@ -129,7 +138,7 @@
   std::vector<EngineClaim> Claims;
   for (const ServedModel &Model : Input.Engine.Models) {
     EngineClaim Claim = claimOf(Input, Model);
-    Claim.Needed = neededGroups(Load.adjusted(Model.Name)) * Model.Size;
+    Claim.Needed = neededGroups(Load.adjustedPeak(Model.Name)) * Model.Size;
     Claim.Expected = std::max(
         Claim.Needed, neededGroups(Load.longTerm(Model.Name)) * Model.Size);
     if (!isLevelKnown(Now))
@@ -152,7 +161,7 @@
     return {};
   Change Proposed;
   Proposed.Engines = allocateEngines(Claims, Input.UsableEngines);
-  Proposed.Reason = causeOf(Input, Claims, Proposed.Engines);
+  findCause(Input, Claims, Proposed);
   double LargestGain = 0.0;
   for (std::size_t Index = 0; Index < Claims.size(); ++Index) {
     const ModelName &Name = Input.Engine.Models[Index].Name;
@@ -166,48 +175,73 @@
   return Proposed;
 }
 
-EngineDivision::Cause
-EngineDivision::causeOf(const DivisionInput &Input,
-                        const std::vector<EngineClaim> &Claims,
-                        const std::vector<double> &Engines) const {
+/// The claims with the needs of now instead of those that fall slowly.
+std::vector<EngineClaim>
+EngineDivision::recentClaims(const DivisionInput &Input,
+                             std::vector<EngineClaim> Claims) const {
+  for (std::size_t Index = 0; Index < Claims.size(); ++Index) {
+    const ServedModel &Model = Input.Engine.Models[Index];
+    Claims[Index].Needed =
+        neededGroups(Load.adjustedRecent(Model.Name)) * Model.Size;
+  }
+  return Claims;
+}
+
+void EngineDivision::findCause(const DivisionInput &Input,
+                               const std::vector<EngineClaim> &Claims,
+                               Change &Proposed) const {
   const double OneGroup = smallestGroup(Input.Engine);
   const double Substantial =
       std::max(OneGroup, Times.ShortageFraction * Input.UsableEngines);
+  const double Large = Times.LargeShortage * Input.UsableEngines;
+  const std::vector<EngineClaim> Recent = recentClaims(Input, Claims);
+  const std::vector<double> RecentEngines =
+      allocateEngines(Recent, Input.UsableEngines);
   double Moved = 0.0;
-  bool IsShort = false;
+  double LargestLack = 0.0;
   for (std::size_t Index = 0; Index < Claims.size(); ++Index) {
     const ServedModel &Model = Input.Engine.Models[Index];
-    const EngineClaim &Claim = Claims[Index];
     const double Present = Shares.at(Model.Name) * Input.UsableEngines;
-    const double Gain = Engines[Index] - Present;
-    const double HalfGroup = Model.Size / 2.0;
+    const double Gain = Proposed.Engines[Index] - Present;
     Moved += std::max(0.0, Gain);
-    IsShort = IsShort || (Gain >= Substantial && Present < Claim.Needed) ||
-              (Gain >= HalfGroup && Present <= Claim.Min - HalfGroup) ||
-              (-Gain >= HalfGroup && Present >= Claim.Max + HalfGroup);
+    const double Lack = std::min(
+        {Gain, RecentEngines[Index] - Present, Recent[Index].Needed - Present});
+    if (Lack >= Substantial)
+      LargestLack = std::max(LargestLack, Lack);
+    if (isOutsideBounds(Claims[Index], Model.Size / 2.0, Present, Gain))
+      LargestLack = std::max(LargestLack, Large);
   }
-  if (IsShort)
-    return Cause::Shortage;
-  return Moved >= std::max(OneGroup,
-                           Times.ImbalanceFraction * Input.UsableEngines)
-             ? Cause::Imbalance
-             : Cause::None;
+  Proposed.Lack = LargestLack;
+  if (LargestLack > 0.0)
+    Proposed.Reason = Cause::Shortage;
+  else if (Moved >=
+           std::max(OneGroup, Times.ImbalanceFraction * Input.UsableEngines))
+    Proposed.Reason = Cause::Imbalance;
 }
 
-bool EngineDivision::hasLasted(const Change &Proposed, TimePoint Now) {
-  const auto Follow = [&](std::optional<Streak> &Lasting, bool Holds,
-                          Duration Delay) {
+/// @param Engines Number of usable engines.
+bool EngineDivision::hasLasted(const Change &Proposed, double Engines,
+                               TimePoint Now) {
+  const auto Follow = [&](std::optional<Streak> &Lasting, bool Holds) {
     if (!Holds)
       Lasting.reset();
     else if (!Lasting || Lasting->Gainer != Proposed.Gainer)
-      Lasting = {Proposed.Gainer, Now};
-    return Lasting && Now - Lasting->Since >= Delay;
+      Lasting = Streak{Proposed.Gainer, Now};
+    if (Lasting) {
+      Lasting->TotalLack += Proposed.Lack;
+      ++Lasting->Count;
+    }
   };
-  const bool IsShort =
-      Follow(Shortage, Proposed.Reason == Cause::Shortage, Times.ShortageDelay);
-  const bool IsUneven =
-      Follow(Imbalance, Proposed.Reason != Cause::None, Times.ImbalanceDelay);
-  return IsShort || IsUneven;
+  Follow(Shortage, Proposed.Reason == Cause::Shortage);
+  Follow(Imbalance, Proposed.Reason != Cause::None);
+  if (Imbalance && Now - Imbalance->Since >= Times.ImbalanceDelay)
+    return true;
+  if (!Shortage)
+    return false;
+  const double MeanLack = Shortage->TotalLack / Shortage->Count;
+  const double Smallness =
+      std::max(1.0, Times.LargeShortage * Engines / MeanLack);
+  return Now - Shortage->Since >= Times.ShortageDelay * (Smallness * Smallness);
 }
 
 bool EngineDivision::isTooSoon(const DivisionInput &Input,
--- a/packages/version/src/coltsfoottrail/division/division.hpp
+++ b/packages/version/src/coltsfoottrail/division/division.hpp
@@ -22,9 +22,13 @@
   /// LoadAverages::LevelTime. Until the latter, ranks do not count: a lasting
   /// shortage is not told from the crest of a wave.
   Duration KnownAfter = seconds(3);
-  /// How long a model must lack engines that it would get.
+  /// How long a model must lack LargeShortage of the engines, which it would
+  /// get. A lack of half the size must last four times as long: the mean of
+  /// uneven arrivals over a time differs from the truth by chance, by half as
+  /// much over four times the time.
   Duration ShortageDelay = milliseconds(1'000);
-  /// How long headroom must be uneven while no model lacks engines.
+  double LargeShortage = 0.1;
+  /// How long headroom must be uneven; no lack has to last longer.
   Duration ImbalanceDelay = seconds(10);
   /// Minimum time between two changes.
   Duration MinInterval = seconds(2);
@@ -79,10 +83,10 @@
 /// answer what is shorter, nor work that rises and falls for all models alike.
 ///
 /// A change is taken if it moves at least one group of the model with the
-/// smallest groups, and ShortageFraction of the engines to a model that has
-/// fewer than it needs (ShortageDelay), or ImbalanceFraction to one that has
-/// less headroom than others (ImbalanceDelay); or if a model has half a group
-/// less or more than its limits allow (ShortageDelay). The first change only
+/// smallest groups, and ShortageFraction of the engines to a model that lacks
+/// them for ShortageDelay or longer, or ImbalanceFraction to one that has less
+/// headroom than others for ImbalanceDelay; or if a model has half a group less
+/// or more than its limits allow for ShortageDelay. The first change only
 /// needs the size: the groups may be those of an earlier coordinator.
 class EngineDivision {
 public:
@@ -111,12 +115,17 @@
     /// Engines by model, in the configuration's order.
     std::vector<double> Engines;
     Cause Reason = Cause::None;
+    /// For Cause::Shortage, engines that a model lacks and would get.
+    double Lack = 0.0;
     /// The model that gains most.
     ModelName Gainer;
   };
   struct Streak {
     ModelName Gainer;
     TimePoint Since;
+    /// Sum and number of the values of Change::Lack.
+    double TotalLack = 0.0;
+    int Count = 0;
   };
   struct LastMove {
     TimePoint At;
@@ -136,10 +145,14 @@
                                    TimePoint Now) const;
   [[nodiscard]] Change proposal(const DivisionInput &Input,
                                 TimePoint Now) const;
-  [[nodiscard]] Cause causeOf(const DivisionInput &Input,
-                              const std::vector<EngineClaim> &Claims,
-                              const std::vector<double> &Engines) const;
-  [[nodiscard]] bool hasLasted(const Change &Proposed, TimePoint Now);
+  [[nodiscard]] std::vector<EngineClaim>
+  recentClaims(const DivisionInput &Input,
+               std::vector<EngineClaim> Claims) const;
+  void findCause(const DivisionInput &Input,
+                 const std::vector<EngineClaim> &Claims,
+                 Change &Proposed) const;
+  [[nodiscard]] bool hasLasted(const Change &Proposed, double Engines,
+                               TimePoint Now);
   [[nodiscard]] bool isTooSoon(const DivisionInput &Input,
                                const Change &Proposed, TimePoint Now) const;
   void apply(const DivisionInput &Input, const Change &Proposed, TimePoint Now);
--- a/packages/version/src/coltsfoottrail/division/offeredload.cpp
+++ b/packages/version/src/coltsfoottrail/division/offeredload.cpp
@@ -31,10 +31,13 @@
     LongWeight = IsFirst ? 1.0 : Seconds(Elapsed) / Seconds(Known);
   for (const auto &[Model, Value] : Work) {
     Average &Entry = Models[Model];
-    const Duration RecentTime =
-        Value > Entry.Recent ? Times.RiseTime : Times.DecayTime;
-    const double RecentWeight = IsFirst ? 1.0 : weightOf(Elapsed, RecentTime);
+    const double RecentWeight =
+        IsFirst ? 1.0 : weightOf(Elapsed, Times.RecentTime);
+    const double FallWeight =
+        IsFirst ? 1.0 : weightOf(Elapsed, Times.DecayTime);
     Entry.Recent = std::lerp(Entry.Recent, Value, RecentWeight);
+    Entry.Peak =
+        std::max(Entry.Recent, std::lerp(Entry.Peak, Value, FallWeight));
     Entry.Smoothed = std::lerp(Entry.Smoothed, Value, LongWeight);
     Entry.Long = IsMean ? Entry.Smoothed
                         : std::lerp(Entry.Long, Entry.Smoothed, LongWeight);
@@ -51,13 +54,19 @@
   return It == Models.end() ? 0.0 : It->second.Long;
 }
 
-double OfferedLoad::commonFactor() const {
+double OfferedLoad::adjusted(const ModelName &Model,
+                             double Average::*Member) const {
+  const auto It = Models.find(Model);
+  return It == Models.end() ? 0.0 : It->second.*Member / commonFactor(Member);
+}
+
+double OfferedLoad::commonFactor(double Average::*Member) const {
   std::optional<double> Lowest;
   std::optional<double> Highest;
   for (const auto &[Model, Entry] : Models) {
-    if (Entry.Long <= 0.0 || Entry.Recent <= 0.0)
+    if (Entry.Long <= 0.0 || Entry.*Member <= 0.0)
       continue;
-    const double Ratio = Entry.Recent / Entry.Long;
+    const double Ratio = Entry.*Member / Entry.Long;
     Lowest = std::min(Lowest.value_or(Ratio), Ratio);
     Highest = std::max(Highest.value_or(Ratio), Ratio);
   }
--- a/packages/version/test/coltsfoottrail/division/division.cpp
+++ b/packages/version/test/coltsfoottrail/division/division.cpp
@@ -186,6 +186,34 @@
   }
 }
 
+// Guards against groups that are closed because of chance: arrivals are uneven,
+// and each change costs a load.
+TEST(EngineDivision, UnevenArrivalsMoveLittle) {
+  struct Case {
+    double Level;
+    std::size_t MaxChanges;
+  };
+  constexpr Duration Span = seconds(240);
+  for (const Case &Each :
+       {Case{8.0, 0}, Case{11.0, std::size_t(Span / (2 * LoadTime))}}) {
+    Trial Test;
+    std::mt19937 Random(11);
+    std::normal_distribution<double> Deviation(0.0, 0.1);
+    double BigNoise = 0.0;
+    double SmallNoise = 0.0;
+    Test.run(Span, [&](double) {
+      // As of rates that are averaged over a second.
+      BigNoise = 0.6 * BigNoise + 0.8 * Deviation(Random);
+      SmallNoise = 0.6 * SmallNoise + 0.8 * Deviation(Random);
+      return Moment{.Big = Each.Level * (1.0 + BigNoise),
+                    .Small = Each.Level * (1.0 + SmallNoise),
+                    .SmallRank = 1};
+    });
+    EXPECT_LE(Test.Changes.size(), Each.MaxChanges);
+    EXPECT_GE(Test.shortestReturn(), DivisionTimes{}.MinStay);
+  }
+}
+
 // Guards against a model that lacks a third of its groups for the whole of a
 // burst while another has groups to spare.
 TEST(EngineDivision, BurstGetsGroupsBeforeItIsOver) {
--- a/packages/version/test/coltsfoottrail/division/offeredload.cpp
+++ b/packages/version/test/coltsfoottrail/division/offeredload.cpp
@@ -17,21 +17,23 @@
   OfferedLoad Load{{}};
   Load.record({{Big, 10.0}, {Small, 4.0}}, Start);
   EXPECT_DOUBLE_EQ(Load.recent(Big), 10.0);
-  EXPECT_DOUBLE_EQ(Load.adjusted(Small), 4.0);
+  EXPECT_DOUBLE_EQ(Load.adjustedPeak(Small), 4.0);
   EXPECT_EQ(Load.recent(ModelName("other")), 0.0);
 }
 
-TEST(OfferedLoad, RisesFastAndFallsSlowly) {
+TEST(OfferedLoad, RisesFastAndItsPeakFallsSlowly) {
   OfferedLoad Load{{}};
   TimePoint Now = Start;
-  Load.record({{Big, 10.0}}, Now);
+  Load.record({{Big, 10.0}, {Small, 4.0}}, Now);
   for (int Count = 0; Count < 3; ++Count)
-    Load.record({{Big, 20.0}}, Now += Step);
+    Load.record({{Big, 20.0}, {Small, 4.0}}, Now += Step);
   EXPECT_GT(Load.recent(Big), 19.0);
+  EXPECT_GT(Load.adjustedRecent(Big), 19.0);
   // A moment without callers.
   for (int Count = 0; Count < 3; ++Count)
-    Load.record({{Big, 0.0}}, Now += Step);
-  EXPECT_GT(Load.recent(Big), 10.0);
+    Load.record({{Big, 0.0}, {Small, 4.0}}, Now += Step);
+  EXPECT_LT(Load.adjustedRecent(Big), 2.0);
+  EXPECT_GT(Load.adjustedPeak(Big), 10.0);
 }
 
 TEST(OfferedLoad, FactorCommonToAllIsLeftOut) {
@@ -41,9 +43,9 @@
     const double Factor = 1.0 + 0.55 * std::sin(Phase);
     Load.record({{Big, 10.0 * Factor}, {Small, 4.0 * Factor}},
                 Start + Step * Count);
-    EXPECT_NEAR(Load.adjusted(Big) / Load.adjusted(Small), 2.5, 1e-9);
+    EXPECT_NEAR(Load.adjustedPeak(Big) / Load.adjustedPeak(Small), 2.5, 1e-9);
     if (Start + Step * Count >= Start + LoadAverages{}.LevelTime) {
-      EXPECT_NEAR(Load.adjusted(Big), 10.0, 1.0);
+      EXPECT_NEAR(Load.adjustedPeak(Big), 10.0, 1.0);
     }
   }
 }
@@ -55,8 +57,8 @@
     Load.record({{Big, 10.0}, {Small, 4.0}}, Now += Step);
   for (int Count = 0; Count < 4; ++Count)
     Load.record({{Big, 16.0}, {Small, 4.0}}, Now += Step);
-  EXPECT_GT(Load.adjusted(Big), 15.5);
-  EXPECT_NEAR(Load.adjusted(Small), 4.0, 1e-9);
+  EXPECT_GT(Load.adjustedPeak(Big), 15.5);
+  EXPECT_NEAR(Load.adjustedPeak(Small), 4.0, 1e-9);
 }
 
 // Guards against a model without callers that makes the common factor zero.
@@ -65,8 +67,8 @@
   TimePoint Now = Start;
   for (int Count = 0; Count < 40; ++Count)
     Load.record({{Big, 10.0}, {Small, 0.0}}, Now += Step);
-  EXPECT_NEAR(Load.adjusted(Big), 10.0, 1e-9);
-  EXPECT_EQ(Load.adjusted(Small), 0.0);
+  EXPECT_NEAR(Load.adjustedPeak(Big), 10.0, 1e-9);
+  EXPECT_EQ(Load.adjustedPeak(Small), 0.0);
 }
 
 } // namespace
