Let the coordinator divide engines by the demand, switched off by default

Callers of a model that is asked for more than the configuration foresaw were late while another model had groups to spare.

With follow_demand the coordinator translates the sums of the demand into needs by model, updates the division of each service twice a second, and hands its targets to the assembly, which takes them in place of the configured shares. Sums that are old or lack more than a tenth of the hosts move nothing, nor does a coordinator that has not yet heard from all; nothing is converted while the division is held. Operators see event 1540 and the metrics coltsfoottrail_division_*.

Without the setting the demand is not asked for and groups are formed as before.

The number of entry hosts comes from a function beside that of the demand (onHostCount), since the sum only knows those that it includes.

Not run with a fleet.

--- a/packages/process/src/coltsfoottrail/fleethost/groupcoordinator.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/groupcoordinator.cpp
@@ -167,6 +167,7 @@
     logEvent(Event::DutyGained, {{"fence", Term.fence()}});
     for (auto &[Name, ServiceAssembler] : Assemblers)
       ServiceAssembler.begin(Now);
+    Divisions.begin(Now);
   } else
     logEvent(Event::DutyLost, {{"generation", Term.generation()}});
   if (OnDutyChange)
@@ -200,8 +201,9 @@
       It = Assemblers.emplace(Service.Name, Assembler(Times)).first;
       It->second.begin(Now);
     }
-    const AssemblyView Snapshot{View.endpoints(), Service,    View.drained(),
-                                Term.fence(),     HasCallers, freeOrders()};
+    AssemblyView Snapshot{View.endpoints(), Service,    View.drained(),
+                          Term.fence(),     HasCallers, freeOrders()};
+    followDemand(Snapshot, Now);
     for (SeatCommand &Command : It->second.plan(Snapshot, Now)) {
       if (OnSeatOrders && !std::holds_alternative<StageModel>(Command.Order))
         OnSeatOrders();
@@ -222,6 +224,17 @@
   logGroupNotes();
 }
 
+void GroupCoordinator::followDemand(AssemblyView &Snapshot, TimePoint Now) {
+  const ServiceName &Service = Snapshot.Service.Name;
+  if (Divisions.isDue(Service, Now)) {
+    const DemandSum Sum = DemandSource ? DemandSource(Now) : DemandSum{};
+    const std::size_t KnownHosts = HostCount ? HostCount(Now) : 0;
+    DivisionLog.log(Service, Divisions.update(Snapshot, Sum, KnownHosts, Now),
+                    Now);
+  }
+  Divisions.applyTo(Snapshot);
+}
+
 std::size_t GroupCoordinator::freeOrders() const noexcept {
   return Timing.MaxOrdersInFlight -
          std::min(Timing.MaxOrdersInFlight, OrdersInFlight);
--- a/packages/process/src/coltsfoottrail/fleethost/groupcoordinator.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/groupcoordinator.hpp
@@ -8,7 +8,9 @@
 #include "coltsfoottrail/boundary/engines.hpp"
 #include "coltsfoottrail/boundary/store.hpp"
 #include "coltsfoottrail/fleethost/candidacy.hpp"
+#include "coltsfoottrail/fleethost/divisionreport.hpp"
 #include "coltsfoottrail/fleethost/dutyterm.hpp"
+#include "coltsfoottrail/fleethost/servicedivisions.hpp"
 #include "coltsfoottrail/fleethost/view.hpp"
 #include "coltsfoottrail/reach/tracker.hpp"
 #include "coltsfoottrail/silence/silencewatch.hpp"
@@ -130,6 +132,24 @@
   void onDuty(std::function<void(bool)> Callback) {
     OnDutyChange = std::move(Callback);
   }
+  /// @brief Sets how the engines are divided among the models of a service. The
+  /// division follows the shares of the configuration until this is called.
+  void setDivision(const EngineSettings &Chosen) { Divisions.set(Chosen); }
+  /// @brief Sets a function that returns the demand over all entry hosts.
+  void onDemand(std::function<DemandSum(TimePoint)> Source) {
+    DemandSource = std::move(Source);
+  }
+  /// @brief Sets a function that returns the number of entry hosts; zero if it
+  /// is unknown. The division stays as it is until this is called.
+  void onHostCount(std::function<std::size_t(TimePoint)> Source) {
+    HostCount = std::move(Source);
+  }
+  /// @brief Appends the metrics of the division while this host holds the
+  /// lease.
+  void appendMetrics(std::string &Output, TimePoint Now) const {
+    if (holds(Now))
+      DivisionReport::appendTo(Output, Divisions);
+  }
 
 private:
   struct ProbeRound;
@@ -143,6 +163,7 @@
   [[nodiscard]] Awaitable<void> execute(SeatCommand Command,
                                         std::uint64_t Fence);
   [[nodiscard]] std::size_t freeOrders() const noexcept;
+  void followDemand(AssemblyView &Snapshot, TimePoint Now);
   void logGroupNotes();
   void logSummary(const Assembler &ServiceAssembler,
                   const AssemblyView &Snapshot, TimePoint Now);
@@ -181,6 +202,10 @@
   std::map<std::string, TimePoint> NextProbeAt;
   std::function<void(bool)> OnDutyChange;
   std::function<void()> OnSeatOrders;
+  ServiceDivisions Divisions;
+  DivisionReport DivisionLog;
+  std::function<DemandSum(TimePoint)> DemandSource;
+  std::function<std::size_t(TimePoint)> HostCount;
   std::optional<boost::asio::any_io_executor> Executor;
   /// Timer of the pause before the next renewal.
   std::optional<boost::asio::steady_timer> RenewalTimer;
--- a/packages/process/src/coltsfoottrail/fleethost/host.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/host.cpp
@@ -255,6 +255,8 @@
     }
     Endpoints.setSpacing(Holds ? CoordinatorSpacing : followerSpacing());
   });
+  Coordinator.setDivision(Settings.Engines);
+  Coordinator.onHostCount([this](TimePoint Now) { return Link.hosts(Now); });
   Coordinator.onOrders([this] {
     SeatChangesUntil = BootClock::now() + SeatChangeTime;
     Endpoints.setSpacing(SeatChangeSpacing);
@@ -531,6 +533,7 @@
   RetryReport::appendTo(Text, Routing.retryTallies());
   RateLimitReport::appendTo(Text, Routing.rateLimits());
   Proxy.metrics().appendTo(Text);
+  Coordinator.appendMetrics(Text, Now);
   return Text;
 }
 
--- a/packages/process/src/coltsfoottrail/logging/event.cpp
+++ b/packages/process/src/coltsfoottrail/logging/event.cpp
@@ -182,6 +182,9 @@
      "public routes."},
     {Event::ConfigFresh, LogLevel::Info, "config-fresh",
      "The configuration is proved again."},
+    {Event::Division, LogLevel::Info, "division",
+     "Which part of the engines a model is to have, when it changes and every "
+     "few seconds."},
     {Event::SpansDropped, LogLevel::Warn, "spans-dropped",
      "Spans were dropped because the trace file is slow."},
     {Event::InternalError, LogLevel::Error, "internal-error",
--- a/packages/process/src/coltsfoottrail/logging/event.hpp
+++ b/packages/process/src/coltsfoottrail/logging/event.hpp
@@ -98,6 +98,7 @@
   EntryUnreadable = 1535,
   ConfigStale = 1536,
   ConfigFresh = 1537,
+  Division = 1540,
   SpansDropped = 1601,
   InternalError = 1901,
 };
--- a/packages/version/src/coltsfoottrail/assembly/formation.cpp
+++ b/packages/version/src/coltsfoottrail/assembly/formation.cpp
@@ -27,6 +27,14 @@
   return contains(Record.Staged, Model) ? JoinCost::Staged : JoinCost::Load;
 }
 
+/// Fraction of the engines that a model is to have.
+double shareOf(const AssemblyView &View, const ServedModel &Model) {
+  if (View.Targets == nullptr)
+    return Model.Share;
+  const auto It = View.Targets->find(Model.Name);
+  return It == View.Targets->end() ? Model.Share : It->second.Share;
+}
+
 } // namespace
 
 bool Assembler::isFree(const PlanContext &Context,
@@ -101,7 +109,8 @@
   for (const ServedModel &Model : Context.Engine.Models) {
     // Where models mix, large groups are formed first, and the fraction left
     // over from the last incomplete one goes to the small groups.
-    const double WantedGroups = Totals.Usable * Model.Share / Model.Size;
+    const double WantedGroups =
+        Totals.Usable * shareOf(Context.View, Model) / Model.Size;
     const double WantedCount =
         std::max(1.0, Totals.MixesModels ? std::floor(WantedGroups)
                                          : std::ceil(WantedGroups));
