--- a/packages/process/src/coltsfoottrail/fleethost/host.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/host.cpp
@@ -258,6 +258,8 @@
     }
     Endpoints.setSpacing(Holds ? CoordinatorSpacing : followerSpacing());
   });
+  Coordinator.setDivision(Settings.Engines);
+  Coordinator.onHostCount([this](TimePoint Now) { return Link.hosts(Now); });
   Coordinator.onOrders([this] {
     SeatChangesUntil = BootClock::now() + SeatChangeTime;
     Endpoints.setSpacing(SeatChangeSpacing);
@@ -561,6 +563,7 @@
   if (Demand)
     appendDemandMetrics(Text, Demand->rows(Now), poolNames());
   Proxy.metrics().appendTo(Text);
+  Coordinator.appendMetrics(Text, Now);
   return Text;
 }
 
--- a/packages/version/src/coltsfoottrail/division/division.hpp
+++ b/packages/version/src/coltsfoottrail/division/division.hpp
@@ -22,19 +22,23 @@
   /// LoadAverages::LevelTime. Until the latter, ranks do not count: a lasting
   /// shortage is not told from the crest of a wave.
   Duration KnownAfter = seconds(3);
-  /// How long a model must lack engines that it would get.
+  /// How long a model must lack LargeShortage of the engines, which it would
+  /// get. A lack of half the size must last four times as long: the mean of
+  /// uneven arrivals over a time differs from the truth by chance, by half as
+  /// much over four times the time.
   Duration ShortageDelay = milliseconds(1'000);
-  /// How long headroom must be uneven while no model lacks engines.
+  double LargeShortage = 0.1;
+  /// How long headroom must be uneven; no lack has to last longer.
   Duration ImbalanceDelay = seconds(4);
   /// Minimum time between two changes.
   Duration MinInterval = seconds(2);
   /// Minimum time between a change of a model's share and one back: a warm
   /// join each way and time to serve in between.
   Duration MinStay = seconds(6);
-  /// Least part of the engines that a change must move if a model lacks
-  /// engines, in addition to half a group of that model; and if headroom is
-  /// uneven, in addition to one group of the model with the smallest groups.
-  double ShortageFraction = 0.0125;
+  /// Least part of the engines that a change must move, in addition to one
+  /// group of the model with the smallest groups: if a model lacks engines, and
+  /// if headroom is uneven.
+  double ShortageFraction = 0.025;
   double ImbalanceFraction = 0.075;
   /// Headroom of models with callers of the most urgent rank, relative to that
   /// of others: the urgent cannot wait until engines have changed over.
@@ -81,12 +85,12 @@
 /// engines are lost so that not all work can be served in time. It does not
 /// answer what is shorter, nor work that rises and falls for all models alike.
 ///
-/// A change is taken if it moves half a group and ShortageFraction of the
-/// engines to a model that has fewer than it needs (ShortageDelay); or one
-/// group of the model with the smallest groups and ImbalanceFraction to a model
-/// that has less headroom than others (ImbalanceDelay); or if a model has half
-/// a group less or more than its limits allow (ShortageDelay). The first change
-/// only needs the size: the groups may be those of an earlier coordinator.
+/// A change is taken if it moves at least one group of the model with the
+/// smallest groups, and ShortageFraction of the engines to a model that lacks
+/// them for ShortageDelay or longer, or ImbalanceFraction to one that has less
+/// headroom than others for ImbalanceDelay; or if a model has half a group less
+/// or more than its limits allow for ShortageDelay. The first change only
+/// needs the size: the groups may be those of an earlier coordinator.
 class EngineDivision {
 public:
   /// @brief Starts with the shares of the configuration.
@@ -114,12 +118,17 @@
     /// Engines by model, in the configuration's order.
     std::vector<double> Engines;
     Cause Reason = Cause::None;
+    /// For Cause::Shortage, engines that a model lacks and would get.
+    double Lack = 0.0;
     /// The model that gains most.
     ModelName Gainer;
   };
   struct Streak {
     ModelName Gainer;
     TimePoint Since;
+    /// Sum and number of the values of Change::Lack.
+    double TotalLack = 0.0;
+    int Count = 0;
   };
   struct LastMove {
     TimePoint At;
@@ -139,10 +148,14 @@
                                    TimePoint Now) const;
   [[nodiscard]] Change proposal(const DivisionInput &Input,
                                 TimePoint Now) const;
-  [[nodiscard]] Cause causeOf(const DivisionInput &Input,
-                              const std::vector<EngineClaim> &Claims,
-                              const std::vector<double> &Engines) const;
-  [[nodiscard]] bool hasLasted(const Change &Proposed, TimePoint Now);
+  [[nodiscard]] std::vector<EngineClaim>
+  recentClaims(const DivisionInput &Input,
+               std::vector<EngineClaim> Claims) const;
+  void findCause(const DivisionInput &Input,
+                 const std::vector<EngineClaim> &Claims,
+                 Change &Proposed) const;
+  [[nodiscard]] bool hasLasted(const Change &Proposed, double Engines,
+                               TimePoint Now);
   [[nodiscard]] bool isTooSoon(const DivisionInput &Input,
                                const Change &Proposed, TimePoint Now) const;
   void apply(const DivisionInput &Input, const Change &Proposed, TimePoint Now);
