--- a/packages/version/src/coltsfoottrail/assembly/assembler.hpp
+++ b/packages/version/src/coltsfoottrail/assembly/assembler.hpp
@@ -56,7 +56,8 @@
   /// Interval between two reads of an engine's status, which lags by some
   /// hundred milliseconds.
   Duration StatusReadInterval = milliseconds(300);
-  /// A conversion whose group has not been formed within this is given up.
+  /// A conversion whose group has not been formed within this is given up; the
+  /// time during which closed groups finish their requests does not count.
   Duration ConversionTimeout = seconds(8);
   /// Pause after the end of a conversion before the next one in its domain.
   Duration ConversionPause = seconds(6);
@@ -317,8 +318,11 @@
   struct Conversion {
     ModelName Model;
     std::set<GroupEpoch> Closing;
+    /// Members of the closed groups, and groups to be formed.
     std::uint32_t Engines = 0;
-    TimePoint BegunAt;
+    std::uint32_t Gained = 0;
+    /// When it is given up.
+    TimePoint FormBy;
     /// Epoch of the group that was formed of the engines.
     std::optional<GroupEpoch> Formed;
   };
@@ -419,6 +423,9 @@
   /// Ends the conversions whose group serves, is lost, or was not formed in
   /// time.
   void advanceConversions(const PlanContext &Context);
+  /// Whether a group that is closed for a conversion finishes its requests.
+  [[nodiscard]] bool isAnyDraining(const PlanContext &Context,
+                                   const Conversion &State) const;
   void endConversion(const PlanContext &Context, const DomainKey &Domain,
                      const Conversion &Ended, GroupFate Fate,
                      std::string_view Reason);
--- a/packages/version/src/coltsfoottrail/assembly/conversion.cpp
+++ b/packages/version/src/coltsfoottrail/assembly/conversion.cpp
@@ -31,7 +31,6 @@
 struct Option {
   PlannedConversion Conversion;
   CountByModel ClosedByModel;
-  std::uint32_t Gained = 0;
   std::uint32_t Idle = 0;
 };
 
@@ -123,9 +122,9 @@
       raise(ConversionObstacle::TooManyAtOnce);
       return std::nullopt;
     }
-    Candidate.Gained = std::min(Missing, Available / Receiver.Size);
+    Candidate.Conversion.Gained = std::min(Missing, Available / Receiver.Size);
     Candidate.Idle = Domain.Free + Candidate.Conversion.Engines -
-                     Candidate.Gained * Receiver.Size;
+                     Candidate.Conversion.Gained * Receiver.Size;
     return Candidate;
   }
 
@@ -156,7 +155,7 @@
   }
 
   void apply(const ServedModel &Receiver, const Option &Chosen) {
-    Groups[Receiver.Name] += Chosen.Gained;
+    Groups[Receiver.Name] += Chosen.Conversion.Gained;
     for (const auto &[Model, Count] : Chosen.ClosedByModel)
       Groups[Model] -= Count;
     EnginesLeft -= Chosen.Conversion.Engines;
--- a/packages/version/src/coltsfoottrail/assembly/conversion.hpp
+++ b/packages/version/src/coltsfoottrail/assembly/conversion.hpp
@@ -59,6 +59,9 @@
   std::vector<GroupEpoch> Closed;
   /// Members of the closed groups.
   std::uint32_t Engines = 0;
+  /// Groups that can be formed of them and of the free engines, as far as the
+  /// model lacks them.
+  std::uint32_t Gained = 0;
 };
 
 /// Why a model that lacks groups gets none by conversion.
--- a/packages/version/src/coltsfoottrail/assembly/rebalance.cpp
+++ b/packages/version/src/coltsfoottrail/assembly/rebalance.cpp
@@ -31,7 +31,9 @@
 
 void Assembler::advanceConversions(const PlanContext &Context) {
   for (auto Entry = Conversions.begin(); Entry != Conversions.end();) {
-    const auto &[Domain, State] = *Entry;
+    auto &[Domain, State] = *Entry;
+    if (isAnyDraining(Context, State))
+      State.FormBy = Context.Now + Times.ConversionTimeout;
     const auto Formed =
         State.Formed ? Groups.find(*State.Formed) : Groups.end();
     if (Formed != Groups.end() && Formed->second.WasOpen)
@@ -41,8 +43,7 @@
       endConversion(Context, Domain, State, GroupFate::ConversionGivenUp,
                     "the new group was lost before it served");
     else if (!State.Formed &&
-             (Context.Now >= State.BegunAt + Times.ConversionTimeout ||
-              !Context.converts()))
+             (Context.Now >= State.FormBy || !Context.converts()))
       endConversion(Context, Domain, State, GroupFate::ConversionGivenUp,
                     "no group could be formed in time");
     else {
@@ -53,6 +54,21 @@
   }
 }
 
+bool Assembler::isAnyDraining(const PlanContext &Context,
+                              const Conversion &State) const {
+  return std::any_of(
+      State.Closing.begin(), State.Closing.end(), [&](GroupEpoch Epoch) {
+        const auto Group = Groups.find(Epoch);
+        if (Group == Groups.end())
+          return false;
+        const KnownEndpoint *const Leader =
+            Context.View.Endpoints.find(Group->second.Members.front().Name);
+        return Leader != nullptr && Leader->Record.Seat &&
+               Leader->Record.Seat->Epoch == Epoch &&
+               Leader->Record.Seat->Phase == SeatPhase::Closing;
+      });
+}
+
 void Assembler::endConversion(const PlanContext &Context,
                               const DomainKey &Domain, const Conversion &Ended,
                               GroupFate Fate, std::string_view Reason) {
@@ -267,7 +283,7 @@
   for (const auto &[Key, State] : Conversions) {
     Converting += State.Engines;
     if (!State.Formed)
-      ++Input.Groups[State.Model];
+      Input.Groups[State.Model] += State.Gained;
   }
   const auto Limit = std::uint32_t(Totals.Usable * MaxConvertingFraction);
   const bool IsAnyInProgress = Converting > 0;
@@ -294,7 +310,12 @@
 
 void Assembler::beginConversion(PlanContext &Context, const DomainKey &Domain,
                                 const PlannedConversion &Planned) {
-  Conversion State{Planned.Model, {}, Planned.Engines, Context.Now, {}};
+  Conversion State{Planned.Model,
+                   {},
+                   Planned.Engines,
+                   Planned.Gained,
+                   Context.Now + Times.ConversionTimeout,
+                   {}};
   for (const GroupEpoch Epoch : Planned.Closed) {
     GroupState &Group = Groups.at(Epoch);
     Group.Converts = true;
--- a/packages/version/test/coltsfoottrail/assembly/rebalance.cpp
+++ b/packages/version/test/coltsfoottrail/assembly/rebalance.cpp
@@ -127,7 +127,7 @@
 
 // Guards against groups that idle while the other model lacks groups.
 TEST(Conversion, IdleGroupsServeTheModelThatLacksGroups) {
-  for (const int Domains : {3, 4, 6}) {
+  for (const int Domains : {3, 4, 6, 18}) {
     TimedFleet Fleet({12, 6});
     Fleet.setShare(0.9);
     for (int Domain = 0; Domain < Domains; ++Domain)
@@ -142,6 +142,8 @@
              Fleet.serving("small") >= Small + 4;
     });
     EXPECT_LE(Took, MaxRebalanceTime) << Domains << " domains";
+    Fleet.run(seconds(20));
+    EXPECT_EQ(Fleet.serving("big"), Large - 2) << Domains << " domains";
     std::cout << "took " << inSeconds(Took) << "\n";
     Fleet.expectRulesKept();
   }
@@ -358,6 +360,113 @@
   Fleet.expectRulesKept();
 }
 
+// Guards against a closed group that nobody opens again when its engines cannot
+// serve the other model after all.
+TEST(Conversion, GroupThatIsNotNeededIsOpenedAgain) {
+  TimedFleet Fleet = aboutToConvert();
+  const std::size_t Large = Fleet.serving("big");
+  Fleet.DrainTime = [] { return seconds(20); };
+  Fleet.setShare(0.45);
+  Fleet.run(seconds(10));
+  EXPECT_LT(Fleet.serving("big"), Large);
+  Fleet.Targets.reset();
+  Fleet.run(seconds(10) + MaxHalfMadeTime);
+  EXPECT_EQ(Fleet.serving("big"), Large);
+  EXPECT_GT(Fleet.Fates[GroupFate::ConversionGivenUp], 0);
+  EXPECT_EQ(Fleet.Fates[GroupFate::ConversionFinished], 0);
+  EXPECT_EQ(Fleet.halfMade(), 0U);
+  Fleet.expectRulesKept();
+}
+
+// Guards against requests that are cut off because their group is closed for
+// another model: it finishes them, for however long.
+TEST(Conversion, ClosedGroupsFinishTheirRequests) {
+  TimedFleet Fleet = aboutToConvert();
+  Fleet.DrainTime = [] { return seconds(20); };
+  int Evictions = 0;
+  Fleet.FateOf = [&](const SeatCommand &Command) -> OrderFate {
+    const auto *const Close = std::get_if<CloseSeat>(&Command.Order);
+    Evictions += Close != nullptr && Close->Evict ? 1 : 0;
+    return {};
+  };
+  Fleet.setShare(0.45);
+  Fleet.run(seconds(70));
+  EXPECT_EQ(Evictions, 0);
+  EXPECT_EQ(Fleet.serving("big"), 3U);
+  EXPECT_EQ(Fleet.Fates[GroupFate::ConversionGivenUp], 0);
+  Fleet.expectRulesKept();
+}
+
+// Guards against a group that waits for a load although its member has the
+// model: staging the other model must not cost a survivor its place.
+TEST(Conversion, SurvivorsRejoinAtOnceBesideAnotherStagedModel) {
+  TimedFleet Fleet({8, 2});
+  Fleet.setShare(0.67);
+  Fleet.addDomain("north", "n0", 14);
+  Fleet.start();
+  const std::vector<EndpointName> Members =
+      Fleet.membersOf(Fleet.leaderOf("big"));
+  for (const EndpointName &Member : Members)
+    ASSERT_EQ(Fleet.Records.at(Member).Staged,
+              std::vector<ModelName>{ModelName("small")});
+  Fleet.removeEngine(Members.back());
+  const Duration Took =
+      runUntil(Fleet, seconds(30), [&] { return Fleet.serving("big") == 1; });
+  EXPECT_LE(Took, MaxRebalanceTime);
+  EXPECT_EQ(Fleet.begun(), 0) << "a spare holds the model";
+  Fleet.expectRulesKept();
+}
+
+// Guards against loads of second models that delay those of engines without
+// weights, and against second models that are never staged.
+TEST(Conversion, EmptyEnginesLoadBeforeSecondModels) {
+  TimedFleet Fleet({8, 2});
+  addDomains(Fleet);
+  Fleet.StagesAhead = false;
+  Fleet.start();
+  Fleet.StagesAhead = true;
+  Fleet.RecordDelay = nullptr;
+  for (int Index = 0; Index < 4; ++Index)
+    Fleet.add("d0-late" + std::to_string(Index), "dc0", "d0");
+  std::set<EndpointName> Loading;
+  Fleet.FateOf = [&](const SeatCommand &Command) -> OrderFate {
+    if (std::holds_alternative<StageModel>(Command.Order))
+      Loading.insert(Command.To);
+    return {};
+  };
+  Fleet.run(seconds(1));
+  for (int Index = 0; Index < 4; ++Index)
+    EXPECT_TRUE(
+        Loading.contains(EndpointName("d0-late" + std::to_string(Index))));
+  EXPECT_EQ(Loading.size(), 4U) << "two places are kept for losses";
+  Fleet.run(seconds(60));
+  EXPECT_GT(Loading.size(), 8U);
+  Fleet.expectRulesKept();
+}
+
+// Guards against operators who do not see why engines do not change their
+// model, and which engines could.
+TEST(Conversion, ReportsObstaclesAndSecondModels) {
+  TimedFleet Fleet({12, 6});
+  Fleet.setShare(0.9);
+  Fleet.addDomain("north", "n0", 27);
+  Fleet.StagesAhead = false;
+  Fleet.start();
+  const int Before = Fleet.Fates[GroupFate::ConversionNotBegun];
+  Fleet.setShare(0.1);
+  Fleet.run(seconds(3));
+  EXPECT_EQ(Fleet.begun(), 0);
+  EXPECT_EQ(Fleet.Fates[GroupFate::ConversionNotBegun], Before + 1)
+      << "reported once";
+  Fleet.StagesAhead = true;
+  Fleet.run(seconds(40));
+  const AssemblyView View{Fleet.Catalogue, Fleet.Service, Fleet.Drained,
+                          Fleet.Fence, true};
+  const auto Summary = Fleet.GroupAssembler.summary(View, Fleet.Now);
+  ASSERT_EQ(Summary.size(), 1U);
+  EXPECT_GT(Summary.front().SecondByModel.at(ModelName("small")), 0U);
+}
+
 } // namespace
 
 } // namespace coltsfoottrail::test
--- a/packages/version/test/coltsfoottrail/assembly/simulation.cpp
+++ b/packages/version/test/coltsfoottrail/assembly/simulation.cpp
@@ -13,9 +13,10 @@
 /// @brief One play, determined by its seed.
 class Play {
 public:
-  explicit Play(std::uint64_t Seed) : Draw(Seed), StatusDraw(Seed) {
-    Fleet.addDomain("north", "n0", 9);
-    Fleet.addDomain("south", "s0", 6);
+  explicit Play(std::uint64_t Seed, int North = 9, int South = 6)
+      : Draw(Seed), StatusDraw(Seed) {
+    Fleet.addDomain("north", "n0", North);
+    Fleet.addDomain("south", "s0", South);
     Fleet.StallTime = seconds(2);
     Fleet.Traces = true;
     Fleet.RecordDelay = [this] { return milliseconds(pick(1, 4) * 100); };
@@ -29,8 +30,10 @@
   Play &operator=(const Play &) = delete;
 
   /// Sets targets that change in the play; engines take their time.
-  void useTargets() {
+  void useTargets(std::uint32_t LargeSize = 4, std::uint32_t SmallSize = 3) {
     ChangesTargets = true;
+    Fleet.Service.Engine->Models[0].Size = LargeSize;
+    Fleet.Service.Engine->Models[1].Size = SmallSize;
     Fleet.RealTimes = true;
     Fleet.ConvertsGroups = true;
     Fleet.StagesAhead = true;
@@ -157,10 +160,14 @@
     for (const auto &[Name, Record] : Fleet.Records)
       Names.push_back(Name);
     std::shuffle(Names.begin(), Names.end(), Draw);
-    for (const EndpointName &Name : Names) {
-      if (Fleet.Records.contains(Name))
-        Fleet.publish(Name);
-      Fleet.run(milliseconds(100));
+    // The platform promises them back within two seconds.
+    constexpr std::size_t MaxSteps = 15;
+    const std::size_t InAStep = (Names.size() + MaxSteps - 1) / MaxSteps;
+    for (std::size_t Index = 0; Index < Names.size(); ++Index) {
+      if (Fleet.Records.contains(Names[Index]))
+        Fleet.publish(Names[Index]);
+      if ((Index + 1) % InAStep == 0 || Index + 1 == Names.size())
+        Fleet.run(milliseconds(100));
     }
     Fleet.run(seconds(1));
     Fleet.Catalogue.advance(Fleet.Now);
@@ -246,27 +253,57 @@
 
 constexpr std::uint64_t TargetSeeds = 300;
 
-// Guards against an engine that serves two groups at once, a group that serves
-// before its members are ready, and loads beyond the store's limit, while
-// targets change, groups are converted, and orders are late or lost.
-TEST(AssemblySimulation, ConversionsKeepTheRulesOfGroups) {
-  int Begun = 0;
-  int Finished = 0;
-  for (std::uint64_t Seed = 1; Seed <= TargetSeeds; ++Seed) {
-    Play Run(Seed);
-    Run.useTargets();
+/// Plays with targets that change.
+class TargetPlays {
+public:
+  /// Plays a seed and expects that the rules on groups and loads are kept.
+  void play(Play &Run, std::uint64_t Seed) {
     Run.run(seconds(60));
     EXPECT_EQ(Run.Fleet.JoinedWhileOpen, 0) << "seed " << Seed << "\n"
                                             << Run.Fleet.Trace;
     EXPECT_EQ(Run.Fleet.OpenedUnready, 0) << "seed " << Seed;
-    EXPECT_LE(Run.Fleet.mostLoadsIn(LoadPacer::Window), 22U + 3U)
+    EXPECT_LE(Run.Fleet.mostLoadsIn(LoadPacer::Window), MaxLoads)
         << "seed " << Seed;
     Begun += Run.Fleet.Fates[GroupFate::ConversionBegun];
     Finished += Run.Fleet.Fates[GroupFate::ConversionFinished];
   }
-  std::cout << "conversions begun " << Begun << ", finished " << Finished
-            << "\n";
-  EXPECT_GT(Finished, 0);
+
+  int Begun = 0;
+  int Finished = 0;
+
+private:
+  /// Loads that may begin within five seconds at 4.5 a second, and three.
+  static constexpr std::size_t MaxLoads = 22 + 3;
+};
+
+// Guards against an engine that serves two groups at once, a group that serves
+// before its members are ready, and loads beyond the store's limit, while
+// targets change, groups are converted, and orders are late or lost.
+TEST(AssemblySimulation, ConversionsKeepTheRulesOfGroups) {
+  TargetPlays Plays;
+  for (std::uint64_t Seed = 1; Seed <= TargetSeeds; ++Seed) {
+    Play Run(Seed);
+    Run.useTargets();
+    Plays.play(Run, Seed);
+  }
+  std::cout << "conversions begun " << Plays.Begun << ", finished "
+            << Plays.Finished << "\n";
+  EXPECT_GT(Plays.Finished, 0);
+}
+
+// Guards against the same where several small groups are closed for a large
+// one.
+TEST(AssemblySimulation, ConversionsOfSmallGroupsKeepTheRulesOfGroups) {
+  constexpr std::uint64_t Seeds = 150;
+  TargetPlays Plays;
+  for (std::uint64_t Seed = 1; Seed <= Seeds; ++Seed) {
+    Play Run(Seed, 18, 18);
+    Run.useTargets(8, 2);
+    Plays.play(Run, Seed);
+  }
+  std::cout << "conversions begun " << Plays.Begun << ", finished "
+            << Plays.Finished << "\n";
+  EXPECT_GT(Plays.Finished, 0);
 }
 
 // Guards against groups that stay closed and engines that no group uses: when
