Name the obstacles of conversions, and what successors do with survivors

A domain that has just converted and records that have not settled after an outage of the store are reasons of their own in group-changed, so operators see why a model that lacks groups gets none.

--- a/packages/version/src/coltsfoottrail/assembly/assembler.hpp
+++ b/packages/version/src/coltsfoottrail/assembly/assembler.hpp
@@ -452,9 +452,16 @@
   /// Whether a group can be closed and its members be used elsewhere at once.
   [[nodiscard]] bool isDonor(const PlanContext &Context,
                              const GroupState &Group) const;
-  /// Groups by model that serve or are being formed, with those for which other
-  /// groups are closing.
+  /// Groups by model that serve or are being formed, without those that close
+  /// or have lost a member.
   [[nodiscard]] CountByModel lastingGroups(const PlanContext &Context) const;
+  /// The same with the groups that conversions in progress are to form.
+  [[nodiscard]] CountByModel expectedGroups(const PlanContext &Context) const;
+  /// Limit on the members of further groups that are closed.
+  [[nodiscard]] std::uint32_t convertibleEngines(const PlanContext &Context,
+                                                 const Fleet &Totals) const;
+  /// Adds an event for each obstacle that is new.
+  void reportObstacles(std::map<ModelName, ConversionObstacle> Current);
   /// @return Whether the weights of a model are at hand: the engine can join a
   /// group of it without a load from the shared store.
   [[nodiscard]] static bool holds(const EndpointRecord &Record,
--- a/packages/version/src/coltsfoottrail/assembly/conversion.cpp
+++ b/packages/version/src/coltsfoottrail/assembly/conversion.cpp
@@ -118,6 +118,10 @@
       raise(ConversionObstacle::NoSurplus);
       return std::nullopt;
     }
+    if (Domain.IsPaused) {
+      raise(ConversionObstacle::Paused);
+      return std::nullopt;
+    }
     if (Candidate.Conversion.Engines > EnginesLeft) {
       raise(ConversionObstacle::TooManyAtOnce);
       return std::nullopt;
@@ -182,10 +186,14 @@
     return "no other model has a group to spare";
   case ConversionObstacle::NoWeights:
     return "too few engines of one domain hold the weights";
+  case ConversionObstacle::Paused:
+    return "the domains that could have just converted groups";
   case ConversionObstacle::TooManyAtOnce:
+    return "too many engines are out of service for conversions";
+  case ConversionObstacle::RecordsUnsettled:
     break;
   }
-  return "too many engines are out of service for conversions";
+  return "records may be missing after an outage of the store";
 }
 
 std::uint32_t missingGroups(const ServedModel &Model,
--- a/packages/version/src/coltsfoottrail/assembly/conversion.hpp
+++ b/packages/version/src/coltsfoottrail/assembly/conversion.hpp
@@ -36,6 +36,8 @@
   std::uint32_t Free = 0;
   CountByModel FreeHolding;
   std::vector<DonorGroup> Groups;
+  /// Whether a conversion is in progress or has just ended.
+  bool IsPaused = false;
 };
 
 /// @brief What the choice of conversions depends on.
@@ -70,8 +72,12 @@
   NoWeights,
   /// No other model has a group to spare.
   NoSurplus,
+  /// The domains that could have converted groups a short time ago, or do so.
+  Paused,
   /// Enough engines are out of service for conversions already.
-  TooManyAtOnce
+  TooManyAtOnce,
+  /// Records may be missing or old after an outage of the store.
+  RecordsUnsettled
 };
 
 /// @brief Text of an obstacle for the log. Thread-safe.
--- a/packages/version/src/coltsfoottrail/assembly/rebalance.cpp
+++ b/packages/version/src/coltsfoottrail/assembly/rebalance.cpp
@@ -259,17 +259,17 @@
       Domain->second.FreeHolding[Model.Name] +=
           holds(Endpoint.Record, Model.Name);
   }
-  std::erase_if(Domains, [&](const auto &Entry) {
-    const auto Ended = ConversionsEndedAt.find(Entry.first);
-    return Conversions.contains(Entry.first) ||
-           (Ended != ConversionsEndedAt.end() &&
-            Context.Now < Ended->second + Times.ConversionPause);
-  });
+  for (auto &[Key, Domain] : Domains) {
+    const auto Ended = ConversionsEndedAt.find(Key);
+    Domain.IsPaused = Conversions.contains(Key) ||
+                      (Ended != ConversionsEndedAt.end() &&
+                       Context.Now < Ended->second + Times.ConversionPause);
+  }
   return Domains;
 }
 
 void Assembler::beginConversions(PlanContext &Context, const Fleet &Totals) {
-  if (!Context.converts() || Context.View.Endpoints.isSettling(Context.Now))
+  if (!Context.converts())
     return;
   std::vector<DomainKey> Keys;
   std::vector<ConversionDomain> Domains;
@@ -277,25 +277,44 @@
     Keys.push_back(Key);
     Domains.push_back(std::move(Domain));
   }
-  ConversionInput Input{Context.Engine.Models, *Context.View.Targets,
-                        Totals.Usable, lastingGroups(Context), Domains};
-  std::uint32_t Converting = 0;
-  for (const auto &[Key, State] : Conversions) {
-    Converting += State.Engines;
-    if (!State.Formed)
-      Input.Groups[State.Model] += State.Gained;
+  ConversionPlan Plan = planConversions(
+      {Context.Engine.Models, *Context.View.Targets, Totals.Usable,
+       expectedGroups(Context), Domains, convertibleEngines(Context, Totals)});
+  if (Context.View.Endpoints.isSettling(Context.Now)) {
+    for (const PlannedConversion &Planned : Plan.Conversions)
+      Plan.Obstacles[Planned.Model] = ConversionObstacle::RecordsUnsettled;
+    Plan.Conversions.clear();
   }
-  const auto Limit = std::uint32_t(Totals.Usable * MaxConvertingFraction);
-  const bool IsAnyInProgress = Converting > 0;
-  Input.MaxEngines = Limit - std::min(Limit, Converting);
-  if (!IsAnyInProgress)
-    for (const ServedModel &Model : Context.Engine.Models)
-      Input.MaxEngines = std::max(Input.MaxEngines, Model.Size);
-  const ConversionPlan Plan = planConversions(Input);
   for (const PlannedConversion &Planned : Plan.Conversions)
     if (Context.Commands.size() < Context.View.MaxOrders)
       beginConversion(Context, Keys[Planned.Domain], Planned);
-  for (const auto &[Model, Obstacle] : Plan.Obstacles)
+  reportObstacles(std::move(Plan.Obstacles));
+}
+
+CountByModel Assembler::expectedGroups(const PlanContext &Context) const {
+  CountByModel Counts = lastingGroups(Context);
+  for (const auto &[Key, State] : Conversions)
+    if (!State.Formed)
+      Counts[State.Model] += State.Gained;
+  return Counts;
+}
+
+std::uint32_t Assembler::convertibleEngines(const PlanContext &Context,
+                                            const Fleet &Totals) const {
+  std::uint32_t Converting = 0;
+  for (const auto &[Key, State] : Conversions)
+    Converting += State.Engines;
+  const auto Limit = std::uint32_t(Totals.Usable * MaxConvertingFraction);
+  std::uint32_t Allowed = Limit - std::min(Limit, Converting);
+  if (Converting == 0)
+    for (const ServedModel &Model : Context.Engine.Models)
+      Allowed = std::max(Allowed, Model.Size);
+  return Allowed;
+}
+
+void Assembler::reportObstacles(
+    std::map<ModelName, ConversionObstacle> Current) {
+  for (const auto &[Model, Obstacle] : Current)
     if (const auto Known = Obstacles.find(Model);
         Known == Obstacles.end() || Known->second != Obstacle)
       Events.push_back({GroupFate::ConversionNotBegun,
@@ -305,7 +324,7 @@
                         {},
                         describe(Obstacle),
                         Model});
-  Obstacles = Plan.Obstacles;
+  Obstacles = std::move(Current);
 }
 
 void Assembler::beginConversion(PlanContext &Context, const DomainKey &Domain,
--- a/packages/version/test/coltsfoottrail/assembly/conversion.cpp
+++ b/packages/version/test/coltsfoottrail/assembly/conversion.cpp
@@ -111,6 +111,15 @@
   EXPECT_EQ(plan().Conversions.size(), 1U);
 }
 
+TEST_F(ConversionPlanning, WaitsInADomainThatHasJustConverted) {
+  addDomain(6, 5).IsPaused = true;
+  EXPECT_EQ(plan().Obstacles.at(Large), ConversionObstacle::Paused);
+  addDomain(6, 5);
+  const ConversionPlan Plan = plan();
+  ASSERT_EQ(Plan.Conversions.size(), 1U);
+  EXPECT_EQ(Plan.Conversions.front().Domain, 1U);
+}
+
 // Guards against groups that are closed for a model that serves its work.
 TEST_F(ConversionPlanning, ClosesNothingForGroupsThatAreNotNeeded) {
   addDomain(6, 5);
--- a/packages/version/test/coltsfoottrail/assembly/rebalance.cpp
+++ b/packages/version/test/coltsfoottrail/assembly/rebalance.cpp
@@ -344,6 +344,44 @@
   }
 }
 
+// As above, with survivors of a large group and orders that are lost or late.
+TEST(Conversion, SuccessorCompletesTheSurvivorsGroup) {
+  constexpr Duration Longest = seconds(4);
+  int Orders = 0;
+  for (Duration After{0}; After <= Longest; After += milliseconds(100)) {
+    TimedFleet Fleet({8, 2});
+    Fleet.setShare(0.67);
+    Fleet.addDomain("north", "n0", 14);
+    Fleet.start();
+    Fleet.run(seconds(15));
+    for (const auto &[Name, Record] : std::map(Fleet.Records))
+      if (!Record.Seat || isStandby(*Record.Seat))
+        Fleet.removeEngine(Name);
+    Fleet.removeEngine(Fleet.membersOf(Fleet.leaderOf("big")).back());
+    constexpr int OrdersToALoss = 4;
+    Fleet.FateOf = [&](const SeatCommand &) -> OrderFate {
+      switch (++Orders % (2 * OrdersToALoss)) {
+      case 0:
+        return {false, std::nullopt};
+      case OrdersToALoss:
+        return {false, seconds(5)};
+      default:
+        return {};
+      }
+    };
+    Fleet.run(After);
+    Fleet.replaceCoordinator();
+    Fleet.run(Longest);
+    Fleet.FateOf = nullptr;
+    Fleet.run(seconds(25));
+    EXPECT_EQ(Fleet.halfMade(), 0U) << "replaced after " << inSeconds(After);
+    EXPECT_EQ(Fleet.serving("big"), 1U)
+        << "replaced after " << inSeconds(After);
+    EXPECT_EQ(Fleet.OpenedUnready, 0);
+    EXPECT_EQ(Fleet.JoinedWhileOpen, 0) << Fleet.Trace;
+  }
+}
+
 // Guards against engines that change their model all the time since the targets
 // do.
 TEST(Conversion, AlternatingTargetsConvertSeldom) {
