--- a/packages/version/src/coltsfoottrail/assembly/conversion.cpp
+++ b/packages/version/src/coltsfoottrail/assembly/conversion.cpp
@@ -31,7 +31,6 @@
 struct Option {
   PlannedConversion Conversion;
   CountByModel ClosedByModel;
-  std::uint32_t Gained = 0;
   std::uint32_t Idle = 0;
 };
 
@@ -119,13 +118,17 @@
       raise(ConversionObstacle::NoSurplus);
       return std::nullopt;
     }
+    if (Domain.IsPaused) {
+      raise(ConversionObstacle::Paused);
+      return std::nullopt;
+    }
     if (Candidate.Conversion.Engines > EnginesLeft) {
       raise(ConversionObstacle::TooManyAtOnce);
       return std::nullopt;
     }
-    Candidate.Gained = std::min(Missing, Available / Receiver.Size);
+    Candidate.Conversion.Gained = std::min(Missing, Available / Receiver.Size);
     Candidate.Idle = Domain.Free + Candidate.Conversion.Engines -
-                     Candidate.Gained * Receiver.Size;
+                     Candidate.Conversion.Gained * Receiver.Size;
     return Candidate;
   }
 
@@ -156,7 +159,7 @@
   }
 
   void apply(const ServedModel &Receiver, const Option &Chosen) {
-    Groups[Receiver.Name] += Chosen.Gained;
+    Groups[Receiver.Name] += Chosen.Conversion.Gained;
     for (const auto &[Model, Count] : Chosen.ClosedByModel)
       Groups[Model] -= Count;
     EnginesLeft -= Chosen.Conversion.Engines;
@@ -183,10 +186,14 @@
     return "no other model has a group to spare";
   case ConversionObstacle::NoWeights:
     return "too few engines of one domain hold the weights";
+  case ConversionObstacle::Paused:
+    return "the domains that could have just converted groups";
   case ConversionObstacle::TooManyAtOnce:
+    return "too many engines are out of service for conversions";
+  case ConversionObstacle::RecordsUnsettled:
     break;
   }
-  return "too many engines are out of service for conversions";
+  return "records may be missing after an outage of the store";
 }
 
 std::uint32_t missingGroups(const ServedModel &Model,
--- a/packages/version/src/coltsfoottrail/assembly/rebalance.cpp
+++ b/packages/version/src/coltsfoottrail/assembly/rebalance.cpp
@@ -31,7 +31,9 @@
 
 void Assembler::advanceConversions(const PlanContext &Context) {
   for (auto Entry = Conversions.begin(); Entry != Conversions.end();) {
-    const auto &[Domain, State] = *Entry;
+    auto &[Domain, State] = *Entry;
+    if (isAnyDraining(Context, State))
+      State.FormBy = Context.Now + Times.ConversionTimeout;
     const auto Formed =
         State.Formed ? Groups.find(*State.Formed) : Groups.end();
     if (Formed != Groups.end() && Formed->second.WasOpen)
@@ -41,8 +43,7 @@
       endConversion(Context, Domain, State, GroupFate::ConversionGivenUp,
                     "the new group was lost before it served");
     else if (!State.Formed &&
-             (Context.Now >= State.BegunAt + Times.ConversionTimeout ||
-              !Context.converts()))
+             (Context.Now >= State.FormBy || !Context.converts()))
       endConversion(Context, Domain, State, GroupFate::ConversionGivenUp,
                     "no group could be formed in time");
     else {
@@ -53,6 +54,21 @@
   }
 }
 
+bool Assembler::isAnyDraining(const PlanContext &Context,
+                              const Conversion &State) const {
+  return std::any_of(
+      State.Closing.begin(), State.Closing.end(), [&](GroupEpoch Epoch) {
+        const auto Group = Groups.find(Epoch);
+        if (Group == Groups.end())
+          return false;
+        const KnownEndpoint *const Leader =
+            Context.View.Endpoints.find(Group->second.Members.front().Name);
+        return Leader != nullptr && Leader->Record.Seat &&
+               Leader->Record.Seat->Epoch == Epoch &&
+               Leader->Record.Seat->Phase == SeatPhase::Closing;
+      });
+}
+
 void Assembler::endConversion(const PlanContext &Context,
                               const DomainKey &Domain, const Conversion &Ended,
                               GroupFate Fate, std::string_view Reason) {
@@ -243,17 +259,17 @@
       Domain->second.FreeHolding[Model.Name] +=
           holds(Endpoint.Record, Model.Name);
   }
-  std::erase_if(Domains, [&](const auto &Entry) {
-    const auto Ended = ConversionsEndedAt.find(Entry.first);
-    return Conversions.contains(Entry.first) ||
-           (Ended != ConversionsEndedAt.end() &&
-            Context.Now < Ended->second + Times.ConversionPause);
-  });
+  for (auto &[Key, Domain] : Domains) {
+    const auto Ended = ConversionsEndedAt.find(Key);
+    Domain.IsPaused = Conversions.contains(Key) ||
+                      (Ended != ConversionsEndedAt.end() &&
+                       Context.Now < Ended->second + Times.ConversionPause);
+  }
   return Domains;
 }
 
 void Assembler::beginConversions(PlanContext &Context, const Fleet &Totals) {
-  if (!Context.converts() || Context.View.Endpoints.isSettling(Context.Now))
+  if (!Context.converts())
     return;
   std::vector<DomainKey> Keys;
   std::vector<ConversionDomain> Domains;
@@ -261,25 +277,44 @@
     Keys.push_back(Key);
     Domains.push_back(std::move(Domain));
   }
-  ConversionInput Input{Context.Engine.Models, *Context.View.Targets,
-                        Totals.Usable, lastingGroups(Context), Domains};
-  std::uint32_t Converting = 0;
-  for (const auto &[Key, State] : Conversions) {
-    Converting += State.Engines;
-    if (!State.Formed)
-      ++Input.Groups[State.Model];
+  ConversionPlan Plan = planConversions(
+      {Context.Engine.Models, *Context.View.Targets, Totals.Usable,
+       expectedGroups(Context), Domains, convertibleEngines(Context, Totals)});
+  if (Context.View.Endpoints.isSettling(Context.Now)) {
+    for (const PlannedConversion &Planned : Plan.Conversions)
+      Plan.Obstacles[Planned.Model] = ConversionObstacle::RecordsUnsettled;
+    Plan.Conversions.clear();
   }
-  const auto Limit = std::uint32_t(Totals.Usable * MaxConvertingFraction);
-  const bool IsAnyInProgress = Converting > 0;
-  Input.MaxEngines = Limit - std::min(Limit, Converting);
-  if (!IsAnyInProgress)
-    for (const ServedModel &Model : Context.Engine.Models)
-      Input.MaxEngines = std::max(Input.MaxEngines, Model.Size);
-  const ConversionPlan Plan = planConversions(Input);
   for (const PlannedConversion &Planned : Plan.Conversions)
     if (Context.Commands.size() < Context.View.MaxOrders)
       beginConversion(Context, Keys[Planned.Domain], Planned);
-  for (const auto &[Model, Obstacle] : Plan.Obstacles)
+  reportObstacles(std::move(Plan.Obstacles));
+}
+
+CountByModel Assembler::expectedGroups(const PlanContext &Context) const {
+  CountByModel Counts = lastingGroups(Context);
+  for (const auto &[Key, State] : Conversions)
+    if (!State.Formed)
+      Counts[State.Model] += State.Gained;
+  return Counts;
+}
+
+std::uint32_t Assembler::convertibleEngines(const PlanContext &Context,
+                                            const Fleet &Totals) const {
+  std::uint32_t Converting = 0;
+  for (const auto &[Key, State] : Conversions)
+    Converting += State.Engines;
+  const auto Limit = std::uint32_t(Totals.Usable * MaxConvertingFraction);
+  std::uint32_t Allowed = Limit - std::min(Limit, Converting);
+  if (Converting == 0)
+    for (const ServedModel &Model : Context.Engine.Models)
+      Allowed = std::max(Allowed, Model.Size);
+  return Allowed;
+}
+
+void Assembler::reportObstacles(
+    std::map<ModelName, ConversionObstacle> Current) {
+  for (const auto &[Model, Obstacle] : Current)
     if (const auto Known = Obstacles.find(Model);
         Known == Obstacles.end() || Known->second != Obstacle)
       Events.push_back({GroupFate::ConversionNotBegun,
@@ -289,12 +324,17 @@
                         {},
                         describe(Obstacle),
                         Model});
-  Obstacles = Plan.Obstacles;
+  Obstacles = std::move(Current);
 }
 
 void Assembler::beginConversion(PlanContext &Context, const DomainKey &Domain,
                                 const PlannedConversion &Planned) {
-  Conversion State{Planned.Model, {}, Planned.Engines, Context.Now, {}};
+  Conversion State{Planned.Model,
+                   {},
+                   Planned.Engines,
+                   Planned.Gained,
+                   Context.Now + Times.ConversionTimeout,
+                   {}};
   for (const GroupEpoch Epoch : Planned.Closed) {
     GroupState &Group = Groups.at(Epoch);
     Group.Converts = true;
