Keep requests in their data centre while it starts them in time

What callers and operators saw: a request went to the endpoint with the least forecast, and another data centre counted as 2 ms, so that two thirds of all streams crossed data centres for gains that no caller needs.

Change: a policy field, EstimatedWaitPolicy::Home, set by the setting placement.home_first (default false). A request with a target latency stays while an endpoint of its data centre starts it within half of its slack and has half of its slots free; it leaves for an endpoint with more room, or by forecast once home is late. Each send carries why it left (AwayReason).

Ruled out: a bound on the forecast alone.

The simulation of batching engines knows data centres, waves, lost groups and hosts without loads; its plays with one data centre are unchanged.

--- a/packages/process/src/coltsfoottrail/fleethost/host.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/host.cpp
@@ -97,6 +97,8 @@
   Policy.HintSets = HintSets;
   Policy.UseRing = false;
   Policy.FullByLoad = true;
+  if (Settings.Placement.HomeFirst)
+    Policy.Home = HomeFirst{};
   Result.Policy = Policy;
   Result.Retries.Budget =
       budgetLimits({Settings.Bounds.RetryRatio, Settings.Bounds.RetrySlack});
--- a/packages/process/src/coltsfoottrail/fleethost/settings.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/settings.cpp
@@ -81,6 +81,12 @@
   return Result;
 }
 
+PlacementSettings readPlacement(ObjectReader Reader) {
+  PlacementSettings Result;
+  Result.HomeFirst = Reader.flagOr("home_first", false);
+  return Result;
+}
+
 } // namespace
 
 FleetSettings readFleetSettings(const std::filesystem::path &File) {
@@ -107,6 +113,8 @@
     Result.Bounds = readBounds(Reader.object("bounds"));
   if (Reader.has("engines"))
     Result.Engines = readEngines(Reader.object("engines"));
+  if (Reader.has("placement"))
+    Result.Placement = readPlacement(Reader.object("placement"));
   return Result;
 }
 
--- a/packages/process/src/coltsfoottrail/fleethost/settings.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/settings.hpp
@@ -52,6 +52,13 @@
   std::map<ModelName, ModelLimits> Limits;
 };
 
+/// @brief Which endpoints requests are sent to.
+struct PlacementSettings {
+  /// Whether a request with a target latency stays in the data centre of this
+  /// host while an endpoint there starts it in time.
+  bool HomeFirst = false;
+};
+
 /// @brief All settings of an entry host, validated.
 struct FleetSettings {
   HostName Host;
@@ -69,6 +76,7 @@
   double ProcessorShare = 1.0;
   FleetBounds Bounds;
   EngineSettings Engines;
+  PlacementSettings Placement;
 };
 
 /// @brief Reads and validates a settings file. Unknown keys are ignored because
--- a/packages/process/test/coltsfoottrail/fleethost/settings.cpp
+++ b/packages/process/test/coltsfoottrail/fleethost/settings.cpp
@@ -46,6 +46,29 @@
   }
 }
 
+TEST(FleetSettings, ReadsWhetherHomeComesFirst) {
+  EXPECT_FALSE(
+      readFleetSettings(writeSettingsFile(FullSettings)).Placement.HomeFirst);
+  for (const bool Value : {false, true}) {
+    std::string Text = FullSettings;
+    Text.insert(Text.rfind('}'), std::string(R"(,"placement":{"home_first":)") +
+                                     (Value ? "true}" : "false}"));
+    EXPECT_EQ(readFleetSettings(writeSettingsFile(Text)).Placement.HomeFirst,
+              Value);
+  }
+}
+
+TEST(FleetSettings, RefusesAPlacementThatIsNoFlag) {
+  std::string Text = FullSettings;
+  Text.insert(Text.rfind('}'), R"(,"placement":{"home_first":"yes"})");
+  try {
+    (void)readFleetSettings(writeSettingsFile(Text));
+    FAIL();
+  } catch (const InputError &Problem) {
+    EXPECT_EQ(Problem.pointer(), "/placement/home_first");
+  }
+}
+
 std::string withEngines(const std::string &Engines) {
   std::string Text = FullSettings;
   return Text.insert(Text.rfind('}'), ",\"engines\":" + Engines);
--- a/packages/request/src/coltsfoottrail/choice/candidate.hpp
+++ b/packages/request/src/coltsfoottrail/choice/candidate.hpp
@@ -55,6 +55,7 @@
   std::uint32_t Position = 0;
   Listing Listed = Listing::None;
   bool IsNear = false;
+  bool CountedNear = false;
   bool Current = true;
   /// Run in its last load report; zero before the first.
   Incarnation Run = 0;
--- a/packages/request/src/coltsfoottrail/choice/candidates.cpp
+++ b/packages/request/src/coltsfoottrail/choice/candidates.cpp
@@ -104,6 +104,10 @@
   Free -= Endpoint.CountedFree;
   Usable += Counted > 0 ? 1U : 0U;
   Usable -= Endpoint.CountedSlots > 0 ? 1U : 0U;
+  const bool CountsNear = Counted > 0 && Endpoint.IsNear;
+  UsableNear += CountsNear ? 1U : 0U;
+  UsableNear -= Endpoint.CountedNear ? 1U : 0U;
+  Endpoint.CountedNear = CountsNear;
   Endpoint.CountedSlots = Counted;
   Endpoint.CountedFree = Room;
 }
--- a/packages/request/src/coltsfoottrail/choice/candidates.hpp
+++ b/packages/request/src/coltsfoottrail/choice/candidates.hpp
@@ -58,6 +58,8 @@
   [[nodiscard]] std::uint64_t freeSlots() const noexcept { return Free; }
   /// @brief Endpoints with a share that are not ejected.
   [[nodiscard]] std::uint64_t usable() const noexcept { return Usable; }
+  /// @brief Those of them in this data centre.
+  [[nodiscard]] std::uint64_t usableNear() const noexcept { return UsableNear; }
   /// @brief Data centres seen so far; they are numbered from zero.
   [[nodiscard]] std::size_t dataCentres() const noexcept {
     return DataCentreNumbers.size();
@@ -84,6 +86,7 @@
   std::uint64_t Slots = 0;
   std::uint64_t Free = 0;
   std::uint64_t Usable = 0;
+  std::uint64_t UsableNear = 0;
 };
 
 } // namespace coltsfoottrail
--- a/packages/request/src/coltsfoottrail/choice/chooser.cpp
+++ b/packages/request/src/coltsfoottrail/choice/chooser.cpp
@@ -175,8 +175,11 @@
                                            TimePoint Now) {
   advance(Now);
   countWithheld();
-  return std::visit(
+  HomeMissed = AwayReason::None;
+  const std::optional<CandidateId> Chosen = std::visit(
       [&](const auto &Settings) { return pick(Settings, Query, Now); }, Policy);
+  Away = Chosen ? awayReason(*Chosen) : AwayReason::None;
+  return Chosen;
 }
 
 bool Chooser::eligible(CandidateId Id, const ChoiceQuery &Query) const {
@@ -190,6 +193,13 @@
                                          TimePoint Now) {
   if (const std::optional<CandidateId> Probe = probeCandidate(Query, Now))
     return Probe;
+  // The search of all endpoints begins at random, since the hosts of a data
+  // centre without room would otherwise all find the same one.
+  if (isHomeFirst(Settings, Query)) {
+    const std::optional<CandidateId> Chosen =
+        pickHomeFirst(Settings, Query, Now);
+    return Chosen ? Chosen : anyOther(Settings, Query, Now, Rng());
+  }
   Best BestSoFar;
   if (Query.PrefixHash != 0) {
     const bool Hinted = considerHinted(Settings, Query, Now, BestSoFar);
@@ -203,9 +213,123 @@
                   BestSoFar);
   considerSampled(Listing::Far, Settings.FarProbes + ExtraFarProbes, Settings,
                   Query, Now, BestSoFar);
-  if (BestSoFar.Id || !Settings.FullByLoad)
-    return BestSoFar.Id ? BestSoFar.Id : anyEligible(Query);
-  return anyBelowBound(Settings, Query, Now);
+  return BestSoFar.Id ? BestSoFar.Id : anyOther(Settings, Query, Now, 0);
+}
+
+/// Searches all endpoints, after none of the examined ones could be chosen.
+/// @param Start Position in each list at which the search begins.
+std::optional<CandidateId>
+Chooser::anyOther(const EstimatedWaitPolicy &Settings, const ChoiceQuery &Query,
+                  TimePoint Now, std::uint64_t Start) const {
+  return Settings.FullByLoad ? anyBelowBound(Settings, Query, Now, Start)
+                             : anyEligible(Query);
+}
+
+AwayReason Chooser::awayReason(CandidateId Chosen) const {
+  const Candidate &Endpoint = *Table.find(Chosen);
+  if (Endpoint.IsNear)
+    return AwayReason::None;
+  if (Endpoint.Listed == Listing::Probe)
+    return AwayReason::Probe;
+  if (Table.usableNear() == 0)
+    return AwayReason::NoEndpoint;
+  if (Table.listed(Listing::Near).empty())
+    return AwayReason::Full;
+  return HomeMissed != AwayReason::None ? HomeMissed : AwayReason::Sooner;
+}
+
+bool Chooser::isHomeFirst(const EstimatedWaitPolicy &Settings,
+                          const ChoiceQuery &Query) const {
+  return Settings.Home && Pace.isDeclared() && Query.PrefixHash == 0 &&
+         Query.FirstEventTimeLeft < Duration::max();
+}
+
+/// Forecast time to the first event at an idle endpoint, in seconds.
+double Chooser::idleTimeToAnswer(const ChoiceQuery &Query) const {
+  return toSeconds(firstEventAfter(Pace, EngineBacklog{}, Query.PromptTokens));
+}
+
+/// Part of an endpoint's slots that the requests ahead take.
+double Chooser::loadFraction(CandidateId Id, const ChoiceQuery &Query,
+                             TimePoint Now) const {
+  const Candidate &Endpoint = *Table.find(Id);
+  return requestsAhead(Endpoint, Query, Now) / Endpoint.Bound;
+}
+
+/// Considers endpoints of this data centre until one has room and starts the
+/// request in time: two at random, whose choice spreads the requests of all
+/// hosts, and neighbours in the list if neither does.
+HomeFit Chooser::considerHome(const EstimatedWaitPolicy &Settings, double Bound,
+                              const ChoiceQuery &Query, TimePoint Now,
+                              Best &BestSoFar) {
+  const std::span<const CandidateId> Open = Table.listed(Listing::Near);
+  if (Open.empty())
+    return HomeFit::None;
+  const auto Fits = [&](const Best &Found) {
+    return Found.Id && Found.Score <= Bound &&
+           loadFraction(*Found.Id, Query, Now) < Settings.Home->MaxLoadFraction;
+  };
+  considerSampled(Listing::Near, Settings.NearProbes, Settings, Query, Now,
+                  BestSoFar);
+  if (Fits(BestSoFar))
+    return HomeFit::InTimeWithRoom;
+  const std::size_t First = Rng.below(Open.size());
+  const std::size_t Count =
+      std::min<std::size_t>(Open.size(), Settings.Home->MaxProbes);
+  bool AllAtBound = true;
+  for (std::size_t Index = 0; Index < Count; ++Index) {
+    const CandidateId Id = Open[(First + Index) % Open.size()];
+    Best Found;
+    consider(Id, 0.0, Settings, Query, Now, Found);
+    AllAtBound &= !eligible(Id, Query) || isAtBound(Id, Query, Now);
+    if (Found.Id && (!BestSoFar.Id || Found.Score < BestSoFar.Score))
+      BestSoFar = Found;
+    if (!Fits(Found))
+      continue;
+    BestSoFar = Found;
+    return HomeFit::InTimeWithRoom;
+  }
+  if (BestSoFar.Id && BestSoFar.Score <= Bound)
+    return HomeFit::InTime;
+  return AllAtBound ? HomeFit::None : HomeFit::Late;
+}
+
+/// Chooses by the rule of the own data centre. Between two endpoints without
+/// room a request stays where it is as long as it starts in time, so that data
+/// centres that are all busy do not exchange their requests.
+std::optional<CandidateId>
+Chooser::pickHomeFirst(const EstimatedWaitPolicy &Settings,
+                       const ChoiceQuery &Query, TimePoint Now) {
+  const double Bound = homeBound(*Settings.Home, idleTimeToAnswer(Query),
+                                 toSeconds(Query.FirstEventTimeLeft));
+  Best Home;
+  const HomeFit Fit = considerHome(Settings, Bound, Query, Now, Home);
+  if (Fit == HomeFit::InTimeWithRoom)
+    return Home.Id;
+  HomeMissed = Fit == HomeFit::Late ? AwayReason::Late : AwayReason::Full;
+  const std::uint32_t ExtraFarProbes =
+      Table.listed(Listing::Near).empty() ? Settings.NearProbes : 0;
+  Best Far;
+  considerSampled(Listing::Far, Settings.FarProbes + ExtraFarProbes, Settings,
+                  Query, Now, Far);
+  if (Fit == HomeFit::InTime) {
+    const bool HasMoreRoom =
+        Far.Id && Far.Score <= Bound &&
+        loadFraction(*Far.Id, Query, Now) + Settings.Home->MinLoadDifference <
+            loadFraction(*Home.Id, Query, Now);
+    return HasMoreRoom ? Far.Id : Home.Id;
+  }
+  if (Home.Id && Far.Id)
+    return Far.Score < Home.Score ? Far.Id : Home.Id;
+  return Home.Id ? Home.Id : Far.Id;
+}
+
+/// Whether an endpoint's bound is reached by its estimated load.
+bool Chooser::isAtBound(CandidateId Id, const ChoiceQuery &Query,
+                        TimePoint Now) const {
+  const Candidate &Endpoint = *Table.find(Id);
+  return requestsAhead(Endpoint, Query, Now) >=
+         double(Endpoint.Bound) + Query.Overcommit;
 }
 
 bool Chooser::isFull(CandidateId Id, const ChoiceQuery &Query,
@@ -216,8 +340,7 @@
       timeToAnswer(Endpoint, 0.0, Query, Now) >
           toSeconds(Query.FirstEventTimeLeft))
     return true;
-  return Settings.FullByLoad && requestsAhead(Endpoint, Query, Now) >=
-                                    double(Endpoint.Bound) + Query.Overcommit;
+  return Settings.FullByLoad && isAtBound(Id, Query, Now);
 }
 
 /// Requests running at an endpoint, plus those waiting there that are served
@@ -234,11 +357,16 @@
 
 std::optional<CandidateId>
 Chooser::anyBelowBound(const EstimatedWaitPolicy &Settings,
-                       const ChoiceQuery &Query, TimePoint Now) const {
-  for (const Listing List : {Listing::Near, Listing::Far})
-    for (const CandidateId Id : Table.listed(List))
+                       const ChoiceQuery &Query, TimePoint Now,
+                       std::uint64_t Start) const {
+  for (const Listing List : {Listing::Near, Listing::Far}) {
+    const std::span<const CandidateId> Open = Table.listed(List);
+    for (std::size_t Index = 0; Index < Open.size(); ++Index) {
+      const CandidateId Id = Open[(Start % Open.size() + Index) % Open.size()];
       if (eligible(Id, Query) && !isFull(Id, Query, Settings, Now))
         return Id;
+    }
+  }
   return std::nullopt;
 }
 
--- a/packages/request/src/coltsfoottrail/choice/chooser.hpp
+++ b/packages/request/src/coltsfoottrail/choice/chooser.hpp
@@ -108,6 +108,9 @@
   /// @return Nothing if the request has to wait for one.
   [[nodiscard]] std::optional<CandidateId> choose(const ChoiceQuery &Query,
                                                   TimePoint Now);
+  /// @brief Why the endpoint that choose() returned last is in another data
+  /// centre.
+  [[nodiscard]] AwayReason away() const noexcept { return Away; }
 
   /// @brief Endpoints that probably have a prefix cached and are not failing.
   [[nodiscard]] std::vector<CandidateId>
@@ -213,7 +216,24 @@
                             TimePoint Now) const;
   [[nodiscard]] std::optional<CandidateId>
   anyBelowBound(const EstimatedWaitPolicy &Settings, const ChoiceQuery &Query,
-                TimePoint Now) const;
+                TimePoint Now, std::uint64_t Start) const;
+  [[nodiscard]] bool isAtBound(CandidateId Id, const ChoiceQuery &Query,
+                               TimePoint Now) const;
+  [[nodiscard]] bool isHomeFirst(const EstimatedWaitPolicy &Settings,
+                                 const ChoiceQuery &Query) const;
+  [[nodiscard]] double idleTimeToAnswer(const ChoiceQuery &Query) const;
+  [[nodiscard]] double loadFraction(CandidateId Id, const ChoiceQuery &Query,
+                                    TimePoint Now) const;
+  [[nodiscard]] HomeFit considerHome(const EstimatedWaitPolicy &Settings,
+                                     double Bound, const ChoiceQuery &Query,
+                                     TimePoint Now, Best &BestSoFar);
+  [[nodiscard]] std::optional<CandidateId>
+  pickHomeFirst(const EstimatedWaitPolicy &Settings, const ChoiceQuery &Query,
+                TimePoint Now);
+  [[nodiscard]] std::optional<CandidateId>
+  anyOther(const EstimatedWaitPolicy &Settings, const ChoiceQuery &Query,
+           TimePoint Now, std::uint64_t Start) const;
+  [[nodiscard]] AwayReason awayReason(CandidateId Chosen) const;
   [[nodiscard]] bool eligible(CandidateId Id, const ChoiceQuery &Query) const;
   [[nodiscard]] bool
   isBelowCacheLoadLimit(const Candidate &Endpoint,
@@ -284,6 +304,10 @@
   /// This host's requests in progress.
   std::uint64_t OwnTotal = 0;
   std::size_t Cursor = 0;
+  AwayReason Away = AwayReason::None;
+  /// Why the last request to which the rule of its own data centre applied was
+  /// not held there.
+  AwayReason HomeMissed = AwayReason::None;
 };
 
 } // namespace coltsfoottrail
--- a/packages/request/src/coltsfoottrail/choice/fwd.hpp
+++ b/packages/request/src/coltsfoottrail/choice/fwd.hpp
@@ -24,11 +24,14 @@
 
 struct Candidate;
 struct EjectionLimits;
+struct HomeFirst;
 struct CacheChange;
 struct ChoiceQuery;
 struct EndedAttempt;
 enum class Listing : std::uint8_t;
 enum class AttemptOutcome : std::uint8_t;
+enum class AwayReason : std::uint8_t;
+enum class HomeFit : std::uint8_t;
 class Chooser;
 class HashRing;
 class CandidateTable;
--- a/packages/request/src/coltsfoottrail/choice/policy.hpp
+++ b/packages/request/src/coltsfoottrail/choice/policy.hpp
@@ -4,8 +4,11 @@
 #define COLTSFOOTTRAIL_CHOICE_POLICY_HPP
 
 #include "coltsfoottrail/choice/fwd.hpp"
+#include "coltsfoottrail/choice/locality.hpp"
 #include "coltsfoottrail/core/time.hpp"
 
+#include <optional>
+
 namespace coltsfoottrail {
 
 /// @brief A random endpoint with a free slot; for comparisons.
@@ -44,6 +47,10 @@
   std::uint32_t FarProbes = 2;
   /// Added to the estimate for an endpoint in another data centre.
   Duration FarPenalty = milliseconds(2);
+  /// Whether requests with a target latency and without a cached prefix stay in
+  /// this data centre while it starts them in time; if empty, FarPenalty alone
+  /// weighs distance.
+  std::optional<HomeFirst> Home = std::nullopt;
   /// Initial fraction of the service time that a cached prefix saves.
   double CacheSaving = 0.3;
   /// Whether that fraction is learned from service times.
--- a/packages/request/src/coltsfoottrail/dispatch/dispatcher.cpp
+++ b/packages/request/src/coltsfoottrail/dispatch/dispatcher.cpp
@@ -303,7 +303,10 @@
       CrashHistory.standing(Request.Item.Fingerprint, Now) == Standing::Suspect;
   if (!Request.CacheWaitUntil)
     Request.CacheWaitUntil = cacheDelayEnd(Request, Now);
-  return Choice.choose(choiceQuery(Request, Now), Now);
+  const std::optional<CandidateId> Chosen =
+      Choice.choose(choiceQuery(Request, Now), Now);
+  Request.Away = Choice.away();
+  return Chosen;
 }
 
 // Failure guarded against: under load the endpoints that have cached a prefix
@@ -344,7 +347,7 @@
   } else {
     ++Counts.Resends;
   }
-  Output.emplace_back(SendCommand{Id, Chosen.Spec.Key});
+  Output.emplace_back(SendCommand{Id, Chosen.Spec.Key, Request.Away});
   Request.Hinted = Choice.sent(Target, choiceQuery(Request, Now), Now);
   updateQueueSlots();
 }
--- a/packages/request/src/coltsfoottrail/dispatch/dispatcher.hpp
+++ b/packages/request/src/coltsfoottrail/dispatch/dispatcher.hpp
@@ -280,6 +280,8 @@
     std::optional<TimePoint> CacheWaitUntil;
     /// Sent to an endpoint that was believed to have cached its prefix.
     bool Hinted = false;
+    /// Why the endpoint that was chosen last is in another data centre.
+    AwayReason Away = AwayReason::None;
     /// Endpoint of the attempt in progress.
     std::optional<CandidateId> SentTo;
     /// Endpoint of the last attempt that ended.
--- a/packages/request/src/coltsfoottrail/dispatch/types.hpp
+++ b/packages/request/src/coltsfoottrail/dispatch/types.hpp
@@ -3,6 +3,7 @@
 #ifndef COLTSFOOTTRAIL_DISPATCH_TYPES_HPP
 #define COLTSFOOTTRAIL_DISPATCH_TYPES_HPP
 
+#include "coltsfoottrail/choice/locality.hpp"
 #include "coltsfoottrail/core/name.hpp"
 #include "coltsfoottrail/core/slotmap.hpp"
 #include "coltsfoottrail/core/time.hpp"
@@ -101,6 +102,8 @@
 struct SendCommand {
   Ticket Id;
   std::string EndpointKey;
+  /// Why the endpoint is in another data centre than the entry host.
+  AwayReason Away = AwayReason::None;
 };
 /// Why a request is not sent to another endpoint.
 enum class RetryStop : std::uint8_t {
--- a/packages/request/test/coltsfoottrail/dispatch/batching.hpp
+++ b/packages/request/test/coltsfoottrail/dispatch/batching.hpp
@@ -11,6 +11,8 @@
 #include <cmath>
 #include <functional>
 #include <map>
+#include <numbers>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -33,6 +35,31 @@
   std::size_t Refused = 0;
 
   [[nodiscard]] std::size_t served() const { return OnTime + Late; }
+  [[nodiscard]] double onTimeShare() const {
+    return double(OnTime) / double(std::max<std::size_t>(Submitted, 1));
+  }
+};
+
+/// @brief Sends by where they go.
+struct SendTally {
+  std::size_t Home = 0;
+  std::size_t Far = 0;
+
+  [[nodiscard]] double farShare() const {
+    return double(Far) / double(std::max<std::size_t>(Home + Far, 1));
+  }
+};
+
+/// @brief Where requests were sent.
+struct PlacementTally {
+  SendTally All;
+  std::map<AwayReason, std::size_t> Reasons;
+  /// By the second since the begin, for the hosts of the first data centre.
+  std::vector<SendTally> FirstBySecond;
+  /// Requests of these hosts that were sent to each engine elsewhere.
+  std::map<std::size_t, std::size_t> FirstToEngine;
+  /// Outcomes by host.
+  std::vector<CallerTally> Hosts;
 };
 
 /// @brief Load of streaming requests on a few engines, some of which are lost
@@ -52,6 +79,29 @@
   double MeanPromptTokens = 900.0;
   double MeanOutputTokens = 200.0;
   std::uint64_t Seed = 1;
+  EnginePace Pace = {0.0071, 0.0, 50'700.0, 2048, 7};
+  /// Hosts and engines stand in the data centres in turn.
+  std::size_t DataCentres = 1;
+  /// Rule of the hosts for their own data centre.
+  std::optional<HomeFirst> Home = std::nullopt;
+  /// Callers in each data centre in proportion; empty if equal. Has no effect
+  /// with one data centre, nor have the next two.
+  std::vector<double> CallerWeights = {};
+  /// Amplitude of the demand of a data centre, as a fraction of its mean; each
+  /// one's wave follows the one before.
+  double Swing = 0.0;
+  Duration WaveLength = seconds(13);
+  /// Whether an engine is lost between LostFrom and LostUntil; if empty, those
+  /// from EnginesLeft on are.
+  std::function<bool(std::size_t)> IsLost = {};
+  /// For how long engines that return run at half of their speed.
+  Duration ColdTime = Duration::zero();
+  /// Fraction of the pace that the slowest engines lack.
+  double SpeedSpread = 0.0;
+  /// If set, targets are uniform between TargetLatency and this.
+  std::optional<Duration> LongestTarget = std::nullopt;
+  /// A host that receives no loads of the others.
+  std::optional<std::size_t> HostWithoutLoads = std::nullopt;
 };
 
 /// @brief Simulates a load. Deterministic for a given load and policy.
@@ -62,16 +112,17 @@
     for (std::size_t Index = 0; Index < Workload.Hosts; ++Index)
       Hosts.emplace_back(options(Index));
     Engines.resize(Workload.Engines);
-    configure(Workload.Engines);
+    Placements.Hosts.resize(Workload.Hosts);
+    configure(false);
   }
 
   [[nodiscard]] CallerTally run() {
     const TimePoint End = Begin + Workload.Length + Workload.LongestPatience;
     for (; Now < End; Now += Step) {
       if (Now == Begin + Workload.LostFrom)
-        configure(Workload.EnginesLeft);
+        configure(true);
       if (Now == Begin + Workload.LostUntil)
-        configure(Workload.Engines);
+        configure(false);
       submitArrivals();
       resubmitDue();
       for (std::size_t Index = 0; Index < Engines.size(); ++Index)
@@ -87,6 +138,9 @@
     return Tally;
   }
 
+  /// @brief Where requests were sent.
+  [[nodiscard]] const PlacementTally &placements() const { return Placements; }
+
 private:
   static constexpr TimePoint Begin{seconds(1000)};
   static constexpr Duration Step = milliseconds(5);
@@ -117,16 +171,14 @@
     std::size_t RequestNumber = 0;
   };
 
-  [[nodiscard]] static EnginePace pace() {
-    return {0.0071, 0.0, 50'700.0, 2048, 7};
-  }
-
   [[nodiscard]] DispatcherOptions options(std::size_t Index) const {
     DispatcherOptions Options;
     EstimatedWaitPolicy Policy;
     Policy.UseRing = false;
     Policy.FullByLoad = true;
+    Policy.Home = Workload.Home;
     Options.Policy = Policy;
+    Options.LocalDataCentre = dataCentre(Index);
     Options.Seed = Workload.Seed * 100 + Index;
     return Options;
   }
@@ -135,20 +187,33 @@
     return "leader-" + std::to_string(Index);
   }
 
-  void configure(std::size_t Count) {
+  /// Data centre of a host or an engine.
+  [[nodiscard]] DataCentreName dataCentre(std::size_t Index) const {
+    return DataCentreName("dc-" + std::to_string(Index % Workload.DataCentres));
+  }
+
+  [[nodiscard]] bool isLost(std::size_t Engine) const {
+    return Workload.IsLost ? Workload.IsLost(Engine)
+                           : Engine >= Workload.EnginesLeft;
+  }
+
+  void configure(bool WithLosses) {
     Pool Config;
-    Config.Pace = pace();
-    for (std::size_t Index = 0; Index < Count; ++Index) {
+    Config.Pace = Workload.Pace;
+    for (std::size_t Index = 0; Index < Workload.Engines; ++Index) {
+      if (WithLosses && isLost(Index))
+        continue;
       EndpointSpec Spec;
       Spec.Key = keyOf(Index);
+      Spec.DataCentre = dataCentre(Index);
       Spec.WarmBound = Slots;
       Config.Endpoints.push_back(Spec);
     }
     for (std::size_t Host = 0; Host < Hosts.size(); ++Host)
       dispatch(Host, [&](Dispatcher &Scheduler, Commands &Output) {
         Scheduler.configure(Config, Now, Output);
-        for (std::size_t Index = 0; Index < Count; ++Index)
-          Scheduler.setShare(keyOf(Index), Slots * 4, Now, Output);
+        for (const EndpointSpec &Spec : Config.Endpoints)
+          Scheduler.setShare(Spec.Key, Slots * 4, Now, Output);
       });
   }
 
@@ -187,6 +252,45 @@
     return ByTicket.at({Host, Id.Index, Id.Generation});
   }
 
+  /// Draws the data centre of a caller by the present demand, then a host.
+  [[nodiscard]] std::size_t drawHost() {
+    if (Workload.DataCentres == 1)
+      return Rng.below(Hosts.size());
+    std::vector<double> Demand;
+    double Sum = 0.0;
+    for (std::size_t Index = 0; Index < Workload.DataCentres; ++Index) {
+      const double Phase =
+          std::chrono::duration<double>(Now - Begin) /
+              std::chrono::duration<double>(Workload.WaveLength) -
+          double(Index) / double(Workload.DataCentres);
+      const double Weight =
+          Workload.CallerWeights.empty() ? 1.0 : Workload.CallerWeights[Index];
+      Demand.push_back(
+          Weight *
+          (1.0 + Workload.Swing * std::sin(2.0 * std::numbers::pi * Phase)));
+      Sum += Demand.back();
+    }
+    double Drawn = Rng.fraction() * Sum;
+    std::size_t DataCentre = 0;
+    while (DataCentre + 1 < Demand.size() && Drawn >= Demand[DataCentre])
+      Drawn -= Demand[DataCentre++];
+    const std::size_t Count =
+        (Hosts.size() - DataCentre + Workload.DataCentres - 1) /
+        Workload.DataCentres;
+    return DataCentre + Workload.DataCentres * Rng.below(Count);
+  }
+
+  /// Speed of an engine in relation to the pace.
+  [[nodiscard]] double speedOf(std::size_t Engine) const {
+    constexpr std::size_t Classes = 4;
+    const bool IsCold = Workload.ColdTime > Duration::zero() &&
+                        isLost(Engine) && Now >= Begin + Workload.LostUntil &&
+                        Now < Begin + Workload.LostUntil + Workload.ColdTime;
+    const double Class =
+        double(Engine / Workload.DataCentres % Classes) / (Classes - 1);
+    return (1.0 - Workload.SpeedSpread * Class) * (IsCold ? 0.5 : 1.0);
+  }
+
   void submitArrivals() {
     ArrivalCredit += Workload.RequestsPerSecond *
                      std::chrono::duration<double>(Step).count();
@@ -194,7 +298,7 @@
       return;
     for (; ArrivalCredit >= 1.0; ArrivalCredit -= 1.0) {
       SimulatedRequest Request;
-      Request.Host = Rng.below(Hosts.size());
+      Request.Host = drawHost();
       Request.SubmittedAt = Now;
       Request.Timing.Streams = true;
       Request.Timing.ArrivedAt = Now;
@@ -208,8 +312,13 @@
           40.0 - Workload.MeanPromptTokens * std::log(1.0 - Rng.fraction());
       Request.OutputTokensLeft =
           7.0 - Workload.MeanOutputTokens * std::log(1.0 - Rng.fraction());
+      if (Workload.LongestTarget)
+        Request.Timing.TargetLatency += std::chrono::duration_cast<Duration>(
+            (*Workload.LongestTarget - Workload.TargetLatency) *
+            Rng.fraction());
       Requests.push_back(Request);
-      ++Tally.Submitted;
+      Open.push_back(Requests.size() - 1);
+      count(Request, &CallerTally::Submitted);
       submit(Requests.size() - 1);
     }
   }
@@ -235,9 +344,33 @@
     const std::size_t EngineIndex =
         std::stoul(Send.EndpointKey.substr(std::string("leader-").size()));
     Requests[Number].EngineIndex = EngineIndex;
+    recordPlacement(Host, EngineIndex, Send.Away);
     Engines[EngineIndex].Waiting.push_back(Number);
   }
 
+  void count(const SimulatedRequest &Request,
+             std::size_t CallerTally::*Member) {
+    ++(Tally.*Member);
+    ++(Placements.Hosts[Request.Host].*Member);
+  }
+
+  void recordPlacement(std::size_t Host, std::size_t Engine, AwayReason Why) {
+    const bool IsFar =
+        Host % Workload.DataCentres != Engine % Workload.DataCentres;
+    std::size_t SendTally::*const Member =
+        IsFar ? &SendTally::Far : &SendTally::Home;
+    ++(Placements.All.*Member);
+    ++Placements.Reasons[Why];
+    if (Host % Workload.DataCentres != 0)
+      return;
+    const auto Second = static_cast<std::size_t>((Now - Begin) / seconds(1));
+    if (Placements.FirstBySecond.size() <= Second)
+      Placements.FirstBySecond.resize(Second + 1);
+    ++(Placements.FirstBySecond[Second].*Member);
+    if (IsFar)
+      ++Placements.FirstToEngine[Engine];
+  }
+
   void refused(std::size_t Host, const RefuseCommand &Refusal) {
     const std::size_t Number = numberOf(Host, Refusal.Id);
     SimulatedRequest &Request = Requests[Number];
@@ -250,7 +383,7 @@
     const Duration TimeLeft = Request.Timing.AnswerBy - Now;
     if (!std::exchange(Request.MayResubmit, false) || TimeLeft <= Step) {
       Request.Done = true;
-      ++Tally.Refused;
+      count(Request, &CallerTally::Refused);
       return;
     }
     Resubmissions.push_back(
@@ -276,18 +409,21 @@
       Target.Running.push_back(*First);
       Target.Waiting.erase(First);
     }
-    const double Span = std::chrono::duration<double>(Step).count();
+    const double Span =
+        std::chrono::duration<double>(Step).count() * speedOf(Index);
     const bool HasPrefill = std::any_of(
         Target.Running.begin(), Target.Running.end(), [&](std::size_t Number) {
           return Requests[Number].PromptTokensLeft > 0.0;
         });
-    const double ChunkSeconds =
-        pace().ChunkTokens / pace().PromptTokensPerSecond;
-    const double StepSeconds = pace().StepSeconds;
+    const EnginePace &Pace = Workload.Pace;
+    const double ChunkSeconds = Pace.ChunkTokens / Pace.PromptTokensPerSecond;
+    const double StepSeconds =
+        Pace.StepSeconds +
+        Pace.StepSecondsPerRequest * double(Target.Running.size());
     const double PrefillFraction =
         HasPrefill ? ChunkSeconds / (ChunkSeconds + StepSeconds) : 0.0;
     double PromptTokenBudget =
-        Span * PrefillFraction * pace().PromptTokensPerSecond;
+        Span * PrefillFraction * Pace.PromptTokensPerSecond;
     const double OutputTokens = Span * (1.0 - PrefillFraction) / StepSeconds;
     std::vector<std::size_t> Ended;
     for (const std::size_t Number : Target.Running) {
@@ -302,7 +438,7 @@
       Request.OutputTokensLeft -= OutputTokens;
       if (!std::exchange(Request.Started, true)) {
         Request.StartedInTime =
-            Now - Request.SubmittedAt <= Workload.TargetLatency;
+            Now - Request.SubmittedAt <= Request.Timing.TargetLatency;
         Hosts[Request.Host].responseProgressed(Request.Id, Now);
       }
       if (Request.OutputTokensLeft <= 0.0)
@@ -315,7 +451,8 @@
   void answered(std::size_t Number) {
     SimulatedRequest &Request = Requests[Number];
     Request.Done = true;
-    ++(Request.StartedInTime ? Tally.OnTime : Tally.Late);
+    count(Request,
+          Request.StartedInTime ? &CallerTally::OnTime : &CallerTally::Late);
     AttemptResult Result;
     Result.State = RunState::Ran;
     Result.Answered = true;
@@ -325,7 +462,9 @@
   }
 
   void cancelExpired() {
-    for (std::size_t Number = 0; Number < Requests.size(); ++Number) {
+    std::erase_if(Open,
+                  [&](std::size_t Number) { return Requests[Number].Done; });
+    for (const std::size_t Number : Open) {
       SimulatedRequest &Request = Requests[Number];
       const bool WillResubmit =
           std::any_of(Resubmissions.begin(), Resubmissions.end(),
@@ -340,7 +479,8 @@
       if (Request.Done || WillResubmit || Now < GivesUpAt)
         continue;
       Request.Done = true;
-      ++(Request.Started ? Tally.LeftMidway : Tally.LeftUnanswered);
+      count(Request, Request.Started ? &CallerTally::LeftMidway
+                                     : &CallerTally::LeftUnanswered);
       dispatch(Request.Host, [&](Dispatcher &Scheduler, Commands &Output) {
         Scheduler.cancel(Request.Id, Now, Output);
       });
@@ -349,13 +489,19 @@
 
   void shareLoads() {
     std::vector<std::vector<EndpointLoad>> Own;
+    std::map<std::uint64_t, RequestLoad> Sums;
     for (const Dispatcher &Entry : Hosts)
-      Own.push_back(Entry.ownLoads());
+      for (const EndpointLoad &Load : Own.emplace_back(Entry.ownLoads()))
+        Sums[Load.Endpoint] += Load.Load;
     for (std::size_t Host = 0; Host < Hosts.size(); ++Host) {
+      if (Host == Workload.HostWithoutLoads)
+        continue;
+      std::map<std::uint64_t, RequestLoad> Rest = Sums;
+      for (const EndpointLoad &Load : Own[Host])
+        Rest[Load.Endpoint] -= Load.Load;
       std::vector<EndpointLoad> Others;
-      for (std::size_t Other = 0; Other < Hosts.size(); ++Other)
-        if (Other != Host)
-          Others.insert(Others.end(), Own[Other].begin(), Own[Other].end());
+      for (const auto &[Endpoint, Load] : Rest)
+        Others.push_back({Endpoint, Load});
       dispatch(Host, [&](Dispatcher &Scheduler, Commands &Output) {
         Scheduler.setRemoteLoads(Others, Now, Output);
       });
@@ -370,10 +516,13 @@
   std::vector<Dispatcher> Hosts;
   std::vector<Engine> Engines;
   std::vector<SimulatedRequest> Requests;
+  /// Numbers of the requests that had not ended at the last step.
+  std::vector<std::size_t> Open;
   std::vector<Resubmission> Resubmissions;
   std::map<std::tuple<std::size_t, std::uint32_t, std::uint32_t>, std::size_t>
       ByTicket;
   CallerTally Tally;
+  PlacementTally Placements;
 };
 
 } // namespace coltsfoottrail::test
