Count where requests go, why they leave, and what crosses data centres

What operators saw: bytes between data centres without a purpose, and no sign of why a request had left its own.

Change: the counters coltsfoottrail_placed_total by reason and coltsfoottrail_distant_bytes_total by purpose (callers' request bodies and responses, reports and responses of the dissemination tree), and the field away of 1311 request-placed. The reason travels from the choice through the send command and the assignment. An exchange of the tree is counted by the host that answers it, since the report names the sender's data centre.

Not counted: reads of the store, whose data centre is not known here, orders to engines, header fields, forwarded connections.

The tree's counters are not covered by a test, since no test drives TreeLink over connections.

--- a/packages/process/src/coltsfoottrail/dissemination/link.cpp
+++ b/packages/process/src/coltsfoottrail/dissemination/link.cpp
@@ -206,6 +206,8 @@
   const Response Answer = co_await makeResponse(Received);
   Reply.Fields.push_back({"Content-Type", "application/cbor"});
   Reply.Body = encode(Answer);
+  Hooks.OnServed(Received.DataCentre, Call.request().Body.size(),
+                 Reply.Body.size());
   co_await Call.respond(std::move(Reply));
   co_await forwardStalls(std::move(Received.Stalled));
 }
--- a/packages/process/src/coltsfoottrail/dissemination/link.hpp
+++ b/packages/process/src/coltsfoottrail/dissemination/link.hpp
@@ -44,6 +44,10 @@
   std::function<void(std::span<const Forwarder>)> OnForwarders;
   /// Forwards a connection to an endpoint for another host.
   ExchangeHandler Forward;
+  /// Receives the data centre of a host whose report was answered, and the
+  /// bytes of the report and of the response.
+  std::function<void(const DataCentreName &, std::size_t, std::size_t)>
+      OnServed;
   /// Called on the coordinator with an endpoint whose streams have stalled.
   std::function<void(const std::string &)> OnStalled;
 };
--- a/packages/process/src/coltsfoottrail/fleethost/attempt.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/attempt.cpp
@@ -81,6 +81,12 @@
   Context.LastEventAt = Now;
 }
 
+void CallerProxy::recordDistant(const RequestContext &Context,
+                                DistantTraffic Purpose, std::size_t Bytes) {
+  if (Context.Away != AwayReason::None)
+    Placement.recordBytes(Purpose, Bytes);
+}
+
 // A request that must not run twice gets a new connection: if it were written
 // to a kept one that the endpoint is just closing, nobody could tell whether it
 // ran.
@@ -161,6 +167,7 @@
     ++Counts.Resumed;
   }
   ++Counts.Sends;
+  Placement.recordSend(Context.Away);
   if (++Context.Sends == 1)
     Metrics.recordWait(Context.Route->Policy, Start - Context.ArrivedAt);
   Context.Trail.add(Event::RequestPlaced,
@@ -172,9 +179,11 @@
                      {"send", Context.Sends},
                      {"fingerprint", fingerprintText(Context.Fingerprint)},
                      {"parts", idList(Context.Caller.SharedParts)},
-                     {"late", Context.isLate()}},
+                     {"late", Context.isLate()},
+                     {"away", awayReasonCode(Context.Away)}},
                     Start);
   HttpRequest Sent = Wire.forward(Call.request(), Marks);
+  recordDistant(Context, DistantTraffic::RequestBody, Sent.Body.size());
   BacklogGuard QueuedGuard(Backlogs[Context.Pool], Context.isLate());
   const bool HasRunLeft =
       Context.Route->streams() && hasRunLeft(attemptProgress(Context));
@@ -304,6 +313,7 @@
     auto &Chunk = std::get<std::optional<std::string>>(Next);
     if (!Chunk)
       break;
+    recordDistant(Context, DistantTraffic::ResponseBody, Chunk->size());
     if (!Body.append(*Chunk)) {
       logUnbounded(Context, Target, Body.size() + Chunk->size(), "body");
       co_return failedAttempt(RunState::MayHaveRun, Reason::EndpointFailed,
@@ -373,6 +383,7 @@
     auto &Chunk = std::get<std::optional<std::string>>(Next);
     if (!Chunk)
       break;
+    recordDistant(Context, DistantTraffic::ResponseBody, Chunk->size());
     const std::string_view Events = Context.Events.append(*Chunk);
     if (Context.Events.isOverlong()) {
       logUnbounded(Context, Target, Context.Events.pendingBytes(), "event");
--- a/packages/process/src/coltsfoottrail/fleethost/callerproxy.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/callerproxy.cpp
@@ -311,6 +311,7 @@
       continue;
     }
     const auto Target = std::get<Assignment>(Next).Endpoint;
+    Context.Away = std::get<Assignment>(Next).Away;
     Context.RouterPlace = &*RouterPlace;
     AttemptResult Result = co_await attempt(Call, Context, *Target);
     if (Result.State != RunState::NotRun)
--- a/packages/process/src/coltsfoottrail/fleethost/callerproxy.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/callerproxy.hpp
@@ -8,6 +8,7 @@
 #include "coltsfoottrail/core/random.hpp"
 #include "coltsfoottrail/dispatch/terms.hpp"
 #include "coltsfoottrail/fleethost/eventstreambuffer.hpp"
+#include "coltsfoottrail/fleethost/placementmetrics.hpp"
 #include "coltsfoottrail/fleethost/proxymetrics.hpp"
 #include "coltsfoottrail/fleethost/view.hpp"
 #include "coltsfoottrail/http/client.hpp"
@@ -102,6 +103,12 @@
 
   /// @brief Latencies and outcomes of requests.
   [[nodiscard]] const ProxyMetrics &metrics() const noexcept { return Metrics; }
+  /// @brief Where requests are sent, and what crosses data centres.
+  [[nodiscard]] PlacementMetrics &placement() noexcept { return Placement; }
+  /// @copydoc placement
+  [[nodiscard]] const PlacementMetrics &placement() const noexcept {
+    return Placement;
+  }
   /// @brief Counters since the start.
   [[nodiscard]] const CallerProxyCounts &counts() const noexcept {
     return Counts;
@@ -142,6 +149,8 @@
     std::optional<HttpResponse> FallbackResponse;
     RequestLog Trail;
     std::uint32_t Sends = 0;
+    /// Why the endpoint of the present attempt is in another data centre.
+    AwayReason Away = AwayReason::None;
     /// The request's place in the router, queued or running; null while it has
     /// none.
     DispatchHandle *RouterPlace = nullptr;
@@ -202,6 +211,8 @@
   void measureEnd(const RequestContext &Context, std::string_view Outcome,
                   std::string_view ReasonText);
   void measureEvent(RequestContext &Context);
+  void recordDistant(const RequestContext &Context, DistantTraffic Purpose,
+                     std::size_t Bytes);
   void logFailure(RequestContext &Context, const EndpointSpec &Target,
                   const AttemptResult &Result);
   [[nodiscard]] bool admitCold(const RequestContext &Context,
@@ -222,6 +233,7 @@
   CallerProxyCounts Counts;
   ResponseMemory Memory;
   ProxyMetrics Metrics;
+  PlacementMetrics Placement;
   /// Shared with the coroutines, which may end after this object.
   std::shared_ptr<RequestLogBudget> Budget =
       std::make_shared<RequestLogBudget>(RequestLogLimits{});
--- a/packages/process/src/coltsfoottrail/fleethost/feeds.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/feeds.cpp
@@ -146,6 +146,13 @@
     Platform.Endpoints.reach().addForwarders(Hosts, BootClock::now());
   };
   Result.Forward = [this](Exchange &Call) { return Forwarding.serve(Call); };
+  Result.OnServed = [this](const DataCentreName &Sender, std::size_t Received,
+                           std::size_t Sent) {
+    if (Sender == Settings.DataCentre)
+      return;
+    Proxy.placement().recordBytes(DistantTraffic::Report, Received);
+    Proxy.placement().recordBytes(DistantTraffic::ReportResponse, Sent);
+  };
   Result.OnStalled = [this](const std::string &Endpoint) {
     Coordinator.probeMembers(Endpoint, Threads.context(0).get_executor());
   };
--- a/packages/process/src/coltsfoottrail/fleethost/host.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/host.cpp
@@ -533,6 +533,7 @@
   RetryReport::appendTo(Text, Routing.retryTallies());
   RateLimitReport::appendTo(Text, Routing.rateLimits());
   Proxy.metrics().appendTo(Text);
+  Proxy.placement().appendTo(Text);
   return Text;
 }
 
--- a/packages/process/src/coltsfoottrail/server/router.cpp
+++ b/packages/process/src/coltsfoottrail/server/router.cpp
@@ -111,7 +111,7 @@
   const auto Found = Endpoints.find(Send.EndpointKey);
   if (Found == Endpoints.end())
     return Refusal{{RunState::NotRun, Reason::Internal, std::nullopt}, {}};
-  return Assignment{Found->second};
+  return Assignment{Found->second, Send.Away};
 }
 
 DispatchHandle::Shard::Deliveries
--- a/packages/process/src/coltsfoottrail/server/router.hpp
+++ b/packages/process/src/coltsfoottrail/server/router.hpp
@@ -27,6 +27,8 @@
 /// @brief The endpoint to which a request is to be sent.
 struct Assignment {
   std::shared_ptr<const EndpointSpec> Endpoint;
+  /// Why it is in another data centre.
+  AwayReason Away = AwayReason::None;
 };
 
 /// @brief A final refusal and the facts it is based on.
--- a/packages/request/test/coltsfoottrail/dispatch/locality.cpp
+++ b/packages/request/test/coltsfoottrail/dispatch/locality.cpp
@@ -84,6 +84,9 @@
     EXPECT_GE(With.Callers.onTimeShare(),
               Without.Callers.onTimeShare() - MaxOnTimeLoss);
     EXPECT_LT(With.Sends.All.Far, Without.Sends.All.Far);
+    EXPECT_EQ(Without.Sends.Reasons.at(AwayReason::None),
+              Without.Sends.All.Home);
+    EXPECT_EQ(With.Sends.Reasons.at(AwayReason::None), With.Sends.All.Home);
     return With;
   }
 };
