--- a/packages/process/src/coltsfoottrail/fleethost/host.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/host.cpp
@@ -100,6 +100,8 @@
   Policy.HintSets = HintSets;
   Policy.UseRing = false;
   Policy.FullByLoad = true;
+  if (Settings.Placement.HomeFirst)
+    Policy.Home = HomeFirst{};
   Result.Policy = Policy;
   Result.Retries.Budget =
       budgetLimits({Settings.Bounds.RetryRatio, Settings.Bounds.RetrySlack});
@@ -564,6 +566,7 @@
     appendDemandMetrics(Text, Demand->rows(Now), poolNames());
   Proxy.metrics().appendTo(Text);
   Coordinator.appendMetrics(Text, Now);
+  Proxy.placement().appendTo(Text);
   return Text;
 }
 
