--- a/packages/process/src/coltsfoottrail/fleethost/attempt.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/attempt.cpp
@@ -27,11 +27,6 @@
 constexpr int SilenceFactor = 2;
 constexpr Duration MinSilence = milliseconds(500);
 constexpr Duration MaxSilence = milliseconds(1500);
-/// Ranks in an engine's queue, lowest first: the caller of a resumed stream is
-/// waiting in the middle of a response.
-constexpr std::uint32_t ResumedRank = 1;
-constexpr std::uint32_t FreshRank = 4;
-constexpr std::uint32_t LateRank = 8;
 
 bool isSuccess(unsigned Status) {
   return Status >= StatusOk && Status < StatusFirstNonSuccess;
@@ -151,12 +146,15 @@
   Marks.Team = Context.Team;
   Marks.TimeLeft = std::chrono::floor<milliseconds>(TimeLeft);
   if (Context.Route->streams())
-    Marks.QueuePriority = Context.isLate() ? LateRank : FreshRank;
+    Marks.QueuePriority = Context.Ranks.enginePriority(
+        Context.Rank,
+        Context.isLate() ? StreamStage::Late : StreamStage::Fresh);
   // Failure guarded against: an endpoint breaks off inside its first event, and
   // the incomplete event is put before the first event of the next endpoint.
   Context.Events.dropPartial();
   if (Context.Events.hasReleased()) {
-    Marks.QueuePriority = ResumedRank;
+    Marks.QueuePriority =
+        Context.Ranks.enginePriority(Context.Rank, StreamStage::Resumed);
     Marks.LastEventId = Context.Events.lastId();
     ++Counts.Resumed;
   }
@@ -167,6 +165,7 @@
                     {{"pool", Context.Pool},
                      {"endpoint", Target.Host},
                      {"team", Context.Team},
+                     {"rank", Context.Rank},
                      {"config", Context.Config->version()},
                      {"left_ms", Marks.TimeLeft.count()},
                      {"send", Context.Sends},
--- a/packages/process/src/coltsfoottrail/fleethost/callerproxy.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/callerproxy.cpp
@@ -32,6 +32,9 @@
 /// Longest Retry-After as a fraction of the time left. Callers do not wait
 /// longer than a third of it, and a group is repaired in two to four seconds.
 constexpr double RetryAfterFraction = 0.3;
+/// Latest useful retry where it is known when there will be room, as a fraction
+/// of the time that the caller has left.
+constexpr double LastUsefulRetryFraction = 0.5;
 constexpr milliseconds MaxRetryAfter{1'500};
 
 std::int64_t toMilliseconds(Duration Span) {
@@ -81,6 +84,9 @@
   const std::string_view ReasonText = Answered ? "none" : reasonCode(Final.Why);
   const std::string_view Ran = Answered ? "ran" : runStateCode(Final.State);
   measureEnd(Context, Outcome, ReasonText);
+  if (Answered || Outcome == "refused")
+    Metrics.recordRank(Context.Rank,
+                       Answered ? RankEvent::Served : RankEvent::Refused);
   Context.Trail.add(Event::RequestEnded,
                     {{"outcome", Outcome},
                      {"status", Status},
@@ -91,6 +97,7 @@
                      {"parts", idList(Context.Caller.SharedParts)},
                      {"last_event", Context.Events.lastId()},
                      {"pool", Context.Pool},
+                     {"rank", Context.Rank},
                      {"first_ms", toMilliseconds(Context.TimeToFirstEvent)},
                      {"pause_ms", toMilliseconds(Context.LongestEventGap)}},
                     BootClock::now());
@@ -229,6 +236,7 @@
     Model = Context.Caller.Model;
   }
   Context.Service = Service;
+  Context.Ranks = RankOrder(Context.Config->ranks(Service->Name));
   Context.Pool = FleetView::poolName(Service->Name, Model);
   return std::nullopt;
 }
@@ -265,6 +273,7 @@
   Case.ArrivedAt = Context.ArrivedAt;
   Case.AnswerBy = Context.Deadline;
   Case.TargetLatency = Context.Route->TargetLatency;
+  Case.ShortestTarget = Context.Ranks.shortestTarget();
   setSchedulingTerms(Case, BootClock::now(), Result);
   // Failure guarded against: late requests that wait in a leader's queue make
   // it look full, fresh ones are refused and return late, and soon no request
@@ -287,6 +296,7 @@
     Backlog = std::make_shared<PoolBacklog>();
   Backlog->Recent.add(Context.ArrivedAt);
   Context.Fingerprint = fingerprintOf(Call.request(), Context.Team);
+  Metrics.recordRank(Context.Rank, RankEvent::Offered);
   const auto Executor = co_await boost::asio::this_coro::executor;
   std::optional<DispatchHandle> RouterPlace = Routing.submit(
       Context.Pool, makeWorkItem(Call.request(), Context, *Backlog), Executor);
@@ -299,8 +309,11 @@
         co_return;
       }
       Context.Freshness = Timeliness::Demoted;
+      Metrics.recordRank(Context.Rank, RankEvent::Demoted);
       Context.Trail.add(Event::RequestDemoted,
-                        {{"pool", Context.Pool}, {"sends", Context.Sends}},
+                        {{"pool", Context.Pool},
+                         {"sends", Context.Sends},
+                         {"rank", Context.Rank}},
                         BootClock::now());
       RouterPlace.reset();
       std::optional<DispatchHandle> DemotedPlace = Routing.submit(
@@ -392,8 +405,14 @@
       MaxRetryAfter,
       std::chrono::duration_cast<Duration>(TimeLeft * RetryAfterFraction));
   const double Fraction = 0.5 + 0.5 * Draw.fraction();
-  return std::max(milliseconds(1), std::chrono::duration_cast<milliseconds>(
-                                       MaxDelay * Fraction));
+  const auto Drawn =
+      std::max(milliseconds(1),
+               std::chrono::duration_cast<milliseconds>(MaxDelay * Fraction));
+  if (!Context.Ranks.isActive() || !Final.RetryAfter)
+    return Drawn;
+  const auto LastUseful = std::chrono::duration_cast<milliseconds>(
+      TimeLeft * LastUsefulRetryFraction);
+  return std::clamp(*Final.RetryAfter, Drawn, std::max(Drawn, LastUseful));
 }
 
 HttpResponse CallerProxy::refusal(const RequestContext &Context,
--- a/packages/process/src/coltsfoottrail/fleethost/callerproxy.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/callerproxy.hpp
@@ -14,6 +14,7 @@
 #include "coltsfoottrail/http/responsebuffer.hpp"
 #include "coltsfoottrail/http/server.hpp"
 #include "coltsfoottrail/logging/requestlog.hpp"
+#include "coltsfoottrail/ranks/order.hpp"
 #include "coltsfoottrail/reach/tracker.hpp"
 #include "coltsfoottrail/retries/retry.hpp"
 #include "coltsfoottrail/retries/share.hpp"
@@ -117,6 +118,8 @@
     TeamName Team;
     /// See rankOf().
     std::uint32_t Rank = 0;
+    /// The ranks of its service.
+    RankOrder Ranks;
     TimePoint ArrivedAt;
     TimePoint Deadline;
     Timeliness Freshness = Timeliness::Fresh;
--- a/packages/process/src/coltsfoottrail/fleethost/proxymetrics.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/proxymetrics.cpp
@@ -7,6 +7,9 @@
 constexpr std::array<std::string_view, 4> KindNames{
     "idempotent", "at-most-once", "resumable-stream", "stream"};
 
+constexpr std::array<std::string_view, 4> RankEventNames{"offered", "served",
+                                                         "refused", "demoted"};
+
 void appendHeader(std::string &Output, std::string_view Name,
                   std::string_view Type, std::string_view Help) {
   Output += "# HELP ";
@@ -31,7 +34,19 @@
                std::string(ReasonText)}];
 }
 
+void ProxyMetrics::appendRanks(std::string &Output) const {
+  appendHeader(Output, "coltsfoottrail_rank_requests_total", "counter",
+               "Requests by rank and by what happened to them.");
+  for (const auto &[Rank, Events] : RankCounts)
+    for (std::size_t Index = 0; Index < Events.size(); ++Index)
+      Output += "coltsfoottrail_rank_requests_total{rank=\"" +
+                std::to_string(Rank) + "\",event=\"" +
+                std::string(RankEventNames.at(Index)) + "\"} " +
+                std::to_string(Events.at(Index)) + "\n";
+}
+
 void ProxyMetrics::appendTo(std::string &Output) const {
+  appendRanks(Output);
   appendHeader(Output, "coltsfoottrail_ended_total", "counter",
                "Requests by how they ended.");
   for (const auto &[Labels, Count] : EndCounts) {
--- a/packages/process/src/coltsfoottrail/fleethost/proxymetrics.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/proxymetrics.hpp
@@ -7,7 +7,9 @@
 #include "coltsfoottrail/fleet/config.hpp"
 #include "coltsfoottrail/telemetry/histogram.hpp"
 
+#include <algorithm>
 #include <array>
+#include <cstdint>
 #include <map>
 #include <string>
 #include <string_view>
@@ -15,6 +17,17 @@
 
 namespace coltsfoottrail {
 
+/// What happened to a request of a rank.
+enum class RankEvent : std::uint8_t {
+  /// It arrived and has a pool.
+  Offered,
+  Served,
+  /// It was refused without having run.
+  Refused,
+  /// It found no slot early enough to be on time.
+  Demoted
+};
+
 /// @brief Counts how requests end and how long they take, and writes this as
 /// Prometheus text. Not thread-safe.
 ///
@@ -44,10 +57,22 @@
                  std::string_view Outcome, std::string_view ReasonText,
                  Duration Elapsed);
 
+  /// @brief Counts an event of a request.
+  /// @param Rank See rankOf(); large ones are counted as one.
+  void recordRank(std::uint32_t Rank, RankEvent Event) {
+    ++RankCounts[std::min(Rank, MaxRank)].at(static_cast<std::size_t>(Event));
+  }
+
   /// @brief Appends all series in the Prometheus text format.
   void appendTo(std::string &Output) const;
 
 private:
+  /// Ranks from this one on share their series.
+  static constexpr std::uint32_t MaxRank = 10;
+  static constexpr std::size_t RankEventCount = 4;
+
+  void appendRanks(std::string &Output) const;
+
   /// Latencies of one kind of request.
   struct Latencies {
     LatencyHistogram Wait;
@@ -64,6 +89,7 @@
   std::array<Latencies, 4> LatenciesByKind;
   LatencyHistogram EventGap;
   std::map<EndLabels, std::uint64_t> EndCounts;
+  std::map<std::uint32_t, std::array<std::uint64_t, RankEventCount>> RankCounts;
 };
 
 } // namespace coltsfoottrail
--- a/packages/process/src/coltsfoottrail/fleethost/view.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/view.cpp
@@ -299,8 +299,10 @@
   Result.Table.Version = version();
   for (const auto &[Service, Names] : pools())
     for (const std::string &Name : Names) {
-      Result.Table.Pools[Name].Name = Name;
-      Result.Table.Pools[Name].RetryGroup = Service.Text;
+      Pool &Target = Result.Table.Pools[Name];
+      Target.Name = Name;
+      Target.RetryGroup = Service.Text;
+      Target.Ranks = Index->ranks(Service);
     }
   addPaces(Result);
   for (const auto &[Name, Entry] : Catalogue.all())
--- a/packages/request/src/coltsfoottrail/choice/chooser.cpp
+++ b/packages/request/src/coltsfoottrail/choice/chooser.cpp
@@ -104,6 +104,16 @@
   return Throughput{std::max(Slots, 0.0), Service.mean()};
 }
 
+double Chooser::room(std::int32_t Reserved, TimePoint Now) const {
+  double Slots = 0.0;
+  for (const CandidateId Id : Table.all()) {
+    const Candidate &Endpoint = *Table.find(Id);
+    const double Ahead = requestsAhead(Endpoint, ChoiceQuery{}, Now);
+    Slots += std::max(0.0, double(Endpoint.Bound) - Reserved - Ahead);
+  }
+  return Slots;
+}
+
 void Chooser::findRateLimited() {
   RateLimitsVersion = RateLimits->version();
   RateLimited.clear();
--- a/packages/request/src/coltsfoottrail/choice/chooser.hpp
+++ b/packages/request/src/coltsfoottrail/choice/chooser.hpp
@@ -183,6 +183,10 @@
   [[nodiscard]] std::uint64_t freeSlots() const noexcept {
     return Table.freeSlots();
   }
+  /// @brief Slots that requests which can be on time may use over all
+  /// endpoints.
+  /// @param Reserved Slots of each endpoint that they leave free.
+  [[nodiscard]] double room(std::int32_t Reserved, TimePoint Now) const;
   /// @brief Throughput of the pool for this entry host.
   [[nodiscard]] Throughput throughput() const noexcept;
 
--- a/packages/request/src/coltsfoottrail/dispatch/dispatcher.cpp
+++ b/packages/request/src/coltsfoottrail/dispatch/dispatcher.cpp
@@ -3,6 +3,9 @@
 #include "coltsfoottrail/core/hash.hpp"
 
 #include <algorithm>
+#include <cmath>
+#include <map>
+#include <unordered_map>
 #include <utility>
 
 namespace coltsfoottrail {
@@ -24,6 +27,9 @@
 /// An endpoint that survives this long after a response has started is not
 /// crashed by a part of its prompt, all of which has been read by then.
 constexpr Duration PromptCrashTime = milliseconds(500);
+/// Rates of ranks are exchanged as counts, in this part of a request per
+/// second.
+constexpr double RateUnits = 1000.0;
 
 milliseconds retryAfter(Duration Wait) {
   return std::clamp(std::chrono::ceil<milliseconds>(Wait), ShortestRetryAfter,
@@ -80,16 +86,35 @@
       Choice(Options.LocalDataCentre, Options.Policy, Rng()),
       Queue(queueLimits(Options)),
       Budget(Options.Retries.Budget, Options.RetryTokens),
-      CrashHistory(Options.CrashLimits, Rng()) {
+      CrashHistory(Options.CrashLimits, Rng()),
+      Forecast(Random(Options.Seed).fraction()) {
   Choice.limitRates(Options.RateLimits);
 }
 
 void Dispatcher::configure(const Pool &Config, TimePoint Now,
                            Commands &Output) {
   Choice.configure(Config);
+  configureRanks(Config);
   pump(Now, Output);
 }
 
+void Dispatcher::configureRanks(const Pool &Config) {
+  Ranks = RankOrder(Config.Ranks);
+  Forecast.setEndpoints(Config.Endpoints.size());
+  if (!Ranks.isActive())
+    return;
+  double Slots = 0.0;
+  for (const EndpointSpec &Endpoint : Config.Endpoints)
+    Slots += Endpoint.WarmBound;
+  if (!Config.Endpoints.empty())
+    SlotsPerEndpoint = Slots / static_cast<double>(Config.Endpoints.size());
+  for (std::size_t Place = 0; Place < RankOrder::MaxPlaces; ++Place)
+    RateKeys[Place] =
+        hashText("rank/" + std::to_string(Place), hashText(Config.Name));
+  for (std::size_t Level = 0; Level < RankOrder::MaxLevels; ++Level)
+    Queue.setBlocking(Level, !RankOrder::isLateLevel(Level));
+}
+
 void Dispatcher::setShare(std::string_view EndpointKey, std::uint32_t Share,
                           TimePoint Now, Commands &Output) {
   const std::optional<CandidateId> Id = Choice.find(EndpointKey);
@@ -107,7 +132,7 @@
 
 Ticket Dispatcher::submit(WorkItem Item, TimePoint Now, Commands &Output) {
   ++Counts.Submitted;
-  const TeamId Team = Queue.team(Item.Team);
+  const TeamId Team = queueTeam(Item, Now);
   RequestState Request;
   Request.Item = std::move(Item);
   Request.Team = Team;
@@ -133,6 +158,43 @@
   return Id;
 }
 
+// Failure guarded against: an endpoint has a free slot, and each of a hundred
+// hosts sends a request of a lower rank there before it hears of the others.
+bool Dispatcher::isHeldBack(const RequestState &Request, TimePoint Now) const {
+  const std::size_t Place = Ranks.place(Request.Item.Rank);
+  if (Request.Attempts > 0 || isLate(Request.Item) ||
+      PlaceBelowMinimum == Place || !leavesRoom(Request, Now))
+    return false;
+  const RankPart Part = otherTeamsBefore(Request.Item, Now)
+                            ? RankPart::AboveShare
+                            : RankPart::WithinShare;
+  return !Forecast.mayStart(Place, Part);
+}
+
+/// Counts an arriving request, and returns its team on the level of its rank.
+TeamId Dispatcher::queueTeam(const WorkItem &Item, TimePoint Now) {
+  if (!Ranks.isActive())
+    return Queue.team(Item.Team);
+  const std::size_t Place = Ranks.place(Item.Rank);
+  RankPart Part = RankPart::Late;
+  if (!isLate(Item)) {
+    Forecast.recordArrival(Place, Now);
+    Demands[Place].recordArrival(hashText(Item.Team.Text), Now);
+    Part = otherTeamsBefore(Item, Now) ? RankPart::AboveShare
+                                       : RankPart::WithinShare;
+  }
+  return Queue.team(Item.Team, RankOrder::levelOf(Place, Part));
+}
+
+std::optional<double> Dispatcher::otherTeamsBefore(const WorkItem &Item,
+                                                   TimePoint Now) const {
+  const std::size_t Place = Ranks.place(Item.Rank);
+  if (!Forecast.isShort(Place))
+    return std::nullopt;
+  return Demands[Place].othersBefore(hashText(Item.Team.Text),
+                                     Forecast.total(Place), Now);
+}
+
 // Failure guarded against: a request that endpoints have refused is submitted
 // again, and its next send counts as a first one, which costs no retry and
 // earns one.
@@ -288,17 +350,99 @@
   if (Item.FirstEventBy < TimePoint::max() && Request.Attempts == 0)
     Query.FirstEventTimeLeft = Item.FirstEventBy - Now;
   Query.QueueAheadFraction = Item.QueuedAheadFraction;
-  Query.Late = Item.Urgency == Priority::Batch;
+  Query.Late = isLate(Item);
   Query.Avoid = Request.LastFailedEndpoint;
   Query.Suspect = Request.Suspect;
   Query.Repeatable = Item.Repeatable;
   Query.TimeToDeadline = Item.Deadline - Now;
   Query.CachedOnly = waitsForCache(Request, Now);
+  if (Ranks.isActive())
+    setRankTerms(Request, Now, Query);
   return Query;
 }
 
+/// Whether a request leaves slots free for others that can be on time.
+bool Dispatcher::leavesRoom(const RequestState &Request, TimePoint Now) const {
+  return Forecast.hasMoreUrgent(Ranks.place(Request.Item.Rank)) ||
+         otherTeamsBefore(Request.Item, Now).has_value();
+}
+
+// Failure guarded against: the callers of a lower rank take every slot as it is
+// freed, and more urgent ones find none in time. A stream that its caller has
+// part of leaves no slots free.
+void Dispatcher::setRankTerms(const RequestState &Request, TimePoint Now,
+                              ChoiceQuery &Query) const {
+  const std::size_t Place = Ranks.place(Request.Item.Rank);
+  if (Request.Resumable || PlaceBelowMinimum == Place ||
+      !leavesRoom(Request, Now))
+    return;
+  const double OtherTeams =
+      Query.Late ? 0.0 : otherTeamsBefore(Request.Item, Now).value_or(0.0);
+  Query.Overcommit =
+      std::min(Query.Overcommit, 0) -
+      Forecast.reservedSlots(Place, SlotsPerEndpoint, OtherTeams);
+}
+
+std::vector<EndpointLoad> Dispatcher::ownLoads() const {
+  std::vector<EndpointLoad> Loads = Choice.ownLoads();
+  if (Ranks.isActive())
+    addRates(Loads);
+  return Loads;
+}
+
+void Dispatcher::addRates(std::vector<EndpointLoad> &Loads) const {
+  const auto ToUnits = [](double Rate) {
+    return std::uint32_t(std::lround(Rate * RateUnits));
+  };
+  for (std::size_t Place = 0; Place < RankOrder::MaxPlaces; ++Place) {
+    const RankRates &Rates = Forecast.own()[Place];
+    EndpointLoad Entry;
+    Entry.Endpoint = RateKeys[Place];
+    Entry.Load.Running = ToUnits(Rates.Offered);
+    Entry.Load.Fresh = ToUnits(Rates.Started);
+    if (Entry.Load.total() > 0)
+      Loads.push_back(Entry);
+    for (const TeamDemand::Rate &Team : Demands[Place].own(LastCallAt)) {
+      EndpointLoad TeamEntry;
+      TeamEntry.Endpoint = RateKeys[Place] ^ Team.Team;
+      TeamEntry.Load.Running = ToUnits(Team.Offered);
+      if (TeamEntry.Load.Running > 0)
+        Loads.push_back(TeamEntry);
+    }
+  }
+}
+
+void Dispatcher::setRemoteRates(std::span<const EndpointLoad> Others,
+                                TimePoint Now) {
+  std::unordered_map<std::uint64_t, RequestLoad> ByKey;
+  for (const EndpointLoad &Entry : Others)
+    ByKey[Entry.Endpoint] += Entry.Load;
+  RatesByPlace Sums{};
+  for (std::size_t Place = 0; Place < RankOrder::MaxPlaces; ++Place) {
+    const RequestLoad &Sum = ByKey[RateKeys[Place]];
+    Sums[Place] = {Sum.Running / RateUnits, Sum.Fresh / RateUnits};
+    std::map<std::uint64_t, double> Teams;
+    for (const TeamDemand::Rate &Team : Demands[Place].own(Now))
+      Teams[Team.Team] = ByKey[RateKeys[Place] ^ Team.Team].Running / RateUnits;
+    Demands[Place].setOthers(Teams, Now);
+  }
+  Forecast.setOthers(Sums, Now);
+  for (std::size_t Place = 0; Place < RankOrder::MaxPlaces; ++Place)
+    for (const RankPart Part : {RankPart::WithinShare, RankPart::AboveShare}) {
+      const double OtherTeams =
+          Part == RankPart::AboveShare
+              ? Demands[Place].withinShare(Forecast.total(Place), Now)
+              : 0.0;
+      const std::int32_t Reserved =
+          Forecast.reservedSlots(Place, SlotsPerEndpoint, OtherTeams);
+      Forecast.setRoom(Place, Part, Choice.room(Reserved, Now));
+    }
+}
+
 std::optional<CandidateId> Dispatcher::chooseEndpoint(RequestState &Request,
                                                       TimePoint Now) {
+  if (Ranks.isActive() && isHeldBack(Request, Now))
+    return std::nullopt;
   Request.Suspect =
       CrashHistory.standing(Request.Item.Fingerprint, Now) == Standing::Suspect;
   if (!Request.CacheWaitUntil)
@@ -339,6 +483,7 @@
   CrashHistory.parts().recordSend(Request.Item.SharedParts,
                                   hashText(Request.Item.Team.Text), Now);
   if (Request.Attempts++ == 0) {
+    Forecast.recordStart(Ranks.place(Request.Item.Rank), Now);
     Budget.recordFirstSend(Chosen.DataCentre, Now);
     ++Counts.FirstSends;
   } else {
@@ -359,14 +504,15 @@
     return;
   }
   Request->ResponseStartedAt = Now;
-  Choice.responseStarted(*Request->SentTo,
-                         Request->Item.Urgency == Priority::Batch,
+  Choice.responseStarted(*Request->SentTo, isLate(Request->Item),
                          Request->Item.PromptTokens);
 }
 
 void Dispatcher::setRemoteLoads(std::span<const EndpointLoad> Others,
                                 TimePoint Now, Commands &Output) {
   Choice.setOtherHostLoads(Others, Now);
+  if (Ranks.isActive())
+    setRemoteRates(Others, Now);
   pump(Now, Output);
 }
 
@@ -396,7 +542,7 @@
   Ended.Cost = Request.Item.Cost;
   Ended.Suspect = Request.Suspect;
   Ended.Hinted = Request.Hinted;
-  Ended.Late = Request.Item.Urgency == Priority::Batch;
+  Ended.Late = isLate(Request.Item);
   Ended.ResponseStarted = Request.ResponseStartedAt.has_value();
   Ended.PromptTokens = Request.Item.PromptTokens;
   Ended.Total =
@@ -671,6 +817,8 @@
 
 void Dispatcher::pump(TimePoint Now, Commands &Output) {
   trackCapacity(Now);
+  Forecast.advance(Now);
+  LastCallAt = Now;
   expire(Now, Output);
   sendHeld(Now, Output);
   sendWaiting(Now, Output);
@@ -679,8 +827,10 @@
 void Dispatcher::expire(TimePoint Now, Commands &Output) {
   while (const std::optional<Ticket> Id = Queue.popExpired(Now)) {
     const RequestState &Request = *Requests.find(*Id);
-    refuse(*Id, notRun(expiryReason(Request.Item, Now)),
-           retryStop(Request, RetryStop::NoTime), Output);
+    refuse(
+        *Id,
+        notRun(expiryReason(Request.Item, Now), retryAfterOfRank(Request.Item)),
+        retryStop(Request, RetryStop::NoTime), Output);
   }
   while (const std::optional<Ticket> Id = Held.popDue(Now))
     expireHeld(*Id, Now, Output);
@@ -753,27 +903,73 @@
 // suspect, for which no endpoint with a free slot is suitable at present. It is
 // moved to the held requests and the next one is tried.
 void Dispatcher::sendWaiting(TimePoint Now, Commands &Output) {
+  sendMinimumStarts(Now, Output);
   std::size_t Misses = 0;
-  while (Misses < MaxMisses && Choice.hasRoom()) {
-    const std::optional<Ticket> Id = Queue.peek();
-    if (!Id)
-      return;
-    RequestState &Request = *Requests.find(*Id);
-    const auto Refusal = quarantineRefusal(Request.Item, Now);
-    const std::optional<CandidateId> Target =
-        Refusal ? std::nullopt : chooseEndpoint(Request, Now);
-    if (!Refusal && !Target && !Request.Suspect && !waitsForCache(Request, Now))
-      return;
-    Request.InProgress = Queue.pop().has_value();
-    if (Refusal) {
-      refuse(*Id, *Refusal, RetryStop::Quarantined, Output);
-    } else if (Target) {
-      send(*Id, *Target, Now, Output);
-    } else {
-      holdAside(*Id, Now, Output);
-      ++Misses;
+  for (std::size_t Level = 0; Level < Queue.levels(); ++Level)
+    while (Misses < MaxMisses && Choice.hasRoom() && Queue.peek(Level)) {
+      const PlaceResult Result = sendFirst(Level, Now, Output);
+      if (Result == PlaceResult::HeldAside)
+        ++Misses;
+      if (Result != PlaceResult::NoSlot)
+        continue;
+      // Late requests leave slots free for all that can be on time.
+      if (!Ranks.isActive() || !RankOrder::isLateLevel(Level))
+        return;
+      break;
     }
+}
+
+/// Sends the next request of a level.
+Dispatcher::PlaceResult Dispatcher::sendFirst(std::size_t Level, TimePoint Now,
+                                              Commands &Output) {
+  const Ticket Id = *Queue.peek(Level);
+  RequestState &Request = *Requests.find(Id);
+  const auto Refusal = quarantineRefusal(Request.Item, Now);
+  const std::optional<CandidateId> Target =
+      Refusal ? std::nullopt : chooseEndpoint(Request, Now);
+  if (!Refusal && !Target && !Request.Suspect && !waitsForCache(Request, Now))
+    return PlaceResult::NoSlot;
+  Request.InProgress = Queue.pop(Level).has_value();
+  if (Refusal) {
+    refuse(Id, *Refusal, RetryStop::Quarantined, Output);
+    return PlaceResult::Handled;
+  }
+  if (Target) {
+    send(Id, *Target, Now, Output);
+    return PlaceResult::Handled;
   }
+  holdAside(Id, Now, Output);
+  return PlaceResult::HeldAside;
+}
+
+// Failure guarded against: more urgent requests arrive without a pause, and
+// callers of a lower rank are all refused.
+void Dispatcher::sendMinimumStarts(TimePoint Now, Commands &Output) {
+  if (!Ranks.isActive())
+    return;
+  for (std::size_t Place = 1; Place < RankOrder::MaxPlaces; ++Place) {
+    PlaceBelowMinimum = Place;
+    for (const RankPart Part : {RankPart::WithinShare, RankPart::AboveShare}) {
+      const std::size_t Level = RankOrder::levelOf(Place, Part);
+      while (Forecast.isBelowMinimum(Place) && Choice.hasRoom() &&
+             Queue.peek(Level))
+        if (sendFirst(Level, Now, Output) != PlaceResult::Handled)
+          break;
+    }
+  }
+  PlaceBelowMinimum.reset();
+}
+
+/// When room for a request of its rank is expected, where ranks differ.
+std::optional<milliseconds>
+Dispatcher::retryAfterOfRank(const WorkItem &Item) const {
+  if (!Ranks.isActive())
+    return std::nullopt;
+  const std::size_t Level = Ranks.queueLevel(
+      Item.Rank, isLate(Item) ? RankPart::Late : RankPart::AboveShare);
+  const std::optional<Duration> Wait = Forecast.expectedWait(
+      Ranks.place(Item.Rank), Queue.waitingUpTo(Level) + 1);
+  return Wait ? retryAfter(*Wait) : UnknownRetryAfter;
 }
 
 void Dispatcher::updateQueueSlots() {
--- a/packages/request/src/coltsfoottrail/dispatch/dispatcher.hpp
+++ b/packages/request/src/coltsfoottrail/dispatch/dispatcher.hpp
@@ -10,11 +10,15 @@
 #include "coltsfoottrail/dispatch/types.hpp"
 #include "coltsfoottrail/quarantine/quarantine.hpp"
 #include "coltsfoottrail/queues/fairqueue.hpp"
+#include "coltsfoottrail/ranks/forecast.hpp"
+#include "coltsfoottrail/ranks/order.hpp"
+#include "coltsfoottrail/ranks/teamdemand.hpp"
 #include "coltsfoottrail/ratelimit/limiter.hpp"
 #include "coltsfoottrail/ratelimit/trafficshare.hpp"
 #include "coltsfoottrail/retries/retry.hpp"
 #include "coltsfoottrail/route/table.hpp"
 
+#include <array>
 #include <memory>
 #include <optional>
 #include <span>
@@ -140,12 +144,11 @@
   /// goes on.
   void responseProgressed(Ticket Id, TimePoint Now);
 
-  /// @brief This host's requests at each endpoint that has any of them.
-  [[nodiscard]] std::vector<EndpointLoad> ownLoads() const {
-    return Choice.ownLoads();
-  }
-  /// @brief Replaces the loads that the other entry hosts have at all
-  /// endpoints; waiting requests may be sent as a result.
+  /// @brief This host's requests at each endpoint that has any of them, and in
+  /// a pool with several ranks the rates of each rank.
+  [[nodiscard]] std::vector<EndpointLoad> ownLoads() const;
+  /// @brief Replaces what the other entry hosts' ownLoads() add up to; waiting
+  /// requests may be sent as a result.
   void setRemoteLoads(std::span<const EndpointLoad> Others, TimePoint Now,
                       Commands &Output);
 
@@ -287,7 +290,7 @@
     TimePoint SentAt;
     Incarnation SentRun = 0;
   };
-  enum class PlaceResult : std::uint8_t { Handled, NoSlot };
+  enum class PlaceResult : std::uint8_t { Handled, HeldAside, NoSlot };
 
   [[nodiscard]] std::optional<Verdict> quarantineRefusal(const WorkItem &Item,
                                                          TimePoint Now) const;
@@ -307,6 +310,23 @@
   void resubmit(Ticket Id, TimePoint Now, Commands &Output);
   [[nodiscard]] bool startNow(Ticket Id, TimePoint Now, Commands &Output);
   void enqueue(Ticket Id, TimePoint Now);
+  void configureRanks(const Pool &Config);
+  [[nodiscard]] static bool isLate(const WorkItem &Item) noexcept {
+    return Item.Urgency == Priority::Batch;
+  }
+  [[nodiscard]] bool leavesRoom(const RequestState &Request,
+                                TimePoint Now) const;
+  [[nodiscard]] bool isHeldBack(const RequestState &Request,
+                                TimePoint Now) const;
+  [[nodiscard]] TeamId queueTeam(const WorkItem &Item, TimePoint Now);
+  [[nodiscard]] std::optional<double> otherTeamsBefore(const WorkItem &Item,
+                                                       TimePoint Now) const;
+  void setRankTerms(const RequestState &Request, TimePoint Now,
+                    ChoiceQuery &Query) const;
+  void addRates(std::vector<EndpointLoad> &Loads) const;
+  void setRemoteRates(std::span<const EndpointLoad> Others, TimePoint Now);
+  [[nodiscard]] std::optional<milliseconds>
+  retryAfterOfRank(const WorkItem &Item) const;
   [[nodiscard]] ChoiceQuery choiceQuery(const RequestState &Request,
                                         TimePoint Now) const;
   [[nodiscard]] TimePoint cacheDelayEnd(const RequestState &Request,
@@ -321,6 +341,9 @@
   void expireHeld(Ticket Id, TimePoint Now, Commands &Output);
   void sendHeld(TimePoint Now, Commands &Output);
   void sendWaiting(TimePoint Now, Commands &Output);
+  [[nodiscard]] PlaceResult sendFirst(std::size_t Level, TimePoint Now,
+                                      Commands &Output);
+  void sendMinimumStarts(TimePoint Now, Commands &Output);
   void sendCacheWaiters(CandidateId FreedEndpoint, TimePoint Now,
                         Commands &Output);
   void holdForCache(Ticket Id, TimePoint Now);
@@ -365,6 +388,19 @@
   HeldRequests Held;
   RetryBudget Budget;
   Quarantine CrashHistory;
+  RankOrder Ranks;
+  RankForecast Forecast;
+  /// By place.
+  std::array<TeamDemand, RankOrder::MaxPlaces> Demands;
+  /// Mean concurrency limit of the pool's endpoints when warm.
+  double SlotsPerEndpoint = 1.0;
+  /// Place whose next request leaves no slots free.
+  std::optional<std::size_t> PlaceBelowMinimum;
+  /// When advance() or another call with a time was last made.
+  TimePoint LastCallAt{};
+  /// Keys of the rates of each place among the loads; a team's is the hash of
+  /// its name and this.
+  std::array<std::uint64_t, RankOrder::MaxPlaces> RateKeys{};
   SlotMap<RequestState, Ticket> Requests;
   DispatchCounts Counts;
   double ExpectedSlots = 0.0;
--- a/packages/request/src/coltsfoottrail/dispatch/terms.cpp
+++ b/packages/request/src/coltsfoottrail/dispatch/terms.cpp
@@ -36,6 +36,10 @@
   case Timeliness::Fresh:
     break;
   }
+  if (Timing.ShortestTarget > Duration::zero())
+    return Timing.TargetLatency -
+           scaled(std::min(Timing.TargetLatency, Timing.ShortestTarget),
+                  1.0 - FreshWaitFraction);
   return scaled(Timing.TargetLatency, FreshWaitFraction);
 }
 
--- a/packages/request/src/coltsfoottrail/dispatch/terms.hpp
+++ b/packages/request/src/coltsfoottrail/dispatch/terms.hpp
@@ -28,6 +28,9 @@
   TimePoint AnswerBy;
   /// Longest time from its arrival to its first event that counts as on time.
   Duration TargetLatency{};
+  /// Shortest target latency among the ranks of its pool, see
+  /// RankOrder::shortestTarget(); zero if it has no ranks.
+  Duration ShortestTarget{};
 };
 
 /// @brief Sets the scheduling terms of a request in its work item: Urgency,
@@ -41,6 +44,10 @@
 ///   four times as much from them. It does not queue at an engine: behind fresh
 ///   ones its turn would not come before its caller gives up, and a caller who
 ///   is refused at once may go elsewhere.
+/// - Where ranks differ in their target latency, a prompt takes as long
+/// whatever
+///   its rank: a fresh request waits for the whole time that its target exceeds
+///   the shortest one, and is demoted only after that.
 /// Has no state; thread-safe.
 void setSchedulingTerms(const RequestTiming &Timing, TimePoint Now,
                         WorkItem &Item);
--- a/packages/request/src/coltsfoottrail/dispatch/types.hpp
+++ b/packages/request/src/coltsfoottrail/dispatch/types.hpp
@@ -26,7 +26,7 @@
   TeamName Team;
   Priority Urgency = Priority::Normal;
   /// Precedence over the requests of all teams when there are too few slots;
-  /// zero is the most urgent.
+  /// zero is the most urgent. Without effect in a pool with one rank.
   std::uint32_t Rank = 0;
   TimePoint Deadline;
   /// Latest start of the first attempt; after this the request is refused,
--- a/packages/request/src/coltsfoottrail/queues/fairqueue.cpp
+++ b/packages/request/src/coltsfoottrail/queues/fairqueue.cpp
@@ -32,30 +32,65 @@
   return Owner.Priorities[static_cast<std::size_t>(Urgency)];
 }
 
-TeamId FairQueue::team(const TeamName &Name) {
-  const auto [Entry, Added] =
-      ByName.try_emplace(Name, static_cast<TeamId>(Teams.size()));
+TeamId FairQueue::team(const TeamName &Name, std::size_t LevelIndex) {
+  const auto [Entry, Added] = ByName.try_emplace(Name, ByAccount.size());
   if (Added)
-    Teams.emplace_back();
-  return Entry->second;
+    ByAccount.emplace_back();
+  std::vector<TeamId> &Account = ByAccount[Entry->second];
+  for (const TeamId Id : Account)
+    if (teamState(Id).LevelIndex == LevelIndex)
+      return Id;
+  Team NewTeam;
+  NewTeam.LevelIndex = LevelIndex;
+  NewTeam.Account = Entry->second;
+  if (!Account.empty())
+    NewTeam.Share = teamState(Account.front()).Share;
+  Account.push_back(static_cast<TeamId>(Teams.size()));
+  Teams.push_back(NewTeam);
+  if (Levels.size() <= LevelIndex)
+    Levels.resize(LevelIndex + 1);
+  return Account.back();
+}
+
+std::uint32_t FairQueue::accountInFlight(const Team &Owner) const {
+  std::uint32_t Sum = 0;
+  for (const TeamId Id : ByAccount[Owner.Account])
+    Sum += teamState(Id).InFlight;
+  return Sum;
+}
+
+bool FairQueue::isBelowLimit(const Team &Owner) const {
+  return accountInFlight(Owner) < Owner.Share.MaxInFlight;
+}
+
+/// Updates in which lists a team is, on all levels, after its limit or its
+/// requests in progress have changed.
+void FairQueue::updateReadyLists(const Team &Owner) {
+  const bool BelowLimit = isBelowLimit(Owner);
+  for (const TeamId Id : ByAccount[Owner.Account]) {
+    if (BelowLimit)
+      addToReadyList(Id);
+    else
+      removeFromReadyList(Id);
+  }
 }
 
 void FairQueue::setTeam(TeamId Id, TeamShare Share) {
-  Team &Owner = teamState(Id);
-  if (Owner.Waiting > 0)
-    WaitingWeight += Share.Weight - Owner.Share.Weight;
-  if (Owner.Active)
-    ActiveWeight += Share.Weight - Owner.Share.Weight;
-  Owner.Share = Share;
-  if (Owner.InFlight >= Share.MaxInFlight)
-    removeFromReadyList(Id);
-  else
-    addToReadyList(Id);
+  for (const TeamId Entry : ByAccount[teamState(Id).Account]) {
+    Team &Owner = teamState(Entry);
+    Level &Shared = levelOf(Owner);
+    if (Owner.Waiting > 0)
+      Shared.WaitingWeight += Share.Weight - Owner.Share.Weight;
+    if (Owner.Active)
+      Shared.ActiveWeight += Share.Weight - Owner.Share.Weight;
+    Owner.Share = Share;
+  }
+  updateReadyLists(teamState(Id));
 }
 
 double FairQueue::waitingWeightWith(const Team &JoiningTeam) const {
-  return JoiningTeam.Waiting > 0 ? WaitingWeight
-                                 : WaitingWeight + JoiningTeam.Share.Weight;
+  const double Weight = levelOf(JoiningTeam).WaitingWeight;
+  return JoiningTeam.Waiting > 0 ? Weight : Weight + JoiningTeam.Share.Weight;
 }
 
 // Failure guarded against: one team fills the whole queue and every other
@@ -84,18 +119,36 @@
   return std::nullopt;
 }
 
+/// Cost of the requests that wait on the levels before one.
+double FairQueue::costBefore(std::size_t LevelIndex) const {
+  double Cost = 0.0;
+  for (std::size_t Index = 0; Index < LevelIndex; ++Index)
+    Cost += Levels[Index].WaitingCost;
+  return Cost;
+}
+
+std::size_t FairQueue::waitingUpTo(std::size_t LevelIndex) const noexcept {
+  std::size_t Count = 0;
+  for (std::size_t Index = 0; Index < Levels.size() && Index <= LevelIndex;
+       ++Index)
+    Count += Levels[Index].Waiting;
+  return Count;
+}
+
 Duration FairQueue::estimatedWait(TeamId Id, Priority Urgency, double Cost,
                                   Throughput Speed) const {
   const Team &Owner = teamState(Id);
   double OwnCostAhead = 0.0;
-  for (std::size_t Level = static_cast<std::size_t>(Urgency);
-       Level < PriorityCount; ++Level)
-    OwnCostAhead += Owner.Priorities[Level].Cost;
+  for (auto Index = static_cast<std::size_t>(Urgency); Index < PriorityCount;
+       ++Index)
+    OwnCostAhead += Owner.Priorities[Index].Cost;
   const double ShareFraction = Owner.Share.Weight / waitingWeightWith(Owner);
-  const double CostAhead = std::min(WaitingCost, OwnCostAhead / ShareFraction);
+  const double CostAhead =
+      costBefore(Owner.LevelIndex) +
+      std::min(levelOf(Owner).WaitingCost, OwnCostAhead / ShareFraction);
   const double PoolWait =
       (CostAhead + Cost) * Speed.SecondsPerCost / Speed.Slots;
-  if (Owner.InFlight < Owner.Share.MaxInFlight)
+  if (isBelowLimit(Owner))
     return toDuration(PoolWait);
   const double LimitWait =
       (OwnCostAhead + Cost) * Speed.SecondsPerCost / Owner.Share.MaxInFlight;
@@ -110,11 +163,13 @@
   PriorityQueue &Joined = priorityQueue(Owner, Item.Urgency);
   Joined.ByArrival.emplace(Sequence, Item.Id);
   Joined.Cost += Item.Cost;
-  WaitingCost += Item.Cost;
+  Level &Shared = levelOf(Owner);
+  Shared.WaitingCost += Item.Cost;
+  ++Shared.Waiting;
   Bytes += Item.Bytes;
   Owner.Bytes += Item.Bytes;
   if (Owner.Waiting++ == 0)
-    WaitingWeight += Owner.Share.Weight;
+    Shared.WaitingWeight += Owner.Share.Weight;
   updateActive(Owner);
   addToReadyList(Id);
 }
@@ -122,30 +177,33 @@
 /// Slots that a team may use without regard to others: somewhat more than its
 /// share, since the requests of all teams arrive unevenly.
 double FairQueue::fairSlots(const Team &Owner) const {
-  const double Share = Slots * Owner.Share.Weight / ActiveWeight;
+  const double Share = Slots * Owner.Share.Weight / levelOf(Owner).ActiveWeight;
   return std::max(1.0, Limits.ShareSlack * Share);
 }
 
 bool FairQueue::isAboveShare(const Team &Owner) const {
-  return Slots > 0.0 && ActiveCount > 1 && Owner.InFlight >= fairSlots(Owner);
+  return Slots > 0.0 && levelOf(Owner).ActiveCount > 1 &&
+         Owner.InFlight >= fairSlots(Owner);
 }
 
 /// Whether a team above its share has to leave the free slots to the others.
 bool FairQueue::mustYield(const Team &Owner) const {
-  const double Reserved = std::min(
-      Limits.ReservedSlotRatio * (SlotsWithinShare - Owner.SlotsWithinShare),
-      Limits.MaxReservedFraction * Slots);
+  const double Reserved =
+      std::min(Limits.ReservedSlotRatio *
+                   (levelOf(Owner).SlotsWithinShare - Owner.SlotsWithinShare),
+               Limits.MaxReservedFraction * Slots);
   return FreeSlots <= Reserved;
 }
 
 /// Updates the count of requests in progress that are within their team's
 /// share.
 void FairQueue::updateSlotsWithinShare(Team &Owner) {
-  SlotsWithinShare -= Owner.SlotsWithinShare;
+  Level &Shared = levelOf(Owner);
+  Shared.SlotsWithinShare -= Owner.SlotsWithinShare;
   Owner.SlotsWithinShare = Owner.InFlight;
   if (isAboveShare(Owner))
     Owner.SlotsWithinShare = fairSlots(Owner);
-  SlotsWithinShare += Owner.SlotsWithinShare;
+  Shared.SlotsWithinShare += Owner.SlotsWithinShare;
 }
 
 // Failure guarded against: a team at ten times its share takes every slot as
@@ -153,7 +211,9 @@
 // slot happens to be free, on endpoints that are full and have not cached their
 // prefix, and their response times double. A team above its share leaves as
 // many slots free as the others use.
-std::optional<TeamId> FairQueue::nextTeam() {
+std::optional<TeamId> FairQueue::nextTeam(std::size_t LevelIndex) {
+  ReadyTeams &WithinShare = Levels[LevelIndex].WithinShare;
+  ReadyTeams &AboveShare = Levels[LevelIndex].AboveShare;
   while (!WithinShare.empty()) {
     const TeamId Id = WithinShare.begin()->second;
     if (!isAboveShare(teamState(Id)))
@@ -172,8 +232,22 @@
   return WithinShare.begin()->second;
 }
 
+/// The first level with a request that may start.
+std::optional<std::size_t> FairQueue::nextLevel() {
+  for (std::size_t Index = 0; Index < Levels.size(); ++Index)
+    if (nextTeam(Index))
+      return Index;
+  return std::nullopt;
+}
+
 std::optional<Ticket> FairQueue::peek() {
-  const std::optional<TeamId> Id = nextTeam();
+  const std::optional<std::size_t> Index = nextLevel();
+  return Index ? peek(*Index) : std::nullopt;
+}
+
+std::optional<Ticket> FairQueue::peek(std::size_t LevelIndex) {
+  const std::optional<TeamId> Id =
+      LevelIndex < Levels.size() ? nextTeam(LevelIndex) : std::nullopt;
   if (!Id)
     return std::nullopt;
   const Team &Owner = teamState(*Id);
@@ -181,7 +255,12 @@
 }
 
 std::optional<Ticket> FairQueue::pop() {
-  const std::optional<Ticket> Next = peek();
+  const std::optional<std::size_t> Index = nextLevel();
+  return Index ? pop(*Index) : std::nullopt;
+}
+
+std::optional<Ticket> FairQueue::pop(std::size_t LevelIndex) {
+  const std::optional<Ticket> Next = peek(LevelIndex);
   if (!Next)
     return std::nullopt;
   const TeamId Id = Items.at(*Next).Owner;
@@ -201,30 +280,33 @@
 // requests of higher priority the lower one goes first.
 std::size_t FairQueue::nextPriority(const Team &Owner) const {
   std::size_t Chosen = PriorityCount;
-  for (std::size_t Level = PriorityCount; Level-- > 0;) {
-    const PriorityQueue &Candidate = Owner.Priorities[Level];
+  for (std::size_t Index = PriorityCount; Index-- > 0;) {
+    const PriorityQueue &Candidate = Owner.Priorities[Index];
     if (Candidate.ByArrival.empty())
       continue;
     if (Chosen == PriorityCount || Candidate.PassedOver >= Limits.PassOverLimit)
-      Chosen = Level;
+      Chosen = Index;
   }
   return Chosen;
 }
 
 void FairQueue::countPassedOver(Team &Owner, std::size_t Chosen) {
-  for (std::size_t Level = 0; Level < Chosen; ++Level)
-    if (!Owner.Priorities[Level].ByArrival.empty())
-      ++Owner.Priorities[Level].PassedOver;
+  for (std::size_t Index = 0; Index < Chosen; ++Index)
+    if (!Owner.Priorities[Index].ByArrival.empty())
+      ++Owner.Priorities[Index].PassedOver;
   Owner.Priorities[Chosen].PassedOver = 0;
 }
 
 void FairQueue::charge(Team &Owner, double Cost) {
-  const double Start = std::max(VirtualTime, Owner.Finish);
-  VirtualTime = std::max(VirtualTime, Start);
+  Level &Shared = levelOf(Owner);
+  const double Start = std::max(Shared.VirtualTime, Owner.Finish);
+  Shared.VirtualTime = std::max(Shared.VirtualTime, Start);
   Owner.Finish = Start + Cost / Owner.Share.Weight;
   ++Owner.InFlight;
   updateActive(Owner);
   updateSlotsWithinShare(Owner);
+  if (!isBelowLimit(Owner))
+    updateReadyLists(Owner);
 }
 
 /// Updates the weight and the number of the active teams.
@@ -233,13 +315,15 @@
   if (Active == Owner.Active)
     return;
   Owner.Active = Active;
+  Level &Shared = levelOf(Owner);
   if (Active) {
-    ActiveWeight += Owner.Share.Weight;
-    ++ActiveCount;
+    Shared.ActiveWeight += Owner.Share.Weight;
+    ++Shared.ActiveCount;
     return;
   }
-  --ActiveCount;
-  ActiveWeight = ActiveCount == 0 ? 0.0 : ActiveWeight - Owner.Share.Weight;
+  --Shared.ActiveCount;
+  Shared.ActiveWeight =
+      Shared.ActiveCount == 0 ? 0.0 : Shared.ActiveWeight - Owner.Share.Weight;
 }
 
 void FairQueue::removeWaiting(
@@ -254,16 +338,17 @@
   Bytes -= Removed.Item.Bytes;
   Owner.Bytes -= Removed.Item.Bytes;
   ByLatestStart.erase({Removed.Item.LatestStart, Removed.Sequence});
-  WaitingCost -= Removed.Item.Cost;
+  Level &Shared = levelOf(Owner);
+  Shared.WaitingCost -= Removed.Item.Cost;
   Items.erase(Entry);
   if (--Owner.Waiting == 0) {
-    WaitingWeight -= Owner.Share.Weight;
+    Shared.WaitingWeight -= Owner.Share.Weight;
     removeFromReadyList(Id);
     updateActive(Owner);
   }
-  if (Items.empty()) {
-    WaitingWeight = 0.0;
-    WaitingCost = 0.0;
+  if (--Shared.Waiting == 0) {
+    Shared.WaitingWeight = 0.0;
+    Shared.WaitingCost = 0.0;
   }
 }
 
@@ -271,7 +356,21 @@
   const Team &Owner = teamState(Id);
   const bool MustYield =
       Owner.Active && isAboveShare(Owner) && mustYield(Owner);
-  return !MustYield && !nextTeam() && Owner.InFlight < Owner.Share.MaxInFlight;
+  return !MustYield && !isHeldUp(Owner.LevelIndex) && isBelowLimit(Owner);
+}
+
+void FairQueue::setBlocking(std::size_t LevelIndex, bool Blocks) {
+  if (Levels.size() <= LevelIndex)
+    Levels.resize(LevelIndex + 1);
+  Levels[LevelIndex].Blocks = Blocks;
+}
+
+/// Whether new requests of a level have to wait behind others.
+bool FairQueue::isHeldUp(std::size_t LevelIndex) {
+  for (std::size_t Index = 0; Index <= LevelIndex; ++Index)
+    if ((Levels[Index].Blocks || Index == LevelIndex) && nextTeam(Index))
+      return true;
+  return false;
 }
 
 void FairQueue::bypass(TeamId Id, double Cost) { charge(teamState(Id), Cost); }
@@ -283,7 +382,7 @@
   updateSlotsWithinShare(Owner);
   if (Owner.InList == ReadyList::AboveShare)
     removeFromReadyList(Id);
-  addToReadyList(Id);
+  updateReadyLists(Owner);
 }
 
 bool FairQueue::remove(Ticket Id) {
@@ -306,12 +405,16 @@
                                           TimePoint Now) const {
   std::vector<Ticket> Unmeetable;
   for (const Team &Owner : Teams) {
+    const Level &Shared = levelOf(Owner);
+    const double CostBefore = costBefore(Owner.LevelIndex);
     double CostAhead = 0.0;
-    for (std::size_t Level = PriorityCount; Level-- > 0;)
-      for (const auto &[Sequence, Id] : Owner.Priorities[Level].ByArrival) {
+    for (std::size_t Index = PriorityCount; Index-- > 0;)
+      for (const auto &[Sequence, Id] : Owner.Priorities[Index].ByArrival) {
         const QueueItem &Item = Items.at(Id).Item;
-        const double Work = std::min(WaitingCost, CostAhead * WaitingWeight /
-                                                      Owner.Share.Weight);
+        const double Work =
+            CostBefore +
+            std::min(Shared.WaitingCost,
+                     CostAhead * Shared.WaitingWeight / Owner.Share.Weight);
         const Duration Wait =
             toDuration(Work * Speed.SecondsPerCost / Speed.Slots);
         if (Now + Wait > Item.LatestStart)
@@ -344,19 +447,23 @@
 void FairQueue::addToReadyList(TeamId Id) {
   Team &Owner = teamState(Id);
   if (Owner.InList != ReadyList::None || Owner.Waiting == 0 ||
-      Owner.InFlight >= Owner.Share.MaxInFlight)
+      !isBelowLimit(Owner))
     return;
+  Level &Shared = levelOf(Owner);
   const bool IsAboveShare = isAboveShare(Owner);
-  Owner.Start = std::max(VirtualTime, Owner.Finish);
+  Owner.Start = std::max(Shared.VirtualTime, Owner.Finish);
   Owner.InList = IsAboveShare ? ReadyList::AboveShare : ReadyList::WithinShare;
-  (IsAboveShare ? AboveShare : WithinShare).emplace(Owner.Start, Id);
+  (IsAboveShare ? Shared.AboveShare : Shared.WithinShare)
+      .emplace(Owner.Start, Id);
 }
 
 void FairQueue::removeFromReadyList(TeamId Id) {
   Team &Owner = teamState(Id);
   if (Owner.InList == ReadyList::None)
     return;
-  (Owner.InList == ReadyList::AboveShare ? AboveShare : WithinShare)
+  Level &Shared = levelOf(Owner);
+  (Owner.InList == ReadyList::AboveShare ? Shared.AboveShare
+                                         : Shared.WithinShare)
       .erase({Owner.Start, Id});
   Owner.InList = ReadyList::None;
 }
--- a/packages/request/src/coltsfoottrail/queues/fairqueue.hpp
+++ b/packages/request/src/coltsfoottrail/queues/fairqueue.hpp
@@ -64,8 +64,13 @@
   }
 };
 
-/// @brief Queue with weighted fair shares over teams (start-time fair
-/// queueing), priorities inside a team, and bounds on count and bytes.
+/// @brief Queue with levels of precedence, weighted fair shares over the teams
+/// of a level (start-time fair queueing), priorities inside a team, and bounds
+/// on count and bytes.
+///
+/// Requests of a lower level go before those of all higher levels. A team has a
+/// number of its own on each level where it has requests; its limit holds for
+/// all of them together.
 ///
 /// An operation costs O(log teams + log waiting) unless it says otherwise.
 /// Teams are never removed; their number is bounded by what the operators
@@ -76,9 +81,11 @@
   explicit FairQueue(QueueLimits Bounds);
 
   /// @brief Finds or adds a team.
-  [[nodiscard]] TeamId team(const TeamName &Name);
+  /// @param Level Level of its requests; zero goes first. Levels are never
+  /// removed.
+  [[nodiscard]] TeamId team(const TeamName &Name, std::size_t Level = 0);
 
-  /// @brief Sets the weight and the limit of a team.
+  /// @brief Sets the weight and the limit of a team, on all levels.
   /// @param Id From team() of this queue.
   /// @param Share Weight and limit, both above zero.
   void setTeam(TeamId Id, TeamShare Share);
@@ -112,12 +119,30 @@
   /// @brief The request that pop() would return.
   [[nodiscard]] std::optional<Ticket> peek();
 
+  /// @brief The request of a level that would be next without those of the
+  /// other levels.
+  [[nodiscard]] std::optional<Ticket> peek(std::size_t Level);
+
+  /// @brief Number of levels.
+  [[nodiscard]] std::size_t levels() const noexcept { return Levels.size(); }
+
+  /// @brief Requests that wait on a level or before it.
+  [[nodiscard]] std::size_t waitingUpTo(std::size_t Level) const noexcept;
+
   /// @brief Removes and returns the next request of the teams that are below
   /// their limit, and counts it as in progress until requestEnded().
   [[nodiscard]] std::optional<Ticket> pop();
 
+  /// @brief The same for the request that peek() returns for a level.
+  [[nodiscard]] std::optional<Ticket> pop(std::size_t Level);
+
+  /// @brief Sets whether requests that wait on a level hold up new ones of the
+  /// levels behind it, as they do at first.
+  void setBlocking(std::size_t Level, bool Blocks);
+
   /// @brief Whether a request of the team may start without waiting: no request
-  /// that could start is waiting, and the team is below its limit.
+  /// that could start is waiting on its level or on a blocking one before it,
+  /// and the team is below its limit.
   [[nodiscard]] bool mayBypass(TeamId Id);
 
   /// @brief Charges a request that starts without waiting and counts it as in
@@ -164,8 +189,31 @@
     double Cost = 0.0;
     std::uint32_t PassedOver = 0;
   };
+  /// The teams that have requests on one level.
+  struct Level {
+    /// Teams that have waiting requests and are below their limit, by virtual
+    /// start: those within their share of the slots, and those above it.
+    ReadyTeams WithinShare;
+    ReadyTeams AboveShare;
+    bool Blocks = true;
+    double VirtualTime = 0.0;
+    /// Sum of the weights of the teams that have waiting requests.
+    double WaitingWeight = 0.0;
+    double WaitingCost = 0.0;
+    std::size_t Waiting = 0;
+    /// Sum of the weights of the teams that have requests waiting or in
+    /// progress.
+    double ActiveWeight = 0.0;
+    std::size_t ActiveCount = 0;
+    /// Requests in progress that are within their team's share, over all teams.
+    double SlotsWithinShare = 0.0;
+  };
+  /// A team on one level.
   struct Team {
     TeamShare Share;
+    std::size_t LevelIndex = 0;
+    /// Index in ByAccount.
+    std::size_t Account = 0;
     /// Virtual time at which its next request starts.
     double Start = 0.0;
     /// Virtual time at which its last request ends.
@@ -200,7 +248,19 @@
   [[nodiscard]] bool isAboveShare(const Team &Owner) const;
   [[nodiscard]] bool mustYield(const Team &Owner) const;
   [[nodiscard]] double fairSlots(const Team &Owner) const;
-  [[nodiscard]] std::optional<TeamId> nextTeam();
+  [[nodiscard]] std::optional<TeamId> nextTeam(std::size_t LevelIndex);
+  [[nodiscard]] std::optional<std::size_t> nextLevel();
+  [[nodiscard]] bool isHeldUp(std::size_t LevelIndex);
+  [[nodiscard]] Level &levelOf(const Team &Owner) {
+    return Levels[Owner.LevelIndex];
+  }
+  [[nodiscard]] const Level &levelOf(const Team &Owner) const {
+    return Levels[Owner.LevelIndex];
+  }
+  [[nodiscard]] std::uint32_t accountInFlight(const Team &Owner) const;
+  [[nodiscard]] bool isBelowLimit(const Team &Owner) const;
+  void updateReadyLists(const Team &Owner);
+  [[nodiscard]] double costBefore(std::size_t LevelIndex) const;
   void updateActive(Team &Owner);
   void updateSlotsWithinShare(Team &Owner);
   void addToReadyList(TeamId Id);
@@ -208,25 +268,15 @@
 
   QueueLimits Limits;
   std::vector<Team> Teams;
-  std::unordered_map<TeamName, TeamId> ByName;
+  /// Accounts by name, and each account's team on each of its levels.
+  std::unordered_map<TeamName, std::size_t> ByName;
+  std::vector<std::vector<TeamId>> ByAccount;
   std::unordered_map<Ticket, Waiting> Items;
   /// By latest start, then by order of arrival.
   std::map<std::pair<TimePoint, std::uint64_t>, Ticket> ByLatestStart;
-  /// Teams that have waiting requests and are below their limit, by virtual
-  /// start: those within their share of the slots, and those above it.
-  ReadyTeams WithinShare;
-  ReadyTeams AboveShare;
-  double VirtualTime = 0.0;
-  /// Sum of the weights of the teams that have waiting requests.
-  double WaitingWeight = 0.0;
-  double WaitingCost = 0.0;
-  /// Sum of the weights of the teams that have requests waiting or in progress.
-  double ActiveWeight = 0.0;
-  std::size_t ActiveCount = 0;
+  std::vector<Level> Levels = std::vector<Level>(1);
   double Slots = 0.0;
   double FreeSlots = 0.0;
-  /// Requests in progress that are within their team's share, over all teams.
-  double SlotsWithinShare = 0.0;
   std::size_t Bytes = 0;
   std::uint64_t NextSequence = 0;
 };
--- a/packages/request/test/coltsfoottrail/dispatch/batching.hpp
+++ b/packages/request/test/coltsfoottrail/dispatch/batching.hpp
@@ -35,6 +35,31 @@
   [[nodiscard]] std::size_t served() const { return OnTime + Late; }
 };
 
+/// @brief Streams of one team and rank.
+struct StreamClass {
+  std::uint32_t Rank = 0;
+  std::string Team = "team";
+  double RequestsPerSecond = 0.0;
+  /// Factor on the rate between BurstFrom and BurstUntil of the load.
+  double BurstFactor = 1.0;
+  Duration TargetLatency = milliseconds(400);
+  Duration Patience = seconds(6);
+  /// Whether all of its callers use the first host.
+  bool AtOneHost = false;
+};
+
+/// @brief What became of the requests of one class.
+struct ClassShare {
+  std::size_t Submitted = 0;
+  std::size_t OnTime = 0;
+  /// Requests that were sent to an engine.
+  std::size_t Sent = 0;
+
+  [[nodiscard]] double onTime() const {
+    return Submitted == 0 ? 1.0 : double(OnTime) / double(Submitted);
+  }
+};
+
 /// @brief Load of streaming requests on a few engines, some of which are lost
 /// for a while.
 struct BatchingLoad {
@@ -52,6 +77,15 @@
   double MeanPromptTokens = 900.0;
   double MeanOutputTokens = 200.0;
   std::uint64_t Seed = 1;
+  /// If not empty, the classes replace RequestsPerSecond, the patience and
+  /// TargetLatency.
+  std::vector<StreamClass> Classes;
+  Duration BurstFrom = seconds(8);
+  Duration BurstUntil = seconds(14);
+  /// Ranks of the pool.
+  std::vector<PoolRank> Ranks;
+  /// Whether the hosts hear of each other's loads.
+  bool SharesLoads = true;
 };
 
 /// @brief Simulates a load. Deterministic for a given load and policy.
@@ -87,6 +121,25 @@
     return Tally;
   }
 
+  /// @brief What became of the requests of a class that were submitted within a
+  /// span of time after the start.
+  [[nodiscard]] ClassShare share(std::size_t Class, Duration From,
+                                 Duration Until) const {
+    ClassShare Result;
+    for (const SimulatedRequest &Request : Requests) {
+      if (Request.Class != Class || Request.SubmittedAt < Begin + From ||
+          Request.SubmittedAt >= Begin + Until)
+        continue;
+      ++Result.Submitted;
+      Result.OnTime += Request.StartedInTime ? 1 : 0;
+      Result.Sent += Request.EngineIndex ? 1 : 0;
+    }
+    return Result;
+  }
+
+  /// @brief The commands of all hosts, in order, as text.
+  [[nodiscard]] const std::string &commandLog() const { return CommandLog; }
+
 private:
   static constexpr TimePoint Begin{seconds(1000)};
   static constexpr Duration Step = milliseconds(5);
@@ -97,6 +150,8 @@
 
   struct SimulatedRequest {
     std::size_t Host = 0;
+    std::size_t Class = 0;
+    std::uint32_t Rank = 0;
     Ticket Id;
     RequestTiming Timing;
     TimePoint SubmittedAt;
@@ -137,7 +192,9 @@
 
   void configure(std::size_t Count) {
     Pool Config;
+    Config.Name = "model/m";
     Config.Pace = pace();
+    Config.Ranks = Workload.Ranks;
     for (std::size_t Index = 0; Index < Count; ++Index) {
       EndpointSpec Spec;
       Spec.Key = keyOf(Index);
@@ -166,7 +223,10 @@
   void submit(std::size_t Number) {
     SimulatedRequest &Request = Requests[Number];
     WorkItem Item;
-    Item.Team = TeamName("team");
+    Item.Team = TeamName(Workload.Classes.empty()
+                             ? std::string("team")
+                             : Workload.Classes[Request.Class].Team);
+    Item.Rank = Request.Rank;
     Item.PromptTokens = static_cast<std::uint32_t>(Request.PromptTokensLeft);
     Item.Repeatable = true;
     Policy(Request.Timing, Now, Item);
@@ -188,6 +248,10 @@
   }
 
   void submitArrivals() {
+    if (!Workload.Classes.empty()) {
+      submitClasses();
+      return;
+    }
     ArrivalCredit += Workload.RequestsPerSecond *
                      std::chrono::duration<double>(Step).count();
     if (Now >= Begin + Workload.Length)
@@ -204,16 +268,52 @@
       Request.Timing.AnswerBy =
           Now + Workload.ShortestPatience +
           std::chrono::duration_cast<Duration>(Span * Rng.fraction());
-      Request.PromptTokensLeft =
-          40.0 - Workload.MeanPromptTokens * std::log(1.0 - Rng.fraction());
-      Request.OutputTokensLeft =
-          7.0 - Workload.MeanOutputTokens * std::log(1.0 - Rng.fraction());
-      Requests.push_back(Request);
-      ++Tally.Submitted;
-      submit(Requests.size() - 1);
+      submitNew(Request);
     }
   }
 
+  void submitNew(SimulatedRequest Request) {
+    Request.PromptTokensLeft =
+        40.0 - Workload.MeanPromptTokens * std::log(1.0 - Rng.fraction());
+    Request.OutputTokensLeft =
+        7.0 - Workload.MeanOutputTokens * std::log(1.0 - Rng.fraction());
+    Requests.push_back(Request);
+    ++Tally.Submitted;
+    submit(Requests.size() - 1);
+  }
+
+  /// Arrivals of each class at random times.
+  void submitClasses() {
+    if (Now >= Begin + Workload.Length)
+      return;
+    const bool InBurst =
+        Now >= Begin + Workload.BurstFrom && Now < Begin + Workload.BurstUntil;
+    for (std::size_t Class = 0; Class < Workload.Classes.size(); ++Class) {
+      const StreamClass &Kind = Workload.Classes[Class];
+      const double Mean = Kind.RequestsPerSecond *
+                          (InBurst ? Kind.BurstFactor : 1.0) *
+                          std::chrono::duration<double>(Step).count();
+      for (double Left = -std::log(1.0 - Rng.fraction()); Left < Mean;
+           Left -= std::log(1.0 - Rng.fraction()))
+        submitNew(requestOf(Class, Kind));
+    }
+  }
+
+  [[nodiscard]] SimulatedRequest requestOf(std::size_t Class,
+                                           const StreamClass &Kind) {
+    SimulatedRequest Request;
+    Request.Class = Class;
+    Request.Rank = Kind.Rank;
+    Request.Host = Kind.AtOneHost ? 0 : Rng.below(Hosts.size());
+    Request.SubmittedAt = Now;
+    Request.Timing.Streams = true;
+    Request.Timing.ArrivedAt = Now;
+    Request.Timing.TargetLatency = Kind.TargetLatency;
+    Request.Timing.ShortestTarget = RankOrder(Workload.Ranks).shortestTarget();
+    Request.Timing.AnswerBy = Now + Kind.Patience;
+    return Request;
+  }
+
   void resubmitDue() {
     std::vector<Resubmission> Ready;
     std::erase_if(Resubmissions, [&](const Resubmission &Entry) {
@@ -232,6 +332,7 @@
 
   void sent(std::size_t Host, const SendCommand &Send) {
     const std::size_t Number = numberOf(Host, Send.Id);
+    CommandLog += std::to_string(Number) + " to " + Send.EndpointKey + "\n";
     const std::size_t EngineIndex =
         std::stoul(Send.EndpointKey.substr(std::string("leader-").size()));
     Requests[Number].EngineIndex = EngineIndex;
@@ -240,6 +341,8 @@
 
   void refused(std::size_t Host, const RefuseCommand &Refusal) {
     const std::size_t Number = numberOf(Host, Refusal.Id);
+    CommandLog += std::to_string(Number) + " refused " +
+                  std::string(reasonCode(Refusal.FinalVerdict.Why)) + "\n";
     SimulatedRequest &Request = Requests[Number];
     if (Request.Timing.Status == Timeliness::Fresh &&
         Refusal.FinalVerdict.Why == Reason::Overloaded) {
@@ -257,6 +360,13 @@
         {Now + std::chrono::duration_cast<Duration>(TimeLeft * 0.25), Number});
   }
 
+  [[nodiscard]] std::uint32_t enginePriority(std::size_t Number) const {
+    const SimulatedRequest &Request = Requests[Number];
+    const bool IsFresh = Request.Timing.Status == Timeliness::Fresh;
+    return Order.enginePriority(Request.Rank, IsFresh ? StreamStage::Fresh
+                                                      : StreamStage::Late);
+  }
+
   void stepEngine(std::size_t Index) {
     Engine &Target = Engines[Index];
     std::erase_if(Target.Waiting,
@@ -264,15 +374,11 @@
     std::erase_if(Target.Running,
                   [&](std::size_t Number) { return Requests[Number].Done; });
     while (Target.Running.size() < Slots && !Target.Waiting.empty()) {
-      const auto First = std::min_element(
-          Target.Waiting.begin(), Target.Waiting.end(),
-          [&](std::size_t One, std::size_t Other) {
-            const auto Rank = [&](std::size_t Number) {
-              return Requests[Number].Timing.Status == Timeliness::Fresh ? 0
-                                                                         : 1;
-            };
-            return Rank(One) < Rank(Other);
-          });
+      const auto First =
+          std::min_element(Target.Waiting.begin(), Target.Waiting.end(),
+                           [&](std::size_t One, std::size_t Other) {
+                             return enginePriority(One) < enginePriority(Other);
+                           });
       Target.Running.push_back(*First);
       Target.Waiting.erase(First);
     }
@@ -302,7 +408,7 @@
       Request.OutputTokensLeft -= OutputTokens;
       if (!std::exchange(Request.Started, true)) {
         Request.StartedInTime =
-            Now - Request.SubmittedAt <= Workload.TargetLatency;
+            Now - Request.SubmittedAt <= Request.Timing.TargetLatency;
         Hosts[Request.Host].responseProgressed(Request.Id, Now);
       }
       if (Request.OutputTokensLeft <= 0.0)
@@ -327,6 +433,8 @@
   void cancelExpired() {
     for (std::size_t Number = 0; Number < Requests.size(); ++Number) {
       SimulatedRequest &Request = Requests[Number];
+      if (Request.Done)
+        continue;
       const bool WillResubmit =
           std::any_of(Resubmissions.begin(), Resubmissions.end(),
                       [&](const Resubmission &Entry) {
@@ -337,7 +445,7 @@
               ? Request.Timing.AnswerBy
               : std::min(Request.Timing.AnswerBy,
                          Request.Timing.ArrivedAt + MaxFirstEventWait);
-      if (Request.Done || WillResubmit || Now < GivesUpAt)
+      if (WillResubmit || Now < GivesUpAt)
         continue;
       Request.Done = true;
       ++(Request.Started ? Tally.LeftMidway : Tally.LeftUnanswered);
@@ -348,14 +456,22 @@
   }
 
   void shareLoads() {
+    if (!Workload.SharesLoads)
+      return;
     std::vector<std::vector<EndpointLoad>> Own;
-    for (const Dispatcher &Entry : Hosts)
+    std::map<std::uint64_t, RequestLoad> Sums;
+    for (const Dispatcher &Entry : Hosts) {
       Own.push_back(Entry.ownLoads());
+      for (const EndpointLoad &Load : Own.back())
+        Sums[Load.Endpoint] += Load.Load;
+    }
     for (std::size_t Host = 0; Host < Hosts.size(); ++Host) {
+      std::map<std::uint64_t, RequestLoad> Remaining = Sums;
+      for (const EndpointLoad &Load : Own[Host])
+        Remaining[Load.Endpoint] -= Load.Load;
       std::vector<EndpointLoad> Others;
-      for (std::size_t Other = 0; Other < Hosts.size(); ++Other)
-        if (Other != Host)
-          Others.insert(Others.end(), Own[Other].begin(), Own[Other].end());
+      for (const auto &[Endpoint, Load] : Remaining)
+        Others.push_back({Endpoint, Load});
       dispatch(Host, [&](Dispatcher &Scheduler, Commands &Output) {
         Scheduler.setRemoteLoads(Others, Now, Output);
       });
@@ -374,6 +490,8 @@
   std::map<std::tuple<std::size_t, std::uint32_t, std::uint32_t>, std::size_t>
       ByTicket;
   CallerTally Tally;
+  RankOrder Order{Workload.Ranks};
+  std::string CommandLog;
 };
 
 } // namespace coltsfoottrail::test
--- a/packages/version/src/coltsfoottrail/fleet/routeindex.cpp
+++ b/packages/version/src/coltsfoottrail/fleet/routeindex.cpp
@@ -1,5 +1,7 @@
 #include "coltsfoottrail/fleet/routeindex.hpp"
 
+#include "coltsfoottrail/fleet/poolranks.hpp"
+
 #include <utility>
 
 namespace coltsfoottrail {
@@ -15,6 +17,8 @@
       ByCredential[Credential] = Index;
   for (std::size_t Index = 0; Index < Config.Services.size(); ++Index)
     ByService[Config.Services[Index].Name] = Index;
+  for (const ServiceProfile &Service : Config.Services)
+    RanksByService[Service.Name] = poolRanks(Config, Service.Name);
 }
 
 const RouteSpec *RouteIndex::route(std::string_view HostHeader,
@@ -45,4 +49,11 @@
   return Entry == ByService.end() ? nullptr : &Config.Services[Entry->second];
 }
 
+const std::vector<PoolRank> &
+RouteIndex::ranks(const ServiceName &Service) const {
+  static const std::vector<PoolRank> None;
+  const auto Entry = RanksByService.find(Service);
+  return Entry == RanksByService.end() ? None : Entry->second;
+}
+
 } // namespace coltsfoottrail
--- a/packages/version/src/coltsfoottrail/fleet/routeindex.hpp
+++ b/packages/version/src/coltsfoottrail/fleet/routeindex.hpp
@@ -4,6 +4,7 @@
 #define COLTSFOOTTRAIL_FLEET_ROUTEINDEX_HPP
 
 #include "coltsfoottrail/fleet/config.hpp"
+#include "coltsfoottrail/route/poolrank.hpp"
 
 #include <cstddef>
 #include <map>
@@ -42,6 +43,9 @@
   [[nodiscard]] const TeamKeys *team(std::string_view Credential) const;
   /// @brief Finds a service; null if it is not in the configuration.
   [[nodiscard]] const ServiceProfile *service(const ServiceName &Name) const;
+  /// @brief The result of poolRanks() for a service.
+  [[nodiscard]] const std::vector<PoolRank> &
+  ranks(const ServiceName &Service) const;
 
 private:
   PublishedConfig Config;
@@ -50,6 +54,7 @@
       ByHost;
   std::unordered_map<std::string, std::size_t> ByCredential;
   std::map<ServiceName, std::size_t> ByService;
+  std::map<ServiceName, std::vector<PoolRank>> RanksByService;
 };
 
 } // namespace coltsfoottrail
--- a/packages/version/src/coltsfoottrail/route/table.hpp
+++ b/packages/version/src/coltsfoottrail/route/table.hpp
@@ -8,6 +8,7 @@
 #include "coltsfoottrail/platform/engine.hpp"
 #include "coltsfoottrail/route/enginepace.hpp"
 #include "coltsfoottrail/route/fwd.hpp"
+#include "coltsfoottrail/route/poolrank.hpp"
 
 #include <map>
 #include <string>
@@ -51,6 +52,9 @@
   std::vector<EndpointSpec> Endpoints;
   /// Speed of its engines, if declared.
   EnginePace Pace;
+  /// Ranks that its requests can have, the most urgent first. With fewer than
+  /// two all requests are treated alike.
+  std::vector<PoolRank> Ranks;
   /// Pools of the same retry group share one limit on retries; empty for a
   /// limit of its own.
   std::string RetryGroup;
