--- a/packages/request/test/coltsfoottrail/dispatch/batching.hpp
+++ b/packages/request/test/coltsfoottrail/dispatch/batching.hpp
@@ -62,6 +62,31 @@
   std::vector<CallerTally> Hosts;
 };
 
+/// @brief Streams of one team and rank.
+struct StreamClass {
+  std::uint32_t Rank = 0;
+  std::string Team = "team";
+  double RequestsPerSecond = 0.0;
+  /// Factor on the rate between BurstFrom and BurstUntil of the load.
+  double BurstFactor = 1.0;
+  Duration TargetLatency = milliseconds(400);
+  Duration Patience = seconds(6);
+  /// Whether all of its callers use the first host.
+  bool AtOneHost = false;
+};
+
+/// @brief What became of the requests of one class.
+struct ClassShare {
+  std::size_t Submitted = 0;
+  std::size_t OnTime = 0;
+  /// Requests that were sent to an engine.
+  std::size_t Sent = 0;
+
+  [[nodiscard]] double onTime() const {
+    return Submitted == 0 ? 1.0 : double(OnTime) / double(Submitted);
+  }
+};
+
 /// @brief Load of streaming requests on a few engines, some of which are lost
 /// for a while.
 struct BatchingLoad {
@@ -102,6 +127,15 @@
   std::optional<Duration> LongestTarget = std::nullopt;
   /// A host that receives no loads of the others.
   std::optional<std::size_t> HostWithoutLoads = std::nullopt;
+  /// If not empty, the classes replace RequestsPerSecond, the patience and
+  /// TargetLatency.
+  std::vector<StreamClass> Classes;
+  Duration BurstFrom = seconds(8);
+  Duration BurstUntil = seconds(14);
+  /// Ranks of the pool.
+  std::vector<PoolRank> Ranks;
+  /// Whether the hosts hear of each other's loads.
+  bool SharesLoads = true;
 };
 
 /// @brief Simulates a load. Deterministic for a given load and policy.
@@ -140,6 +174,24 @@
 
   /// @brief Where requests were sent.
   [[nodiscard]] const PlacementTally &placements() const { return Placements; }
+  /// @brief What became of the requests of a class that were submitted within a
+  /// span of time after the start.
+  [[nodiscard]] ClassShare share(std::size_t Class, Duration From,
+                                 Duration Until) const {
+    ClassShare Result;
+    for (const SimulatedRequest &Request : Requests) {
+      if (Request.Class != Class || Request.SubmittedAt < Begin + From ||
+          Request.SubmittedAt >= Begin + Until)
+        continue;
+      ++Result.Submitted;
+      Result.OnTime += Request.StartedInTime ? 1 : 0;
+      Result.Sent += Request.EngineIndex ? 1 : 0;
+    }
+    return Result;
+  }
+
+  /// @brief The commands of all hosts, in order, as text.
+  [[nodiscard]] const std::string &commandLog() const { return CommandLog; }
 
 private:
   static constexpr TimePoint Begin{seconds(1000)};
@@ -151,6 +203,8 @@
 
   struct SimulatedRequest {
     std::size_t Host = 0;
+    std::size_t Class = 0;
+    std::uint32_t Rank = 0;
     Ticket Id;
     RequestTiming Timing;
     TimePoint SubmittedAt;
@@ -199,7 +253,9 @@
 
   void configure(bool WithLosses) {
     Pool Config;
+    Config.Name = "model/m";
     Config.Pace = Workload.Pace;
+    Config.Ranks = Workload.Ranks;
     for (std::size_t Index = 0; Index < Workload.Engines; ++Index) {
       if (WithLosses && isLost(Index))
         continue;
@@ -231,7 +287,10 @@
   void submit(std::size_t Number) {
     SimulatedRequest &Request = Requests[Number];
     WorkItem Item;
-    Item.Team = TeamName("team");
+    Item.Team = TeamName(Workload.Classes.empty()
+                             ? std::string("team")
+                             : Workload.Classes[Request.Class].Team);
+    Item.Rank = Request.Rank;
     Item.PromptTokens = static_cast<std::uint32_t>(Request.PromptTokensLeft);
     Item.Repeatable = true;
     Policy(Request.Timing, Now, Item);
@@ -292,6 +351,10 @@
   }
 
   void submitArrivals() {
+    if (!Workload.Classes.empty()) {
+      submitClasses();
+      return;
+    }
     ArrivalCredit += Workload.RequestsPerSecond *
                      std::chrono::duration<double>(Step).count();
     if (Now >= Begin + Workload.Length)
@@ -308,21 +371,56 @@
       Request.Timing.AnswerBy =
           Now + Workload.ShortestPatience +
           std::chrono::duration_cast<Duration>(Span * Rng.fraction());
-      Request.PromptTokensLeft =
-          40.0 - Workload.MeanPromptTokens * std::log(1.0 - Rng.fraction());
-      Request.OutputTokensLeft =
-          7.0 - Workload.MeanOutputTokens * std::log(1.0 - Rng.fraction());
-      if (Workload.LongestTarget)
-        Request.Timing.TargetLatency += std::chrono::duration_cast<Duration>(
-            (*Workload.LongestTarget - Workload.TargetLatency) *
-            Rng.fraction());
-      Requests.push_back(Request);
-      Open.push_back(Requests.size() - 1);
-      count(Request, &CallerTally::Submitted);
-      submit(Requests.size() - 1);
+      submitNew(Request);
     }
   }
 
+  void submitNew(SimulatedRequest Request) {
+    Request.PromptTokensLeft =
+        40.0 - Workload.MeanPromptTokens * std::log(1.0 - Rng.fraction());
+    Request.OutputTokensLeft =
+        7.0 - Workload.MeanOutputTokens * std::log(1.0 - Rng.fraction());
+    if (Workload.LongestTarget)
+      Request.Timing.TargetLatency += std::chrono::duration_cast<Duration>(
+          (*Workload.LongestTarget - Workload.TargetLatency) * Rng.fraction());
+    Requests.push_back(Request);
+    Open.push_back(Requests.size() - 1);
+    count(Request, &CallerTally::Submitted);
+    submit(Requests.size() - 1);
+  }
+
+  /// Arrivals of each class at random times.
+  void submitClasses() {
+    if (Now >= Begin + Workload.Length)
+      return;
+    const bool InBurst =
+        Now >= Begin + Workload.BurstFrom && Now < Begin + Workload.BurstUntil;
+    for (std::size_t Class = 0; Class < Workload.Classes.size(); ++Class) {
+      const StreamClass &Kind = Workload.Classes[Class];
+      const double Mean = Kind.RequestsPerSecond *
+                          (InBurst ? Kind.BurstFactor : 1.0) *
+                          std::chrono::duration<double>(Step).count();
+      for (double Left = -std::log(1.0 - Rng.fraction()); Left < Mean;
+           Left -= std::log(1.0 - Rng.fraction()))
+        submitNew(requestOf(Class, Kind));
+    }
+  }
+
+  [[nodiscard]] SimulatedRequest requestOf(std::size_t Class,
+                                           const StreamClass &Kind) {
+    SimulatedRequest Request;
+    Request.Class = Class;
+    Request.Rank = Kind.Rank;
+    Request.Host = Kind.AtOneHost ? 0 : Rng.below(Hosts.size());
+    Request.SubmittedAt = Now;
+    Request.Timing.Streams = true;
+    Request.Timing.ArrivedAt = Now;
+    Request.Timing.TargetLatency = Kind.TargetLatency;
+    Request.Timing.ShortestTarget = RankOrder(Workload.Ranks).shortestTarget();
+    Request.Timing.AnswerBy = Now + Kind.Patience;
+    return Request;
+  }
+
   void resubmitDue() {
     std::vector<Resubmission> Ready;
     std::erase_if(Resubmissions, [&](const Resubmission &Entry) {
@@ -341,6 +439,7 @@
 
   void sent(std::size_t Host, const SendCommand &Send) {
     const std::size_t Number = numberOf(Host, Send.Id);
+    CommandLog += std::to_string(Number) + " to " + Send.EndpointKey + "\n";
     const std::size_t EngineIndex =
         std::stoul(Send.EndpointKey.substr(std::string("leader-").size()));
     Requests[Number].EngineIndex = EngineIndex;
@@ -373,6 +472,8 @@
 
   void refused(std::size_t Host, const RefuseCommand &Refusal) {
     const std::size_t Number = numberOf(Host, Refusal.Id);
+    CommandLog += std::to_string(Number) + " refused " +
+                  std::string(reasonCode(Refusal.FinalVerdict.Why)) + "\n";
     SimulatedRequest &Request = Requests[Number];
     if (Request.Timing.Status == Timeliness::Fresh &&
         Refusal.FinalVerdict.Why == Reason::Overloaded) {
@@ -390,6 +491,13 @@
         {Now + std::chrono::duration_cast<Duration>(TimeLeft * 0.25), Number});
   }
 
+  [[nodiscard]] std::uint32_t enginePriority(std::size_t Number) const {
+    const SimulatedRequest &Request = Requests[Number];
+    const bool IsFresh = Request.Timing.Status == Timeliness::Fresh;
+    return Order.enginePriority(Request.Rank, IsFresh ? StreamStage::Fresh
+                                                      : StreamStage::Late);
+  }
+
   void stepEngine(std::size_t Index) {
     Engine &Target = Engines[Index];
     std::erase_if(Target.Waiting,
@@ -397,15 +505,11 @@
     std::erase_if(Target.Running,
                   [&](std::size_t Number) { return Requests[Number].Done; });
     while (Target.Running.size() < Slots && !Target.Waiting.empty()) {
-      const auto First = std::min_element(
-          Target.Waiting.begin(), Target.Waiting.end(),
-          [&](std::size_t One, std::size_t Other) {
-            const auto Rank = [&](std::size_t Number) {
-              return Requests[Number].Timing.Status == Timeliness::Fresh ? 0
-                                                                         : 1;
-            };
-            return Rank(One) < Rank(Other);
-          });
+      const auto First =
+          std::min_element(Target.Waiting.begin(), Target.Waiting.end(),
+                           [&](std::size_t One, std::size_t Other) {
+                             return enginePriority(One) < enginePriority(Other);
+                           });
       Target.Running.push_back(*First);
       Target.Waiting.erase(First);
     }
@@ -466,6 +570,8 @@
                   [&](std::size_t Number) { return Requests[Number].Done; });
     for (const std::size_t Number : Open) {
       SimulatedRequest &Request = Requests[Number];
+      if (Request.Done)
+        continue;
       const bool WillResubmit =
           std::any_of(Resubmissions.begin(), Resubmissions.end(),
                       [&](const Resubmission &Entry) {
@@ -476,7 +582,7 @@
               ? Request.Timing.AnswerBy
               : std::min(Request.Timing.AnswerBy,
                          Request.Timing.ArrivedAt + MaxFirstEventWait);
-      if (Request.Done || WillResubmit || Now < GivesUpAt)
+      if (WillResubmit || Now < GivesUpAt)
         continue;
       Request.Done = true;
       count(Request, Request.Started ? &CallerTally::LeftMidway
@@ -488,6 +594,8 @@
   }
 
   void shareLoads() {
+    if (!Workload.SharesLoads)
+      return;
     std::vector<std::vector<EndpointLoad>> Own;
     std::map<std::uint64_t, RequestLoad> Sums;
     for (const Dispatcher &Entry : Hosts)
@@ -496,11 +604,11 @@
     for (std::size_t Host = 0; Host < Hosts.size(); ++Host) {
       if (Host == Workload.HostWithoutLoads)
         continue;
-      std::map<std::uint64_t, RequestLoad> Rest = Sums;
+      std::map<std::uint64_t, RequestLoad> Remaining = Sums;
       for (const EndpointLoad &Load : Own[Host])
-        Rest[Load.Endpoint] -= Load.Load;
+        Remaining[Load.Endpoint] -= Load.Load;
       std::vector<EndpointLoad> Others;
-      for (const auto &[Endpoint, Load] : Rest)
+      for (const auto &[Endpoint, Load] : Remaining)
         Others.push_back({Endpoint, Load});
       dispatch(Host, [&](Dispatcher &Scheduler, Commands &Output) {
         Scheduler.setRemoteLoads(Others, Now, Output);
@@ -523,6 +631,8 @@
       ByTicket;
   CallerTally Tally;
   PlacementTally Placements;
+  RankOrder Order{Workload.Ranks};
+  std::string CommandLog;
 };
 
 } // namespace coltsfoottrail::test
