--- a/packages/process/src/coltsfoottrail/fleethost/servicedivisions.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/servicedivisions.cpp
@@ -27,8 +27,9 @@
       countEngines(View.Endpoints, View.Service.Name, View.Drained);
   const std::map<ModelName, ModelDemand> Demand =
       modelDemand(View.Service, Sum);
-  const bool IsHeardFromAll =
-      Now - TermStartedAt >= HearingTime && isCurrent(Sum, KnownHosts);
+  // Without any callers there is no demand to follow, as before the first one.
+  const bool IsHeardFromAll = Now - TermStartedAt >= HearingTime &&
+                              isCurrent(Sum, KnownHosts) && !Demand.empty();
   const DivisionInput Input{*View.Service.Engine,
                             double(Record.Engines.Usable),
                             Demand,
