Keep survivors their weights, and close no more groups than needed

What was seen in a test: survivors of an eight that waited for another were ordered to load the weights of small groups, and so were of use to none for the length of a load; and where the eight was complete early, the second of two groups that were to be closed for it was closed all the same.

Change: an engine that is kept for a large model is staged for no other by the layout of spares; once the new group is formed, groups that still serve stay open.

Ruled out: counting such engines out of the layout, since empty engines would then not load what the large group lacks.

--- a/packages/version/src/coltsfoottrail/assembly/assembler.hpp
+++ b/packages/version/src/coltsfoottrail/assembly/assembler.hpp
@@ -391,6 +391,9 @@
   void stageSpares(PlanContext &Context,
                    const std::map<DomainKey, DomainState> &Domains,
                    const std::map<ModelName, double> &Deficits);
+  [[nodiscard]] static bool isKeptForAnother(const PlanContext &Context,
+                                             const DomainState &Domain,
+                                             const PlannedLoad &Load);
   void startGroup(PlanContext &Context, const Candidate &Chosen);
   [[nodiscard]] IdleDomain idleDomain(const PlanContext &Context,
                                       const DomainKey &Domain,
@@ -426,6 +429,8 @@
   /// Whether a group that is closed for a conversion finishes its requests.
   [[nodiscard]] bool isAnyDraining(const PlanContext &Context,
                                    const Conversion &State) const;
+  /// Ends the closing of the groups that have not ended yet.
+  void keepRemaining(const Conversion &State);
   void endConversion(const PlanContext &Context, const DomainKey &Domain,
                      const Conversion &Ended, GroupFate Fate,
                      std::string_view Reason);
--- a/packages/version/src/coltsfoottrail/assembly/formation.cpp
+++ b/packages/version/src/coltsfoottrail/assembly/formation.cpp
@@ -252,6 +252,16 @@
   Groups.emplace(Group.Epoch, std::move(Group));
 }
 
+// Failure guarded against: survivors of a large group that wait for another
+// load the weights of small groups, and are of use to none meanwhile.
+bool Assembler::isKeptForAnother(const PlanContext &Context,
+                                 const DomainState &Domain,
+                                 const PlannedLoad &Load) {
+  return Domain.KeptFor && *Domain.KeptFor != Load.Model &&
+         holds(Context.View.Endpoints.find(Load.Endpoint)->Record,
+               *Domain.KeptFor);
+}
+
 void Assembler::stageSpares(PlanContext &Context,
                             const std::map<DomainKey, DomainState> &Domains,
                             const std::map<ModelName, double> &Deficits) {
@@ -265,7 +275,8 @@
   for (const auto &[Name, Domain] : Domains)
     for (PlannedLoad &Load : planLoads(idleDomain(Context, Name, Domain),
                                        Context.Engine.Models, Deficits))
-      Planned.push_back(std::move(Load));
+      if (!isKeptForAnother(Context, Domain, Load))
+        Planned.push_back(std::move(Load));
   std::stable_sort(Planned.begin(), Planned.end(),
                    [](const PlannedLoad &Left, const PlannedLoad &Right) {
                      return Left.Rank < Right.Rank;
--- a/packages/version/src/coltsfoottrail/assembly/rebalance.cpp
+++ b/packages/version/src/coltsfoottrail/assembly/rebalance.cpp
@@ -42,8 +42,10 @@
     else if (State.Formed && Formed == Groups.end())
       endConversion(Context, Domain, State, GroupFate::ConversionGivenUp,
                     "the new group was lost before it served");
-    else if (!State.Formed &&
-             (Context.Now >= State.FormBy || !Context.converts()))
+    else if (!State.Formed && !Context.converts())
+      endConversion(Context, Domain, State, GroupFate::ConversionGivenUp,
+                    "there are no targets any more");
+    else if (!State.Formed && Context.Now >= State.FormBy)
       endConversion(Context, Domain, State, GroupFate::ConversionGivenUp,
                     "no group could be formed in time");
     else {
@@ -69,15 +71,19 @@
       });
 }
 
-void Assembler::endConversion(const PlanContext &Context,
-                              const DomainKey &Domain, const Conversion &Ended,
-                              GroupFate Fate, std::string_view Reason) {
-  // A group that is complete is opened again once its leader is ready.
-  for (const GroupEpoch Epoch : Ended.Closing)
+// A group that is complete is opened again once its leader is ready.
+void Assembler::keepRemaining(const Conversion &State) {
+  for (const GroupEpoch Epoch : State.Closing)
     if (const auto Group = Groups.find(Epoch); Group != Groups.end()) {
       Group->second.Converts = false;
       Group->second.CloseOrdered.reset();
     }
+}
+
+void Assembler::endConversion(const PlanContext &Context,
+                              const DomainKey &Domain, const Conversion &Ended,
+                              GroupFate Fate, std::string_view Reason) {
+  keepRemaining(Ended);
   ConversionsEndedAt[Domain] = Context.Now;
   GroupEvent Event{
       Fate, {}, Ended.Formed.value_or(0), Ended.Model, {}, Reason, Ended.Model};
@@ -113,9 +119,11 @@
 void Assembler::recordConverted(const Candidate &Chosen, GroupEpoch Epoch) {
   const EndpointRecord &Leader = Chosen.Members.front()->Record;
   const auto Entry = Conversions.find({Leader.DataCentre, Leader.Domain});
-  if (Entry != Conversions.end() && !Entry->second.Formed &&
-      Entry->second.Model == Chosen.Model->Name)
-    Entry->second.Formed = Epoch;
+  if (Entry == Conversions.end() || Entry->second.Formed ||
+      Entry->second.Model != Chosen.Model->Name)
+    return;
+  Entry->second.Formed = Epoch;
+  keepRemaining(Entry->second);
 }
 
 void Assembler::reserveForConversions(
--- a/packages/version/test/coltsfoottrail/assembly/rebalance.cpp
+++ b/packages/version/test/coltsfoottrail/assembly/rebalance.cpp
@@ -454,6 +454,45 @@
   Fleet.expectRulesKept();
 }
 
+// Guards against a group that is closed although the one that it would have
+// completed is complete without it.
+TEST(Conversion, ClosesNoMoreGroupsThanItNeeds) {
+  TimedFleet Fleet({8, 2});
+  Fleet.setShare(0.6);
+  Fleet.addDomain("north", "n0", 18);
+  Fleet.start();
+  ASSERT_EQ(Fleet.serving("big"), 1U);
+  const std::vector<EndpointName> Members =
+      Fleet.membersOf(Fleet.leaderOf("big"));
+  for (const auto &[Name, Record] : std::map(Fleet.Records))
+    if (!Record.Seat || isStandby(*Record.Seat))
+      Fleet.removeEngine(Name);
+  for (int Lost = 4; Lost < 8; ++Lost)
+    Fleet.removeEngine(Members[std::size_t(Lost)]);
+  const std::size_t Small = Fleet.serving("small");
+  int Closes = 0;
+  Fleet.FateOf = [&](const SeatCommand &Command) -> OrderFate {
+    const auto *const Close = std::get_if<CloseSeat>(&Command.Order);
+    if (Close == nullptr || Close->Evict || ++Closes == 1)
+      return {};
+    return {false, std::nullopt};
+  };
+  runUntil(Fleet, seconds(10), [&] { return Closes > 1; });
+  ASSERT_GT(Closes, 1) << "two groups are to be closed";
+  for (int Index = 0; Index < 2; ++Index) {
+    const std::string Name = "n0-late" + std::to_string(Index);
+    Fleet.add(Name, "north", "n0");
+    Fleet.setWeights(EndpointName(Name), ModelName("big"));
+  }
+  Fleet.run(seconds(6));
+  Fleet.FateOf = nullptr;
+  Fleet.run(seconds(4));
+  EXPECT_EQ(Fleet.serving("big"), 1U);
+  EXPECT_EQ(Fleet.serving("small"), Small - 1);
+  EXPECT_EQ(Fleet.halfMade(), 0U);
+  Fleet.expectRulesKept();
+}
+
 // Guards against spares that are of use for one of their two models only.
 TEST(Conversion, SparesReplaceMembersOfEitherModel) {
   for (const std::string Model : {"big", "small"}) {
