--- a/packages/request/src/coltsfoottrail/dispatch/dispatcher.cpp
+++ b/packages/request/src/coltsfoottrail/dispatch/dispatcher.cpp
@@ -1,6 +1,7 @@
 #include "coltsfoottrail/dispatch/dispatcher.hpp"
 
 #include "coltsfoottrail/core/hash.hpp"
+#include "coltsfoottrail/dispatch/terms.hpp"
 
 #include <algorithm>
 #include <cmath>
@@ -162,13 +163,9 @@
 // hosts sends a request of a lower rank there before it hears of the others.
 bool Dispatcher::isHeldBack(const RequestState &Request, TimePoint Now) const {
   const std::size_t Place = Ranks.place(Request.Item.Rank);
-  if (Request.Attempts > 0 || isLate(Request.Item) ||
-      PlaceBelowMinimum == Place || !leavesRoom(Request, Now))
-    return false;
-  const RankPart Part = otherTeamsBefore(Request.Item, Now)
-                            ? RankPart::AboveShare
-                            : RankPart::WithinShare;
-  return !Forecast.mayStart(Place, Part);
+  return Request.Attempts == 0 && PlaceBelowMinimum != Place &&
+         (isLate(Request.Item) || leavesRoom(Request, Now)) &&
+         !Forecast.mayStart(Place, rankPart(Request.Item, Now));
 }
 
 /// Counts an arriving request, and returns its team on the level of its rank.
@@ -180,16 +177,24 @@
   if (!isLate(Item)) {
     Forecast.recordArrival(Place, Now);
     Demands[Place].recordArrival(hashText(Item.Team.Text), Now);
-    Part = otherTeamsBefore(Item, Now) ? RankPart::AboveShare
-                                       : RankPart::WithinShare;
+    Part = rankPart(Item, Now);
+  } else {
+    Forecast.recordLateArrival(Place, Now);
   }
   return Queue.team(Item.Team, RankOrder::levelOf(Place, Part));
 }
 
+RankPart Dispatcher::rankPart(const WorkItem &Item, TimePoint Now) const {
+  if (isLate(Item))
+    return RankPart::Late;
+  return otherTeamsBefore(Item, Now) ? RankPart::AboveShare
+                                     : RankPart::WithinShare;
+}
+
 std::optional<double> Dispatcher::otherTeamsBefore(const WorkItem &Item,
                                                    TimePoint Now) const {
   const std::size_t Place = Ranks.place(Item.Rank);
-  if (!Forecast.isShort(Place))
+  if (!Forecast.isScarce(Place))
     return std::nullopt;
   return Demands[Place].othersBefore(hashText(Item.Team.Text),
                                      Forecast.total(Place), Now);
@@ -400,6 +405,7 @@
     Entry.Endpoint = RateKeys[Place];
     Entry.Load.Running = ToUnits(Rates.Offered);
     Entry.Load.Fresh = ToUnits(Rates.Started);
+    Entry.Load.Late = ToUnits(Rates.OfferedLate);
     if (Entry.Load.total() > 0)
       Loads.push_back(Entry);
     for (const TeamDemand::Rate &Team : Demands[Place].own(LastCallAt)) {
@@ -420,21 +426,27 @@
   RatesByPlace Sums{};
   for (std::size_t Place = 0; Place < RankOrder::MaxPlaces; ++Place) {
     const RequestLoad &Sum = ByKey[RateKeys[Place]];
-    Sums[Place] = {Sum.Running / RateUnits, Sum.Fresh / RateUnits};
+    Sums[Place] = {Sum.Running / RateUnits, Sum.Fresh / RateUnits,
+                   Sum.Late / RateUnits};
     std::map<std::uint64_t, double> Teams;
     for (const TeamDemand::Rate &Team : Demands[Place].own(Now))
       Teams[Team.Team] = ByKey[RateKeys[Place] ^ Team.Team].Running / RateUnits;
     Demands[Place].setOthers(Teams, Now);
   }
   Forecast.setOthers(Sums, Now);
+  Forecast.setFreeSlots(Choice.room(0, Now));
   for (std::size_t Place = 0; Place < RankOrder::MaxPlaces; ++Place)
-    for (const RankPart Part : {RankPart::WithinShare, RankPart::AboveShare}) {
+    for (const RankPart Part :
+         {RankPart::WithinShare, RankPart::AboveShare, RankPart::Late}) {
       const double OtherTeams =
           Part == RankPart::AboveShare
               ? Demands[Place].withinShare(Forecast.total(Place), Now)
               : 0.0;
+      const std::int32_t LeftByLate =
+          Part == RankPart::Late ? SlotsReservedForFresh : 0;
       const std::int32_t Reserved =
-          Forecast.reservedSlots(Place, SlotsPerEndpoint, OtherTeams);
+          Forecast.reservedSlots(Place, SlotsPerEndpoint, OtherTeams) +
+          LeftByLate;
       Forecast.setRoom(Place, Part, Choice.room(Reserved, Now));
     }
 }
@@ -483,7 +495,8 @@
   CrashHistory.parts().recordSend(Request.Item.SharedParts,
                                   hashText(Request.Item.Team.Text), Now);
   if (Request.Attempts++ == 0) {
-    Forecast.recordStart(Ranks.place(Request.Item.Rank), Now);
+    Forecast.recordStart(Ranks.place(Request.Item.Rank),
+                         rankPart(Request.Item, Now), Now);
     Budget.recordFirstSend(Chosen.DataCentre, Now);
     ++Counts.FirstSends;
   } else {
--- a/packages/request/src/coltsfoottrail/dispatch/dispatcher.hpp
+++ b/packages/request/src/coltsfoottrail/dispatch/dispatcher.hpp
@@ -318,6 +318,7 @@
                                 TimePoint Now) const;
   [[nodiscard]] bool isHeldBack(const RequestState &Request,
                                 TimePoint Now) const;
+  [[nodiscard]] RankPart rankPart(const WorkItem &Item, TimePoint Now) const;
   [[nodiscard]] TeamId queueTeam(const WorkItem &Item, TimePoint Now);
   [[nodiscard]] std::optional<double> otherTeamsBefore(const WorkItem &Item,
                                                        TimePoint Now) const;
--- a/packages/request/src/coltsfoottrail/dispatch/terms.cpp
+++ b/packages/request/src/coltsfoottrail/dispatch/terms.cpp
@@ -19,8 +19,6 @@
 /// Fresh requests sent beyond an engine's slots; they start as soon as running
 /// ones end.
 constexpr std::int32_t FreshOvercommit = 2;
-/// Slots of an engine that late requests leave free for fresh ones.
-constexpr std::int32_t SlotsReservedForFresh = 4;
 
 Duration scaled(Duration Span, double Fraction) {
   return std::chrono::duration_cast<Duration>(Span * Fraction);
--- a/packages/request/src/coltsfoottrail/dispatch/terms.hpp
+++ b/packages/request/src/coltsfoottrail/dispatch/terms.hpp
@@ -8,6 +8,9 @@
 
 namespace coltsfoottrail {
 
+/// Slots of an engine that late requests leave free for fresh ones.
+inline constexpr std::int32_t SlotsReservedForFresh = 4;
+
 /// Whether a request can still meet its target latency.
 enum class Timeliness : std::uint8_t {
   Fresh,
--- a/packages/request/src/coltsfoottrail/ranks/forecast.cpp
+++ b/packages/request/src/coltsfoottrail/ranks/forecast.cpp
@@ -15,7 +15,7 @@
 constexpr double MaxOwed = 1.5;
 /// A rank is given starts while it has fewer than this multiple of its part:
 /// some of its requests leave the queue before their turn.
-constexpr double MinimumMargin = 2.0;
+constexpr double MinimumMargin = 2.5;
 /// There is too little room when more requests arrive than this multiple of
 /// those that start; averages of unsteady arrivals differ by less.
 constexpr double ShortageRatio = 1.1;
@@ -33,7 +33,8 @@
 
 RankRates RankForecast::total(std::size_t Place) const noexcept {
   return {Own[Place].Offered + Others[Place].Offered,
-          Own[Place].Started + Others[Place].Started};
+          Own[Place].Started + Others[Place].Started,
+          Own[Place].OfferedLate + Others[Place].OfferedLate};
 }
 
 double RankForecast::offeredAbove(std::size_t Place) const noexcept {
@@ -67,6 +68,7 @@
       Owed[Place] = std::min(MaxOwed, Owed[Place] + Granted * OwnSeconds);
     Own[Place].Offered *= Factor;
     Own[Place].Started *= Factor;
+    Own[Place].OfferedLate *= Factor;
   }
 }
 
@@ -75,16 +77,21 @@
   Own[Place].Offered += rateOfOne();
 }
 
-void RankForecast::recordStart(std::size_t Place, TimePoint Now) noexcept {
+void RankForecast::recordLateArrival(std::size_t Place,
+                                     TimePoint Now) noexcept {
+  advance(Now);
+  Own[Place].OfferedLate += rateOfOne();
+}
+
+void RankForecast::recordStart(std::size_t Place, RankPart Part,
+                               TimePoint Now) noexcept {
   advance(Now);
   Own[Place].Started += rateOfOne();
-  if (Owed[Place] >= 1.0)
+  if (Part != RankPart::Late && Owed[Place] >= 1.0)
     Owed[Place] -= 1.0;
-  for (const RankPart Part : {RankPart::WithinShare, RankPart::AboveShare}) {
-    double &Room = OwnRoom[RankOrder::levelOf(Place, Part)];
-    if (Room >= 1.0)
-      Room -= 1.0;
-  }
+  double &Room = OwnRoom[RankOrder::levelOf(Place, Part)];
+  if (Room >= 1.0)
+    Room -= 1.0;
 }
 
 void RankForecast::setOthers(const RatesByPlace &Sums, TimePoint Now) noexcept {
@@ -95,12 +102,20 @@
 
 void RankForecast::setRoom(std::size_t Place, RankPart Part,
                            double Slots) noexcept {
-  const double Offered = total(Place).Offered;
-  const double Fraction = Offered > 0.0 ? Own[Place].Offered / Offered : 0.0;
+  const auto Rate =
+      Part == RankPart::Late ? &RankRates::OfferedLate : &RankRates::Offered;
+  const double Offered = total(Place).*Rate;
+  const double Fraction = Offered > 0.0 ? Own[Place].*Rate / Offered : 0.0;
   double &Room = OwnRoom[RankOrder::levelOf(Place, Part)];
   Room += Fraction * Slots - std::floor(Room);
 }
 
+bool RankForecast::isScarce(std::size_t Place) const noexcept {
+  const double Arriving =
+      offeredAbove(RankOrder::MaxPlaces) * toSeconds(RoomHorizon);
+  return isShort(Place) || (OthersAt && FreeSlots && *FreeSlots < Arriving);
+}
+
 bool RankForecast::isShort(std::size_t Place) const noexcept {
   const RankRates Total = total(Place);
   return Total.Offered > ShortageRatio * Total.Started;
--- a/packages/request/src/coltsfoottrail/ranks/forecast.hpp
+++ b/packages/request/src/coltsfoottrail/ranks/forecast.hpp
@@ -20,6 +20,8 @@
   double Offered = 0.0;
   /// Requests that were sent to an endpoint for the first time.
   double Started = 0.0;
+  /// Requests that arrived late.
+  double OfferedLate = 0.0;
 };
 
 /// @brief Rates by place, see RankOrder::place().
@@ -64,8 +66,10 @@
   void advance(TimePoint Now) noexcept;
   /// @brief Counts a request that arrived and can be on time.
   void recordArrival(std::size_t Place, TimePoint Now) noexcept;
+  /// @brief Counts a request that arrived late.
+  void recordLateArrival(std::size_t Place, TimePoint Now) noexcept;
   /// @brief Counts a request that was sent for the first time.
-  void recordStart(std::size_t Place, TimePoint Now) noexcept;
+  void recordStart(std::size_t Place, RankPart Part, TimePoint Now) noexcept;
   /// @brief Sets the sums of the rates of all other hosts.
   void setOthers(const RatesByPlace &Sums, TimePoint Now) noexcept;
 
@@ -84,6 +88,11 @@
   void setEndpoints(std::size_t Count) noexcept {
     Endpoints = static_cast<double>(Count);
   }
+  /// @brief Sets how many slots are free over all endpoints.
+  void setFreeSlots(double Slots) noexcept { FreeSlots = Slots; }
+  /// @brief Whether the free slots are fewer than the requests of all places
+  /// that will arrive within RoomHorizon, or the place is short already.
+  [[nodiscard]] bool isScarce(std::size_t Place) const noexcept;
   /// @brief Whether more requests of a place arrive than can be started.
   [[nodiscard]] bool isShort(std::size_t Place) const noexcept;
   /// @brief Sets how many slots a part of the requests of a place may use, over
@@ -94,7 +103,7 @@
   /// there are too few, it has a part of them, since the other hosts hear of
   /// the same free slots.
   [[nodiscard]] bool mayStart(std::size_t Place, RankPart Part) const noexcept {
-    return !OthersAt || !isShort(Place) ||
+    return !OthersAt || !isScarce(Place) ||
            OwnRoom[RankOrder::levelOf(Place, Part)] >= 1.0;
   }
   /// @brief Whether a place got less than its part of the starts.
@@ -123,6 +132,7 @@
   /// one adds to the next part.
   std::array<double, RankOrder::MaxLevels> OwnRoom{};
   double Endpoints = 0.0;
+  std::optional<double> FreeSlots;
   TimePoint UpdatedAt{};
 };
 
--- a/packages/request/src/coltsfoottrail/ranks/teamdemand.cpp
+++ b/packages/request/src/coltsfoottrail/ranks/teamdemand.cpp
@@ -10,6 +10,14 @@
 
 namespace {
 
+/// Part of the starts that is divided among the teams: a team that asks for
+/// more is recognised while its requests can still be started.
+constexpr double SharedFraction = 0.8;
+
+/// Teams that ask for less than this together, in requests per second, need no
+/// room.
+constexpr double MinRate = 0.02;
+
 double toSeconds(Duration Span) {
   return std::chrono::duration<double>(Span).count();
 }
@@ -73,7 +81,7 @@
   }
   Rates.push_back(std::max(0.0, Unknown));
   Division Result;
-  Result.Share = equalShare(Rates, Total.Started);
+  Result.Share = equalShare(Rates, SharedFraction * Total.Started);
   for (const double Rate : Rates)
     Result.Within += Rate <= Result.Share ? Rate : 0.0;
   return Result;
@@ -90,7 +98,7 @@
   if (Asked == Teams.end())
     return std::nullopt;
   const Division Result = divide(Total, Now);
-  if (totalOf(Asked->second, Now) <= Result.Share)
+  if (Result.Within < MinRate || totalOf(Asked->second, Now) <= Result.Share)
     return std::nullopt;
   return Result.Within;
 }
--- a/packages/request/src/coltsfoottrail/ranks/teamdemand.hpp
+++ b/packages/request/src/coltsfoottrail/ranks/teamdemand.hpp
@@ -42,7 +42,7 @@
   /// free.
   /// Precondition: there is too little room for all of them.
   /// @param Total Rates of the rank over all hosts.
-  /// @return Nothing if the team is within its share.
+  /// @return Nothing if the team is within its share, or no other is.
   [[nodiscard]] std::optional<double>
   othersBefore(std::uint64_t Team, const RankRates &Total, TimePoint Now) const;
 
--- a/packages/request/test/coltsfoottrail/dispatch/ranks.cpp
+++ b/packages/request/test/coltsfoottrail/dispatch/ranks.cpp
@@ -1,4 +1,5 @@
 #include "batching.hpp"
+#include "harness.hpp"
 
 #include <gtest/gtest.h>
 
@@ -115,6 +116,10 @@
     const Played Result = compare("burst of the lowest", Load);
     expectOrder(Result);
     expectMinimum(Result, Patient);
+    EXPECT_GE(Result.inBurst(Urgent).onTime(),
+              Result.before(Urgent).onTime() - MaxLoss);
+    EXPECT_GE(Result.after(Patient).onTime(),
+              Result.before(Patient).onTime() - MaxLoss);
   }
 }
 
@@ -147,6 +152,32 @@
   }
 }
 
+// Guards against a team that floods its rank: other teams of the rank lose
+// their room, or the lower rank its minimum.
+TEST_P(RankBurst, OfOneTeamCostsOthersOfItsRankLittle) {
+  constexpr std::size_t Flood = 2;
+  constexpr double FloodFactor = 12.0;
+  for (std::uint64_t Seed = 1; Seed <= 3; ++Seed) {
+    BatchingLoad Load = twoRanks(GetParam(), 1.0, 1.0);
+    Load.Seed = Seed;
+    Load.EnginesLeft = Load.Engines;
+    StreamClass FloodClass = Load.Classes[Urgent];
+    FloodClass.Team = "flood";
+    FloodClass.RequestsPerSecond = 15.0;
+    Load.Classes[Urgent].RequestsPerSecond = 15.0;
+    Load.Classes.push_back(FloodClass);
+    BatchingLoad Calm = Load;
+    activateRanks(Calm);
+    const Played WithoutFlood(Calm);
+    Load.Classes[Flood].BurstFactor = FloodFactor;
+    const Played Result = compare("flood", Load);
+    EXPECT_GE(Result.inBurst(Urgent).onTime(),
+              WithoutFlood.inBurst(Urgent).onTime() - MaxLoss)
+        << "seed " << Seed;
+    expectMinimum(Result, Patient);
+  }
+}
+
 // Guards against a host that has just started, or is cut off from the others,
 // and takes the room of urgent requests because it knows of none elsewhere.
 TEST_P(RankBurst, OrderHoldsWithoutLoadsOfOtherHosts) {
@@ -179,6 +210,46 @@
 
 INSTANTIATE_TEST_SUITE_P(Hosts, RankBurst, testing::Values(7, 61, 105, 300));
 
+Pool rankedPool() {
+  Pool Config = testPool(1);
+  Config.Name = "model/m";
+  Config.Ranks = {{1, milliseconds(400)}, {2, milliseconds(800)}};
+  return Config;
+}
+
+WorkItem itemOf(std::string_view Team, std::uint32_t Rank) {
+  WorkItem Item = DispatchHarness::item(Team);
+  Item.Rank = Rank;
+  return Item;
+}
+
+TEST(Ranks, HigherRankOfAnotherTeamGoesFirst) {
+  DispatchHarness Host;
+  Host.configure(rankedPool(), 1);
+  const Ticket Running = Host.submit(itemOf("first", 2));
+  const Ticket Lower = Host.submit(itemOf("first", 2));
+  const Ticket Higher = Host.submit(itemOf("second", 1));
+  Host.answer(Running);
+  EXPECT_EQ(Host.endpointOf(Higher), "e0");
+  EXPECT_EQ(Host.endpointOf(Lower), "");
+  Host.answer(Higher);
+  EXPECT_EQ(Host.endpointOf(Lower), "e0");
+}
+
+// Guards against callers of a refused rank who come back before there is room.
+TEST(Ranks, RefusalSaysWhenRoomIsExpected) {
+  DispatchHarness Host;
+  Host.configure(rankedPool(), 1);
+  static_cast<void>(Host.submit(itemOf("first", 2)));
+  WorkItem Waiting = itemOf("first", 2);
+  Waiting.StartBy = Host.Now + milliseconds(500);
+  const Ticket Refused = Host.submit(Waiting);
+  Host.advanceTime(seconds(1));
+  ASSERT_TRUE(Host.refusal(Refused));
+  EXPECT_EQ(Host.refusal(Refused)->State, RunState::NotRun);
+  EXPECT_TRUE(Host.refusal(Refused)->RetryAfter);
+}
+
 // Guards against a change for those who use no ranks: a pool with one rank
 // gives the same commands as one without, whatever its requests say.
 TEST(Ranks, OneRankChangesNoCommand) {
