Use ranks only where the settings ask for it

Cause: not traced. By reading: with many hosts and few callers at each, a host may wait for its part of slots that are free, also in a pool that only one rank has callers for, since ranks are those of the service.

--- a/packages/process/src/coltsfoottrail/fleethost/callerproxy.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/callerproxy.cpp
@@ -264,7 +264,7 @@
     Model = Context.Caller.Model;
   }
   Context.Service = Service;
-  Context.Ranks = RankOrder(Context.Config->ranks(Service->Name));
+  Context.Ranks = RankOrder(View.ranks(Service->Name));
   Context.Pool = FleetView::poolName(Service->Name, Model);
   Context.PoolHash = hashText(Context.Pool);
   return std::nullopt;
--- a/packages/process/src/coltsfoottrail/fleethost/host.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/host.cpp
@@ -260,6 +260,7 @@
     }
     Endpoints.setSpacing(Holds ? CoordinatorSpacing : followerSpacing());
   });
+  View.setRanks(Settings.RanksByPriority);
   Coordinator.setDivision(Settings.Engines);
   Coordinator.onHostCount([this](TimePoint Now) { return Link.hosts(Now); });
   Coordinator.onOrders([this] {
--- a/packages/process/src/coltsfoottrail/fleethost/settings.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/settings.cpp
@@ -113,6 +113,7 @@
     Result.Bounds = readBounds(Reader.object("bounds"));
   if (Reader.has("engines"))
     Result.Engines = readEngines(Reader.object("engines"));
+  Result.RanksByPriority = Reader.flagOr("ranks_by_priority", false);
   if (Reader.has("placement"))
     Result.Placement = readPlacement(Reader.object("placement"));
   return Result;
--- a/packages/process/src/coltsfoottrail/fleethost/settings.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/settings.hpp
@@ -77,6 +77,9 @@
   FleetBounds Bounds;
   EngineSettings Engines;
   PlacementSettings Placement;
+  /// Whether the priorities of routes and teams give requests precedence when
+  /// there are too few slots.
+  bool RanksByPriority = false;
 };
 
 /// @brief Reads and validates a settings file. Unknown keys are ignored because
--- a/packages/process/src/coltsfoottrail/fleethost/view.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/view.cpp
@@ -302,7 +302,7 @@
       Pool &Target = Result.Table.Pools[Name];
       Target.Name = Name;
       Target.RetryGroup = Service.Text;
-      Target.Ranks = Index->ranks(Service);
+      Target.Ranks = ranks(Service);
     }
   addPaces(Result);
   for (const auto &[Name, Entry] : Catalogue.all())
--- a/packages/process/src/coltsfoottrail/fleethost/view.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/view.hpp
@@ -144,6 +144,15 @@
     return Changes + Catalogue.version();
   }
 
+  /// @brief Sets whether the priorities of routes and teams give requests
+  /// precedence when there are too few slots. They do not at first.
+  void setRanks(bool AreUsed) noexcept { UsesRanks = AreUsed; }
+  /// @brief Ranks of the requests to a service, the most urgent first; none if
+  /// ranks are not used or there is no configuration.
+  [[nodiscard]] std::vector<PoolRank> ranks(const ServiceName &Service) const {
+    return UsesRanks && Index ? Index->ranks(Service) : std::vector<PoolRank>{};
+  }
+
   /// @brief Names of the pools of each service.
   [[nodiscard]] std::map<ServiceName, std::vector<std::string>> pools() const;
 
@@ -186,6 +195,7 @@
   void addEndpoint(const KnownEndpoint &Entry, FleetRoutes &Result) const;
 
   FleetBounds Bounds;
+  bool UsesRanks = false;
   EndpointCatalogue Catalogue;
   RouteIndexPtr Index;
   std::set<DataCentreName> Drained;
--- a/packages/process/test/coltsfoottrail/fleethost/settings.cpp
+++ b/packages/process/test/coltsfoottrail/fleethost/settings.cpp
@@ -83,6 +83,14 @@
   EXPECT_TRUE(Settings.Engines.Limits.empty());
 }
 
+TEST(FleetSettings, UsesPrioritiesOnlyIfAskedTo) {
+  EXPECT_FALSE(
+      readFleetSettings(writeSettingsFile(FullSettings)).RanksByPriority);
+  std::string Text = FullSettings;
+  Text.insert(Text.rfind('}'), R"(,"ranks_by_priority":true)");
+  EXPECT_TRUE(readFleetSettings(writeSettingsFile(Text)).RanksByPriority);
+}
+
 TEST(FleetSettings, ReadsHowEnginesAreDivided) {
   const EngineSettings Engines =
       readFleetSettings(writeSettingsFile(withEngines(
