Show that a refusal of a HEAD request sends a body

Order of events: eight kept channels, the store is down for 8 s, after 5.5 s HEAD requests arrive and the host refuses them with 503.

Seen: a JSON body follows the head of each refusal on a channel that stays open, and the next request gets it as the begin of its answer.

Code: Session::respond writes the body of every response. Beside it the scripts now end without destroying stand-ins that threads still use.

--- a/review/1/stop.cpp
+++ b/review/1/stop.cpp
@@ -142,5 +142,5 @@
   Log.line("requests read by edge-1, never run, and ended with a closed "
            "channel: " +
            std::to_string(Cut));
-  return Cut > 0 ? 1 : 0;
+  finish(Cut > 0 ? 1 : 0, {&First, &Second});
 }
--- a/review/common/platform.hpp
+++ b/review/common/platform.hpp
@@ -58,6 +58,8 @@
     Topics[Topic].push_back({Key, Value});
     Changed.notify_all();
   }
+  /// Sets whether all calls get a 503.
+  void setDown(bool Down) { IsDown = Down; }
 
 private:
   struct Entry {
@@ -126,7 +128,9 @@
       const std::string Target = Request->target();
       const std::string Path = Target.substr(0, Target.find('?'));
       std::string Answer;
-      if (Path == "/coltsfoottrail/log-read")
+      if (IsDown)
+        Answer = response(503, "", "");
+      else if (Path == "/coltsfoottrail/log-read")
         Answer = readLog(Target);
       else if (Path == "/coltsfoottrail/log-newest")
         Answer = newest(query(Target, "topic"));
@@ -226,6 +230,7 @@
     return json("{\"parts\":[" + Row + "]}");
   }
 
+  std::atomic<bool> IsDown{false};
   std::mutex Lock;
   std::condition_variable Changed;
   std::map<std::string, std::vector<Entry>> Topics;
@@ -451,6 +456,14 @@
   pid_t Process = 0;
 };
 
+/// Ends the hosts and this process; threads of stand-ins still run.
+[[noreturn]] inline void finish(int Code,
+                                std::initializer_list<const Host *> Hosts) {
+  for (const Host *const Each : Hosts)
+    Each->signal(SIGKILL);
+  std::_Exit(Code);
+}
+
 /// One route to a plain service, as the operator's configuration has it.
 inline std::string route(const std::string &Prefix, const std::string &Kind,
                          const std::string &Service, int TimeoutMs) {
