--- a/review/common/platform.hpp
+++ b/review/common/platform.hpp
@@ -16,7 +16,7 @@
 #include <memory>
 #include <mutex>
 #include <set>
-#include <spawn.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <vector>
 
@@ -411,18 +411,25 @@
   }
 
   void start() {
-    posix_spawn_file_actions_t Files;
-    posix_spawn_file_actions_init(&Files);
-    posix_spawn_file_actions_addopen(&Files, 1, LogFile.c_str(),
-                                     O_WRONLY | O_CREAT | O_APPEND, 0600);
-    posix_spawn_file_actions_adddup2(&Files, 1, 2);
     std::string Flag = "--fleet";
     char *Arguments[] = {Program.data(), Flag.data(), Settings.data(), nullptr};
     char *Environment[] = {nullptr};
-    if (posix_spawn(&Process, Program.c_str(), &Files, nullptr, Arguments,
-                    Environment) != 0)
+    const pid_t Parent = getpid();
+    Process = fork();
+    if (Process < 0)
       throw std::runtime_error("cannot start " + Program);
-    posix_spawn_file_actions_destroy(&Files);
+    if (Process > 0)
+      return;
+    // Ends with this process, whatever ends it.
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
+    const int Output =
+        open(LogFile.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
+    if (getppid() != Parent || Output < 0)
+      _exit(127);
+    dup2(Output, 1);
+    dup2(Output, 2);
+    execve(Program.c_str(), Arguments, Environment);
+    _exit(127);
   }
   void signal(int Number) const {
     if (Process > 0)
