--- a/review/1/lateopen.cpp
+++ b/review/1/lateopen.cpp
@@ -15,6 +15,8 @@
 constexpr milliseconds Heartbeat{1'200};
 /// An entry is removed after three heartbeats of silence.
 constexpr milliseconds Lapse{3'600};
+/// A head that serves without a member is broken after this, stall_ms.
+constexpr milliseconds StallTime{4'000};
 constexpr int Engines = 4;
 
 std::string jsonText(const std::string &Body, const std::string &Name) {
@@ -81,6 +83,8 @@
     const std::lock_guard Guard(Lock);
     Dead = true;
     Current = Seat{};
+    for (const auto &Other : All)
+      Other->breakAfterStall();
     Log.line("runner " + Name + " crashes");
     std::thread([this] {
       std::this_thread::sleep_for(Lapse);
@@ -115,14 +119,15 @@
         Model.empty()
             ? ""
             : "{\"name\":\"" + Model + "\",\"version\":1,\"adapters\":[]}";
+    // Without a seat it names no group.
     const std::string Group =
         Current.Group.empty()
-            ? "{}"
-            : "{\"name\":\"" + Current.Group +
+            ? std::string()
+            : "\"group\":{\"name\":\"" + Current.Group +
                   "\",\"epoch\":" + std::to_string(Current.Epoch) +
                   ",\"rank\":" + std::to_string(Current.Rank) +
-                  ",\"state\":\"" + Current.State + "\"}";
-    return "\"models\":[" + Models + "],\"group\":" + Group + ",";
+                  ",\"state\":\"" + Current.State + "\"},";
+    return "\"models\":[" + Models + "]," + Group;
   }
   void publish() {
     const std::lock_guard Guard(Lock);
@@ -273,7 +278,10 @@
     if (Operation == "open" && Current.State == "open")
       return 200;
     if (Operation == "open" && Current.State == "ready" && Current.Rank == 0) {
-      later(OpenTime, [this] { Current.State = "open"; });
+      later(OpenTime, [this] {
+        Current.State = "open";
+        breakAfterStall();
+      });
       return 202;
     }
     if (Operation == "close" && Current.State == "open") {
@@ -282,6 +290,20 @@
     }
     return Operation == "close" && Current.State == "ready" ? 200 : 409;
   }
+  /// The head of a group that lacks a member is broken after stall_ms.
+  void breakAfterStall() {
+    const bool IsWhole =
+        std::all_of(All.begin(), All.end(), [&](const auto &E) {
+          const bool IsNamed =
+              Current.Members.find("\"" + E->Name + "\"") != std::string::npos;
+          return !IsNamed || E->Current.Epoch == Current.Epoch;
+        });
+    if (!IsWhole && Current.State == "open")
+      later(StallTime, [this] {
+        if (Current.State == "open")
+          Current.State = "broken";
+      });
+  }
   /// Does something after a while unless the seat is another one by then.
   void later(milliseconds Delay, std::function<void()> Action) {
     const std::uint64_t Epoch = Current.Epoch;
@@ -325,19 +347,26 @@
     // The first copy of the join of the second group's head.
     if (Operation == "join" && Epoch == 0 && To.name() == Head) {
       Epoch = jsonNumber(Body, "epoch");
-      return milliseconds(8'500);
+      return milliseconds(5'900);
     }
     // The order to open that group.
     if (Operation == "open" && To.name() == Head &&
         jsonNumber(Body, "epoch") == Epoch) {
       Opened = true;
-      return milliseconds(8'700);
+      return milliseconds(5'000);
+    }
+    // The join of a seat of its own, before the late orders come.
+    if (Operation == "join" && To.name() == Head && Opened && !HasSeatOrder &&
+        jsonText(Body, "group").starts_with("standby/")) {
+      HasSeatOrder = true;
+      return milliseconds(11'000);
     }
     return std::nullopt;
   }
 
 private:
   std::mutex Lock;
+  bool HasSeatOrder = false;
   std::uint64_t Epoch = 0;
 };
 
@@ -385,11 +414,7 @@
     Log.line("edge-1, which gives the orders, is killed");
     First.signal(SIGKILL);
     Engine::All[3]->crash();
-    // Its head serves after the late orders.
-    for (int Polls = 0; Polls < 3'000 && Engine::All[2]->seat().State != "open";
-         ++Polls)
-      std::this_thread::sleep_for(milliseconds(5));
-    std::this_thread::sleep_for(milliseconds(300));
+    std::this_thread::sleep_for(milliseconds(2'000));
     Engine::All[1]->crash();
   }
   std::this_thread::sleep_for(milliseconds(10'000));
