Log the requests whose connection a host closes itself

Callers saw: requests that end with a closed connection around a planned stop. The host's log said "stopped cut=0", nothing of an answered request, and "caller-left" of a stream that the host itself had closed, so that the three hypotheses of the incident could not be told apart.

Change: event 1329 request-cut, in place of 1315, where this end closed the connection; an answer counts as given once it is written, not before; the line 1021 and the metrics count connections that were closed as idle and with a request in progress.

--- a/packages/connection/src/coltsfoottrail/http/server.cpp
+++ b/packages/connection/src/coltsfoottrail/http/server.cpp
@@ -105,6 +105,8 @@
   std::atomic<bool> Stopping{false};
   std::atomic<std::size_t> OpenConnections{0};
   std::atomic<std::size_t> RequestsInProgress{0};
+  std::atomic<std::uint64_t> ClosedIdle{0};
+  std::atomic<std::uint64_t> ClosedInProgress{0};
   std::mutex Mutex;
   std::set<Session *> Sessions;
 };
@@ -156,6 +158,7 @@
   [[nodiscard]] bool hasBegun() const noexcept override {
     return ResponseStarted;
   }
+  [[nodiscard]] bool wasCut() const noexcept override { return WasCut; }
 
   Awaitable<void> respond(HttpResponse Response) override {
     ResponseStarted = true;
@@ -195,6 +198,8 @@
   }
 
   void cut() noexcept override {
+    if (!std::exchange(WasCut, true))
+      ++(Idle ? Server->ClosedIdle : Server->ClosedInProgress);
     ErrorCode Ignored;
     Stream.socket().shutdown(Tcp::socket::shutdown_both, Ignored);
     Stream.socket().close(Ignored);
@@ -404,6 +409,7 @@
   bool ResponseStarted = false;
   bool ResponseComplete = false;
   bool Idle = true;
+  bool WasCut = false;
   bool WatchingClient = false;
   std::uint64_t LatestWatch = 0;
 };
@@ -500,4 +506,8 @@
   return Shared->RequestsInProgress;
 }
 
+ClosedConnections HttpServer::closedConnections() const noexcept {
+  return {Shared->ClosedIdle, Shared->ClosedInProgress};
+}
+
 } // namespace coltsfoottrail
--- a/packages/connection/src/coltsfoottrail/http/server.hpp
+++ b/packages/connection/src/coltsfoottrail/http/server.hpp
@@ -47,6 +47,8 @@
   [[nodiscard]] virtual std::size_t thread() const noexcept = 0;
   /// @brief Whether a response has been started with respond() or begin().
   [[nodiscard]] virtual bool hasBegun() const noexcept = 0;
+  /// @brief Whether this end has closed the connection.
+  [[nodiscard]] virtual bool wasCut() const noexcept = 0;
 
   /// @brief Sends a complete response.
   /// @param Response The response.
@@ -100,6 +102,14 @@
   RefusalMaker Refuse;
 };
 
+/// @brief Connections that a server closed by itself since its start.
+struct ClosedConnections {
+  /// No request was in progress.
+  std::uint64_t Idle = 0;
+  /// A request was in progress, and its response is not complete.
+  std::uint64_t InProgress = 0;
+};
+
 /// @brief An HTTP/1.1 server on the threads of a pool.
 class HttpServer {
 public:
@@ -140,6 +150,10 @@
   /// @brief Number of requests whose response is not complete. Thread-safe.
   [[nodiscard]] std::size_t inProgress() const noexcept;
 
+  /// @brief Connections closed by stopAccepting(), cutAll() and
+  /// Exchange::cut(). Thread-safe.
+  [[nodiscard]] ClosedConnections closedConnections() const noexcept;
+
   /// State shared by the listener and the sessions; opaque.
   struct Core;
 
--- a/packages/process/src/coltsfoottrail/fleethost/attempt.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/attempt.cpp
@@ -391,11 +391,12 @@
     co_return failedAttempt(RunState::MayHaveRun, Reason::EndpointFailed,
                             Start);
   }
-  recordEnd(Context, "answered", Reply.Status, {});
   Metrics.recordResponseStart(Context.Route->Policy,
                               BootClock::now() - Context.ArrivedAt);
   Context.RouterPlace->responseProgressed();
+  const unsigned Status = Reply.Status;
   co_await Call.respond(std::move(Reply));
+  recordEnd(Context, "answered", Status, {});
   co_return answeredAttempt(Start, FirstByte);
 }
 
@@ -480,8 +481,8 @@
   }
   if (const std::string Rest = Context.Events.takeRest(); !Rest.empty())
     co_await Call.write(Rest);
-  recordEnd(Context, "answered", StatusOk, {});
   co_await Call.end();
+  recordEnd(Context, "answered", StatusOk, {});
   co_return answeredAttempt(Start, FirstByte);
 }
 
--- a/packages/process/src/coltsfoottrail/fleethost/callerproxy.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/callerproxy.cpp
@@ -60,20 +60,24 @@
 /// Writes a request's log lines when its coroutine ends, in whatever way.
 class CallerProxy::TrailGuard {
 public:
-  TrailGuard(RequestContext &Context, std::shared_ptr<RequestLogBudget> Budget)
-      : Context(Context), Budget(std::move(Budget)) {}
+  TrailGuard(const Exchange &Call, RequestContext &Context,
+             std::shared_ptr<RequestLogBudget> Budget)
+      : Call(Call), Context(Context), Budget(std::move(Budget)) {}
   TrailGuard(const TrailGuard &) = delete;
   TrailGuard &operator=(const TrailGuard &) = delete;
   ~TrailGuard() {
     const TimePoint Now = BootClock::now();
     if (!Context.Ended) {
       Context.Trail.markNotable();
-      Context.Trail.add(Event::CallerLeft, {{"sends", Context.Sends}}, Now);
+      Context.Trail.add(Call.wasCut() ? Event::RequestCut : Event::CallerLeft,
+                        {{"sends", Context.Sends}, {"begun", Call.hasBegun()}},
+                        Now);
     }
     Context.Trail.end(*Budget, Now);
   }
 
 private:
+  const Exchange &Call;
   RequestContext &Context;
   std::shared_ptr<RequestLogBudget> Budget;
 };
@@ -162,7 +166,7 @@
 Awaitable<void> CallerProxy::serve(Exchange &Call) {
   ++Counts.Requests;
   RequestContext Context;
-  const TrailGuard Mark(Context, Budget);
+  const TrailGuard Mark(Call, Context, Budget);
   std::optional<HttpResponse> Refused = admit(Call.request(), Context);
   if (!Refused)
     Refused = choosePool(Context);
@@ -417,9 +421,10 @@
       Context.FallbackResponse && Final.State != RunState::NotRun
           ? std::move(*Context.FallbackResponse)
           : refusal(Context, Final);
-  recordEnd(Context, Final.State == RunState::NotRun ? "refused" : "failed",
-            Reply.Status, Final);
+  const unsigned Status = Reply.Status;
   co_await Call.respond(std::move(Reply));
+  recordEnd(Context, Final.State == RunState::NotRun ? "refused" : "failed",
+            Status, Final);
 }
 
 // Callers that were refused together would retry together, so the delay is
--- a/packages/process/src/coltsfoottrail/fleethost/host.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/host.cpp
@@ -560,6 +560,9 @@
   AppendLine("sends_total", Counts.Sends);
   AppendLine("streams_resumed_total", Counts.Resumed);
   AppendLine("streams_cut_total", Counts.CutStreams);
+  const ClosedConnections Closed = Front->closedConnections();
+  AppendLine("connections_closed_idle_total", Closed.Idle);
+  AppendLine("connections_closed_in_progress_total", Closed.InProgress);
   AppendLine("waiting", Routing.waiting());
   const Router::PartTally Parts = Routing.partTally();
   AppendLine("prompt_parts_suspected", Parts.Suspected);
@@ -623,7 +626,10 @@
     co_await Pause.async_wait(asio::use_awaitable);
   }
   const std::size_t CutRequests = Front->inProgress();
-  logEvent(Event::Stopped, {{"cut", CutRequests}});
+  const ClosedConnections Closed = Front->closedConnections();
+  logEvent(Event::Stopped, {{"cut", CutRequests},
+                            {"closed_idle", Closed.Idle},
+                            {"closed_in_progress", Closed.InProgress}});
   Done(CutRequests);
 }
 
--- a/packages/process/src/coltsfoottrail/logging/event.cpp
+++ b/packages/process/src/coltsfoottrail/logging/event.cpp
@@ -113,6 +113,9 @@
     {Event::SendWithheld, LogLevel::Info, "send-withheld",
      "A request was not sent to the endpoint that was chosen for it, which "
      "wants none any more."},
+    {Event::RequestCut, LogLevel::Warn, "request-cut",
+     "This host closed the connection of a request before its answer was "
+     "whole."},
     {Event::EndpointLost, LogLevel::Warn, "endpoint-lost",
      "An endpoint takes no more work from this host."},
     {Event::EndpointBack, LogLevel::Info, "endpoint-back",
--- a/packages/process/src/coltsfoottrail/logging/event.hpp
+++ b/packages/process/src/coltsfoottrail/logging/event.hpp
@@ -64,6 +64,7 @@
   ResponseUnbounded = 1326,
   SentUnwanted = 1327,
   SendWithheld = 1328,
+  RequestCut = 1329,
   EndpointLost = 1401,
   EndpointBack = 1402,
   EndpointCold = 1403,
