Give each step of a planned stop its time, and each request a last answer

Callers saw: orders that wait for a slot at a host that stops, or whose endpoint is silent, end with a closed connection when the process does.

Cause: the stop had no clock of its own. It waited for the store first (up to 0.7 s), which moved all later steps but the last, so that connections were accepted and requests begun until 3.3 s after the signal; and nothing told the dispatchers that the process ends, so that what waited there was never refused, although "not run" was certain.

Change: the steps have times from the signal: responses announce that their connection closes at once; at 2.6 s idle connections are closed and what waits and has not run is refused as not run, so that its caller has the rest of its time elsewhere; 0.7 s before the process is killed all requests that are left get their last answer, and 0.2 s later the process ends. The lease is given up beside that. Streams that can be resumed go on until then. The same in both modes.

Why it works: a dispatcher that stops neither holds nor queues, and the last answer comes before the end and not with it.

Ruled out: refusing all that waits at the signal itself; many of these requests find a slot within the 2.6 s that the balancer needs, and callers have one retry.

--- a/packages/connection/src/coltsfoottrail/http/client.cpp
+++ b/packages/connection/src/coltsfoottrail/http/client.cpp
@@ -287,6 +287,11 @@
   return Aborted;
 }
 
+void HttpClient::abortAll() {
+  for (const auto &[Endpoint, Connection] : *Shared->Calls)
+    Connection->Stream.cancel();
+}
+
 void HttpClient::closeIdle() {
   Shared->Idle.clear();
   Shared->IdleCount = 0;
--- a/packages/connection/src/coltsfoottrail/http/client.hpp
+++ b/packages/connection/src/coltsfoottrail/http/client.hpp
@@ -176,6 +176,10 @@
   /// @return Number of aborted calls.
   std::size_t abort(const EngineAddress &Endpoint);
 
+  /// @brief Aborts all calls, whatever their policies say; their failure says
+  /// that the request may have run.
+  void abortAll();
+
   /// @brief Closes all idle connections. Must be called before the context is
   /// destroyed, since their sockets refer to it.
   void closeIdle();
--- a/packages/process/src/coltsfoottrail/fleethost/callerproxy.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/callerproxy.cpp
@@ -204,7 +204,9 @@
   Context.Config = View.config();
   const Verdict StaleVerdict{RunState::NotRun, Reason::Stale,
                              ElsewhereRetryAfter};
-  if (!Context.Config || Stopping)
+  if (Stopping)
+    return refusal(Context, Verdict{RunState::NotRun, Reason::Stopping, {}});
+  if (!Context.Config)
     return refusal(Context, StaleVerdict);
   Context.Route =
       Context.Config->route(Context.Caller.HostHeader, Context.Caller.Path);
@@ -440,8 +442,9 @@
     return std::chrono::duration_cast<milliseconds>(
         *Final.RetryAfter * (1.0 + BackoffReturnSpread * Draw.fraction()));
   const bool IsBetterElsewhere =
-      Reach.cutOffSince() && !Reach.reachesNothing(Now);
-  if (!View.credentialsFresh(Now) || Stopping || IsBetterElsewhere)
+      Final.Why == Reason::Stopping ||
+      (Reach.cutOffSince() && !Reach.reachesNothing(Now));
+  if (!View.credentialsFresh(Now) || IsBetterElsewhere)
     return ElsewhereRetryAfter;
   const Duration TimeLeft = Context.Deadline - Now;
   const auto MaxDelay = std::min<Duration>(
--- a/packages/process/src/coltsfoottrail/fleethost/host.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/host.cpp
@@ -48,6 +48,8 @@
 constexpr milliseconds BalancerNoticeTime{2'600};
 /// Part of the stop time reserved for responses in transit.
 constexpr milliseconds StopMargin{500};
+/// Before that, time for the last responses to be written.
+constexpr milliseconds LastAnswerMargin{200};
 constexpr milliseconds StopPoll{50};
 /// Longest long poll of the operators' feed. A connection that goes silent is
 /// noticed one second after this, which leaves time for one more attempt before
@@ -605,30 +607,64 @@
   asio::co_spawn(Threads.context(0), runStop(std::move(Done)), asio::detached);
 }
 
+/// Gives up the coordinator lease, which takes as long as the store does.
+Awaitable<void> FleetHost::leaveDuty() {
+  try {
+    co_await Coordinator.leave();
+  } catch (const boost::system::system_error &Problem) {
+    logEvent(Event::InternalError, {{"why", Problem.what()}});
+  }
+  HasLeft = true;
+}
+
+FleetHost::StopTimes FleetHost::stopTimes(TimePoint StartedAt) const {
+  StopTimes Result;
+  Result.End = StartedAt + Settings.Bounds.StopGrace - StopMargin;
+  Result.LastAnswer = Result.End - LastAnswerMargin;
+  Result.Close =
+      std::min<TimePoint>(StartedAt + BalancerNoticeTime, Result.LastAnswer);
+  return Result;
+}
+
+/// Waits until no connection is left or a time has come.
+Awaitable<void> FleetHost::awaitEnd(TimePoint Until) {
+  asio::steady_timer Pause(co_await asio::this_coro::executor);
+  while (BootClock::now() < Until &&
+         !(HasLeft && Front->hasEnded() && Forwarding.open() == 0)) {
+    Pause.expires_after(StopPoll);
+    co_await Pause.async_wait(asio::use_awaitable);
+  }
+}
+
 // Failure guarded against: the load balancer still sends connections for a
 // while, and clients keep using open ones. Both are served until the balancer
-// must have noticed the failing readiness check; only then do responses close
-// their connections.
+// must have noticed the failing readiness check, and told that their connection
+// closes. Each step has its time from the stop signal, since the store may take
+// long, and what has no answer by the last one would end without any.
 Awaitable<void> FleetHost::runStop(std::function<void(std::size_t)> Done) {
-  const TimePoint StartedAt = BootClock::now();
+  const StopTimes Times = stopTimes(BootClock::now());
   Stopping = true;
   Forwarding.stop();
+  Front->announceClose();
   logEvent(Event::Stopping, {{"in_progress", Front->inProgress()}});
-  co_await Coordinator.leave();
-  asio::steady_timer Pause(co_await asio::this_coro::executor);
-  Pause.expires_at(asio::steady_timer::clock_type::now() + BalancerNoticeTime);
+  const auto Executor = co_await asio::this_coro::executor;
+  asio::co_spawn(Executor, leaveDuty(), asio::detached);
+  asio::steady_timer Pause(Executor);
+  Pause.expires_after(Times.Close - BootClock::now());
   co_await Pause.async_wait(asio::use_awaitable);
   Front->stopAccepting();
-  const TimePoint DrainDeadline =
-      StartedAt + Settings.Bounds.StopGrace - StopMargin;
-  while ((!Front->hasEnded() || Forwarding.open() > 0) &&
-         BootClock::now() < DrainDeadline) {
-    Pause.expires_after(StopPoll);
-    co_await Pause.async_wait(asio::use_awaitable);
-  }
+  Routing.stop(StopStage::NoWaiting);
+  co_await awaitEnd(Times.LastAnswer);
+  Proxy.stop();
+  Routing.stop(StopStage::NoSending);
+  const std::size_t Unanswered = Front->inProgress();
+  Client.abortAll();
+  co_await awaitEnd(Times.End);
   const std::size_t CutRequests = Front->inProgress();
+  Front->cutAll();
   const ClosedConnections Closed = Front->closedConnections();
   logEvent(Event::Stopped, {{"cut", CutRequests},
+                            {"given_up", Unanswered},
                             {"closed_idle", Closed.Idle},
                             {"closed_in_progress", Closed.InProgress},
                             {"closed_unread", Closed.Unread}});
--- a/packages/process/src/coltsfoottrail/fleethost/host.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/host.hpp
@@ -132,6 +132,18 @@
   void followAvailability(TimePoint Now);
   void endFastReads(TimePoint Now);
   [[nodiscard]] Awaitable<void> tick();
+  /// The steps of a planned stop.
+  struct StopTimes {
+    /// No connection is accepted from here on, and idle ones are closed.
+    TimePoint Close;
+    /// Requests that are still in progress get their last answer.
+    TimePoint LastAnswer;
+    /// The process ends.
+    TimePoint End;
+  };
+  [[nodiscard]] StopTimes stopTimes(TimePoint StartedAt) const;
+  [[nodiscard]] Awaitable<void> leaveDuty();
+  [[nodiscard]] Awaitable<void> awaitEnd(TimePoint Until);
   [[nodiscard]] Awaitable<void> runStop(std::function<void(std::size_t)> Done);
   [[nodiscard]] Awaitable<void> answerReadiness(Exchange &Call);
   [[nodiscard]] Awaitable<void> answerMetrics(Exchange &Call);
@@ -188,6 +200,8 @@
   /// from plain services.
   bool EndpointsReadBeforeConfig = false;
   bool Stopping = false;
+  /// The coordinator lease was given up, or the store did not answer.
+  bool HasLeft = false;
   TreeLink Link;
   std::optional<HttpServer> Front;
   std::optional<HttpServer> Readiness;
--- a/packages/process/src/coltsfoottrail/server/process.cpp
+++ b/packages/process/src/coltsfoottrail/server/process.cpp
@@ -30,6 +30,8 @@
 constexpr milliseconds StaleRetryAfter{500};
 constexpr milliseconds StopPollInterval{10};
 constexpr milliseconds LeaveTimeout{3'000};
+/// Before the limit for streams, time for the last responses to be written.
+constexpr milliseconds LastAnswerMargin{200};
 
 Incarnation drawRun() {
   std::random_device Source;
@@ -594,18 +596,28 @@
     co_await CallerRelay.serve(Call);
 }
 
+/// Waits until all callers' connections are closed or a time has come.
+void EntryHostProcess::awaitCallers(TimePoint Until) const {
+  while (!CallerServer->hasEnded() && BootClock::now() < Until)
+    std::this_thread::sleep_for(StopPollInterval);
+}
+
 std::size_t EntryHostProcess::stop() {
   if (StopRequested.exchange(true))
     return 0;
   Unready = true;
   logEvent(Event::Unready, {{"why", "planned stop"}});
   logEvent(Event::Stopping, {{"in_progress", CallerServer->inProgress()}});
+  CallerServer->announceClose();
   std::this_thread::sleep_for(Options.Stop.Grace);
   CallerRelay.stopAccepting();
   CallerServer->stopAccepting();
+  Routing.stop(StopStage::NoWaiting);
   const TimePoint Limit = BootClock::now() + Options.Stop.StreamLimit;
-  while (CallerServer->inProgress() > 0 && BootClock::now() < Limit)
-    std::this_thread::sleep_for(StopPollInterval);
+  awaitCallers(Limit - LastAnswerMargin);
+  Routing.stop(StopStage::NoSending);
+  CallerRelay.abortCalls();
+  awaitCallers(Limit);
   const std::size_t CutRequests = CallerServer->inProgress();
   if (CutRequests > 0)
     logEvent(Event::StreamCut, {{"requests", CutRequests}});
--- a/packages/process/src/coltsfoottrail/server/process.hpp
+++ b/packages/process/src/coltsfoottrail/server/process.hpp
@@ -84,6 +84,7 @@
   [[nodiscard]] std::optional<HttpResponse>
   checkCaller(const HttpRequest &Head);
   [[nodiscard]] bool mayStartWork() const;
+  void awaitCallers(TimePoint Until) const;
   [[nodiscard]] bool admit(const EndpointSpec &To);
   void attemptEnded(const EndpointSpec &To, const AttemptResult &Result);
 
--- a/packages/process/src/coltsfoottrail/server/relay.cpp
+++ b/packages/process/src/coltsfoottrail/server/relay.cpp
@@ -11,6 +11,7 @@
 
 #include <algorithm>
 #include <array>
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -178,8 +179,9 @@
 
 Relay::Relay(IoPool &Threads, Router &Where, ClaimDriver &Desk,
              CallerLimits Bounds, AdmissionHooks Checks, SpanFactory &Traces)
-    : Routing(Where), Claims(Desk), Limits(Bounds), Hooks(std::move(Checks)),
-      SpanSource(Traces), Routes(std::make_shared<const RouteTable>()) {
+    : Threads(Threads), Routing(Where), Claims(Desk), Limits(Bounds),
+      Hooks(std::move(Checks)), SpanSource(Traces),
+      Routes(std::make_shared<const RouteTable>()) {
   for (std::size_t Index = 0; Index < Threads.size(); ++Index)
     Clients.push_back(
         std::make_unique<HttpClient>(Threads.context(Index), ClientOptions{}));
@@ -195,6 +197,12 @@
   return Routes;
 }
 
+void Relay::abortCalls() {
+  for (std::size_t Thread = 0; Thread < Clients.size(); ++Thread)
+    boost::asio::post(Threads.context(Thread),
+                      [&Calls = *Clients[Thread]] { Calls.abortAll(); });
+}
+
 HttpClient &Relay::client(std::size_t Thread) { return *Clients.at(Thread); }
 
 std::optional<HttpResponse> Relay::check(const HttpRequest &Head) {
--- a/packages/process/src/coltsfoottrail/server/relay.hpp
+++ b/packages/process/src/coltsfoottrail/server/relay.hpp
@@ -60,6 +60,9 @@
   void setRoutes(RouteTablePtr Wanted);
   /// @brief Refuses new requests as "stopping" from now on.
   void stopAccepting() noexcept { Stopping = true; }
+  /// @brief Aborts all calls to endpoints; their requests get their last
+  /// answer.
+  void abortCalls();
   /// @brief Closes the connections to endpoints. Precondition: the threads have
   /// stopped.
   void closeClients() { Clients.clear(); }
@@ -117,6 +120,7 @@
                        TimePoint SentAt);
   [[nodiscard]] HttpClient &client(std::size_t Thread);
 
+  IoPool &Threads;
   Router &Routing;
   ClaimDriver &Claims;
   CallerLimits Limits;
--- a/packages/process/src/coltsfoottrail/server/router.cpp
+++ b/packages/process/src/coltsfoottrail/server/router.cpp
@@ -255,6 +255,8 @@
         retryTokens(Wanted.RetryGroup.empty() ? Name : Wanted.RetryGroup);
     PoolShard =
         std::make_shared<DispatchHandle::Shard>(Name, std::move(Limits));
+    Commands None;
+    PoolShard->PoolDispatcher.stop(Stage, BootClock::now(), None);
     observeEarlyNotices(*PoolShard);
   }
 }
@@ -559,6 +561,20 @@
   }
 }
 
+void Router::stop(StopStage NewStage) {
+  Stage = NewStage;
+  for (const auto &PoolShard : allShards()) {
+    DispatchHandle::Shard::Deliveries Decisions;
+    {
+      const std::lock_guard Hold(PoolShard->Lock);
+      Commands Issued;
+      PoolShard->PoolDispatcher.stop(NewStage, BootClock::now(), Issued);
+      Decisions = PoolShard->translate(Issued);
+    }
+    DispatchHandle::Shard::deliver(std::move(Decisions), nullptr);
+  }
+}
+
 void Router::advance() {
   for (const auto &PoolShard : allShards()) {
     notifyDemand(*PoolShard);
--- a/packages/process/src/coltsfoottrail/server/router.hpp
+++ b/packages/process/src/coltsfoottrail/server/router.hpp
@@ -12,6 +12,7 @@
 #include "coltsfoottrail/server/evidence.hpp"
 #include "coltsfoottrail/server/fwd.hpp"
 
+#include <atomic>
 #include <deque>
 #include <functional>
 #include <map>
@@ -191,6 +192,10 @@
   /// several times a second.
   void repeatDemand();
 
+  /// @brief Applies a stage of the planned stop of this host to all pools.
+  /// @copydetails Dispatcher::stop
+  void stop(StopStage NewStage);
+
   /// @brief Runs due timers of all dispatchers and passes on their evidence
   /// about requests that crash endpoints; called every few milliseconds.
   void advance();
@@ -228,6 +233,7 @@
   allShards() const;
 
   RouterOptions Options;
+  std::atomic<StopStage> Stage{StopStage::None};
   CrashEvidenceSink &Evidence;
   /// Shared by the dispatchers of all pools.
   std::shared_ptr<EndpointRateLimiter> RateLimits;
--- a/packages/request/src/coltsfoottrail/dispatch/dispatcher.cpp
+++ b/packages/request/src/coltsfoottrail/dispatch/dispatcher.cpp
@@ -157,7 +157,10 @@
   }
   if (startNow(Id, Now, Output))
     return Id;
-  if (const auto Refusal = admissionRefusal(*Requests.find(Id), Now)) {
+  const std::optional<Verdict> Refusal =
+      Stage == StopStage::None ? admissionRefusal(*Requests.find(Id), Now)
+                               : notRun(Reason::Stopping);
+  if (Refusal) {
     refuse(Id, *Refusal, RetryStop::NotTried, Output);
     return Id;
   }
@@ -235,6 +238,8 @@
                                                     TimePoint Now) const {
   if (Request.Item.Deadline <= Now)
     return notRun(Reason::DeadlinePassed);
+  if (Stage == StopStage::NoSending)
+    return notRun(Reason::Stopping);
   if (const auto Refusal = quarantineRefusal(Request.Item, Now))
     return Refusal;
   if (holdExpired(Now))
@@ -692,7 +697,9 @@
   Request.Resumable = Request.Resumable || Result.Resumable;
   Request.NotRunAttempts += Result.State == RunState::NotRun ? 1U : 0U;
   Request.DeferredAttempts += Result.WantsBackoff ? 1U : 0U;
-  if (const auto Refusal = quarantineRefusal(Request.Item, Now))
+  if (isRefusedForStop(Request))
+    refuse(Id, notRun(Reason::Stopping), RetryStop::NoTime, Output);
+  else if (const auto Refusal = quarantineRefusal(Request.Item, Now))
     refuse(Id, *Refusal, RetryStop::Quarantined, Output);
   else if (!mayRetry(Request.Item, Result))
     refuse(Id, notRun(Result.FailureReason), RetryStop::NotRepeatable, Output);
@@ -890,6 +897,35 @@
     refuseWaiting(noCapacityVerdict(), Output);
     EndedHold = holdDeadline();
   }
+  refuseForStop(Output);
+}
+
+void Dispatcher::stop(StopStage NewStage, TimePoint Now, Commands &Output) {
+  Stage = std::max(Stage, NewStage);
+  pump(Now, Output);
+  refuseForStop(Output);
+}
+
+/// Whether a request that is at no endpoint is refused because the host stops.
+bool Dispatcher::isRefusedForStop(const RequestState &Request) const noexcept {
+  return Stage == StopStage::NoSending ||
+         (Stage == StopStage::NoWaiting && Request.State == RunState::NotRun &&
+          !Request.Resumable);
+}
+
+// Failure guarded against: requests wait for a slot until the process ends, and
+// their callers, who may not repeat them, hear nothing.
+void Dispatcher::refuseForStop(Commands &Output) {
+  if (Stage == StopStage::None)
+    return;
+  const auto IsRefused = [&](Ticket Id) {
+    const RequestState &Request = *Requests.find(Id);
+    return Stage == StopStage::NoSending ||
+           (Request.State == RunState::NotRun && !Request.Resumable);
+  };
+  for (const Ticket Id : takeWaiting(IsRefused))
+    refuse(Id, notRun(Reason::Stopping),
+           retryStop(*Requests.find(Id), RetryStop::NoTime), Output);
 }
 
 std::optional<TimePoint> Dispatcher::nextWake() const {
@@ -1124,6 +1160,23 @@
   }
 }
 
+/// Removes the requests that wait and meet a condition, and returns them.
+std::vector<Ticket>
+Dispatcher::takeWaiting(const std::function<bool(Ticket)> &IsTaken) {
+  std::vector<Ticket> Taken;
+  for (const Ticket Id : Held.all())
+    if (IsTaken(Id)) {
+      Held.remove(Id);
+      Taken.push_back(Id);
+    }
+  for (const Ticket Id : Queue.all())
+    if (IsTaken(Id)) {
+      Queue.remove(Id);
+      Taken.push_back(Id);
+    }
+  return Taken;
+}
+
 // Failure guarded against: the last endpoint of a pool asks for a back-off, and
 // callers whose requests wait learn that it is too long at their deadline only.
 void Dispatcher::refuseLimited(TimePoint Now, Commands &Output) {
@@ -1134,18 +1187,7 @@
     const RequestState &Request = *Requests.find(Id);
     return !Request.Resumable && *Permit > latestResume(Request, Now);
   };
-  std::vector<Ticket> Removed;
-  for (const Ticket Id : Held.all())
-    if (IsTooLate(Id)) {
-      Held.remove(Id);
-      Removed.push_back(Id);
-    }
-  for (const Ticket Id : Queue.all())
-    if (IsTooLate(Id)) {
-      Queue.remove(Id);
-      Removed.push_back(Id);
-    }
-  for (const Ticket Id : Removed) {
+  for (const Ticket Id : takeWaiting(IsTooLate)) {
     const RequestState &Request = *Requests.find(Id);
     refuse(Id, limitRefusal(Request, *Permit - Now, Now),
            retryStop(Request, RetryStop::NoTime), Output);
--- a/packages/request/src/coltsfoottrail/dispatch/dispatcher.hpp
+++ b/packages/request/src/coltsfoottrail/dispatch/dispatcher.hpp
@@ -19,6 +19,7 @@
 #include "coltsfoottrail/route/table.hpp"
 
 #include <array>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <span>
@@ -224,6 +225,13 @@
   /// @return Whether it changed anything here.
   bool observeNotice(const EndpointNotice &Notice, TimePoint Now);
 
+  /// @brief Applies a stage of the planned stop of this host to the requests
+  /// that wait and to those that come.
+  /// @param NewStage The stage; stages only go forward.
+  /// @param Now The time.
+  /// @param Output Receives the commands.
+  void stop(StopStage NewStage, TimePoint Now, Commands &Output);
+
   /// @brief Performs the work that is due: refuses requests that can no longer
   /// meet their deadline, sends held requests again, tries ejected endpoints.
   /// @param Now The time.
@@ -392,6 +400,11 @@
   void refuseUnmeetable(TimePoint Now, Commands &Output);
   void refuseLimited(TimePoint Now, Commands &Output);
   void refuseWaiting(const Verdict &Refusal, Commands &Output);
+  [[nodiscard]] bool
+  isRefusedForStop(const RequestState &Request) const noexcept;
+  void refuseForStop(Commands &Output);
+  [[nodiscard]] std::vector<Ticket>
+  takeWaiting(const std::function<bool(Ticket)> &IsTaken);
   void refuse(Ticket Id, Verdict Refusal, RetryStop Stop, Commands &Output);
   [[nodiscard]] static RetryStop retryStop(const RequestState &Request,
                                            RetryStop StopIfTried) noexcept;
@@ -418,6 +431,7 @@
   /// Keys of the rates of each place among the loads; a team's is the hash of
   /// its name and this.
   std::array<std::uint64_t, RankOrder::MaxPlaces> RateKeys{};
+  StopStage Stage = StopStage::None;
   SlotMap<RequestState, Ticket> Requests;
   DispatchCounts Counts;
   double ExpectedSlots = 0.0;
--- a/packages/request/src/coltsfoottrail/dispatch/fwd.hpp
+++ b/packages/request/src/coltsfoottrail/dispatch/fwd.hpp
@@ -18,6 +18,7 @@
 struct AttemptResult;
 struct LoadReport;
 struct SendCommand;
+enum class StopStage : std::uint8_t;
 enum class RetryStop : std::uint8_t;
 struct RefusalDetails;
 struct RefuseCommand;
--- a/packages/request/src/coltsfoottrail/dispatch/types.hpp
+++ b/packages/request/src/coltsfoottrail/dispatch/types.hpp
@@ -109,6 +109,16 @@
   /// Why the endpoint is in another data centre than the entry host.
   AwayReason Away = AwayReason::None;
 };
+/// How far the planned stop of a host has come.
+enum class StopStage : std::uint8_t {
+  /// The host does not stop.
+  None,
+  /// Requests that have not run are refused rather than held or queued.
+  NoWaiting,
+  /// All requests that are not at an endpoint are refused.
+  NoSending
+};
+
 /// Why a request is not sent to another endpoint.
 enum class RetryStop : std::uint8_t {
   /// It was not sent at all.
--- /dev/null
+++ b/packages/request/test/coltsfoottrail/dispatch/stop.cpp
@@ -0,0 +1,74 @@
+// Requests at a host that stops.
+#include "harness.hpp"
+
+#include <gtest/gtest.h>
+
+namespace coltsfoottrail {
+namespace {
+
+class StoppingDispatch : public testing::Test {
+protected:
+  void configure(std::uint32_t Share) { Harness.configure(testPool(1), Share); }
+  void stop(StopStage Stage) {
+    Harness.Scheduler.stop(Stage, Harness.Now, Harness.Output);
+    Harness.processCommands();
+  }
+  [[nodiscard]] bool isRefused(Ticket Id, RunState State) const {
+    const std::optional<Verdict> Final = Harness.refusal(Id);
+    return Final && Final->Why == Reason::Stopping && Final->State == State;
+  }
+  DispatchHarness Harness{DispatchHarness::savedRetries()};
+};
+
+// Guards against requests that wait for a slot until the process ends.
+TEST_F(StoppingDispatch, RefusesWhatWaits) {
+  configure(1);
+  const Ticket Running = Harness.submit(DispatchHarness::item());
+  const Ticket Waiting = Harness.submit(DispatchHarness::item());
+  ASSERT_FALSE(Harness.refusal(Waiting));
+  stop(StopStage::NoWaiting);
+  EXPECT_TRUE(isRefused(Waiting, RunState::NotRun));
+  const Ticket Late = Harness.submit(DispatchHarness::item());
+  EXPECT_TRUE(isRefused(Late, RunState::NotRun));
+  EXPECT_NE(Harness.endpointOf(Running), "");
+  Harness.answer(Running);
+  EXPECT_NE(Harness.endpointOf(Harness.submit(DispatchHarness::item())), "");
+}
+
+// Guards against a retry that is held beyond the end of the process.
+TEST_F(StoppingDispatch, RefusesWhatAnEndpointRefused) {
+  configure(1);
+  stop(StopStage::NoWaiting);
+  const Ticket Id = Harness.submit(DispatchHarness::item());
+  Harness.fail(Id, RunState::NotRun, Reason::EndpointRefused);
+  EXPECT_TRUE(isRefused(Id, RunState::NotRun));
+}
+
+// Guards against streams that are cut although they could go on elsewhere.
+TEST_F(StoppingDispatch, StreamsGoOnUntilNothingIsSent) {
+  configure(2);
+  WorkItem Item = DispatchHarness::item();
+  Item.Repeatable = true;
+  const Ticket Id = Harness.submit(Item);
+  stop(StopStage::NoWaiting);
+  Harness.cutStream(Id);
+  EXPECT_FALSE(Harness.refusal(Id));
+  Harness.advanceTime(seconds(1));
+  EXPECT_NE(Harness.endpointOf(Id), "");
+  stop(StopStage::NoSending);
+  Harness.cutStream(Id);
+  EXPECT_TRUE(isRefused(Id, RunState::MayHaveRun));
+}
+
+// Guards against requests that begin to run when their answer can no longer be
+// sent.
+TEST_F(StoppingDispatch, SendsNothingAtTheEnd) {
+  configure(2);
+  stop(StopStage::NoSending);
+  stop(StopStage::NoWaiting);
+  EXPECT_TRUE(
+      isRefused(Harness.submit(DispatchHarness::item()), RunState::NotRun));
+}
+
+} // namespace
+} // namespace coltsfoottrail
