Handle signals from the start of a process

Callers saw: nothing yet; found by reading. A SIGTERM or SIGHUP between the opening of the listeners and the first wait for signals kills the process with the requests that it has accepted. On the own interface SIGHUP kills it at any time.

Cause: the signals were registered after the host had been created, and SIGHUP on one of the two interfaces only.

Change: SignalLoop, used by both, is created first; signals that arrive before it runs are kept. SIGHUP checks the settings on both.

--- a/apps/coltsfoottraild/fleetmain.cpp
+++ b/apps/coltsfoottraild/fleetmain.cpp
@@ -7,79 +7,28 @@
 #include "coltsfoottrail/platformlink/engines.hpp"
 #include "coltsfoottrail/platformlink/store.hpp"
 #include "coltsfoottrail/platformlink/wire.hpp"
-
-#include <boost/asio/signal_set.hpp>
-#include <csignal>
-#include <functional>
+#include "coltsfoottrail/signals/signalloop.hpp"
 
 namespace coltsfoottrail {
 
 namespace {
 
-/// Handles signals until the shutdown that SIGINT or SIGTERM began is complete.
-/// SIGHUP checks the settings file.
-class SignalLoop {
-public:
-  SignalLoop(FleetHost &ManagedHost, std::filesystem::path Path)
-      : Host(ManagedHost), SettingsFile(std::move(Path)),
-        Signals(Context, SIGINT, SIGTERM, SIGHUP) {
-    listen();
-  }
-
-  std::size_t run() {
-    Context.run();
-    return CutRequests;
-  }
-
-private:
-  void listen() {
-    Signals.async_wait(
-        [this](const boost::system::error_code &Problem, int Signal) {
-          if (Problem)
-            return;
-          if (Signal == SIGHUP)
-            checkSettings();
-          else
-            beginStop();
-          listen();
-        });
-  }
-
-  void beginStop() {
-    if (Stopping) {
-      logEvent(Event::SecondStopSignal);
-      return;
-    }
-    Stopping = true;
-    Host.stop([this](std::size_t Unfinished) {
-      CutRequests = Unfinished;
-      Context.stop();
-    });
+/// Validates the settings file without applying it: addresses cannot change
+/// under open connections, and the limits are fixed for the life of the
+/// process. An invalid file is reported now rather than at the next start.
+void checkSettings(const std::filesystem::path &SettingsFile) {
+  try {
+    (void)readFleetSettings(SettingsFile);
+    logEvent(Event::Reloaded, {{"file", SettingsFile.string()}});
+  } catch (const InputError &Problem) {
+    logEvent(Event::SettingsRefused, {{"problem", Problem.what()}});
   }
-
-  // Validates the file without applying it: addresses cannot change under open
-  // connections, and the limits are fixed for the life of the process. An
-  // invalid file is reported now rather than at the next start.
-  void checkSettings() {
-    try {
-      (void)readFleetSettings(SettingsFile);
-      logEvent(Event::Reloaded, {{"file", SettingsFile.string()}});
-    } catch (const InputError &Problem) {
-      logEvent(Event::SettingsRefused, {{"problem", Problem.what()}});
-    }
-  }
-
-  FleetHost &Host;
-  std::filesystem::path SettingsFile;
-  boost::asio::io_context Context{1};
-  boost::asio::signal_set Signals;
-  std::size_t CutRequests = 0;
-  bool Stopping = false;
-};
+}
 
 } // namespace
 
 std::size_t runFleetHost(const std::filesystem::path &SettingsFile) {
+  SignalLoop Signals;
   const FleetSettings Config = readFleetSettings(SettingsFile);
   IoPool Pool(1);
   PlatformStore Store(Pool.context(0),
@@ -93,7 +42,14 @@
                             {"data_centre", Config.DataCentre},
                             {"caller_port", Host.callerPort()},
                             {"readiness_port", Host.readinessPort()}});
-  const std::size_t CutRequests = SignalLoop(Host, SettingsFile).run();
+  std::size_t CutRequests = 0;
+  Signals.run({[&] {
+                 Host.stop([&](std::size_t Unfinished) {
+                   CutRequests = Unfinished;
+                   Signals.end();
+                 });
+               },
+               [&] { checkSettings(SettingsFile); }});
   Pool.stop();
   Store.close();
   Engines.close();
--- a/apps/coltsfoottraild/main.cpp
+++ b/apps/coltsfoottraild/main.cpp
@@ -5,13 +5,9 @@
 #include "coltsfoottrail/logging/log.hpp"
 #include "coltsfoottrail/server/process.hpp"
 #include "coltsfoottrail/settings/settings.hpp"
+#include "coltsfoottrail/signals/signalloop.hpp"
 
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/post.hpp>
-#include <boost/asio/signal_set.hpp>
 #include <boost/system/system_error.hpp>
-#include <csignal>
-#include <functional>
 #include <getopt.h>
 #include <iostream>
 #include <nlohmann/json.hpp>
@@ -47,8 +43,8 @@
     "SIGTERM or SIGINT shuts it down gracefully: unready at once, no new "
     "requests\n"
     "after stop.grace_ms, requests in progress are completed. Further "
-    "signals\n"
-    "have no effect.\n"
+    "ones\n"
+    "have no effect. SIGHUP checks the settings file.\n"
     "\n"
     "Exit codes: 0 stopped, no requests cut, 1 failed, 2 usage error,\n"
     "3 invalid settings, 4 port unavailable, 5 stopped, and requests were cut\n"
@@ -62,45 +58,41 @@
   bool Show = false;
 };
 
+/// Validates the settings file without applying it, so that an invalid one is
+/// reported before the next start.
+void checkSettings(const std::string &SettingsFile) {
+  try {
+    (void)readSettings(SettingsFile);
+    logEvent(Event::Reloaded, {{"file", SettingsFile}});
+  } catch (const Error &Problem) {
+    logEvent(Event::SettingsRefused, {{"problem", Problem.what()}});
+  }
+}
+
 /// Runs the entry host until SIGINT, SIGTERM or the end of its run, then shuts
 /// it down gracefully.
-int runHost(const Settings &Config) {
+int runHost(const Settings &Config, const std::string &SettingsFile) {
+  SignalLoop Signals;
   EntryHostProcess Process(Config);
   logEvent(Event::Started, {{"host", Config.Host},
                             {"data_centre", Config.DataCentre},
                             {"caller_port", Process.callerPort()},
                             {"operator_port", Process.operatorPort()}});
-  boost::asio::io_context Context;
-  boost::asio::signal_set Signals(Context, SIGINT, SIGTERM);
   std::thread StopThread;
   std::size_t CutRequests = 0;
   bool RunEnded = false;
-  const auto BeginStop = [&] {
-    if (StopThread.joinable())
-      return false;
-    StopThread = std::thread([&] {
-      CutRequests = Process.stop();
-      Context.stop();
-    });
-    return true;
-  };
-  std::function<void(const boost::system::error_code &, int)> OnSignal =
-      [&](const boost::system::error_code &Problem, int) {
-        if (Problem)
-          return;
-        if (!BeginStop())
-          logEvent(Event::SecondStopSignal);
-        Signals.async_wait(OnSignal);
-      };
-  Signals.async_wait(OnSignal);
   // After a long pause of the process, the peers may have removed this run from
   // the membership, and it would stay unready forever. It shuts down gracefully
   // with an exit code of its own, so that its supervisor restarts it under a
   // new run.
-  Process.onRunRemoved([&] {
-    boost::asio::post(Context, [&] { RunEnded = BeginStop() || RunEnded; });
-  });
-  Context.run();
+  Process.onRunRemoved([&] { Signals.requestStop([&] { RunEnded = true; }); });
+  Signals.run({[&] {
+                 StopThread = std::thread([&] {
+                   CutRequests = Process.stop();
+                   Signals.end();
+                 });
+               },
+               [&] { checkSettings(SettingsFile); }});
   StopThread.join();
   if (CutRequests > 0)
     return ExitRequestsCut;
@@ -123,7 +115,7 @@
     return ExitOk;
   try {
     openLog(Config.Telemetry);
-    const int Code = runHost(Config);
+    const int Code = runHost(Config, CommandLine.SettingsFile);
     closeLog();
     return Code;
   } catch (const boost::system::system_error &Problem) {
