Bound the memory that the bodies of requests take

Cause: nothing bounded the bodies of requests in progress. Each was held until its answer was complete, and a second copy until the head of the endpoint's response was there.

Change: the server counts the bytes of the bodies in progress and refuses a request that would exceed its limit with 503, at its head where the length is known, and reads on so that the refusal arrives; the copy that was sent is freed once it is written. A fleet host takes 35% of its memory, a new setting that the deploy file fills in (256 MB by default).

Why it works: the limit is kept before the body is read, and the two copies of a body that can exist at a time are within it.

What remains: the own interface has no such setting yet.

--- a/packages/connection/src/coltsfoottrail/http/client.cpp
+++ b/packages/connection/src/coltsfoottrail/http/client.cpp
@@ -344,12 +344,16 @@
   Link->registerCall(ClientCore->Calls, Endpoint, Use.Policy);
 
   const bool HeadOnly = Request.Method == "HEAD";
-  const http::request<http::string_body> Message =
-      buildMessage(Endpoint, std::move(Request));
   Link->Stream.expires_after(timeUntil(Deadline));
-  const std::size_t Written = co_await http::async_write(
-      Link->Stream, Message,
-      asio::redirect_error(asio::use_awaitable, Problem));
+  std::size_t Written = 0;
+  {
+    // Its memory is not needed any longer while the response is awaited.
+    const http::request<http::string_body> Message =
+        buildMessage(Endpoint, std::move(Request));
+    Written = co_await http::async_write(
+        Link->Stream, Message,
+        asio::redirect_error(asio::use_awaitable, Problem));
+  }
   if (Problem) {
     const RunState State =
         Written == 0 ? RunState::NotRun : RunState::MayHaveRun;
--- a/packages/connection/src/coltsfoottrail/http/server.cpp
+++ b/packages/connection/src/coltsfoottrail/http/server.cpp
@@ -2,6 +2,7 @@
 
 #include "coltsfoottrail/http/forwardbytes.hpp"
 
+#include <algorithm>
 #include <array>
 #include <atomic>
 #include <boost/asio/bind_cancellation_slot.hpp>
@@ -38,6 +39,9 @@
 constexpr std::size_t MaxBufferBytes = std::size_t{64} << 10U;
 
 constexpr std::size_t FirstReadBytes = 4096;
+constexpr std::string_view BodyMemoryReason = "body-memory";
+/// Bytes of a refused request that are read so that the refusal arrives.
+constexpr std::uint64_t MinDrainedBytes = std::uint64_t{1} << 20U;
 
 /// How long a connection that was opened around a stop may take to send its
 /// first request.
@@ -94,8 +98,9 @@
   void closeListener();
   void add(Session &NewSession);
   void remove(Session &ClosedSession);
-  HttpResponse refusal(unsigned Status, std::string_view Reason) const {
-    return Hooks.Refuse ? Hooks.Refuse(Status, Reason)
+  HttpResponse refusal(const HttpRequest &Head, unsigned Status,
+                       std::string_view Reason) const {
+    return Hooks.Refuse ? Hooks.Refuse(Head, Status, Reason)
                         : plainRefusal(Status, Reason);
   }
 
@@ -123,6 +128,7 @@
   std::size_t NextThread = 0;
   std::atomic<std::size_t> OpenConnections{0};
   std::atomic<std::size_t> RequestsInProgress{0};
+  std::atomic<std::uint64_t> BodyMemory{0};
   std::atomic<std::uint64_t> ClosedIdle{0};
   std::atomic<std::uint64_t> ClosedInProgress{0};
   std::atomic<std::uint64_t> ClosedUnread{0};
@@ -132,6 +138,34 @@
 
 namespace {
 
+/// The part of a server's memory for bodies that one request takes.
+class BodyReservation {
+public:
+  explicit BodyReservation(std::atomic<std::uint64_t> &ServerTotal)
+      : Total(ServerTotal) {}
+  BodyReservation(const BodyReservation &) = delete;
+  BodyReservation &operator=(const BodyReservation &) = delete;
+  ~BodyReservation() { Total -= Bytes; }
+
+  /// @return Whether the server has that much.
+  [[nodiscard]] bool growTo(std::uint64_t Wanted, std::uint64_t Limit) {
+    if (Wanted <= Bytes)
+      return true;
+    const std::uint64_t Missing = Wanted - Bytes;
+    const std::uint64_t Before = Total.fetch_add(Missing);
+    if (Before > Limit || Missing > Limit - Before) {
+      Total -= Missing;
+      return false;
+    }
+    Bytes = Wanted;
+    return true;
+  }
+
+private:
+  std::atomic<std::uint64_t> &Total;
+  std::uint64_t Bytes = 0;
+};
+
 class Session final : public Exchange,
                       public std::enable_shared_from_this<Session> {
 public:
@@ -379,7 +413,8 @@
     InProgressGuard Guard(Server->RequestsInProgress);
     KeepAlive = Parser.get().keep_alive();
     Request = copyHead(Parser.get());
-    if (!co_await readBody(Parser))
+    BodyReservation Reserved(Server->BodyMemory);
+    if (!co_await readBody(Parser, Reserved))
       co_return false;
     Request.Body = std::move(Parser.get().body());
     watchClient();
@@ -403,7 +438,8 @@
     co_return !Problem;
   }
 
-  Awaitable<bool> readBody(http::request_parser<http::string_body> &Parser) {
+  Awaitable<bool> readBody(http::request_parser<http::string_body> &Parser,
+                           BodyReservation &Reserved) {
     if (Server->Hooks.Check)
       if (auto Refusal = Server->Hooks.Check(Request)) {
         KeepAlive = KeepAlive && Parser.is_done();
@@ -412,6 +448,11 @@
           co_await drainThenClose();
         co_return KeepAlive;
       }
+    if (!Reserved.growTo(Parser.content_length().value_or(0),
+                         RequestLimits.MaxBodyMemory)) {
+      co_await refuse(503, BodyMemoryReason);
+      co_return false;
+    }
     if (!Parser.is_done() &&
         beast::iequals(fieldOf(Request.Fields, "Expect"), "100-continue")) {
       static constexpr std::string_view Continue =
@@ -421,9 +462,18 @@
     }
     Stream.expires_after(RequestLimits.BodyTimeout);
     ErrorCode Problem;
-    co_await http::async_read(
-        Stream, Buffer, Parser,
-        asio::redirect_error(asio::use_awaitable, Problem));
+    bool Fits = true;
+    while (!Problem && Fits && !Parser.is_done()) {
+      co_await http::async_read_some(
+          Stream, Buffer, Parser,
+          asio::redirect_error(asio::use_awaitable, Problem));
+      Fits = Reserved.growTo(Parser.get().body().size(),
+                             RequestLimits.MaxBodyMemory);
+    }
+    if (!Fits) {
+      co_await refuse(503, BodyMemoryReason);
+      co_return false;
+    }
     if (Problem == http::error::body_limit)
       co_await refuse(413, "body-too-large");
     else if (Problem == beast::error::timeout)
@@ -448,7 +498,7 @@
 
   Awaitable<void> refuse(unsigned Status, std::string_view Reason) {
     KeepAlive = false;
-    co_await respond(Server->refusal(Status, Reason));
+    co_await respond(Server->refusal(Request, Status, Reason));
     co_await drainThenClose();
   }
 
@@ -460,7 +510,8 @@
     ErrorCode Problem;
     Stream.socket().shutdown(Tcp::socket::shutdown_send, Problem);
     Stream.expires_after(std::chrono::seconds(2));
-    std::size_t RemainingBytes = std::size_t{1} << 20U;
+    std::uint64_t RemainingBytes =
+        std::max(MinDrainedBytes, RequestLimits.MaxBodyBytes);
     std::array<char, 4096> Discarded{};
     while (!Problem && RemainingBytes >= Discarded.size()) {
       RemainingBytes -= Discarded.size();
@@ -648,6 +699,10 @@
   return Shared->OpenConnections;
 }
 
+std::uint64_t HttpServer::bodyMemory() const noexcept {
+  return Shared->BodyMemory;
+}
+
 std::size_t HttpServer::inProgress() const noexcept {
   return Shared->RequestsInProgress;
 }
--- a/packages/connection/src/coltsfoottrail/http/server.hpp
+++ b/packages/connection/src/coltsfoottrail/http/server.hpp
@@ -10,6 +10,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <optional>
 #include <string>
@@ -21,6 +22,9 @@
 struct ServerLimits {
   std::uint32_t MaxHeaderBytes = 16U << 10U;
   std::uint64_t MaxBodyBytes = std::uint64_t{1} << 20U;
+  /// Bytes in the bodies of all requests in progress together; a request that
+  /// would exceed it is refused with status 503.
+  std::uint64_t MaxBodyMemory = std::numeric_limits<std::uint64_t>::max();
   std::size_t MaxConnections = 4096;
   /// Time limit for receiving a request's head.
   milliseconds HeaderTimeout{10'000};
@@ -89,9 +93,10 @@
 /// refuse the request.
 using HeadCheck =
     std::function<std::optional<HttpResponse>(const HttpRequest &)>;
-/// Creates the response for a request that the server itself refuses.
-using RefusalMaker =
-    std::function<HttpResponse(unsigned Status, std::string_view Reason)>;
+/// Creates the response for a request that the server itself refuses; the head
+/// of the request is empty if it could not be read.
+using RefusalMaker = std::function<HttpResponse(
+    const HttpRequest &Head, unsigned Status, std::string_view Reason)>;
 
 /// @brief Callbacks of a server.
 struct ServerHooks {
@@ -160,6 +165,9 @@
   /// @brief Number of requests whose response is not complete. Thread-safe.
   [[nodiscard]] std::size_t inProgress() const noexcept;
 
+  /// @brief Bytes in the bodies of the requests in progress. Thread-safe.
+  [[nodiscard]] std::uint64_t bodyMemory() const noexcept;
+
   /// @brief Connections closed by stopAccepting(), cutAll() and
   /// Exchange::cut(). Thread-safe.
   [[nodiscard]] ClosedConnections closedConnections() const noexcept;
--- a/packages/process/src/coltsfoottrail/fleethost/callerproxy.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/callerproxy.cpp
@@ -461,6 +461,18 @@
   return std::clamp(*Final.RetryAfter, Drawn, std::max(Drawn, LastUseful));
 }
 
+HttpResponse CallerProxy::refuse(const HttpRequest &Head, unsigned Status,
+                                 std::string_view Reason) {
+  ++Counts.Requests;
+  ++Counts.RefusedNotRun;
+  HttpResponse Reply =
+      jsonResponse(Status, R"({"error":")" + std::string(Reason) + "\"}");
+  if (Status == StatusUnavailable)
+    Reply.Fields.push_back({"Retry-After", secondsText(ElsewhereRetryAfter)});
+  Wire.addRequiredFields(Reply, Wire.read(Head).Id);
+  return Reply;
+}
+
 HttpResponse CallerProxy::refusal(const RequestContext &Context,
                                   const Verdict &Final) {
   const bool NotRun = Final.State == RunState::NotRun;
--- a/packages/process/src/coltsfoottrail/fleethost/callerproxy.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/callerproxy.hpp
@@ -28,6 +28,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace coltsfoottrail {
 
@@ -89,6 +90,11 @@
   /// @throws boost::system::system_error The caller has disconnected.
   [[nodiscard]] Awaitable<void> serve(Exchange &Call);
 
+  /// @brief Creates the response for a request that the server refuses before
+  /// it is served.
+  [[nodiscard]] HttpResponse refuse(const HttpRequest &Head, unsigned Status,
+                                    std::string_view Reason);
+
   /// @brief Sets the number of entry hosts among which the request rates of
   /// cold endpoints and the connections to endpoints are divided; zero if
   /// unknown.
--- a/packages/process/src/coltsfoottrail/fleethost/host.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/host.cpp
@@ -70,6 +70,9 @@
 /// Beyond these limits a request has to wait at the caller instead.
 constexpr std::size_t MaxWaitingRequests = 256;
 constexpr std::size_t MaxWaitingBodyBytes = std::size_t{4} << 20U;
+/// Part of the process's memory that the bodies of requests in progress may
+/// take. While a body is written to an endpoint there are two copies of it.
+constexpr double BodyMemoryFraction = 0.35;
 /// Number of sets of prefix hints for each pool; each takes about 128 bytes.
 constexpr std::uint32_t HintSets = 16;
 /// Idle connections kept for each endpoint: as many as an engine has slots.
@@ -132,8 +135,11 @@
                                         std::to_string(SinceEpoch.count()));
 }
 
-ServerLimits callerLimits(const CallerLimits &Limits) {
+ServerLimits callerLimits(const CallerLimits &Limits,
+                          std::uint64_t MemoryBytes) {
   ServerLimits Result;
+  Result.MaxBodyMemory = static_cast<std::uint64_t>(
+      static_cast<double>(MemoryBytes) * BodyMemoryFraction);
   Result.MaxHeaderBytes = Limits.MaxHeaderBytes;
   Result.MaxBodyBytes = Limits.MaxBodyBytes;
   Result.HeaderTimeout = Limits.HeaderTimeout;
@@ -242,7 +248,10 @@
             return Proxy.serve(Call);
           },
           {},
-          {}};
+          [this](const HttpRequest &Head, unsigned Status,
+                 std::string_view Reason) {
+            return Proxy.refuse(Head, Status, Reason);
+          }};
 }
 
 void FleetHost::startFollowing() {
@@ -301,7 +310,8 @@
     return;
   LimitedVersion = View.config()->version();
   if (Front)
-    Front->setLimits(callerLimits(View.config()->config().Limits));
+    Front->setLimits(
+        callerLimits(View.config()->config().Limits, Settings.MemoryBytes));
   // Returns the memory that decoding a large configuration took; the allocator
   // would keep it otherwise.
   malloc_trim(0);
@@ -566,6 +576,7 @@
   AppendLine("connections_closed_idle_total", Closed.Idle);
   AppendLine("connections_closed_in_progress_total", Closed.InProgress);
   AppendLine("connections_closed_unread_total", Closed.Unread);
+  AppendLine("body_memory_bytes", Front->bodyMemory());
   AppendLine("waiting", Routing.waiting());
   const Router::PartTally Parts = Routing.partTally();
   AppendLine("prompt_parts_suspected", Parts.Suspected);
--- a/packages/process/src/coltsfoottrail/fleethost/settings.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/settings.cpp
@@ -12,6 +12,9 @@
 
 namespace {
 
+constexpr std::uint64_t BytesPerMegabyte = 1'000'000;
+constexpr std::uint64_t MinMemoryMegabytes = 64;
+constexpr std::uint64_t MaxMemoryMegabytes = 1'000'000;
 constexpr std::uint64_t LongestBoundMs = 3'600'000;
 constexpr double HighestRatio = 100.0;
 constexpr double MostCores = 1024.0;
@@ -106,6 +109,10 @@
   Result.Store = socketAddress(Reader, "store");
   Result.ProcessorShare =
       Reader.realOr("processor_share", Result.ProcessorShare, 0.0, MostCores);
+  Result.MemoryBytes =
+      Reader.numberOr("memory_mb", Result.MemoryBytes / BytesPerMegabyte,
+                      MinMemoryMegabytes, MaxMemoryMegabytes) *
+      BytesPerMegabyte;
   Result.FirstStart = Reader.flagOr("first_start", false);
   if (Reader.has("metrics"))
     Result.Metrics = socketAddress(Reader, "metrics");
--- a/packages/process/src/coltsfoottrail/fleethost/settings.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/settings.hpp
@@ -74,6 +74,8 @@
   bool FirstStart = false;
   /// Share of a processor core that this host may use; 1 is a whole core.
   double ProcessorShare = 1.0;
+  /// Memory that the process may use.
+  std::uint64_t MemoryBytes = 256'000'000;
   FleetBounds Bounds;
   EngineSettings Engines;
   PlacementSettings Placement;
--- a/packages/process/src/coltsfoottrail/server/process.cpp
+++ b/packages/process/src/coltsfoottrail/server/process.cpp
@@ -98,6 +98,11 @@
   return Response;
 }
 
+HttpResponse refuseUnserved(const HttpRequest & /*Head*/, unsigned Status,
+                            std::string_view Why) {
+  return serverRefusal(Status, Why);
+}
+
 HttpResponse readiness(bool Ready) {
   return Ready ? plain(200, "ready\n") : plain(503, "not ready\n");
 }
@@ -153,7 +158,7 @@
       callerLimits(Options.Callers),
       ServerHooks{[this](Exchange &Call) { return serveCaller(Call); },
                   [this](const HttpRequest &Head) { return checkCaller(Head); },
-                  serverRefusal});
+                  refuseUnserved});
   OperatorServer = std::make_unique<HttpServer>(
       Threads, Options.Operators.Listen.Address, Options.Operators.Listen.Port,
       ServerLimits{.MaxBodyBytes = std::uint64_t{64} << 20U},
@@ -162,7 +167,7 @@
           [this](const HttpRequest &Head) {
             return OperatorInterface.check(Head);
           },
-          serverRefusal});
+          refuseUnserved});
   setUpMetrics();
   listenToPeers();
   if (Options.Platform.HostList)
--- a/packages/process/test/coltsfoottrail/fleethost/settings.cpp
+++ b/packages/process/test/coltsfoottrail/fleethost/settings.cpp
@@ -46,6 +46,15 @@
   }
 }
 
+TEST(FleetSettings, ReadsTheMemoryOfTheProcess) {
+  EXPECT_EQ(readFleetSettings(writeSettingsFile(FullSettings)).MemoryBytes,
+            256'000'000U);
+  std::string Text = FullSettings;
+  Text.insert(Text.rfind('}'), R"(,"memory_mb":300)");
+  EXPECT_EQ(readFleetSettings(writeSettingsFile(Text)).MemoryBytes,
+            300'000'000U);
+}
+
 TEST(FleetSettings, ReadsWhetherHomeComesFirst) {
   EXPECT_FALSE(
       readFleetSettings(writeSettingsFile(FullSettings)).Placement.HomeFirst);
