Limit the memory of bodies on the own interface, and from the start

New: the setting /limits/max_body_memory (256 MiB), checked against the longest body; a fleet host starts with its limit. The functions that check the settings on SIGHUP are renamed.

--- a/apps/coltsfoottraild/fleetmain.cpp
+++ b/apps/coltsfoottraild/fleetmain.cpp
@@ -16,7 +16,7 @@
 /// Validates the settings file without applying it: addresses cannot change
 /// under open connections, and the limits are fixed for the life of the
 /// process. An invalid file is reported now rather than at the next start.
-void checkSettings(const std::filesystem::path &SettingsFile) {
+void reportInvalidSettings(const std::filesystem::path &SettingsFile) {
   try {
     (void)readFleetSettings(SettingsFile);
     logEvent(Event::Reloaded, {{"file", SettingsFile.string()}});
@@ -49,7 +49,7 @@
                    Signals.end();
                  });
                },
-               [&] { checkSettings(SettingsFile); }});
+               [&] { reportInvalidSettings(SettingsFile); }});
   Pool.stop();
   Store.close();
   Engines.close();
--- a/apps/coltsfoottraild/main.cpp
+++ b/apps/coltsfoottraild/main.cpp
@@ -60,7 +60,7 @@
 
 /// Validates the settings file without applying it, so that an invalid one is
 /// reported before the next start.
-void checkSettings(const std::string &SettingsFile) {
+void reportInvalidSettings(const std::string &SettingsFile) {
   try {
     (void)readSettings(SettingsFile);
     logEvent(Event::Reloaded, {{"file", SettingsFile}});
@@ -92,7 +92,7 @@
                    Signals.end();
                  });
                },
-               [&] { checkSettings(SettingsFile); }});
+               [&] { reportInvalidSettings(SettingsFile); }});
   StopThread.join();
   if (CutRequests > 0)
     return ExitRequestsCut;
--- a/packages/process/src/coltsfoottrail/fleethost/host.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/host.cpp
@@ -135,11 +135,17 @@
                                         std::to_string(SinceEpoch.count()));
 }
 
-ServerLimits callerLimits(const CallerLimits &Limits,
-                          std::uint64_t MemoryBytes) {
+/// Limits for callers before a configuration is known.
+ServerLimits initialLimits(const FleetSettings &Settings) {
   ServerLimits Result;
   Result.MaxBodyMemory = static_cast<std::uint64_t>(
-      static_cast<double>(MemoryBytes) * BodyMemoryFraction);
+      static_cast<double>(Settings.MemoryBytes) * BodyMemoryFraction);
+  return Result;
+}
+
+ServerLimits callerLimits(const CallerLimits &Limits,
+                          const FleetSettings &Settings) {
+  ServerLimits Result = initialLimits(Settings);
   Result.MaxHeaderBytes = Limits.MaxHeaderBytes;
   Result.MaxBodyBytes = Limits.MaxBodyBytes;
   Result.HeaderTimeout = Limits.HeaderTimeout;
@@ -212,7 +218,7 @@
                  }}),
       Link(Pool, Settings.Peers, Member, Links.Store, linkHooks()) {
   Front.emplace(Pool, Settings.Callers.Address, Settings.Callers.Port,
-                ServerLimits{}, frontHooks());
+                initialLimits(Settings), frontHooks());
   Readiness.emplace(
       Pool, Settings.Readiness.Address, Settings.Readiness.Port, ServerLimits{},
       ServerHooks{
@@ -310,8 +316,7 @@
     return;
   LimitedVersion = View.config()->version();
   if (Front)
-    Front->setLimits(
-        callerLimits(View.config()->config().Limits, Settings.MemoryBytes));
+    Front->setLimits(callerLimits(View.config()->config().Limits, Settings));
   // Returns the memory that decoding a large configuration took; the allocator
   // would keep it otherwise.
   malloc_trim(0);
--- a/packages/process/src/coltsfoottrail/server/process.cpp
+++ b/packages/process/src/coltsfoottrail/server/process.cpp
@@ -41,8 +41,10 @@
   return Run;
 }
 
-ServerLimits callerLimits(const CallerSettings &From) {
+ServerLimits callerLimits(const CallerSettings &From,
+                          std::uint64_t MaxBodyMemory) {
   ServerLimits Limits;
+  Limits.MaxBodyMemory = MaxBodyMemory;
   Limits.MaxHeaderBytes = static_cast<std::uint32_t>(From.MaxHeaderBytes);
   Limits.MaxBodyBytes = From.MaxBodyBytes;
   Limits.MaxConnections = From.MaxConnections;
@@ -155,7 +157,7 @@
       Usable(std::make_shared<const UsableEndpoints>()) {
   CallerServer = std::make_unique<HttpServer>(
       Threads, Options.Callers.Listen.Address, Options.Callers.Listen.Port,
-      callerLimits(Options.Callers),
+      callerLimits(Options.Callers, Options.Limits.MaxBodyMemory),
       ServerHooks{[this](Exchange &Call) { return serveCaller(Call); },
                   [this](const HttpRequest &Head) { return checkCaller(Head); },
                   refuseUnserved});
--- a/packages/process/src/coltsfoottrail/settings/settings.cpp
+++ b/packages/process/src/coltsfoottrail/settings/settings.cpp
@@ -189,6 +189,8 @@
       Reader.numberOr("max_waiting", Result.MaxWaiting, 1, 10000000);
   Result.MaxWaitingBytes = Reader.numberOr(
       "max_waiting_bytes", Result.MaxWaitingBytes, MiB, 64 * GiB);
+  Result.MaxBodyMemory =
+      Reader.numberOr("max_body_memory", Result.MaxBodyMemory, MiB, 64 * GiB);
   Reader.finish();
   return Result;
 }
@@ -333,6 +335,11 @@
                      std::to_string(Values.Limits.MaxWaitingBytes),
                      "at least /callers/max_body_bytes, which is " +
                          std::to_string(Callers.MaxBodyBytes));
+  if (Values.Limits.MaxBodyMemory < Callers.MaxBodyBytes)
+    throw InputError(Source, "/limits/max_body_memory",
+                     std::to_string(Values.Limits.MaxBodyMemory),
+                     "at least /callers/max_body_bytes, which is " +
+                         std::to_string(Callers.MaxBodyBytes));
   if (Values.Claims.KeyLife < Callers.MaxDeadline)
     throw InputError(Source, "/claims/key_life_ms",
                      timeText(Values.Claims.KeyLife),
@@ -376,7 +383,8 @@
   Result["stop"] = Json{{"grace_ms", Values.Stop.Grace.count()},
                         {"stream_limit_ms", Values.Stop.StreamLimit.count()}};
   Result["limits"] = Json{{"max_waiting", Values.Limits.MaxWaiting},
-                          {"max_waiting_bytes", Values.Limits.MaxWaitingBytes}};
+                          {"max_waiting_bytes", Values.Limits.MaxWaitingBytes},
+                          {"max_body_memory", Values.Limits.MaxBodyMemory}};
   Result["telemetry"] =
       Json{{"trace_file", Values.Telemetry.TraceFile.string()},
            {"log_file", Values.Telemetry.LogFile.string()},
--- a/packages/process/src/coltsfoottrail/settings/settings.hpp
+++ b/packages/process/src/coltsfoottrail/settings/settings.hpp
@@ -90,6 +90,8 @@
 struct LimitSettings {
   std::size_t MaxWaiting = 10000;
   std::size_t MaxWaitingBytes = 268435456;
+  /// Bytes in the bodies of all requests in progress together.
+  std::uint64_t MaxBodyMemory = 268435456;
 };
 
 /// Traces and logs.
--- a/packages/process/test/coltsfoottrail/settings/settings.cpp
+++ b/packages/process/test/coltsfoottrail/settings/settings.cpp
@@ -219,6 +219,9 @@
   EXPECT_THAT(problemWith("/callers/default_deadline_ms", 600001),
               AllOf(HasSubstr("/callers/default_deadline_ms: found 600001"),
                     HasSubstr("at most /callers/max_deadline_ms")));
+  EXPECT_THAT(problemWith("/limits/max_body_memory", 1048576),
+              AllOf(HasSubstr("/limits/max_body_memory: found 1048576"),
+                    HasSubstr("/callers/max_body_bytes")));
   EXPECT_THAT(problemWith("/limits/max_waiting_bytes", 1048576),
               AllOf(HasSubstr("/limits/max_waiting_bytes: found 1048576"),
                     HasSubstr("at least /callers/max_body_bytes")));
