Let what waits at a stop find a place for longer, and keep the full grace

Change: what waits is refused half-way between the closing of the port and the last answers; most that wait have found a place by then, and the others have time left for another host. The last answers come when the process used to end, 0.5 s before the kill, and the process ends 0.2 s later. A request that may have run is refused with the reason of its last attempt: on the own interface the reason "stopping" has the status 503, which promises that it has not run.

--- a/packages/connection/src/coltsfoottrail/http/server.cpp
+++ b/packages/connection/src/coltsfoottrail/http/server.cpp
@@ -190,7 +190,8 @@
 
   void stopWhenIdle() {
     asio::post(Stream.get_executor(), [Weak = weak_from_this()] {
-      if (const auto Self = Weak.lock(); Self && Self->Current == Phase::Idle)
+      if (const auto Self = Weak.lock();
+          Self && Self->CurrentPhase == Phase::Idle)
         Self->limitIdle(Self->idleLimit());
     });
   }
@@ -252,8 +253,8 @@
 
   void cut() noexcept override {
     if (!std::exchange(WasCut, true))
-      ++(Current == Phase::Serving ? Server->ClosedInProgress
-                                   : Server->ClosedIdle);
+      ++(CurrentPhase == Phase::Serving ? Server->ClosedInProgress
+                                        : Server->ClosedIdle);
     ErrorCode Ignored;
     Stream.socket().shutdown(Tcp::socket::shutdown_both, Ignored);
     Stream.socket().close(Ignored);
@@ -321,7 +322,8 @@
     Wake.async_wait([Weak = weak_from_this()](const ErrorCode &Problem) {
       const auto Self = Weak.lock();
       if (!Problem && Self && Self->Wake.expiry() <= SteadyClock::now() &&
-          (Self->Current == Phase::Idle || Self->Current == Phase::Closing))
+          (Self->CurrentPhase == Phase::Idle ||
+           Self->CurrentPhase == Phase::Closing))
         Self->cancelWait();
     });
   }
@@ -348,7 +350,7 @@
     RequestLimits = Server->limits();
     if (Buffer.size() > 0)
       co_return true;
-    Current = Phase::Idle;
+    CurrentPhase = Phase::Idle;
     limitIdle(idleLimit());
     Stream.expires_never();
     auto [Problem, Bytes] = co_await readFirstBytes();
@@ -356,7 +358,7 @@
       std::tie(Problem, Bytes) = co_await readFirstBytes();
     else if (Problem == asio::error::operation_aborted)
       ++Server->ClosedIdle;
-    Current = Phase::Receiving;
+    CurrentPhase = Phase::Receiving;
     Wake.cancel();
     Buffer.commit(Bytes);
     co_return !Problem;
@@ -375,7 +377,7 @@
   // the end of its response. This end is closed first, and the rest once the
   // client has closed its own or has received the response.
   Awaitable<void> closeGracefully() {
-    Current = Phase::Closing;
+    CurrentPhase = Phase::Closing;
     ErrorCode Problem;
     Stream.socket().shutdown(Tcp::socket::shutdown_send, Problem);
     if (Problem)
@@ -408,7 +410,7 @@
     Parser.body_limit(RequestLimits.MaxBodyBytes);
     if (!co_await readHead(Parser))
       co_return false;
-    Current = Phase::Serving;
+    CurrentPhase = Phase::Serving;
     HasServed = true;
     InProgressGuard Guard(Server->RequestsInProgress);
     KeepAlive = Parser.get().keep_alive();
@@ -579,7 +581,7 @@
   ServerLimits RequestLimits;
   bool ResponseStarted = false;
   bool ResponseComplete = false;
-  Phase Current = Phase::Idle;
+  Phase CurrentPhase = Phase::Idle;
   /// Whether it has carried a request.
   bool HasServed = false;
   bool WasCut = false;
--- a/packages/process/src/coltsfoottrail/fleethost/host.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/host.cpp
@@ -46,8 +46,8 @@
 /// The load balancer checks readiness once per second and needs two failures;
 /// this is a little more.
 constexpr milliseconds BalancerNoticeTime{2'600};
-/// Part of the stop time reserved for responses in transit.
-constexpr milliseconds StopMargin{500};
+/// Part of the stop time reserved for the end of the process.
+constexpr milliseconds StopMargin{300};
 /// Before that, time for the last responses to be written.
 constexpr milliseconds LastAnswerMargin{200};
 constexpr milliseconds StopPoll{50};
@@ -639,6 +639,7 @@
   Result.LastAnswer = Result.End - LastAnswerMargin;
   Result.Close =
       std::min<TimePoint>(StartedAt + BalancerNoticeTime, Result.LastAnswer);
+  Result.RefuseWaiting = Result.Close + (Result.LastAnswer - Result.Close) / 2;
   return Result;
 }
 
@@ -669,6 +670,7 @@
   Pause.expires_after(Times.Close - BootClock::now());
   co_await Pause.async_wait(asio::use_awaitable);
   Front->stopAccepting();
+  co_await awaitEnd(Times.RefuseWaiting);
   Routing.stop(StopStage::NoWaiting);
   co_await awaitEnd(Times.LastAnswer);
   Proxy.stop();
--- a/packages/process/src/coltsfoottrail/fleethost/host.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/host.hpp
@@ -136,6 +136,9 @@
   struct StopTimes {
     /// No connection is accepted from here on, and idle ones are closed.
     TimePoint Close;
+    /// What has not run and waits is refused from here on: its caller needs the
+    /// rest of its time to be served elsewhere.
+    TimePoint RefuseWaiting;
     /// Requests that are still in progress get their last answer.
     TimePoint LastAnswer;
     /// The process ends.
--- a/packages/process/src/coltsfoottrail/server/process.cpp
+++ b/packages/process/src/coltsfoottrail/server/process.cpp
@@ -619,8 +619,10 @@
   std::this_thread::sleep_for(Options.Stop.Grace);
   CallerRelay.stopAccepting();
   CallerServer->stopAccepting();
-  Routing.stop(StopStage::NoWaiting);
   const TimePoint Limit = BootClock::now() + Options.Stop.StreamLimit;
+  // Callers of what waits need the rest of their time to be served elsewhere.
+  awaitCallers(Limit - Options.Stop.StreamLimit / 2);
+  Routing.stop(StopStage::NoWaiting);
   awaitCallers(Limit - LastAnswerMargin);
   Routing.stop(StopStage::NoSending);
   CallerRelay.abortCalls();
--- a/packages/request/src/coltsfoottrail/dispatch/dispatcher.cpp
+++ b/packages/request/src/coltsfoottrail/dispatch/dispatcher.cpp
@@ -698,7 +698,7 @@
   Request.NotRunAttempts += Result.State == RunState::NotRun ? 1U : 0U;
   Request.DeferredAttempts += Result.WantsBackoff ? 1U : 0U;
   if (isRefusedForStop(Request))
-    refuse(Id, notRun(Reason::Stopping), RetryStop::NoTime, Output);
+    refuse(Id, stopRefusal(Request), RetryStop::NoTime, Output);
   else if (const auto Refusal = quarantineRefusal(Request.Item, Now))
     refuse(Id, *Refusal, RetryStop::Quarantined, Output);
   else if (!mayRetry(Request.Item, Result))
@@ -913,6 +913,11 @@
           !Request.Resumable);
 }
 
+Verdict Dispatcher::stopRefusal(const RequestState &Request) {
+  return notRun(Request.State == RunState::NotRun ? Reason::Stopping
+                                                  : Request.LastFailureReason);
+}
+
 // Failure guarded against: requests wait for a slot until the process ends, and
 // their callers, who may not repeat them, hear nothing.
 void Dispatcher::refuseForStop(Commands &Output) {
@@ -924,7 +929,7 @@
            (Request.State == RunState::NotRun && !Request.Resumable);
   };
   for (const Ticket Id : takeWaiting(IsRefused))
-    refuse(Id, notRun(Reason::Stopping),
+    refuse(Id, stopRefusal(*Requests.find(Id)),
            retryStop(*Requests.find(Id), RetryStop::NoTime), Output);
 }
 
--- a/packages/request/src/coltsfoottrail/dispatch/dispatcher.hpp
+++ b/packages/request/src/coltsfoottrail/dispatch/dispatcher.hpp
@@ -402,6 +402,7 @@
   void refuseWaiting(const Verdict &Refusal, Commands &Output);
   [[nodiscard]] bool
   isRefusedForStop(const RequestState &Request) const noexcept;
+  [[nodiscard]] static Verdict stopRefusal(const RequestState &Request);
   void refuseForStop(Commands &Output);
   [[nodiscard]] std::vector<Ticket>
   takeWaiting(const std::function<bool(Ticket)> &IsTaken);
