Log what orders and the end of groups are decided by

What operators saw: an engine is ordered into a second group while it serves its own, and no line says what the coordinator believed of it. 1522 had the order and its outcome, not the record that it was based on; 1523 had the reason for which a group was given up, not what its leader showed, nor whether an order to open it was still expected. So a record that was passed over could not be told from one that was too old.

No decision changes: the digests of AssemblySimulation.WithoutTargetsDecisionsAreUnchanged are as before.

--- a/packages/process/src/coltsfoottrail/fleethost/groupcoordinator.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/groupcoordinator.cpp
@@ -56,6 +56,29 @@
              : std::string();
 }
 
+/// Text for the log.
+std::string_view phaseName(const std::optional<SeatPhase> &Phase) {
+  if (!Phase)
+    return "none";
+  switch (*Phase) {
+  case SeatPhase::Joining:
+    return "joining";
+  case SeatPhase::Ready:
+    return "ready";
+  case SeatPhase::Open:
+    return "open";
+  case SeatPhase::Closing:
+    return "closing";
+  case SeatPhase::Broken:
+    break;
+  }
+  return "broken";
+}
+
+std::optional<SeatPhase> phaseOf(const std::optional<GroupSeat> &Seat) {
+  return Seat ? std::optional(Seat->Phase) : std::nullopt;
+}
+
 std::string_view outcomeName(OrderOutcome Outcome) {
   switch (Outcome) {
   case OrderOutcome::Taken:
@@ -278,7 +301,10 @@
                                           std::uint64_t Fence) {
   const EndpointName Target = Command.To;
   const SeatOrder Order = Command.Order;
+  const std::optional<GroupSeat> Known = Command.KnownSeat;
   const TimePoint SentAt = BootClock::now();
+  const auto RecordAge =
+      std::chrono::duration_cast<milliseconds>(SentAt - Command.KnownAt);
   const OrderOutcome Outcome =
       co_await Engines.order(Command.Address, Target, Order, Fence);
   const auto Took =
@@ -290,6 +316,9 @@
                                 {"epoch", epochOf(Order)},
                                 {"fence", Fence},
                                 {"expected_orders", expectedOrders(Order)},
+                                {"seat", Known ? Known->Epoch : 0},
+                                {"phase", phaseName(phaseOf(Known))},
+                                {"record_age_ms", RecordAge.count()},
                                 {"outcome", outcomeName(Outcome)},
                                 {"took_ms", Took.count()}});
   for (auto &[Name, ServiceAssembler] : Assemblers)
@@ -310,6 +339,8 @@
                                      {"model", Note.Model},
                                      {"endpoint", Note.Cause},
                                      {"for_model", Note.Receiver},
+                                     {"leader", phaseName(Note.LeaderPhase)},
+                                     {"may_open", Note.MayBeOpened},
                                      {"why", Note.Why}});
 }
 
--- a/packages/process/src/coltsfoottrail/fleethost/host.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/host.cpp
@@ -683,6 +683,7 @@
   const ClosedConnections Closed = Front->closedConnections();
   logEvent(Event::Stopped, {{"cut", CutRequests},
                             {"given_up", Unanswered},
+                            {"forwarded", Forwarding.open()},
                             {"closed_idle", Closed.Idle},
                             {"closed_in_progress", Closed.InProgress},
                             {"closed_unread", Closed.Unread}});
--- a/packages/version/src/coltsfoottrail/assembly/assembler.cpp
+++ b/packages/version/src/coltsfoottrail/assembly/assembler.cpp
@@ -173,7 +173,7 @@
       if (!Member.Name.empty())
         Joins.assume(Member.Name, Member.StartedAtMs, Epoch,
                      TermStartedAt + Times.latestEffect());
-    addEvent(GroupFate::Adopted, Group, {}, "from the records");
+    addEvent(Context, GroupFate::Adopted, Group, {}, "from the records");
     Groups.emplace(Epoch, std::move(Group));
   }
 }
@@ -299,9 +299,17 @@
   return std::exchange(Events, {});
 }
 
-void Assembler::addEvent(GroupFate Fate, const GroupState &Group,
-                         const EndpointName &Cause, std::string_view Reason) {
-  Events.push_back({Fate, Group.Name, Group.Epoch, Group.Model, Cause, Reason});
+void Assembler::addEvent(const PlanContext &Context, GroupFate Fate,
+                         const GroupState &Group, const EndpointName &Cause,
+                         std::string_view Reason) {
+  GroupEvent Event{Fate, Group.Name, Group.Epoch, Group.Model, Cause, Reason};
+  const KnownEndpoint *const Leader =
+      Context.View.Endpoints.find(Group.Members.front().Name);
+  if (Leader != nullptr && Leader->Record.Seat &&
+      Leader->Record.Seat->Epoch == Group.Epoch)
+    Event.LeaderPhase = Leader->Record.Seat->Phase;
+  Event.MayBeOpened = mayBeOpened(Context, Group);
+  Events.push_back(std::move(Event));
 }
 
 } // namespace coltsfoottrail
--- a/packages/version/src/coltsfoottrail/assembly/assembler.hpp
+++ b/packages/version/src/coltsfoottrail/assembly/assembler.hpp
@@ -102,6 +102,10 @@
   EndpointName To;
   EngineAddress Address;
   SeatOrder Order;
+  /// The seat that the engine's record showed when the order was decided, and
+  /// when that record was received.
+  std::optional<GroupSeat> KnownSeat{};
+  TimePoint KnownAt{};
 };
 
 /// @brief An engine that is to be asked: whether it is alive, or for its
@@ -138,6 +142,11 @@
   std::string_view Why;
   /// Of a conversion: the model that is to get the engines.
   ModelName Receiver{};
+  /// Phase of the leader's seat in the group; nothing if its record shows
+  /// none.
+  std::optional<SeatPhase> LeaderPhase{};
+  /// Whether an order to open the group may still be carried out.
+  bool MayBeOpened = false;
 };
 
 /// @brief Counts of the endpoints of one fabric domain by state.
@@ -385,7 +394,8 @@
   [[nodiscard]] static bool isAnySeated(const PlanContext &Context,
                                         GroupEpoch Epoch);
   void reorderJoins(PlanContext &Context, const GroupState &Group);
-  void retire(const GroupState &Group, std::string_view Reason);
+  void retire(const PlanContext &Context, const GroupState &Group,
+              std::string_view Reason);
 
   void formGroups(PlanContext &Context);
   void stageSpares(PlanContext &Context,
@@ -490,8 +500,9 @@
   [[nodiscard]] bool isDead(const KnownEndpoint &Endpoint) const;
   [[nodiscard]] std::optional<SeatState>
   seatOf(const KnownEndpoint &Endpoint) const;
-  void addEvent(GroupFate Fate, const GroupState &Group,
-                const EndpointName &Cause, std::string_view Reason);
+  void addEvent(const PlanContext &Context, GroupFate Fate,
+                const GroupState &Group, const EndpointName &Cause,
+                std::string_view Reason);
 
   AssemblyTimes Times;
   LoadPacer Pacer;
--- a/packages/version/src/coltsfoottrail/assembly/formation.cpp
+++ b/packages/version/src/coltsfoottrail/assembly/formation.cpp
@@ -246,7 +246,7 @@
                   Context.Now);
     beginJoin(Context, *Member, {Group.Name, Group.Epoch, Group.Model, Names});
   }
-  addEvent(GroupFate::Formed, Group, Names.front(),
+  addEvent(Context, GroupFate::Formed, Group, Names.front(),
            Chosen.LoadCount > 0 ? "with loads" : "without loads");
   recordConverted(Chosen, Group.Epoch);
   Groups.emplace(Group.Epoch, std::move(Group));
--- a/packages/version/src/coltsfoottrail/assembly/pass.hpp
+++ b/packages/version/src/coltsfoottrail/assembly/pass.hpp
@@ -61,8 +61,9 @@
     return Model.Share;
   }
   void order(const KnownEndpoint &Endpoint, SeatOrder Order) {
-    Commands.push_back(
-        {Endpoint.Record.Name, Endpoint.Record.Address, std::move(Order)});
+    Commands.push_back({Endpoint.Record.Name, Endpoint.Record.Address,
+                        std::move(Order), Endpoint.Record.Seat,
+                        Endpoint.LastPublishedAt});
   }
   [[nodiscard]] Duration loadTime(const ServedModel &Model) const {
     const milliseconds NominalTime =
--- a/packages/version/src/coltsfoottrail/assembly/rebalance.cpp
+++ b/packages/version/src/coltsfoottrail/assembly/rebalance.cpp
@@ -103,7 +103,7 @@
     return false;
   case SeatPhase::Ready:
     if (!Group.OpenPending && !mayBeOpened(Context, Group)) {
-      retire(Group, "closed for a conversion");
+      retire(Context, Group, "closed for a conversion");
       return true;
     }
     dismissLeader(Context, Group);
--- a/packages/version/src/coltsfoottrail/assembly/repair.cpp
+++ b/packages/version/src/coltsfoottrail/assembly/repair.cpp
@@ -117,11 +117,11 @@
     return false;
   if (LeaderEndpoint->Record.StartedAtMs != Leader.StartedAtMs || !Seat ||
       Seat->Epoch != Group.Epoch) {
-    retire(Group, "the leader has left the group");
+    retire(Context, Group, "the leader has left the group");
     return true;
   }
   if (Seat->Phase == SeatPhase::Broken) {
-    retire(Group, "the leader is broken");
+    retire(Context, Group, "the leader is broken");
     return true;
   }
   if (Seat->Phase == SeatPhase::Open) {
@@ -139,7 +139,7 @@
                             Endpoint->Record.State == EndpointState::Draining;
     if ((!IsPresent || IsDraining) && !Group.LossReported) {
       Group.LossReported = true;
-      addEvent(GroupFate::Lost, Group, Member.Name,
+      addEvent(Context, GroupFate::Lost, Group, Member.Name,
                IsDraining ? "member drains" : "member lost");
     }
     AnyLost = AnyLost || !IsPresent;
@@ -174,7 +174,7 @@
       LockedUntil[Member.Name] = Context.Now + Times.ExclusionTime;
     Pending.erase(Member.Name);
   }
-  retire(Group, "members were not ready in time");
+  retire(Context, Group, "members were not ready in time");
   return true;
 }
 
@@ -187,12 +187,13 @@
 // unreachable leader to break.
 bool Assembler::handleLeaderLoss(PlanContext &Context, GroupState &Group) {
   if (!Group.Adopted && !Group.OpenOrdered) {
-    retire(Group, "the leader is gone before it was opened");
+    retire(Context, Group, "the leader is gone before it was opened");
     return true;
   }
   if (!Group.LossReported) {
     Group.LossReported = true;
-    addEvent(GroupFate::Lost, Group, Group.Members.front().Name, "leader lost");
+    addEvent(Context, GroupFate::Lost, Group, Group.Members.front().Name,
+             "leader lost");
   }
   const bool Due = !Group.LeaveOrdered ||
                    Context.Now >= *Group.LeaveOrdered + Times.OrderRetry;
@@ -211,7 +212,7 @@
   // or its members leave as above.
   if (AnyHeld || !Group.LeaveOrdered || isAnySeated(Context, Group.Epoch))
     return false;
-  addEvent(GroupFate::Retired, Group, {}, "all members have left");
+  addEvent(Context, GroupFate::Retired, Group, {}, "all members have left");
   return true;
 }
 
@@ -238,11 +239,11 @@
     }
     for (const GroupMember &Member : Group.Members)
       Pending.erase(Member.Name);
-    retire(Group, "a member was lost before the group was ready");
+    retire(Context, Group, "a member was lost before the group was ready");
     return true;
   case SeatPhase::Ready:
     if (!Group.OpenPending && !mayBeOpened(Context, Group)) {
-      retire(Group, "closed after the loss of a member");
+      retire(Context, Group, "closed after the loss of a member");
       return true;
     }
     // Failure guarded against: the leader is opening, or an order to open
@@ -352,9 +353,10 @@
   }
 }
 
-void Assembler::retire(const GroupState &Group, std::string_view Reason) {
+void Assembler::retire(const PlanContext &Context, const GroupState &Group,
+                       std::string_view Reason) {
   Retired.insert(Group.Epoch);
-  addEvent(GroupFate::Retired, Group, {}, Reason);
+  addEvent(Context, GroupFate::Retired, Group, {}, Reason);
 }
 
 } // namespace coltsfoottrail
