Take over a group again that serves although it was given up

Cause: that a group was given up was final. Its epoch was passed over from then on, and an engine whose record names it counted as free in whatever phase, also as an open leader.

Change: before groups are adopted from the records, the coordinator forgets that it gave a group up whose leader's record shows it open or closing. It is then a found group like any other: kept if it is whole, closed and dismissed if it lacks a member.

Why it works: the record is evidence, and that a group has ended is a conclusion; where they differ the record goes first.

Test: FoundGroups.GroupThatWasGivenUpServes (a join of a member while its leader was open before, none now).

--- a/packages/version/src/coltsfoottrail/assembly/assembler.cpp
+++ b/packages/version/src/coltsfoottrail/assembly/assembler.cpp
@@ -127,9 +127,22 @@
   }
 }
 
+// Failure guarded against: a group was given up, an order that this coordinator
+// does not know of makes its leader serve, and its engines are taken for free.
+// What the leader reports goes before what was concluded earlier.
+void Assembler::restoreGroups(const PlanContext &Context) {
+  for (const auto &[Name, Endpoint] : Context.View.Endpoints.all()) {
+    const auto &Seat = Endpoint.Record.Seat;
+    if (Endpoint.Record.Service == Context.View.Service.Name && Seat &&
+        Seat->Rank == 0 && isInService(Seat->Phase))
+      Retired.erase(Seat->Epoch);
+  }
+}
+
 /// Takes over groups that the records show and that this term did not form, and
 /// members of such groups whose records appear later.
 void Assembler::adoptGroups(const PlanContext &Context) {
+  restoreGroups(Context);
   std::map<GroupEpoch, GroupState> NewGroups;
   for (const auto &[Name, Endpoint] : Context.View.Endpoints.all()) {
     const EndpointRecord &Record = Endpoint.Record;
--- a/packages/version/src/coltsfoottrail/assembly/assembler.hpp
+++ b/packages/version/src/coltsfoottrail/assembly/assembler.hpp
@@ -183,6 +183,7 @@
 /// is carried out only if the late join was not;
 /// - whatever ends a group, its engines are free only once its leader does not
 /// serve and no order, of this coordinator or a predecessor, can make it serve;
+/// - a leader that serves keeps its engines even if its group was given up;
 /// - a group that a predecessor formed and did not open is formed anew: a join
 /// that the predecessor ordered may still be carried out, and its epoch is
 /// above that of the group;
@@ -350,6 +351,8 @@
                   OrderOutcome Outcome, TimePoint Now);
   [[nodiscard]] bool isFleetSettled(const AssemblyView &View, TimePoint Now);
   void dropCompleted(const PlanContext &Context);
+  /// Forgets that groups were given up whose leaders serve.
+  void restoreGroups(const PlanContext &Context);
   void adoptGroups(const PlanContext &Context);
   void advanceGroups(PlanContext &Context);
   /// @return Whether the group has ended.
--- a/packages/version/test/coltsfoottrail/assembly/foundgroups.cpp
+++ b/packages/version/test/coltsfoottrail/assembly/foundgroups.cpp
@@ -129,6 +129,28 @@
   expectNoEngineWasTaken();
 }
 
+// Guards against using the engines of a group that was given up and serves by
+// an order that this coordinator does not know of.
+TEST_F(FoundGroups, GroupThatWasGivenUpServes) {
+  Fleet.FateOf = nullptr;
+  Fleet.run(seconds(3));
+  ASSERT_TRUE(serves());
+  Fleet.TrafficStarted = true;
+  const EndpointRecord &Record = Fleet.Records.at(Leader);
+  const GroupSeat Seat = *Record.Seat;
+  Fleet.removeEngine(EndpointName("n0-3"));
+  Fleet.run(SettlingTime);
+  ASSERT_EQ(Fleet.Fates[GroupFate::Retired], 1);
+  Fleet.InFlight.emplace(
+      Fleet.Now,
+      SeatCommand{Leader, Record.Address, OpenSeat{Seat.Group, Seat.Epoch}});
+  Fleet.run(milliseconds(100));
+  ASSERT_TRUE(serves());
+  completeAnother();
+  EXPECT_EQ(Fleet.leaders().size(), 1U);
+  EXPECT_EQ(Fleet.JoinedWhileOpen, 0);
+}
+
 } // namespace
 
 } // namespace coltsfoottrail::test
