Do not take an order for a seat that the engine refuses

Where all others are there, a group that is whole counts as lost.

Cause: an order to take another seat stands for an engine's seat until its effect shows, or for four seconds. An order that names the number of orders that the engine has accepted is refused by it once it has accepted another one, such as the late join that has seated it again, and still stood for its seat.

Change: such an order is dropped when the engine's record shows a seat with a lower epoch and the order has not been answered. It was only given because the record showed none, so that another order has come first.

Why it works: a copy that arrives later is refused by the number, and an answer that comes all the same is followed by a record with the new seat. The leader can be dismissed and ordered anew without the four seconds.

--- a/packages/version/src/coltsfoottrail/assembly/assembler.cpp
+++ b/packages/version/src/coltsfoottrail/assembly/assembler.cpp
@@ -96,6 +96,12 @@
     const auto &Seat = Endpoint->Record.Seat;
     if (Seat && Seat->Epoch >= Entry.second.Epoch)
       return true;
+    // Failure guarded against: a late join seats a leader in its group again,
+    // and a join that the engine refuses from then on stands for its seat, so
+    // that a group that is whole counts as lost. The engine had no seat when it
+    // stated its number of orders.
+    if (Seat && Entry.second.ExpectedOrders && !Entry.second.Answered)
+      return true;
     // Failure guarded against: a join that nobody repeats, of a spare or of a
     // group that was given up, is lost, and its engine is never used again. The
     // next join has a higher epoch, so a late copy of this one is refused.
--- a/packages/version/test/coltsfoottrail/assembly/foundgroups.cpp
+++ b/packages/version/test/coltsfoottrail/assembly/foundgroups.cpp
@@ -129,6 +129,20 @@
   expectNoEngineWasTaken();
 }
 
+// Guards against a group that is whole and counts as lost because of an order
+// to its leader that is refused whenever it arrives.
+TEST_F(FoundGroups, RefusedOrderIsNoSeat) {
+  StandbyFate = {false, std::nullopt};
+  LateJoin = seconds(6);
+  takeOver();
+  Fleet.run(seconds(6));
+  EXPECT_EQ(Fleet.Fates[GroupFate::Lost], 0);
+  StandbyFate = {};
+  Fleet.run(seconds(6));
+  EXPECT_EQ(Fleet.leaders().size(), 1U);
+  expectNoEngineWasTaken();
+}
+
 // Guards against using the engines of a group that was given up and serves by
 // an order that this coordinator does not know of.
 TEST_F(FoundGroups, GroupThatWasGivenUpServes) {
