Judge what late orders can do by when a record was written

Cause: whether an order may still be carried out was asked of the clock. A record says what an engine was when it was written; it is up to a heartbeat old, and up to three where the engine is cut off. Until a record comes that was written after the last moment, what the order may have done is not known.

Change: the catalogue knows when a record that its engine wrote anew was received; reading the same record again does not count. Joins are remembered until all records are younger.

Why it works: engines write at each heartbeat, so that on a calm store the doubt ends at most a heartbeat later; it concerns groups only whose orders got no answer, and found ones. An engine that is cut off lapses, and its members leave the group first.

Test: FoundGroups.LateOpenIsNotInTheRecordOfALeaderThatIsCutOff (a join of a member while its leader was open before, none now).

--- a/packages/version/src/coltsfoottrail/assembly/assembler.cpp
+++ b/packages/version/src/coltsfoottrail/assembly/assembler.cpp
@@ -31,6 +31,14 @@
   });
 }
 
+/// When the oldest of all records was received.
+TimePoint oldestRecord(const EndpointCatalogue &Catalogue, TimePoint Now) {
+  TimePoint Oldest = Now;
+  for (const auto &[Name, Endpoint] : Catalogue.all())
+    Oldest = std::min(Oldest, Endpoint.LastWrittenAt);
+  return Oldest;
+}
+
 } // namespace
 
 void Assembler::begin(TimePoint Now) {
@@ -112,7 +120,7 @@
     return Entry.second <= Context.Now;
   };
   std::erase_if(LockedUntil, IsExpired);
-  Joins.expire(Context.Now);
+  Joins.expire(oldestRecord(Context.View.Endpoints, Context.Now));
   std::erase_if(ProbeStates, [&](const auto &Entry) {
     return Context.Now - Entry.second.UpdatedAt >= DeadMarkLifetime;
   });
--- a/packages/version/src/coltsfoottrail/assembly/assembler.hpp
+++ b/packages/version/src/coltsfoottrail/assembly/assembler.hpp
@@ -379,8 +379,7 @@
   void excludeUnready(const PlanContext &Context, const GroupState &Group);
   /// Whether an engine has no seat and a late join may seat it in a group that
   /// serves.
-  [[nodiscard]] bool mayBeSeatedAgain(const PlanContext &Context,
-                                      const KnownEndpoint &Endpoint) const;
+  [[nodiscard]] bool mayBeSeatedAgain(const KnownEndpoint &Endpoint) const;
   /// Reads the statuses of engines that a late join may seat again.
   void readStatuses(const PlanContext &Context);
   /// Number of orders that an engine had accepted when it reported that it has
@@ -389,11 +388,11 @@
   ordersWithoutSeat(const KnownEndpoint &Endpoint) const;
   /// Whether an engine may be ordered to take a seat, as far as late joins are
   /// concerned.
-  [[nodiscard]] bool isJoinSafe(const PlanContext &Context,
-                                const KnownEndpoint &Endpoint) const {
-    return !mayBeSeatedAgain(Context, Endpoint) || ordersWithoutSeat(Endpoint);
+  [[nodiscard]] bool isJoinSafe(const KnownEndpoint &Endpoint) const {
+    return !mayBeSeatedAgain(Endpoint) || ordersWithoutSeat(Endpoint);
   }
-  /// Whether an order to open a group may still be carried out.
+  /// Whether an order to open a group may still be carried out, or may have
+  /// been since the leader's record.
   [[nodiscard]] static bool mayBeOpened(const PlanContext &Context,
                                         const GroupState &Group);
   void orderOpen(PlanContext &Context, GroupState &Group);
--- a/packages/version/src/coltsfoottrail/assembly/formation.cpp
+++ b/packages/version/src/coltsfoottrail/assembly/formation.cpp
@@ -41,8 +41,7 @@
       Context.View.Drained.contains(Record.DataCentre))
     return false;
   if (Pending.contains(Record.Name) || LockedUntil.contains(Record.Name) ||
-      isDead(Endpoint) || isLoading(Record.Name) ||
-      !isJoinSafe(Context, Endpoint))
+      isDead(Endpoint) || isLoading(Record.Name) || !isJoinSafe(Endpoint))
     return false;
   return !Record.Seat || isStandby(*Record.Seat) ||
          Retired.contains(Record.Seat->Epoch);
--- a/packages/version/src/coltsfoottrail/assembly/joins.cpp
+++ b/packages/version/src/coltsfoottrail/assembly/joins.cpp
@@ -8,7 +8,7 @@
 /// Orders the first copy of a join.
 void Assembler::beginJoin(PlanContext &Context, const KnownEndpoint &Engine,
                           JoinSeat Join) {
-  if (mayBeSeatedAgain(Context, Engine))
+  if (mayBeSeatedAgain(Engine))
     Join.ExpectedOrders = ordersWithoutSeat(Engine);
   Pending[Engine.Record.Name] = {Join.Epoch, Engine.Record.StartedAtMs,
                                  Context.Now, false, Join.ExpectedOrders};
@@ -24,30 +24,30 @@
 // Failure guarded against: an engine has left a group, a late copy of its join
 // seats it there again while the leader serves, and only then is a join of
 // another group carried out.
-bool Assembler::mayBeSeatedAgain(const PlanContext &Context,
-                                 const KnownEndpoint &Endpoint) const {
+bool Assembler::mayBeSeatedAgain(const KnownEndpoint &Endpoint) const {
   if (Endpoint.Record.Seat)
     return false;
   // An engine whose host has weights may have left a group by order of a
   // predecessor, whose joins are not known.
-  const bool MayHaveLeft = FollowsPredecessor.value_or(true) &&
-                           Context.Now < TermStartedAt + Times.latestEffect() &&
-                           !Endpoint.Record.Staged.empty();
-  return MayHaveLeft || Joins.mayReturn(Endpoint.Record, Context.Now);
+  const bool MayHaveLeft =
+      FollowsPredecessor.value_or(true) &&
+      Endpoint.LastWrittenAt < TermStartedAt + Times.latestEffect() &&
+      !Endpoint.Record.Staged.empty();
+  return MayHaveLeft ||
+         Joins.mayReturn(Endpoint.Record, Endpoint.LastWrittenAt);
 }
 
 void Assembler::readStatuses(const PlanContext &Context) {
   std::erase_if(Statuses, [&](const auto &Entry) {
     const KnownEndpoint *const Endpoint =
         Context.View.Endpoints.find(Entry.first);
-    return Endpoint == nullptr || !mayBeSeatedAgain(Context, *Endpoint);
+    return Endpoint == nullptr || !mayBeSeatedAgain(*Endpoint);
   });
   for (const auto &[Name, Endpoint] : Context.View.Endpoints.all()) {
     if (PendingStatusReads.size() >= Context.View.MaxOrders)
       return;
     if (Endpoint.Record.Service != Context.View.Service.Name ||
-        Pending.contains(Name) || isDead(Endpoint) ||
-        isJoinSafe(Context, Endpoint))
+        Pending.contains(Name) || isDead(Endpoint) || isJoinSafe(Endpoint))
       continue;
     const auto [Entry, IsNew] =
         Statuses.try_emplace(Name, StatusState{Context.Now, std::nullopt});
--- a/packages/version/src/coltsfoottrail/assembly/outstandingjoins.cpp
+++ b/packages/version/src/coltsfoottrail/assembly/outstandingjoins.cpp
@@ -62,10 +62,10 @@
         Order.Until = Now + LatestExecution;
 }
 
-void OutstandingJoins::expire(TimePoint Now) {
+void OutstandingJoins::expire(TimePoint AsOf) {
   for (auto &[Engine, Orders] : Joins)
-    std::erase_if(Orders,
-                  [&](const Join &Order) { return !Order.isOutstanding(Now); });
+    std::erase_if(
+        Orders, [&](const Join &Order) { return !Order.isOutstanding(AsOf); });
   std::erase_if(Joins, [](const auto &Entry) { return Entry.second.empty(); });
 }
 
@@ -76,25 +76,25 @@
 }
 
 bool OutstandingJoins::mayArrive(const EndpointRecord &Engine, GroupEpoch Epoch,
-                                 TimePoint Now) const {
+                                 TimePoint AsOf) const {
   const auto Entry = Joins.find(Engine.Name);
   return Entry != Joins.end() &&
          std::any_of(Entry->second.begin(), Entry->second.end(),
                      [&](const Join &Order) {
                        return Order.Epoch == Epoch &&
                               isAccepted(Order, Engine) &&
-                              Order.isOutstanding(Now);
+                              Order.isOutstanding(AsOf);
                      });
 }
 
 bool OutstandingJoins::mayReturn(const EndpointRecord &Engine,
-                                 TimePoint Now) const {
+                                 TimePoint AsOf) const {
   const auto Entry = Joins.find(Engine.Name);
   return !Engine.Seat && Entry != Joins.end() &&
          std::any_of(Entry->second.begin(), Entry->second.end(),
                      [&](const Join &Order) {
                        return Order.GroupOpened && isAccepted(Order, Engine) &&
-                              Order.isOutstanding(Now);
+                              Order.isOutstanding(AsOf);
                      });
 }
 
--- a/packages/version/src/coltsfoottrail/assembly/pass.hpp
+++ b/packages/version/src/coltsfoottrail/assembly/pass.hpp
@@ -63,7 +63,7 @@
   void order(const KnownEndpoint &Endpoint, SeatOrder Order) {
     Commands.push_back({Endpoint.Record.Name, Endpoint.Record.Address,
                         std::move(Order), Endpoint.Record.Seat,
-                        Endpoint.LastPublishedAt});
+                        Endpoint.LastWrittenAt});
   }
   [[nodiscard]] Duration loadTime(const ServedModel &Model) const {
     const milliseconds NominalTime =
--- a/packages/version/src/coltsfoottrail/assembly/repair.cpp
+++ b/packages/version/src/coltsfoottrail/assembly/repair.cpp
@@ -264,7 +264,11 @@
 
 bool Assembler::mayBeOpened(const PlanContext &Context,
                             const GroupState &Group) {
-  return Group.OpensInFlight > 0 || Context.Now < Group.OpenMayArriveUntil;
+  const KnownEndpoint *const Leader =
+      Context.View.Endpoints.find(Group.Members.front().Name);
+  const TimePoint AsOf =
+      Leader != nullptr ? Leader->LastWrittenAt : Context.Now;
+  return Group.OpensInFlight > 0 || AsOf < Group.OpenMayArriveUntil;
 }
 
 void Assembler::orderOpen(PlanContext &Context, GroupState &Group) {
@@ -319,7 +323,7 @@
   if (!mayBeOpened(Context, Group))
     return false;
   return (IsSeated && Seat->Phase == SeatPhase::Joining) ||
-         Joins.mayArrive(Leader->Record, Group.Epoch, Context.Now);
+         Joins.mayArrive(Leader->Record, Group.Epoch, Leader->LastWrittenAt);
 }
 
 // Failure guarded against: the members of a group take other seats, and an
@@ -350,7 +354,7 @@
     return;
   }
   if (!Pending.contains(Name) && !LockedUntil.contains(Name) &&
-      isJoinSafe(Context, Leader))
+      isJoinSafe(Leader))
     orderStandby(Context, Leader, Group.Model);
 }
 
--- a/packages/version/src/coltsfoottrail/fleet/catalogue.cpp
+++ b/packages/version/src/coltsfoottrail/fleet/catalogue.cpp
@@ -29,6 +29,9 @@
   KnownEndpoint &Entry = Endpoints[Name];
   if (Entry.Record.Name == Name && isOlder(Record, Entry.Record))
     return false;
+  const bool IsRepeated = Entry.Record.Name == Name &&
+                          Entry.Record.StartedAtMs == Record.StartedAtMs &&
+                          Entry.Record.Sequence == Record.Sequence;
   const bool Changed = Entry.Record.Name != Name ||
                        Entry.RemovalDeferredUntil ||
                        !equalForRouting(Entry.Record, Record) ||
@@ -36,6 +39,8 @@
   Entry.Cold = Record.ColdFor.count() > 0;
   Entry.ColdUntil = Now + Record.ColdFor;
   Entry.LastPublishedAt = Now;
+  if (!IsRepeated)
+    Entry.LastWrittenAt = Now;
   Entry.RemovalDeferredUntil.reset();
   Entry.Record = std::move(Record);
   if (Changed)
--- a/packages/version/src/coltsfoottrail/fleet/catalogue.hpp
+++ b/packages/version/src/coltsfoottrail/fleet/catalogue.hpp
@@ -17,6 +17,9 @@
   EndpointRecord Record;
   /// When its record was last received.
   TimePoint LastPublishedAt;
+  /// When a record that it wrote anew was last received: a record that is read
+  /// again says nothing of what has happened since.
+  TimePoint LastWrittenAt;
   /// Whether the endpoint is cold and can take only little work, and until
   /// when.
   bool Cold = false;
--- a/packages/version/test/coltsfoottrail/assembly/foundgroups.cpp
+++ b/packages/version/test/coltsfoottrail/assembly/foundgroups.cpp
@@ -143,6 +143,27 @@
   expectNoEngineWasTaken();
 }
 
+// Guards against a record from before a late order to open, of a leader that no
+// longer reaches the store, that is taken for the state after it.
+TEST_F(FoundGroups, LateOpenIsNotInTheRecordOfALeaderThatIsCutOff) {
+  LateJoin = Duration{0};
+  LateOpen = milliseconds(11'900);
+  while (Opens < 2)
+    Fleet.run(milliseconds(100));
+  Fleet.run(milliseconds(200));
+  ASSERT_TRUE(serves());
+  Fleet.TrafficStarted = true;
+  LosesLeaves = true;
+  Fleet.removeEngine(EndpointName("n0-3"));
+  Fleet.run(seconds(9));
+  ASSERT_FALSE(serves());
+  Fleet.CutOffFromStore.insert(Leader);
+  Fleet.run(seconds(2));
+  ASSERT_TRUE(serves());
+  completeAnother();
+  EXPECT_EQ(Fleet.JoinedWhileOpen, 0);
+}
+
 // Guards against using the engines of a group that was given up and serves by
 // an order that this coordinator does not know of.
 TEST_F(FoundGroups, GroupThatWasGivenUpServes) {
