Send an order to an engine only while the lease lasts

What callers would see: a coordinator is suspended for seconds while it connects to an engine, its successor takes over, and when it wakes it sends its order to open a group that the successor has given up (TWO where engines do not check fencing tokens).

Cause: an order is given under the lease and written once there is a connection; between the two nobody looked at the clock.

Change: the client asks before it writes an order whether the term under which it was decided still lasts, as it does for requests at an endpoint that asks for a pause; if not, the outcome is NotSent.

Not covered, and not to be: bytes that the kernel of a suspended machine holds back. They meet the other guards, that an engine compares the epoch, and that a group that serves is taken over again.

--- a/packages/connection/src/coltsfoottrail/boundary/engines.hpp
+++ b/packages/connection/src/coltsfoottrail/boundary/engines.hpp
@@ -35,10 +35,12 @@
   /// @param Order The order.
   /// @param Fence Fencing token: the generation of the duty under which the
   /// order is sent.
-  [[nodiscard]] virtual Awaitable<OrderOutcome> order(EngineAddress Address,
-                                                      EndpointName Name,
-                                                      SeatOrder Order,
-                                                      std::uint64_t Fence) = 0;
+  /// @param Policy Whether the order may still be sent once there is a
+  /// connection; must outlive the call.
+  /// @return NotSent if the policy did not allow it.
+  [[nodiscard]] virtual Awaitable<OrderOutcome>
+  order(EngineAddress Address, EndpointName Name, SeatOrder Order,
+        std::uint64_t Fence, const CallPolicy &Policy) = 0;
 
   /// @brief Checks whether an endpoint responds.
   /// @param Address Where the endpoint listens.
--- a/packages/connection/src/coltsfoottrail/http/fwd.hpp
+++ b/packages/connection/src/coltsfoottrail/http/fwd.hpp
@@ -18,6 +18,7 @@
 class HttpServer;
 class HttpClient;
 class HttpCall;
+class CallPolicy;
 
 /// Return type of coroutines in the connection package.
 template <class Value> using Awaitable = boost::asio::awaitable<Value>;
--- a/packages/process/src/coltsfoottrail/fleethost/groupcoordinator.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/groupcoordinator.cpp
@@ -1,6 +1,7 @@
 #include "coltsfoottrail/fleethost/groupcoordinator.hpp"
 
 #include "coltsfoottrail/core/overloaded.hpp"
+#include "coltsfoottrail/http/client.hpp"
 #include "coltsfoottrail/logging/log.hpp"
 
 #include <algorithm>
@@ -297,16 +298,34 @@
   }
 }
 
+// Failure guarded against: a coordinator is suspended while it connects to an
+// engine, and sends the order when it wakes. Its successor has acted on the
+// engines meanwhile and expects no such order any more.
+class GroupCoordinator::TermPolicy final : public CallPolicy {
+public:
+  TermPolicy(const DutyTerm &Current, std::uint64_t TermFence)
+      : Term(Current), Fence(TermFence) {}
+  [[nodiscard]] bool mayAbort() const override { return true; }
+  [[nodiscard]] bool maySend() const override {
+    return Term.holds(BootClock::now()) && Term.fence() == Fence;
+  }
+
+private:
+  const DutyTerm &Term;
+  std::uint64_t Fence;
+};
+
 Awaitable<void> GroupCoordinator::execute(SeatCommand Command,
                                           std::uint64_t Fence) {
   const EndpointName Target = Command.To;
   const SeatOrder Order = Command.Order;
   const std::optional<GroupSeat> Known = Command.KnownSeat;
+  const TermPolicy Policy(Term, Fence);
   const TimePoint SentAt = BootClock::now();
   const auto RecordAge =
       std::chrono::duration_cast<milliseconds>(SentAt - Command.KnownAt);
   const OrderOutcome Outcome =
-      co_await Engines.order(Command.Address, Target, Order, Fence);
+      co_await Engines.order(Command.Address, Target, Order, Fence, Policy);
   const auto Took =
       std::chrono::duration_cast<milliseconds>(BootClock::now() - SentAt);
   --OrdersInFlight;
--- a/packages/process/src/coltsfoottrail/fleethost/groupcoordinator.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/groupcoordinator.hpp
@@ -154,6 +154,7 @@
 
 private:
   struct ProbeRound;
+  class TermPolicy;
 
   /// @return Whether another host holds the lease.
   [[nodiscard]] Awaitable<bool> hasSuccessor();
--- a/packages/process/test/coltsfoottrail/fleethost/feeds.cpp
+++ b/packages/process/test/coltsfoottrail/fleethost/feeds.cpp
@@ -133,7 +133,7 @@
 class NoEngines : public FleetEngines {
 public:
   Awaitable<OrderOutcome> order(EngineAddress, EndpointName, SeatOrder,
-                                std::uint64_t) override {
+                                std::uint64_t, const CallPolicy &) override {
     co_return OrderOutcome::NotSent;
   }
   Awaitable<bool> answers(EngineAddress, EndpointName, milliseconds) override {
--- a/packages/process/test/coltsfoottrail/fleethost/groupcoordinator.cpp
+++ b/packages/process/test/coltsfoottrail/fleethost/groupcoordinator.cpp
@@ -1,6 +1,7 @@
 #include "coltsfoottrail/fleethost/groupcoordinator.hpp"
 
 #include "coltsfoottrail/core/hash.hpp"
+#include "coltsfoottrail/http/client.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -19,7 +20,7 @@
 const ModelName Big("big");
 const ModelName Small("small");
 
-/// Grants the lease to whoever asks.
+/// Grants the lease to whoever asks, as long as it answers.
 class GrantingStore : public FleetStore {
 public:
   using Answer = std::variant<FeedPage, StoreFailure>;
@@ -33,19 +34,28 @@
   }
   Awaitable<std::variant<DutyGrant, StoreFailure>>
   joinDuty(DutyRequest) override {
+    if (!Answers)
+      co_return StoreFailure::NotDone;
     co_return DutyGrant{1, true};
   }
   Awaitable<std::variant<std::string, StoreFailure>> dutyHolder() override {
     co_return std::string();
   }
   Awaitable<void> leaveDuty(std::string) override { co_return; }
+
+  bool Answers = true;
 };
 
 /// Takes all orders and counts the groups that they form.
 class CountingEngines : public FleetEngines {
 public:
   Awaitable<OrderOutcome> order(EngineAddress, EndpointName, SeatOrder Order,
-                                std::uint64_t) override {
+                                std::uint64_t,
+                                const CallPolicy &Policy) override {
+    if (WaitsForConnection) {
+      co_await waitWhile(Policy);
+      co_return OrderOutcome::NotSent;
+    }
     if (const auto *const Join = std::get_if<JoinSeat>(&Order))
       Epochs[Join->Model].insert(Join->Epoch);
     co_return OrderOutcome::Taken;
@@ -59,6 +69,22 @@
   }
 
   std::map<ModelName, std::set<GroupEpoch>> Epochs;
+  /// Whether no engine accepts a connection.
+  bool WaitsForConnection = false;
+  /// Orders that could have been sent at first, and could not later.
+  int Allowed = 0;
+  int Withheld = 0;
+
+private:
+  Awaitable<void> waitWhile(const CallPolicy &Policy) {
+    Allowed += Policy.maySend() ? 1 : 0;
+    asio::steady_timer Pause(co_await asio::this_coro::executor);
+    while (Policy.maySend()) {
+      Pause.expires_after(milliseconds(50));
+      co_await Pause.async_wait(asio::use_awaitable);
+    }
+    ++Withheld;
+  }
 };
 
 /// A coordinator of 24 engines that two models share evenly.
@@ -164,6 +190,17 @@
   EXPECT_EQ(Metrics, "");
 }
 
+// Guards against an order that a coordinator sends when it has been suspended,
+// and has no lease any more.
+TEST_F(CoordinatorOfEngines, OrdersAreNotSentAfterTheLease) {
+  Engines.WaitsForConnection = true;
+  ASSERT_TRUE(runUntil([this] {
+    Store.Answers = Store.Answers && Engines.Allowed == 0;
+    return Engines.Withheld > 0;
+  }));
+  EXPECT_GT(Engines.Allowed, 0);
+}
+
 TEST_F(CoordinatorOfEngines, FollowsTheDemandWhenSwitchedOn) {
   EngineSettings Settings;
   Settings.FollowDemand = true;
