Begin no request at a stop that cannot end before its host

What callers would see: a host has got SIGTERM, a request is sent to an endpoint although it takes longer than the host has left, and at the end an order that has run hears "may have run", and a stream is cut. "Not run" at once would have sent both to another host.

Cause: the time that a request is expected to take was compared with its caller's deadline, never with the end of the process; and what waits was refused at one time for all, half way to the last answers.

Change: at the signal the dispatchers are told when the last answers are sent. A request that is not expected to end by then, by the mean of its pool, is refused as "stopping" instead of begun or held: on arrival, in the queue as soon as its time is over, and when an endpoint has refused it. Streams that have begun go on, since they have nothing to lose. The stages remain for pools whose times are not known.

Both modes use the same dispatcher and are told.

Ruled out: to refuse at once all that waits. A slot may be free in time, and a caller that is refused has lost its place and one of its retries.

--- a/packages/process/src/coltsfoottrail/fleethost/host.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/host.cpp
@@ -663,6 +663,7 @@
   Stopping = true;
   Forwarding.stop();
   Front->announceClose();
+  Routing.announceStop(Times.LastAnswer);
   logEvent(Event::Stopping, {{"in_progress", Front->inProgress()}});
   const auto Executor = co_await asio::this_coro::executor;
   asio::co_spawn(Executor, leaveDuty(), asio::detached);
--- a/packages/process/src/coltsfoottrail/server/process.cpp
+++ b/packages/process/src/coltsfoottrail/server/process.cpp
@@ -616,10 +616,12 @@
   logEvent(Event::Unready, {{"why", "planned stop"}});
   logEvent(Event::Stopping, {{"in_progress", CallerServer->inProgress()}});
   CallerServer->announceClose();
+  const TimePoint Limit =
+      BootClock::now() + Options.Stop.Grace + Options.Stop.StreamLimit;
+  Routing.announceStop(Limit - LastAnswerMargin);
   std::this_thread::sleep_for(Options.Stop.Grace);
   CallerRelay.stopAccepting();
   CallerServer->stopAccepting();
-  const TimePoint Limit = BootClock::now() + Options.Stop.StreamLimit;
   // Callers of what waits need the rest of their time to be served elsewhere.
   awaitCallers(Limit - Options.Stop.StreamLimit / 2);
   Routing.stop(StopStage::NoWaiting);
--- a/packages/process/src/coltsfoottrail/server/router.cpp
+++ b/packages/process/src/coltsfoottrail/server/router.cpp
@@ -256,6 +256,8 @@
     PoolShard =
         std::make_shared<DispatchHandle::Shard>(Name, std::move(Limits));
     Commands None;
+    PoolShard->PoolDispatcher.announceStop(LastAnswerAt, BootClock::now(),
+                                           None);
     PoolShard->PoolDispatcher.stop(Stage, BootClock::now(), None);
     observeEarlyNotices(*PoolShard);
   }
@@ -561,14 +563,28 @@
   }
 }
 
+void Router::announceStop(TimePoint LastAnswer) {
+  LastAnswerAt = LastAnswer;
+  forAll([&](Dispatcher &Pool, Commands &Issued) {
+    Pool.announceStop(LastAnswer, BootClock::now(), Issued);
+  });
+}
+
 void Router::stop(StopStage NewStage) {
   Stage = NewStage;
+  forAll([&](Dispatcher &Pool, Commands &Issued) {
+    Pool.stop(NewStage, BootClock::now(), Issued);
+  });
+}
+
+/// Makes a call on the dispatchers of all pools and delivers their commands.
+void Router::forAll(const std::function<void(Dispatcher &, Commands &)> &Call) {
   for (const auto &PoolShard : allShards()) {
     DispatchHandle::Shard::Deliveries Decisions;
     {
       const std::lock_guard Hold(PoolShard->Lock);
       Commands Issued;
-      PoolShard->PoolDispatcher.stop(NewStage, BootClock::now(), Issued);
+      Call(PoolShard->PoolDispatcher, Issued);
       Decisions = PoolShard->translate(Issued);
     }
     DispatchHandle::Shard::deliver(std::move(Decisions), nullptr);
--- a/packages/process/src/coltsfoottrail/server/router.hpp
+++ b/packages/process/src/coltsfoottrail/server/router.hpp
@@ -192,6 +192,9 @@
   /// several times a second.
   void repeatDemand();
 
+  /// @brief Begins the planned stop of this host in all pools.
+  /// @copydetails Dispatcher::announceStop
+  void announceStop(TimePoint LastAnswer);
   /// @brief Applies a stage of the planned stop of this host to all pools.
   /// @copydetails Dispatcher::stop
   void stop(StopStage NewStage);
@@ -219,6 +222,7 @@
   };
 
   void openShards(const RouteTable &Routes);
+  void forAll(const std::function<void(Dispatcher &, Commands &)> &Call);
   void observeEarlyNotices(DispatchHandle::Shard &Opened);
   void publishEvidence();
   void publishEvidence(DispatchHandle::Shard &PoolShard);
@@ -234,6 +238,7 @@
 
   RouterOptions Options;
   std::atomic<StopStage> Stage{StopStage::None};
+  std::atomic<TimePoint> LastAnswerAt{TimePoint::max()};
   CrashEvidenceSink &Evidence;
   /// Shared by the dispatchers of all pools.
   std::shared_ptr<EndpointRateLimiter> RateLimits;
--- a/packages/request/src/coltsfoottrail/dispatch/dispatcher.cpp
+++ b/packages/request/src/coltsfoottrail/dispatch/dispatcher.cpp
@@ -238,7 +238,7 @@
                                                     TimePoint Now) const {
   if (Request.Item.Deadline <= Now)
     return notRun(Reason::DeadlinePassed);
-  if (Stage == StopStage::NoSending)
+  if (Stage == StopStage::NoSending || endsAfterStop(Request, Now))
     return notRun(Reason::Stopping);
   if (const auto Refusal = quarantineRefusal(Request.Item, Now))
     return Refusal;
@@ -697,7 +697,7 @@
   Request.Resumable = Request.Resumable || Result.Resumable;
   Request.NotRunAttempts += Result.State == RunState::NotRun ? 1U : 0U;
   Request.DeferredAttempts += Result.WantsBackoff ? 1U : 0U;
-  if (isRefusedForStop(Request))
+  if (isRefusedForStop(Request, Now))
     refuse(Id, stopRefusal(Request), RetryStop::NoTime, Output);
   else if (const auto Refusal = quarantineRefusal(Request.Item, Now))
     refuse(Id, *Refusal, RetryStop::Quarantined, Output);
@@ -897,18 +897,34 @@
     refuseWaiting(noCapacityVerdict(), Output);
     EndedHold = holdDeadline();
   }
-  refuseForStop(Output);
+  refuseForStop(Now, Output);
+}
+
+void Dispatcher::announceStop(TimePoint LastAnswer, TimePoint Now,
+                              Commands &Output) {
+  LastAnswerAt = LastAnswer;
+  refuseForStop(Now, Output);
 }
 
 void Dispatcher::stop(StopStage NewStage, TimePoint Now, Commands &Output) {
   Stage = std::max(Stage, NewStage);
   pump(Now, Output);
-  refuseForStop(Output);
+  refuseForStop(Now, Output);
+}
+
+// Failure guarded against: a request is sent to an endpoint shortly before its
+// host ends, and its caller, who may not repeat it then, hears that it may have
+// run. A stream that has begun has nothing to lose.
+bool Dispatcher::endsAfterStop(const RequestState &Request,
+                               TimePoint Now) const {
+  return !Request.Resumable && LastAnswerAt != TimePoint::max() &&
+         Now + expectedService(Request.Item) > LastAnswerAt;
 }
 
 /// Whether a request that is at no endpoint is refused because the host stops.
-bool Dispatcher::isRefusedForStop(const RequestState &Request) const noexcept {
-  return Stage == StopStage::NoSending ||
+bool Dispatcher::isRefusedForStop(const RequestState &Request,
+                                  TimePoint Now) const {
+  return Stage == StopStage::NoSending || endsAfterStop(Request, Now) ||
          (Stage == StopStage::NoWaiting && Request.State == RunState::NotRun &&
           !Request.Resumable);
 }
@@ -920,13 +936,11 @@
 
 // Failure guarded against: requests wait for a slot until the process ends, and
 // their callers, who may not repeat them, hear nothing.
-void Dispatcher::refuseForStop(Commands &Output) {
-  if (Stage == StopStage::None)
+void Dispatcher::refuseForStop(TimePoint Now, Commands &Output) {
+  if (Stage == StopStage::None && LastAnswerAt == TimePoint::max())
     return;
   const auto IsRefused = [&](Ticket Id) {
-    const RequestState &Request = *Requests.find(Id);
-    return Stage == StopStage::NoSending ||
-           (Request.State == RunState::NotRun && !Request.Resumable);
+    return isRefusedForStop(*Requests.find(Id), Now);
   };
   for (const Ticket Id : takeWaiting(IsRefused))
     refuse(Id, stopRefusal(*Requests.find(Id)),
--- a/packages/request/src/coltsfoottrail/dispatch/dispatcher.hpp
+++ b/packages/request/src/coltsfoottrail/dispatch/dispatcher.hpp
@@ -225,6 +225,12 @@
   /// @return Whether it changed anything here.
   bool observeNotice(const EndpointNotice &Notice, TimePoint Now);
 
+  /// @brief Begins the planned stop of this host: a request that is not
+  /// expected to end in time is refused instead of begun.
+  /// @param LastAnswer When the last answers of this host are sent.
+  /// @param Now The time.
+  /// @param Output Receives the commands.
+  void announceStop(TimePoint LastAnswer, TimePoint Now, Commands &Output);
   /// @brief Applies a stage of the planned stop of this host to the requests
   /// that wait and to those that come.
   /// @param NewStage The stage; stages only go forward.
@@ -400,10 +406,12 @@
   void refuseUnmeetable(TimePoint Now, Commands &Output);
   void refuseLimited(TimePoint Now, Commands &Output);
   void refuseWaiting(const Verdict &Refusal, Commands &Output);
-  [[nodiscard]] bool
-  isRefusedForStop(const RequestState &Request) const noexcept;
+  [[nodiscard]] bool endsAfterStop(const RequestState &Request,
+                                   TimePoint Now) const;
+  [[nodiscard]] bool isRefusedForStop(const RequestState &Request,
+                                      TimePoint Now) const;
   [[nodiscard]] static Verdict stopRefusal(const RequestState &Request);
-  void refuseForStop(Commands &Output);
+  void refuseForStop(TimePoint Now, Commands &Output);
   [[nodiscard]] std::vector<Ticket>
   takeWaiting(const std::function<bool(Ticket)> &IsTaken);
   void refuse(Ticket Id, Verdict Refusal, RetryStop Stop, Commands &Output);
@@ -433,6 +441,8 @@
   /// its name and this.
   std::array<std::uint64_t, RankOrder::MaxPlaces> RateKeys{};
   StopStage Stage = StopStage::None;
+  /// When this host sends its last answers; never if it does not stop.
+  TimePoint LastAnswerAt = TimePoint::max();
   SlotMap<RequestState, Ticket> Requests;
   DispatchCounts Counts;
   double ExpectedSlots = 0.0;
--- a/packages/request/test/coltsfoottrail/dispatch/stop.cpp
+++ b/packages/request/test/coltsfoottrail/dispatch/stop.cpp
@@ -13,6 +13,20 @@
     Harness.Scheduler.stop(Stage, Harness.Now, Harness.Output);
     Harness.processCommands();
   }
+  void announce(Duration Left) {
+    Harness.Scheduler.announceStop(Harness.Now + Left, Harness.Now,
+                                   Harness.Output);
+    Harness.processCommands();
+  }
+  void advance(Duration Span) {
+    Harness.advanceTime(Span);
+    Harness.Scheduler.advance(Harness.Now, Harness.Output);
+    Harness.processCommands();
+  }
+  void learnServiceTime(Duration Time) {
+    for (int Count = 0; Count < 50; ++Count)
+      Harness.answer(Harness.submit(DispatchHarness::item()), Time);
+  }
   [[nodiscard]] bool isRefused(Ticket Id, RunState State,
                                Reason Why = Reason::Stopping) const {
     const std::optional<Verdict> Final = Harness.refusal(Id);
@@ -61,6 +75,48 @@
   EXPECT_TRUE(isRefused(Id, RunState::MayHaveRun, Reason::EndpointCut));
 }
 
+// Guards against requests that are begun although they will not end before
+// their host does.
+TEST_F(StoppingDispatch, BeginsNothingThatEndsAfterTheHost) {
+  configure(2);
+  learnServiceTime(seconds(3));
+  announce(seconds(2));
+  EXPECT_TRUE(
+      isRefused(Harness.submit(DispatchHarness::item()), RunState::NotRun));
+}
+
+// Guards against requests that are refused although they can still end.
+TEST_F(StoppingDispatch, BeginsWhatEndsBeforeTheHost) {
+  configure(2);
+  learnServiceTime(seconds(3));
+  announce(seconds(7));
+  EXPECT_NE(Harness.endpointOf(Harness.submit(DispatchHarness::item())), "");
+}
+
+// Guards against requests that wait at a host until they cannot be served by
+// any other either.
+TEST_F(StoppingDispatch, RefusesWhatWaitsOnceItCannotEndInTime) {
+  configure(1);
+  learnServiceTime(seconds(3));
+  (void)Harness.submit(DispatchHarness::item());
+  const Ticket Waiting = Harness.submit(DispatchHarness::item());
+  announce(seconds(7));
+  advance(seconds(3));
+  EXPECT_FALSE(Harness.refusal(Waiting));
+  advance(seconds(2));
+  EXPECT_TRUE(isRefused(Waiting, RunState::NotRun));
+}
+
+// Guards against the same for requests that an endpoint has refused.
+TEST_F(StoppingDispatch, RetriesNothingThatEndsAfterTheHost) {
+  configure(2);
+  learnServiceTime(seconds(3));
+  const Ticket Id = Harness.submit(DispatchHarness::item());
+  announce(seconds(2));
+  Harness.fail(Id, RunState::NotRun, Reason::EndpointRefused);
+  EXPECT_TRUE(isRefused(Id, RunState::NotRun));
+}
+
 // Guards against requests that begin to run when their answer can no longer be
 // sent.
 TEST_F(StoppingDispatch, SendsNothingAtTheEnd) {
