Check the plays of the assembly tests in one place

Two tests of the assembly repeated the loop that plays consecutive seeds and prints the first that breaks. It is one template now, for plays of a minute, as both were.

--- a/packages/version/test/coltsfoottrail/assembly/simulation.cpp
+++ b/packages/version/test/coltsfoottrail/assembly/simulation.cpp
@@ -1,7 +1,7 @@
 // Plays the assembler against engines, orders and records that fail at random.
 #include "coltsfoottrail/assembly/assembler.hpp"
 
-#include "engines.hpp"
+#include "plays.hpp"
 
 #include <gtest/gtest.h>
 #include <random>
@@ -181,48 +181,29 @@
   bool ChangesTargets = false;
 };
 
-/// Plays consecutive seeds and expects that no engine joins a group while the
-/// leader of its present one serves.
-void expectNoEngineInTwoGroups(std::uint64_t First, std::uint64_t Seeds) {
-  std::vector<std::uint64_t> Broken;
-  std::string Trace;
-  for (std::uint64_t Seed = First; Seed < First + Seeds; ++Seed) {
-    Play Run(Seed);
-    Run.run(seconds(60));
-    if (Run.Fleet.JoinedWhileOpen == 0)
-      continue;
-    Broken.push_back(Seed);
-    if (Trace.empty())
-      Trace = Run.Fleet.Trace;
-  }
-  EXPECT_EQ(Broken.size(), 0U)
-      << "first: seed " << (Broken.empty() ? 0 : Broken.front()) << "\n"
-      << Trace;
-}
-
 // Guards against an engine that serves two groups at once, whatever the order
 // in which orders are carried out and records arrive.
 TEST(AssemblySimulation, NoEngineIsTakenFromAGroupThatServes) {
-  expectNoEngineInTwoGroups(1, 200);
+  expectNoEngineInTwoGroups<Play>(1, 200);
 }
 
 // Guards against forgetting a late join when a later join is not answered.
 TEST(AssemblySimulation, LateJoinIsRememberedBesideALaterOne) {
-  expectNoEngineInTwoGroups(1617, 1);
+  expectNoEngineInTwoGroups<Play>(1617, 1);
 }
 
 // Guards against taking an engine of a group that the predecessor formed and
 // that no record shows, or whose leader has just left.
 TEST(AssemblySimulation, SuccessorMeetsLateOrdersOfItsPredecessor) {
-  expectNoEngineInTwoGroups(2192, 1);
-  expectNoEngineInTwoGroups(9126, 1);
+  expectNoEngineInTwoGroups<Play>(2192, 1);
+  expectNoEngineInTwoGroups<Play>(9126, 1);
 }
 
 // Guards against taking an engine before the record is known that shows the
 // effect of an order carried out at the last moment.
 TEST(AssemblySimulation, OrdersCarriedOutAtTheLastMoment) {
-  expectNoEngineInTwoGroups(9969, 1);
-  expectNoEngineInTwoGroups(15238, 1);
+  expectNoEngineInTwoGroups<Play>(9969, 1);
+  expectNoEngineInTwoGroups<Play>(15238, 1);
 }
 
 // Guards against engines that no group uses any more and groups that are
--- a/packages/version/test/coltsfoottrail/assembly/worstmoment.cpp
+++ b/packages/version/test/coltsfoottrail/assembly/worstmoment.cpp
@@ -2,7 +2,7 @@
 // the moment at which they do most harm.
 #include "coltsfoottrail/assembly/assembler.hpp"
 
-#include "engines.hpp"
+#include "plays.hpp"
 
 #include <gtest/gtest.h>
 #include <random>
@@ -13,7 +13,6 @@
 
 /// An order without an answer is carried out within this or never.
 constexpr Duration LatestExecution = seconds(12);
-constexpr Duration PlayTime = seconds(60);
 
 /// @brief One play, determined by its seed. An order without an answer is held
 /// until it has an effect: a join until its engine has left the group, an order
@@ -39,10 +38,10 @@
   WorstMomentPlay(const WorstMomentPlay &) = delete;
   WorstMomentPlay &operator=(const WorstMomentPlay &) = delete;
 
-  void run() {
+  void run(Duration Span) {
     Fleet.run(seconds(6));
     Fleet.TrafficStarted = true;
-    for (const TimePoint End = Fleet.Now + PlayTime; Fleet.Now < End;) {
+    for (const TimePoint End = Fleet.Now + Span; Fleet.Now < End;) {
       if (chance(DisturbancePercent))
         disturb();
       releaseOrders();
@@ -157,21 +156,7 @@
 // Guards against an engine that is taken from a group that serves, or that an
 // order of this term or an earlier one can make serve.
 TEST(WorstMoment, NoEngineIsTakenFromAGroupThatMayServe) {
-  constexpr std::uint64_t Seeds = 400;
-  std::vector<std::uint64_t> Broken;
-  std::string Trace;
-  for (std::uint64_t Seed = 1; Seed <= Seeds; ++Seed) {
-    WorstMomentPlay Run(Seed);
-    Run.run();
-    if (Run.Fleet.JoinedWhileOpen == 0)
-      continue;
-    Broken.push_back(Seed);
-    if (Trace.empty())
-      Trace = Run.Fleet.Trace;
-  }
-  EXPECT_EQ(Broken.size(), 0U)
-      << "first: seed " << (Broken.empty() ? 0 : Broken.front()) << "\n"
-      << Trace;
+  expectNoEngineInTwoGroups<WorstMomentPlay>(1, 400);
 }
 
 } // namespace
