Log which attempts a host ended itself, and count streams cut in time

The operators' record of streams that are lost around a stop shows endpoint-cut and endpoint-failed for attempts that the host itself gave up: by its alarm on silence, by its limits, by its own stop.

No decision changes: request_dispatch_test and PlannedStop.* pass.

--- a/packages/connection/src/coltsfoottrail/http/client.cpp
+++ b/packages/connection/src/coltsfoottrail/http/client.cpp
@@ -224,8 +224,8 @@
 HttpCall::next(TimePoint Deadline) {
   State &Call = *Current;
   if (!Call.Parser->is_done() && BootClock::now() >= Deadline)
-    co_return CallFailure{RunState::MayHaveRun, Reason::EndpointTimedOut,
-                          false};
+    co_return CallFailure{RunState::MayHaveRun, Reason::EndpointTimedOut, false,
+                          false, true};
   while (!Call.Parser->is_done()) {
     Call.Part.resize(MaxPartBytes);
     auto &Body = Call.Parser->get().body();
@@ -244,10 +244,10 @@
       const bool TimedOut = Problem == beast::error::timeout;
       if (Owner && !isConnectionLost(Problem))
         Owner->recordSilence(Call.Endpoint, *Call.Link);
-      co_return CallFailure{RunState::MayHaveRun,
-                            TimedOut ? Reason::EndpointTimedOut
-                                     : Reason::EndpointCut,
-                            isConnectionLost(Problem)};
+      co_return CallFailure{
+          RunState::MayHaveRun,
+          TimedOut ? Reason::EndpointTimedOut : Reason::EndpointCut,
+          isConnectionLost(Problem), false, !isConnectionLost(Problem)};
     }
     const std::size_t Bytes = Call.Part.size() - Body.size;
     if (Bytes > 0) {
@@ -386,10 +386,10 @@
     const bool TimedOut = Problem == beast::error::timeout;
     if (!isConnectionLost(Problem))
       ClientCore->recordSilence(CallState.Endpoint, *CallState.Link);
-    co_return CallFailure{RunState::MayHaveRun,
-                          TimedOut ? Reason::EndpointTimedOut
-                                   : Reason::EndpointFailed,
-                          isConnectionLost(Problem)};
+    co_return CallFailure{
+        RunState::MayHaveRun,
+        TimedOut ? Reason::EndpointTimedOut : Reason::EndpointFailed,
+        isConnectionLost(Problem), false, !isConnectionLost(Problem)};
   }
   ClientCore->recordData(CallState.Endpoint, *CallState.Link);
   CallState.Head.Status = CallState.Parser->get().result_int();
--- a/packages/connection/src/coltsfoottrail/http/client.hpp
+++ b/packages/connection/src/coltsfoottrail/http/client.hpp
@@ -31,6 +31,8 @@
   bool ConnectionLost = false;
   /// CallPolicy::maySend() did not allow the request.
   bool Withheld = false;
+  /// This host ended the call: it was aborted, or its deadline passed.
+  bool EndedHere = false;
 };
 
 /// @brief Limits of a client.
--- a/packages/process/src/coltsfoottrail/fleethost/callerproxy.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/callerproxy.cpp
@@ -156,6 +156,7 @@
        {"verdict", runStateCode(Result.State)},
        {"reason", reasonCode(Result.FailureReason)},
        {"connection_lost", Result.ConnectionLost},
+       {"ended_here", Result.EndedHere},
        {"parts", idList(Context.Caller.SharedParts)},
        {"after_ms",
         std::chrono::duration_cast<milliseconds>(Result.Total).count()},
@@ -389,6 +390,8 @@
   if (Basis.Stop == RetryStop::NotTried)
     return;
   const TimePoint Now = BootClock::now();
+  if (Context.Events.hasReleased() && Now < Context.Deadline)
+    ++Counts.CutInTime[Basis.Stop];
   Context.Trail.add(
       Event::RetryEnded,
       {{"why", retryStopCode(Basis.Stop)},
--- a/packages/process/src/coltsfoottrail/fleethost/callerproxy.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/callerproxy.hpp
@@ -41,6 +41,9 @@
   std::uint64_t Sends = 0;
   std::uint64_t Resumed = 0;
   std::uint64_t CutStreams = 0;
+  /// Streams cut although their callers still had time, by what ended their
+  /// retries.
+  std::map<RetryStop, std::uint64_t> CutInTime;
 };
 
 /// @brief Serves callers: admits a request, chooses a pool and an endpoint, and
@@ -210,7 +213,7 @@
                                       const Verdict &Final);
   static void markDelivered(const RequestContext &Context, bool HasRunLeft,
                             AttemptResult &Result);
-  static void logRetryEnd(RequestContext &Context, const RefusalDetails &Basis);
+  void logRetryEnd(RequestContext &Context, const RefusalDetails &Basis);
   [[nodiscard]] Awaitable<void> route(Exchange &Call, RequestContext &Context);
   [[nodiscard]] Awaitable<AttemptResult>
   attempt(Exchange &Call, RequestContext &Context, const EndpointSpec &Target);
--- a/packages/process/src/coltsfoottrail/fleethost/host.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/host.cpp
@@ -577,6 +577,10 @@
   AppendLine("sends_total", Counts.Sends);
   AppendLine("streams_resumed_total", Counts.Resumed);
   AppendLine("streams_cut_total", Counts.CutStreams);
+  for (const auto &[Stop, Count] : Counts.CutInTime)
+    AppendLine("streams_cut_in_time_total{why=\"" +
+                   std::string(retryStopCode(Stop)) + "\"}",
+               Count);
   const ClosedConnections Closed = Front->closedConnections();
   AppendLine("connections_closed_idle_total", Closed.Idle);
   AppendLine("connections_closed_in_progress_total", Closed.InProgress);
--- a/packages/process/src/coltsfoottrail/server/attempts.hpp
+++ b/packages/process/src/coltsfoottrail/server/attempts.hpp
@@ -31,6 +31,7 @@
   AttemptResult Result = failedAttempt(Failure.State, Failure.Why, Start);
   Result.ConnectionLost = Failure.ConnectionLost;
   Result.Withheld = Failure.Withheld;
+  Result.EndedHere = Failure.EndedHere;
   return Result;
 }
 
--- a/packages/request/src/coltsfoottrail/dispatch/dispatcher.cpp
+++ b/packages/request/src/coltsfoottrail/dispatch/dispatcher.cpp
@@ -698,7 +698,7 @@
   Request.NotRunAttempts += Result.State == RunState::NotRun ? 1U : 0U;
   Request.DeferredAttempts += Result.WantsBackoff ? 1U : 0U;
   if (isRefusedForStop(Request, Now))
-    refuse(Id, stopRefusal(Request), RetryStop::NoTime, Output);
+    refuse(Id, stopRefusal(Request), RetryStop::HostStops, Output);
   else if (const auto Refusal = quarantineRefusal(Request.Item, Now))
     refuse(Id, *Refusal, RetryStop::Quarantined, Output);
   else if (!mayRetry(Request.Item, Result))
@@ -944,7 +944,7 @@
   };
   for (const Ticket Id : takeWaiting(IsRefused))
     refuse(Id, stopRefusal(*Requests.find(Id)),
-           retryStop(*Requests.find(Id), RetryStop::NoTime), Output);
+           retryStop(*Requests.find(Id), RetryStop::HostStops), Output);
 }
 
 std::optional<TimePoint> Dispatcher::nextWake() const {
--- a/packages/request/src/coltsfoottrail/dispatch/types.cpp
+++ b/packages/request/src/coltsfoottrail/dispatch/types.cpp
@@ -18,6 +18,8 @@
     return "queue-full";
   case RetryStop::Quarantined:
     return "quarantined";
+  case RetryStop::HostStops:
+    return "host-stops";
   case RetryStop::NoEndpoint:
     return "no-endpoint";
   }
--- a/packages/request/src/coltsfoottrail/dispatch/types.hpp
+++ b/packages/request/src/coltsfoottrail/dispatch/types.hpp
@@ -81,6 +81,8 @@
   /// The connection broke while the endpoint had the request, as happens when
   /// the request crashes the endpoint.
   bool ConnectionLost = false;
+  /// This host ended it, not the endpoint or the network.
+  bool EndedHere = false;
   /// The endpoint refused it and asked for a back-off.
   bool WantsBackoff = false;
   /// This host did not send it after all.
@@ -132,6 +134,8 @@
   /// Too many requests were waiting.
   QueueFull,
   Quarantined,
+  /// The host stops.
+  HostStops,
   /// The pool had no endpoint.
   NoEndpoint
 };
