Reproduce streams that are given up because their endpoint is silent

Callers lose streams, at hosts that stop and at others, although the endpoint goes on 1.5 s later. The streams are taken from it at once; then they wait for a retry of the budget, or are in their last run at a second silent endpoint, until a deadline that is set by the whole of their answer.

--- a/packages/request/test/coltsfoottrail/dispatch/dispatcher.cpp
+++ b/packages/request/test/coltsfoottrail/dispatch/dispatcher.cpp
@@ -384,6 +384,22 @@
   EXPECT_TRUE(Test.refusal(Begun));
 }
 
+// Guards against cutting a begun stream before its time because the whole of
+// its answer, most of which its caller has, could no longer be made.
+TEST(Dispatcher, DISABLED_BegunStreamWaitsUntilItsDeadline) {
+  DispatchHarness Test(fleetOptions());
+  Test.configure(testPool(1), 8);
+  for (int Count = 0; Count < 50; ++Count)
+    Test.answer(Test.submit(lookup(), seconds(8)), seconds(4));
+  const Ticket Id = Test.submit(lookup(), seconds(8));
+  Test.configure(testPool(1), 0);
+  Test.cutStream(Id);
+  Test.advanceTime(milliseconds(7'500));
+  EXPECT_FALSE(Test.refusal(Id));
+  Test.advanceTime(milliseconds(600));
+  EXPECT_TRUE(Test.refusal(Id));
+}
+
 // Guards against cutting a begun stream because other requests fill the place
 // for those that wait.
 TEST(Dispatcher, BegunStreamIsHeldBesideAFullQueue) {
