Leave a stream at its silent endpoint until another one continues it

What callers saw: around the SIGTERM of a host, and at hosts that do not stop, streams end in the middle with time left although their endpoint goes on a moment later.

A silent endpoint loses a quarter of the streams of a fleet in the same tenth of a second, and the retry budget allows a few of them; the others were held at no endpoint until they were cut. One that found a second silent endpoint had no run left to return.

Change: silence only interrupts the wait for an endpoint. A stream moves if the dispatcher has a retry and a slot for it at another endpoint at that moment, in time for its caller and for the last answers of a host that stops (Dispatcher::beginMove). The first attempt stays open until the other endpoint has sent an event (completeMove); if that refuses, breaks off or is silent, the stream goes on at the first one (abandonMove). The three limits on silence ask the same question, and ask again while the silence lasts. What has no response head yet is given up only if another endpoint has room.

Why it works: an attempt that may still end is ended by its endpoint, its deadline, or an event of its successor, and by nothing else.

Ruled out: no moves during a stop (a group whose member is lost stands still for seconds, and its callers leave); reading both attempts at once (more state for a gain of at most one wait).

--- a/packages/connection/src/coltsfoottrail/http/client.cpp
+++ b/packages/connection/src/coltsfoottrail/http/client.cpp
@@ -68,6 +68,17 @@
   [[nodiscard]] bool mayAbort() const {
     return Policy == nullptr || Policy->mayAbort();
   }
+  [[nodiscard]] bool isOverdue(TimePoint Now) const {
+    return Policy != nullptr && Policy->isOverdue(Now);
+  }
+  void interrupt() {
+    IsInterrupted = true;
+    Stream.cancel();
+  }
+  void end() {
+    HasEnded = true;
+    Stream.cancel();
+  }
 
   // Failure guarded against: the endpoint has closed the idle connection, or a
   // late response to an earlier request is buffered in it. Either makes the
@@ -91,6 +102,10 @@
   Duration MaxIdle{};
   /// The entry host that forwards it; empty if it is direct.
   std::optional<EngineAddress> Forwarder;
+  /// The pending wait was interrupted.
+  bool IsInterrupted = false;
+  /// No wait may begin any more.
+  bool HasEnded = false;
 
 private:
   std::weak_ptr<CallRegistry> Calls;
@@ -227,6 +242,10 @@
     co_return CallFailure{RunState::MayHaveRun, Reason::EndpointTimedOut, false,
                           false, true};
   while (!Call.Parser->is_done()) {
+    if (Call.Link->HasEnded)
+      co_return CallFailure{RunState::MayHaveRun, Reason::EndpointCut, false,
+                            false, true};
+    Call.Link->IsInterrupted = false;
     Call.Part.resize(MaxPartBytes);
     auto &Body = Call.Parser->get().body();
     Body.data = Call.Part.data();
@@ -244,10 +263,14 @@
       const bool TimedOut = Problem == beast::error::timeout;
       if (Owner && !isConnectionLost(Problem))
         Owner->recordSilence(Call.Endpoint, *Call.Link);
-      co_return CallFailure{
-          RunState::MayHaveRun,
-          TimedOut ? Reason::EndpointTimedOut : Reason::EndpointCut,
-          isConnectionLost(Problem), false, !isConnectionLost(Problem)};
+      co_return CallFailure{RunState::MayHaveRun,
+                            TimedOut ? Reason::EndpointTimedOut
+                                     : Reason::EndpointCut,
+                            isConnectionLost(Problem),
+                            false,
+                            !isConnectionLost(Problem),
+                            Problem == asio::error::operation_aborted &&
+                                Call.Link->IsInterrupted};
     }
     const std::size_t Bytes = Call.Part.size() - Body.size;
     if (Bytes > 0) {
@@ -281,15 +304,21 @@
   for (auto Entry = First; Entry != Last; ++Entry) {
     if (!Entry->second->mayAbort())
       continue;
-    Entry->second->Stream.cancel();
+    Entry->second->interrupt();
     ++Aborted;
   }
   return Aborted;
 }
 
+void HttpClient::abortOverdue(TimePoint Now) {
+  for (const auto &[Endpoint, Connection] : *Shared->Calls)
+    if (Connection->isOverdue(Now) && Connection->mayAbort())
+      Connection->interrupt();
+}
+
 void HttpClient::abortAll() {
   for (const auto &[Endpoint, Connection] : *Shared->Calls)
-    Connection->Stream.cancel();
+    Connection->end();
 }
 
 void HttpClient::closeIdle() {
--- a/packages/connection/src/coltsfoottrail/http/client.hpp
+++ b/packages/connection/src/coltsfoottrail/http/client.hpp
@@ -33,6 +33,9 @@
   bool Withheld = false;
   /// This host ended the call: it was aborted, or its deadline passed.
   bool EndedHere = false;
+  /// Only the wait has ended, by HttpClient::abort() or abortOverdue(): the
+  /// call goes on with the next wait.
+  bool Interrupted = false;
 };
 
 /// @brief Limits of a client.
@@ -79,8 +82,12 @@
   CallPolicy() = default;
   CallPolicy(const CallPolicy &) = delete;
   CallPolicy &operator=(const CallPolicy &) = delete;
-  /// @brief Whether HttpClient::abort() may end the call.
+  /// @brief Whether HttpClient::abort() and abortOverdue() may end the call.
   [[nodiscard]] virtual bool mayAbort() const = 0;
+  /// @brief Whether the endpoint has sent nothing for too long.
+  [[nodiscard]] virtual bool isOverdue(TimePoint /*Now*/) const {
+    return false;
+  }
   /// @brief Whether the request may still be written, now that a connection is
   /// open.
   [[nodiscard]] virtual bool maySend() const = 0;
@@ -173,10 +180,14 @@
   fetch(EngineAddress Endpoint, HttpRequest Request, TimePoint Deadline,
         ConnectionUse Use = {});
 
-  /// @brief Aborts the calls in progress to an address whose policy allows it;
-  /// each fails at its pending or next I/O operation.
-  /// @return Number of aborted calls.
+  /// @brief Aborts the calls in progress to an address whose policy allows it.
+  /// A call whose response has begun is only interrupted: see
+  /// CallFailure::Interrupted.
+  /// @return Number of these calls.
   std::size_t abort(const EngineAddress &Endpoint);
+  /// @brief Does the same for the calls that are overdue, to any address.
+  /// @param Now The time.
+  void abortOverdue(TimePoint Now);
 
   /// @brief Aborts all calls, whatever their policies say; their failure says
   /// that the request may have run.
--- a/packages/process/src/coltsfoottrail/fleethost/attempt.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/attempt.cpp
@@ -21,9 +21,9 @@
 /// step of an engine take about as long.
 constexpr Duration MinUsefulTime = milliseconds(10);
 /// A stream that is silent for the target gap times this factor, within the
-/// limits below, is resumed at another endpoint. The limit is several times the
-/// gap that counts as on time and well below two seconds, after which the
-/// platform's callers give up at the earliest.
+/// limits below, is resumed at another endpoint that has room for it. The limit
+/// is several times the gap that counts as on time and well below two seconds,
+/// after which the platform's callers give up at the earliest.
 constexpr int SilenceFactor = 2;
 constexpr Duration MinSilence = milliseconds(500);
 constexpr Duration MaxSilence = milliseconds(1500);
@@ -44,8 +44,9 @@
       : Watch(Silence), Name(Endpoint) {}
   StreamGuard(const StreamGuard &) = delete;
   StreamGuard &operator=(const StreamGuard &) = delete;
-  ~StreamGuard() {
-    if (Begun)
+  ~StreamGuard() { end(); }
+  void end() {
+    if (std::exchange(Begun, false))
       Watch.streamEnded(Name);
   }
   void heard() {
@@ -102,7 +103,7 @@
 }
 
 // Failure guarded against: an endpoint is quiet for a moment, and a stream that
-// no other endpoint may continue is cut although its endpoint would have
+// no other endpoint can continue is cut although its endpoint would have
 // completed it. Only attempts that can go on elsewhere are aborted.
 class CallerProxy::MovePolicy final : public CallPolicy {
 public:
@@ -110,9 +111,14 @@
              const EndpointAvailability &Availability)
       : Context(Context), Target(Target), Availability(Availability) {}
   [[nodiscard]] bool mayAbort() const override {
-    return mayMove(attemptProgress(Context)) &&
+    return !Context.Move && mayMove(attemptProgress(Context)) &&
            Context.RouterPlace != nullptr && Context.RouterPlace->mayResend();
   }
+  [[nodiscard]] bool isOverdue(TimePoint Now) const override {
+    return Now >= DueBy;
+  }
+  /// Sets when the endpoint must have sent something.
+  void setDue(TimePoint When) noexcept { DueBy = When; }
   [[nodiscard]] bool maySend() const override {
     return Availability.maySend(Target.Process, BootClock::now());
   }
@@ -121,6 +127,7 @@
   const RequestContext &Context;
   const EndpointSpec &Target;
   const EndpointAvailability &Availability;
+  TimePoint DueBy = TimePoint::max();
 };
 
 /// Counts a request in its pool's backlog from its send until its response
@@ -194,12 +201,12 @@
   HttpRequest Sent = Wire.forward(Call.request(), Marks);
   recordDistant(Context, DistantTraffic::RequestBody, Sent.Body.size());
   BacklogGuard QueuedGuard(Backlogs[Context.Pool], Context.isLate());
-  const bool HasRunLeft =
-      Context.Route->streams() && hasRunLeft(attemptProgress(Context));
   const TimePoint HeadDeadline =
-      HasRunLeft ? std::min(Context.Deadline, Start + MaxSilence)
-                 : Context.Deadline;
-  const MovePolicy Policy(Context, Target, Routing.availability());
+      Context.Move ? std::min(Context.Deadline, Start + MaxSilence)
+                   : Context.Deadline;
+  MovePolicy Policy(Context, Target, Routing.availability());
+  if (Context.Route->streams())
+    Policy.setDue(Start + MaxSilence);
   auto Started =
       co_await Client.start(Target.Address, std::move(Sent), HeadDeadline,
                             connectionUse(Context, Policy));
@@ -228,14 +235,15 @@
   if (AnswerHeaders.NotRun || AnswerHeaders.WrongEndpoint)
     co_return refusedAttempt(AnswerHeaders.asksForBackoff(), Start);
   const unsigned Status = UpstreamCall.head().Status;
-  const bool Broken =
-      isSuccess(Status) ? !AnswerHeaders.Signed : Call.hasBegun();
+  const bool Broken = isSuccess(Status)
+                          ? !AnswerHeaders.Signed
+                          : Call.hasBegun() || Context.Move.has_value();
   if (Broken)
     co_return failedAttempt(RunState::MayHaveRun, Reason::EndpointFailed,
                             Start);
   if (Context.Route->streams() && isSuccess(Status))
     co_return co_await relayStream(Call, Context, std::move(UpstreamCall),
-                                   Target, Start, QueuedGuard);
+                                   Target, Start, QueuedGuard, Policy);
   co_return co_await relayWhole(Call, Context, std::move(UpstreamCall), Target,
                                 Start);
 }
@@ -400,11 +408,63 @@
   co_return answeredAttempt(Start, FirstByte);
 }
 
+// Failure guarded against: a stream is taken from a silent endpoint, the other
+// one refuses it or is silent as well, and the stream ends although the first
+// endpoint goes on. The first attempt stays open, unread, until the other one
+// has an event for the caller.
+Awaitable<std::optional<AttemptResult>>
+CallerProxy::moveStream(Exchange &Call, RequestContext &Context,
+                        std::function<void()> LeaveFirst) {
+  const std::optional<Assignment> Place = Context.RouterPlace->beginMove();
+  if (!Place)
+    co_return std::nullopt;
+  Context.Trail.markNotable();
+  Context.Trail.add(Event::MoveBegan,
+                    {{"from", Context.Endpoint->Host},
+                     {"to", Place->Endpoint->Host},
+                     {"last_event", Context.Events.lastId()}},
+                    BootClock::now());
+  EventStreamBuffer Received = Context.Events;
+  const AwayReason FirstAway = std::exchange(Context.Away, Place->Away);
+  Context.Move = PendingMove{Place->Endpoint, std::move(LeaveFirst)};
+  ++Context.Runs;
+  const AttemptResult Result =
+      co_await attempt(Call, Context, *Place->Endpoint);
+  if (!Context.Move)
+    co_return Result;
+  Context.Move.reset();
+  Context.RouterPlace->abandonMove(Result);
+  ++Counts.AbandonedMoves;
+  Context.Trail.add(Event::MoveAbandoned,
+                    {{"endpoint", Place->Endpoint->Host},
+                     {"verdict", runStateCode(Result.State)},
+                     {"reason", reasonCode(Result.FailureReason)}},
+                    BootClock::now());
+  if (Result.State == RunState::NotRun)
+    --Context.Runs;
+  Context.Events = std::move(Received);
+  Context.Away = FirstAway;
+  co_return std::nullopt;
+}
+
+/// Makes the endpoint that has continued a stream the one that it is at.
+void CallerProxy::completeMove(RequestContext &Context) {
+  if (!Context.Move)
+    return;
+  const PendingMove Move =
+      std::move(*std::exchange(Context.Move, std::nullopt));
+  ++Counts.Moves;
+  Move.LeaveFirst();
+  Context.Endpoint = Move.To;
+  Context.RouterPlace->completeMove();
+}
+
 /// Sets in the result of a broken stream whether it can be resumed at another
 /// endpoint.
-void CallerProxy::markDelivered(const RequestContext &Context, bool HasRunLeft,
+void CallerProxy::markDelivered(const RequestContext &Context,
                                 AttemptResult &Result) {
-  const bool CanContinue = HasRunLeft && !Context.Events.lastId().empty();
+  const bool CanContinue =
+      hasRunLeft(attemptProgress(Context)) && !Context.Events.lastId().empty();
   Result.CallerSawBytes = Context.Events.hasReleased() && !CanContinue;
   Result.Resumable = Context.Events.hasReleased() && CanContinue;
 }
@@ -413,16 +473,16 @@
 // stream, and the caller takes the partial response for a complete one or waits
 // until it gives up. Only complete events are forwarded, and only those with
 // data are progress: bytes may come without end that complete none. A stream
-// that breaks, or makes no progress for several times the gap that counts as on
-// time, is resumed at
-// another endpoint after the last complete event. A stream that cannot be
+// that breaks is resumed at another endpoint after the last complete event, and
+// so is one that makes no progress for several times the gap that counts as on
+// time, once another endpoint has an event for it. A stream that cannot be
 // resumed is cut in a way that the caller can detect.
 Awaitable<AttemptResult>
 CallerProxy::relayStream(Exchange &Call, RequestContext &Context,
                          HttpCall UpstreamCall, const EndpointSpec &Target,
-                         TimePoint Start, BacklogGuard &QueuedGuard) {
+                         TimePoint Start, BacklogGuard &QueuedGuard,
+                         MovePolicy &Policy) {
   const TimePoint FirstByte = BootClock::now();
-  const bool HasRunLeft = hasRunLeft(attemptProgress(Context));
   StreamGuard Mark(Silence, Target.Host.Text);
   TimePoint ProgressAt = FirstByte;
   bool HasProgressed = false;
@@ -430,18 +490,30 @@
     // The time in which this host did not read is not the endpoint's.
     if (std::exchange(HasProgressed, false))
       ProgressAt = BootClock::now();
-    TimePoint ReadDeadline = Context.Deadline;
-    if (HasRunLeft)
-      ReadDeadline =
-          std::min(ReadDeadline, ProgressAt + silenceLimit(*Context.Route));
+    Policy.setDue(ProgressAt + silenceLimit(*Context.Route));
+    const TimePoint ReadDeadline =
+        Context.Move ? std::min(Context.Deadline, Start + MaxSilence)
+                     : Context.Deadline;
     auto Next = co_await UpstreamCall.next(ReadDeadline);
     if (const auto *const Failure = std::get_if<CallFailure>(&Next)) {
+      if (Failure->Interrupted) {
+        const std::optional<AttemptResult> Moved =
+            co_await moveStream(Call, Context, [&] {
+              UpstreamCall = HttpCall();
+              Mark.end();
+              QueuedGuard.begun();
+            });
+        if (Moved)
+          co_return *Moved;
+        ProgressAt = BootClock::now();
+        continue;
+      }
       AttemptResult Result = failedAttempt(*Failure, Start);
       const bool WentSilent = Failure->Why == Reason::EndpointTimedOut &&
                               BootClock::now() < Context.Deadline;
       if (WentSilent)
         Result.FailureReason = Reason::EndpointCut;
-      markDelivered(Context, HasRunLeft, Result);
+      markDelivered(Context, Result);
       co_return Result;
     }
     auto &Chunk = std::get<std::optional<std::string>>(Next);
@@ -453,11 +525,12 @@
       logUnbounded(Context, Target, Context.Events.pendingBytes(), "event");
       AttemptResult Result =
           failedAttempt(RunState::MayHaveRun, Reason::EndpointFailed, Start);
-      markDelivered(Context, HasRunLeft, Result);
+      markDelivered(Context, Result);
       co_return Result;
     }
     if (Events.empty())
       continue;
+    completeMove(Context);
     HasProgressed = true;
     Mark.heard();
     QueuedGuard.begun();
@@ -472,9 +545,10 @@
   if (!Context.Events.endsOnBoundary()) {
     AttemptResult Result =
         failedAttempt(RunState::MayHaveRun, Reason::EndpointCut, Start);
-    markDelivered(Context, HasRunLeft, Result);
+    markDelivered(Context, Result);
     co_return Result;
   }
+  completeMove(Context);
   if (!Call.hasBegun()) {
     HttpResponse Head = Wire.responseHead(UpstreamCall.head());
     co_await Call.begin(std::move(Head));
--- a/packages/process/src/coltsfoottrail/fleethost/callerproxy.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/callerproxy.cpp
@@ -363,9 +363,10 @@
         RouterPlace.emplace(std::move(*DemotedPlace));
       continue;
     }
-    const auto Target = std::get<Assignment>(Next).Endpoint;
+    Context.Endpoint = std::get<Assignment>(Next).Endpoint;
     Context.Away = std::get<Assignment>(Next).Away;
     Context.RouterPlace = &*RouterPlace;
+    const auto Target = Context.Endpoint;
     AttemptResult Result = co_await attempt(Call, Context, *Target);
     if (Result.State != RunState::NotRun)
       ++Context.Runs;
@@ -378,7 +379,7 @@
       co_return;
     }
     if (!Result.Withheld)
-      logFailure(Context, *Target, Result);
+      logFailure(Context, *Context.Endpoint, Result);
   }
   const Verdict NoEndpointVerdict{RunState::NotRun, Reason::NoEndpoint,
                                   ElsewhereRetryAfter};
--- a/packages/process/src/coltsfoottrail/fleethost/callerproxy.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/callerproxy.hpp
@@ -40,6 +40,10 @@
   std::uint64_t FailedMayHaveRun = 0;
   std::uint64_t Sends = 0;
   std::uint64_t Resumed = 0;
+  /// Streams that another endpoint has continued in place of a silent one, and
+  /// those that it has not.
+  std::uint64_t Moves = 0;
+  std::uint64_t AbandonedMoves = 0;
   std::uint64_t CutStreams = 0;
   /// Streams cut although their callers still had time, by what ended their
   /// retries.
@@ -136,6 +140,12 @@
   }
 
 private:
+  /// A stream that has been sent to another endpoint and has no event from it.
+  struct PendingMove {
+    std::shared_ptr<const EndpointSpec> To;
+    /// Gives up the attempt at the silent endpoint.
+    std::function<void()> LeaveFirst;
+  };
   /// State of one request.
   struct RequestContext {
     RequestMetadata Caller;
@@ -179,6 +189,10 @@
     /// The request's place in the router, queued or running; null while it has
     /// none.
     DispatchHandle *RouterPlace = nullptr;
+    /// Endpoint of the attempt in progress.
+    std::shared_ptr<const EndpointSpec> Endpoint;
+    /// The endpoint that is to continue the stream, while that is open.
+    std::optional<PendingMove> Move;
     bool Ended = false;
   };
 
@@ -211,7 +225,7 @@
   attemptProgress(const RequestContext &Context);
   [[nodiscard]] static bool mayDemote(const RequestContext &Context,
                                       const Verdict &Final);
-  static void markDelivered(const RequestContext &Context, bool HasRunLeft,
+  static void markDelivered(const RequestContext &Context,
                             AttemptResult &Result);
   void logRetryEnd(RequestContext &Context, const RefusalDetails &Basis);
   [[nodiscard]] Awaitable<void> route(Exchange &Call, RequestContext &Context);
@@ -225,7 +239,11 @@
   [[nodiscard]] Awaitable<AttemptResult>
   relayStream(Exchange &Call, RequestContext &Context, HttpCall UpstreamCall,
               const EndpointSpec &Target, TimePoint Start,
-              BacklogGuard &QueuedGuard);
+              BacklogGuard &QueuedGuard, MovePolicy &Policy);
+  [[nodiscard]] Awaitable<std::optional<AttemptResult>>
+  moveStream(Exchange &Call, RequestContext &Context,
+             std::function<void()> LeaveFirst);
+  void completeMove(RequestContext &Context);
   [[nodiscard]] Awaitable<void> finish(Exchange &Call, RequestContext &Context,
                                        Verdict Final);
   [[nodiscard]] HttpResponse refusal(const RequestContext &Context,
--- a/packages/process/src/coltsfoottrail/fleethost/host.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/host.cpp
@@ -463,6 +463,7 @@
     const std::size_t Moved = Client.abort(Address);
     logEvent(Event::EndpointSilent, {{"endpoint", Name}, {"moved", Moved}});
   }
+  Client.abortOverdue(Now);
   std::erase_if(SilencedAt, [&](const auto &Entry) {
     return Now - Entry.second > FleetView::SilentSuspension;
   });
@@ -518,7 +519,9 @@
   while (true) {
     const TimePoint Start = BootClock::now();
     Silence.recordOwnPause(Start - Due, Start);
-    suspendSilent(Start);
+    // What arrived during the pause is read before the next tick.
+    if (Start - Due < StallDetector::MinOwnPause)
+      suspendSilent(Start);
     trackReach(BootClock::now());
     endFastReads(BootClock::now());
     View.advance(BootClock::now());
@@ -576,6 +579,8 @@
   AppendLine("failed_may_have_run_total", Counts.FailedMayHaveRun);
   AppendLine("sends_total", Counts.Sends);
   AppendLine("streams_resumed_total", Counts.Resumed);
+  AppendLine("streams_moved_total", Counts.Moves);
+  AppendLine("streams_not_moved_total", Counts.AbandonedMoves);
   AppendLine("streams_cut_total", Counts.CutStreams);
   for (const auto &[Stop, Count] : Counts.CutInTime)
     AppendLine("streams_cut_in_time_total{why=\"" +
--- a/packages/process/src/coltsfoottrail/logging/event.cpp
+++ b/packages/process/src/coltsfoottrail/logging/event.cpp
@@ -116,6 +116,12 @@
     {Event::RequestCut, LogLevel::Warn, "request-cut",
      "This host closed the connection of a request before its answer was "
      "whole."},
+    {Event::MoveBegan, LogLevel::Info, "move-began",
+     "The endpoint of a stream is silent, and another one is asked to continue "
+     "it."},
+    {Event::MoveAbandoned, LogLevel::Info, "move-abandoned",
+     "Another endpoint has not continued a stream, which stays at its first "
+     "one."},
     {Event::EndpointLost, LogLevel::Warn, "endpoint-lost",
      "An endpoint takes no more work from this host."},
     {Event::EndpointBack, LogLevel::Info, "endpoint-back",
--- a/packages/process/src/coltsfoottrail/logging/event.hpp
+++ b/packages/process/src/coltsfoottrail/logging/event.hpp
@@ -65,6 +65,8 @@
   SentUnwanted = 1327,
   SendWithheld = 1328,
   RequestCut = 1329,
+  MoveBegan = 1330,
+  MoveAbandoned = 1331,
   EndpointLost = 1401,
   EndpointBack = 1402,
   EndpointCold = 1403,
--- a/packages/process/src/coltsfoottrail/server/router.cpp
+++ b/packages/process/src/coltsfoottrail/server/router.cpp
@@ -197,12 +197,46 @@
                                                BootClock::now());
 }
 
-bool DispatchHandle::mayResend() const {
+bool DispatchHandle::mayResend() {
   const std::lock_guard Hold(PoolShard->Lock);
   return PoolShard->PoolDispatcher.mayResend(OwnWaiter->RequestTicket,
                                              BootClock::now());
 }
 
+std::optional<Assignment> DispatchHandle::beginMove() {
+  const std::lock_guard Hold(PoolShard->Lock);
+  const std::optional<SendCommand> Send = PoolShard->PoolDispatcher.beginMove(
+      OwnWaiter->RequestTicket, BootClock::now());
+  if (!Send)
+    return std::nullopt;
+  return std::get<Assignment>(PoolShard->decisionOf(*Send));
+}
+
+void DispatchHandle::completeMove() {
+  apply([this](Dispatcher &Pool, Commands &Issued) {
+    Pool.completeMove(OwnWaiter->RequestTicket, BootClock::now(), Issued);
+  });
+}
+
+void DispatchHandle::abandonMove(const AttemptResult &Result) {
+  apply([&](Dispatcher &Pool, Commands &Issued) {
+    Pool.abandonMove(OwnWaiter->RequestTicket, Result, BootClock::now(),
+                     Issued);
+  });
+}
+
+void DispatchHandle::apply(
+    const std::function<void(Dispatcher &, Commands &)> &Change) {
+  Shard::Deliveries Decisions;
+  {
+    const std::lock_guard Hold(PoolShard->Lock);
+    Commands Issued;
+    Change(PoolShard->PoolDispatcher, Issued);
+    Decisions = PoolShard->translate(Issued);
+  }
+  Shard::deliver(std::move(Decisions), OwnWaiter.get());
+}
+
 void DispatchHandle::report(const AttemptResult &Result) {
   Shard::Deliveries Decisions;
   {
--- a/packages/process/src/coltsfoottrail/server/router.hpp
+++ b/packages/process/src/coltsfoottrail/server/router.hpp
@@ -62,9 +62,17 @@
   /// @brief Reports that the response of the attempt has begun or goes on.
   void responseProgressed();
 
-  /// @brief Whether the request could start at another endpoint in time if its
-  /// attempt were given up now.
-  [[nodiscard]] bool mayResend() const;
+  /// @copybrief Dispatcher::mayResend
+  [[nodiscard]] bool mayResend();
+  /// @copybrief Dispatcher::beginMove
+  /// @return Where to send the request as well; nothing if no other endpoint
+  /// can take it now.
+  [[nodiscard]] std::optional<Assignment> beginMove();
+  /// @copybrief Dispatcher::completeMove
+  void completeMove();
+  /// @copybrief Dispatcher::abandonMove
+  /// @param Result How the attempt at the other endpoint ended.
+  void abandonMove(const AttemptResult &Result);
 
   /// @brief Reports the result of an attempt; unless it was answered, next()
   /// returns what to do next.
@@ -78,6 +86,9 @@
 
   DispatchHandle(std::shared_ptr<Shard> Where, std::shared_ptr<Waiter> Who);
 
+  /// Changes the dispatcher and delivers what it decides on other requests.
+  void apply(const std::function<void(Dispatcher &, Commands &)> &Change);
+
   std::shared_ptr<Shard> PoolShard;
   std::shared_ptr<Waiter> OwnWaiter;
 };
--- a/packages/request/src/coltsfoottrail/choice/chooser.cpp
+++ b/packages/request/src/coltsfoottrail/choice/chooser.cpp
@@ -4,6 +4,7 @@
 #include "coltsfoottrail/core/hash.hpp"
 
 #include <algorithm>
+#include <array>
 #include <unordered_map>
 #include <utility>
 
@@ -91,6 +92,15 @@
          !Table.listed(Listing::Probe).empty();
 }
 
+bool Chooser::hasRoomBeside(CandidateId Id) const noexcept {
+  return std::ranges::any_of(
+      std::array{Listing::Near, Listing::Far, Listing::Probe},
+      [&](Listing List) {
+        const std::span<const CandidateId> Open = Table.listed(List);
+        return Open.size() > 1 || (!Open.empty() && Open.front() != Id);
+      });
+}
+
 // A limited endpoint uses as many slots as its rate keeps busy.
 Throughput Chooser::throughput() const noexcept {
   double Slots = static_cast<double>(Table.slots());
--- a/packages/request/src/coltsfoottrail/choice/chooser.hpp
+++ b/packages/request/src/coltsfoottrail/choice/chooser.hpp
@@ -184,6 +184,8 @@
 
   /// @brief Whether any endpoint has a free slot.
   [[nodiscard]] bool hasRoom() const noexcept;
+  /// @brief Whether another endpoint than one of the pool has a free slot.
+  [[nodiscard]] bool hasRoomBeside(CandidateId Id) const noexcept;
   /// @brief Whether this entry host has a share of any endpoint, including
   /// those that are ejected or back off.
   [[nodiscard]] bool usable() const noexcept {
--- a/packages/request/src/coltsfoottrail/dispatch/dispatcher.cpp
+++ b/packages/request/src/coltsfoottrail/dispatch/dispatcher.cpp
@@ -728,16 +728,111 @@
   return Counted < Options.Retries.MaxAttempts;
 }
 
-bool Dispatcher::mayResend(Ticket Id, TimePoint Now) const {
+// Failure guarded against: an endpoint that is silent for a moment loses its
+// streams to endpoints that cannot take them, and their callers lose answers
+// that it would have completed.
+bool Dispatcher::mayResend(Ticket Id, TimePoint Now) {
   const RequestState *const Request = Requests.find(Id);
-  if (Request == nullptr || !hasAttemptLeft(*Request))
+  if (Request == nullptr || !Request->SentTo || Request->Move ||
+      !hasAttemptLeft(*Request) || Stage == StopStage::NoSending)
     return false;
-  const TimePoint Latest = latestStart(Request->Item, Options.RetryMargin);
-  const TimePoint Earliest = Choice.earliestPermit().value_or(Now);
-  return std::max(Now, Earliest) < Latest && Choice.usable() &&
+  const TimePoint End = std::min(Request->Item.Deadline, LastAnswerAt);
+  const TimePoint Latest = latestStart(Request->Item, Options.RetryMargin) -
+                           (Request->Item.Deadline - End);
+  return Now < Latest && !Choice.earliestPermit() &&
+         Choice.hasRoomBeside(*Request->SentTo) &&
+         Budget.hasToken(
+             retryPrecedence(Request->ResponseStartedAt.has_value()), Now) &&
          !quarantineRefusal(Request->Item, Now);
 }
 
+Dispatcher::SentAttempt Dispatcher::RequestState::takeAttempt() {
+  return {*std::exchange(SentTo, std::nullopt),
+          SentAt,
+          SentRun,
+          Hinted,
+          std::exchange(ResponseStartedAt, std::nullopt),
+          std::exchange(IsSound, false)};
+}
+
+void Dispatcher::RequestState::setAttempt(const SentAttempt &Attempt) {
+  SentTo = Attempt.Endpoint;
+  SentAt = Attempt.At;
+  SentRun = Attempt.Run;
+  Hinted = Attempt.Hinted;
+  ResponseStartedAt = Attempt.ResponseStartedAt;
+  IsSound = Attempt.IsSound;
+}
+
+std::optional<SendCommand> Dispatcher::beginMove(Ticket Id, TimePoint Now) {
+  if (!mayResend(Id, Now))
+    return std::nullopt;
+  RequestState &Request = *Requests.find(Id);
+  ChoiceQuery Query = choiceQuery(Request, Now);
+  Query.Avoid = Request.SentTo;
+  Query.CachedOnly = false;
+  const std::optional<CandidateId> Target = Choice.choose(Query, Now);
+  if (!Target || Target == Request.SentTo)
+    return std::nullopt;
+  const Candidate &Chosen = *Choice.candidate(*Target);
+  if (!Budget.take(Chosen.DataCentre,
+                   retryPrecedence(Request.ResponseStartedAt.has_value()), Now))
+    return std::nullopt;
+  CrashHistory.parts().recordSend(Request.Item.SharedParts,
+                                  hashText(Request.Item.Team.Text), Now);
+  ++Request.Attempts;
+  ++Counts.Resends;
+  const AwayReason Away = Choice.away();
+  Request.Move.emplace();
+  Request.Move->Endpoint = *Target;
+  Request.Move->At = Now;
+  Request.Move->Run = Chosen.Run;
+  Request.Move->Hinted = Choice.sent(*Target, Query, Now);
+  updateQueueSlots();
+  return SendCommand{Id, Chosen.Spec.Key, Away};
+}
+
+void Dispatcher::completeMove(Ticket Id, TimePoint Now, Commands &Output) {
+  RequestState *const Request = Requests.find(Id);
+  if (Request == nullptr || !Request->Move)
+    return;
+  const CandidateId Left = *Request->SentTo;
+  AttemptResult Result;
+  Result.State = RunState::MayHaveRun;
+  Result.FailureReason = Reason::EndpointCut;
+  endAttempt(*Request, Result, Now);
+  Request->State = laterRunState(Request->State, Result.State);
+  Request->LastFailureReason = Result.FailureReason;
+  Request->LastFailureTime = Now;
+  Request->setAttempt(*std::exchange(Request->Move, std::nullopt));
+  sendCacheWaiters(Left, Now, Output);
+  pump(Now, Output);
+}
+
+void Dispatcher::abandonMove(Ticket Id, const AttemptResult &Result,
+                             TimePoint Now, Commands &Output) {
+  RequestState *const Request = Requests.find(Id);
+  if (Request == nullptr || !Request->Move)
+    return;
+  const SentAttempt Remaining = Request->takeAttempt();
+  Request->setAttempt(*std::exchange(Request->Move, std::nullopt));
+  const CandidateId Left = *Request->SentTo;
+  if (Result.Withheld) {
+    --Request->Attempts;
+    --Counts.Resends;
+    Budget.refund(Choice.candidate(Left)->DataCentre);
+  } else {
+    recordCrashEvidence(*Request, Result, Now);
+    Request->NotRunAttempts += Result.State == RunState::NotRun ? 1U : 0U;
+    Request->DeferredAttempts += Result.WantsBackoff ? 1U : 0U;
+  }
+  Request->State = laterRunState(Request->State, Result.State);
+  endAttempt(*Request, Result, Now);
+  Request->setAttempt(Remaining);
+  sendCacheWaiters(Left, Now, Output);
+  pump(Now, Output);
+}
+
 // Failure guarded against: thousands of requests fail at once and are held with
 // their bodies in memory, in addition to a queue that is already full. A stream
 // that its caller has part of can only be held or cut.
@@ -807,9 +902,12 @@
   RequestState *const Removed = Requests.find(Id);
   if (Removed == nullptr)
     return;
-  if (Removed->SentTo) {
-    AttemptResult Result;
-    Result.FailureReason = Reason::Cancelled;
+  AttemptResult Result;
+  Result.FailureReason = Reason::Cancelled;
+  if (Removed->SentTo)
+    endAttempt(*Removed, Result, Now);
+  if (Removed->Move) {
+    Removed->setAttempt(*std::exchange(Removed->Move, std::nullopt));
     endAttempt(*Removed, Result, Now);
   }
   Queue.remove(Id);
--- a/packages/request/src/coltsfoottrail/dispatch/dispatcher.hpp
+++ b/packages/request/src/coltsfoottrail/dispatch/dispatcher.hpp
@@ -165,11 +165,34 @@
   void attemptEnded(Ticket Id, const AttemptResult &Result, TimePoint Now,
                     Commands &Output);
 
-  /// @brief Whether a request could start at another endpoint in time if its
-  /// current attempt were given up.
-  /// @param Id The request; its current endpoint has no share.
+  /// @brief Whether a request would find a retry and a slot at another endpoint
+  /// now, in time for its caller and for the end of this host.
+  /// @param Id The request, whose attempt is in progress.
   /// @param Now The time.
-  [[nodiscard]] bool mayResend(Ticket Id, TimePoint Now) const;
+  [[nodiscard]] bool mayResend(Ticket Id, TimePoint Now);
+
+  /// @brief Takes a retry and a slot at another endpoint for a request whose
+  /// endpoint is silent. The attempt in progress goes on; one of
+  /// completeMove(), abandonMove() and cancel() must follow.
+  /// @param Id The request, whose attempt is in progress.
+  /// @param Now The time.
+  /// @return Where to send it as well; nothing if no other endpoint can take it
+  /// now.
+  [[nodiscard]] std::optional<SendCommand> beginMove(Ticket Id, TimePoint Now);
+  /// @brief Records that the other endpoint of beginMove() answers: its attempt
+  /// is the one in progress from now on.
+  /// @param Id The request.
+  /// @param Now The time.
+  /// @param Output Receives commands for other requests.
+  void completeMove(Ticket Id, TimePoint Now, Commands &Output);
+  /// @brief Records that the other endpoint of beginMove() has not answered;
+  /// the first attempt remains the one in progress.
+  /// @param Id The request.
+  /// @param Result How the attempt at the other endpoint ended.
+  /// @param Now The time.
+  /// @param Output Receives commands for other requests.
+  void abandonMove(Ticket Id, const AttemptResult &Result, TimePoint Now,
+                   Commands &Output);
 
   /// @brief Removes a request whose caller has left, in whichever state it is.
   /// @param Id The request.
@@ -271,6 +294,18 @@
   }
 
 private:
+  /// An attempt in progress.
+  struct SentAttempt {
+    CandidateId Endpoint;
+    TimePoint At;
+    Incarnation Run = 0;
+    /// Sent to an endpoint that was believed to have cached its prefix.
+    bool Hinted = false;
+    /// When the response started, if it has.
+    std::optional<TimePoint> ResponseStartedAt;
+    /// It has shown that its prompt crashes nothing.
+    bool IsSound = false;
+  };
   struct RequestState {
     WorkItem Item;
     TeamId Team;
@@ -311,6 +346,12 @@
     std::optional<CandidateId> LastFailedEndpoint;
     TimePoint SentAt;
     Incarnation SentRun = 0;
+    /// The attempt at another endpoint that is to take over.
+    std::optional<SentAttempt> Move;
+
+    /// Returns the attempt in progress, and leaves none.
+    [[nodiscard]] SentAttempt takeAttempt();
+    void setAttempt(const SentAttempt &Attempt);
   };
   enum class PlaceResult : std::uint8_t { Handled, HeldAside, NoSlot };
 
--- /dev/null
+++ b/packages/request/test/coltsfoottrail/dispatch/moves.cpp
@@ -0,0 +1,122 @@
+// Streams that another endpoint is asked to continue while theirs is silent.
+#include "harness.hpp"
+
+#include <gtest/gtest.h>
+
+namespace coltsfoottrail {
+namespace {
+
+class Moves : public testing::Test {
+protected:
+  void configure(std::uint32_t Endpoints, std::uint32_t Share) {
+    Harness.configure(testPool(Endpoints), Share);
+  }
+  [[nodiscard]] Ticket openStream(Duration Timeout = seconds(8)) {
+    WorkItem Item = DispatchHarness::item();
+    Item.Repeatable = true;
+    const Ticket Id = Harness.submit(Item, Timeout);
+    Harness.Scheduler.responseProgressed(Id, Harness.Now);
+    return Id;
+  }
+  [[nodiscard]] std::optional<SendCommand> beginMove(Ticket Id) {
+    return Harness.Scheduler.beginMove(Id, Harness.Now);
+  }
+  void completeMove(Ticket Id) {
+    Harness.Scheduler.completeMove(Id, Harness.Now, Harness.Output);
+    Harness.processCommands();
+  }
+  void abandonMove(Ticket Id, RunState State) {
+    AttemptResult Result;
+    Result.State = State;
+    Result.FailureReason = Reason::EndpointRefused;
+    Harness.Scheduler.abandonMove(Id, Result, Harness.Now, Harness.Output);
+    Harness.processCommands();
+  }
+  DispatchHarness Harness{DispatchHarness::savedRetries()};
+};
+
+// Guards against a stream that is taken from the only endpoint with room.
+TEST_F(Moves, NeedAnotherEndpointWithRoom) {
+  configure(1, 8);
+  const Ticket Only = openStream();
+  EXPECT_FALSE(Harness.Scheduler.mayResend(Only, Harness.Now));
+  EXPECT_FALSE(beginMove(Only));
+  configure(2, 1);
+  const Ticket Second = openStream();
+  EXPECT_NE(Harness.endpointOf(Second), Harness.endpointOf(Only));
+  EXPECT_FALSE(beginMove(Second));
+}
+
+// Guards against a stream that is given up and then waits for a retry.
+TEST_F(Moves, NeedARetry) {
+  configure(2, 100);
+  std::vector<Ticket> Streams;
+  for (int Count = 0; Count < 50; ++Count)
+    Streams.push_back(openStream());
+  std::size_t Moved = 0;
+  for (const Ticket Id : Streams)
+    Moved += beginMove(Id) ? 1U : 0U;
+  EXPECT_GT(Moved, 0U);
+  EXPECT_LT(Moved, Streams.size());
+  for (const Ticket Id : Streams)
+    EXPECT_FALSE(Harness.refusal(Id));
+}
+
+// Guards against a stream that ends because the other endpoint refuses it.
+TEST_F(Moves, AbandonedOneLeavesTheFirstAttempt) {
+  configure(2, 1);
+  const Ticket Id = openStream();
+  const std::string First = Harness.endpointOf(Id);
+  const std::optional<SendCommand> Other = beginMove(Id);
+  ASSERT_TRUE(Other);
+  EXPECT_NE(Other->EndpointKey, First);
+  EXPECT_FALSE(beginMove(Id));
+  abandonMove(Id, RunState::NotRun);
+  EXPECT_FALSE(Harness.refusal(Id));
+  EXPECT_EQ(Harness.endpointOf(openStream()), Other->EndpointKey);
+  Harness.answer(Id);
+  EXPECT_EQ(Harness.endpointOf(openStream()), First);
+}
+
+// Guards against a slot that stays taken at the endpoint that was left.
+TEST_F(Moves, CompletedOneFreesTheFirstEndpoint) {
+  configure(2, 1);
+  const Ticket Id = openStream();
+  const std::string First = Harness.endpointOf(Id);
+  const std::optional<SendCommand> Other = beginMove(Id);
+  ASSERT_TRUE(Other);
+  completeMove(Id);
+  EXPECT_EQ(Harness.endpointOf(openStream()), First);
+  Harness.answer(Id);
+  EXPECT_EQ(Harness.endpointOf(openStream()), Other->EndpointKey);
+}
+
+// Guards against slots that stay taken once the caller has left.
+TEST_F(Moves, CancelledOneFreesBothEndpoints) {
+  configure(2, 1);
+  const Ticket Id = openStream();
+  ASSERT_TRUE(beginMove(Id));
+  Harness.Scheduler.cancel(Id, Harness.Now, Harness.Output);
+  EXPECT_NE(Harness.endpointOf(openStream()), "");
+  EXPECT_NE(Harness.endpointOf(openStream()), "");
+}
+
+// Guards against a stream that a stopping host sends to another endpoint too
+// late for its end.
+TEST_F(Moves, MustEndBeforeTheHost) {
+  configure(2, 8);
+  for (int Count = 0; Count < 50; ++Count)
+    Harness.answer(Harness.submit(DispatchHarness::item()), seconds(4));
+  const Ticket Id = openStream();
+  Harness.Scheduler.announceStop(Harness.Now + seconds(3), Harness.Now,
+                                 Harness.Output);
+  EXPECT_TRUE(Harness.Scheduler.mayResend(Id, Harness.Now));
+  Harness.advanceTime(milliseconds(1'500));
+  EXPECT_FALSE(beginMove(Id));
+  Harness.Scheduler.stop(StopStage::NoSending, Harness.Now, Harness.Output);
+  EXPECT_FALSE(beginMove(Id));
+  Harness.answer(Id);
+}
+
+} // namespace
+} // namespace coltsfoottrail
