Give up what has not begun as before, and put waiting streams first

Cause: requests without any event stayed at silent endpoints until their deadline when there was no retry for them. Their callers can be refused, and come back with a new request, which costs no retry. And streams that wait at a silent endpoint were not counted as waiting for a retry, so that requests that had not begun took each one as it was earned.

Change: the limits on silence give up what has not begun, as before the moves, except what a stopping host could not send again. Begun streams at a silent endpoint count as waiting for the budget until they have a retry or the endpoint goes on.

--- a/packages/process/src/coltsfoottrail/fleethost/attempt.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/attempt.cpp
@@ -104,15 +104,20 @@
 
 // Failure guarded against: an endpoint is quiet for a moment, and a stream that
 // no other endpoint can continue is cut although its endpoint would have
-// completed it. Only attempts that can go on elsewhere are aborted.
+// completed it. Only attempts that can go on elsewhere are aborted. What has
+// not begun may still be refused, and its caller comes back; it waits for no
+// retry.
 class CallerProxy::MovePolicy final : public CallPolicy {
 public:
   MovePolicy(const RequestContext &Context, const EndpointSpec &Target,
              const EndpointAvailability &Availability)
       : Context(Context), Target(Target), Availability(Availability) {}
   [[nodiscard]] bool mayAbort() const override {
-    return !Context.Move && mayMove(attemptProgress(Context)) &&
-           Context.RouterPlace != nullptr && Context.RouterPlace->mayResend();
+    if (Context.Move || Context.RouterPlace == nullptr ||
+        !mayMove(attemptProgress(Context)))
+      return false;
+    return Context.Events.hasReleased() ? Context.RouterPlace->mayBeginMove()
+                                        : Context.RouterPlace->mayResend();
   }
   [[nodiscard]] bool isOverdue(TimePoint Now) const override {
     return Now >= DueBy;
@@ -201,11 +206,14 @@
   HttpRequest Sent = Wire.forward(Call.request(), Marks);
   recordDistant(Context, DistantTraffic::RequestBody, Sent.Body.size());
   BacklogGuard QueuedGuard(Backlogs[Context.Pool], Context.isLate());
+  const bool IsLimited = Context.Move || (Context.Route->streams() &&
+                                          !Context.Events.hasReleased() &&
+                                          hasRunLeft(attemptProgress(Context)));
   const TimePoint HeadDeadline =
-      Context.Move ? std::min(Context.Deadline, Start + MaxSilence)
-                   : Context.Deadline;
+      IsLimited ? std::min(Context.Deadline, Start + MaxSilence)
+                : Context.Deadline;
   MovePolicy Policy(Context, Target, Routing.availability());
-  if (Context.Route->streams())
+  if (Context.Events.hasReleased())
     Policy.setDue(Start + MaxSilence);
   auto Started =
       co_await Client.start(Target.Address, std::move(Sent), HeadDeadline,
@@ -235,9 +243,8 @@
   if (AnswerHeaders.NotRun || AnswerHeaders.WrongEndpoint)
     co_return refusedAttempt(AnswerHeaders.asksForBackoff(), Start);
   const unsigned Status = UpstreamCall.head().Status;
-  const bool Broken = isSuccess(Status)
-                          ? !AnswerHeaders.Signed
-                          : Call.hasBegun() || Context.Move.has_value();
+  const bool Broken =
+      isSuccess(Status) ? !AnswerHeaders.Signed : Call.hasBegun();
   if (Broken)
     co_return failedAttempt(RunState::MayHaveRun, Reason::EndpointFailed,
                             Start);
@@ -490,19 +497,23 @@
     // The time in which this host did not read is not the endpoint's.
     if (std::exchange(HasProgressed, false))
       ProgressAt = BootClock::now();
-    Policy.setDue(ProgressAt + silenceLimit(*Context.Route));
-    const TimePoint ReadDeadline =
-        Context.Move ? std::min(Context.Deadline, Start + MaxSilence)
-                     : Context.Deadline;
+    const TimePoint SilentAt = ProgressAt + silenceLimit(*Context.Route);
+    TimePoint ReadDeadline = Context.Deadline;
+    if (Context.Move)
+      ReadDeadline = std::min(ReadDeadline, Start + MaxSilence);
+    else if (Context.Events.hasReleased())
+      Policy.setDue(SilentAt);
+    else if (hasRunLeft(attemptProgress(Context)))
+      ReadDeadline = std::min(ReadDeadline, SilentAt);
     auto Next = co_await UpstreamCall.next(ReadDeadline);
     if (const auto *const Failure = std::get_if<CallFailure>(&Next)) {
-      if (Failure->Interrupted) {
+      if (Failure->Interrupted && Context.Events.hasReleased()) {
+        const std::function<void()> LeaveFirst = [&] {
+          UpstreamCall = HttpCall();
+          Mark.end();
+        };
         const std::optional<AttemptResult> Moved =
-            co_await moveStream(Call, Context, [&] {
-              UpstreamCall = HttpCall();
-              Mark.end();
-              QueuedGuard.begun();
-            });
+            co_await moveStream(Call, Context, LeaveFirst);
         if (Moved)
           co_return *Moved;
         ProgressAt = BootClock::now();
--- a/packages/process/src/coltsfoottrail/server/router.cpp
+++ b/packages/process/src/coltsfoottrail/server/router.cpp
@@ -197,12 +197,18 @@
                                                BootClock::now());
 }
 
-bool DispatchHandle::mayResend() {
+bool DispatchHandle::mayResend() const {
   const std::lock_guard Hold(PoolShard->Lock);
   return PoolShard->PoolDispatcher.mayResend(OwnWaiter->RequestTicket,
                                              BootClock::now());
 }
 
+bool DispatchHandle::mayBeginMove() {
+  const std::lock_guard Hold(PoolShard->Lock);
+  return PoolShard->PoolDispatcher.mayBeginMove(OwnWaiter->RequestTicket,
+                                                BootClock::now());
+}
+
 std::optional<Assignment> DispatchHandle::beginMove() {
   const std::lock_guard Hold(PoolShard->Lock);
   const std::optional<SendCommand> Send = PoolShard->PoolDispatcher.beginMove(
--- a/packages/process/src/coltsfoottrail/server/router.hpp
+++ b/packages/process/src/coltsfoottrail/server/router.hpp
@@ -62,8 +62,11 @@
   /// @brief Reports that the response of the attempt has begun or goes on.
   void responseProgressed();
 
-  /// @copybrief Dispatcher::mayResend
-  [[nodiscard]] bool mayResend();
+  /// @brief Whether the request could start at another endpoint in time if its
+  /// attempt were given up now.
+  [[nodiscard]] bool mayResend() const;
+  /// @copybrief Dispatcher::mayBeginMove
+  [[nodiscard]] bool mayBeginMove();
   /// @copybrief Dispatcher::beginMove
   /// @return Where to send the request as well; nothing if no other endpoint
   /// can take it now.
--- a/packages/request/src/coltsfoottrail/dispatch/dispatcher.cpp
+++ b/packages/request/src/coltsfoottrail/dispatch/dispatcher.cpp
@@ -555,6 +555,7 @@
   RequestState *const Request = Requests.find(Id);
   if (Request == nullptr || !Request->SentTo)
     return;
+  endTokenWait(*Request);
   if (Request->ResponseStartedAt) {
     if (!hasJustBegun(*Request, Now))
       recordSound(*Request, Now);
@@ -732,11 +733,22 @@
   return Counted < Options.Retries.MaxAttempts;
 }
 
+bool Dispatcher::mayResend(Ticket Id, TimePoint Now) const {
+  const RequestState *const Request = Requests.find(Id);
+  if (Request == nullptr || !hasAttemptLeft(*Request) ||
+      Stage == StopStage::NoSending || endsAfterStop(*Request, Now))
+    return false;
+  const TimePoint Latest = latestStart(Request->Item, Options.RetryMargin);
+  const TimePoint Earliest = Choice.earliestPermit().value_or(Now);
+  return std::max(Now, Earliest) < Latest && Choice.usable() &&
+         !quarantineRefusal(Request->Item, Now);
+}
+
 // Failure guarded against: an endpoint that is silent for a moment loses its
 // streams to endpoints that cannot take them, and their callers lose answers
 // that it would have completed.
-bool Dispatcher::mayResend(Ticket Id, TimePoint Now) {
-  const RequestState *const Request = Requests.find(Id);
+bool Dispatcher::mayBeginMove(Ticket Id, TimePoint Now) {
+  RequestState *const Request = Requests.find(Id);
   if (Request == nullptr || !Request->SentTo || Request->Move ||
       !hasAttemptLeft(*Request) || Stage == StopStage::NoSending)
     return false;
@@ -745,9 +757,7 @@
                            (Request->Item.Deadline - End);
   return Now < Latest && !Choice.earliestPermit() &&
          Choice.hasRoomBeside(*Request->SentTo) &&
-         Budget.hasToken(
-             retryPrecedence(Request->ResponseStartedAt.has_value()), Now) &&
-         !quarantineRefusal(Request->Item, Now);
+         !quarantineRefusal(Request->Item, Now) && mayTakeToken(*Request, Now);
 }
 
 Dispatcher::SentAttempt Dispatcher::RequestState::takeAttempt() {
@@ -769,7 +779,7 @@
 }
 
 std::optional<SendCommand> Dispatcher::beginMove(Ticket Id, TimePoint Now) {
-  if (!mayResend(Id, Now))
+  if (!mayBeginMove(Id, Now))
     return std::nullopt;
   RequestState &Request = *Requests.find(Id);
   ChoiceQuery Query = choiceQuery(Request, Now);
@@ -779,8 +789,7 @@
   if (!Target || Target == Request.SentTo)
     return std::nullopt;
   const Candidate &Chosen = *Choice.candidate(*Target);
-  if (!Budget.take(Chosen.DataCentre,
-                   retryPrecedence(Request.ResponseStartedAt.has_value()), Now))
+  if (!Budget.take(Chosen.DataCentre, RetryPrecedence::BegunStream, Now))
     return std::nullopt;
   CrashHistory.parts().recordSend(Request.Item.SharedParts,
                                   hashText(Request.Item.Team.Text), Now);
@@ -871,10 +880,12 @@
 // it is earned, and a stream that its caller has part of finds none until its
 // time is over. While such streams wait, others leave a token for each of them.
 bool Dispatcher::mayTakeToken(RequestState &Request, TimePoint Now) {
-  const bool MayTake = Budget.hasToken(retryPrecedence(Request.Resumable), Now);
+  const bool HasBegun =
+      Request.Resumable || (Request.SentTo && Request.ResponseStartedAt);
+  const bool MayTake = Budget.hasToken(retryPrecedence(HasBegun), Now);
   if (MayTake) {
     endTokenWait(Request);
-  } else if (Request.Resumable && !std::exchange(Request.WaitsForToken, true)) {
+  } else if (HasBegun && !std::exchange(Request.WaitsForToken, true)) {
     Budget.addWaitingStream();
   }
   return MayTake;
--- a/packages/request/src/coltsfoottrail/dispatch/dispatcher.hpp
+++ b/packages/request/src/coltsfoottrail/dispatch/dispatcher.hpp
@@ -165,15 +165,22 @@
   void attemptEnded(Ticket Id, const AttemptResult &Result, TimePoint Now,
                     Commands &Output);
 
-  /// @brief Whether a request would find a retry and a slot at another endpoint
-  /// now, in time for its caller and for the end of this host.
-  /// @param Id The request, whose attempt is in progress.
+  /// @brief Whether a request could start at another endpoint in time if its
+  /// current attempt were given up.
+  /// @param Id The request; its current endpoint has no share.
   /// @param Now The time.
-  [[nodiscard]] bool mayResend(Ticket Id, TimePoint Now);
+  [[nodiscard]] bool mayResend(Ticket Id, TimePoint Now) const;
 
-  /// @brief Takes a retry and a slot at another endpoint for a request whose
-  /// endpoint is silent. The attempt in progress goes on; one of
-  /// completeMove(), abandonMove() and cancel() must follow.
+  /// @brief Whether a stream that its caller has part of would find a retry and
+  /// a slot at another endpoint now, in time for its caller and for the last
+  /// answers of this host. If only a retry is missing, other requests leave the
+  /// next one for it.
+  /// @param Id The request, whose attempt is in progress.
+  /// @param Now The time.
+  [[nodiscard]] bool mayBeginMove(Ticket Id, TimePoint Now);
+  /// @brief Takes a retry and a slot at another endpoint for a stream that its
+  /// caller has part of and whose endpoint is silent. The attempt in progress
+  /// goes on; one of completeMove(), abandonMove() and cancel() must follow.
   /// @param Id The request, whose attempt is in progress.
   /// @param Now The time.
   /// @return Where to send it as well; nothing if no other endpoint can take it
--- a/packages/request/test/coltsfoottrail/dispatch/moves.cpp
+++ b/packages/request/test/coltsfoottrail/dispatch/moves.cpp
@@ -39,7 +39,7 @@
 TEST_F(Moves, NeedAnotherEndpointWithRoom) {
   configure(1, 8);
   const Ticket Only = openStream();
-  EXPECT_FALSE(Harness.Scheduler.mayResend(Only, Harness.Now));
+  EXPECT_FALSE(Harness.Scheduler.mayBeginMove(Only, Harness.Now));
   EXPECT_FALSE(beginMove(Only));
   configure(2, 1);
   const Ticket Second = openStream();
@@ -62,6 +62,25 @@
     EXPECT_FALSE(Harness.refusal(Id));
 }
 
+// Guards against retries of requests that have not begun, which take each one
+// as it is earned while streams at a silent endpoint wait for it.
+TEST_F(Moves, ComeBeforeOtherRetries) {
+  configure(3, 100);
+  std::vector<Ticket> Streams;
+  for (int Count = 0; Count < 50; ++Count)
+    Streams.push_back(openStream());
+  for (const Ticket Id : Streams)
+    (void)beginMove(Id);
+  WorkItem Item = DispatchHarness::item();
+  Item.Repeatable = true;
+  const Ticket Other = Harness.submit(Item);
+  const std::size_t Sends = Harness.SentEndpoints.size();
+  Harness.fail(Other, RunState::MayHaveRun);
+  Harness.advanceTime(milliseconds(1'100));
+  EXPECT_EQ(Harness.SentEndpoints.size(), Sends);
+  EXPECT_TRUE(Harness.Scheduler.mayBeginMove(Streams.back(), Harness.Now));
+}
+
 // Guards against a stream that ends because the other endpoint refuses it.
 TEST_F(Moves, AbandonedOneLeavesTheFirstAttempt) {
   configure(2, 1);
@@ -110,7 +129,7 @@
   const Ticket Id = openStream();
   Harness.Scheduler.announceStop(Harness.Now + seconds(3), Harness.Now,
                                  Harness.Output);
-  EXPECT_TRUE(Harness.Scheduler.mayResend(Id, Harness.Now));
+  EXPECT_TRUE(Harness.Scheduler.mayBeginMove(Id, Harness.Now));
   Harness.advanceTime(milliseconds(1'500));
   EXPECT_FALSE(beginMove(Id));
   Harness.Scheduler.stop(StopStage::NoSending, Harness.Now, Harness.Output);
