Leave retries to others once a stream can no longer move

Cause: a stream at a silent endpoint that had asked for a retry went on to count as waiting when there was no slot or no time for it any more, and other requests left a retry for it until it ended.

Evidence: Moves.LeaveRetriesToOthersOnceTooLate fails without the change, Moves.ComeBeforeOtherRetries without the counting itself.

Change: a stream counts as waiting only as long as a retry is all that it lacks.

--- a/packages/request/src/coltsfoottrail/dispatch/dispatcher.cpp
+++ b/packages/request/src/coltsfoottrail/dispatch/dispatcher.cpp
@@ -749,15 +749,24 @@
 // that it would have completed.
 bool Dispatcher::mayBeginMove(Ticket Id, TimePoint Now) {
   RequestState *const Request = Requests.find(Id);
-  if (Request == nullptr || !Request->SentTo || Request->Move ||
-      !hasAttemptLeft(*Request) || Stage == StopStage::NoSending)
+  if (Request == nullptr || !Request->SentTo || Request->Move)
     return false;
-  const TimePoint End = std::min(Request->Item.Deadline, LastAnswerAt);
-  const TimePoint Latest = latestStart(Request->Item, Options.RetryMargin) -
-                           (Request->Item.Deadline - End);
+  if (canMove(*Request, Now))
+    return mayTakeToken(*Request, Now);
+  endTokenWait(*Request);
+  return false;
+}
+
+/// Whether another endpoint has a slot for a request, and time is left.
+bool Dispatcher::canMove(const RequestState &Request, TimePoint Now) const {
+  if (!hasAttemptLeft(Request) || Stage == StopStage::NoSending)
+    return false;
+  const TimePoint End = std::min(Request.Item.Deadline, LastAnswerAt);
+  const TimePoint Latest = latestStart(Request.Item, Options.RetryMargin) -
+                           (Request.Item.Deadline - End);
   return Now < Latest && !Choice.earliestPermit() &&
-         Choice.hasRoomBeside(*Request->SentTo) &&
-         !quarantineRefusal(Request->Item, Now) && mayTakeToken(*Request, Now);
+         Choice.hasRoomBeside(*Request.SentTo) &&
+         !quarantineRefusal(Request.Item, Now);
 }
 
 Dispatcher::SentAttempt Dispatcher::RequestState::takeAttempt() {
--- a/packages/request/src/coltsfoottrail/dispatch/dispatcher.hpp
+++ b/packages/request/src/coltsfoottrail/dispatch/dispatcher.hpp
@@ -425,6 +425,7 @@
   [[nodiscard]] PlaceResult placeHeld(Ticket Id, TimePoint Now,
                                       Commands &Output);
   void send(Ticket Id, CandidateId Target, TimePoint Now, Commands &Output);
+  [[nodiscard]] bool canMove(const RequestState &Request, TimePoint Now) const;
   [[nodiscard]] bool mayHold(const RequestState &Request) const;
   [[nodiscard]] bool hasAttemptLeft(const RequestState &Request) const noexcept;
   [[nodiscard]] Verdict retryRefusal(const RequestState &Request,
--- a/packages/request/test/coltsfoottrail/dispatch/moves.cpp
+++ b/packages/request/test/coltsfoottrail/dispatch/moves.cpp
@@ -8,6 +8,12 @@
 
 class Moves : public testing::Test {
 protected:
+  /// Only the retries of all data centres together are short.
+  static DispatcherOptions options() {
+    DispatcherOptions Result = DispatchHarness::savedRetries();
+    Result.Retries.Budget.DataCentreRatio = 1.0;
+    return Result;
+  }
   void configure(std::uint32_t Endpoints, std::uint32_t Share) {
     Harness.configure(testPool(Endpoints), Share);
   }
@@ -32,7 +38,32 @@
     Harness.Scheduler.abandonMove(Id, Result, Harness.Now, Harness.Output);
     Harness.processCommands();
   }
-  DispatchHarness Harness{DispatchHarness::savedRetries()};
+  /// Opens more streams than there are retries for, and moves them if possible.
+  /// @return How many moves began.
+  std::size_t openAndMoveMany() {
+    for (int Count = 0; Count < 50; ++Count)
+      Streams.push_back(openStream());
+    std::size_t Moved = 0;
+    for (const Ticket Id : Streams)
+      Moved += beginMove(Id) ? 1U : 0U;
+    return Moved;
+  }
+  void learnServiceTime(Duration Time) {
+    for (int Count = 0; Count < 50; ++Count)
+      Harness.answer(Harness.submit(DispatchHarness::item()), Time);
+  }
+  /// Whether a request that fails before its response is sent again soon.
+  [[nodiscard]] bool isRetried() {
+    WorkItem Item = DispatchHarness::item();
+    Item.Repeatable = true;
+    const Ticket Id = Harness.submit(Item);
+    const std::size_t Sends = Harness.SentEndpoints.size();
+    Harness.fail(Id, RunState::MayHaveRun);
+    Harness.advanceTime(milliseconds(1'100));
+    return Harness.SentEndpoints.size() > Sends;
+  }
+  DispatchHarness Harness{options()};
+  std::vector<Ticket> Streams;
 };
 
 // Guards against a stream that is taken from the only endpoint with room.
@@ -50,12 +81,7 @@
 // Guards against a stream that is given up and then waits for a retry.
 TEST_F(Moves, NeedARetry) {
   configure(2, 100);
-  std::vector<Ticket> Streams;
-  for (int Count = 0; Count < 50; ++Count)
-    Streams.push_back(openStream());
-  std::size_t Moved = 0;
-  for (const Ticket Id : Streams)
-    Moved += beginMove(Id) ? 1U : 0U;
+  const std::size_t Moved = openAndMoveMany();
   EXPECT_GT(Moved, 0U);
   EXPECT_LT(Moved, Streams.size());
   for (const Ticket Id : Streams)
@@ -66,21 +92,22 @@
 // as it is earned while streams at a silent endpoint wait for it.
 TEST_F(Moves, ComeBeforeOtherRetries) {
   configure(3, 100);
-  std::vector<Ticket> Streams;
-  for (int Count = 0; Count < 50; ++Count)
-    Streams.push_back(openStream());
-  for (const Ticket Id : Streams)
-    (void)beginMove(Id);
-  WorkItem Item = DispatchHarness::item();
-  Item.Repeatable = true;
-  const Ticket Other = Harness.submit(Item);
-  const std::size_t Sends = Harness.SentEndpoints.size();
-  Harness.fail(Other, RunState::MayHaveRun);
-  Harness.advanceTime(milliseconds(1'100));
-  EXPECT_EQ(Harness.SentEndpoints.size(), Sends);
+  openAndMoveMany();
+  EXPECT_FALSE(isRetried());
   EXPECT_TRUE(Harness.Scheduler.mayBeginMove(Streams.back(), Harness.Now));
 }
 
+// Guards against retries that are kept for streams that can no longer use them.
+TEST_F(Moves, LeaveRetriesToOthersOnceTooLate) {
+  configure(3, 100);
+  learnServiceTime(seconds(4));
+  openAndMoveMany();
+  Harness.advanceTime(milliseconds(7'900));
+  for (const Ticket Id : Streams)
+    EXPECT_FALSE(beginMove(Id));
+  EXPECT_TRUE(isRetried());
+}
+
 // Guards against a stream that ends because the other endpoint refuses it.
 TEST_F(Moves, AbandonedOneLeavesTheFirstAttempt) {
   configure(2, 1);
@@ -124,8 +151,7 @@
 // late for its end.
 TEST_F(Moves, MustEndBeforeTheHost) {
   configure(2, 8);
-  for (int Count = 0; Count < 50; ++Count)
-    Harness.answer(Harness.submit(DispatchHarness::item()), seconds(4));
+  learnServiceTime(seconds(4));
   const Ticket Id = openStream();
   Harness.Scheduler.announceStop(Harness.Now + seconds(3), Harness.Now,
                                  Harness.Output);
