Do not keep streams at endpoints that a host cannot reach at all

Cause, by reading: streams that stay at their silent endpoint take up its slots until their deadline. Where a host reaches no endpoint, none of them can move, and all slots are taken when the links are back.

Change: where a host reaches nothing, the links are silent and not the endpoint; its streams wait for an endpoint, as before the moves.

--- a/packages/process/src/coltsfoottrail/fleethost/attempt.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/attempt.cpp
@@ -110,14 +110,18 @@
 class CallerProxy::MovePolicy final : public CallPolicy {
 public:
   MovePolicy(const RequestContext &Context, const EndpointSpec &Target,
-             const EndpointAvailability &Availability)
-      : Context(Context), Target(Target), Availability(Availability) {}
+             const EndpointAvailability &Availability,
+             const ReachabilityTracker &Reach)
+      : Context(Context), Target(Target), Availability(Availability),
+        Reach(Reach) {}
   [[nodiscard]] bool mayAbort() const override {
     if (Context.Move || Context.RouterPlace == nullptr ||
         !mayMove(attemptProgress(Context)))
       return false;
-    return Context.Events.hasReleased() ? Context.RouterPlace->mayBeginMove()
-                                        : Context.RouterPlace->mayResend();
+    if (!Context.Events.hasReleased())
+      return Context.RouterPlace->mayResend();
+    return Reach.reachesNothing(BootClock::now()) ||
+           Context.RouterPlace->mayBeginMove();
   }
   [[nodiscard]] bool isOverdue(TimePoint Now) const override {
     return Now >= DueBy;
@@ -132,6 +136,7 @@
   const RequestContext &Context;
   const EndpointSpec &Target;
   const EndpointAvailability &Availability;
+  const ReachabilityTracker &Reach;
   TimePoint DueBy = TimePoint::max();
 };
 
@@ -212,7 +217,7 @@
   const TimePoint HeadDeadline =
       IsLimited ? std::min(Context.Deadline, Start + MaxSilence)
                 : Context.Deadline;
-  MovePolicy Policy(Context, Target, Routing.availability());
+  MovePolicy Policy(Context, Target, Routing.availability(), Reach);
   if (Context.Events.hasReleased())
     Policy.setDue(Start + MaxSilence);
   auto Started =
@@ -507,7 +512,11 @@
       ReadDeadline = std::min(ReadDeadline, SilentAt);
     auto Next = co_await UpstreamCall.next(ReadDeadline);
     if (const auto *const Failure = std::get_if<CallFailure>(&Next)) {
-      if (Failure->Interrupted && Context.Events.hasReleased()) {
+      // Where this host reaches nothing, its links are silent, not the
+      // endpoint: the stream waits for one of them rather than take up a slot.
+      const bool LinksAreSilent = Reach.reachesNothing(BootClock::now());
+      if (Failure->Interrupted && Context.Events.hasReleased() &&
+          !LinksAreSilent) {
         const std::function<void()> LeaveFirst = [&] {
           UpstreamCall = HttpCall();
           Mark.end();
