Make an attempt in a form that both compilers accept

clang, which the linter uses, does not take std::optional::emplace() of a nested class with default member initializers. No behaviour changes; Moves pass, the linter is clean on all sources changed since.

--- a/packages/request/src/coltsfoottrail/dispatch/dispatcher.cpp
+++ b/packages/request/src/coltsfoottrail/dispatch/dispatcher.cpp
@@ -805,11 +805,9 @@
   ++Request.Attempts;
   ++Counts.Resends;
   const AwayReason Away = Choice.away();
-  Request.Move.emplace();
-  Request.Move->Endpoint = *Target;
-  Request.Move->At = Now;
-  Request.Move->Run = Chosen.Run;
-  Request.Move->Hinted = Choice.sent(*Target, Query, Now);
+  const bool IsHinted = Choice.sent(*Target, Query, Now);
+  Request.Move =
+      SentAttempt{*Target, Now, Chosen.Run, IsHinted, std::nullopt, false};
   updateQueueSlots();
   return SendCommand{Id, Chosen.Spec.Key, Away};
 }
