Reproduce statuses that are none, and responses that follow them

Callers saw a 504 at their time limit where an endpoint had answered at once with the status 000, 007 or 101, and got 600 and 999 as answers. Cause, by the tests and by reading: a status below 200 counts as an interim response, whatever it is, and one above 599 as the endpoint's. RawEndpoint moves to a header, since two files of tests use it; the stand-in of an endpoint can answer with any status.

--- a/packages/connection/test/coltsfoottrail/http/endless.cpp
+++ b/packages/connection/test/coltsfoottrail/http/endless.cpp
@@ -2,76 +2,17 @@
 #include "coltsfoottrail/http/client.hpp"
 #include "coltsfoottrail/http/iopool.hpp"
 
-#include <atomic>
+#include "rawendpoint.hpp"
+
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/read_until.hpp>
-#include <boost/asio/streambuf.hpp>
 #include <boost/asio/use_future.hpp>
-#include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
-#include <thread>
 
 namespace coltsfoottrail {
 namespace {
 
 namespace asio = boost::asio;
-using Tcp = asio::ip::tcp;
-using ErrorCode = boost::system::error_code;
-
-/// What an endpoint writes to each connection, without looking at the request.
-struct Script {
-  std::string First;
-  /// Written again and again until the connection is closed; empty for
-  /// nothing.
-  std::string Repeated;
-  milliseconds Interval{0};
-};
-
-/// Writes a script to one connection and counts the bytes that were taken.
-class RawEndpoint {
-public:
-  explicit RawEndpoint(Script Bytes)
-      : Content(std::move(Bytes)),
-        Acceptor(Context, {asio::ip::make_address("127.0.0.1"), 0}),
-        Thread([this] { run(); }) {}
-  ~RawEndpoint() { Thread.join(); }
-
-  [[nodiscard]] EngineAddress address() const {
-    return {"127.0.0.1", Acceptor.local_endpoint().port()};
-  }
-  /// Waits until the client has closed the connection.
-  std::size_t bytesTaken() {
-    while (!Closed)
-      std::this_thread::sleep_for(milliseconds(5));
-    return Taken;
-  }
-
-private:
-  void run() {
-    Tcp::socket Peer(Context);
-    ErrorCode Problem;
-    Acceptor.accept(Peer, Problem);
-    asio::streambuf Request;
-    asio::read_until(Peer, Request, "\r\n\r\n", Problem);
-    Taken += asio::write(Peer, asio::buffer(Content.First), Problem);
-    while (!Problem && !Content.Repeated.empty()) {
-      Taken += asio::write(Peer, asio::buffer(Content.Repeated), Problem);
-      std::this_thread::sleep_for(Content.Interval);
-    }
-    char Byte = 0;
-    if (!Problem)
-      Peer.read_some(asio::buffer(&Byte, 1), Problem);
-    Closed = true;
-  }
-
-  Script Content;
-  asio::io_context Context;
-  Tcp::acceptor Acceptor;
-  std::atomic<std::size_t> Taken{0};
-  std::atomic<bool> Closed{false};
-  std::thread Thread;
-};
+using test::RawEndpoint;
 
 class EndlessResponse : public testing::Test {
 protected:
--- a/packages/process/test/coltsfoottrail/server/answers.cpp
+++ b/packages/process/test/coltsfoottrail/server/answers.cpp
@@ -132,6 +132,21 @@
   EXPECT_LT(BootClock::now() - Begin, seconds(5));
 }
 
+// Guards against callers that get a status which is none, or wait for another
+// one until their deadline.
+TEST_F(ServiceResponses, WithoutAStatusAreGivenUp) {
+  for (const unsigned Status : {0U, 7U, 101U, 600U, 999U}) {
+    ServiceResponse = jsonResponse(Status, "{}");
+    const TimePoint Begin = BootClock::now();
+    const HttpResponse Response =
+        call(Hosts[0]->callerPort(), orderRequest("", "a"));
+    EXPECT_EQ(Response.Status, 502U) << Status;
+    EXPECT_EQ(fieldOf(Response.Fields, "Coltsfoottrail-Verdict"),
+              "may-have-run");
+    EXPECT_LT(BootClock::now() - Begin, seconds(5));
+  }
+}
+
 // Guards against sending an endpoint that names a rate limit as much as before,
 // and against callers that wait for a refusal which is certain.
 TEST_F(ServiceResponses, RateLimitIsKept) {
