Bound the nesting of JSON text and of the log's answers

Callers and operators would see a host end by a signal: a status report of 800 KB that consists of brackets does so to the coordinator on the code before (Translate.StatusWithAnUnreadableGroupIsNone, exit code 139), and a text of the own interface can in the same way. Cause: the JSON library copies and writes values recursively, and readers copy a member or write it into an error. A number such as 1e400 made the library throw an exception that the readers of the own interface do not expect, so that the handler of an engine's report was never called. Change: parseJson() refuses text that is nested deeper than 64 levels and numbers out of range, with the error that readers expect; the answers of the own interface's log are read by parseCbor(), which has such a bound already. Texts for errors are made only for errors, and keys are only noted where unknown ones are refused. Why it works: everything that copies or writes a value gets it from these two. Ruled out: the parsers themselves and the destruction of values, which do not recurse; simdjson, which has a bound. Result: ParseJson.* failed before and pass.

--- a/packages/connection/src/coltsfoottrail/adapter/log.cpp
+++ b/packages/connection/src/coltsfoottrail/adapter/log.cpp
@@ -1,5 +1,6 @@
 #include "coltsfoottrail/adapter/log.hpp"
 
+#include "coltsfoottrail/json/cbor.hpp"
 #include "coltsfoottrail/json/reader.hpp"
 
 #include <boost/asio/co_spawn.hpp>
@@ -14,6 +15,7 @@
 
 /// Added to the time that the log may delay its response to a read.
 constexpr milliseconds ReadTimeoutMargin{2'000};
+constexpr std::string_view AnswerSource = "log answer";
 constexpr unsigned StatusOk = 200;
 constexpr unsigned StatusGone = 410;
 constexpr unsigned StatusServerError = 500;
@@ -53,8 +55,8 @@
   if (Response.Status != StatusOk)
     return LogFailure::NotDone;
   try {
-    const Json Body = parseJson(Response.Body, "log answer");
-    ObjectReader Reader(Body, "log answer", "", UnknownKeys::Ignore);
+    const Json Body = parseJson(Response.Body, AnswerSource);
+    ObjectReader Reader(Body, AnswerSource, "", UnknownKeys::Ignore);
     return Reader.number("offset");
   } catch (const InputError &) {
     return LogFailure::Unknown;
@@ -62,7 +64,7 @@
 }
 
 LogBatch decodeBatch(const Json &Body) {
-  ObjectReader Reader(Body, "log answer", "", UnknownKeys::Ignore);
+  ObjectReader Reader(Body, AnswerSource, "", UnknownKeys::Ignore);
   LogBatch Batch;
   Batch.End = Reader.number("end");
   Batch.Horizon = Reader.number("horizon");
@@ -87,9 +89,8 @@
   if (Response->Status != StatusOk)
     return LogFailure::NotDone;
   try {
-    return decodeBatch(Json::from_cbor(Response->Body));
-  } catch (const Json::exception &) {
-    return LogFailure::NotDone;
+    return decodeBatch(parseCbor(
+        std::as_bytes(std::span(std::as_const(Response->Body))), AnswerSource));
   } catch (const InputError &) {
     return LogFailure::NotDone;
   }
--- a/packages/core/src/coltsfoottrail/json/reader.cpp
+++ b/packages/core/src/coltsfoottrail/json/reader.cpp
@@ -8,6 +8,26 @@
 
 constexpr std::size_t MaxShownBytes = 80;
 
+/// Whether text nests lists and objects deeper than MaxJsonDepth.
+bool isTooDeep(std::string_view Text) {
+  std::size_t Depth = 0;
+  bool IsString = false;
+  for (std::size_t Index = 0; Index < Text.size(); ++Index) {
+    const char Character = Text[Index];
+    if (Character == '"')
+      IsString = !IsString;
+    else if (IsString && Character == '\\')
+      ++Index;
+    else if (!IsString && (Character == '[' || Character == '{'))
+      ++Depth;
+    else if (!IsString && (Character == ']' || Character == '}') && Depth > 0)
+      --Depth;
+    if (Depth > MaxJsonDepth)
+      return true;
+  }
+  return false;
+}
+
 std::string truncatedDump(const Json &Value) {
   std::string Text = Value.dump(-1, ' ', false, Json::error_handler_t::replace);
   if (Text.size() > MaxShownBytes)
@@ -62,7 +82,13 @@
                        std::string_view Value, std::string_view Allowed)
     : Error(describe(Source, Pointer, Value, Allowed)), Location(Pointer) {}
 
+// Failure guarded against: the JSON library copies and writes values
+// recursively, and a text of a few hundred kilobytes that consists of opening
+// brackets ends the process by a stack overflow.
 Json parseJson(std::string_view Text, std::string_view Source) {
+  if (isTooDeep(Text))
+    throw InputError(Source, "", "text that is nested too deep",
+                     "at most " + std::to_string(MaxJsonDepth) + " levels");
   try {
     return Json::parse(Text);
   } catch (const Json::parse_error &ParseError) {
@@ -70,6 +96,9 @@
                      "text that is not JSON at byte " +
                          std::to_string(ParseError.byte),
                      "JSON (RFC 8259)");
+  } catch (const Json::out_of_range &) {
+    throw InputError(Source, "", "a number beyond the range of numbers",
+                     "JSON (RFC 8259)");
   }
 }
 
@@ -91,7 +120,8 @@
 }
 
 const Json *ObjectReader::find(std::string_view Key) {
-  ReadKeys.emplace(Key);
+  if (UnknownKeyPolicy == UnknownKeys::Refuse)
+    ReadKeys.emplace(Key);
   const auto Member = Object->find(Key);
   return Member == Object->end() ? nullptr : &*Member;
 }
@@ -113,10 +143,10 @@
 }
 
 std::string ObjectReader::text(std::string_view Key, std::size_t MaxBytes) {
-  const Json &Value = require(Key, textRule(MaxBytes));
-  if (!Value.is_string())
+  const Json *const Value = find(Key);
+  if (Value == nullptr || !Value->is_string())
     refuse(Key, textRule(MaxBytes));
-  const auto &Text = Value.get_ref<const std::string &>();
+  const auto &Text = Value->get_ref<const std::string &>();
   if (Text.empty() || Text.size() > MaxBytes)
     refuse(Key, textRule(MaxBytes));
   return Text;
@@ -131,11 +161,11 @@
 
 std::uint64_t ObjectReader::number(std::string_view Key, std::uint64_t Min,
                                    std::uint64_t Max) {
-  const Json &Value = require(Key, numberRule(Min, Max));
-  if (!Value.is_number_integer() ||
-      (!Value.is_number_unsigned() && Value.get<std::int64_t>() < 0))
+  const Json *const Value = find(Key);
+  if (Value == nullptr || !Value->is_number_integer() ||
+      (!Value->is_number_unsigned() && Value->get<std::int64_t>() < 0))
     refuse(Key, numberRule(Min, Max));
-  const auto Number = Value.get<std::uint64_t>();
+  const auto Number = Value->get<std::uint64_t>();
   if (Number < Min || Number > Max)
     refuse(Key, numberRule(Min, Max));
   return Number;
@@ -175,10 +205,10 @@
 
 std::size_t ObjectReader::word(std::string_view Key,
                                std::span<const std::string_view> Words) {
-  const Json &Value = require(Key, wordRule(Words));
-  if (Value.is_string())
+  const Json *const Value = find(Key);
+  if (Value != nullptr && Value->is_string())
     for (std::size_t Index = 0; Index < Words.size(); ++Index)
-      if (Value.get_ref<const std::string &>() == Words[Index])
+      if (Value->get_ref<const std::string &>() == Words[Index])
         return Index;
   refuse(Key, wordRule(Words));
 }
--- a/packages/core/src/coltsfoottrail/json/reader.hpp
+++ b/packages/core/src/coltsfoottrail/json/reader.hpp
@@ -42,11 +42,15 @@
   std::string Location;
 };
 
-/// @brief Parses JSON text.
+/// Deepest nesting of lists and objects in JSON text.
+inline constexpr std::size_t MaxJsonDepth = 64;
+
+/// @brief Parses JSON text. Thread-safe.
 /// @param Text The text to parse.
 /// @param Source Name of the text's source for errors.
 /// @return The value.
-/// @throws InputError The text is not JSON; the message names the byte.
+/// @throws InputError The text is not JSON, is nested deeper than MaxJsonDepth,
+/// or has a number that is out of range.
 [[nodiscard]] Json parseJson(std::string_view Text, std::string_view Source);
 
 /// @brief Reads the members of one JSON object. Not thread-safe. The object
@@ -141,7 +145,7 @@
   std::string SourceName;
   std::string BasePointer;
   UnknownKeys UnknownKeyPolicy;
-  /// Keys that were asked for, present or not.
+  /// Keys that were asked for, present or not, if unknown ones are refused.
   std::set<std::string, std::less<>> ReadKeys;
 };
 
--- a/packages/core/test/coltsfoottrail/json/reader.cpp
+++ b/packages/core/test/coltsfoottrail/json/reader.cpp
@@ -52,6 +52,29 @@
   EXPECT_NO_THROW(Root.finish());
 }
 
+// Guards against text that ends the process: the JSON library copies and writes
+// nested values recursively.
+TEST(ParseJson, RefusesTextThatIsNestedTooDeep) {
+  const auto Nested = [](std::size_t Depth) {
+    return std::string(Depth, '[') + std::string(Depth, ']');
+  };
+  EXPECT_NO_THROW((void)parseJson(Nested(MaxJsonDepth), "message"));
+  EXPECT_THROW((void)parseJson(Nested(MaxJsonDepth + 1), "message"),
+               InputError);
+  EXPECT_THROW((void)parseJson(Nested(500'000), "message"), InputError);
+  EXPECT_THROW(
+      (void)parseJson("{\"a\":" + std::string(200'000, '['), "message"),
+      InputError);
+  const std::string Text = std::string(1'000, '[') + "\\\"" + "{";
+  EXPECT_EQ(parseJson("[\"" + Text + "\"]", "message")[0],
+            std::string(1'000, '[') + "\"{");
+}
+
+// Guards against an exception that readers of messages do not expect.
+TEST(ParseJson, RefusesNumbersOutOfRange) {
+  EXPECT_THROW((void)parseJson(R"({"run":1e400})", "message"), InputError);
+}
+
 TEST(ObjectReader, NegativeNumberIsRefused) {
   const Json Value = Json::parse(R"({"port":-1})");
   ObjectReader Root(Value, "entry.json");
