Take over no more members than a group can have

Callers saw their connections closed without an answer, at one host after the other: the process of the holder of the coordinator lease ended by signal 11. Cause: adoptGroups() sized the members of a group by the rank in a record, in 32 bits, and wrote past the end. Change: a group has as many members as its model says, or as there are engines if the model is not known any more. A group whose name no coordinator gives is left alone. Why it works: the size comes from the configuration, whatever a record says.

--- a/packages/version/src/coltsfoottrail/assembly/assembler.cpp
+++ b/packages/version/src/coltsfoottrail/assembly/assembler.cpp
@@ -153,6 +153,16 @@
   }
 }
 
+// Failure guarded against: a record names a rank that no group has, as that of
+// another writer may, and the coordinator allocates members up to it. Without a
+// model that tells the size of the group, it has no more members than there are
+// engines.
+std::size_t Assembler::maxMembers(const PlanContext &Context,
+                                  const ModelName &Model) {
+  const ServedModel *const Served = Context.model(Model);
+  return Served != nullptr ? Served->Size : Context.View.Endpoints.all().size();
+}
+
 /// Takes over groups that the records show and that this term did not form, and
 /// members of such groups whose records appear later.
 void Assembler::adoptGroups(const PlanContext &Context) {
@@ -171,19 +181,20 @@
         Members[Seat.Rank] = Member;
       continue;
     }
-    if (Retired.contains(Seat.Epoch))
+    // A group with another kind of name was not formed by any coordinator.
+    const std::optional<GroupNameParts> NameParts = parseGroupName(Seat.Group);
+    if (Retired.contains(Seat.Epoch) || !NameParts ||
+        Seat.Rank >= maxMembers(Context, NameParts->Model))
       continue;
     GroupState &Group = NewGroups[Seat.Epoch];
     Group.Name = Seat.Group;
     Group.Epoch = Seat.Epoch;
+    Group.Model = NameParts->Model;
     if (Group.Members.size() <= Seat.Rank)
-      Group.Members.resize(Seat.Rank + 1);
+      Group.Members.resize(std::size_t{Seat.Rank} + 1);
     Group.Members[Seat.Rank] = Member;
-    if (const auto NameParts = parseGroupName(Seat.Group)) {
-      Group.Model = NameParts->Model;
-      Group.Members.front().Name = NameParts->Leader;
-      Group.Members.front().StartedAtMs = NameParts->LeaderStartedAtMs;
-    }
+    Group.Members.front().Name = NameParts->Leader;
+    Group.Members.front().StartedAtMs = NameParts->LeaderStartedAtMs;
   }
   for (auto &[Epoch, Group] : NewGroups) {
     if (const ServedModel *const Model = Context.model(Group.Model);
--- a/packages/version/src/coltsfoottrail/assembly/assembler.hpp
+++ b/packages/version/src/coltsfoottrail/assembly/assembler.hpp
@@ -354,6 +354,9 @@
   /// Forgets that groups were given up whose leaders serve.
   void restoreGroups(const PlanContext &Context);
   void adoptGroups(const PlanContext &Context);
+  /// Most members that a group of a model can have.
+  [[nodiscard]] static std::size_t maxMembers(const PlanContext &Context,
+                                              const ModelName &Model);
   void advanceGroups(PlanContext &Context);
   /// @return Whether the group has ended.
   [[nodiscard]] bool advanceGroup(PlanContext &Context, GroupState &Group);
