--- a/packages/version/src/coltsfoottrail/assembly/formation.cpp
+++ b/packages/version/src/coltsfoottrail/assembly/formation.cpp
@@ -34,7 +34,7 @@
   const EndpointRecord &Record = Endpoint.Record;
   // An engine that was lost or restarted during an outage of the store would
   // delay the group that it is chosen for.
-  if (Record.Service != Context.View.Service.Name ||
+  if (Record.Service != Context.View.Service.Name || !Record.isEngine() ||
       Endpoint.RemovalDeferredUntil ||
       Context.View.Endpoints.mayBeStale(Endpoint, Context.Now) ||
       Record.State != EndpointState::Serving ||
--- a/packages/version/src/coltsfoottrail/fleet/endpoint.hpp
+++ b/packages/version/src/coltsfoottrail/fleet/endpoint.hpp
@@ -54,6 +54,7 @@
   EndpointName Name;
   EngineAddress Address;
   DataCentreName DataCentre;
+  /// Empty for endpoints of plain services.
   FabricDomainName Domain;
   ServiceName Service;
   EndpointState State = EndpointState::Serving;
@@ -71,6 +72,9 @@
   std::vector<ModelName> Loaded;
   std::optional<GroupSeat> Seat;
 
+  /// @brief Whether it describes a model engine: where it stands in the fabric,
+  /// its models and its seat.
+  [[nodiscard]] bool isEngine() const noexcept { return !Domain.empty(); }
   /// @brief Whether the endpoint leads a group that serves.
   [[nodiscard]] bool isServingLeader() const noexcept {
     return Seat && Seat->Rank == 0 && Seat->Phase == SeatPhase::Open;
--- a/packages/version/test/coltsfoottrail/assembly/foreignrecords.cpp
+++ b/packages/version/test/coltsfoottrail/assembly/foreignrecords.cpp
@@ -80,6 +80,17 @@
   }
 }
 
+// Guards against giving a group an engine whose record does not say that it is
+// one.
+TEST_F(ForeignRecords, EndpointThatIsNoEngineIsNotFree) {
+  EndpointRecord Record;
+  Record.Name = Foreign;
+  Record.DataCentre = DataCentreName("north");
+  Record.Service = Fleet.Service.Name;
+  Fleet.Catalogue.publish(Record, Fleet.Now);
+  expectItIsLeftAlone();
+}
+
 } // namespace
 
 } // namespace coltsfoottrail::test
