Keep what an endpoint is for as long as its process runs

Callers would see requests of one service at endpoints of another, and streams cut by orders to a member of their group. Cause: a record under the name of an endpoint replaced its own, whatever it said. Change: a record of the same run with another service or another place in the fabric is not the endpoint's and is ignored. Why it works: both are fixed for the life of a process; a new process has a new start. Not covered: an entry that copies all of an endpoint's fields, or names a later start.

--- a/packages/version/src/coltsfoottrail/fleet/catalogue.cpp
+++ b/packages/version/src/coltsfoottrail/fleet/catalogue.cpp
@@ -22,12 +22,22 @@
           Record.Sequence < Current.Sequence);
 }
 
+/// Failure guarded against: the record of another writer under the name of an
+/// endpoint replaces its own, a member of a group that serves counts as an
+/// engine without a seat or as an endpoint of another service, and is given to
+/// another group or gets the requests of another service.
+bool isOfAnother(const EndpointRecord &Record, const EndpointRecord &Current) {
+  return Record.StartedAtMs == Current.StartedAtMs &&
+         (Record.Service != Current.Service || Record.Domain != Current.Domain);
+}
+
 } // namespace
 
 bool EndpointCatalogue::publish(EndpointRecord Record, TimePoint Now) {
   const EndpointName Name = Record.Name;
   KnownEndpoint &Entry = Endpoints[Name];
-  if (Entry.Record.Name == Name && isOlder(Record, Entry.Record))
+  if (Entry.Record.Name == Name &&
+      (isOlder(Record, Entry.Record) || isOfAnother(Record, Entry.Record)))
     return false;
   const bool IsRepeated = Entry.Record.Name == Name &&
                           Entry.Record.StartedAtMs == Record.StartedAtMs &&
--- a/packages/version/src/coltsfoottrail/fleet/catalogue.hpp
+++ b/packages/version/src/coltsfoottrail/fleet/catalogue.hpp
@@ -44,7 +44,9 @@
   /// guarantees that lapsed records are back within about two seconds.
   static constexpr Duration SettleTime = milliseconds(2500);
 
-  /// @brief Adds or updates a record; older records are ignored.
+  /// @brief Adds or updates a record. Older ones are ignored, and so are those
+  /// that cannot be of the same run of the endpoint: its service and its place
+  /// in the fabric stay as they are.
   /// @return Whether anything that matters to routing changed.
   bool publish(EndpointRecord Record, TimePoint Now);
   /// @brief Handles the removal of a record.
--- a/packages/version/test/coltsfoottrail/fleet/catalogue.cpp
+++ b/packages/version/test/coltsfoottrail/fleet/catalogue.cpp
@@ -38,6 +38,30 @@
             EndpointState::Serving);
 }
 
+// Guards against requests of another service, or another group, for an endpoint
+// under whose name another writer has published a record.
+TEST(Catalogue, RunOfAnEndpointStaysWhatItIs) {
+  EndpointCatalogue Catalogue;
+  EndpointRecord Own = makeRecord("a", 5, 1);
+  Own.Service = ServiceName("draft");
+  Own.Domain = FabricDomainName("n0");
+  Catalogue.publish(Own, Start);
+  EndpointRecord OtherService = Own;
+  OtherService.Service = ServiceName("desk");
+  EndpointRecord NoEngine = Own;
+  NoEngine.Domain = FabricDomainName();
+  for (EndpointRecord Foreign : {OtherService, NoEngine}) {
+    Foreign.Sequence = 9;
+    EXPECT_FALSE(Catalogue.publish(Foreign, Start));
+    const EndpointRecord &Known = Catalogue.find(EndpointName("a"))->Record;
+    EXPECT_EQ(Known.Service, Own.Service);
+    EXPECT_TRUE(Known.isEngine());
+    Foreign.StartedAtMs = 6;
+    EndpointCatalogue Restarted = Catalogue;
+    EXPECT_TRUE(Restarted.publish(Foreign, Start));
+  }
+}
+
 // Guards against losing the whole fleet for two seconds after each outage of
 // the store: records lapse while the store is away, their removal is read on
 // its return, and the endpoints publish themselves again a moment later.
