Refuse numbers of engines beyond their range

Callers of the own interface could be sent to an engine whose queue of requests counted as one, and a group with the number was taken for group 0. Cause: 64-bit numbers were cut to 32 bits. Evidence: EngineReport.NumbersBeyondTheirRangeAreRefused fails on the code before. Change: the readers name the range. Ruled out, by reading: the other readers of the own interface, of records, checkpoints, claims and messages between hosts, which have their bounds.

--- a/packages/connection/src/coltsfoottrail/adapter/engines.cpp
+++ b/packages/connection/src/coltsfoottrail/adapter/engines.cpp
@@ -6,6 +6,7 @@
 #include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <limits>
 #include <utility>
 
 namespace coltsfoottrail {
@@ -22,15 +23,25 @@
 constexpr unsigned StatusConflict = 409;
 constexpr unsigned StatusPreconditionFailed = 412;
 constexpr std::uint64_t MaxPort = 65535;
+constexpr std::uint64_t MaxCount = std::numeric_limits<std::uint32_t>::max();
 
 Json writeGroup(const GroupId &Group) {
   return {{"plan", Group.Plan}, {"number", Group.Number}};
 }
 
+std::uint32_t readCount(ObjectReader &Reader, std::string_view Key) {
+  return static_cast<std::uint32_t>(Reader.number(Key, 0, MaxCount));
+}
+
+std::uint32_t readCountOr(ObjectReader &Reader, std::string_view Key,
+                          std::uint32_t Default) {
+  return static_cast<std::uint32_t>(Reader.numberOr(Key, Default, 0, MaxCount));
+}
+
 GroupId readGroup(ObjectReader Reader) {
   GroupId Group;
   Group.Plan = Reader.number("plan");
-  Group.Number = static_cast<std::uint32_t>(Reader.number("number"));
+  Group.Number = readCount(Reader, "number");
   return Group;
 }
 
@@ -62,7 +73,7 @@
   Join.Version = VersionName(Reader.text("version"));
   Join.Adapters = readAdapters(Reader);
   Join.Role = static_cast<EngineRole>(Reader.word("role", RoleNames));
-  Join.Rank = static_cast<std::uint32_t>(Reader.number("rank"));
+  Join.Rank = readCount(Reader, "rank");
   Reader.eachObject("members", [&](ObjectReader &Member) {
     Join.Members.push_back(
         {Member.text("address"),
@@ -191,8 +202,8 @@
     Report.Group = readGroup(Reader.object("group"));
   Report.Version = VersionName(Reader.textOr("version", ""));
   Report.Adapters = readAdapters(Reader);
-  Report.Running = static_cast<std::uint32_t>(Reader.numberOr("running", 0));
-  Report.Queued = static_cast<std::uint32_t>(Reader.numberOr("queued", 0));
+  Report.Running = readCountOr(Reader, "running", 0);
+  Report.Queued = readCountOr(Reader, "queued", 0);
   return Report;
 }
 
