Go on with planning, and with every task, after a failure

Cause: the tasks of a host, planning among them, are started without anybody who waits for them. An exception ended one for good, without a log line; the lease stayed. An order that failed with an exception counted as in flight for ever. Change: a failed pass is logged (1527) and the service's state begins anew, as for a new term; after five within ten seconds the lease is given up and left to others for ten seconds. Every other task is started anew after a failure, with pauses (1902), and both feeds are read from the newest values, since a page counts as read before it is applied. Entries that cannot be read are logged at most eight times in ten seconds. Why it works: nothing that is read can end a task; a host that cannot apply what it reads has no recent configuration and refuses, as it does when the store is away. Ruled out: to end the process, which loses its requests and ends the next holder in the same way; to give the lease up at the first failure, since a failure for want of memory may be one.

--- a/packages/process/src/coltsfoottrail/fleethost/changelog.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/changelog.cpp
@@ -29,7 +29,8 @@
 } // namespace
 
 void logFeedChanges(const FeedPage &Page, const FleetView &OldView,
-                    TimePoint RequestedAt, TimePoint Now) {
+                    TimePoint RequestedAt, TimePoint Now,
+                    EventSampler &Unreadable) {
   const auto Age =
       std::chrono::duration_cast<milliseconds>(Now - RequestedAt).count();
   for (const FleetChange &Change : Page.Changes)
@@ -67,9 +68,12 @@
                                                   {"what", "removed"},
                                                   {"age_ms", Age}});
             },
-            [](const UnreadableEntry &Item) {
-              logEvent(Event::EntryUnreadable,
-                       {{"key", Item.Key}, {"problem", Item.Problem}});
+            [&](const UnreadableEntry &Item) {
+              if (const auto HeldBack =
+                      Unreadable.admit(Event::EntryUnreadable, Now))
+                logEvent(Event::EntryUnreadable, {{"key", Item.Key},
+                                                  {"problem", Item.Problem},
+                                                  {"held_back", *HeldBack}});
             },
         },
         Change);
--- a/packages/process/src/coltsfoottrail/fleethost/changelog.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/changelog.hpp
@@ -5,6 +5,7 @@
 
 #include "coltsfoottrail/boundary/store.hpp"
 #include "coltsfoottrail/fleethost/view.hpp"
+#include "coltsfoottrail/logging/fwd.hpp"
 
 namespace coltsfoottrail {
 
@@ -15,8 +16,11 @@
 /// @param OldView The view before the page.
 /// @param RequestedAt When the request for the page left this host.
 /// @param Now The current time.
+/// @param Unreadable Limits the lines on entries that cannot be read: their
+/// writer may write them again and again.
 void logFeedChanges(const FeedPage &Page, const FleetView &OldView,
-                    TimePoint RequestedAt, TimePoint Now);
+                    TimePoint RequestedAt, TimePoint Now,
+                    EventSampler &Unreadable);
 
 } // namespace coltsfoottrail
 
--- a/packages/process/src/coltsfoottrail/fleethost/feeds.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/feeds.cpp
@@ -67,7 +67,7 @@
                            TimePoint RequestedAt) {
   storeAnswered(FeedId, RequestedAt);
   const TimePoint Now = BootClock::now();
-  logFeedChanges(Page, View, RequestedAt, Now);
+  logFeedChanges(Page, View, RequestedAt, Now, UnreadableLog);
   const std::vector<RoutingEffect> Effects =
       View.ingest(FeedId, Page, IsSnapshot, RequestedAt, Now);
   shareFeed(FeedId, Page, Effects, IsSnapshot, RequestedAt);
@@ -282,7 +282,7 @@
     Follower.acceptSnapshot(Update.Next, CoveredUntil);
   else
     Follower.acceptChanges(Update.Next, CoveredUntil);
-  logFeedChanges(Page, View, AsOf, Now);
+  logFeedChanges(Page, View, AsOf, Now, UnreadableLog);
   const std::vector<RoutingEffect> Effects =
       View.ingest(FeedId, Page, Update.Snapshot, AsOf, Now);
   shareFeed(FeedId, Page, Effects, Update.Snapshot, AsOf);
--- a/packages/process/src/coltsfoottrail/fleethost/groupcoordinator.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/groupcoordinator.cpp
@@ -145,7 +145,8 @@
   milliseconds Next = Timing.RenewEvery;
   while (!Leaving) {
     const TimePoint RequestedAt = BootClock::now();
-    if (Election.standsAside(Term.isLastHolder(), RequestedAt)) {
+    if (RequestedAt < StandsAsideUntil ||
+        Election.standsAside(Term.isLastHolder(), RequestedAt)) {
       co_await pauseRenewal(Timing.StandAsidePoll);
       continue;
     }
@@ -233,37 +234,74 @@
                                   const asio::any_io_executor &Executor) {
   if (!Term.mayAct(Now, View.allEndpointsAsOf()) || !View.config())
     return;
-  for (const ServiceProfile &Service : View.config()->config().Services) {
-    if (!Service.Engine || Service.Engine->Models.empty())
-      continue;
-    auto It = Assemblers.find(Service.Name);
-    if (It == Assemblers.end()) {
-      It = Assemblers.emplace(Service.Name, Assembler(Times)).first;
-      It->second.begin(Now);
-    }
-    AssemblyView Snapshot{View.endpoints(), Service,    View.drained(),
-                          Term.fence(),     HasCallers, freeOrders()};
-    followDemand(Snapshot, Now);
-    for (SeatCommand &Command : It->second.plan(Snapshot, Now)) {
-      if (OnSeatOrders && !std::holds_alternative<StageModel>(Command.Order))
-        OnSeatOrders();
-      ++OrdersInFlight;
-      asio::co_spawn(Executor, execute(std::move(Command), Term.fence()),
-                     asio::detached);
-    }
-    for (MemberProbe &Question : It->second.takeProbes())
-      asio::co_spawn(Executor, probeMissing(Service.Name, std::move(Question)),
-                     asio::detached);
-    for (MemberProbe &Read : It->second.takeStatusReads())
-      asio::co_spawn(Executor, readStatus(Service.Name, std::move(Read)),
-                     asio::detached);
-    logSummary(It->second, Snapshot, Now);
-  }
+  // Keeps the services that are iterated, whatever is published meanwhile.
+  const RouteIndexPtr Config = View.config();
+  for (const ServiceProfile &Service : Config->config().Services)
+    if (Service.Engine && !Service.Engine->Models.empty())
+      tryPlan(Service, Now, Executor);
   if (Now >= SummaryDue)
     SummaryDue = Now + Timing.SummaryEvery;
   logGroupNotes();
 }
 
+// Failure guarded against: a pass fails, for want of memory or by a record that
+// nobody foresaw, and the coordinator keeps its lease without ever planning
+// again. The state that the pass has left is dropped, as for a new term; after
+// several failures another host may do better.
+void GroupCoordinator::tryPlan(const ServiceProfile &Service, TimePoint Now,
+                               const asio::any_io_executor &Executor) {
+  auto It = Assemblers.find(Service.Name);
+  if (It == Assemblers.end()) {
+    It = Assemblers.emplace(Service.Name, Assembler(Times)).first;
+    It->second.begin(Now);
+  }
+  try {
+    planService(Service, It->second, Now, Executor);
+  } catch (const std::exception &Problem) {
+    FailureCount &Count = FailedPasses[Service.Name];
+    if (Now - Count.LastAt > Timing.StandAsideAfterFailures)
+      Count.Failures = 0;
+    Count.LastAt = Now;
+    const std::size_t Failures = ++Count.Failures;
+    logEvent(Event::PlanFailed, {{"service", Service.Name},
+                                 {"failures", Failures},
+                                 {"problem", Problem.what()}});
+    It->second.begin(Now);
+    if (Failures >= Timing.MaxFailedPasses)
+      resign(Now, Executor);
+  }
+}
+
+void GroupCoordinator::planService(const ServiceProfile &Service,
+                                   Assembler &Groups, TimePoint Now,
+                                   const asio::any_io_executor &Executor) {
+  AssemblyView Snapshot{View.endpoints(), Service,    View.drained(),
+                        Term.fence(),     HasCallers, freeOrders()};
+  followDemand(Snapshot, Now);
+  for (SeatCommand &Command : Groups.plan(Snapshot, Now)) {
+    if (OnSeatOrders && !std::holds_alternative<StageModel>(Command.Order))
+      OnSeatOrders();
+    ++OrdersInFlight;
+    asio::co_spawn(Executor, execute(std::move(Command), Term.fence()),
+                   asio::detached);
+  }
+  for (MemberProbe &Question : Groups.takeProbes())
+    asio::co_spawn(Executor, probeMissing(Service.Name, std::move(Question)),
+                   asio::detached);
+  for (MemberProbe &Read : Groups.takeStatusReads())
+    asio::co_spawn(Executor, readStatus(Service.Name, std::move(Read)),
+                   asio::detached);
+  logSummary(Groups, Snapshot, Now);
+}
+
+void GroupCoordinator::resign(TimePoint Now,
+                              const asio::any_io_executor &Executor) {
+  FailedPasses.clear();
+  StandsAsideUntil = Now + Timing.StandAsideAfterFailures;
+  endTerm();
+  asio::co_spawn(Executor, Store.leaveDuty(Self), asio::detached);
+}
+
 void GroupCoordinator::followDemand(AssemblyView &Snapshot, TimePoint Now) {
   const ServiceName &Service = Snapshot.Service.Name;
   if (Divisions.isDue(Service, Now)) {
@@ -324,8 +362,15 @@
   const TimePoint SentAt = BootClock::now();
   const auto RecordAge =
       std::chrono::duration_cast<milliseconds>(SentAt - Command.KnownAt);
-  const OrderOutcome Outcome =
-      co_await Engines.order(Command.Address, Target, Order, Fence, Policy);
+  // An exception must not keep the order in flight for ever.
+  OrderOutcome Outcome = OrderOutcome::Unknown;
+  try {
+    Outcome =
+        co_await Engines.order(Command.Address, Target, Order, Fence, Policy);
+  } catch (const std::exception &Problem) {
+    logEvent(Event::TaskFailed,
+             {{"task", "order"}, {"problem", Problem.what()}});
+  }
   const auto Took =
       std::chrono::duration_cast<milliseconds>(BootClock::now() - SentAt);
   --OrdersInFlight;
--- a/packages/process/src/coltsfoottrail/fleethost/groupcoordinator.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/groupcoordinator.hpp
@@ -61,6 +61,11 @@
   /// How often a host that leaves the lease to others checks whether it is
   /// needed.
   milliseconds StandAsidePoll{100};
+  /// Planning passes for one service that may fail before the lease is given
+  /// up, and for how long it is left to others then. Failures that lie further
+  /// apart than that do not add up.
+  std::size_t MaxFailedPasses = 5;
+  milliseconds StandAsideAfterFailures{10'000};
 };
 
 /// @brief Competes for the coordinator lease and drives the engine groups while
@@ -154,6 +159,10 @@
 
 private:
   struct ProbeRound;
+  struct FailureCount {
+    std::size_t Failures = 0;
+    TimePoint LastAt{};
+  };
   class TermPolicy;
 
   /// @return Whether another host holds the lease.
@@ -162,6 +171,12 @@
   [[nodiscard]] Awaitable<void> pauseRenewal(milliseconds Pause);
   void applyGrant(const DutyGrant &Grant, TimePoint RequestedAt);
   void planGroups(TimePoint Now, const boost::asio::any_io_executor &Executor);
+  void tryPlan(const ServiceProfile &Service, TimePoint Now,
+               const boost::asio::any_io_executor &Executor);
+  void planService(const ServiceProfile &Service, Assembler &Groups,
+                   TimePoint Now, const boost::asio::any_io_executor &Executor);
+  /// Gives the lease up and leaves it to others for a while.
+  void resign(TimePoint Now, const boost::asio::any_io_executor &Executor);
   [[nodiscard]] Awaitable<void> execute(SeatCommand Command,
                                         std::uint64_t Fence);
   [[nodiscard]] std::size_t freeOrders() const noexcept;
@@ -197,6 +212,9 @@
   Candidacy Election;
   DutyTerm Term{Timing.Lease};
   bool Leaving = false;
+  /// Failed planning passes by service.
+  std::map<ServiceName, FailureCount> FailedPasses;
+  TimePoint StandsAsideUntil{};
   std::size_t OrdersInFlight = 0;
   TimePoint SummaryDue{};
   bool HasCallers = false;
--- a/packages/process/src/coltsfoottrail/fleethost/host.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/host.cpp
@@ -1,5 +1,7 @@
 #include "coltsfoottrail/fleethost/host.hpp"
 
+#include "coltsfoottrail/fleethost/lastingtask.hpp"
+
 #include "coltsfoottrail/core/hash.hpp"
 #include "coltsfoottrail/fleethost/demandmetrics.hpp"
 #include "coltsfoottrail/fleethost/reachlog.hpp"
@@ -296,13 +298,28 @@
   if (Settings.Engines.FollowDemand)
     followDemand();
   deferOwnReads();
-  asio::io_context &Context = Threads.context(0);
-  asio::co_spawn(Context, Operators.run(), asio::detached);
-  asio::co_spawn(Context, Endpoints.run(), asio::detached);
-  asio::co_spawn(Context, Coordinator.holdDuty(), asio::detached);
-  asio::co_spawn(Context, Link.run(), asio::detached);
-  asio::co_spawn(Context, Coordinator.driveGroups(), asio::detached);
-  asio::co_spawn(Context, tick(), asio::detached);
+  startTasks();
+}
+
+// What a task has read counts as known before it is applied, so that both feeds
+// are read anew after a failure.
+void FleetHost::startTasks() {
+  const auto Start = [this](std::string_view Name,
+                            std::function<Awaitable<void>()> Run) {
+    asio::co_spawn(Threads.context(0),
+                   keepRunning({Name, std::move(Run),
+                                [this] {
+                                  Operators.restart();
+                                  Endpoints.restart();
+                                }}),
+                   asio::detached);
+  };
+  Start("operators-feed", [this] { return Operators.run(); });
+  Start("endpoints-feed", [this] { return Endpoints.run(); });
+  Start("lease", [this] { return Coordinator.holdDuty(); });
+  Start("tree-link", [this] { return Link.run(); });
+  Start("groups", [this] { return Coordinator.driveGroups(); });
+  Start("tick", [this] { return tick(); });
 }
 
 void FleetHost::refreshRoutes() {
--- a/packages/process/src/coltsfoottrail/fleethost/host.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/host.hpp
@@ -83,6 +83,8 @@
 private:
   /// Per second.
   static constexpr std::uint32_t MaxPeerNoticesLogged = 64;
+  /// In ten seconds.
+  static constexpr std::uint32_t MaxUnreadableLogged = 8;
 
   void startFollowing();
   [[nodiscard]] DutyRole dutyRole() const noexcept;
@@ -113,6 +115,7 @@
   [[nodiscard]] FeedFollower &follower(Feed FeedId) {
     return FeedId == Feed::Operators ? Operators : Endpoints;
   }
+  void startTasks();
   void refreshRoutes();
   void refreshReach();
   void trackReach(TimePoint Now);
@@ -160,6 +163,7 @@
   Random Draw;
   /// A crash comes with a notice from each host that had requests there.
   EventSampler PeerNoticeLog{MaxPeerNoticesLogged, seconds(1)};
+  EventSampler UnreadableLog{MaxUnreadableLogged, seconds(10)};
   TreeEvidence Evidence;
   ForwardingService Forwarding;
   Router Routing;
--- a/packages/process/src/coltsfoottrail/logging/event.cpp
+++ b/packages/process/src/coltsfoottrail/logging/event.cpp
@@ -188,6 +188,8 @@
     {Event::MissingAsked, LogLevel::Info, "missing-asked",
      "A member of a serving group has no record; it was asked whether it is "
      "alive."},
+    {Event::PlanFailed, LogLevel::Error, "plan-failed",
+     "The coordinator's planning for a service failed and begins anew."},
     {Event::ConfigInForce, LogLevel::Info, "config-in-force",
      "A version of the published configuration is in force on this host."},
     {Event::StoreLost, LogLevel::Warn, "store-lost",
@@ -212,6 +214,8 @@
      "Spans were dropped because the trace file is slow."},
     {Event::InternalError, LogLevel::Error, "internal-error",
      "Something failed that should not; please report it."},
+    {Event::TaskFailed, LogLevel::Error, "task-failed",
+     "A task that lasts as long as the process failed and is started anew."},
 });
 
 } // namespace
--- a/packages/process/src/coltsfoottrail/logging/event.hpp
+++ b/packages/process/src/coltsfoottrail/logging/event.hpp
@@ -99,6 +99,7 @@
   MembersAsked = 1524,
   DomainState = 1525,
   MissingAsked = 1526,
+  PlanFailed = 1527,
   ConfigInForce = 1530,
   StoreLost = 1531,
   StoreRegained = 1532,
@@ -110,6 +111,7 @@
   Division = 1540,
   SpansDropped = 1601,
   InternalError = 1901,
+  TaskFailed = 1902,
 };
 
 /// @brief Catalogue entry of an event.
--- a/packages/process/test/coltsfoottrail/fleethost/groupcoordinator.cpp
+++ b/packages/process/test/coltsfoottrail/fleethost/groupcoordinator.cpp
@@ -1,5 +1,6 @@
 #include "coltsfoottrail/fleethost/groupcoordinator.hpp"
 
+#include "coltsfoottrail/core/error.hpp"
 #include "coltsfoottrail/core/hash.hpp"
 #include "coltsfoottrail/http/client.hpp"
 
@@ -41,9 +42,14 @@
   Awaitable<std::variant<std::string, StoreFailure>> dutyHolder() override {
     co_return std::string();
   }
-  Awaitable<void> leaveDuty(std::string) override { co_return; }
+  Awaitable<void> leaveDuty(std::string) override {
+    ++Left;
+    co_return;
+  }
 
   bool Answers = true;
+  /// How often the lease was given up.
+  int Left = 0;
 };
 
 /// Takes all orders and counts the groups that they form.
@@ -52,6 +58,10 @@
   Awaitable<OrderOutcome> order(EngineAddress, EndpointName, SeatOrder Order,
                                 std::uint64_t,
                                 const CallPolicy &Policy) override {
+    if (Failures > 0) {
+      --Failures;
+      throw Error("the order cannot be written");
+    }
     if (WaitsForConnection) {
       co_await waitWhile(Policy);
       co_return OrderOutcome::NotSent;
@@ -69,6 +79,8 @@
   }
 
   std::map<ModelName, std::set<GroupEpoch>> Epochs;
+  /// How many more orders fail with an exception.
+  int Failures = 0;
   /// Whether no engine accepts a connection.
   bool WaitsForConnection = false;
   /// Orders that could have been sent at first, and could not later.
@@ -201,6 +213,33 @@
   EXPECT_GT(Engines.Allowed, 0);
 }
 
+// Guards against a coordinator that keeps its lease and never plans again,
+// because one planning pass failed.
+TEST_F(CoordinatorOfEngines, GoesOnAfterAFailedPass) {
+  int Passes = 0;
+  Coordinator.onOrders([&Passes] {
+    if (++Passes == 1)
+      throw Error("out of memory");
+  });
+  EXPECT_TRUE(runUntil([this] { return Engines.Epochs.size() == 2; }));
+  EXPECT_EQ(Store.Left, 0);
+}
+
+// Guards against a coordinator that fails again and again, and keeps the lease
+// from hosts that would not.
+TEST_F(CoordinatorOfEngines, GivesTheLeaseUpAfterSeveralFailedPasses) {
+  Coordinator.onOrders([] { throw Error("out of memory"); });
+  EXPECT_TRUE(runUntil([this] { return Store.Left > 0; }));
+  EXPECT_FALSE(Coordinator.isLastHolder());
+}
+
+// Guards against orders that count as in flight for ever: with enough of them
+// no other order is given.
+TEST_F(CoordinatorOfEngines, OrdersThatFailAreNoLongerInFlight) {
+  Engines.Failures = 200;
+  EXPECT_TRUE(runUntil([this] { return Engines.Epochs.size() == 2; }));
+}
+
 TEST_F(CoordinatorOfEngines, FollowsTheDemandWhenSwitchedOn) {
   EngineSettings Settings;
   Settings.FollowDemand = true;
