Keep routes closed when the last team is removed

Callers with a credential that was taken away, with one that was never issued and with none were served on every route. Cause: a configuration kept its list of teams, not whether it has one, and an empty list meant that no credentials are used. Change: PublishedConfig::Teams is not set where the configuration has none, and the index answers whether a request's credential is to be checked. Why it works: both ways to take the last credential away leave it unknown. Ruled out: old versions at hosts, since endpoints saw no team's name; the own interface, which has no such case (DeclarationWithoutTeamsAdmitsNobody passes on the code before).

--- a/packages/process/src/coltsfoottrail/fleethost/callerproxy.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/callerproxy.cpp
@@ -220,11 +220,12 @@
   // If callers have credentials, none is accepted without proof that they are
   // current. A public route needs no credential, but it may have been
   // withdrawn.
-  if (Context.Route->Public && Context.Config->hasTeams() &&
+  if (Context.Route->Public && Context.Config->usesCredentials() &&
       !View.routesFresh(Context.ArrivedAt))
     return refusal(Context, StaleVerdict);
   Context.Rank = rankOf(*Context.Route, nullptr);
-  if (!Context.Route->Public && Context.Config->hasTeams()) {
+  if (Context.Config->checksCredential(*Context.Route,
+                                       Context.Caller.Credential)) {
     if (!View.credentialsFresh(Context.ArrivedAt))
       return refusal(Context, StaleVerdict);
     const TeamKeys *const Team =
--- a/packages/process/test/coltsfoottrail/fleethost/feeds.cpp
+++ b/packages/process/test/coltsfoottrail/fleethost/feeds.cpp
@@ -55,7 +55,7 @@
   TeamKeys Team;
   Team.Name = TeamName("team");
   Team.Credentials = {"key"};
-  Result.Teams.push_back(Team);
+  Result.Teams = {Team};
   return Result;
 }
 
--- a/packages/process/test/coltsfoottrail/server/answers.cpp
+++ b/packages/process/test/coltsfoottrail/server/answers.cpp
@@ -147,6 +147,26 @@
   }
 }
 
+// Guards against a declaration that names no team any more and opens the
+// services to everybody.
+TEST_F(ServiceResponses, DeclarationWithoutTeamsAdmitsNobody) {
+  ServiceResponse = jsonResponse(200, "{}");
+  Json Declared = declaration();
+  Declared["services"][0]["instances"][0]["port"] = Endpoint.port();
+  for (const bool HasList : {true, false}) {
+    Declared["teams"] = Json::array();
+    if (!HasList)
+      Declared.erase("teams");
+    applyIntent({{"kind", "apply_declaration"}, {"declaration", Declared}});
+    EXPECT_TRUE(eventually([&] {
+      return call(Hosts[0]->callerPort(), orderRequest("", "a")).Status == 401;
+    }));
+    HttpRequest Without = orderRequest("", "a");
+    Without.Fields.clear();
+    EXPECT_EQ(call(Hosts[0]->callerPort(), Without).Status, 401U);
+  }
+}
+
 // Guards against sending an endpoint that names a rate limit as much as before,
 // and against callers that wait for a refusal which is certain.
 TEST_F(ServiceResponses, RateLimitIsKept) {
--- a/packages/version/src/coltsfoottrail/fleet/config.hpp
+++ b/packages/version/src/coltsfoottrail/fleet/config.hpp
@@ -153,7 +153,8 @@
   std::uint64_t Version = 0;
   std::vector<RouteSpec> Routes;
   std::vector<ServiceProfile> Services;
-  std::vector<TeamKeys> Teams;
+  /// Not set where callers need no credentials; if it is empty, none is valid.
+  std::optional<std::vector<TeamKeys>> Teams;
   CallerLimits Limits;
 };
 
--- a/packages/version/src/coltsfoottrail/fleet/poolranks.cpp
+++ b/packages/version/src/coltsfoottrail/fleet/poolranks.cpp
@@ -42,11 +42,11 @@
   for (const RouteSpec &Route : Config.Routes) {
     if (!Route.streams() || !leadsTo(Route, Service))
       continue;
-    if (Route.Public || Config.Teams.empty()) {
+    if (Route.Public || !Config.Teams) {
       Collected.add(Route, nullptr);
       continue;
     }
-    for (const TeamKeys &Team : Config.Teams)
+    for (const TeamKeys &Team : *Config.Teams)
       Collected.add(Route, &Team);
   }
   return Collected.ranks();
--- a/packages/version/src/coltsfoottrail/fleet/routeindex.cpp
+++ b/packages/version/src/coltsfoottrail/fleet/routeindex.cpp
@@ -12,15 +12,20 @@
     const RouteSpec &Route = Config.Routes[Index];
     ByHost[Route.HostHeader][Route.PathPrefix] = Index;
   }
-  for (std::size_t Index = 0; Index < Config.Teams.size(); ++Index)
-    for (const std::string &Credential : Config.Teams[Index].Credentials)
-      ByCredential[Credential] = Index;
+  if (Config.Teams)
+    indexCredentials(*Config.Teams);
   for (std::size_t Index = 0; Index < Config.Services.size(); ++Index)
     ByService[Config.Services[Index].Name] = Index;
   for (const ServiceProfile &Service : Config.Services)
     RanksByService[Service.Name] = poolRanks(Config, Service.Name);
 }
 
+void RouteIndex::indexCredentials(const std::vector<TeamKeys> &Teams) {
+  for (std::size_t Index = 0; Index < Teams.size(); ++Index)
+    for (const std::string &Credential : Teams[Index].Credentials)
+      ByCredential[Credential] = Index;
+}
+
 const RouteSpec *RouteIndex::route(std::string_view HostHeader,
                                    std::string_view Path) const {
   const auto Host = ByHost.find(std::string(HostHeader));
@@ -41,7 +46,8 @@
 
 const TeamKeys *RouteIndex::team(std::string_view Credential) const {
   const auto Entry = ByCredential.find(std::string(Credential));
-  return Entry == ByCredential.end() ? nullptr : &Config.Teams[Entry->second];
+  return Entry == ByCredential.end() ? nullptr
+                                     : &Config.Teams->at(Entry->second);
 }
 
 const ServiceProfile *RouteIndex::service(const ServiceName &Name) const {
--- a/packages/version/src/coltsfoottrail/fleet/routeindex.hpp
+++ b/packages/version/src/coltsfoottrail/fleet/routeindex.hpp
@@ -30,8 +30,18 @@
   [[nodiscard]] const PublishedConfig &config() const noexcept {
     return Config;
   }
-  /// @brief Whether any team is configured: if so, callers need a credential.
-  [[nodiscard]] bool hasTeams() const noexcept { return !Config.Teams.empty(); }
+  /// @brief Whether callers need a credential on routes that are not public.
+  [[nodiscard]] bool usesCredentials() const noexcept {
+    return Config.Teams.has_value();
+  }
+  /// @brief Whether the credential of a request to a route is to be checked.
+  /// One that is sent although none is needed is checked as well: it may have
+  /// been withdrawn together with all others.
+  /// @param Credential The request's; empty if it has none.
+  [[nodiscard]] bool checksCredential(const RouteSpec &Route,
+                                      std::string_view Credential) const {
+    return !Route.Public && (usesCredentials() || !Credential.empty());
+  }
 
   /// @brief Finds the route with the longest prefix of a path.
   /// @param HostHeader The request's host, without a port.
@@ -48,6 +58,8 @@
   ranks(const ServiceName &Service) const;
 
 private:
+  void indexCredentials(const std::vector<TeamKeys> &Teams);
+
   PublishedConfig Config;
   /// Indexes into the routes, by host header and path prefix.
   std::unordered_map<std::string, std::unordered_map<std::string, std::size_t>>
--- a/packages/version/test/coltsfoottrail/fleet/poolranks.cpp
+++ b/packages/version/test/coltsfoottrail/fleet/poolranks.cpp
@@ -35,13 +35,13 @@
 TEST(PoolRanks, PrioritiesOfTeamsReplaceThoseOfRoutes) {
   PublishedConfig Config;
   Config.Routes = {streamRoute("draft", 1, milliseconds(400))};
-  Config.Teams.resize(2);
-  Config.Teams[0].Priority = 0;
-  Config.Teams[1].Priority = 3;
+  std::vector<TeamKeys> &Teams = Config.Teams.emplace(2);
+  Teams[0].Priority = 0;
+  Teams[1].Priority = 3;
   const std::vector<PoolRank> OfTeams{{0, milliseconds(400)},
                                       {3, milliseconds(400)}};
   EXPECT_EQ(poolRanks(Config, Draft), OfTeams);
-  Config.Teams[1].Priority.reset();
+  Teams[1].Priority.reset();
   EXPECT_EQ(poolRanks(Config, Draft)[1].Rank, 1U);
   Config.Routes[0].Public = true;
   EXPECT_EQ(poolRanks(Config, Draft).size(), 1U);
--- a/packages/version/test/coltsfoottrail/fleet/routeindex.cpp
+++ b/packages/version/test/coltsfoottrail/fleet/routeindex.cpp
@@ -15,7 +15,7 @@
     Route.PathPrefix = Prefix;
     Config.Routes.push_back(Route);
   }
-  Config.Teams.push_back({TeamName("team"), {"key-1", "key-2"}, {}});
+  Config.Teams = {{TeamName("team"), {"key-1", "key-2"}, {}}};
   return RouteIndex(Config);
 }
 
@@ -35,6 +35,26 @@
   EXPECT_EQ(Index.team(""), nullptr);
 }
 
+// Guards against opening all routes by a configuration that names no team any
+// more, or to callers whose credential it takes away.
+TEST(RouteIndex, CredentialsAreCheckedAsTheConfigurationSays) {
+  RouteSpec Route;
+  RouteSpec PublicRoute;
+  PublicRoute.Public = true;
+  PublishedConfig Config;
+  const RouteIndex Open(Config);
+  EXPECT_FALSE(Open.usesCredentials());
+  EXPECT_FALSE(Open.checksCredential(Route, ""));
+  EXPECT_TRUE(Open.checksCredential(Route, "key-1"));
+  EXPECT_FALSE(Open.checksCredential(PublicRoute, "key-1"));
+  Config.Teams.emplace();
+  const RouteIndex Closed(Config);
+  EXPECT_TRUE(Closed.usesCredentials());
+  EXPECT_TRUE(Closed.checksCredential(Route, ""));
+  EXPECT_FALSE(Closed.checksCredential(PublicRoute, ""));
+  EXPECT_EQ(Closed.team("key-1"), nullptr);
+}
+
 } // namespace
 
 } // namespace coltsfoottrail
