Take an empty credential for none

Callers that send no credential would be admitted as the team whose list of credentials has an empty one. Cause: no credential and an empty one are the same text. Evidence: RouteIndex.EmptyCredentialIsNone fails on the code before. Change: an empty credential is not indexed. Ruled out, by reading: the own interface, which looks credentials up by their digest and refuses requests without one.

--- a/packages/version/src/coltsfoottrail/fleet/routeindex.cpp
+++ b/packages/version/src/coltsfoottrail/fleet/routeindex.cpp
@@ -20,10 +20,12 @@
     RanksByService[Service.Name] = poolRanks(Config, Service.Name);
 }
 
+// An empty credential is none: it would admit all callers that send none.
 void RouteIndex::indexCredentials(const std::vector<TeamKeys> &Teams) {
   for (std::size_t Index = 0; Index < Teams.size(); ++Index)
     for (const std::string &Credential : Teams[Index].Credentials)
-      ByCredential[Credential] = Index;
+      if (!Credential.empty())
+        ByCredential[Credential] = Index;
 }
 
 const RouteSpec *RouteIndex::route(std::string_view HostHeader,
--- a/packages/version/test/coltsfoottrail/fleet/routeindex.cpp
+++ b/packages/version/test/coltsfoottrail/fleet/routeindex.cpp
@@ -55,6 +55,16 @@
   EXPECT_EQ(Closed.team("key-1"), nullptr);
 }
 
+// Guards against admitting callers without a credential as a team whose
+// credential is empty.
+TEST(RouteIndex, EmptyCredentialIsNone) {
+  PublishedConfig Config;
+  Config.Teams = {{TeamName("team"), {"", "key-1"}, {}}};
+  const RouteIndex Index(Config);
+  EXPECT_EQ(Index.team(""), nullptr);
+  EXPECT_NE(Index.team("key-1"), nullptr);
+}
+
 } // namespace
 
 } // namespace coltsfoottrail
