Trust no configuration beside one that cannot be read

Callers whose credential a configuration takes away would be served on and on by a host that cannot read it. Cause: a page that reached the end of the feed proved the configuration in force, whether or not the newest one could be read. Evidence: FleetView.UnreadableConfigurationLeavesNoneCurrent fails on the code before. Change: such a page proves nothing, and the entry is relayed. A host refuses within its bounds, as when the store is away, until it can read a newer one. Ruled out: to serve on; the store accepts valid configurations only, so that a host that cannot read one is at fault itself.

--- a/packages/process/src/coltsfoottrail/fleethost/view.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/view.cpp
@@ -52,7 +52,9 @@
   std::vector<RoutingEffect> Effects;
   Effects.reserve(Page.Changes.size());
   for (FleetChange &Change : Page.Changes)
-    Effects.push_back(effectOf(Change, IsSnapshot, Now));
+    Effects.push_back(FeedId == Feed::Operators && noteUnreadable(Change)
+                          ? RoutingEffect::Set
+                          : effectOf(Change, IsSnapshot, Now));
   if (FeedId == Feed::Operators) {
     if (!IsOlder)
       OperatorsNext = Page.Next;
@@ -61,7 +63,7 @@
     // it refuses valid requests because of routes and credentials that were
     // replaced long ago. Only a read that reached the end proves that the
     // configuration is current.
-    if (Page.Next >= Page.End)
+    if (Page.Next >= Page.End && !HasUnreadableConfig)
       ConfigAsOf = std::max(ConfigAsOf, RequestedAt);
     return Effects;
   }
@@ -143,6 +145,17 @@
       Change);
 }
 
+// Failure guarded against: a configuration that this host cannot read takes
+// credentials away, and the one before it counts as current from then on, here
+// and at the hosts that this one relays to.
+bool FleetView::noteUnreadable(const FleetChange &Change) {
+  if (std::holds_alternative<UnreadableEntry>(Change))
+    HasUnreadableConfig = true;
+  else if (std::holds_alternative<ConfigPublished>(Change))
+    HasUnreadableConfig = false;
+  return std::holds_alternative<UnreadableEntry>(Change);
+}
+
 // A crashed process publishes nothing. A record from the same run of the
 // process that no longer leads was therefore written by a leader that closed
 // its group and is alive.
--- a/packages/process/src/coltsfoottrail/fleethost/view.hpp
+++ b/packages/process/src/coltsfoottrail/fleethost/view.hpp
@@ -191,6 +191,8 @@
                      const EndpointRecord &Current);
   [[nodiscard]] RoutingEffect effectOf(FleetChange &Change, bool IsSnapshot,
                                        TimePoint Now);
+  /// @return Whether a change of the operators' feed cannot be read.
+  [[nodiscard]] bool noteUnreadable(const FleetChange &Change);
   [[nodiscard]] bool isRoutable(const EndpointName &Name) const;
   void recordRead(TimePoint Now);
   [[nodiscard]] bool applyOne(FleetChange &Change, TimePoint Now);
@@ -209,6 +211,9 @@
   /// endpoints count as cold.
   std::map<DataCentreName, TimePoint> RecentlyReturned;
   TimePoint ConfigAsOf{};
+  /// Whether the newest configuration cannot be read, so that nothing proves
+  /// that the one in force is current.
+  bool HasUnreadableConfig = false;
   /// Offset behind the operators' records that were applied.
   Offset OperatorsNext = 0;
   /// When the last request that the store answered was sent, whether or not the
--- a/packages/process/test/coltsfoottrail/fleethost/view.cpp
+++ b/packages/process/test/coltsfoottrail/fleethost/view.cpp
@@ -84,6 +84,22 @@
   EXPECT_EQ(endpointsOf(View), 0U);
 }
 
+// Guards against trusting credentials that a configuration which this host
+// cannot read may have taken away.
+TEST(FleetView, UnreadableConfigurationLeavesNoneCurrent) {
+  FleetView View = readyView();
+  const TimePoint Later = Start + milliseconds(2'500);
+  const std::vector<RoutingEffect> Effects =
+      View.ingest(Feed::Operators, page(UnreadableEntry{"config", "a number"}),
+                  false, Later, Later);
+  EXPECT_EQ(Effects, std::vector<RoutingEffect>{RoutingEffect::Set});
+  EXPECT_FALSE(View.credentialsFresh(Later));
+  EXPECT_FALSE(View.routesFresh(Later));
+  View.ingest(Feed::Operators, page(ConfigPublished{config(9)}), false, Later,
+              Later);
+  EXPECT_TRUE(View.credentialsFresh(Later));
+}
+
 // Guards against rejecting callers of a new route: an overloaded store returns
 // the operators' feed in parts. Each read is answered, but this host stays
 // behind the newest version.
