Give up responses whose status is none at once

Callers waited for the whole of their time and got 504 where an endpoint had answered with the status 000, and got the statuses 600 to 999 as answers. Cause: the HTTP library accepts three digits, and the client looked at one end of the range only: what is below 200 counted as interim, and what follows as the response. Change: the client takes 200 to 599 for a response and 100 to 199, but for 101, for an interim one. Everything else is a failure of the endpoint, at once; the request may have run, and goes elsewhere if it may run again. It is no lost connection, so that it does not count as a crash of the endpoint by the request. Why it works: all that reads answers, of endpoints, engines, the store and the own interface's log, does so through this client, also over a connection that another host forwards.

--- a/packages/connection/src/coltsfoottrail/http/client.cpp
+++ b/packages/connection/src/coltsfoottrail/http/client.cpp
@@ -25,8 +25,11 @@
 
 constexpr std::size_t MaxPartBytes = std::size_t{16} << 10U;
 constexpr std::size_t MaxBufferBytes = std::size_t{64} << 10U;
-/// Lower ones are of interim responses.
+constexpr unsigned FirstInterimStatus = 100;
+/// Nothing asks an endpoint to switch to another protocol.
+constexpr unsigned StatusSwitchingProtocols = 101;
 constexpr unsigned FirstFinalStatus = 200;
+constexpr unsigned LastFinalStatus = 599;
 
 /// An idle connection is not used for this long before the other end closes it:
 /// a request needs as long to get there.
@@ -36,10 +39,24 @@
   return std::max(Deadline - BootClock::now(), Duration::zero());
 }
 
-/// Whether the other end or the network, not this end, broke the connection.
+/// Whether this end gave up: the time was over, or the wait was cancelled.
+bool isEndedHere(const ErrorCode &Problem) {
+  return Problem == beast::error::timeout ||
+         Problem == asio::error::operation_aborted;
+}
+
+/// Whether the other end or the network broke the connection.
 bool isConnectionLost(const ErrorCode &Problem) {
-  return Problem != beast::error::timeout &&
-         Problem != asio::error::operation_aborted;
+  return !isEndedHere(Problem) && Problem != http::error::bad_status;
+}
+
+bool isInterim(unsigned Status) {
+  return Status >= FirstInterimStatus && Status < FirstFinalStatus &&
+         Status != StatusSwitchingProtocols;
+}
+
+bool isFinal(unsigned Status) {
+  return Status >= FirstFinalStatus && Status <= LastFinalStatus;
 }
 
 } // namespace
@@ -261,14 +278,14 @@
     const auto Owner = Call.Owner.lock();
     if (Problem) {
       const bool TimedOut = Problem == beast::error::timeout;
-      if (Owner && !isConnectionLost(Problem))
+      if (Owner && isEndedHere(Problem))
         Owner->recordSilence(Call.Endpoint, *Call.Link);
       co_return CallFailure{RunState::MayHaveRun,
                             TimedOut ? Reason::EndpointTimedOut
                                      : Reason::EndpointCut,
                             isConnectionLost(Problem),
                             false,
-                            !isConnectionLost(Problem),
+                            isEndedHere(Problem),
                             Problem == asio::error::operation_aborted &&
                                 Call.Link->IsInterrupted};
     }
@@ -404,21 +421,27 @@
     co_await http::async_read_header(
         CallState.Link->Stream, CallState.Link->Buffer, *CallState.Parser,
         asio::redirect_error(asio::use_awaitable, Problem));
-    if (Problem || CallState.Parser->get().result_int() >= FirstFinalStatus)
+    const unsigned Status = CallState.Parser->get().result_int();
+    if (Problem || isFinal(Status))
       break;
-    if (Interim == ClientCore->Options.MaxInterimResponses)
+    // Failure guarded against: a status that is none counts as interim, and the
+    // caller waits for another response or gets the bytes that follow; or it
+    // gets the status itself.
+    if (!isInterim(Status))
+      Problem = http::error::bad_status;
+    else if (Interim == ClientCore->Options.MaxInterimResponses)
       Problem = http::error::header_limit;
     if (Problem)
       break;
   }
   if (Problem) {
     const bool TimedOut = Problem == beast::error::timeout;
-    if (!isConnectionLost(Problem))
+    if (isEndedHere(Problem))
       ClientCore->recordSilence(CallState.Endpoint, *CallState.Link);
     co_return CallFailure{
         RunState::MayHaveRun,
         TimedOut ? Reason::EndpointTimedOut : Reason::EndpointFailed,
-        isConnectionLost(Problem), false, !isConnectionLost(Problem)};
+        isConnectionLost(Problem), false, isEndedHere(Problem)};
   }
   ClientCore->recordData(CallState.Endpoint, *CallState.Link);
   CallState.Head.Status = CallState.Parser->get().result_int();
--- a/packages/connection/src/coltsfoottrail/http/client.hpp
+++ b/packages/connection/src/coltsfoottrail/http/client.hpp
@@ -123,7 +123,7 @@
   HttpCall &operator=(const HttpCall &) = delete;
   ~HttpCall();
 
-  /// @brief Status and fields of the response.
+  /// @brief Status and fields of the response; the status is from 200 to 599.
   [[nodiscard]] const HttpResponse &head() const noexcept;
 
   /// @brief The entry host that forwards the connection; empty if it is direct.
--- a/packages/connection/test/coltsfoottrail/http/rawendpoint.hpp
+++ b/packages/connection/test/coltsfoottrail/http/rawendpoint.hpp
@@ -17,7 +17,8 @@
 
 namespace coltsfoottrail::test {
 
-/// @brief What an endpoint writes to each connection, without looking at the request.
+/// @brief What an endpoint writes to each connection, without looking at the
+/// request.
 struct Script {
   std::string First;
   /// Written again and again until the connection is closed; empty for
@@ -26,7 +27,8 @@
   milliseconds Interval{0};
 };
 
-/// @brief Writes a script to one connection and counts the bytes that were taken.
+/// @brief Writes a script to one connection and counts the bytes that were
+/// taken.
 class RawEndpoint {
 public:
   explicit RawEndpoint(Script Bytes)
@@ -52,9 +54,11 @@
     Acceptor.accept(Peer, Problem);
     boost::asio::streambuf Request;
     boost::asio::read_until(Peer, Request, "\r\n\r\n", Problem);
-    Taken += boost::asio::write(Peer, boost::asio::buffer(Content.First), Problem);
+    Taken +=
+        boost::asio::write(Peer, boost::asio::buffer(Content.First), Problem);
     while (!Problem && !Content.Repeated.empty()) {
-      Taken += boost::asio::write(Peer, boost::asio::buffer(Content.Repeated), Problem);
+      Taken += boost::asio::write(Peer, boost::asio::buffer(Content.Repeated),
+                                  Problem);
       std::this_thread::sleep_for(Content.Interval);
     }
     char Byte = 0;
