Write no chunks after a status that has no body

Callers of a stream that is answered with 204 got a chunk after the head, and would take it for the begin of their next response. Cause: every success on a streaming route was passed on as a stream. Evidence: EndToEnd.StreamWithoutContentIsAWholeResponse fails on the code before. Change: 204 is a whole response, and no continuation of a stream that has begun.

--- a/packages/process/src/coltsfoottrail/fleethost/attempt.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/attempt.cpp
@@ -14,6 +14,7 @@
 namespace {
 
 constexpr unsigned StatusOk = 200;
+constexpr unsigned StatusNoContent = 204;
 constexpr unsigned StatusFirstNonSuccess = 300;
 constexpr unsigned StatusFirstServerError = 500;
 
@@ -248,12 +249,17 @@
   if (AnswerHeaders.NotRun || AnswerHeaders.WrongEndpoint)
     co_return refusedAttempt(AnswerHeaders.asksForBackoff(), Start);
   const unsigned Status = UpstreamCall.head().Status;
-  const bool Broken =
-      isSuccess(Status) ? !AnswerHeaders.Signed : Call.hasBegun();
+  // Failure guarded against: the caller of a stream gets the end of a body
+  // after a status that has none, and takes it for the begin of its next
+  // response.
+  const bool IsStream = Context.Route->streams() && isSuccess(Status) &&
+                        Status != StatusNoContent;
+  const bool Broken = (isSuccess(Status) && !AnswerHeaders.Signed) ||
+                      (Call.hasBegun() && !IsStream);
   if (Broken)
     co_return failedAttempt(RunState::MayHaveRun, Reason::EndpointFailed,
                             Start);
-  if (Context.Route->streams() && isSuccess(Status))
+  if (IsStream)
     co_return co_await relayStream(Call, Context, std::move(UpstreamCall),
                                    Target, Start, QueuedGuard, Policy);
   co_return co_await relayWhole(Call, Context, std::move(UpstreamCall), Target,
