--- a/packages/version/src/coltsfoottrail/assembly/formation.cpp
+++ b/packages/version/src/coltsfoottrail/assembly/formation.cpp
@@ -73,7 +73,7 @@
   std::size_t Largest = 0;
   for (const auto &[Name, Endpoint] : Context.View.Endpoints.all()) {
     const EndpointRecord &Record = Endpoint.Record;
-    if (Record.Service != Context.View.Service.Name)
+    if (Record.Service != Context.View.Service.Name || !Record.isEngine())
       continue;
     Largest =
         std::max(Largest, ++DomainSizes[{Record.DataCentre, Record.Domain}]);
