Say invalid status code in comments and names of tests

Read as a newcomer, "a status that is none" and "no response" did not tell what is meant. Comments, names of tests and the order of one include change; nothing that is compiled into a program does. The tests concerned pass, formatter and linter are clean on the files.

--- a/packages/connection/src/coltsfoottrail/http/client.cpp
+++ b/packages/connection/src/coltsfoottrail/http/client.cpp
@@ -424,9 +424,9 @@
     const unsigned Status = CallState.Parser->get().result_int();
     if (Problem || isFinal(Status))
       break;
-    // Failure guarded against: a status that is none counts as interim, and the
-    // caller waits for another response or gets the bytes that follow; or it
-    // gets the status itself.
+    // Failure guarded against: an invalid status code counts as interim, and
+    // the caller waits for another response or gets the bytes that follow; or
+    // the code itself is passed on.
     if (!isInterim(Status))
       Problem = http::error::bad_status;
     else if (Interim == ClientCore->Options.MaxInterimResponses)
--- a/packages/connection/test/coltsfoottrail/http/status.cpp
+++ b/packages/connection/test/coltsfoottrail/http/status.cpp
@@ -1,4 +1,4 @@
-// Responses whose status is none, or whose bytes belong to no response.
+// Responses with invalid status codes, and with rare ones.
 #include "coltsfoottrail/http/client.hpp"
 #include "coltsfoottrail/http/iopool.hpp"
 
@@ -60,33 +60,33 @@
   Duration Took{};
 };
 
-using StatusOfNoResponse = ResponseStatus;
+using InvalidStatus = ResponseStatus;
 
-// Guards against callers that get a status which is none.
-TEST_P(StatusOfNoResponse, IsGivenUp) {
+// Guards against callers that get an invalid status code.
+TEST_P(InvalidStatus, IsGivenUp) {
   RawEndpoint Endpoint({responseWith("whole"), ""});
   expectNoResponse(fetch(Endpoint));
 }
 
 // Guards against waiting until the deadline for a response after this one.
-TEST_P(StatusOfNoResponse, IsGivenUpAtOnce) {
+TEST_P(InvalidStatus, IsGivenUpAtOnce) {
   RawEndpoint Endpoint({responseWith(""), ""});
   expectNoResponse(fetch(Endpoint));
 }
 
 // Guards against taking what follows, or the body, for the response.
-TEST_P(StatusOfNoResponse, IsNotFollowedByAnother) {
+TEST_P(InvalidStatus, IsNotFollowedByAnother) {
   RawEndpoint Endpoint({responseWith(WholeResponse), ""});
   expectNoResponse(fetch(Endpoint));
 }
 
-INSTANTIATE_TEST_SUITE_P(Outside, StatusOfNoResponse,
+INSTANTIATE_TEST_SUITE_P(Outside, InvalidStatus,
                          testing::Values(0U, 7U, 99U, 101U, 600U, 999U));
 
-using StatusOfAResponse = ResponseStatus;
+using ValidStatus = ResponseStatus;
 
 // Guards against a status that is rare, and one all the same, being given up.
-TEST_P(StatusOfAResponse, IsPassedOn) {
+TEST_P(ValidStatus, IsPassedOn) {
   RawEndpoint Endpoint({responseWith("whole"), ""});
   const Outcome Result = fetch(Endpoint);
   const auto *const Response = std::get_if<HttpResponse>(&Result);
@@ -96,7 +96,7 @@
   Client.closeIdle();
 }
 
-INSTANTIATE_TEST_SUITE_P(Inside, StatusOfAResponse,
+INSTANTIATE_TEST_SUITE_P(Inside, ValidStatus,
                          testing::Values(200U, 299U, 302U, 418U, 599U));
 
 } // namespace
--- a/packages/process/src/coltsfoottrail/fleethost/attempt.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/attempt.cpp
@@ -250,7 +250,7 @@
     co_return refusedAttempt(AnswerHeaders.asksForBackoff(), Start);
   const unsigned Status = UpstreamCall.head().Status;
   // Failure guarded against: the caller of a stream gets the end of a body
-  // after a status that has none, and takes it for the begin of its next
+  // after a status that has none, and takes it for the beginning of its next
   // response.
   const bool IsStream = Context.Route->streams() && isSuccess(Status) &&
                         Status != StatusNoContent;
--- a/packages/process/src/coltsfoottrail/fleethost/host.cpp
+++ b/packages/process/src/coltsfoottrail/fleethost/host.cpp
@@ -1,9 +1,8 @@
 #include "coltsfoottrail/fleethost/host.hpp"
 
-#include "coltsfoottrail/fleethost/lastingtask.hpp"
-
 #include "coltsfoottrail/core/hash.hpp"
 #include "coltsfoottrail/fleethost/demandmetrics.hpp"
+#include "coltsfoottrail/fleethost/lastingtask.hpp"
 #include "coltsfoottrail/fleethost/reachlog.hpp"
 #include "coltsfoottrail/logging/log.hpp"
 #include "coltsfoottrail/retries/share.hpp"
--- a/packages/process/test/coltsfoottrail/server/answers.cpp
+++ b/packages/process/test/coltsfoottrail/server/answers.cpp
@@ -132,9 +132,9 @@
   EXPECT_LT(BootClock::now() - Begin, seconds(5));
 }
 
-// Guards against callers that get a status which is none, or wait for another
-// one until their deadline.
-TEST_F(ServiceResponses, WithoutAStatusAreGivenUp) {
+// Guards against callers that get an invalid status code, or wait for another
+// response until their deadline.
+TEST_F(ServiceResponses, WithAnInvalidStatusAreGivenUp) {
   for (const unsigned Status : {0U, 7U, 101U, 600U, 999U}) {
     ServiceResponse = jsonResponse(Status, "{}");
     const TimePoint Begin = BootClock::now();
